--- /dev/null
+++ b/src/connection/backend.h
@@ -0,0 +1,62 @@
+/* Bck: HTTP exchanges with the backend server beside this node, over a pool
+ * of kept-open connections.
+ */
+#ifndef BACKEND_H
+#define BACKEND_H
+
+#include <event2/event.h>
+
+#include "request/field.h"
+#include "value/addr.h"
+#include "value/instant.h"
+
+typedef struct {
+    Str method;
+    Str target;
+    FieldList fields;
+    Str body;
+    Span left; /* until the deadline */
+} BckRequest;
+
+typedef enum {
+    Bck_WHOLE,    /* the whole answer came */
+    Bck_CUT,      /* the connection ended before the answer did */
+    Bck_UNREACHED /* no connection could be made: it did not run */
+} BckEnd;
+
+/* Where the answer goes. */
+typedef struct {
+    void *context;
+    void (*head)(void *context, uint16_t status, const FieldList *fields);
+    void (*bytes)(void *context, Str bytes);
+    void (*end)(void *context, BckEnd end); /* the exchange is gone then */
+} BckSink;
+
+typedef struct BckExchange BckExchange;
+typedef struct BckConnection BckConnection;
+
+typedef struct {
+    struct event_base *base;
+    Addr addr; /* of the backend server; Addr_NONE: none */
+    BckConnection *idle;
+} BckPool;
+
+void Bck_PoolInit(BckPool *pool, struct event_base *base);
+void Bck_PoolFinish(BckPool *pool);
+
+/* The backend server listens at ADDR from now on. */
+void Bck_SetAddr(BckPool *pool, Addr addr);
+
+/* Start an exchange; NULL when no request could be made.  The sink is never
+ * called before this returns. */
+BckExchange *Bck_Start(BckPool *pool, const BckRequest *request,
+                       const BckSink *sink);
+
+/* Stop: the sink is not called again, and the connection is closed. */
+void Bck_Cancel(BckExchange *exchange);
+
+/* Read no more of the answer, and go on. */
+void Bck_Pause(BckExchange *exchange);
+void Bck_Resume(BckExchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/connection/callmsg.h
@@ -0,0 +1,104 @@
+/* Callmsg: the messages of one attempt between the ingress node and the node
+ * beside the chosen backend server.  Strings of a message that was read point
+ * into its bytes.
+ */
+#ifndef CALLMSG_H
+#define CALLMSG_H
+
+#include "connection/wire.h"
+#include "request/field.h"
+#include "value/addr.h"
+#include "value/instant.h"
+#include "value/load.h"
+
+typedef struct {
+    AttemptId id;
+    uint64_t incarnation; /* of the node that is asked */
+    bool interactive;
+    Span left;            /* until the deadline */
+    uint64_t fingerprint; /* of the request, for suspects */
+    Str request_id;
+    Str method;
+    Str target;
+    FieldList fields;
+    Str body;
+} CallMsg;
+
+typedef struct {
+    AttemptId id;
+    uint32_t sequence; /* 0, 1, ... */
+    bool last;
+    uint16_t status;  /* of piece 0 */
+    FieldList fields; /* of piece 0 */
+    Str bytes;
+    LoadReport load;
+} PieceMsg;
+
+typedef enum {
+    Refusal_FULL,
+    Refusal_LATE,
+    Refusal_DRAINING,
+    Refusal_ABSENT,
+    Refusal_FENCED,
+    Refusal_SUSPECT,
+    Refusal_INCARNATION,
+    Refusal_CUT, /* ran, but its answer was cut short: not a proof */
+    Refusal_KINDS
+} Refusal;
+
+typedef struct {
+    AttemptId id;
+    Refusal reason;
+    LoadReport load;
+} RefusedMsg;
+
+typedef enum {
+    Fenced_NEVER,   /* never ran, and never will */
+    Fenced_RUNNING, /* runs; its answer goes to who asks */
+    Fenced_ENDED,   /* ended; the answer follows as pieces */
+    Fenced_LOST,    /* ran, and how it ended is not kept */
+    Fenced_KINDS
+} FencedState;
+
+typedef struct {
+    AttemptId id;
+    FencedState state;
+    LoadReport load;
+} FencedMsg;
+
+typedef struct {
+    AttemptId id;
+    uint32_t bytes;
+} CreditMsg;
+
+enum {
+    Callmsg_FIELDS_MAX = 100,
+    Callmsg_PIECE_BYTES = 65536,   /* of one piece at most */
+    Callmsg_WINDOW_BYTES = 262144, /* pieces not credited yet, at most */
+};
+
+void Callmsg_PackCall(Pack *pack, const CallMsg *msg);
+bool Callmsg_ReadCall(Unpack *in, CallMsg *msg, Err *err);
+void Callmsg_PackPiece(Pack *pack, const PieceMsg *msg);
+bool Callmsg_ReadPiece(Unpack *in, PieceMsg *msg, Err *err);
+void Callmsg_PackRefused(Pack *pack, const RefusedMsg *msg);
+bool Callmsg_ReadRefused(Unpack *in, RefusedMsg *msg, Err *err);
+
+/* Wire_CANCEL and Wire_FENCE carry an id alone. */
+void Callmsg_PackId(Pack *pack, WireKind kind, AttemptId id);
+bool Callmsg_ReadId(Unpack *in, AttemptId *id, Err *err);
+void Callmsg_PackFenced(Pack *pack, const FencedMsg *msg);
+bool Callmsg_ReadFenced(Unpack *in, FencedMsg *msg, Err *err);
+void Callmsg_PackCredit(Pack *pack, const CreditMsg *msg);
+bool Callmsg_ReadCredit(Unpack *in, CreditMsg *msg, Err *err);
+
+/* Wire_PING carries nothing; Wire_PONG carries the load. */
+void Callmsg_PackPing(Pack *pack);
+void Callmsg_PackPong(Pack *pack, const LoadReport *load);
+bool Callmsg_ReadPong(Unpack *in, LoadReport *load, Err *err);
+
+/* A load report as one nested array, also used by membermsg. */
+void Callmsg_PutLoad(Pack *pack, const LoadReport *load);
+void Callmsg_TakeLoad(Unpack *in, LoadReport *load);
+
+#endif
--- /dev/null
+++ b/src/connection/peer.h
@@ -0,0 +1,31 @@
+/* Peer: this node's connection to one other node (a ZeroMQ DEALER socket).
+ *
+ * Peer_Watch decides, from the times of what was sent and heard, whether a
+ * used connection needs a ping or has gone silent; the owner then opens a
+ * fresh one and settles over it what was in flight.
+ */
+#ifndef PEER_H
+#define PEER_H
+
+#include <event2/event.h>
+
+#include "value/addr.h"
+#include "value/instant.h"
+
+typedef enum { Peer_FINE, Peer_NEEDS_PING, Peer_GONE_SILENT } PeerState;
+
+typedef struct {
+    Addr addr;
+    void *socket;
+    struct event *event;
+    uint32_t holds;   /* attempts that wait for an answer over it */
+    Instant asked_at; /* first send not followed by any word; 0: none */
+    Instant sent_at;  /* last send */
+    uint64_t opened;  /* times opened */
+} Peer;
+
+PeerState Peer_Watch(const Peer *peer, Span ping, Span silence, Instant now);
+void Peer_OnSent(Peer *peer, Instant now);
+void Peer_OnHeard(Peer *peer);
+
+#endif
--- /dev/null
+++ b/src/process/admission.h
@@ -0,0 +1,63 @@
+/* Adm, the admission decider of the node beside a backend server: run, queue
+ * or refuse one attempt.
+ *
+ * Adm counts what runs and what waits; it owns neither.  The caller keeps the
+ * waiting attempts and asks Adm_Next which of them starts when a slot frees.
+ */
+#ifndef ADMISSION_H
+#define ADMISSION_H
+
+#include "value/instant.h"
+#include "value/load.h"
+
+typedef enum {
+    Adm_RUN,
+    Adm_QUEUE,
+    Adm_REFUSE_FULL,     /* queue at its bound for the class */
+    Adm_REFUSE_LATE,     /* would not start before its deadline */
+    Adm_REFUSE_DRAINING, /* the backend server is leaving */
+    Adm_REFUSE_ABSENT    /* no backend server is announced */
+} AdmVerdict;
+
+typedef enum { Adm_INTERACTIVE = 0, Adm_PATIENT = 1, Adm_CLASSES } AdmClass;
+
+typedef struct {
+    uint32_t slots;
+    uint32_t queue_max; /* waiting, both classes */
+    uint32_t patient_queue_max;
+    Span ramp; /* cold start: slots open one by one over this span */
+} AdmSettings;
+
+typedef struct {
+    AdmSettings settings;
+    bool present; /* a backend server is announced */
+    bool draining;
+    Instant since; /* of the announcement, for the ramp */
+    uint32_t running;
+    uint32_t queued[Adm_CLASSES];
+    double service_us; /* smoothed time of one request */
+    double error;      /* smoothed share of failed requests */
+} Adm;
+
+void Adm_Init(Adm *adm, const AdmSettings *settings);
+void Adm_SetSettings(Adm *adm, const AdmSettings *settings);
+
+/* The backend server announced itself with SLOTS, or drains, or is gone. */
+void Adm_OnAnnounce(Adm *adm, uint32_t slots, bool draining, Instant now);
+void Adm_OnGone(Adm *adm);
+
+/* Decide; Adm_RUN and Adm_QUEUE are counted at once. */
+AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now);
+
+/* A running attempt ended after TOOK. */
+void Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now);
+
+/* A waiting attempt left the queue without running. */
+void Adm_OnLeave(Adm *adm, AdmClass cls);
+
+/* Which class starts next, when one may: counted as running at once. */
+bool Adm_Next(Adm *adm, Instant now, AdmClass *cls);
+
+LoadReport Adm_Report(const Adm *adm);
+
+#endif
--- /dev/null
+++ b/src/process/announce.h
@@ -0,0 +1,38 @@
+/* Ann: the announcements of the backend server beside this node.
+ *
+ * A backend server posts {"service", "port", "slots", "draining"} to
+ * /v1/announce every second or so; without a word for the expiry it is gone.
+ */
+#ifndef ANNOUNCE_H
+#define ANNOUNCE_H
+
+#include "connection/backend.h"
+#include "process/admission.h"
+#include "process/operate.h"
+
+typedef void (*AnnListener)(void *context, Instant now);
+
+typedef struct {
+    const Settings *settings;
+    Logger *logger;
+    Adm *admission;
+    BckPool *pool;
+    bool present;
+    bool draining;
+    StrBuf service;
+    Instant heard_at;
+    AnnListener changed; /* told of each change but a renewal */
+    void *context;
+} Ann;
+
+void Ann_Init(Ann *ann, const Settings *settings, Logger *logger,
+              Adm *admission, BckPool *pool, AnnListener changed,
+              void *context);
+void Ann_Finish(Ann *ann);
+
+/* Serve /v1/announce. */
+void Ann_Serve(Ann *ann, Opr *opr);
+
+void Ann_Expire(Ann *ann, Instant now);
+
+#endif
--- /dev/null
+++ b/src/process/counters.h
@@ -0,0 +1,55 @@
+/* Cnt: the process's counters, shown in text exposition format. */
+#ifndef COUNTERS_H
+#define COUNTERS_H
+
+#include "value/str.h"
+
+/* name, help */
+#define Cnt_LIST(X)                                                           \
+    X(CALLS, "calls_total", "Calls received from callers")                    \
+    X(ANSWERED, "calls_answered_total", "Calls given a whole answer")         \
+    X(NOT_RUN, "calls_not_run_total", "Calls answered not run")               \
+    X(UNKNOWN, "calls_unknown_total", "Calls answered unknown")               \
+    X(CUT, "calls_cut_total", "Answers cut after their first piece")          \
+    X(NO_ROUTE, "calls_no_route_total", "Calls that no route matches")        \
+    X(HUNG_UP, "calls_hung_up_total", "Calls whose caller hung up")           \
+    X(ATTEMPTS, "attempts_total", "Attempts made")                            \
+    X(RETRIES, "retries_total", "Attempts after the first of a call")         \
+    X(HEDGES, "hedges_total", "Second attempts made before an answer")        \
+    X(FENCES, "fences_total", "Attempts settled by a fence")                  \
+    X(RUNS, "runs_total", "Attempts run at the backend server")               \
+    X(REFUSED, "refused_total", "Attempts refused at the backend server")     \
+    X(DUPLICATES, "duplicates_total", "Attempts that had been seen before")   \
+    X(SUSPECTS, "suspects_stopped_total", "Attempts refused as suspect")      \
+    X(CRASHES, "backend_losses_total", "Losses of the backend server")        \
+    X(SILENT, "silent_connections_total", "Connections given up as silent")   \
+    X(MALFORMED, "malformed_total", "Messages that could not be read")        \
+    X(DENIED, "denied_total", "Operators' requests without their key")        \
+    X(MEASURE_BYTES, "measure_bytes_total", "Bytes sent to measure load")     \
+    X(MEASURE_MESSAGES, "measure_messages_total", "Messages to measure load") \
+    X(MEASURE_CPU_US, "measure_cpu_us_total", "CPU spent measuring, us")      \
+    X(CONTROL_BYTES, "control_bytes_total", "Bytes sent for control")         \
+    X(CONTROL_MESSAGES, "control_messages_total", "Messages for control")     \
+    X(CONTROL_CPU_US, "control_cpu_us_total", "CPU spent on control, us")     \
+    X(LINK_BYTES, "link_bytes_total", "Bytes sent across regions")            \
+    X(DATA_BYTES, "data_bytes_total", "Bytes sent to other nodes for calls")
+
+typedef enum {
+#define X(id, name, help) Cnt_##id,
+    Cnt_LIST(X)
+#undef X
+        Cnt_COUNT
+} CntId;
+
+typedef struct {
+    uint64_t values[Cnt_COUNT];
+} Counters;
+
+void Cnt_Init(Counters *counters);
+void Cnt_Add(Counters *counters, CntId id, uint64_t amount);
+uint64_t Cnt_Get(const Counters *counters, CntId id);
+
+/* Append every counter in text exposition format 0.0.4. */
+void Cnt_Print(const Counters *counters, StrBuf *out);
+
+#endif
--- /dev/null
+++ b/src/process/operate.h
@@ -0,0 +1,61 @@
+/* Opr: the HTTP front towards operators and the backend server beside the
+ * node: announcements, status, counters, and commands that need a key.
+ *
+ * Modules register their own paths; this one checks the key and answers with
+ * JSON.
+ */
+#ifndef OPERATE_H
+#define OPERATE_H
+
+#include <event2/http.h>
+#include <jansson.h>
+
+#include "process/counters.h"
+#include "process/loop.h"
+#include "process/settings.h"
+
+typedef struct {
+    int status;   /* of HTTP; 0: answered later by Opr_Answer */
+    json_t *body; /* released by Opr; may be NULL */
+} OprAnswer;
+
+/* REQUEST is kept by who answers later. */
+typedef OprAnswer (*OprHandler)(void *context, struct evhttp_request *request,
+                                Str body, Instant now);
+
+enum { Opr_PATHS_MAX = 24 };
+
+typedef struct Opr Opr;
+
+typedef struct {
+    Opr *opr;
+    OprHandler call;
+    void *context;
+    bool needs_key;
+} OprPath;
+
+struct Opr {
+    const Settings *settings;
+    Logger *logger;
+    Counters *counters;
+    struct evhttp *http;
+    OprPath paths[Opr_PATHS_MAX];
+    size_t path_count;
+};
+
+bool Opr_Init(Opr *opr, Loop *loop, const Settings *settings, Logger *logger,
+              Counters *counters, Err *err);
+void Opr_Finish(Opr *opr);
+
+/* Serve PATH; with NEEDS_KEY only for requests that carry the operators'
+ * key ("Authorization: Bearer KEY"). */
+void Opr_On(Opr *opr, Str path, bool needs_key, OprHandler call,
+            void *context);
+
+/* Answer a request whose handler returned status 0.  Takes BODY over. */
+void Opr_Answer(struct evhttp_request *request, int status, json_t *body);
+
+/* {"error": CODE, "detail": TEXT} */
+json_t *Opr_Error(Str code, Str detail);
+
+#endif
--- /dev/null
+++ b/src/process/services.h
@@ -0,0 +1,38 @@
+/* Svc: the services this node knows, each with its placement and budgets. */
+#ifndef SERVICES_H
+#define SERVICES_H
+
+#include "process/membership.h"
+#include "process/placement.h"
+#include "request/retry.h"
+#include "version/preset.h"
+
+typedef struct {
+    StrBuf name;
+    Plc placement;
+    RtyBudget retries;
+} Service;
+
+typedef struct {
+    PlcSettings placement; /* for each service */
+    uint32_t retry_permille;
+    Rng *rng;
+    Service **items;
+    size_t count;
+    size_t cap;
+} Services;
+
+void Svc_Init(Services *services, uint16_t region, uint16_t domain, Rng *rng);
+void Svc_Finish(Services *services);
+
+/* The limits of the preset now in force. */
+void Svc_SetLimits(Services *services, const PstLimits *limits);
+
+/* The service NAME, made when it is new. */
+Service *Svc_Get(Services *services, Str name);
+
+/* Follow a change of membership. */
+void Svc_OnMember(Services *services, MbrChange change,
+                  const MbrRecord *record, Instant now);
+
+#endif
--- /dev/null
+++ b/src/process/settings.h
@@ -0,0 +1,56 @@
+/* Set: the daemon's settings, read from one JSON file and checked as a whole
+ * before anything starts.
+ */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include "process/logger.h"
+#include "value/addr.h"
+#include "value/finding.h"
+#include "value/instant.h"
+
+typedef struct {
+    StrBuf name;
+    StrBuf region;
+    uint16_t region_number; /* of the first failure domain in that region */
+} SetDomain;
+
+typedef struct {
+    StrBuf name;     /* of the node, in logs and the time line */
+    Addr address;    /* ZeroMQ, towards other nodes */
+    Addr callers;    /* HTTP, towards callers */
+    Addr operators;  /* HTTP, towards operators and the backend server */
+    uint16_t domain; /* number in domains */
+    uint16_t region;
+    SetDomain *domains; /* the fleet's, the same list on every node */
+    size_t domain_count;
+    Addr *replicas; /* control replicas, the same list on every node */
+    size_t replica_count;
+    bool control;        /* carries the control replica role */
+    StrBuf data_folder;  /* of a control replica */
+    StrBuf preset;       /* file, in force until the fleet agreed on one */
+    StrBuf operator_key; /* needed for operators' requests */
+    StrBuf curve_public; /* Z85; of the fleet; empty: no CURVE */
+    StrBuf curve_secret;
+    LgrLevel log_level;
+    Span heartbeat;      /* between records of a node */
+    Span member_expiry;  /* a silent node goes after this */
+    Span ping;           /* on a used connection that is silent */
+    Span silence;        /* a used connection is given up after this */
+    Span backend_expiry; /* a backend server that no longer announces */
+    Span stop_bound;     /* for a graceful stop */
+    Span ramp;           /* of a cold backend server */
+    uint32_t header_bytes_max;
+    uint32_t body_bytes_max;
+} Settings;
+
+void Set_Init(Settings *settings);
+void Set_Finish(Settings *settings);
+
+/* Read and check JSON; false with findings when anything is wrong. */
+bool Set_Parse(Settings *settings, Str json, FindingList *findings);
+
+/* Read the whole of FILE into OUT. */
+bool Set_ReadFile(Str file, StrBuf *out, Err *err);
+
+#endif
--- /dev/null
+++ b/src/request/call.h
@@ -0,0 +1,86 @@
+/* Call: one caller's request at the ingress node, from its arrival to the end
+ * of its answer.
+ *
+ * A Call drives the placement and retry deciders and talks to the node beside
+ * the chosen backend server.  It knows nothing of HTTP: a front end hands in
+ * a CallRequest and takes the answer through a CallSink.
+ */
+#ifndef CALL_H
+#define CALL_H
+
+#include "connection/callmsg.h"
+#include "process/counters.h"
+#include "process/net.h"
+#include "process/services.h"
+#include "request/field.h"
+#include "version/preset.h"
+
+typedef enum {
+    Call_ANSWERED, /* the whole answer was given to the sink */
+    Call_NOT_RUN,  /* it did not run, and never will */
+    Call_UNKNOWN,  /* it may have run */
+    Call_CUT       /* the answer stopped after its first piece */
+} CallOutcome;
+
+typedef enum {
+    Call_WHY_NONE,
+    Call_WHY_NO_ROUTE, /* no route of the preset matches */
+    Call_WHY_NOBODY,   /* no backend server of the service is known */
+    Call_WHY_FULL,     /* shed */
+    Call_WHY_LATE      /* its deadline passed */
+} CallWhy;
+
+/* What the caller asks.  The strings stay valid until the sink's end. */
+typedef struct {
+    Str request_id;
+    Str method;
+    Str target;
+    FieldList fields;
+    Str body;
+    Span deadline; /* as the caller stated; 0: the route's */
+} CallRequest;
+
+/* Where the answer goes. */
+typedef struct {
+    void *context;
+    void (*head)(void *context, uint16_t status, const FieldList *fields);
+    /* Bytes of the body; Call_OnTaken tells when the caller has them. */
+    void (*bytes)(void *context, Str bytes);
+    /* The last word; the Call is gone afterwards. */
+    void (*end)(void *context, CallOutcome outcome, CallWhy why);
+} CallSink;
+
+typedef struct Call Call;
+
+/* All calls in flight at this node. */
+typedef struct {
+    Net *net;
+    Counters *counters;
+    Logger *logger;
+    Services *services;
+    const Preset *preset; /* in force */
+    uint64_t incarnation; /* of this node */
+    uint64_t counter;     /* of attempts */
+    Call *first;
+    size_t count;
+} CallHub;
+
+void Call_HubInit(CallHub *hub, Net *net, Counters *counters, Logger *logger,
+                  Services *services, uint64_t incarnation);
+void Call_HubFinish(CallHub *hub);
+
+/* Take a request on.  The sink may be called before this returns; NULL is
+ * returned when it has ended already. */
+Call *Call_Start(CallHub *hub, const CallRequest *request,
+                 const CallSink *sink, Instant now);
+
+/* The caller took BYTES more of the answer's body. */
+void Call_OnTaken(Call *call, uint32_t bytes, Instant now);
+
+/* The caller hung up; the sink is not called again. */
+void Call_Cancel(Call *call, Instant now);
+
+/* Deadlines. */
+void Call_HubTick(CallHub *hub, Instant now);
+
+#endif
--- /dev/null
+++ b/src/version/preset.h
@@ -0,0 +1,59 @@
+/* Preset: the operators' choice of limits, budgets and classes.
+ *
+ * Exactly one preset is in force at any time.  It is read from JSON, checked
+ * as a whole, and never changed afterwards: a new version is a new Preset.
+ */
+#ifndef PRESET_H
+#define PRESET_H
+
+#include "value/finding.h"
+#include "value/instant.h"
+#include "value/str.h"
+
+/* How calls of one route are treated. */
+typedef struct {
+    StrBuf service;
+    StrBuf route;      /* name, unique within the service */
+    StrBuf method;     /* empty: any */
+    StrBuf path;       /* path prefix that selects the route */
+    StrBuf key_header; /* names the caller's idempotency key; empty: none */
+    bool interactive;  /* someone waits: shed last, keeps to its region */
+    bool idempotent;   /* may run again without harm */
+    Span deadline;     /* when the caller states none */
+} PstRoute;
+
+typedef struct {
+    uint32_t measure_bytes_per_s; /* all measuring messages of one node */
+    uint32_t measure_cpu_permille;
+    uint32_t link_bytes_per_s;   /* what one node may send across regions */
+    uint32_t link_price_us;      /* added to a wait across regions */
+    uint32_t domain_price_us;    /* added to a wait across failure domains */
+    uint32_t retry_permille;     /* retries by calls, each service */
+    uint32_t hedge_permille;     /* hedges by calls; 0: none */
+    Span hedge_delay;            /* wait before a hedge */
+    uint32_t attempts_max;       /* attempts of one call, the first counted */
+    uint32_t queue_max;          /* calls waiting at one backend server */
+    uint32_t patient_queue_max;  /* of these, calls that are not interactive */
+    Span key_retention;          /* how long a key's outcome is kept */
+    uint32_t suspect_losses_max; /* backend servers one request may crash */
+    Span suspect_release;        /* until a stopped request may run again */
+} PstLimits;
+
+typedef struct {
+    StrBuf name;
+    PstLimits limits;
+    PstRoute *routes;
+    size_t route_count;
+} Preset;
+
+void Pst_Init(Preset *preset);
+void Pst_Finish(Preset *preset);
+
+/* Read and check JSON.  On any finding PRESET is left empty and the result
+ * is false. */
+bool Pst_Parse(Preset *preset, Str json, FindingList *findings);
+
+/* The route of a request, the longest path prefix first; NULL when none. */
+const PstRoute *Pst_FindRoute(const Preset *preset, Str method, Str path);
+
+#endif
