--- /dev/null
+++ b/src/connection/callmsg.c
@@ -0,0 +1,227 @@
+#include "connection/callmsg.h"
+
+enum {
+    LOAD_FIELDS = 6,
+    ID_FIELDS = 2,
+    CALL_FIELDS = ID_FIELDS + 9,
+    PIECE_FIELDS = ID_FIELDS + 6,
+    REFUSED_FIELDS = ID_FIELDS + 2,
+    CREDIT_FIELDS = ID_FIELDS + 1
+};
+
+static void
+put_id(Pack *pack, AttemptId id)
+{
+    Pack_U64(pack, id.incarnation);
+    Pack_U64(pack, id.counter);
+}
+
+static AttemptId
+take_id(Unpack *in)
+{
+    AttemptId id;
+
+    id.incarnation = Unpack_U64(in);
+    id.counter = Unpack_U64(in);
+    return id;
+}
+
+void
+Callmsg_PutLoad(Pack *pack, const LoadReport *load)
+{
+    Pack_Array(pack, LOAD_FIELDS);
+    Pack_U64(pack, load->slots);
+    Pack_U64(pack, load->running);
+    Pack_U64(pack, load->queued);
+    Pack_U64(pack, load->service_us);
+    Pack_U64(pack, load->error_permille);
+    Pack_Bool(pack, load->draining);
+}
+
+void
+Callmsg_TakeLoad(Unpack *in, LoadReport *load)
+{
+    Unpack inner;
+
+    Unpack_Array(in, LOAD_FIELDS, &inner);
+    load->slots = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
+    load->running = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
+    load->queued = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
+    load->service_us = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
+    load->error_permille = (uint32_t)Unpack_Bounded(&inner, 1000);
+    load->draining = Unpack_Bool(&inner);
+    if (!Unpack_Ok(&inner, NULL)) {
+        Unpack_Fail(in);
+    }
+}
+
+static void
+put_fields(Pack *pack, const FieldList *fields)
+{
+    Pack_Array(pack, (uint32_t)fields->count * 2);
+    for (size_t i = 0; i < fields->count; i++) {
+        Pack_Str(pack, fields->items[i].name);
+        Pack_Str(pack, fields->items[i].value);
+    }
+}
+
+static void
+take_fields(Unpack *in, FieldList *fields)
+{
+    Unpack inner;
+    uint32_t count = Unpack_Array(in, Field_MAX * 2, &inner);
+
+    fields->count = 0;
+    for (uint32_t i = 0; i + 1 < count; i += 2) {
+        Str name = Unpack_Str(&inner);
+        Str value = Unpack_Str(&inner);
+        Field_Add(fields, name, value);
+    }
+    if (!Unpack_Ok(&inner, NULL)) {
+        Unpack_Fail(in);
+    }
+}
+
+void
+Callmsg_PackCall(Pack *pack, const CallMsg *msg)
+{
+    Wire_Begin(pack, Wire_CALL, CALL_FIELDS);
+    put_id(pack, msg->id);
+    Pack_U64(pack, msg->incarnation);
+    Pack_Bool(pack, msg->interactive);
+    Pack_I64(pack, msg->left);
+    Pack_U64(pack, msg->fingerprint);
+    Pack_Str(pack, msg->request_id);
+    Pack_Str(pack, msg->method);
+    Pack_Str(pack, msg->target);
+    put_fields(pack, &msg->fields);
+    Pack_Str(pack, msg->body);
+}
+
+bool
+Callmsg_ReadCall(Unpack *in, CallMsg *msg, Err *err)
+{
+    msg->id = take_id(in);
+    msg->incarnation = Unpack_U64(in);
+    msg->interactive = Unpack_Bool(in);
+    msg->left = Unpack_I64(in);
+    msg->fingerprint = Unpack_U64(in);
+    msg->request_id = Unpack_Str(in);
+    msg->method = Unpack_Str(in);
+    msg->target = Unpack_Str(in);
+    take_fields(in, &msg->fields);
+    msg->body = Unpack_Str(in);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackPiece(Pack *pack, const PieceMsg *msg)
+{
+    Wire_Begin(pack, Wire_PIECE, PIECE_FIELDS);
+    put_id(pack, msg->id);
+    Pack_U64(pack, msg->sequence);
+    Pack_Bool(pack, msg->last);
+    Pack_U64(pack, msg->status);
+    put_fields(pack, &msg->fields);
+    Pack_Str(pack, msg->bytes);
+    Callmsg_PutLoad(pack, &msg->load);
+}
+
+bool
+Callmsg_ReadPiece(Unpack *in, PieceMsg *msg, Err *err)
+{
+    msg->id = take_id(in);
+    msg->sequence = (uint32_t)Unpack_Bounded(in, UINT32_MAX);
+    msg->last = Unpack_Bool(in);
+    msg->status = (uint16_t)Unpack_Bounded(in, 999);
+    take_fields(in, &msg->fields);
+    msg->bytes = Unpack_Str(in);
+    Callmsg_TakeLoad(in, &msg->load);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackRefused(Pack *pack, const RefusedMsg *msg)
+{
+    Wire_Begin(pack, Wire_REFUSED, REFUSED_FIELDS);
+    put_id(pack, msg->id);
+    Pack_U64(pack, msg->reason);
+    Callmsg_PutLoad(pack, &msg->load);
+}
+
+bool
+Callmsg_ReadRefused(Unpack *in, RefusedMsg *msg, Err *err)
+{
+    msg->id = take_id(in);
+    msg->reason = (Refusal)Unpack_Bounded(in, Refusal_KINDS - 1);
+    Callmsg_TakeLoad(in, &msg->load);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackId(Pack *pack, WireKind kind, AttemptId id)
+{
+    Wire_Begin(pack, kind, ID_FIELDS);
+    put_id(pack, id);
+}
+
+bool
+Callmsg_ReadId(Unpack *in, AttemptId *id, Err *err)
+{
+    *id = take_id(in);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackFenced(Pack *pack, const FencedMsg *msg)
+{
+    Wire_Begin(pack, Wire_FENCED, REFUSED_FIELDS);
+    put_id(pack, msg->id);
+    Pack_U64(pack, msg->state);
+    Callmsg_PutLoad(pack, &msg->load);
+}
+
+bool
+Callmsg_ReadFenced(Unpack *in, FencedMsg *msg, Err *err)
+{
+    msg->id = take_id(in);
+    msg->state = (FencedState)Unpack_Bounded(in, Fenced_KINDS - 1);
+    Callmsg_TakeLoad(in, &msg->load);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackCredit(Pack *pack, const CreditMsg *msg)
+{
+    Wire_Begin(pack, Wire_CREDIT, CREDIT_FIELDS);
+    put_id(pack, msg->id);
+    Pack_U64(pack, msg->bytes);
+}
+
+bool
+Callmsg_ReadCredit(Unpack *in, CreditMsg *msg, Err *err)
+{
+    msg->id = take_id(in);
+    msg->bytes = (uint32_t)Unpack_Bounded(in, Callmsg_WINDOW_BYTES);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackPing(Pack *pack)
+{
+    Wire_Begin(pack, Wire_PING, 0);
+}
+
+void
+Callmsg_PackPong(Pack *pack, const LoadReport *load)
+{
+    Wire_Begin(pack, Wire_PONG, 1);
+    Callmsg_PutLoad(pack, load);
+}
+
+bool
+Callmsg_ReadPong(Unpack *in, LoadReport *load, Err *err)
+{
+    Callmsg_TakeLoad(in, load);
+    return Unpack_Ok(in, err);
+}
--- /dev/null
+++ b/src/process/admission.c
@@ -0,0 +1,159 @@
+#include "process/admission.h"
+
+#define SMOOTHING 0.1
+
+void
+Adm_Init(Adm *adm, const AdmSettings *settings)
+{
+    *adm = (Adm){.settings = *settings};
+}
+
+void
+Adm_SetSettings(Adm *adm, const AdmSettings *settings)
+{
+    uint32_t slots = adm->settings.slots;
+
+    adm->settings = *settings;
+    adm->settings.slots = slots;
+}
+
+void
+Adm_OnAnnounce(Adm *adm, uint32_t slots, bool draining, Instant now)
+{
+    if (!adm->present) {
+        adm->since = now;
+    }
+    adm->present = true;
+    adm->draining = draining;
+    adm->settings.slots = slots;
+}
+
+void
+Adm_OnGone(Adm *adm)
+{
+    adm->present = false;
+}
+
+static uint32_t
+open_slots(const Adm *adm, Instant now)
+{
+    uint32_t slots = adm->settings.slots;
+    Span ramp = adm->settings.ramp;
+    Span age = now - adm->since;
+
+    if (ramp <= 0 || age >= ramp || slots <= 1) {
+        return slots;
+    }
+    return 1 + (uint32_t)((slots - 1) * (uint64_t)age / (uint64_t)ramp);
+}
+
+static uint32_t
+waiting(const Adm *adm)
+{
+    return adm->queued[Adm_INTERACTIVE] + adm->queued[Adm_PATIENT];
+}
+
+static bool
+is_full(const Adm *adm, AdmClass cls)
+{
+    if (waiting(adm) >= adm->settings.queue_max) {
+        return true;
+    }
+    return cls == Adm_PATIENT &&
+           waiting(adm) >= adm->settings.patient_queue_max;
+}
+
+static Span
+expected_wait(const Adm *adm, AdmClass cls, Instant now)
+{
+    uint32_t ahead =
+        cls == Adm_INTERACTIVE ? adm->queued[Adm_INTERACTIVE] : waiting(adm);
+    uint32_t slots = open_slots(adm, now);
+
+    return slots ? (Span)(adm->service_us * (ahead + 1) / slots) : 0;
+}
+
+AdmVerdict
+Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now)
+{
+    if (!adm->present) {
+        return Adm_REFUSE_ABSENT;
+    }
+    if (adm->draining) {
+        return Adm_REFUSE_DRAINING;
+    }
+    if (left <= 0) {
+        return Adm_REFUSE_LATE;
+    }
+    if (adm->running < open_slots(adm, now) && waiting(adm) == 0) {
+        adm->running++;
+        return Adm_RUN;
+    }
+    if (is_full(adm, cls)) {
+        return Adm_REFUSE_FULL;
+    }
+    if (expected_wait(adm, cls, now) >= left) {
+        return Adm_REFUSE_LATE;
+    }
+    adm->queued[cls]++;
+    return Adm_QUEUE;
+}
+
+void
+Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now)
+{
+    (void)now;
+    if (adm->running) {
+        adm->running--;
+    }
+    if (!failed) {
+        if (adm->service_us > 0) {
+            adm->service_us += SMOOTHING * ((double)took - adm->service_us);
+        }
+        else {
+            adm->service_us = (double)took;
+        }
+    }
+    adm->error += SMOOTHING * ((failed ? 1.0 : 0.0) - adm->error);
+}
+
+void
+Adm_OnLeave(Adm *adm, AdmClass cls)
+{
+    if (adm->queued[cls]) {
+        adm->queued[cls]--;
+    }
+}
+
+bool
+Adm_Next(Adm *adm, Instant now, AdmClass *cls)
+{
+    if (!adm->present || adm->running >= open_slots(adm, now)) {
+        return false;
+    }
+    if (adm->queued[Adm_INTERACTIVE]) {
+        *cls = Adm_INTERACTIVE;
+    }
+    else if (adm->queued[Adm_PATIENT]) {
+        *cls = Adm_PATIENT;
+    }
+    else {
+        return false;
+    }
+    adm->queued[*cls]--;
+    adm->running++;
+    return true;
+}
+
+LoadReport
+Adm_Report(const Adm *adm)
+{
+    return (LoadReport){
+        .slots = adm->present ? adm->settings.slots : 0,
+        .running = adm->running,
+        .queued = waiting(adm),
+        .service_us = (uint32_t)adm->service_us,
+        .error_permille = (uint32_t)(adm->error * 1000),
+        .draining = adm->draining,
+    };
+}
--- /dev/null
+++ b/src/process/loop.c
@@ -0,0 +1,96 @@
+#include "process/loop.h"
+
+#include <sys/random.h>
+#include <time.h>
+
+bool
+Loop_Init(Loop *loop, Err *err)
+{
+    loop->base = event_base_new();
+    return loop->base || Err_SET(err, Err_INTERNAL, "no event base");
+}
+
+void
+Loop_Finish(Loop *loop)
+{
+    event_base_free(loop->base);
+    loop->base = NULL;
+}
+
+void
+Loop_Run(Loop *loop)
+{
+    event_base_dispatch(loop->base);
+}
+
+void
+Loop_Stop(Loop *loop)
+{
+    event_base_loopbreak(loop->base);
+}
+
+static int64_t
+read_clock(clockid_t clock)
+{
+    struct timespec now;
+
+    clock_gettime(clock, &now);
+    return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+Instant
+Loop_Now(void)
+{
+    return read_clock(CLOCK_MONOTONIC);
+}
+
+int64_t
+Loop_WallClock(void)
+{
+    return read_clock(CLOCK_REALTIME);
+}
+
+uint64_t
+Loop_Entropy(void)
+{
+    uint64_t number = 0;
+
+    if (getrandom(&number, sizeof number, 0) != sizeof number) {
+        number = (uint64_t)Loop_WallClock();
+    }
+    return number;
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *context)
+{
+    LoopTimer *timer = context;
+
+    (void)fd;
+    (void)what;
+    timer->tick(timer->context, Loop_Now());
+}
+
+void
+LoopTimer_Init(LoopTimer *timer, Loop *loop, Span period, LoopTick tick,
+               void *context)
+{
+    struct timeval every = {
+        .tv_sec = period / 1000000,
+        .tv_usec = period % 1000000,
+    };
+
+    timer->tick = tick;
+    timer->context = context;
+    timer->event = event_new(loop->base, -1, EV_PERSIST, on_timer, timer);
+    event_add(timer->event, &every);
+}
+
+void
+LoopTimer_Finish(LoopTimer *timer)
+{
+    if (timer->event) {
+        event_free(timer->event);
+        timer->event = NULL;
+    }
+}
--- /dev/null
+++ b/src/process/main.c
@@ -0,0 +1,110 @@
+/* lycheeridged: reads its settings, starts a node, serves until a signal. */
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "process/node.h"
+
+enum { EXIT_GOOD = 0, EXIT_FAILED = 1, EXIT_USAGE = 2, EXIT_SETTINGS = 3 };
+
+#define VERSION "0.1.0"
+
+static void
+on_signal(evutil_socket_t number, short what, void *context)
+{
+    Node *node = context;
+
+    (void)what;
+    Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("stopping"), "signal %d",
+            (int)number);
+    Loop_Stop(&node->loop);
+}
+
+static int
+serve(Settings *settings)
+{
+    static Node node;
+    Err err = {0};
+    struct event *terminate;
+    struct event *interrupt;
+
+    if (!Node_Init(&node, settings, &err)) {
+        fprintf(stderr, "lycheeridged: %.*s\n", Str_ARG(Err_Text(&err)));
+        return EXIT_FAILED;
+    }
+    terminate = evsignal_new(node.loop.base, SIGTERM, on_signal, &node);
+    interrupt = evsignal_new(node.loop.base, SIGINT, on_signal, &node);
+    event_add(terminate, NULL);
+    event_add(interrupt, NULL);
+    Node_Run(&node);
+    event_free(terminate);
+    event_free(interrupt);
+    Node_Finish(&node);
+    return EXIT_GOOD;
+}
+
+static int
+run(Str file, bool check_only)
+{
+    Settings settings;
+    StrBuf json = {0};
+    StrBuf text = {0};
+    FindingList findings;
+    Err err = {0};
+    int status = EXIT_SETTINGS;
+
+    Set_Init(&settings);
+    Fnd_Init(&findings);
+    Fnd_SetFile(&findings, file);
+    if (!Set_ReadFile(file, &json, &err)) {
+        fprintf(stderr, "lycheeridged: %.*s\n", Str_ARG(Err_Text(&err)));
+    }
+    else if (!Set_Parse(&settings, StrBuf_View(&json), &findings)) {
+        Fnd_Print(&findings, &text);
+        fprintf(stderr, "%.*s", Str_ARG(text));
+    }
+    else {
+        status = check_only ? EXIT_GOOD : serve(&settings);
+    }
+    StrBuf_Finish(&json);
+    StrBuf_Finish(&text);
+    Fnd_Finish(&findings);
+    Set_Finish(&settings);
+    return status;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_lit *help = arg_lit0("h", "help", "show this and end");
+    struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
+    struct arg_lit *check =
+        arg_lit0(NULL, "check", "check the settings and end");
+    struct arg_file *file =
+        arg_file0(NULL, NULL, "SETTINGS", "settings in JSON");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {help, version, check, file, end};
+    int errors = arg_parse(argc, argv, table);
+    int status = EXIT_USAGE;
+
+    signal(SIGPIPE, SIG_IGN);
+    if (help->count) {
+        printf("lycheeridged");
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-16s %s\n");
+        status = EXIT_GOOD;
+    }
+    else if (version->count) {
+        printf("lycheeridged %s\n", VERSION);
+        status = EXIT_GOOD;
+    }
+    else if (errors || file->count == 0) {
+        arg_print_errors(stderr, end, "lycheeridged");
+        fprintf(stderr, "lycheeridged: try --help\n");
+    }
+    else {
+        status = run(Str_FromC(file->filename[0]), check->count > 0);
+    }
+    arg_freetable(table, sizeof table / sizeof table[0]);
+    return status;
+}
--- /dev/null
+++ b/src/process/net.c
@@ -0,0 +1,406 @@
+#include "process/net.h"
+
+#include <string.h>
+#include <zmq.h>
+
+#include "connection/callmsg.h"
+#include "value/mem.h"
+
+enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 1000 };
+
+static void
+set_int(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof value);
+}
+
+static void
+set_common(Net *net, void *socket)
+{
+    int max = (int)net->settings->body_bytes_max +
+              (int)net->settings->header_bytes_max + Callmsg_PIECE_BYTES;
+
+    set_int(socket, ZMQ_LINGER, 0);
+    set_int(socket, ZMQ_SNDHWM, SEND_QUEUE);
+    set_int(socket, ZMQ_RCVHWM, SEND_QUEUE);
+    set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+    set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &(int64_t){max}, sizeof(int64_t));
+}
+
+static void
+set_curve(Net *net, void *socket, bool server)
+{
+    Str public_key = StrBuf_View(&net->settings->curve_public);
+    Str secret_key = StrBuf_View(&net->settings->curve_secret);
+    uint8_t bytes[2][32];
+    StrBuf text = {0};
+
+    if (public_key.len == 0) {
+        return;
+    }
+    StrBuf_Set(&text, public_key);
+    zmq_z85_decode(bytes[0], StrBuf_CStr(&text));
+    StrBuf_Set(&text, secret_key);
+    zmq_z85_decode(bytes[1], StrBuf_CStr(&text));
+    StrBuf_Finish(&text);
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, bytes[0], 32);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, bytes[1], 32);
+    if (server) {
+        set_int(socket, ZMQ_CURVE_SERVER, 1);
+    }
+    else {
+        zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, bytes[0], 32);
+    }
+}
+
+static void
+dispatch(Net *net, const NetOrigin *origin, Str bytes, Instant now)
+{
+    Unpack in;
+    WireKind kind;
+    Err err = {0};
+    const NetEntry *entry;
+
+    if (!Wire_Open(&in, bytes, &kind, &err)) {
+        Cnt_Add(net->counters, Cnt_MALFORMED, 1);
+        Lgr_LogErr(net->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
+        return;
+    }
+    entry = &net->handlers[kind];
+    if (entry->call) {
+        entry->call(entry->context, origin, &in, now);
+    }
+    Unpack_Finish(&in);
+}
+
+/* The socket's descriptor tells of changes only once (edge-triggered): look
+ * again after each use of the socket. */
+static void
+look_again(void *socket, struct event *event)
+{
+    int events = 0;
+    size_t size = sizeof events;
+
+    if (event && zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size) == 0 &&
+        events & ZMQ_POLLIN) {
+        event_active(event, EV_READ, 0);
+    }
+}
+
+static bool
+receive_id(Net *net, NetOrigin *origin)
+{
+    int len = zmq_recv(net->router, origin->id, Net_ID_MAX, ZMQ_DONTWAIT);
+
+    if (len < 0) {
+        return false;
+    }
+    origin->peer = Addr_NONE;
+    origin->id_len = len < Net_ID_MAX ? (size_t)len : Net_ID_MAX;
+    return true;
+}
+
+static void
+drop_rest(void *socket)
+{
+    int more = 0;
+    size_t size = sizeof more;
+    zmq_msg_t rest;
+
+    while (zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &size) == 0 && more) {
+        zmq_msg_init(&rest);
+        zmq_msg_recv(&rest, socket, ZMQ_DONTWAIT);
+        zmq_msg_close(&rest);
+    }
+}
+
+static void
+on_router(evutil_socket_t fd, short what, void *context)
+{
+    Net *net = context;
+    NetOrigin origin;
+
+    (void)fd;
+    (void)what;
+    while (receive_id(net, &origin)) {
+        zmq_msg_t msg;
+        zmq_msg_init(&msg);
+        if (zmq_msg_recv(&msg, net->router, ZMQ_DONTWAIT) >= 0) {
+            dispatch(net, &origin,
+                     Str_From(zmq_msg_data(&msg), zmq_msg_size(&msg)),
+                     Loop_Now());
+        }
+        zmq_msg_close(&msg);
+        drop_rest(net->router);
+    }
+}
+
+static Peer *
+find_peer(Net *net, Addr addr)
+{
+    for (size_t i = 0; i < net->peer_count; i++) {
+        if (net->peers[i]->addr == addr) {
+            return net->peers[i];
+        }
+    }
+    return NULL;
+}
+
+typedef struct {
+    Net *net;
+    Peer *peer;
+} PeerContext;
+
+static void
+on_peer(evutil_socket_t fd, short what, void *context)
+{
+    Net *net = ((PeerContext *)context)->net;
+    Addr addr = ((PeerContext *)context)->peer->addr;
+    Peer *peer;
+
+    (void)fd;
+    (void)what;
+    /* A handler may close this connection: find it anew each time. */
+    while ((peer = find_peer(net, addr))) {
+        NetOrigin origin = {.peer = addr};
+        zmq_msg_t msg;
+        zmq_msg_init(&msg);
+        if (zmq_msg_recv(&msg, peer->socket, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&msg);
+            return;
+        }
+        Peer_OnHeard(peer);
+        dispatch(net, &origin,
+                 Str_From(zmq_msg_data(&msg), zmq_msg_size(&msg)), Loop_Now());
+        zmq_msg_close(&msg);
+    }
+}
+
+static struct event *
+watch_socket(Net *net, void *socket, event_callback_fn call, void *context)
+{
+    int fd = -1;
+    size_t size = sizeof fd;
+    struct event *event;
+
+    zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+    event =
+        event_new(net->loop->base, fd, EV_READ | EV_PERSIST, call, context);
+    event_add(event, NULL);
+    return event;
+}
+
+static void
+open_peer(Net *net, Peer *peer)
+{
+    StrBuf endpoint = {0};
+    PeerContext *context = Mem_Alloc(1, sizeof *context);
+
+    *context = (PeerContext){net, peer};
+    peer->socket = zmq_socket(net->zmq, ZMQ_DEALER);
+    set_common(net, peer->socket);
+    set_curve(net, peer->socket, false);
+    StrBuf_Append(&endpoint, Str_LIT("tcp://"));
+    Addr_Print(peer->addr, &endpoint);
+    zmq_connect(peer->socket, StrBuf_CStr(&endpoint));
+    StrBuf_Finish(&endpoint);
+    peer->event = watch_socket(net, peer->socket, on_peer, context);
+    peer->asked_at = 0;
+    peer->opened++;
+}
+
+static void
+close_peer(Peer *peer)
+{
+    PeerContext *context = event_get_callback_arg(peer->event);
+
+    event_free(peer->event);
+    Mem_Free(context);
+    zmq_close(peer->socket);
+}
+
+static Peer *
+add_peer(Net *net, Addr addr)
+{
+    Peer *peer = Mem_Alloc(1, sizeof *peer);
+
+    if (net->peer_count == net->peer_cap) {
+        net->peer_cap = net->peer_cap ? net->peer_cap * 2 : 16;
+        net->peers = Mem_Resize(net->peers, net->peer_cap, sizeof(Peer *));
+    }
+    net->peers[net->peer_count++] = peer;
+    peer->addr = addr;
+    open_peer(net, peer);
+    return peer;
+}
+
+static void
+watch_peer(Net *net, Peer *peer, Instant now)
+{
+    Pack ping;
+
+    switch (
+        Peer_Watch(peer, net->settings->ping, net->settings->silence, now)) {
+    case Peer_FINE:
+        break;
+    case Peer_NEEDS_PING:
+        Callmsg_PackPing(&ping);
+        Net_Send(net, peer->addr, Pack_View(&ping), now);
+        Pack_Finish(&ping);
+        break;
+    case Peer_GONE_SILENT:
+        Cnt_Add(net->counters, Cnt_SILENT, 1);
+        close_peer(peer);
+        open_peer(net, peer);
+        if (net->on_silence) {
+            net->on_silence(net->silence_context, peer->addr, now);
+        }
+        break;
+    }
+}
+
+static void
+watch_peers(void *context, Instant now)
+{
+    Net *net = context;
+
+    for (size_t i = 0; i < net->peer_count; i++) {
+        watch_peer(net, net->peers[i], now);
+    }
+}
+
+static bool
+bind_router(Net *net, Err *err)
+{
+    StrBuf endpoint = {0};
+    bool bound;
+
+    net->router = zmq_socket(net->zmq, ZMQ_ROUTER);
+    set_common(net, net->router);
+    set_int(net->router, ZMQ_ROUTER_MANDATORY, 1);
+    set_curve(net, net->router, true);
+    StrBuf_Append(&endpoint, Str_LIT("tcp://"));
+    Addr_Print(net->settings->address, &endpoint);
+    bound = zmq_bind(net->router, StrBuf_CStr(&endpoint)) == 0;
+    if (!bound) {
+        Err_SET(err, Err_IO, "cannot listen on %s: %s", StrBuf_CStr(&endpoint),
+                zmq_strerror(zmq_errno()));
+    }
+    StrBuf_Finish(&endpoint);
+    return bound;
+}
+
+bool
+Net_Init(Net *net, Loop *loop, Logger *logger, Counters *counters,
+         const Settings *settings, Err *err)
+{
+    *net = (Net){
+        .loop = loop,
+        .logger = logger,
+        .counters = counters,
+        .settings = settings,
+    };
+    net->zmq = zmq_ctx_new();
+    if (!bind_router(net, err)) {
+        zmq_close(net->router);
+        zmq_ctx_term(net->zmq);
+        return false;
+    }
+    net->router_event = watch_socket(net, net->router, on_router, net);
+    LoopTimer_Init(&net->watch, loop, settings->ping / 2, watch_peers, net);
+    return true;
+}
+
+void
+Net_Finish(Net *net)
+{
+    LoopTimer_Finish(&net->watch);
+    for (size_t i = 0; i < net->peer_count; i++) {
+        close_peer(net->peers[i]);
+        Mem_Free(net->peers[i]);
+    }
+    Mem_Free(net->peers);
+    event_free(net->router_event);
+    zmq_close(net->router);
+    zmq_ctx_term(net->zmq);
+}
+
+void
+Net_On(Net *net, WireKind kind, NetHandler call, void *context)
+{
+    net->handlers[kind] = (NetEntry){call, context};
+}
+
+void
+Net_OnSilence(Net *net, NetSilence call, void *context)
+{
+    net->on_silence = call;
+    net->silence_context = context;
+}
+
+bool
+Net_Send(Net *net, Addr addr, Str message, Instant now)
+{
+    Peer *peer = find_peer(net, addr);
+    bool sent;
+
+    if (!peer) {
+        peer = add_peer(net, addr);
+    }
+    sent = zmq_send(peer->socket, message.ptr, message.len, ZMQ_DONTWAIT) >= 0;
+    if (sent) {
+        Peer_OnSent(peer, now);
+    }
+    look_again(peer->socket, peer->event);
+    return sent;
+}
+
+bool
+Net_Answer(Net *net, const NetOrigin *origin, Str message, Instant now)
+{
+    bool sent;
+
+    if (origin->peer != Addr_NONE) {
+        return Net_Send(net, origin->peer, message, now);
+    }
+    sent = zmq_send(net->router, origin->id, origin->id_len,
+                    ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
+           zmq_send(net->router, message.ptr, message.len, ZMQ_DONTWAIT) >= 0;
+    look_again(net->router, net->router_event);
+    return sent;
+}
+
+void
+Net_Hold(Net *net, Addr addr)
+{
+    Peer *peer = find_peer(net, addr);
+
+    if (peer) {
+        peer->holds++;
+    }
+}
+
+void
+Net_Release(Net *net, Addr addr)
+{
+    Peer *peer = find_peer(net, addr);
+
+    if (peer && peer->holds) {
+        peer->holds--;
+    }
+}
+
+void
+Net_Drop(Net *net, Addr addr)
+{
+    for (size_t i = 0; i < net->peer_count; i++) {
+        Peer *peer = net->peers[i];
+        if (peer->addr == addr && peer->holds == 0) {
+            close_peer(peer);
+            Mem_Free(peer);
+            net->peers[i] = net->peers[--net->peer_count];
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/process/node.c
@@ -0,0 +1,202 @@
+#include "process/node.h"
+
+#define TICK Span_MS(10)
+
+static void
+on_member(void *context, MbrChange change, const MbrRecord *record,
+          Instant now)
+{
+    Node *node = context;
+
+    Svc_OnMember(&node->services, change, record, now);
+    if (change == Mbr_GONE) {
+        Net_Drop(&node->net, record->node);
+    }
+}
+
+static void
+on_announced(void *context, Instant now)
+{
+    Node *node = context;
+
+    Mbs_SendRecord(&node->members, now);
+}
+
+static void
+on_tick(void *context, Instant now)
+{
+    Node *node = context;
+
+    Ann_Expire(&node->ann, now);
+    Call_HubTick(&node->calls, now);
+    Run_HubTick(&node->runs, now);
+}
+
+static bool
+load_preset(Node *node, Err *err)
+{
+    StrBuf json = {0};
+    StrBuf text = {0};
+    FindingList findings;
+    Str file = StrBuf_View(&node->settings->preset);
+    bool good;
+
+    if (!Set_ReadFile(file, &json, err)) {
+        return false;
+    }
+    Fnd_Init(&findings);
+    Fnd_SetFile(&findings, file);
+    good = Pst_Parse(&node->preset, StrBuf_View(&json), &findings);
+    if (!good) {
+        Fnd_Print(&findings, &text);
+        Err_SET(err, Err_MALFORMED, "%.*s", Str_ARG(text));
+    }
+    Fnd_Finish(&findings);
+    StrBuf_Finish(&json);
+    StrBuf_Finish(&text);
+    return good;
+}
+
+static void
+use_preset(Node *node)
+{
+    const PstLimits *limits = &node->preset.limits;
+    AdmSettings admission = {
+        .queue_max = limits->queue_max,
+        .patient_queue_max = limits->patient_queue_max,
+        .ramp = node->settings->ramp,
+    };
+
+    node->calls.preset = &node->preset;
+    Svc_SetLimits(&node->services, limits);
+    Adm_SetSettings(&node->admission, &admission);
+}
+
+static OprAnswer
+show_status(void *context, struct evhttp_request *request, Str body,
+            Instant now)
+{
+    Node *node = context;
+    const Mbr *mbr = &node->members.membership;
+    json_t *list = json_array();
+
+    (void)request;
+    (void)body;
+    for (size_t i = 0; i < mbr->count; i++) {
+        const MbrRow *row = &mbr->rows[i];
+        StrBuf addr = {0};
+        Addr_Print(row->record.node, &addr);
+        json_array_append_new(
+            list,
+            json_pack("{s:s%, s:s%, s:b, s:b, s:i, s:i, s:I}", "node",
+                      addr.ptr, addr.len, "service",
+                      row->record.service.ptr ? row->record.service.ptr : "",
+                      row->record.service.len, "gone", row->gone, "draining",
+                      row->record.load.draining, "slots",
+                      (int)row->record.load.slots, "running",
+                      (int)row->record.load.running, "age_us",
+                      (json_int_t)(now - row->heard_at)));
+        StrBuf_Finish(&addr);
+    }
+    return (OprAnswer){200, json_pack("{s:o}", "members", list)};
+}
+
+static bool
+init_fronts(Node *node, Err *err)
+{
+    Settings *settings = node->settings;
+
+    if (!Edge_Init(&node->edge, &node->loop, settings, &node->calls, err)) {
+        return false;
+    }
+    if (!Opr_Init(&node->opr, &node->loop, settings, &node->logger,
+                  &node->counters, err)) {
+        Edge_Finish(&node->edge);
+        return false;
+    }
+    Ann_Serve(&node->ann, &node->opr);
+    Opr_On(&node->opr, Str_LIT("/v1/status"), true, show_status, node);
+    return true;
+}
+
+static void
+init_parts(Node *node)
+{
+    Settings *settings = node->settings;
+    AdmSettings admission = {0};
+
+    Adm_Init(&node->admission, &admission);
+    Bck_PoolInit(&node->pool, node->loop.base);
+    Ann_Init(&node->ann, settings, &node->logger, &node->admission,
+             &node->pool, on_announced, node);
+    Svc_Init(&node->services, settings->region, settings->domain, &node->rng);
+    Mbs_Init(&node->members, &node->loop, &node->net, &node->counters,
+             &node->logger, settings, &node->ann, &node->admission,
+             node->incarnation, on_member, node);
+    Call_HubInit(&node->calls, &node->net, &node->counters, &node->logger,
+                 &node->services, node->incarnation);
+    Run_HubInit(&node->runs, &node->net, &node->counters, &node->logger,
+                &node->admission, &node->pool, node->incarnation);
+    use_preset(node);
+}
+
+static void
+finish_parts(Node *node)
+{
+    Run_HubFinish(&node->runs);
+    Call_HubFinish(&node->calls);
+    Mbs_Finish(&node->members);
+    Svc_Finish(&node->services);
+    Ann_Finish(&node->ann);
+    Bck_PoolFinish(&node->pool);
+}
+
+bool
+Node_Init(Node *node, Settings *settings, Err *err)
+{
+    *node = (Node){.settings = settings};
+    if (!Loop_Init(&node->loop, err)) {
+        return false;
+    }
+    Lgr_Init(&node->logger, settings->log_level, StrBuf_View(&settings->name),
+             Loop_WallClock);
+    Cnt_Init(&node->counters);
+    Rng_Init(&node->rng, Loop_Entropy());
+    /* Wall clock: a later start has the higher incarnation. */
+    node->incarnation = (uint64_t)Loop_WallClock();
+    if (!load_preset(node, err) ||
+        !Net_Init(&node->net, &node->loop, &node->logger, &node->counters,
+                  settings, err)) {
+        return false;
+    }
+    init_parts(node);
+    if (!init_fronts(node, err)) {
+        finish_parts(node);
+        Net_Finish(&node->net);
+        return false;
+    }
+    LoopTimer_Init(&node->tick, &node->loop, TICK, on_tick, node);
+    Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("started"), "incarnation=%llu",
+            (unsigned long long)node->incarnation);
+    return true;
+}
+
+void
+Node_Finish(Node *node)
+{
+    LoopTimer_Finish(&node->tick);
+    Opr_Finish(&node->opr);
+    Edge_Finish(&node->edge);
+    finish_parts(node);
+    Net_Finish(&node->net);
+    Pst_Finish(&node->preset);
+    Rng_Finish(&node->rng);
+    Lgr_Finish(&node->logger);
+    Loop_Finish(&node->loop);
+}
+
+void
+Node_Run(Node *node)
+{
+    Loop_Run(&node->loop);
+}
--- /dev/null
+++ b/src/process/services.c
@@ -0,0 +1,99 @@
+#include "process/services.h"
+
+#include "value/mem.h"
+
+#define RETRY_BURST 10.0
+#define SAMPLE 4
+
+void
+Svc_Init(Services *services, uint16_t region, uint16_t domain, Rng *rng)
+{
+    *services = (Services){.rng = rng};
+    services->placement = (PlcSettings){
+        .policy = Plc_LEAST_WAIT,
+        .region = region,
+        .domain = domain,
+        .sample = SAMPLE,
+    };
+}
+
+void
+Svc_Finish(Services *services)
+{
+    for (size_t i = 0; i < services->count; i++) {
+        Plc_Finish(&services->items[i]->placement);
+        StrBuf_Finish(&services->items[i]->name);
+        Mem_Free(services->items[i]);
+    }
+    Mem_Free(services->items);
+    *services = (Services){0};
+}
+
+void
+Svc_SetLimits(Services *services, const PstLimits *limits)
+{
+    services->placement.domain_price = limits->domain_price_us;
+    services->placement.region_price = limits->link_price_us;
+    services->placement.queue_max = limits->queue_max;
+    services->placement.patient_queue_max = limits->patient_queue_max;
+    services->retry_permille = limits->retry_permille;
+    for (size_t i = 0; i < services->count; i++) {
+        Service *service = services->items[i];
+        Plc_SetSettings(&service->placement, &services->placement);
+        Rty_BudgetSet(&service->retries, limits->retry_permille, RETRY_BURST);
+    }
+}
+
+Service *
+Svc_Get(Services *services, Str name)
+{
+    Service *service;
+
+    for (size_t i = 0; i < services->count; i++) {
+        if (Str_Equal(StrBuf_View(&services->items[i]->name), name)) {
+            return services->items[i];
+        }
+    }
+    if (services->count == services->cap) {
+        services->cap = services->cap ? services->cap * 2 : 8;
+        services->items =
+            Mem_Resize(services->items, services->cap, sizeof(Service *));
+    }
+    service = Mem_Alloc(1, sizeof *service);
+    services->items[services->count++] = service;
+    StrBuf_Set(&service->name, name);
+    Plc_Init(&service->placement, &services->placement, services->rng);
+    Rty_BudgetInit(&service->retries, services->retry_permille, RETRY_BURST);
+    return service;
+}
+
+static void
+drop_elsewhere(Services *services, const MbrRecord *record, bool gone)
+{
+    for (size_t i = 0; i < services->count; i++) {
+        Service *service = services->items[i];
+        if (gone || !Str_Equal(StrBuf_View(&service->name),
+                               StrBuf_View(&record->service))) {
+            Plc_DropPlace(&service->placement, record->node);
+        }
+    }
+}
+
+void
+Svc_OnMember(Services *services, MbrChange change, const MbrRecord *record,
+             Instant now)
+{
+    bool gone = change == Mbr_GONE || !record->present;
+    PlcPlace place = {
+        .node = record->node,
+        .incarnation = record->incarnation,
+        .region = record->region,
+        .domain = record->domain,
+    };
+
+    drop_elsewhere(services, record, gone);
+    if (!gone) {
+        Service *service = Svc_Get(services, StrBuf_View(&record->service));
+        Plc_SetPlace(&service->placement, &place, &record->load, now);
+    }
+}
--- /dev/null
+++ b/src/process/settings.c
@@ -0,0 +1,262 @@
+#include "process/settings.h"
+
+#include <stdio.h>
+
+#include "value/json.h"
+#include "value/mem.h"
+
+enum {
+    FILE_BYTES_MAX = 4 * 1024 * 1024,
+    MINUTE_MS = 60 * 1000,
+    HEADER_BYTES = 16 * 1024,
+    BODY_BYTES = 1024 * 1024,
+    BODY_BYTES_MAX = 64 * 1024 * 1024
+};
+
+void
+Set_Init(Settings *settings)
+{
+    *settings = (Settings){.log_level = Lgr_INFO};
+}
+
+void
+Set_Finish(Settings *settings)
+{
+    for (size_t i = 0; i < settings->domain_count; i++) {
+        StrBuf_Finish(&settings->domains[i].name);
+        StrBuf_Finish(&settings->domains[i].region);
+    }
+    Mem_Free(settings->domains);
+    Mem_Free(settings->replicas);
+    StrBuf_Finish(&settings->name);
+    StrBuf_Finish(&settings->data_folder);
+    StrBuf_Finish(&settings->preset);
+    StrBuf_Finish(&settings->operator_key);
+    StrBuf_Finish(&settings->curve_public);
+    StrBuf_Finish(&settings->curve_secret);
+    *settings = (Settings){0};
+}
+
+static Addr
+read_addr(JsnObject *object, Str key, bool required)
+{
+    StrBuf text = {0};
+    Addr addr = Addr_NONE;
+
+    Jsn_GetStr(object, key, required, &text);
+    if (text.len && !Addr_Parse(StrBuf_View(&text), &addr)) {
+        Jsn_Find(object, key, Str_LIT("not an address"),
+                 Str_LIT("an IPv4 number and port such as 127.0.1.1:7400"));
+    }
+    StrBuf_Finish(&text);
+    return addr;
+}
+
+static Span
+read_ms(JsnObject *object, Str key, int64_t min, int64_t fallback)
+{
+    return Span_MS(Jsn_GetInt(object, key, min, MINUTE_MS, fallback));
+}
+
+static void
+number_region(Settings *settings, size_t index)
+{
+    SetDomain *domain = &settings->domains[index];
+
+    domain->region_number = (uint16_t)index;
+    for (size_t i = 0; i < index; i++) {
+        if (Str_Equal(StrBuf_View(&settings->domains[i].region),
+                      StrBuf_View(&domain->region))) {
+            domain->region_number = settings->domains[i].region_number;
+            return;
+        }
+    }
+}
+
+static void
+read_domains(Settings *settings, JsnObject *o)
+{
+    json_t *array = Jsn_GetArray(o, Str_LIT("failure_domains"), true);
+
+    settings->domain_count = json_array_size(array);
+    settings->domains =
+        Mem_Alloc(settings->domain_count, sizeof *settings->domains);
+    for (size_t i = 0; i < settings->domain_count; i++) {
+        JsnObject item;
+        StrBuf place = {0};
+        StrBuf_AppendFmt(&place, "/failure_domains/%zu", i);
+        Jsn_Enter(&item, json_array_get(array, i), StrBuf_View(&place),
+                  o->findings);
+        Jsn_GetStr(&item, Str_LIT("name"), true, &settings->domains[i].name);
+        Jsn_GetStr(&item, Str_LIT("region"), true,
+                   &settings->domains[i].region);
+        Jsn_Leave(&item);
+        number_region(settings, i);
+        StrBuf_Finish(&place);
+    }
+}
+
+static void
+find_domain(Settings *settings, JsnObject *o)
+{
+    StrBuf name = {0};
+
+    Jsn_GetStr(o, Str_LIT("failure_domain"), true, &name);
+    for (size_t i = 0; i < settings->domain_count; i++) {
+        if (Str_Equal(StrBuf_View(&settings->domains[i].name),
+                      StrBuf_View(&name))) {
+            settings->domain = (uint16_t)i;
+            settings->region = settings->domains[i].region_number;
+            StrBuf_Finish(&name);
+            return;
+        }
+    }
+    if (name.len) {
+        Jsn_Find(o, Str_LIT("failure_domain"), Str_LIT("not in the list"),
+                 Str_LIT("a name out of failure_domains"));
+    }
+    StrBuf_Finish(&name);
+}
+
+static void
+read_replicas(Settings *settings, JsnObject *o)
+{
+    json_t *array = Jsn_GetArray(o, Str_LIT("control_replicas"), true);
+    size_t count = json_array_size(array);
+
+    if (array && (count < 1 || count > 7 || count % 2 == 0)) {
+        Jsn_Find(o, Str_LIT("control_replicas"), Str_LIT("wrong number"),
+                 Str_LIT("1, 3, 5 or 7 addresses"));
+    }
+    settings->replicas = Mem_Alloc(count, sizeof *settings->replicas);
+    settings->replica_count = count;
+    for (size_t i = 0; i < count; i++) {
+        json_t *value = json_array_get(array, i);
+        Str text =
+            Str_From(json_string_value(value), json_string_length(value));
+        if (!Addr_Parse(text, &settings->replicas[i])) {
+            Jsn_Find(o, Str_LIT("control_replicas"), Str_LIT("no address"),
+                     Str_LIT("IPv4 numbers and ports"));
+        }
+        settings->control |= settings->replicas[i] == settings->address;
+    }
+}
+
+static void
+read_curve(Settings *settings, JsnObject *o)
+{
+    enum { Z85_KEY = 40 };
+
+    Jsn_GetStr(o, Str_LIT("curve_public"), false, &settings->curve_public);
+    Jsn_GetStr(o, Str_LIT("curve_secret"), false, &settings->curve_secret);
+    if (settings->curve_public.len != settings->curve_secret.len ||
+        (settings->curve_public.len &&
+         settings->curve_public.len != Z85_KEY)) {
+        Jsn_Find(o, Str_LIT("curve_public"), Str_LIT("no pair of keys"),
+                 Str_LIT("curve_public and curve_secret of 40 characters"));
+    }
+}
+
+static void
+read_times(Settings *settings, JsnObject *o)
+{
+    settings->heartbeat = read_ms(o, Str_LIT("heartbeat_ms"), 20, 500);
+    settings->member_expiry =
+        read_ms(o, Str_LIT("member_expiry_ms"), 50, 2500);
+    settings->ping = read_ms(o, Str_LIT("ping_ms"), 5, 100);
+    settings->silence = read_ms(o, Str_LIT("silence_ms"), 20, 400);
+    settings->backend_expiry =
+        read_ms(o, Str_LIT("backend_expiry_ms"), 50, 2500);
+    settings->stop_bound = read_ms(o, Str_LIT("stop_bound_ms"), 0, 30000);
+    settings->ramp = read_ms(o, Str_LIT("ramp_ms"), 0, 0);
+    if (settings->member_expiry < 2 * settings->heartbeat) {
+        Jsn_Find(o, Str_LIT("member_expiry_ms"), Str_LIT("too short"),
+                 Str_LIT("twice heartbeat_ms or more"));
+    }
+    if (settings->silence < 2 * settings->ping) {
+        Jsn_Find(o, Str_LIT("silence_ms"), Str_LIT("too short"),
+                 Str_LIT("twice ping_ms or more"));
+    }
+}
+
+static void
+read_log_level(Settings *settings, JsnObject *o)
+{
+    StrBuf name = {0};
+
+    Jsn_GetStr(o, Str_LIT("log_level"), false, &name);
+    if (name.len &&
+        !Lgr_ParseLevel(StrBuf_View(&name), &settings->log_level)) {
+        Jsn_Find(o, Str_LIT("log_level"), Str_LIT("no such level"),
+                 Str_LIT("debug, info, warning or error"));
+    }
+    StrBuf_Finish(&name);
+}
+
+static void
+read_all(Settings *settings, JsnObject *o)
+{
+    Jsn_GetStr(o, Str_LIT("name"), true, &settings->name);
+    settings->address = read_addr(o, Str_LIT("address"), true);
+    settings->callers = read_addr(o, Str_LIT("callers"), true);
+    settings->operators = read_addr(o, Str_LIT("operators"), true);
+    read_domains(settings, o);
+    find_domain(settings, o);
+    read_replicas(settings, o);
+    Jsn_GetStr(o, Str_LIT("data_folder"), settings->control,
+               &settings->data_folder);
+    Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
+    Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
+    read_curve(settings, o);
+    read_log_level(settings, o);
+    read_times(settings, o);
+    settings->header_bytes_max = (uint32_t)Jsn_GetInt(
+        o, Str_LIT("header_bytes_max"), 1024, 1024 * 1024, HEADER_BYTES);
+    settings->body_bytes_max = (uint32_t)Jsn_GetInt(
+        o, Str_LIT("body_bytes_max"), 0, BODY_BYTES_MAX, BODY_BYTES);
+}
+
+bool
+Set_Parse(Settings *settings, Str json, FindingList *findings)
+{
+    size_t before = findings->count;
+    json_t *root = Jsn_Load(json, findings);
+    JsnObject o;
+
+    if (!root) {
+        return false;
+    }
+    Jsn_Enter(&o, root, (Str){0}, findings);
+    if (o.object) {
+        read_all(settings, &o);
+    }
+    Jsn_Leave(&o);
+    json_decref(root);
+    return findings->count == before;
+}
+
+bool
+Set_ReadFile(Str file, StrBuf *out, Err *err)
+{
+    StrBuf name = {0};
+    char bytes[4096];
+    size_t got;
+    FILE *stream;
+
+    StrBuf_Set(&name, file);
+    stream = fopen(StrBuf_CStr(&name), "rb");
+    StrBuf_Finish(&name);
+    if (!stream) {
+        return Err_SET(err, Err_IO, "cannot open %.*s", Str_ARG(file));
+    }
+    while ((got = fread(bytes, 1, sizeof bytes, stream)) > 0 &&
+           out->len < FILE_BYTES_MAX) {
+        StrBuf_Append(out, Str_From(bytes, got));
+    }
+    fclose(stream);
+    if (out->len >= FILE_BYTES_MAX) {
+        return Err_SET(err, Err_TOO_LARGE, "%.*s is over %d bytes",
+                       Str_ARG(file), FILE_BYTES_MAX);
+    }
+    return true;
+}
--- /dev/null
+++ b/src/request/retry.c
@@ -0,0 +1,78 @@
+#include "request/retry.h"
+
+void
+Rty_BudgetInit(RtyBudget *budget, uint32_t permille, double cap)
+{
+    *budget = (RtyBudget){.tokens = cap};
+    Rty_BudgetSet(budget, permille, cap);
+}
+
+void
+Rty_BudgetSet(RtyBudget *budget, uint32_t permille, double cap)
+{
+    budget->per_call = permille / 1000.0;
+    budget->cap = permille ? cap : 0;
+    if (budget->tokens > budget->cap) {
+        budget->tokens = budget->cap;
+    }
+}
+
+void
+Rty_OnCall(RtyBudget *budget)
+{
+    budget->tokens += budget->per_call;
+    if (budget->tokens > budget->cap) {
+        budget->tokens = budget->cap;
+    }
+}
+
+void
+Rty_Init(Rty *retry, bool idempotent, uint32_t attempts_max, Instant deadline)
+{
+    *retry = (Rty){
+        .idempotent = idempotent,
+        .attempts_max =
+            attempts_max < Rty_TRIED_MAX ? attempts_max : Rty_TRIED_MAX,
+        .deadline = deadline,
+    };
+}
+
+void
+Rty_OnAttempt(Rty *retry, Addr node)
+{
+    if (retry->attempts < Rty_TRIED_MAX) {
+        retry->tried[retry->attempts] = node;
+    }
+    retry->attempts++;
+}
+
+static RtyVerdict
+give_up(RtyOutcome outcome)
+{
+    switch (outcome) {
+    case Rty_NOT_RUN:
+        return Rty_GIVE_NOT_RUN;
+    case Rty_FAILED:
+        return Rty_GIVE_FAILED;
+    default:
+        return Rty_GIVE_UNKNOWN;
+    }
+}
+
+RtyVerdict
+Rty_Decide(const Rty *retry, RtyBudget *budget, RtyOutcome outcome,
+           Instant now)
+{
+    if (outcome == Rty_FAILED && !retry->idempotent) {
+        return Rty_GIVE_FAILED;
+    }
+    if (outcome == Rty_UNKNOWN && !retry->idempotent) {
+        return now < retry->deadline ? Rty_FENCE : Rty_GIVE_UNKNOWN;
+    }
+    if (now >= retry->deadline || retry->attempts >= retry->attempts_max ||
+        budget->tokens < 1) {
+        return give_up(outcome);
+    }
+    budget->tokens -= 1;
+    return Rty_AGAIN;
+}
--- /dev/null
+++ b/src/request/run.c
@@ -0,0 +1,443 @@
+#include "request/run.h"
+
+#include "value/mem.h"
+
+struct Run {
+    RunHub *hub;
+    Run *next;
+    Run *previous;
+    NetOrigin origin;
+    AttemptId id;
+    AdmClass cls;
+    Instant deadline;
+    Instant started_at;
+    BckExchange *exchange; /* NULL while it waits */
+    StrBuf method;
+    StrBuf target;
+    StrBuf body;
+    StrBuf text; /* names and values of fields */
+    FieldList fields;
+    uint32_t sequence;
+    uint16_t status;
+    StrBuf head_text; /* names and values of the answer's fields */
+    FieldList head;
+    StrBuf bytes;        /* of the answer, not sent yet */
+    uint32_t uncredited; /* sent and not credited yet */
+};
+
+static void
+link_run(RunHub *hub, Run *run)
+{
+    run->hub = hub;
+    run->previous = hub->last;
+    if (hub->last) {
+        hub->last->next = run;
+    }
+    else {
+        hub->first = run;
+    }
+    hub->last = run;
+    hub->count++;
+}
+
+static void
+free_run(Run *run)
+{
+    RunHub *hub = run->hub;
+
+    if (run->previous) {
+        run->previous->next = run->next;
+    }
+    else {
+        hub->first = run->next;
+    }
+    if (run->next) {
+        run->next->previous = run->previous;
+    }
+    else {
+        hub->last = run->previous;
+    }
+    hub->count--;
+    StrBuf_Finish(&run->method);
+    StrBuf_Finish(&run->target);
+    StrBuf_Finish(&run->body);
+    StrBuf_Finish(&run->text);
+    StrBuf_Finish(&run->head_text);
+    StrBuf_Finish(&run->bytes);
+    Mem_Free(run);
+}
+
+/* Copy FROM so that it outlives its message; TEXT holds the bytes. */
+static void
+copy_fields(FieldList *to, StrBuf *text, const FieldList *from)
+{
+    size_t offset = 0;
+
+    StrBuf_Clear(text);
+    for (size_t i = 0; i < from->count; i++) {
+        StrBuf_Append(text, from->items[i].name);
+        StrBuf_Append(text, from->items[i].value);
+    }
+    to->count = from->count;
+    for (size_t i = 0; i < from->count; i++) {
+        const Field *field = &from->items[i];
+        Str whole = StrBuf_View(text);
+        to->items[i].name = Str_Slice(whole, offset, field->name.len);
+        offset += field->name.len;
+        to->items[i].value = Str_Slice(whole, offset, field->value.len);
+        offset += field->value.len;
+    }
+}
+
+static void
+refuse(RunHub *hub, const NetOrigin *origin, AttemptId id, Refusal reason,
+       Instant now)
+{
+    RefusedMsg msg = {
+        .id = id,
+        .reason = reason,
+        .load = Adm_Report(hub->admission),
+    };
+    Pack pack;
+
+    Cnt_Add(hub->counters, Cnt_REFUSED, 1);
+    Callmsg_PackRefused(&pack, &msg);
+    Net_Answer(hub->net, origin, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+static void
+send_piece(Run *run, Str bytes, bool last, Instant now)
+{
+    PieceMsg msg = {
+        .id = run->id,
+        .sequence = run->sequence,
+        .last = last,
+        .bytes = bytes,
+        .load = Adm_Report(run->hub->admission),
+    };
+    Pack pack;
+
+    if (run->sequence == 0) {
+        msg.status = run->status;
+        msg.fields = run->head;
+    }
+    run->sequence++;
+    run->uncredited += (uint32_t)bytes.len;
+    Callmsg_PackPiece(&pack, &msg);
+    Cnt_Add(run->hub->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
+    Net_Answer(run->hub->net, &run->origin, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+/* Send whole pieces while the window allows, and keep the rest. */
+static void
+send_ready(Run *run, Instant now)
+{
+    size_t sent = 0;
+
+    while (run->bytes.len - sent >= Callmsg_PIECE_BYTES &&
+           run->uncredited < Callmsg_WINDOW_BYTES) {
+        send_piece(
+            run,
+            Str_Slice(StrBuf_View(&run->bytes), sent, Callmsg_PIECE_BYTES),
+            false, now);
+        sent += Callmsg_PIECE_BYTES;
+    }
+    if (sent) {
+        StrBuf rest = {0};
+        StrBuf_Set(&rest,
+                   Str_Slice(StrBuf_View(&run->bytes), sent, run->bytes.len));
+        StrBuf_Finish(&run->bytes);
+        run->bytes = rest;
+    }
+}
+
+static void
+on_head(void *context, uint16_t status, const FieldList *fields)
+{
+    Run *run = context;
+
+    run->status = status;
+    copy_fields(&run->head, &run->head_text, fields);
+}
+
+static void
+on_bytes(void *context, Str bytes)
+{
+    Run *run = context;
+
+    StrBuf_Append(&run->bytes, bytes);
+    send_ready(run, Loop_Now());
+    if (run->bytes.len >= Callmsg_WINDOW_BYTES) {
+        Bck_Pause(run->exchange);
+    }
+}
+
+static void
+send_rest(Run *run, Instant now)
+{
+    Str rest = StrBuf_View(&run->bytes);
+    size_t sent = 0;
+
+    do {
+        Str piece = Str_Slice(rest, sent, Callmsg_PIECE_BYTES);
+        sent += piece.len;
+        send_piece(run, piece, sent == rest.len, now);
+    } while (sent < rest.len);
+}
+
+static void
+on_end(void *context, BckEnd end)
+{
+    Run *run = context;
+    RunHub *hub = run->hub;
+    Instant now = Loop_Now();
+    bool failed = end != Bck_WHOLE || run->status >= 500;
+
+    Adm_OnEnd(hub->admission, now - run->started_at, failed, now);
+    switch (end) {
+    case Bck_WHOLE:
+        send_rest(run, now);
+        break;
+    case Bck_CUT:
+        refuse(hub, &run->origin, run->id, Refusal_CUT, now);
+        break;
+    case Bck_UNREACHED:
+        refuse(hub, &run->origin, run->id, Refusal_ABSENT, now);
+        break;
+    }
+    free_run(run);
+    Run_HubTick(hub, now);
+}
+
+/* The attempt is counted as running already. */
+static void
+start_run(Run *run, Instant now)
+{
+    RunHub *hub = run->hub;
+    BckRequest request = {
+        .method = StrBuf_View(&run->method),
+        .target = StrBuf_View(&run->target),
+        .fields = run->fields,
+        .body = StrBuf_View(&run->body),
+        .left = run->deadline - now,
+    };
+    BckSink sink = {run, on_head, on_bytes, on_end};
+
+    run->started_at = now;
+    run->exchange = Bck_Start(hub->pool, &request, &sink);
+    if (run->exchange) {
+        Cnt_Add(hub->counters, Cnt_RUNS, 1);
+        return;
+    }
+    Adm_OnEnd(hub->admission, 0, true, now);
+    refuse(hub, &run->origin, run->id, Refusal_ABSENT, now);
+    free_run(run);
+}
+
+static Run *
+add_run(RunHub *hub, const NetOrigin *origin, const CallMsg *msg, Instant now)
+{
+    Run *run = Mem_Alloc(1, sizeof *run);
+
+    link_run(hub, run);
+    run->origin = *origin;
+    run->id = msg->id;
+    run->cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
+    run->deadline = now + msg->left;
+    StrBuf_Set(&run->method, msg->method);
+    StrBuf_Set(&run->target, msg->target);
+    StrBuf_Set(&run->body, msg->body);
+    copy_fields(&run->fields, &run->text, &msg->fields);
+    return run;
+}
+
+static Refusal
+refusal_of(AdmVerdict verdict)
+{
+    switch (verdict) {
+    case Adm_REFUSE_LATE:
+        return Refusal_LATE;
+    case Adm_REFUSE_DRAINING:
+        return Refusal_DRAINING;
+    case Adm_REFUSE_ABSENT:
+        return Refusal_ABSENT;
+    default:
+        return Refusal_FULL;
+    }
+}
+
+static void
+on_call(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    RunHub *hub = context;
+    CallMsg msg;
+    Err err = {0};
+    AdmVerdict verdict;
+
+    if (!Callmsg_ReadCall(in, &msg, &err)) {
+        Cnt_Add(hub->counters, Cnt_MALFORMED, 1);
+        Lgr_LogErr(hub->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
+        return;
+    }
+    if (msg.incarnation != hub->incarnation) {
+        refuse(hub, origin, msg.id, Refusal_INCARNATION, now);
+        return;
+    }
+    verdict = Adm_Ask(hub->admission,
+                      msg.interactive ? Adm_INTERACTIVE : Adm_PATIENT,
+                      msg.left, now);
+    if (verdict == Adm_RUN) {
+        start_run(add_run(hub, origin, &msg, now), now);
+    }
+    else if (verdict == Adm_QUEUE) {
+        add_run(hub, origin, &msg, now);
+    }
+    else {
+        refuse(hub, origin, msg.id, refusal_of(verdict), now);
+    }
+}
+
+static Run *
+find_run(RunHub *hub, AttemptId id)
+{
+    for (Run *run = hub->first; run; run = run->next) {
+        if (AttemptId_Equal(run->id, id)) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+static void
+leave_queue(Run *run)
+{
+    Adm_OnLeave(run->hub->admission, run->cls);
+    free_run(run);
+}
+
+static void
+on_cancel(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    RunHub *hub = context;
+    AttemptId id;
+    Run *run;
+
+    (void)origin;
+    if (!Callmsg_ReadId(in, &id, NULL)) {
+        Cnt_Add(hub->counters, Cnt_MALFORMED, 1);
+        return;
+    }
+    run = find_run(hub, id);
+    if (run && run->exchange) {
+        Bck_Cancel(run->exchange);
+        Adm_OnEnd(hub->admission, now - run->started_at, true, now);
+        free_run(run);
+        Run_HubTick(hub, now);
+    }
+    else if (run) {
+        leave_queue(run);
+    }
+}
+
+static void
+on_credit(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    RunHub *hub = context;
+    CreditMsg msg;
+    Run *run;
+
+    (void)origin;
+    if (!Callmsg_ReadCredit(in, &msg, NULL)) {
+        Cnt_Add(hub->counters, Cnt_MALFORMED, 1);
+        return;
+    }
+    run = find_run(hub, msg.id);
+    if (run) {
+        run->uncredited -=
+            msg.bytes < run->uncredited ? msg.bytes : run->uncredited;
+        send_ready(run, now);
+        if (run->exchange && run->bytes.len < Callmsg_WINDOW_BYTES) {
+            Bck_Resume(run->exchange);
+        }
+    }
+}
+
+static void
+on_ping(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    RunHub *hub = context;
+    LoadReport load = Adm_Report(hub->admission);
+    Pack pack;
+
+    (void)in;
+    Callmsg_PackPong(&pack, &load);
+    Net_Answer(hub->net, origin, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+void
+Run_HubInit(RunHub *hub, Net *net, Counters *counters, Logger *logger,
+            Adm *admission, BckPool *pool, uint64_t incarnation)
+{
+    *hub = (RunHub){
+        .net = net,
+        .counters = counters,
+        .logger = logger,
+        .admission = admission,
+        .pool = pool,
+        .incarnation = incarnation,
+    };
+    Net_On(net, Wire_CALL, on_call, hub);
+    Net_On(net, Wire_CANCEL, on_cancel, hub);
+    Net_On(net, Wire_CREDIT, on_credit, hub);
+    Net_On(net, Wire_PING, on_ping, hub);
+}
+
+void
+Run_HubFinish(RunHub *hub)
+{
+    while (hub->first) {
+        if (hub->first->exchange) {
+            Bck_Cancel(hub->first->exchange);
+        }
+        free_run(hub->first);
+    }
+}
+
+static Run *
+first_waiting(RunHub *hub, AdmClass cls)
+{
+    for (Run *run = hub->first; run; run = run->next) {
+        if (!run->exchange && run->cls == cls) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+static void
+drop_late(RunHub *hub, Instant now)
+{
+    Run *next;
+
+    for (Run *run = hub->first; run; run = next) {
+        next = run->next;
+        if (!run->exchange && now >= run->deadline) {
+            refuse(hub, &run->origin, run->id, Refusal_LATE, now);
+            leave_queue(run);
+        }
+    }
+}
+
+void
+Run_HubTick(RunHub *hub, Instant now)
+{
+    AdmClass cls;
+
+    drop_late(hub, now);
+    while (Adm_Next(hub->admission, now, &cls)) {
+        start_run(first_waiting(hub, cls), now);
+    }
+}
--- /dev/null
+++ b/src/version/preset.c
@@ -0,0 +1,177 @@
+#include "version/preset.h"
+
+#include "value/json.h"
+#include "value/mem.h"
+
+enum {
+    RATE_MAX = 1000000000,
+    PERMILLE = 1000,
+    QUEUE_MAX = 100000,
+    HOUR_MS = 3600 * 1000
+};
+
+void
+Pst_Init(Preset *preset)
+{
+    *preset = (Preset){0};
+}
+
+static void
+finish_route(PstRoute *route)
+{
+    StrBuf_Finish(&route->service);
+    StrBuf_Finish(&route->route);
+    StrBuf_Finish(&route->method);
+    StrBuf_Finish(&route->path);
+    StrBuf_Finish(&route->key_header);
+}
+
+void
+Pst_Finish(Preset *preset)
+{
+    for (size_t i = 0; i < preset->route_count; i++) {
+        finish_route(&preset->routes[i]);
+    }
+    Mem_Free(preset->routes);
+    StrBuf_Finish(&preset->name);
+    *preset = (Preset){0};
+}
+
+static uint32_t
+read_u32(JsnObject *object, Str key, int64_t max, int64_t fallback)
+{
+    return (uint32_t)Jsn_GetInt(object, key, 0, max, fallback);
+}
+
+static Span
+read_ms(JsnObject *object, Str key, int64_t min, int64_t fallback)
+{
+    return Span_MS(Jsn_GetInt(object, key, min, HOUR_MS, fallback));
+}
+
+static void
+read_limits(PstLimits *limits, json_t *value, FindingList *findings)
+{
+    JsnObject o;
+
+    Jsn_Enter(&o, value, Str_LIT("/limits"), findings);
+    limits->measure_bytes_per_s =
+        read_u32(&o, Str_LIT("measure_bytes_per_s"), RATE_MAX, 2000);
+    limits->measure_cpu_permille =
+        read_u32(&o, Str_LIT("measure_cpu_permille"), PERMILLE, 5);
+    limits->link_bytes_per_s =
+        read_u32(&o, Str_LIT("link_bytes_per_s"), RATE_MAX, 400000);
+    limits->link_price_us =
+        read_u32(&o, Str_LIT("link_price_us"), RATE_MAX, 30000);
+    limits->domain_price_us =
+        read_u32(&o, Str_LIT("domain_price_us"), RATE_MAX, 2000);
+    limits->retry_permille =
+        read_u32(&o, Str_LIT("retry_permille"), PERMILLE, 100);
+    limits->hedge_permille =
+        read_u32(&o, Str_LIT("hedge_permille"), PERMILLE, 0);
+    limits->hedge_delay = read_ms(&o, Str_LIT("hedge_delay_ms"), 1, 50);
+    limits->attempts_max =
+        (uint32_t)Jsn_GetInt(&o, Str_LIT("attempts_max"), 1, 8, 3);
+    limits->queue_max = read_u32(&o, Str_LIT("queue_max"), QUEUE_MAX, 32);
+    limits->patient_queue_max =
+        read_u32(&o, Str_LIT("patient_queue_max"), QUEUE_MAX, 16);
+    limits->key_retention =
+        read_ms(&o, Str_LIT("key_retention_ms"), 1000, 600000);
+    limits->suspect_losses_max =
+        (uint32_t)Jsn_GetInt(&o, Str_LIT("suspect_losses_max"), 1, 2, 2);
+    limits->suspect_release =
+        read_ms(&o, Str_LIT("suspect_release_ms"), 1000, 600000);
+    Jsn_Leave(&o);
+}
+
+static void
+read_route(PstRoute *route, json_t *value, Str place, FindingList *findings)
+{
+    JsnObject o;
+
+    Jsn_Enter(&o, value, place, findings);
+    Jsn_GetStr(&o, Str_LIT("service"), true, &route->service);
+    Jsn_GetStr(&o, Str_LIT("route"), true, &route->route);
+    Jsn_GetStr(&o, Str_LIT("method"), false, &route->method);
+    Jsn_GetStr(&o, Str_LIT("path"), true, &route->path);
+    Jsn_GetStr(&o, Str_LIT("key_header"), false, &route->key_header);
+    route->interactive = Jsn_GetBool(&o, Str_LIT("interactive"), false);
+    route->idempotent = Jsn_GetBool(&o, Str_LIT("idempotent"), false);
+    route->deadline = read_ms(&o, Str_LIT("deadline_ms"), 1, 2000);
+    if (route->path.len && route->path.ptr[0] != '/') {
+        Jsn_Find(&o, Str_LIT("path"), Str_LIT("not a path"),
+                 Str_LIT("a prefix that starts with /"));
+    }
+    if (route->idempotent && route->key_header.len) {
+        Jsn_Find(&o, Str_LIT("key_header"),
+                 Str_LIT("key on an idempotent route"),
+                 Str_LIT("a key only where idempotent is false"));
+    }
+    Jsn_Leave(&o);
+}
+
+static void
+read_routes(Preset *preset, json_t *array, FindingList *findings)
+{
+    size_t count = json_array_size(array);
+
+    preset->routes = Mem_Alloc(count, sizeof *preset->routes);
+    preset->route_count = count;
+    for (size_t i = 0; i < count; i++) {
+        StrBuf place = {0};
+        StrBuf_AppendFmt(&place, "/routes/%zu", i);
+        read_route(&preset->routes[i], json_array_get(array, i),
+                   StrBuf_View(&place), findings);
+        StrBuf_Finish(&place);
+    }
+}
+
+bool
+Pst_Parse(Preset *preset, Str json, FindingList *findings)
+{
+    size_t before = findings->count;
+    json_t *root = Jsn_Load(json, findings);
+    JsnObject o;
+
+    Pst_Init(preset);
+    if (!root) {
+        return false;
+    }
+    Jsn_Enter(&o, root, (Str){0}, findings);
+    Jsn_GetStr(&o, Str_LIT("name"), true, &preset->name);
+    read_limits(&preset->limits, Jsn_Get(&o, Str_LIT("limits")), findings);
+    read_routes(preset, Jsn_GetArray(&o, Str_LIT("routes"), true), findings);
+    Jsn_Leave(&o);
+    json_decref(root);
+    if (findings->count > before) {
+        Pst_Finish(preset);
+        return false;
+    }
+    return true;
+}
+
+static bool
+route_matches(const PstRoute *route, Str method, Str path)
+{
+    Str wanted = StrBuf_View(&route->method);
+
+    return (wanted.len == 0 || Str_Equal(wanted, method)) &&
+           Str_StartsWith(path, StrBuf_View(&route->path));
+}
+
+const PstRoute *
+Pst_FindRoute(const Preset *preset, Str method, Str path)
+{
+    const PstRoute *best = NULL;
+
+    for (size_t i = 0; i < preset->route_count; i++) {
+        const PstRoute *route = &preset->routes[i];
+        if (route_matches(route, method, path) &&
+            (!best || route->path.len > best->path.len ||
+             (route->path.len == best->path.len &&
+              route->method.len > best->method.len))) {
+            best = route;
+        }
+    }
+    return best;
+}
