--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 
 CC ?= gcc
 BUILD ?= build
+JOBS ?= 4
 PACKAGES = libevent libzmq argtable2 jansson msgpack libxxhash gsl
 CFLAGS ?= -O2 -g
 ALL_CFLAGS = -std=c11 -D_GNU_SOURCE -Isrc -Itools -Itests -Wall -Wextra \
@@ -41,53 +42,59 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
-	$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
+	@echo "CC $<"
+	@$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
 
 $(LIBRARY): $(LIB_OBJECTS)
-	rm -f $@
-	ar rcs $@ $^
+	@rm -f $@
+	@ar rcs $@ $^
 
 $(DAEMON): $(BUILD)/src/process/main.o $(LIBRARY)
-	$(CC) $(ALL_CFLAGS) $^ $(LIBS) -o $@
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) -o $@
 
 $(BUILD)/lycheeridge: $(BUILD)/src/process/cli_main.o $(LIBRARY)
-	$(CC) $(ALL_CFLAGS) $^ $(LIBS) -o $@
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) -o $@
 
 $(TOOLS): $(BUILD)/%: $(BUILD)/tools/%_main.o $(TOOL_OBJECTS) $(LIBRARY)
-	$(CC) $(ALL_CFLAGS) $^ $(LIBS) -lm -o $@
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) -lm -o $@
 
 $(UNIT_TESTS): $(BUILD)/%: $(BUILD)/tests/unit/%.o $(SUPPORT_OBJECTS) \
 		$(LIBRARY)
-	$(CC) $(ALL_CFLAGS) $^ $(LIBS) $(TEST_LIBS) -lm -o $@
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) $(TEST_LIBS) -lm -o $@
 
 $(FLEET_TESTS): $(BUILD)/%: $(BUILD)/tests/integration/%.o $(FLEET_OBJECTS) \
 		$(SUPPORT_OBJECTS) 		$(LIBRARY)
-	$(CC) $(ALL_CFLAGS) $^ $(LIBS) $(TEST_LIBS) -lm -o $@
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) $(TEST_LIBS) -lm -o $@
 
 packages:
 	scripts/install-packages
 
 check: packages
-	$(MAKE) programs
+	$(MAKE) -j $(JOBS) programs
 	scripts/run-tests $(BUILD)
 
 demo: packages
-	$(MAKE) all
+	$(MAKE) -j $(JOBS) all
 	scripts/demo $(BUILD)
 
 bench: packages
-	$(MAKE) all
+	$(MAKE) -j $(JOBS) all
 	scripts/bench $(BUILD)
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 lint:
-	clang-format --dry-run --Werror $(SOURCES)
-	cppcheck --quiet --std=c11 --enable=warning,performance,portability \
+	@clang-format --dry-run --Werror $(SOURCES)
+	@cppcheck --quiet --std=c11 --enable=warning,performance,portability \
 		--inline-suppr --suppress=missingIncludeSystem \
 		--error-exitcode=1 -Isrc -Itools src tools
-	printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P 8 -I{} \
+	@printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P $(JOBS) -I{} \
 		clang-tidy --quiet --warnings-as-errors='*' {} -- \
 		$(filter-out -Werror,$(ALL_CFLAGS))
 
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -115,6 +115,40 @@
     }
 }
 
+/* The clock stamp comes first; false when there is no whole message. */
+static bool
+receive(Net *net, void *socket, zmq_msg_t *msg)
+{
+    HlcStamp stamp = 0;
+    int len = zmq_recv(socket, &stamp, sizeof stamp, ZMQ_DONTWAIT);
+    int more = 0;
+    size_t size = sizeof more;
+
+    if (len < 0) {
+        return false;
+    }
+    zmq_getsockopt(socket, ZMQ_RCVMORE, &more, &size);
+    if (len != sizeof stamp || !more) {
+        Cnt_Add(net->counters, Cnt_MALFORMED, 1);
+        drop_rest(socket);
+        return true;
+    }
+    Hlc_Observe(&net->timeline->clock, stamp, net->logger->clock());
+    zmq_msg_recv(msg, socket, ZMQ_DONTWAIT);
+    drop_rest(socket);
+    return true;
+}
+
+static bool
+send_message(Net *net, void *socket, Str message)
+{
+    HlcStamp stamp = Hlc_Next(&net->timeline->clock, net->logger->clock());
+
+    return zmq_send(socket, &stamp, sizeof stamp,
+                    ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
+           zmq_send(socket, message.ptr, message.len, ZMQ_DONTWAIT) >= 0;
+}
+
 static void
 on_router(evutil_socket_t fd, short what, void *context)
 {
@@ -126,13 +160,12 @@
     while (receive_id(net, &origin)) {
         zmq_msg_t msg;
         zmq_msg_init(&msg);
-        if (zmq_msg_recv(&msg, net->router, ZMQ_DONTWAIT) >= 0) {
+        if (receive(net, net->router, &msg) && zmq_msg_size(&msg)) {
             dispatch(net, &origin,
                      Str_From(zmq_msg_data(&msg), zmq_msg_size(&msg)),
                      Loop_Now());
         }
         zmq_msg_close(&msg);
-        drop_rest(net->router);
     }
 }
 
@@ -166,13 +199,16 @@
         NetOrigin origin = {.peer = addr};
         zmq_msg_t msg;
         zmq_msg_init(&msg);
-        if (zmq_msg_recv(&msg, peer->socket, ZMQ_DONTWAIT) < 0) {
+        if (!receive(net, peer->socket, &msg)) {
             zmq_msg_close(&msg);
             return;
         }
         Peer_OnHeard(peer);
-        dispatch(net, &origin,
-                 Str_From(zmq_msg_data(&msg), zmq_msg_size(&msg)), Loop_Now());
+        if (zmq_msg_size(&msg)) {
+            dispatch(net, &origin,
+                     Str_From(zmq_msg_data(&msg), zmq_msg_size(&msg)),
+                     Loop_Now());
+        }
         zmq_msg_close(&msg);
     }
 }
@@ -292,12 +328,13 @@
 }
 
 bool
-Net_Init(Net *net, Loop *loop, Logger *logger, Counters *counters,
+Net_Init(Net *net, Loop *loop, Timeline *timeline, Counters *counters,
          const Settings *settings, Err *err)
 {
     *net = (Net){
         .loop = loop,
-        .logger = logger,
+        .logger = timeline->logger,
+        .timeline = timeline,
         .counters = counters,
         .settings = settings,
     };
@@ -348,7 +385,7 @@
     if (!peer) {
         peer = add_peer(net, addr);
     }
-    sent = zmq_send(peer->socket, message.ptr, message.len, ZMQ_DONTWAIT) >= 0;
+    sent = send_message(net, peer->socket, message);
     if (sent) {
         Peer_OnSent(peer, now);
     }
@@ -366,7 +403,7 @@
     }
     sent = zmq_send(net->router, origin->id, origin->id_len,
                     ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
-           zmq_send(net->router, message.ptr, message.len, ZMQ_DONTWAIT) >= 0;
+           send_message(net, net->router, message);
     look_again(net->router, net->router_event);
     return sent;
 }
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -2,7 +2,8 @@
  *
  * One ROUTER socket hears every node that asks; one DEALER socket per node
  * that is asked (see connection/peer.h).  Handlers are registered by kind of
- * message and get the origin, to which they may answer.
+ * message and get the origin, to which they may answer.  Each message goes
+ * as two frames: the sender's clock stamp, and the message itself.
  */
 #ifndef NET_H
 #define NET_H
@@ -13,6 +14,7 @@
 #include "process/logger.h"
 #include "process/loop.h"
 #include "process/settings.h"
+#include "process/timeline.h"
 
 enum { Net_ID_MAX = 32 };
 
@@ -35,6 +37,7 @@
 typedef struct {
     Loop *loop;
     Logger *logger;
+    Timeline *timeline;
     Counters *counters;
     const Settings *settings;
     void *zmq;
@@ -49,7 +52,7 @@
     LoopTimer watch;
 } Net;
 
-bool Net_Init(Net *net, Loop *loop, Logger *logger, Counters *counters,
+bool Net_Init(Net *net, Loop *loop, Timeline *timeline, Counters *counters,
               const Settings *settings, Err *err);
 void Net_Finish(Net *net);
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -39,6 +39,7 @@
     StrBuf text = {0};
     FindingList findings;
     Str file = StrBuf_View(&node->settings->preset);
+    Preset preset;
     bool good;
 
     if (!Set_ReadFile(file, &json, err)) {
@@ -46,8 +47,11 @@
     }
     Fnd_Init(&findings);
     Fnd_SetFile(&findings, file);
-    good = Pst_Parse(&node->preset, StrBuf_View(&json), &findings);
-    if (!good) {
+    good = Pst_Parse(&preset, StrBuf_View(&json), &findings);
+    if (good) {
+        node->in_force = Inf_New(&preset, (CfgVersion){0});
+    }
+    else {
         Fnd_Print(&findings, &text);
         Err_SET(err, Err_MALFORMED, "%.*s", Str_ARG(text));
     }
@@ -60,14 +64,14 @@
 static void
 use_preset(Node *node)
 {
-    const PstLimits *limits = &node->preset.limits;
+    const PstLimits *limits = &node->in_force->preset.limits;
     AdmSettings admission = {
         .queue_max = limits->queue_max,
         .patient_queue_max = limits->patient_queue_max,
         .ramp = node->settings->ramp,
     };
 
-    node->calls.preset = &node->preset;
+    node->calls.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
     Adm_SetSettings(&node->admission, &admission);
 }
@@ -133,9 +137,9 @@
     Mbs_Init(&node->members, &node->loop, &node->net, &node->counters,
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
-    Call_HubInit(&node->calls, &node->net, &node->counters, &node->logger,
+    Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
                  &node->services, node->incarnation);
-    Run_HubInit(&node->runs, &node->net, &node->counters, &node->logger,
+    Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
                 &node->admission, &node->pool, node->incarnation);
     use_preset(node);
 }
@@ -160,12 +164,13 @@
     }
     Lgr_Init(&node->logger, settings->log_level, StrBuf_View(&settings->name),
              Loop_WallClock);
+    Tml_Init(&node->timeline, &node->logger);
     Cnt_Init(&node->counters);
     Rng_Init(&node->rng, Loop_Entropy());
     /* Wall clock: a later start has the higher incarnation. */
     node->incarnation = (uint64_t)Loop_WallClock();
     if (!load_preset(node, err) ||
-        !Net_Init(&node->net, &node->loop, &node->logger, &node->counters,
+        !Net_Init(&node->net, &node->loop, &node->timeline, &node->counters,
                   settings, err)) {
         return false;
     }
@@ -176,8 +181,8 @@
         return false;
     }
     LoopTimer_Init(&node->tick, &node->loop, TICK, on_tick, node);
-    Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("started"), "incarnation=%llu",
-            (unsigned long long)node->incarnation);
+    Tml_Record(&node->timeline, Tml_STARTED, "incarnation=%llu",
+               (unsigned long long)node->incarnation);
     return true;
 }
 
@@ -189,7 +194,7 @@
     Edge_Finish(&node->edge);
     finish_parts(node);
     Net_Finish(&node->net);
-    Pst_Finish(&node->preset);
+    Inf_Release(node->in_force);
     Rng_Finish(&node->rng);
     Lgr_Finish(&node->logger);
     Loop_Finish(&node->loop);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -20,7 +20,8 @@
     Counters counters;
     Rng rng;
     uint64_t incarnation;
-    Preset preset;
+    Timeline timeline;
+    InForce *in_force;
     Net net;
     Adm admission;
     BckPool pool;
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -8,6 +8,7 @@
     Call *previous;
     CallRequest request;
     CallSink sink;
+    InForce *in_force; /* when it began */
     const PstRoute *route;
     Service *service;
     Rty retry;
@@ -47,6 +48,7 @@
         call->next->previous = call->previous;
     }
     hub->count--;
+    Inf_Release(call->in_force);
     Mem_Free(call);
 }
 
@@ -318,13 +320,14 @@
 }
 
 void
-Call_HubInit(CallHub *hub, Net *net, Counters *counters, Logger *logger,
+Call_HubInit(CallHub *hub, Net *net, Counters *counters, Timeline *timeline,
              Services *services, uint64_t incarnation)
 {
     *hub = (CallHub){
         .net = net,
         .counters = counters,
-        .logger = logger,
+        .logger = timeline->logger,
+        .timeline = timeline,
         .services = services,
         .incarnation = incarnation,
     };
@@ -353,8 +356,8 @@
 Call_Start(CallHub *hub, const CallRequest *request, const CallSink *sink,
            Instant now)
 {
-    const PstRoute *route =
-        Pst_FindRoute(hub->preset, request->method, path_of(request->target));
+    const PstRoute *route = Pst_FindRoute(
+        &hub->in_force->preset, request->method, path_of(request->target));
     Call *call;
     size_t before;
 
@@ -369,13 +372,14 @@
     link_call(hub, call);
     call->request = *request;
     call->sink = *sink;
+    call->in_force = Inf_Hold(hub->in_force);
     call->route = route;
     call->service = Svc_Get(hub->services, StrBuf_View(&route->service));
     call->deadline =
         now + (request->deadline ? request->deadline : route->deadline);
     Rty_OnCall(&call->service->retries);
-    Rty_Init(&call->retry, route->idempotent, hub->preset->limits.attempts_max,
-             call->deadline);
+    Rty_Init(&call->retry, route->idempotent,
+             hub->in_force->preset.limits.attempts_max, call->deadline);
     make_attempt(call, now);
     return hub->count > before ? call : NULL;
 }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -12,8 +12,9 @@
 #include "process/counters.h"
 #include "process/net.h"
 #include "process/services.h"
+#include "process/timeline.h"
 #include "request/field.h"
-#include "version/preset.h"
+#include "version/inforce.h"
 
 typedef enum {
     Call_ANSWERED, /* the whole answer was given to the sink */
@@ -57,16 +58,18 @@
     Net *net;
     Counters *counters;
     Logger *logger;
+    Timeline *timeline;
     Services *services;
-    const Preset *preset; /* in force */
+    InForce *in_force;    /* held by the node; a call holds its own */
     uint64_t incarnation; /* of this node */
     uint64_t counter;     /* of attempts */
     Call *first;
     size_t count;
 } CallHub;
 
-void Call_HubInit(CallHub *hub, Net *net, Counters *counters, Logger *logger,
-                  Services *services, uint64_t incarnation);
+void Call_HubInit(CallHub *hub, Net *net, Counters *counters,
+                  Timeline *timeline, Services *services,
+                  uint64_t incarnation);
 void Call_HubFinish(CallHub *hub);
 
 /* Take a request on.  The sink may be called before this returns; NULL is
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -378,13 +378,14 @@
 }
 
 void
-Run_HubInit(RunHub *hub, Net *net, Counters *counters, Logger *logger,
+Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
             Adm *admission, BckPool *pool, uint64_t incarnation)
 {
     *hub = (RunHub){
         .net = net,
         .counters = counters,
-        .logger = logger,
+        .logger = timeline->logger,
+        .timeline = timeline,
         .admission = admission,
         .pool = pool,
         .incarnation = incarnation,
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -13,6 +13,7 @@
 #include "process/admission.h"
 #include "process/counters.h"
 #include "process/net.h"
+#include "process/timeline.h"
 
 typedef struct Run Run;
 
@@ -20,6 +21,7 @@
     Net *net;
     Counters *counters;
     Logger *logger;
+    Timeline *timeline;
     Adm *admission;
     BckPool *pool;
     uint64_t incarnation; /* of this node */
@@ -28,7 +30,7 @@
     size_t count;
 } RunHub;
 
-void Run_HubInit(RunHub *hub, Net *net, Counters *counters, Logger *logger,
+void Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
                  Adm *admission, BckPool *pool, uint64_t incarnation);
 void Run_HubFinish(RunHub *hub);
 
--- /dev/null
+++ b/src/value/hlc.c
@@ -0,0 +1,33 @@
+#include "value/hlc.h"
+
+enum { AHEAD_MAX_MS = 60000 };
+
+static HlcStamp
+at_wall(int64_t wall_us)
+{
+    return (HlcStamp)(wall_us / 1000) << Hlc_COUNTER_BITS;
+}
+
+HlcStamp
+Hlc_Next(Hlc *clock, int64_t wall_us)
+{
+    HlcStamp wall = at_wall(wall_us);
+
+    clock->last = wall > clock->last ? wall : clock->last + 1;
+    return clock->last;
+}
+
+void
+Hlc_Observe(Hlc *clock, HlcStamp stamp, int64_t wall_us)
+{
+    if (Hlc_WallMs(stamp) <= wall_us / 1000 + AHEAD_MAX_MS &&
+        stamp > clock->last) {
+        clock->last = stamp;
+    }
+}
+
+int64_t
+Hlc_WallMs(HlcStamp stamp)
+{
+    return (int64_t)(stamp >> Hlc_COUNTER_BITS);
+}
