Show status, time line and metrics to operators from a module of their own

A record now tells where its node listens for operators, so that a tool that knows one node reaches all. The time line is served bounded, with stamps as text because JSON readers elsewhere keep 53 bits. Denied requests go to the time line once a second at most, to the counter always; 64 operators' requests may wait for their answer, more get 503. Processor time of control messages and pings is counted around their handlers.

--- a/src/connection/membermsg.c
+++ b/src/connection/membermsg.c
@@ -2,12 +2,13 @@
 
 #include "connection/callmsg.h"
 
-enum { RECORD_FIELDS = 12, ROW_FIELDS = RECORD_FIELDS + 1, ROWS_MAX = 4096 };
+enum { RECORD_FIELDS = 13, ROW_FIELDS = RECORD_FIELDS + 1, ROWS_MAX = 4096 };
 
 static void
 put_record(Pack *pack, const MbrRecord *record)
 {
     Pack_U64(pack, record->node);
+    Pack_U64(pack, record->operators);
     Pack_U64(pack, record->incarnation);
     Pack_U64(pack, record->sequence);
     Pack_U64(pack, record->region);
@@ -25,6 +26,7 @@
 take_record(Unpack *in, MbrRecord *record)
 {
     record->node = Unpack_U64(in);
+    record->operators = Unpack_U64(in);
     record->incarnation = Unpack_U64(in);
     record->sequence = Unpack_U64(in);
     record->region = (uint16_t)Unpack_Bounded(in, UINT16_MAX);
--- a/src/process/counters.c
+++ b/src/process/counters.c
@@ -25,22 +25,42 @@
     counters->values[id] += amount;
 }
 
+void
+Cnt_AddNs(Counters *counters, CntId id, int64_t ns)
+{
+    uint64_t sum = counters->rest_ns[id] + (uint64_t)(ns > 0 ? ns : 0);
+
+    counters->values[id] += sum / 1000;
+    counters->rest_ns[id] = (uint32_t)(sum % 1000);
+}
+
 uint64_t
 Cnt_Get(const Counters *counters, CntId id)
 {
     return counters->values[id];
 }
 
+static void
+print_value(StrBuf *out, Str name, Str help, const char *type, uint64_t value)
+{
+    StrBuf_AppendFmt(out, "# HELP lycheeridge_%.*s %.*s\n", Str_ARG(name),
+                     Str_ARG(help));
+    StrBuf_AppendFmt(out, "# TYPE lycheeridge_%.*s %s\n", Str_ARG(name), type);
+    StrBuf_AppendFmt(out, "lycheeridge_%.*s %" PRIu64 "\n", Str_ARG(name),
+                     value);
+}
+
+void
+Cnt_PrintGauge(StrBuf *out, Str name, Str help, uint64_t value)
+{
+    print_value(out, name, help, "gauge", value);
+}
+
 void
 Cnt_Print(const Counters *counters, StrBuf *out)
 {
     for (int id = 0; id < Cnt_COUNT; id++) {
-        Str name = texts[id].name;
-        StrBuf_AppendFmt(out, "# HELP lycheeridge_%.*s %.*s\n", Str_ARG(name),
-                         Str_ARG(texts[id].help));
-        StrBuf_AppendFmt(out, "# TYPE lycheeridge_%.*s counter\n",
-                         Str_ARG(name));
-        StrBuf_AppendFmt(out, "lycheeridge_%.*s %" PRIu64 "\n", Str_ARG(name),
-                         counters->values[id]);
+        print_value(out, texts[id].name, texts[id].help, "counter",
+                    counters->values[id]);
     }
 }
--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -32,6 +32,8 @@
     X(CONTROL_MESSAGES, "control_messages_total", "Messages for control")     \
     X(CONTROL_CPU_US, "control_cpu_us_total", "CPU spent on control, us")     \
     X(LINK_BYTES, "link_bytes_total", "Bytes sent across regions")            \
+    X(KEY_REFUSED, "node_keys_refused_total", "Nodes refused by their key")   \
+    X(OPERATORS_BUSY, "operators_busy_total", "Operators' requests shed")     \
     X(DATA_BYTES, "data_bytes_total", "Bytes sent to other nodes for calls")
 
 typedef enum {
@@ -43,12 +45,18 @@
 
 typedef struct {
     uint64_t values[Cnt_COUNT];
+    uint32_t rest_ns[Cnt_COUNT]; /* of times counted in microseconds */
 } Counters;
 
 void Cnt_Init(Counters *counters);
 void Cnt_Add(Counters *counters, CntId id, uint64_t amount);
+/* Add a time in nanoseconds to a counter of microseconds. */
+void Cnt_AddNs(Counters *counters, CntId id, int64_t ns);
 uint64_t Cnt_Get(const Counters *counters, CntId id);
 
+/* Append one gauge in the same format. */
+void Cnt_PrintGauge(StrBuf *out, Str name, Str help, uint64_t value);
+
 /* Append every counter in text exposition format 0.0.4. */
 void Cnt_Print(const Counters *counters, StrBuf *out);
 
--- a/src/process/loop.c
+++ b/src/process/loop.c
@@ -1,7 +1,10 @@
 #include "process/loop.h"
 
+#include <stdio.h>
 #include <sys/random.h>
+#include <sys/resource.h>
 #include <time.h>
+#include <unistd.h>
 
 bool
 Loop_Init(Loop *loop, Err *err)
@@ -50,6 +53,43 @@
     return read_clock(CLOCK_REALTIME);
 }
 
+int64_t
+Loop_CpuNs(void)
+{
+    struct timespec used;
+
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return (int64_t)used.tv_sec * 1000000000 + used.tv_nsec;
+}
+
+static uint64_t
+read_resident(void)
+{
+    FILE *file = fopen("/proc/self/statm", "r");
+    unsigned long long size = 0;
+    unsigned long long resident = 0;
+    int fields = 0;
+
+    if (file) {
+        fields = fscanf(file, "%llu %llu", &size, &resident);
+        fclose(file);
+    }
+    return fields == 2 ? resident * (uint64_t)sysconf(_SC_PAGESIZE) : 0;
+}
+
+LoopUsage
+Loop_Usage(void)
+{
+    struct rusage usage;
+
+    getrusage(RUSAGE_SELF, &usage);
+    return (LoopUsage){
+        .cpu_us = (usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1000000LL +
+                  usage.ru_utime.tv_usec + usage.ru_stime.tv_usec,
+        .resident_bytes = read_resident(),
+    };
+}
+
 uint64_t
 Loop_Entropy(void)
 {
--- a/src/process/loop.h
+++ b/src/process/loop.h
@@ -33,6 +33,17 @@
 /* Microseconds since 1970, UTC. */
 int64_t Loop_WallClock(void);
 
+/* Nanoseconds of processor time that this thread used. */
+int64_t Loop_CpuNs(void);
+
+/* What the whole process used so far, the library's threads too. */
+typedef struct {
+    int64_t cpu_us;
+    uint64_t resident_bytes;
+} LoopUsage;
+
+LoopUsage Loop_Usage(void);
+
 /* A number from the system's generator, for seeds and incarnations. */
 uint64_t Loop_Entropy(void);
 
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -57,9 +57,11 @@
 on_beat(void *context, Instant now)
 {
     Members *members = context;
+    int64_t start = Loop_CpuNs();
 
     Mbr_Expire(&members->membership, now);
     Mbs_SendRecord(members, now);
+    Cnt_AddNs(members->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
 static void
@@ -143,6 +145,7 @@
     Mbr_Init(&members->membership, &mbr);
     Mbr_RecordInit(&members->own);
     members->own.node = settings->address;
+    members->own.operators = settings->operators;
     members->own.incarnation = incarnation;
     members->own.region = settings->region;
     members->own.domain = settings->domain;
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -16,6 +16,7 @@
 
 typedef struct {
     Addr node;
+    Addr operators;       /* HTTP towards operators there */
     uint64_t incarnation; /* grows with each start of the node */
     uint64_t sequence;    /* grows with each record of that start */
     uint16_t region;
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -54,23 +54,48 @@
     }
 }
 
+/* Counter of the processor time that handling KIND takes, Cnt_COUNT when it
+ * is a call's. */
+static CntId
+cpu_counter(WireKind kind)
+{
+    if (kind == Wire_PING || kind == Wire_PONG) {
+        return Cnt_MEASURE_CPU_US;
+    }
+    return kind < Wire_PING || kind == Wire_CLAIM || kind == Wire_CLAIMED
+               ? Cnt_COUNT
+               : Cnt_CONTROL_CPU_US;
+}
+
+static void
+handle(Net *net, WireKind kind, const NetOrigin *origin, Unpack *in,
+       Instant now)
+{
+    const NetEntry *entry = &net->handlers[kind];
+    CntId id = cpu_counter(kind);
+    int64_t start = id == Cnt_COUNT ? 0 : Loop_CpuNs();
+
+    if (entry->call) {
+        entry->call(entry->context, origin, in, now);
+    }
+    if (id != Cnt_COUNT) {
+        Cnt_AddNs(net->counters, id, Loop_CpuNs() - start);
+    }
+}
+
 static void
 dispatch(Net *net, const NetOrigin *origin, Str bytes, Instant now)
 {
     Unpack in;
     WireKind kind;
     Err err = {0};
-    const NetEntry *entry;
 
     if (!Wire_Open(&in, bytes, &kind, &err)) {
         Cnt_Add(net->counters, Cnt_MALFORMED, 1);
         Lgr_LogErr(net->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
         return;
     }
-    entry = &net->handlers[kind];
-    if (entry->call) {
-        entry->call(entry->context, origin, &in, now);
-    }
+    handle(net, kind, origin, &in, now);
     Unpack_Finish(&in);
 }
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -76,35 +76,6 @@
     Adm_SetSettings(&node->admission, &admission);
 }
 
-static OprAnswer
-show_status(void *context, struct evhttp_request *request, Str body,
-            Instant now)
-{
-    Node *node = context;
-    const Mbr *mbr = &node->members.membership;
-    json_t *list = json_array();
-
-    (void)request;
-    (void)body;
-    for (size_t i = 0; i < mbr->count; i++) {
-        const MbrRow *row = &mbr->rows[i];
-        StrBuf addr = {0};
-        Addr_Print(row->record.node, &addr);
-        json_array_append_new(
-            list,
-            json_pack("{s:s%, s:s%, s:b, s:b, s:i, s:i, s:I}", "node",
-                      addr.ptr, addr.len, "service",
-                      row->record.service.ptr ? row->record.service.ptr : "",
-                      row->record.service.len, "gone", row->gone, "draining",
-                      row->record.load.draining, "slots",
-                      (int)row->record.load.slots, "running",
-                      (int)row->record.load.running, "age_us",
-                      (json_int_t)(now - row->heard_at)));
-        StrBuf_Finish(&addr);
-    }
-    return (OprAnswer){200, json_pack("{s:o}", "members", list)};
-}
-
 static bool
 init_fronts(Node *node, Err *err)
 {
@@ -113,13 +84,21 @@
     if (!Edge_Init(&node->edge, &node->loop, settings, &node->calls, err)) {
         return false;
     }
-    if (!Opr_Init(&node->opr, &node->loop, settings, &node->logger,
+    if (!Opr_Init(&node->opr, &node->loop, settings, &node->timeline,
                   &node->counters, err)) {
         Edge_Finish(&node->edge);
         return false;
     }
     Ann_Serve(&node->ann, &node->opr);
-    Opr_On(&node->opr, Str_LIT("/v1/status"), true, show_status, node);
+    node->show = (Show){
+        .settings = settings,
+        .timeline = &node->timeline,
+        .counters = &node->counters,
+        .members = &node->members,
+        .calls = &node->calls,
+        .runs = &node->runs,
+    };
+    Shw_Serve(&node->show, &node->opr);
     return true;
 }
 
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -10,6 +10,7 @@
 #include "process/edge.h"
 #include "process/members.h"
 #include "process/operate.h"
+#include "process/show.h"
 #include "request/call.h"
 #include "request/run.h"
 
@@ -32,6 +33,7 @@
     RunHub runs;
     Edge edge;
     Opr opr;
+    Show show;
     LoopTimer tick;
 } Node;
 
--- a/src/process/operate.c
+++ b/src/process/operate.c
@@ -5,6 +5,8 @@
 
 #include "connection/evtext.h"
 
+enum { BODY_BYTES_MAX = 4 * 1024 * 1024 };
+
 static const Str bearer = Str_LIT("Bearer ");
 
 static bool
@@ -49,63 +51,127 @@
     json_decref(body);
 }
 
+void
+Opr_AnswerText(struct evhttp_request *request, Str type, Str text)
+{
+    struct evbuffer *out = evbuffer_new();
+
+    Evt_AddField(evhttp_request_get_output_headers(request),
+                 Str_LIT("Content-Type"), type);
+    evbuffer_add(out, text.ptr, text.len);
+    evhttp_send_reply(request, 200, NULL, out);
+    evbuffer_free(out);
+}
+
+/* Every denial counts; the time line takes one a second, so that a flood of
+ * them does not push out everything else. */
+static void
+deny(Opr *opr, struct evhttp_request *request, Instant now)
+{
+    char *peer = NULL;
+    uint16_t port = 0;
+
+    Cnt_Add(opr->counters, Cnt_DENIED, 1);
+    if (!opr->denied_at || now - opr->denied_at >= Span_S(1)) {
+        opr->denied_at = now;
+        evhttp_connection_get_peer(evhttp_request_get_connection(request),
+                                   &peer, &port);
+        Tml_Record(opr->timeline, Tml_DENIED, "from=%s path=%s",
+                   peer ? peer : "", evhttp_request_get_uri(request));
+    }
+    Opr_Answer(
+        request, 401,
+        Opr_Error(Str_LIT("denied"), Str_LIT("the operators' key is needed")));
+}
+
+static void
+on_held_gone(struct evhttp_connection *connection, void *context)
+{
+    (void)connection;
+    ((Opr *)context)->held--;
+}
+
+static void
+on_held_done(struct evhttp_request *request, void *context)
+{
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL,
+                                  NULL);
+    ((Opr *)context)->held--;
+}
+
+/* Count a request whose handler answers later until its answer has gone out
+ * or its connection has. */
+static void
+hold(Opr *opr, struct evhttp_request *request)
+{
+    opr->held++;
+    evhttp_request_set_on_complete_cb(request, on_held_done, opr);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                  on_held_gone, opr);
+}
+
+static void
+refuse_busy(Opr *opr, struct evhttp_request *request)
+{
+    Cnt_Add(opr->counters, Cnt_OPERATORS_BUSY, 1);
+    Evt_AddField(evhttp_request_get_output_headers(request),
+                 Str_LIT("Retry-After"), Str_LIT("1"));
+    Opr_Answer(request, 503,
+               Opr_Error(Str_LIT("busy"),
+                         Str_LIT("too many operators' requests wait")));
+}
+
 static void
 on_request(struct evhttp_request *request, void *context)
 {
     OprPath *path = context;
     Opr *opr = path->opr;
+    Instant now = Loop_Now();
     OprAnswer answer;
 
     if (path->needs_key && !has_key(opr, request)) {
-        Cnt_Add(opr->counters, Cnt_DENIED, 1);
-        Lgr_Log(opr->logger, Lgr_WARNING, Str_LIT("operator_denied"), "%s %s",
-                evhttp_request_get_host(request),
-                evhttp_request_get_uri(request));
-        Opr_Answer(request, 401,
-                   Opr_Error(Str_LIT("denied"),
-                             Str_LIT("the operators' key is needed")));
+        deny(opr, request, now);
+        return;
+    }
+    if (path->needs_key && opr->held >= Opr_HELD_MAX) {
+        refuse_busy(opr, request);
         return;
     }
-    answer = path->call(path->context, request,
-                        Evt_View(evhttp_request_get_input_buffer(request)),
-                        Loop_Now());
+    /* Counted before the call: the handler may answer before it returns. */
+    hold(opr, request);
+    answer =
+        path->call(path->context, request,
+                   Evt_View(evhttp_request_get_input_buffer(request)), now);
     if (answer.status) {
         Opr_Answer(request, answer.status, answer.body);
     }
 }
 
-static OprAnswer
-show_counters(void *context, struct evhttp_request *request, Str body,
-              Instant now)
+static void
+on_unknown(struct evhttp_request *request, void *context)
 {
-    Opr *opr = context;
-    struct evbuffer *out = evbuffer_new();
-    StrBuf text = {0};
-
-    (void)body;
-    (void)now;
-    Cnt_Print(opr->counters, &text);
-    evbuffer_add(out, text.ptr, text.len);
-    Evt_AddField(evhttp_request_get_output_headers(request),
-                 Str_LIT("Content-Type"),
-                 Str_LIT("text/plain; version=0.0.4"));
-    evhttp_send_reply(request, 200, NULL, out);
-    evbuffer_free(out);
-    StrBuf_Finish(&text);
-    return (OprAnswer){0};
+    (void)context;
+    Opr_Answer(request, 404,
+               Opr_Error(Str_LIT("not_found"), Str_LIT("no such path")));
 }
 
 bool
-Opr_Init(Opr *opr, Loop *loop, const Settings *settings, Logger *logger,
+Opr_Init(Opr *opr, Loop *loop, const Settings *settings, Timeline *timeline,
          Counters *counters, Err *err)
 {
     StrBuf ip = {0};
     int failed;
 
-    *opr = (Opr){.settings = settings, .logger = logger, .counters = counters};
+    *opr = (Opr){
+        .settings = settings,
+        .timeline = timeline,
+        .counters = counters,
+    };
     opr->http = evhttp_new(loop->base);
     evhttp_set_max_headers_size(opr->http, settings->header_bytes_max);
-    evhttp_set_max_body_size(opr->http, 4 * 1024 * 1024);
+    evhttp_set_max_body_size(opr->http, BODY_BYTES_MAX);
+    evhttp_set_timeout(opr->http, Opr_TIMEOUT_S);
+    evhttp_set_gencb(opr->http, on_unknown, opr);
     Addr_PrintIp(settings->operators, &ip);
     failed = evhttp_bind_socket(opr->http, StrBuf_CStr(&ip),
                                 Addr_Port(settings->operators));
@@ -115,9 +181,6 @@
         evhttp_free(opr->http);
     }
     StrBuf_Finish(&ip);
-    if (!failed) {
-        Opr_On(opr, Str_LIT("/metrics"), false, show_counters, opr);
-    }
     return !failed;
 }
 
--- a/src/process/operate.h
+++ b/src/process/operate.h
@@ -13,6 +13,7 @@
 #include "process/counters.h"
 #include "process/loop.h"
 #include "process/settings.h"
+#include "process/timeline.h"
 
 typedef struct {
     int status;   /* of HTTP; 0: answered later by Opr_Answer */
@@ -23,7 +24,11 @@
 typedef OprAnswer (*OprHandler)(void *context, struct evhttp_request *request,
                                 Str body, Instant now);
 
-enum { Opr_PATHS_MAX = 24 };
+enum {
+    Opr_PATHS_MAX = 24,
+    Opr_HELD_MAX = 64, /* requests that wait for their answer, at most */
+    Opr_TIMEOUT_S = 60 /* of an idle connection */
+};
 
 typedef struct Opr Opr;
 
@@ -36,15 +41,17 @@
 
 struct Opr {
     const Settings *settings;
-    Logger *logger;
+    Timeline *timeline;
     Counters *counters;
     struct evhttp *http;
     OprPath paths[Opr_PATHS_MAX];
     size_t path_count;
+    size_t held;       /* requests whose handler answers later */
+    Instant denied_at; /* last denial in the time line */
 };
 
-bool Opr_Init(Opr *opr, Loop *loop, const Settings *settings, Logger *logger,
-              Counters *counters, Err *err);
+bool Opr_Init(Opr *opr, Loop *loop, const Settings *settings,
+              Timeline *timeline, Counters *counters, Err *err);
 void Opr_Finish(Opr *opr);
 
 /* Serve PATH; with NEEDS_KEY only for requests that carry the operators'
@@ -55,6 +62,9 @@
 /* Answer a request whose handler returned status 0.  Takes BODY over. */
 void Opr_Answer(struct evhttp_request *request, int status, json_t *body);
 
+/* Answer with TEXT of the given content type; the handler returns 0. */
+void Opr_AnswerText(struct evhttp_request *request, Str type, Str text);
+
 /* {"error": CODE, "detail": TEXT} */
 json_t *Opr_Error(Str code, Str detail);
 
--- /dev/null
+++ b/src/process/show.c
@@ -0,0 +1,234 @@
+#include "process/show.h"
+
+#include <event2/keyvalq_struct.h>
+#include <inttypes.h>
+
+static json_t *
+json_str(Str text)
+{
+    json_t *value = json_stringn(text.ptr ? text.ptr : "", text.len);
+
+    return value ? value : json_string("(not UTF-8)");
+}
+
+static json_t *
+json_addr(Addr addr)
+{
+    StrBuf text = {0};
+    json_t *value;
+
+    Addr_Print(addr, &text);
+    value = json_str(StrBuf_View(&text));
+    StrBuf_Finish(&text);
+    return value;
+}
+
+static json_t *
+json_version(uint64_t term, uint64_t index)
+{
+    return json_pack("{s:I, s:I}", "term", (json_int_t)term, "index",
+                     (json_int_t)index);
+}
+
+static json_t *
+json_domain(const Settings *settings, uint16_t number)
+{
+    return number < settings->domain_count
+               ? json_str(StrBuf_View(&settings->domains[number].name))
+               : json_null();
+}
+
+static json_t *
+json_member(const Settings *settings, const MbrRow *row, Instant now)
+{
+    const MbrRecord *record = &row->record;
+    json_t *member = json_pack(
+        "{s:o, s:o, s:o, s:o, s:o, s:b, s:b, s:b, s:b, s:b}", "node",
+        json_addr(record->node), "operators", json_addr(record->operators),
+        "failure_domain", json_domain(settings, record->domain), "service",
+        json_str(StrBuf_View(&record->service)), "version",
+        json_version(record->version_term, record->version_index), "control",
+        record->control, "gone", row->gone, "leaving", record->leaving,
+        "backend", record->present, "draining", record->load.draining);
+
+    json_object_set_new(member, "slots", json_integer(record->load.slots));
+    json_object_set_new(member, "running", json_integer(record->load.running));
+    json_object_set_new(member, "queued", json_integer(record->load.queued));
+    json_object_set_new(member, "age_ms",
+                        json_integer((now - row->heard_at) / 1000));
+    return member;
+}
+
+static OprAnswer
+show_status(void *context, struct evhttp_request *request, Str body,
+            Instant now)
+{
+    const Show *show = context;
+    const Mbr *mbr = &show->members->membership;
+    const InForce *in_force = show->calls->in_force;
+    json_t *list = json_array();
+
+    (void)request;
+    (void)body;
+    for (size_t i = 0; i < mbr->count; i++) {
+        json_array_append_new(list,
+                              json_member(show->settings, &mbr->rows[i], now));
+    }
+    return (OprAnswer){
+        200, json_pack(
+                 "{s:o, s:o, s:o, s:o, s:o}", "name",
+                 json_str(StrBuf_View(&show->settings->name)), "node",
+                 json_addr(show->settings->address), "preset",
+                 json_str(StrBuf_View(&in_force->preset.name)), "version",
+                 json_version(in_force->version.term, in_force->version.index),
+                 "members", list)};
+}
+
+/* The value of query parameter NAME; FALLBACK when absent; false when it is
+ * no number. */
+static bool
+read_query(struct evhttp_request *request, const char *name, uint64_t fallback,
+           uint64_t *value)
+{
+    const char *query =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    struct evkeyvalq fields;
+    Str text;
+    bool good = true;
+
+    *value = fallback;
+    if (!query || evhttp_parse_query_str(query, &fields)) {
+        return true;
+    }
+    text = Str_FromC(evhttp_find_header(&fields, name));
+    if (text.len) {
+        good = Str_ToU64(text, value);
+    }
+    evhttp_clear_headers(&fields);
+    return good;
+}
+
+static json_t *
+json_event(const TmlEvent *event)
+{
+    StrBuf stamp = {0};
+    json_t *value;
+
+    /* As text: a stamp needs more digits than JSON numbers keep elsewhere. */
+    StrBuf_AppendFmt(&stamp, "%" PRIu64, event->stamp);
+    value = json_pack("{s:o, s:I, s:o, s:o}", "stamp",
+                      json_str(StrBuf_View(&stamp)), "time_ms",
+                      (json_int_t)Hlc_WallMs(event->stamp), "kind",
+                      json_str(Tml_Name(event->kind)), "detail",
+                      json_str(Str_From(event->detail, event->detail_len)));
+    StrBuf_Finish(&stamp);
+    return value;
+}
+
+/* Number of the first event to show: the oldest after SINCE, or, when SINCE
+ * is 0, the one from which LIMIT events are left. */
+static uint64_t
+find_first(const Timeline *timeline, uint64_t since, uint64_t limit)
+{
+    uint64_t count = timeline->count;
+    uint64_t first = count > Tml_RING ? count - Tml_RING : 0;
+
+    if (since == 0) {
+        return count - first > limit ? count - limit : first;
+    }
+    while (first < count && timeline->ring[first % Tml_RING].stamp <= since) {
+        first++;
+    }
+    return first;
+}
+
+static OprAnswer
+show_timeline(void *context, struct evhttp_request *request, Str body,
+              Instant now)
+{
+    const Show *show = context;
+    const Timeline *timeline = show->timeline;
+    json_t *list;
+    uint64_t since;
+    uint64_t limit;
+    uint64_t next;
+
+    (void)body;
+    (void)now;
+    if (!read_query(request, "since", 0, &since) ||
+        !read_query(request, "limit", Shw_EVENTS, &limit) || limit == 0 ||
+        limit > Shw_EVENTS_MAX) {
+        return (OprAnswer){
+            400, Opr_Error(Str_LIT("malformed"),
+                           Str_LIT("since is a stamp, limit 1 to 1024"))};
+    }
+    list = json_array();
+    next = find_first(timeline, since, limit);
+    for (; next < timeline->count && limit; next++, limit--) {
+        json_array_append_new(list,
+                              json_event(&timeline->ring[next % Tml_RING]));
+    }
+    return (OprAnswer){
+        200, json_pack("{s:o, s:o, s:b}", "name",
+                       json_str(StrBuf_View(&show->settings->name)), "events",
+                       list, "more", next < timeline->count)};
+}
+
+static uint64_t
+count_members(const Mbr *mbr)
+{
+    uint64_t count = 0;
+
+    for (size_t i = 0; i < mbr->count; i++) {
+        count += !mbr->rows[i].gone;
+    }
+    return count;
+}
+
+static void
+print_gauges(const Show *show, StrBuf *out)
+{
+    LoopUsage usage = Loop_Usage();
+
+    Cnt_PrintGauge(out, Str_LIT("calls_in_flight"),
+                   Str_LIT("Calls being served to callers"),
+                   show->calls->count);
+    Cnt_PrintGauge(out, Str_LIT("runs_in_flight"),
+                   Str_LIT("Attempts waiting or running at this node"),
+                   show->runs->count);
+    Cnt_PrintGauge(out, Str_LIT("members"), Str_LIT("Nodes known"),
+                   count_members(&show->members->membership));
+    Cnt_PrintGauge(out, Str_LIT("node_connections"),
+                   Str_LIT("Connections opened to other nodes"),
+                   show->members->net->peer_count);
+    Cnt_PrintGauge(out, Str_LIT("resident_bytes"), Str_LIT("Memory in use"),
+                   usage.resident_bytes);
+    Cnt_PrintGauge(out, Str_LIT("cpu_us"),
+                   Str_LIT("Processor time of the process, us"),
+                   (uint64_t)usage.cpu_us);
+}
+
+static OprAnswer
+show_metrics(void *context, struct evhttp_request *request, Str body,
+             Instant now)
+{
+    const Show *show = context;
+    StrBuf text = {0};
+
+    (void)body;
+    (void)now;
+    Cnt_Print(show->counters, &text);
+    print_gauges(show, &text);
+    Opr_AnswerText(request, Str_LIT("text/plain; version=0.0.4"),
+                   StrBuf_View(&text));
+    StrBuf_Finish(&text);
+    return (OprAnswer){0};
+}
+
+void
+Shw_Serve(Show *show, Opr *opr)
+{
+    Opr_On(opr, Str_LIT("/v1/status"), true, show_status, show);
+    Opr_On(opr, Str_LIT("/v1/timeline"), true, show_timeline, show);
+    Opr_On(opr, Str_LIT("/metrics"), false, show_metrics, show);
+}
