--- /dev/null
+++ b/tests/unit/test_pack.c
@@ -0,0 +1,61 @@
+/* Packed messages: every wrong type, count or bound is told. */
+#include "support/suite.h"
+#include "value/pack.h"
+
+typedef struct {
+    Str bytes; /* of a message read as: U64, Str, Bool, [I64] */
+    bool good;
+} PackCase;
+
+static const PackCase cases[] = {
+    {Str_LIT("\x94\x01\xc4\x02hi\xc3\x91\xff"), true},
+    {Str_LIT("\x94\x01\xc4\x02hi\xc3\x91\x05"), true},
+    {Str_LIT(""), false},                                   /* nothing */
+    {Str_LIT("\x01"), false},                               /* no array */
+    {Str_LIT("\x94\x01\xc4\x02hi\xc3\x91"), false},         /* cut */
+    {Str_LIT("\x94\x01\xc4\x02hi\xc3\x91\xff\x00"), false}, /* more */
+    {Str_LIT("\x93\x01\xc4\x02hi\xc3"), false},             /* field missing */
+    {Str_LIT("\x95\x01\xc4\x02hi\xc3\x91\xff\x01"), false}, /* field over */
+    {Str_LIT("\x94\xff\xc4\x02hi\xc3\x91\xff"), false},     /* negative */
+    {Str_LIT("\x94\x01\xa2hi\xc3\x91\xff"), false},     /* text for bytes */
+    {Str_LIT("\x94\x01\xc4\x02hi\x01\x91\xff"), false}, /* no boolean */
+    {Str_LIT("\x94\x01\xc4\x02hi\xc3\x92\xff\xff"), false}, /* inner over */
+    {Str_LIT("\x94\x01\xc4\x02hi\xc3\xff"), false}, /* no inner array */
+};
+
+static bool
+read_message(Str bytes)
+{
+    Unpack in;
+    Unpack inner;
+    Err err = {0};
+    bool whole;
+
+    if (!Unpack_Init(&in, bytes, &err)) {
+        return false;
+    }
+    Unpack_U64(&in);
+    Unpack_Str(&in);
+    Unpack_Bool(&in);
+    Unpack_Array(&in, 1, &inner);
+    Unpack_I64(&inner);
+    whole = Unpack_Ok(&inner, NULL) && Unpack_Ok(&in, &err);
+    ck_assert(whole || err.code == Err_MALFORMED || inner.failed);
+    Unpack_Finish(&in);
+    return whole;
+}
+
+START_TEST(reads_only_whole_messages)
+{
+    ck_assert_int_eq(read_message(cases[_i].bytes), cases[_i].good);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {
+        {reads_only_whole_messages, sizeof cases / sizeof cases[0]}};
+
+    return Suite_Run("pack", tests, 1, 10);
+}
