--- /dev/null
+++ b/src/process/cli.h
@@ -0,0 +1,89 @@
+/* Cli: the operators' command-line tool.
+ *
+ * Each command reads what it needs from any node over HTTP, prints for a
+ * human or, with --json, for a program, and returns the exit status.
+ */
+#ifndef CLI_H
+#define CLI_H
+
+#include <jansson.h>
+
+#include "process/loop.h"
+#include "value/addr.h"
+#include "version/config.h"
+
+/* Exit statuses, listed in docs/OPERATING.md. */
+typedef enum {
+    Cli_GOOD = 0,
+    Cli_FAILED = 1,      /* this program's own failure */
+    Cli_USAGE = 2,       /* wrong arguments */
+    Cli_INPUT = 3,       /* a file with findings; nothing was sent */
+    Cli_DENIED = 4,      /* missing or wrong key */
+    Cli_REFUSED = 5,     /* the fleet said no; nothing changed */
+    Cli_CONFLICT = 6,    /* another change on the same base won */
+    Cli_UNKNOWN = 7,     /* sent, and its outcome is not known */
+    Cli_UNREACHABLE = 8, /* no node or no leader answered; nothing changed */
+    Cli_MISSING = 9      /* accepted, but not in force everywhere in time */
+} CliStatus;
+
+enum { Cli_NODES_MAX = 16, Cli_WORDS_MAX = 3 };
+
+typedef struct {
+    Loop loop;
+    Str words[Cli_WORDS_MAX]; /* the command */
+    size_t word_count;
+    Addr nodes[Cli_NODES_MAX]; /* operators' addresses, tried in order */
+    size_t node_count;
+    StrBuf key;
+    bool json;
+    bool has_base;
+    CfgVersion base;
+    StrBuf id;      /* change id */
+    Span wait;      /* until in force everywhere; 0: do not wait */
+    Span timeout;   /* of one request */
+    uint64_t since; /* stamp */
+    uint64_t limit; /* events shown */
+} Cli;
+
+/* One HTTP request to a node, and its answer. */
+typedef struct {
+    Addr node;
+    StrBuf path;
+    StrBuf body;    /* sent by POST when not empty */
+    int status;     /* of HTTP; 0: no whole answer came */
+    json_t *answer; /* NULL when none, or no JSON */
+} CliAsk;
+
+void Cli_AskInit(CliAsk *ask, Addr node, Str path);
+void Cli_AskFinish(CliAsk *ask);
+
+/* Send COUNT requests at once and wait for their answers. */
+void Cli_AskAll(Cli *cli, CliAsk *asks, size_t count);
+
+/* GET PATH from the nodes in order until one answers; ASK holds its answer,
+ * status 0 when none did. */
+void Cli_AskAny(Cli *cli, Str path, CliAsk *ask);
+
+/* What follows from an answer that is not 200, told on standard error. */
+CliStatus Cli_Explain(const CliAsk *ask);
+
+/* Commands. */
+CliStatus Cli_ShowStatus(Cli *cli);
+CliStatus Cli_ShowTimeline(Cli *cli);
+CliStatus Cli_ListPresets(Cli *cli);
+CliStatus Cli_ShowPreset(Cli *cli, Str name);
+CliStatus Cli_PutPreset(Cli *cli, Str file);
+CliStatus Cli_UsePreset(Cli *cli, Str name);
+CliStatus Cli_CheckPreset(const Cli *cli, Str file);
+CliStatus Cli_NewKeys(const Cli *cli);
+
+/* Wait until VERSION or a later one is in force everywhere, at most
+ * cli->wait; names on standard error who lacks it. */
+CliStatus Cli_WaitInForce(Cli *cli, CfgVersion version);
+
+/* Helpers over JSON answers. */
+Str Cli_Text(const json_t *object, const char *key);
+CfgVersion Cli_Version(const json_t *object, const char *key);
+void Cli_PrintJson(const json_t *value);
+
+#endif
--- /dev/null
+++ b/src/process/cli_json.c
@@ -0,0 +1,34 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "process/cli.h"
+
+Str
+Cli_Text(const json_t *object, const char *key)
+{
+    const json_t *value = json_object_get(object, key);
+
+    return Str_From(json_string_value(value), json_string_length(value));
+}
+
+CfgVersion
+Cli_Version(const json_t *object, const char *key)
+{
+    const json_t *value = json_object_get(object, key);
+
+    return (CfgVersion){
+        .term = (uint64_t)json_integer_value(json_object_get(value, "term")),
+        .index = (uint64_t)json_integer_value(json_object_get(value, "index")),
+    };
+}
+
+void
+Cli_PrintJson(const json_t *value)
+{
+    char *text = json_dumps(value, JSON_INDENT(2) | JSON_ENCODE_ANY);
+
+    if (text) {
+        puts(text);
+    }
+    free(text);
+}
--- /dev/null
+++ b/src/process/cli_main.c
@@ -0,0 +1,328 @@
+/* lycheeridge: the operators' tool; see cli.h. */
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+
+#include "process/cli.h"
+#include "process/settings.h"
+#include "process/timeline.h"
+
+#define VERSION "0.1.0"
+
+enum { TIMEOUT_S = 10, TIMEOUT_MAX_S = 3600, EVENTS = 200, ID_MAX = 64 };
+
+typedef struct {
+    struct arg_lit *help;
+    struct arg_lit *version;
+    struct arg_lit *json;
+    struct arg_str *node;
+    struct arg_file *key_file;
+    struct arg_str *base;
+    struct arg_str *id;
+    struct arg_int *wait;
+    struct arg_int *timeout;
+    struct arg_str *since;
+    struct arg_int *limit;
+    struct arg_str *words;
+    struct arg_end *end;
+} Args;
+
+typedef struct {
+    Str words[2];
+    size_t words_used; /* of the two above */
+    Str operand;       /* its name in --help; empty: none */
+    bool local;        /* asks no node */
+    CliStatus (*plain)(Cli *cli);
+    CliStatus (*with_operand)(Cli *cli, Str operand);
+} Command;
+
+static CliStatus
+check_preset(Cli *cli, Str file)
+{
+    return Cli_CheckPreset(cli, file);
+}
+
+static CliStatus
+new_keys(Cli *cli)
+{
+    return Cli_NewKeys(cli);
+}
+
+static const Command commands[] = {
+    {{Str_LIT("status")}, 1, {0}, false, Cli_ShowStatus, NULL},
+    {{Str_LIT("timeline")}, 1, {0}, false, Cli_ShowTimeline, NULL},
+    {{Str_LIT("preset"), Str_LIT("list")},
+     2,
+     {0},
+     false,
+     Cli_ListPresets,
+     NULL},
+    {{Str_LIT("preset"), Str_LIT("show")},
+     2,
+     Str_LIT("NAME"),
+     false,
+     NULL,
+     Cli_ShowPreset},
+    {{Str_LIT("preset"), Str_LIT("put")},
+     2,
+     Str_LIT("FILE"),
+     false,
+     NULL,
+     Cli_PutPreset},
+    {{Str_LIT("preset"), Str_LIT("use")},
+     2,
+     Str_LIT("NAME"),
+     false,
+     NULL,
+     Cli_UsePreset},
+    {{Str_LIT("check")}, 1, Str_LIT("FILE"), true, NULL, check_preset},
+    {{Str_LIT("keys"), Str_LIT("new")}, 2, {0}, true, new_keys, NULL},
+};
+
+enum { COMMANDS = sizeof commands / sizeof commands[0] };
+
+static void
+print_help(void **table)
+{
+    printf("lycheeridge COMMAND");
+    arg_print_syntax(stdout, table, "\n");
+    printf("Commands:\n");
+    for (size_t i = 0; i < COMMANDS; i++) {
+        const Command *c = &commands[i];
+        printf("  %.*s %.*s%s%.*s\n", Str_ARG(c->words[0]),
+               Str_ARG(c->words[1]), c->words_used > 1 ? " " : "",
+               Str_ARG(c->operand));
+    }
+    printf("Options:\n");
+    arg_print_glossary(stdout, table, "  %-22s %s\n");
+    printf("Exit statuses: 0 good, 1 failed, 2 usage, 3 bad input, 4 denied,\n"
+           "  5 refused, 6 conflict, 7 unknown outcome, 8 unreachable,\n"
+           "  9 not in force everywhere in time\n");
+}
+
+static const Command *
+find_command(const Cli *cli)
+{
+    for (size_t i = 0; i < COMMANDS; i++) {
+        const Command *c = &commands[i];
+        bool matches =
+            cli->word_count == c->words_used + (c->operand.len ? 1 : 0);
+        for (size_t word = 0; matches && word < c->words_used; word++) {
+            matches = Str_Equal(cli->words[word], c->words[word]);
+        }
+        if (matches) {
+            return c;
+        }
+    }
+    return NULL;
+}
+
+static bool
+complain(const char *option, const char *expected)
+{
+    fprintf(stderr, "lycheeridge: %s: expected %s\n", option, expected);
+    return false;
+}
+
+static bool
+read_nodes(Cli *cli, const Args *args)
+{
+    for (int i = 0; i < args->node->count; i++) {
+        if (!Addr_Parse(Str_FromC(args->node->sval[i]), &cli->nodes[i])) {
+            return complain("--node", "the operators' address of a node, "
+                                      "such as 127.0.1.1:8100");
+        }
+    }
+    cli->node_count = (size_t)args->node->count;
+    return true;
+}
+
+static bool
+read_version(Str text, CfgVersion *version)
+{
+    size_t dot = Str_Find(text, '.');
+
+    return Str_ToU64(Str_Slice(text, 0, dot), &version->term) &&
+           Str_ToU64(Str_Slice(text, dot + 1, text.len), &version->index);
+}
+
+static void
+warn_open_key(const char *file)
+{
+    struct stat info;
+
+    if (stat(file, &info) == 0 && info.st_mode & (S_IRWXG | S_IRWXO)) {
+        fprintf(stderr,
+                "lycheeridge: %s: others may read this key; chmod 600\n",
+                file);
+    }
+}
+
+static bool
+read_key(Cli *cli, const Args *args)
+{
+    StrBuf text = {0};
+    Err err = {0};
+    Str key = Str_FromC(getenv("LYCHEERIDGE_KEY"));
+
+    if (args->key_file->count) {
+        if (!Set_ReadFile(Str_FromC(args->key_file->filename[0]), &text,
+                          &err)) {
+            fprintf(stderr, "lycheeridge: %.*s\n", Str_ARG(Err_Text(&err)));
+            return false;
+        }
+        warn_open_key(args->key_file->filename[0]);
+        key = StrBuf_View(&text);
+        key = Str_Trim(Str_Slice(key, 0, Str_Find(key, '\n')));
+    }
+    StrBuf_Set(&cli->key, key);
+    StrBuf_Finish(&text);
+    return true;
+}
+
+static bool
+read_numbers(Cli *cli, const Args *args)
+{
+    int wait = args->wait->count ? args->wait->ival[0] : 0;
+    int timeout = args->timeout->count ? args->timeout->ival[0] : TIMEOUT_S;
+    int limit = args->limit->count ? args->limit->ival[0] : EVENTS;
+
+    if (wait < 0 || wait > TIMEOUT_MAX_S) {
+        return complain("--wait", "0 to 3600 seconds");
+    }
+    if (timeout < 1 || timeout > TIMEOUT_MAX_S) {
+        return complain("--timeout", "1 to 3600 seconds");
+    }
+    if (limit < 1 || limit > Tml_RING) {
+        return complain("--limit", "1 to 1024");
+    }
+    if (args->since->count &&
+        !Str_ToU64(Str_FromC(args->since->sval[0]), &cli->since)) {
+        return complain("--since", "a stamp, as the time line shows it");
+    }
+    cli->wait = Span_S(wait);
+    cli->timeout = Span_S(timeout);
+    cli->limit = (uint64_t)limit;
+    return true;
+}
+
+static bool
+read_change(Cli *cli, const Args *args)
+{
+    if (args->base->count) {
+        cli->has_base = true;
+        if (!read_version(Str_FromC(args->base->sval[0]), &cli->base)) {
+            return complain("--base", "TERM.INDEX, such as 2.10");
+        }
+    }
+    if (args->id->count) {
+        StrBuf_Set(&cli->id, Str_FromC(args->id->sval[0]));
+        if (cli->id.len < 1 || cli->id.len > ID_MAX) {
+            return complain("--id", "1 to 64 bytes");
+        }
+    }
+    return true;
+}
+
+static bool
+read_args(Cli *cli, const Args *args)
+{
+    for (int i = 0; i < args->words->count; i++) {
+        cli->words[cli->word_count++] = Str_FromC(args->words->sval[i]);
+    }
+    cli->json = args->json->count > 0;
+    return read_nodes(cli, args) && read_key(cli, args) &&
+           read_numbers(cli, args) && read_change(cli, args);
+}
+
+static CliStatus
+run(Cli *cli)
+{
+    const Command *command = find_command(cli);
+    Err err = {0};
+    CliStatus status;
+
+    if (!command) {
+        fprintf(stderr, "lycheeridge: no such command; try --help\n");
+        return Cli_USAGE;
+    }
+    if (!command->local && cli->node_count == 0) {
+        complain("--node", "the operators' address of at least one node");
+        return Cli_USAGE;
+    }
+    if (!Loop_Init(&cli->loop, &err)) {
+        return Cli_FAILED;
+    }
+    status = command->plain
+                 ? command->plain(cli)
+                 : command->with_operand(cli, cli->words[cli->word_count - 1]);
+    Loop_Finish(&cli->loop);
+    return status;
+}
+
+static CliStatus
+start(const Args *args, void **table, int errors)
+{
+    Cli cli = {0};
+    CliStatus status = Cli_USAGE;
+
+    if (args->help->count) {
+        print_help(table);
+        return Cli_GOOD;
+    }
+    if (args->version->count) {
+        printf("lycheeridge %s\n", VERSION);
+        return Cli_GOOD;
+    }
+    if (errors) {
+        arg_print_errors(stderr, args->end, "lycheeridge");
+        fprintf(stderr, "lycheeridge: try --help\n");
+        return Cli_USAGE;
+    }
+    if (read_args(&cli, args)) {
+        status = run(&cli);
+    }
+    StrBuf_Finish(&cli.key);
+    StrBuf_Finish(&cli.id);
+    return status;
+}
+
+int
+main(int argc, char **argv)
+{
+    Args args = {
+        .help = arg_lit0("h", "help", "show this and end"),
+        .version = arg_lit0(NULL, "version", "show the version"),
+        .json = arg_lit0(NULL, "json", "print JSON"),
+        .node = arg_strn("n", "node", "IP:PORT", 0, Cli_NODES_MAX,
+                         "operators' address of a node; several are tried in "
+                         "order"),
+        .key_file = arg_file0(NULL, "key-file", "FILE",
+                              "holds the operators' key (else environment "
+                              "LYCHEERIDGE_KEY)"),
+        .base = arg_str0(NULL, "base", "TERM.INDEX",
+                         "version that a change builds on (the newest)"),
+        .id = arg_str0(NULL, "id", "ID",
+                       "change id; the same one to send a change again"),
+        .wait = arg_int0(NULL, "wait", "S",
+                         "wait until in force everywhere, at most S seconds"),
+        .timeout = arg_int0(NULL, "timeout", "S", "of one request (10)"),
+        .since = arg_str0(NULL, "since", "STAMP", "only events after it"),
+        .limit = arg_int0(NULL, "limit", "N", "events shown (200)"),
+        .words = arg_strn(NULL, NULL, "COMMAND", 0, Cli_WORDS_MAX, NULL),
+        .end = arg_end(8),
+    };
+    void *table[] = {args.help,     args.version, args.json,  args.node,
+                     args.key_file, args.base,    args.id,    args.wait,
+                     args.timeout,  args.since,   args.limit, args.words,
+                     args.end};
+    int errors = arg_parse(argc, argv, table);
+    CliStatus status;
+
+    signal(SIGPIPE, SIG_IGN);
+    status = start(&args, table, errors);
+    arg_freetable(table, sizeof table / sizeof table[0]);
+    return status;
+}
--- /dev/null
+++ b/src/process/cli_status.c
@@ -0,0 +1,195 @@
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "process/cli.h"
+
+#define POLL Span_MS(200)
+
+static const char *
+state_of(const json_t *member)
+{
+    if (json_is_true(json_object_get(member, "gone"))) {
+        return "gone";
+    }
+    if (json_is_true(json_object_get(member, "leaving"))) {
+        return "leaving";
+    }
+    if (json_is_true(json_object_get(member, "draining"))) {
+        return "draining";
+    }
+    return json_is_true(json_object_get(member, "backend")) ? "serving"
+                                                            : "no backend";
+}
+
+static json_int_t
+number(const json_t *object, const char *key)
+{
+    return json_integer_value(json_object_get(object, key));
+}
+
+static void
+print_member(const json_t *member)
+{
+    CfgVersion version = Cli_Version(member, "version");
+    StrBuf text = {0};
+
+    StrBuf_AppendFmt(&text, "%" PRIu64 ".%" PRIu64, version.term,
+                     version.index);
+    printf("%-21.*s %-14.*s %-12.*s %5" JSON_INTEGER_FORMAT
+           " %7" JSON_INTEGER_FORMAT " %6" JSON_INTEGER_FORMAT " %9.*s %s%s\n",
+           Str_ARG(Cli_Text(member, "node")),
+           Str_ARG(Cli_Text(member, "failure_domain")),
+           Str_ARG(Cli_Text(member, "service")), number(member, "slots"),
+           number(member, "running"), number(member, "queued"), Str_ARG(text),
+           state_of(member),
+           json_is_true(json_object_get(member, "control"))
+               ? ", control replica"
+               : "");
+    StrBuf_Finish(&text);
+}
+
+static void
+print_missing(FILE *out, const json_t *versions)
+{
+    const json_t *missing = json_object_get(versions, "missing");
+    size_t index;
+    const json_t *node;
+
+    if (json_array_size(missing) == 0) {
+        fprintf(out, "in force on every node\n");
+        return;
+    }
+    fprintf(out, "not yet in force on:");
+    json_array_foreach(missing, index, node)
+    {
+        fprintf(out, " %.*s", (int)json_string_length(node),
+                json_string_value(node));
+    }
+    fprintf(out, "\n");
+}
+
+static void
+print_versions(const json_t *versions)
+{
+    CfgVersion version = Cli_Version(versions, "version");
+
+    printf("version %" PRIu64 ".%" PRIu64 "%s, preset %.*s, ", version.term,
+           version.index,
+           json_is_true(json_object_get(versions, "current"))
+               ? ""
+               : " (no leader confirms that it is the newest)",
+           Str_ARG(Cli_Text(versions, "preset")));
+    print_missing(stdout, versions);
+}
+
+static void
+print_status(const json_t *status, const json_t *versions)
+{
+    const json_t *members = json_object_get(status, "members");
+    size_t index;
+    const json_t *member;
+
+    printf("%-21s %-14s %-12s %5s %7s %6s %9s %s\n", "node", "failure domain",
+           "service", "slots", "running", "queued", "version", "state");
+    json_array_foreach(members, index, member)
+    {
+        print_member(member);
+    }
+    print_versions(versions);
+}
+
+static CliStatus
+show(Cli *cli, const CliAsk *status, const CliAsk *versions)
+{
+    if (status->status != 200) {
+        return Cli_Explain(status);
+    }
+    if (versions->status != 200) {
+        return Cli_Explain(versions);
+    }
+    if (cli->json) {
+        json_t *both = json_pack("{s:O, s:O}", "status", status->answer,
+                                 "versions", versions->answer);
+        Cli_PrintJson(both);
+        json_decref(both);
+    }
+    else {
+        print_status(status->answer, versions->answer);
+    }
+    return Cli_GOOD;
+}
+
+CliStatus
+Cli_ShowStatus(Cli *cli)
+{
+    CliAsk status;
+    CliAsk versions;
+    CliStatus result;
+
+    Cli_AskAny(cli, Str_LIT("/v1/status"), &status);
+    Cli_AskAny(cli, Str_LIT("/v1/versions"), &versions);
+    result = show(cli, &status, &versions);
+    if (result == Cli_GOOD && cli->wait) {
+        result = Cli_WaitInForce(cli, Cli_Version(versions.answer, "version"));
+    }
+    Cli_AskFinish(&status);
+    Cli_AskFinish(&versions);
+    return result;
+}
+
+static void
+stop_loop(evutil_socket_t fd, short what, void *context)
+{
+    (void)fd;
+    (void)what;
+    Loop_Stop(context);
+}
+
+static void
+rest(Cli *cli, Span time)
+{
+    struct timeval wait = {time / 1000000, time % 1000000};
+
+    event_base_once(cli->loop.base, -1, EV_TIMEOUT, stop_loop, &cli->loop,
+                    &wait);
+    Loop_Run(&cli->loop);
+}
+
+static bool
+is_everywhere(const CliAsk *ask, CfgVersion version)
+{
+    return ask->status == 200 &&
+           json_is_true(json_object_get(ask->answer, "current")) &&
+           Cfg_CompareVersions(Cli_Version(ask->answer, "version"), version) >=
+               0 &&
+           json_array_size(json_object_get(ask->answer, "missing")) == 0;
+}
+
+CliStatus
+Cli_WaitInForce(Cli *cli, CfgVersion version)
+{
+    Instant end = Loop_Now() + cli->wait;
+
+    for (;;) {
+        CliAsk ask;
+        Cli_AskAny(cli, Str_LIT("/v1/versions"), &ask);
+        if (is_everywhere(&ask, version)) {
+            Cli_AskFinish(&ask);
+            return Cli_GOOD;
+        }
+        if (Loop_Now() >= end) {
+            fprintf(stderr, "lycheeridge: version %" PRIu64 ".%" PRIu64 " ",
+                    version.term, version.index);
+            if (ask.status == 200) {
+                print_missing(stderr, ask.answer);
+            }
+            else {
+                fprintf(stderr, "cannot be followed: no node answers\n");
+            }
+            Cli_AskFinish(&ask);
+            return Cli_MISSING;
+        }
+        Cli_AskFinish(&ask);
+        rest(cli, POLL);
+    }
+}
