Check keys of connecting nodes on the process's own loop

libzmq lets any client in whose handshake succeeds, and the server's public key is no secret; the ZAP socket, watched by the one loop, now lets in only the keys in curve_allowed. While several are allowed a connection that hears nothing tries the next as the other side's, so that keys are replaced node by node. A trial by handshake failure events was ruled out: it needs a second socket for each connection.

--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -25,4 +25,5 @@
 Peer_OnHeard(Peer *peer)
 {
     peer->asked_at = 0;
+    peer->heard = true;
 }
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -8,6 +8,7 @@
 #define PEER_H
 
 #include <event2/event.h>
+#include <stdbool.h>
 
 #include "value/addr.h"
 #include "value/instant.h"
@@ -22,6 +23,8 @@
     Instant asked_at; /* first send not followed by any word; 0: none */
     Instant sent_at;  /* last send */
     uint64_t opened;  /* times opened */
+    bool heard;       /* any word came since it was opened */
+    uint32_t unheard; /* times closed without a word */
 } Peer;
 
 PeerState Peer_Watch(const Peer *peer, Span ping, Span silence, Instant now);
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -8,6 +8,9 @@
 
 enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 1000 };
 
+/* An unused connection tries another key after so many times the silence. */
+enum { KEY_SILENCES = 2 };
+
 static void
 set_int(void *socket, int option, int value)
 {
@@ -28,32 +31,6 @@
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &(int64_t){max}, sizeof(int64_t));
 }
 
-static void
-set_curve(Net *net, void *socket, bool server)
-{
-    Str public_key = StrBuf_View(&net->settings->curve_public);
-    Str secret_key = StrBuf_View(&net->settings->curve_secret);
-    uint8_t bytes[2][32];
-    StrBuf text = {0};
-
-    if (public_key.len == 0) {
-        return;
-    }
-    StrBuf_Set(&text, public_key);
-    zmq_z85_decode(bytes[0], StrBuf_CStr(&text));
-    StrBuf_Set(&text, secret_key);
-    zmq_z85_decode(bytes[1], StrBuf_CStr(&text));
-    StrBuf_Finish(&text);
-    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, bytes[0], 32);
-    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, bytes[1], 32);
-    if (server) {
-        set_int(socket, ZMQ_CURVE_SERVER, 1);
-    }
-    else {
-        zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, bytes[0], 32);
-    }
-}
-
 /* Counter of the processor time that handling KIND takes, Cnt_COUNT when it
  * is a call's. */
 static CntId
@@ -261,13 +238,14 @@
     *context = (PeerContext){net, peer};
     peer->socket = zmq_socket(net->zmq, ZMQ_DEALER);
     set_common(net, peer->socket);
-    set_curve(net, peer->socket, false);
+    Key_SetClient(&net->keys, peer->socket, peer->unheard);
     StrBuf_Append(&endpoint, Str_LIT("tcp://"));
     Addr_Print(peer->addr, &endpoint);
     zmq_connect(peer->socket, StrBuf_CStr(&endpoint));
     StrBuf_Finish(&endpoint);
     peer->event = watch_socket(net, peer->socket, on_peer, context);
     peer->asked_at = 0;
+    peer->heard = false;
     peer->opened++;
 }
 
@@ -279,6 +257,7 @@
     event_free(peer->event);
     Mem_Free(context);
     zmq_close(peer->socket);
+    peer->unheard = peer->heard ? peer->unheard : peer->unheard + 1;
 }
 
 static Peer *
@@ -301,6 +280,13 @@
 {
     Pack ping;
 
+    if (Key_AreChanging(&net->keys) && peer->holds == 0 && peer->asked_at &&
+        now - peer->asked_at >= KEY_SILENCES * net->settings->silence) {
+        /* Nothing waits over it, but its key may be another one by now. */
+        close_peer(peer);
+        open_peer(net, peer);
+        return;
+    }
     switch (
         Peer_Watch(peer, net->settings->ping, net->settings->silence, now)) {
     case Peer_FINE:
@@ -340,7 +326,7 @@
     net->router = zmq_socket(net->zmq, ZMQ_ROUTER);
     set_common(net, net->router);
     set_int(net->router, ZMQ_ROUTER_MANDATORY, 1);
-    set_curve(net, net->router, true);
+    Key_SetServer(&net->keys, net->router);
     StrBuf_Append(&endpoint, Str_LIT("tcp://"));
     Addr_Print(net->settings->address, &endpoint);
     bound = zmq_bind(net->router, StrBuf_CStr(&endpoint)) == 0;
@@ -364,8 +350,14 @@
         .settings = settings,
     };
     net->zmq = zmq_ctx_new();
+    if (!Key_Init(&net->keys, net->zmq, loop, settings, timeline, counters,
+                  err)) {
+        zmq_ctx_term(net->zmq);
+        return false;
+    }
     if (!bind_router(net, err)) {
         zmq_close(net->router);
+        Key_Finish(&net->keys);
         zmq_ctx_term(net->zmq);
         return false;
     }
@@ -385,6 +377,7 @@
     Mem_Free(net->peers);
     event_free(net->router_event);
     zmq_close(net->router);
+    Key_Finish(&net->keys);
     zmq_ctx_term(net->zmq);
 }
 
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -11,6 +11,7 @@
 #include "connection/peer.h"
 #include "connection/wire.h"
 #include "process/counters.h"
+#include "process/keys.h"
 #include "process/logger.h"
 #include "process/loop.h"
 #include "process/settings.h"
@@ -41,6 +42,7 @@
     Counters *counters;
     const Settings *settings;
     void *zmq;
+    Keys keys;
     void *router;
     struct event *router_event;
     Peer **peers;
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "process/keys.h"
 #include "value/json.h"
 #include "value/mem.h"
 
@@ -34,6 +35,9 @@
     StrBuf_Finish(&settings->operator_key);
     StrBuf_Finish(&settings->curve_public);
     StrBuf_Finish(&settings->curve_secret);
+    for (size_t i = 0; i < settings->curve_allowed_count; i++) {
+        StrBuf_Finish(&settings->curve_allowed[i]);
+    }
     *settings = (Settings){0};
 }
 
@@ -142,18 +146,74 @@
     }
 }
 
+static void
+check_pair(Settings *settings, JsnObject *o)
+{
+    Str public_key = StrBuf_View(&settings->curve_public);
+    Str secret_key = StrBuf_View(&settings->curve_secret);
+
+    if (public_key.len + secret_key.len &&
+        !Key_ArePair(public_key, secret_key)) {
+        Jsn_Find(o, Str_LIT("curve_public"), Str_LIT("no pair of keys"),
+                 Str_LIT("what \"lycheeridge keys new\" printed"));
+    }
+}
+
+static void
+add_allowed(Settings *settings, json_t *value, JsnObject *o)
+{
+    Str text = Str_From(json_string_value(value), json_string_length(value));
+    KeyBytes key;
+
+    if (!Key_Parse(text, &key)) {
+        Jsn_Find(o, Str_LIT("curve_allowed"), Str_LIT("not a public key"),
+                 Str_LIT("40 characters of Z85 each"));
+    }
+    else if (settings->curve_allowed_count < Set_KEYS_MAX) {
+        StrBuf_Set(&settings->curve_allowed[settings->curve_allowed_count++],
+                   text);
+    }
+}
+
+static void
+check_allowed(Settings *settings, json_t *array, JsnObject *o)
+{
+    Str own = StrBuf_View(&settings->curve_public);
+
+    if (json_array_size(array) > Set_KEYS_MAX) {
+        Jsn_Find(o, Str_LIT("curve_allowed"), Str_LIT("too many keys"),
+                 Str_LIT("8 at most"));
+    }
+    for (size_t i = 0; i < settings->curve_allowed_count; i++) {
+        if (Str_Equal(StrBuf_View(&settings->curve_allowed[i]), own)) {
+            return;
+        }
+    }
+    Jsn_Find(o, Str_LIT("curve_allowed"), Str_LIT("without this node's key"),
+             Str_LIT("curve_public among them"));
+}
+
 static void
 read_curve(Settings *settings, JsnObject *o)
 {
-    enum { Z85_KEY = 40 };
+    json_t *array;
+    size_t index;
+    json_t *value;
 
     Jsn_GetStr(o, Str_LIT("curve_public"), false, &settings->curve_public);
     Jsn_GetStr(o, Str_LIT("curve_secret"), false, &settings->curve_secret);
-    if (settings->curve_public.len != settings->curve_secret.len ||
-        (settings->curve_public.len &&
-         settings->curve_public.len != Z85_KEY)) {
-        Jsn_Find(o, Str_LIT("curve_public"), Str_LIT("no pair of keys"),
-                 Str_LIT("curve_public and curve_secret of 40 characters"));
+    array = Jsn_GetArray(o, Str_LIT("curve_allowed"), false);
+    check_pair(settings, o);
+    json_array_foreach(array, index, value)
+    {
+        add_allowed(settings, value, o);
+    }
+    if (array) {
+        check_allowed(settings, array, o);
+    }
+    else if (settings->curve_public.len) {
+        StrBuf_Set(&settings->curve_allowed[settings->curve_allowed_count++],
+                   StrBuf_View(&settings->curve_public));
     }
 }
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -15,6 +15,8 @@
     uint16_t region_number; /* of the first failure domain in that region */
 } SetDomain;
 
+enum { Set_KEYS_MAX = 8 };
+
 typedef struct {
     StrBuf name;     /* of the node, in logs and the time line */
     Addr address;    /* ZeroMQ, towards other nodes */
@@ -30,8 +32,10 @@
     StrBuf data_folder;  /* of a control replica */
     StrBuf preset;       /* file, in force until the fleet agreed on one */
     StrBuf operator_key; /* needed for operators' requests */
-    StrBuf curve_public; /* Z85; of the fleet; empty: no CURVE */
+    StrBuf curve_public; /* Z85; this node's; empty: no CURVE */
     StrBuf curve_secret;
+    StrBuf curve_allowed[Set_KEYS_MAX]; /* public keys let in */
+    size_t curve_allowed_count;
     LgrLevel log_level;
     Span heartbeat;      /* between records of a node */
     Span member_expiry;  /* a silent node goes after this */
