--- a/src/process/net.c
+++ b/src/process/net.c
@@ -227,6 +227,18 @@
     return event;
 }
 
+/* Where connections to PEER go. */
+static Addr
+route_to(const Settings *settings, Addr peer)
+{
+    for (size_t i = 0; i < settings->route_count; i++) {
+        if (settings->routes[i].to == peer) {
+            return settings->routes[i].via;
+        }
+    }
+    return peer;
+}
+
 static void
 open_peer(Net *net, Peer *peer)
 {
@@ -238,7 +250,7 @@
     set_common(net, peer->socket);
     set_curve(net, peer->socket, false);
     StrBuf_Append(&endpoint, Str_LIT("tcp://"));
-    Addr_Print(peer->addr, &endpoint);
+    Addr_Print(route_to(net->settings, peer->addr), &endpoint);
     zmq_connect(peer->socket, StrBuf_CStr(&endpoint));
     StrBuf_Finish(&endpoint);
     peer->event = watch_socket(net, peer->socket, on_peer, context);
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -28,6 +28,7 @@
     }
     Mem_Free(settings->domains);
     Mem_Free(settings->replicas);
+    Mem_Free(settings->routes);
     StrBuf_Finish(&settings->name);
     StrBuf_Finish(&settings->data_folder);
     StrBuf_Finish(&settings->preset);
@@ -142,6 +143,27 @@
     }
 }
 
+static void
+read_routes(Settings *settings, JsnObject *o)
+{
+    json_t *array = Jsn_GetArray(o, Str_LIT("routes"), false);
+
+    settings->route_count = json_array_size(array);
+    settings->routes =
+        Mem_Alloc(settings->route_count, sizeof *settings->routes);
+    for (size_t i = 0; i < settings->route_count; i++) {
+        JsnObject item;
+        StrBuf place = {0};
+        StrBuf_AppendFmt(&place, "/routes/%zu", i);
+        Jsn_Enter(&item, json_array_get(array, i), StrBuf_View(&place),
+                  o->findings);
+        settings->routes[i].to = read_addr(&item, Str_LIT("to"), true);
+        settings->routes[i].via = read_addr(&item, Str_LIT("via"), true);
+        Jsn_Leave(&item);
+        StrBuf_Finish(&place);
+    }
+}
+
 static void
 read_curve(Settings *settings, JsnObject *o)
 {
@@ -203,6 +225,7 @@
     read_domains(settings, o);
     find_domain(settings, o);
     read_replicas(settings, o);
+    read_routes(settings, o);
     Jsn_GetStr(o, Str_LIT("data_folder"), settings->control,
                &settings->data_folder);
     Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -15,6 +15,12 @@
     uint16_t region_number; /* of the first failure domain in that region */
 } SetDomain;
 
+/* Connections to node TO go to VIA, as through a proxy. */
+typedef struct {
+    Addr to;
+    Addr via;
+} SetRoute;
+
 typedef struct {
     StrBuf name;     /* of the node, in logs and the time line */
     Addr address;    /* ZeroMQ, towards other nodes */
@@ -26,6 +32,8 @@
     size_t domain_count;
     Addr *replicas; /* control replicas, the same list on every node */
     size_t replica_count;
+    SetRoute *routes;
+    size_t route_count;
     bool control;        /* carries the control replica role */
     StrBuf data_folder;  /* of a control replica */
     StrBuf preset;       /* file, in force until the fleet agreed on one */
--- /dev/null
+++ b/tools/fake_knobs.h
@@ -0,0 +1,34 @@
+/* Knb: how a fake backend server behaves, changed at run time.
+ *
+ * POST /fake/control?NAME=VALUE&... sets the knobs by the names below.
+ */
+#ifndef FAKE_KNOBS_H
+#define FAKE_KNOBS_H
+
+#include "value/err.h"
+#include "value/instant.h"
+#include "value/rng.h"
+#include "value/str.h"
+
+typedef struct {
+    int64_t slots;        /* slots: requests that run at a time */
+    int64_t service_us;   /* service_us: time of one request */
+    int64_t exponential;  /* exponential: 1: service_us is the mean */
+    int64_t slow;         /* slow: factor on the time */
+    int64_t cold_us;      /* cold_us: as long after the start ... */
+    int64_t cold_slow;    /* cold_slow: ... this factor counts too */
+    int64_t draining;     /* draining: announced so, refused with 503 */
+    int64_t silent_drain; /* silent_drain: refuses, announces nothing */
+    int64_t shed;         /* shed: 503 when no slot is free, no queue */
+    int64_t fail;         /* fail: 500 at once, always */
+    int64_t lie;          /* lie: the load endpoint shows no load */
+    int64_t quiet;        /* quiet: no announcements */
+} FakeKnobs;
+
+/* Set knob NAME. */
+bool Knb_Set(FakeKnobs *knobs, Str name, Str value, Err *err);
+
+/* Time of the next request, STARTED being when the process started. */
+Span Knb_Time(const FakeKnobs *knobs, Rng *rng, Instant started, Instant now);
+
+#endif
--- /dev/null
+++ b/tools/fake_server.c
@@ -0,0 +1,139 @@
+#include "fake_server.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <sys/queue.h>
+
+#include "connection/evtext.h"
+#include "fake_work.h"
+
+enum { ANNOUNCE_MS = 500 };
+
+static void
+on_announced(struct evhttp_request *request, void *context)
+{
+    (void)request;
+    (void)context;
+}
+
+void
+Fak_Announce(void *context, Instant now)
+{
+    Fake *fake = context;
+    StrBuf ip = {0};
+    StrBuf body = {0};
+    struct evhttp_connection *connection;
+    struct evhttp_request *request;
+
+    (void)now;
+    if (fake->knobs.quiet) {
+        return;
+    }
+    Addr_PrintIp(fake->node, &ip);
+    connection = evhttp_connection_base_new(
+        fake->loop.base, NULL, StrBuf_CStr(&ip), Addr_Port(fake->node));
+    evhttp_connection_free_on_completion(connection);
+    request = evhttp_request_new(on_announced, NULL);
+    StrBuf_AppendFmt(&body,
+                     "{\"service\":\"%.*s\",\"port\":%u,\"slots\":%d,"
+                     "\"draining\":%s}",
+                     Str_ARG(fake->service), fake->announced_port,
+                     (int)fake->knobs.slots,
+                     fake->knobs.draining ? "true" : "false");
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.ptr,
+                 body.len);
+    evhttp_make_request(connection, request, EVHTTP_REQ_POST, "/v1/announce");
+    StrBuf_Finish(&ip);
+    StrBuf_Finish(&body);
+}
+
+static void
+on_request(struct evhttp_request *request, void *context)
+{
+    Wrk_Start(context, request, Loop_Now());
+}
+
+static void
+on_control(struct evhttp_request *request, void *context)
+{
+    Fake *fake = context;
+    const char *query =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    struct evkeyvalq pairs;
+    const struct evkeyval *pair;
+    Err err = {0};
+
+    if (!query || evhttp_parse_query_str(query, &pairs)) {
+        evhttp_send_error(request, 400, NULL);
+        return;
+    }
+    TAILQ_FOREACH(pair, &pairs, next)
+    {
+        Knb_Set(&fake->knobs, Str_FromC(pair->key), Str_FromC(pair->value),
+                &err);
+    }
+    evhttp_clear_headers(&pairs);
+    Fak_Announce(fake, Loop_Now());
+    Wrk_StartWaiting(fake, Loop_Now());
+    evhttp_send_reply(request, err.code ? 400 : 200, NULL, NULL);
+}
+
+static void
+on_load(struct evhttp_request *request, void *context)
+{
+    Fake *fake = context;
+    struct evbuffer *out = evbuffer_new();
+    bool lie = fake->knobs.lie;
+
+    evbuffer_add_printf(out, "{\"running\":%d,\"waiting\":%d,\"slots\":%d}\n",
+                        lie ? 0 : (int)fake->running,
+                        lie ? 0 : (int)fake->waiting, (int)fake->knobs.slots);
+    evhttp_send_reply(request, 200, NULL, out);
+    evbuffer_free(out);
+}
+
+static void
+on_counts(struct evhttp_request *request, void *context)
+{
+    const FakeCounts *counts = &((Fake *)context)->counts;
+    struct evbuffer *out = evbuffer_new();
+
+    evbuffer_add_printf(
+        out,
+        "served %llu\ncancelled %llu\nlate %llu\nshed %llu\nfailed %llu\n",
+        (unsigned long long)counts->served,
+        (unsigned long long)counts->cancelled,
+        (unsigned long long)counts->late, (unsigned long long)counts->shed,
+        (unsigned long long)counts->failed);
+    evhttp_send_reply(request, 200, NULL, out);
+    evbuffer_free(out);
+}
+
+bool
+Fak_Init(Fake *fake, Err *err)
+{
+    StrBuf ip = {0};
+    int failed;
+
+    if (!Loop_Init(&fake->loop, err)) {
+        return false;
+    }
+    fake->started = Loop_Now();
+    fake->http = evhttp_new(fake->loop.base);
+    evhttp_set_gencb(fake->http, on_request, fake);
+    evhttp_set_allowed_methods(fake->http, Evt_METHODS);
+    evhttp_set_cb(fake->http, "/fake/control", on_control, fake);
+    evhttp_set_cb(fake->http, "/fake/load", on_load, fake);
+    evhttp_set_cb(fake->http, "/fake/counts", on_counts, fake);
+    Addr_PrintIp(fake->addr, &ip);
+    failed = evhttp_bind_socket(fake->http, StrBuf_CStr(&ip),
+                                Addr_Port(fake->addr));
+    StrBuf_Finish(&ip);
+    if (failed) {
+        return Err_SET(err, Err_IO, "cannot listen");
+    }
+    Fak_Announce(fake, fake->started);
+    LoopTimer_Init(&fake->announcer, &fake->loop, Span_MS(ANNOUNCE_MS),
+                   Fak_Announce, fake);
+    return true;
+}
--- /dev/null
+++ b/tools/fake_server.h
@@ -0,0 +1,58 @@
+/* Fak: a fake backend server: requests in slots, effects on file,
+ * announcements to the node beside it.
+ *
+ * Header fields of a request that steer it alone:
+ *   X-Fake-Size     bytes of the answer's body
+ *   X-Fake-Time-Us  its service time
+ *   X-Fake-Status   status of the answer
+ *   X-Fake-Crash    the process ends: "before" or "after" the effect
+ *   X-Fake-Cut      half of the body goes out, then the connection ends
+ *   X-Fake-Chunked  the body goes out in chunks, without Content-Length
+ *   X-Fake-Echo     the body is the request's body
+ */
+#ifndef FAKE_SERVER_H
+#define FAKE_SERVER_H
+
+#include <event2/http.h>
+
+#include "fake_knobs.h"
+#include "process/loop.h"
+#include "request/field.h"
+#include "value/addr.h"
+
+typedef struct FakeWork FakeWork;
+
+typedef struct {
+    uint64_t served;
+    uint64_t cancelled; /* the caller hung up first */
+    uint64_t late;      /* not started: the deadline had passed */
+    uint64_t shed;
+    uint64_t failed;
+} FakeCounts;
+
+typedef struct {
+    Loop loop;
+    FakeKnobs knobs;
+    FakeCounts counts;
+    Rng rng;
+    Instant started;
+    Str service;
+    Addr addr;
+    Addr node; /* operators' address of the node beside it */
+    uint16_t announced_port;
+    int effects; /* descriptor; -1: none */
+    struct evhttp *http;
+    FakeWork *first; /* oldest first; running or waiting */
+    FakeWork *last;
+    int64_t running;
+    int64_t waiting;
+    LoopTimer announcer;
+} Fake;
+
+/* Listen and announce; the members from knobs to effects are set before. */
+bool Fak_Init(Fake *fake, Err *err);
+
+/* Announce now. */
+void Fak_Announce(void *fake, Instant now);
+
+#endif
--- /dev/null
+++ b/tools/fake_work.c
@@ -0,0 +1,290 @@
+#include "fake_work.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "connection/evtext.h"
+#include "value/mem.h"
+
+struct FakeWork {
+    Fake *fake;
+    FakeWork *next;
+    FakeWork *previous;
+    struct evhttp_request *request;
+    struct event *timer; /* NULL while it waits */
+    Instant deadline;
+};
+
+static Str
+get(const FakeWork *work, const char *name)
+{
+    return Str_FromC(evhttp_find_header(
+        evhttp_request_get_input_headers(work->request), name));
+}
+
+static void
+free_work(FakeWork *work)
+{
+    Fake *fake = work->fake;
+
+    if (work->previous) {
+        work->previous->next = work->next;
+    }
+    else {
+        fake->first = work->next;
+    }
+    if (work->next) {
+        work->next->previous = work->previous;
+    }
+    else {
+        fake->last = work->previous;
+    }
+    if (work->timer) {
+        fake->running--;
+        event_free(work->timer);
+    }
+    else {
+        fake->waiting--;
+    }
+    Mem_Free(work);
+}
+
+static void
+on_hung_up(struct evhttp_connection *connection, void *context)
+{
+    FakeWork *work = context;
+    Fake *fake = work->fake;
+
+    (void)connection;
+    fake->counts.cancelled++;
+    /* Without its connection, evhttp only frees the request here. */
+    evhttp_send_reply_end(work->request);
+    free_work(work);
+    Wrk_StartWaiting(fake, Loop_Now());
+}
+
+static void
+write_effect(const FakeWork *work)
+{
+    Str key = get(work, "Idempotency-Key");
+    StrBuf line = {0};
+
+    if (work->fake->effects < 0 || key.len == 0) {
+        return;
+    }
+    StrBuf_AppendFmt(&line, "%.*s %.*s\n", Str_ARG(key),
+                     Str_ARG(get(work, "X-Request-Id")));
+    if (write(work->fake->effects, line.ptr, line.len) < 0) {
+        perror("fakeback: effects");
+    }
+    StrBuf_Finish(&line);
+}
+
+static void
+append_body(const FakeWork *work, struct evbuffer *out)
+{
+    uint64_t size = 0;
+    char block[4096];
+
+    if (get(work, "X-Fake-Echo").len) {
+        evbuffer_add_buffer(out,
+                            evhttp_request_get_input_buffer(work->request));
+        return;
+    }
+    if (!Str_ToU64(get(work, "X-Fake-Size"), &size)) {
+        evbuffer_add_printf(out, "answer to %.*s\n",
+                            Str_ARG(get(work, "X-Request-Id")));
+        return;
+    }
+    for (size_t i = 0; i < sizeof block; i++) {
+        block[i] = (char)('a' + i % 26);
+    }
+    while (size) {
+        size_t part = size < sizeof block ? size : sizeof block;
+        evbuffer_add(out, block, part);
+        size -= part;
+    }
+}
+
+/* Half of BODY, after a head that promises all of it. */
+static void
+send_half(FakeWork *work, struct evbuffer *body)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(work->request);
+    struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
+    int fd = bufferevent_getfd(stream);
+    size_t len = evbuffer_get_length(body);
+    StrBuf text = {0};
+
+    StrBuf_AppendFmt(&text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+                     len);
+    StrBuf_Append(&text, Str_Slice(Evt_View(body), 0, len / 2));
+    if (write(fd, text.ptr, text.len) < 0) {
+        perror("fakeback: half");
+    }
+    StrBuf_Finish(&text);
+    evhttp_connection_free(connection);
+}
+
+static void
+send_answer(FakeWork *work)
+{
+    struct evbuffer *body = evbuffer_new();
+    uint64_t status = 200;
+
+    Str_ToU64(get(work, "X-Fake-Status"), &status);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(work->request),
+                                  NULL, NULL);
+    append_body(work, body);
+    if (get(work, "X-Fake-Cut").len) {
+        send_half(work, body);
+    }
+    else if (get(work, "X-Fake-Chunked").len) {
+        evhttp_send_reply_start(work->request, (int)status, NULL);
+        evhttp_send_reply_chunk(work->request, body);
+        evhttp_send_reply_end(work->request);
+    }
+    else {
+        evhttp_send_reply(work->request, (int)status, NULL, body);
+    }
+    evbuffer_free(body);
+}
+
+static void
+crash_if_asked(const FakeWork *work, Str when)
+{
+    if (Str_Equal(get(work, "X-Fake-Crash"), when)) {
+        _exit(134);
+    }
+}
+
+static void
+on_done(evutil_socket_t fd, short what, void *context)
+{
+    FakeWork *work = context;
+    Fake *fake = work->fake;
+
+    (void)fd;
+    (void)what;
+    crash_if_asked(work, Str_LIT("before"));
+    write_effect(work);
+    crash_if_asked(work, Str_LIT("after"));
+    fake->counts.served++;
+    send_answer(work);
+    free_work(work);
+    Wrk_StartWaiting(fake, Loop_Now());
+}
+
+static void
+run_work(FakeWork *work, Instant now)
+{
+    Fake *fake = work->fake;
+    Span time = Knb_Time(&fake->knobs, &fake->rng, fake->started, now);
+    uint64_t asked;
+    struct timeval wait;
+
+    if (Str_ToU64(get(work, "X-Fake-Time-Us"), &asked)) {
+        time = (Span)asked * fake->knobs.slow;
+    }
+    wait = (struct timeval){time / 1000000, time % 1000000};
+    work->timer = evtimer_new(fake->loop.base, on_done, work);
+    event_add(work->timer, &wait);
+    fake->waiting--;
+    fake->running++;
+}
+
+static void
+refuse(struct evhttp_request *request, int status)
+{
+    evhttp_send_error(request, status, NULL);
+}
+
+/* The work is still linked as waiting. */
+static void
+refuse_late(FakeWork *work)
+{
+    work->fake->counts.late++;
+    evhttp_connection_set_closecb(evhttp_request_get_connection(work->request),
+                                  NULL, NULL);
+    refuse(work->request, 504);
+    free_work(work);
+}
+
+static FakeWork *
+first_waiting(const Fake *fake)
+{
+    for (FakeWork *work = fake->first; work; work = work->next) {
+        if (!work->timer) {
+            return work;
+        }
+    }
+    return NULL;
+}
+
+void
+Wrk_StartWaiting(Fake *fake, Instant now)
+{
+    FakeWork *work;
+
+    while (fake->running < fake->knobs.slots && (work = first_waiting(fake))) {
+        if (now >= work->deadline) {
+            refuse_late(work);
+        }
+        else {
+            run_work(work, now);
+        }
+    }
+}
+
+static Instant
+read_deadline(const FakeWork *work, Instant now)
+{
+    uint64_t ms;
+
+    return Str_ToU64(get(work, "X-Lycheeridge-Deadline-Ms"), &ms)
+               ? now + Span_MS(ms)
+               : Instant_NEVER;
+}
+
+static void
+add_work(Fake *fake, struct evhttp_request *request, Instant now)
+{
+    FakeWork *work = Mem_Alloc(1, sizeof *work);
+
+    work->fake = fake;
+    work->request = request;
+    work->deadline = read_deadline(work, now);
+    work->previous = fake->last;
+    if (fake->last) {
+        fake->last->next = work;
+    }
+    else {
+        fake->first = work;
+    }
+    fake->last = work;
+    fake->waiting++;
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                  on_hung_up, work);
+}
+
+void
+Wrk_Start(Fake *fake, struct evhttp_request *request, Instant now)
+{
+    if (fake->knobs.fail) {
+        fake->counts.failed++;
+        refuse(request, 500);
+        return;
+    }
+    if (fake->knobs.draining || fake->knobs.silent_drain ||
+        (fake->knobs.shed && fake->running >= fake->knobs.slots)) {
+        fake->counts.shed++;
+        refuse(request, 503);
+        return;
+    }
+    add_work(fake, request, now);
+    Wrk_StartWaiting(fake, now);
+}
--- /dev/null
+++ b/tools/proxy_link.c
@@ -0,0 +1,265 @@
+#include "proxy_link.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "process/loop.h"
+#include "value/mem.h"
+
+struct LinkConnection {
+    Link *link;
+    LinkConnection *next;
+    LinkConnection *previous;
+    struct bufferevent *near;
+    struct bufferevent *far;
+    Flow forward;
+    Flow back;
+    bool near_ended;
+    bool far_ended;
+};
+
+static struct sockaddr_in
+socket_addr(Addr addr)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET};
+    StrBuf ip = {0};
+
+    Addr_PrintIp(addr, &ip);
+    evutil_inet_pton(AF_INET, StrBuf_CStr(&ip), &to.sin_addr);
+    to.sin_port = htons(Addr_Port(addr));
+    StrBuf_Finish(&ip);
+    return to;
+}
+
+static void
+free_connection(LinkConnection *connection)
+{
+    if (connection->previous) {
+        connection->previous->next = connection->next;
+    }
+    else {
+        connection->link->first = connection->next;
+    }
+    if (connection->next) {
+        connection->next->previous = connection->previous;
+    }
+    connection->link->count--;
+    Flw_Finish(&connection->forward);
+    Flw_Finish(&connection->back);
+    bufferevent_free(connection->near);
+    bufferevent_free(connection->far);
+    Mem_Free(connection);
+}
+
+static void
+on_near_bytes(struct bufferevent *stream, void *context)
+{
+    (void)stream;
+    Flw_OnBytes(&((LinkConnection *)context)->forward, Loop_Now());
+}
+
+static void
+on_far_bytes(struct bufferevent *stream, void *context)
+{
+    (void)stream;
+    Flw_OnBytes(&((LinkConnection *)context)->back, Loop_Now());
+}
+
+static void
+on_near_room(struct bufferevent *stream, void *context)
+{
+    (void)stream;
+    Flw_OnRoom(&((LinkConnection *)context)->back, Loop_Now());
+}
+
+static void
+on_far_room(struct bufferevent *stream, void *context)
+{
+    (void)stream;
+    Flw_OnRoom(&((LinkConnection *)context)->forward, Loop_Now());
+}
+
+static bool
+is_over(const LinkConnection *connection)
+{
+    return connection->near_ended && connection->far_ended &&
+           !connection->forward.first && !connection->back.first;
+}
+
+/* A connection of which one side failed ends, unless the other must not
+ * learn of it. */
+static void
+on_event(LinkConnection *connection, Flow *flow, bool *ended, short what)
+{
+    if (what & BEV_EVENT_CONNECTED) {
+        return;
+    }
+    if (what & BEV_EVENT_EOF) {
+        *ended = true;
+        Flw_OnEnd(flow, Loop_Now());
+    }
+    if (what & BEV_EVENT_ERROR) {
+        *ended = true;
+        if (flow->mode == Flw_PASS) {
+            free_connection(connection);
+            return;
+        }
+        flow->ended = true;
+    }
+    if (is_over(connection)) {
+        free_connection(connection);
+    }
+}
+
+static void
+on_near_event(struct bufferevent *stream, short what, void *context)
+{
+    LinkConnection *connection = context;
+
+    (void)stream;
+    on_event(connection, &connection->forward, &connection->near_ended, what);
+}
+
+static void
+on_far_event(struct bufferevent *stream, short what, void *context)
+{
+    LinkConnection *connection = context;
+
+    (void)stream;
+    on_event(connection, &connection->back, &connection->far_ended, what);
+}
+
+/* Free the connections whose last bytes left after both ends closed. */
+static void
+sweep(Link *link)
+{
+    LinkConnection *next;
+
+    for (LinkConnection *c = link->first; c; c = next) {
+        next = c->next;
+        if (is_over(c)) {
+            free_connection(c);
+        }
+    }
+}
+
+static void
+send_at_once(evutil_socket_t fd)
+{
+    int on = 1;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+static void
+start_reading(struct bufferevent *stream, FlowMode mode)
+{
+    bufferevent_enable(stream, EV_WRITE);
+    if (mode == Flw_HOLD) {
+        bufferevent_disable(stream, EV_READ);
+    }
+    else {
+        bufferevent_enable(stream, EV_READ);
+    }
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *from, int len, void *context)
+{
+    Link *link = context;
+    LinkConnection *connection = Mem_Alloc(1, sizeof *connection);
+    struct sockaddr_in to = socket_addr(link->target);
+
+    (void)listener;
+    (void)from;
+    (void)len;
+    sweep(link);
+    send_at_once(fd);
+    connection->link = link;
+    connection->next = link->first;
+    if (link->first) {
+        link->first->previous = connection;
+    }
+    link->first = connection;
+    link->count++;
+    connection->near =
+        bufferevent_socket_new(link->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    connection->far =
+        bufferevent_socket_new(link->base, -1, BEV_OPT_CLOSE_ON_FREE);
+    Flw_Init(&connection->forward, link->base, connection->near,
+             connection->far, link->forward, link->forward_mode);
+    Flw_Init(&connection->back, link->base, connection->far, connection->near,
+             link->back, link->back_mode);
+    bufferevent_setcb(connection->near, on_near_bytes, on_near_room,
+                      on_near_event, connection);
+    bufferevent_setcb(connection->far, on_far_bytes, on_far_room, on_far_event,
+                      connection);
+    start_reading(connection->near, link->forward_mode);
+    start_reading(connection->far, link->back_mode);
+    if (bufferevent_socket_connect(connection->far, (struct sockaddr *)&to,
+                                   sizeof to)) {
+        free_connection(connection);
+        return;
+    }
+    send_at_once(bufferevent_getfd(connection->far));
+}
+
+bool
+Lnk_Init(Link *link, struct event_base *base, Str name, Addr listen,
+         Addr target, Pipe *forward, Pipe *back, Err *err)
+{
+    struct sockaddr_in at = socket_addr(listen);
+
+    *link = (Link){
+        .base = base, .target = target, .forward = forward, .back = back};
+    link->listener = evconnlistener_new_bind(
+        base, on_accept, link, LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE, -1,
+        (struct sockaddr *)&at, sizeof at);
+    if (!link->listener) {
+        return Err_SET(err, Err_IO, "cannot listen for %.*s", Str_ARG(name));
+    }
+    StrBuf_Set(&link->name, name);
+    return true;
+}
+
+void
+Lnk_Finish(Link *link)
+{
+    Lnk_Cut(link);
+    evconnlistener_free(link->listener);
+    StrBuf_Finish(&link->name);
+}
+
+void
+Lnk_Cut(Link *link)
+{
+    while (link->first) {
+        free_connection(link->first);
+    }
+}
+
+void
+Lnk_SetMode(Link *link, FlowMode forward, FlowMode back, Instant now)
+{
+    link->forward_mode = forward;
+    link->back_mode = back;
+    for (LinkConnection *c = link->first; c; c = c->next) {
+        Flw_SetMode(&c->forward, forward, now);
+        Flw_SetMode(&c->back, back, now);
+    }
+}
+
+void
+Lnk_Freeze(Link *link, bool forward, bool back, Instant now)
+{
+    for (LinkConnection *c = link->first; c; c = c->next) {
+        if (forward) {
+            Flw_SetMode(&c->forward, Flw_LOSE, now);
+        }
+        if (back) {
+            Flw_SetMode(&c->back, Flw_LOSE, now);
+        }
+    }
+}
