--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -1,6 +1,5 @@
 #include "fleet.h"
 
-#include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,7 +10,6 @@
 #include <unistd.h>
 
 #include "process/settings.h"
-#include "value/mem.h"
 
 enum { ARGS_MAX = 40 };
 
@@ -60,6 +58,13 @@
     Fleet_SetPreset(fleet, default_preset);
 }
 
+void
+Fleet_SetExtra(Fleet *fleet, Str members)
+{
+    StrBuf_Clear(&fleet->extra);
+    StrBuf_AppendFmt(&fleet->extra, ",%.*s", Str_ARG(members));
+}
+
 void
 Fleet_Sleep(Span time)
 {
@@ -68,8 +73,8 @@
     nanosleep(&wait, NULL);
 }
 
-static pid_t
-start(Fleet *fleet, StrBuf *command, const char *log)
+pid_t
+Fleet_Start(Fleet *fleet, StrBuf *command, const char *log)
 {
     char *args[ARGS_MAX];
     int count = 0;
@@ -117,13 +122,17 @@
         StrBuf_AppendFmt(out, "%s\"%.*s:7400\"", i ? "," : "",
                          Str_ARG(fleet->vms[i].ip));
     }
-    StrBuf_AppendFmt(out, "],\"data_folder\":\"%.*s/data%d\",",
+    StrBuf_Append(out, Str_LIT("]"));
+    Fleet_AppendRoutes(fleet, vm->number, out);
+    StrBuf_AppendFmt(out, ",\"data_folder\":\"%.*s/data%d\",",
                      Str_ARG(fleet->folder), vm->number);
     StrBuf_AppendFmt(out, "\"preset\":\"%.*s/preset.json\",",
                      Str_ARG(fleet->folder));
-    StrBuf_AppendFmt(out, "\"operator_key\":\"test-key\","
-                          "\"heartbeat_ms\":200,\"member_expiry_ms\":1000,"
-                          "\"backend_expiry_ms\":1500}");
+    StrBuf_AppendFmt(out,
+                     "\"operator_key\":\"test-key\","
+                     "\"heartbeat_ms\":200,\"member_expiry_ms\":1000,"
+                     "\"backend_expiry_ms\":1500%.*s}",
+                     Str_ARG(fleet->extra));
 }
 
 void
@@ -143,7 +152,7 @@
     StrBuf_AppendFmt(&command, "%.*s/lycheeridged %.*s/%.*s",
                      Str_ARG(fleet->build), Str_ARG(fleet->folder),
                      Str_ARG(name));
-    vm->node = start(fleet, &command, StrBuf_CStr(&name));
+    vm->node = Fleet_Start(fleet, &command, StrBuf_CStr(&name));
     StrBuf_Finish(&text);
     StrBuf_Finish(&name);
     StrBuf_Finish(&command);
@@ -158,11 +167,12 @@
     StrBuf_Set(&vm->service, service);
     StrBuf_AppendFmt(&command,
                      "%.*s/fakeback --service %.*s --listen %.*s:9000 "
-                     "--node %.*s:8100 --effects %.*s/effects%d %.*s",
+                     "--node %.*s:8100 --effects %.*s/effects%d %s%.*s",
                      Str_ARG(fleet->build), Str_ARG(service), Str_ARG(vm->ip),
                      Str_ARG(vm->ip), Str_ARG(fleet->folder), number,
+                     fleet->proxy ? "--announce-port 9100 " : "",
                      Str_ARG(options));
-    vm->backend = start(fleet, &command, "backend");
+    vm->backend = Fleet_Start(fleet, &command, "backend");
     StrBuf_Finish(&command);
 }
 
@@ -191,6 +201,7 @@
         StrBuf_Finish(&vm->ip);
         StrBuf_Finish(&vm->service);
     }
+    Fleet_Kill(&fleet->proxy, SIGKILL);
     StrBuf_AppendFmt(&command, "rm -rf %.*s", Str_ARG(fleet->folder));
     if (!getenv("KEEP_FLEET") && system(StrBuf_CStr(&command)) != 0) {
         perror("fleet");
@@ -199,126 +210,5 @@
     StrBuf_Finish(&fleet->build);
     StrBuf_Finish(&fleet->folder);
     StrBuf_Finish(&fleet->preset);
-}
-
-static size_t
-take_body(char *bytes, size_t size, size_t count, void *context)
-{
-    StrBuf_Append(context, Str_From(bytes, size * count));
-    return size * count;
-}
-
-static size_t
-take_header(char *bytes, size_t size, size_t count, void *context)
-{
-    FleetAnswer *answer = context;
-    Str line = Str_From(bytes, size * count);
-    size_t colon = Str_Find(line, ':');
-
-    if (Str_EqualNoCase(Str_Slice(line, 0, colon),
-                        Str_LIT("X-Lycheeridge-Outcome"))) {
-        Str value = Str_Trim(Str_Slice(line, colon + 1, line.len));
-        StrBuf_Set(&answer->outcome,
-                   Str_Slice(value, 0, Str_Find(value, '\r')));
-    }
-    return size * count;
-}
-
-void
-Fleet_FinishAnswer(FleetAnswer *answer)
-{
-    StrBuf_Finish(&answer->body);
-    StrBuf_Finish(&answer->outcome);
-}
-
-void
-Fleet_Call(Fleet *fleet, int vm, Str method, Str path, Str key, Str body,
-           FleetAnswer *answer)
-{
-    CURL *curl = curl_easy_init();
-    struct curl_slist *headers = NULL;
-    StrBuf url = {0};
-    StrBuf text = {0};
-    StrBuf verb = {0};
-
-    *answer = (FleetAnswer){0};
-    StrBuf_AppendFmt(&url, "http://%.*s:8000%.*s", Str_ARG(fleet->vms[vm].ip),
-                     Str_ARG(path));
-    StrBuf_Set(&verb, method);
-    if (key.len) {
-        StrBuf_AppendFmt(&text, "Idempotency-Key: %.*s", Str_ARG(key));
-        headers = curl_slist_append(headers, StrBuf_CStr(&text));
-    }
-    headers = curl_slist_append(headers, "Expect:");
-    curl_easy_setopt(curl, CURLOPT_URL, StrBuf_CStr(&url));
-    curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, StrBuf_CStr(&verb));
-    if (body.len) {
-        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)body.len);
-        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.ptr);
-    }
-    curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_body);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &answer->body);
-    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, take_header);
-    curl_easy_setopt(curl, CURLOPT_HEADERDATA, answer);
-    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 20000L);
-    answer->whole = curl_easy_perform(curl) == CURLE_OK;
-    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer->status);
-    curl_slist_free_all(headers);
-    curl_easy_cleanup(curl);
-    StrBuf_Finish(&url);
-    StrBuf_Finish(&text);
-    StrBuf_Finish(&verb);
-}
-
-bool
-Fleet_WaitFor(Fleet *fleet, int vm, Str path, Span wait)
-{
-    for (Span waited = 0; waited < wait; waited += Span_MS(50)) {
-        FleetAnswer answer;
-        bool good;
-        Fleet_Call(fleet, vm, Str_LIT("GET"), path, (Str){0}, (Str){0},
-                   &answer);
-        good = answer.status == 200 && answer.whole;
-        Fleet_FinishAnswer(&answer);
-        if (good) {
-            return true;
-        }
-        Fleet_Sleep(Span_MS(50));
-    }
-    return false;
-}
-
-static int
-count_lines(Str text, Str key)
-{
-    int count = 0;
-
-    while (text.len) {
-        size_t end = Str_Find(text, '\n');
-        Str line = Str_Slice(text, 0, end);
-        if (Str_Equal(Str_Slice(line, 0, Str_Find(line, ' ')), key)) {
-            count++;
-        }
-        text = Str_Slice(text, end + 1, text.len);
-    }
-    return count;
-}
-
-int
-Fleet_CountEffects(Fleet *fleet, Str key)
-{
-    int count = 0;
-
-    for (int i = 0; i < fleet->count; i++) {
-        StrBuf name = {0};
-        StrBuf text = {0};
-        StrBuf_AppendFmt(&name, "%.*s/effects%d", Str_ARG(fleet->folder), i);
-        if (Set_ReadFile(StrBuf_View(&name), &text, NULL)) {
-            count += count_lines(StrBuf_View(&text), key);
-        }
-        StrBuf_Finish(&name);
-        StrBuf_Finish(&text);
-    }
-    return count;
+    StrBuf_Finish(&fleet->extra);
 }
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -26,13 +26,26 @@
     FleetVm vms[Fleet_VMS_MAX];
     int count;
     StrBuf preset; /* file */
+    StrBuf extra;  /* members of every node's settings */
+    pid_t proxy;   /* 0: connections do not go through the proxy */
 } Fleet;
 
+typedef struct {
+    Str method;
+    Str path;
+    Str key;     /* Idempotency-Key; empty: none */
+    Str headers; /* further lines, separated by a newline each */
+    Str body;
+    Span wait; /* for the whole answer; 0: 20 s */
+} FleetRequest;
+
 typedef struct {
     long status; /* 0: no answer */
     StrBuf body;
+    StrBuf headers; /* all lines as they came */
     StrBuf outcome; /* X-Lycheeridge-Outcome */
     bool whole;
+    Span took;
 } FleetAnswer;
 
 /* A folder for a fleet of COUNT VMs; nothing is started yet. */
@@ -44,6 +57,44 @@
 /* Write the preset that every node starts with. */
 void Fleet_SetPreset(Fleet *fleet, Str json);
 
+/* Add MEMBERS ("\"ping_ms\":50,...") to the settings of nodes that start
+ * later; repeated names are refused by the daemon. */
+void Fleet_SetExtra(Fleet *fleet, Str members);
+
+/* Lead every connection between nodes, and to backend servers, through one
+ * fault proxy; before any node starts.  The link from node I to node J is
+ * called nI-J, its pipes REGION>REGION; to the backend server beside node I
+ * bI.  See tools/proxy_control.h for the commands. */
+void Fleet_UseProxy(Fleet *fleet);
+
+/* Give the proxy one command; false when it refuses. */
+bool Fleet_Proxy(Fleet *fleet, Str command);
+
+/* Let nothing pass to and from node VM, silently; and all pass again. */
+void Fleet_Isolate(Fleet *fleet, int vm);
+void Fleet_Heal(Fleet *fleet);
+
+/* Bytes that the proxy's pipe NAME carried. */
+uint64_t Fleet_PipeBytes(Fleet *fleet, Str name);
+
+/* Set knobs ("slow=20&fail=0") of the backend server beside VM. */
+bool Fleet_Knob(Fleet *fleet, int vm, Str knobs);
+
+/* A count ("served") of the backend server beside VM. */
+uint64_t Fleet_BackendCount(Fleet *fleet, int vm, Str name);
+
+/* A counter of VM's node, by its name in /metrics. */
+uint64_t Fleet_Counter(Fleet *fleet, int vm, Str name);
+
+/* Resident memory of a process, in KB. */
+uint64_t Fleet_ResidentKb(pid_t process);
+
+/* Run COMMAND (words separated by spaces), its stderr appended to LOG. */
+pid_t Fleet_Start(Fleet *fleet, StrBuf *command, const char *log);
+
+/* The "routes" member of node VM's settings, when there is a proxy. */
+void Fleet_AppendRoutes(const Fleet *fleet, int vm, StrBuf *out);
+
 void Fleet_StartNode(Fleet *fleet, int vm);
 
 /* OPTIONS: further arguments of fakeback, separated by spaces. */
@@ -55,6 +106,21 @@
 /* One call through VM's node; KEY may be empty. */
 void Fleet_Call(Fleet *fleet, int vm, Str method, Str path, Str key, Str body,
                 FleetAnswer *answer);
+void Fleet_Send(Fleet *fleet, int vm, const FleetRequest *request,
+                FleetAnswer *answer);
+
+/* GET http://IP:PORT/PATH of VM, with the operators' key. */
+bool Fleet_Get(Fleet *fleet, int vm, int port, Str path, StrBuf *body);
+
+/* Connect to PORT of VM; a descriptor for Fleet_RawSend and Fleet_RawRead. */
+int Fleet_RawOpen(Fleet *fleet, int vm, int port);
+void Fleet_RawSend(int fd, Str bytes);
+
+/* Append what comes until the other side closes or is silent for WAIT; true
+ * when it closed. */
+bool Fleet_RawRead(int fd, Span wait, StrBuf *out);
+void Fleet_RawClose(int fd);
+
 void Fleet_FinishAnswer(FleetAnswer *answer);
 
 /* Call until GET PATH through VM is answered 200, at most WAIT. */
--- /dev/null
+++ b/tests/integration/fleet_proxy.c
@@ -0,0 +1,158 @@
+#include <curl/curl.h>
+
+#include "fleet.h"
+
+enum { CONTROL_PORT = 7999, FIRST_PORT = 10000, PORT_STEP = 100 };
+
+/* The proxy's own address in the fleet's subnet. */
+enum { PROXY_HOST = 200 };
+
+static const char *
+region_of(int vm)
+{
+    return vm % 4 < 2 ? "norte" : "litoral";
+}
+
+void
+Fleet_AppendRoutes(const Fleet *fleet, int vm, StrBuf *out)
+{
+    bool first = true;
+
+    if (!fleet->proxy) {
+        return;
+    }
+    StrBuf_Append(out, Str_LIT(",\"routes\":["));
+    for (int i = 0; i < fleet->count; i++) {
+        if (i != vm) {
+            StrBuf_AppendFmt(out,
+                             "%s{\"to\":\"%.*s:7400\","
+                             "\"via\":\"127.0.%d.%d:%d\"}",
+                             first ? "" : ",", Str_ARG(fleet->vms[i].ip),
+                             fleet->subnet, PROXY_HOST,
+                             FIRST_PORT + vm * PORT_STEP + i);
+            first = false;
+        }
+    }
+    StrBuf_Append(out, Str_LIT("]"));
+}
+
+static void
+add_links(Fleet *fleet, int vm)
+{
+    StrBuf command = {0};
+
+    for (int i = 0; i < fleet->count; i++) {
+        if (i != vm) {
+            StrBuf_AppendFmt(&command,
+                             "add n%d-%d 127.0.%d.%d:%d %.*s:7400 %s>%s "
+                             "%s>%s\n",
+                             vm, i, fleet->subnet, PROXY_HOST,
+                             FIRST_PORT + vm * PORT_STEP + i,
+                             Str_ARG(fleet->vms[i].ip), region_of(vm),
+                             region_of(i), region_of(i), region_of(vm));
+        }
+    }
+    StrBuf_AppendFmt(&command, "add b%d %.*s:9100 %.*s:9000\n", vm,
+                     Str_ARG(fleet->vms[vm].ip), Str_ARG(fleet->vms[vm].ip));
+    Fleet_Proxy(fleet, StrBuf_View(&command));
+    StrBuf_Finish(&command);
+}
+
+void
+Fleet_UseProxy(Fleet *fleet)
+{
+    StrBuf command = {0};
+
+    StrBuf_AppendFmt(&command, "%.*s/faultproxy --control 127.0.%d.%d:%d",
+                     Str_ARG(fleet->build), fleet->subnet, PROXY_HOST,
+                     CONTROL_PORT);
+    fleet->proxy = Fleet_Start(fleet, &command, "proxy");
+    StrBuf_Finish(&command);
+    for (int i = 0; i < 100 && !Fleet_Proxy(fleet, Str_LIT("\n")); i++) {
+        Fleet_Sleep(Span_MS(10));
+    }
+    for (int i = 0; i < fleet->count; i++) {
+        add_links(fleet, i);
+    }
+}
+
+static size_t
+take_text(char *bytes, size_t size, size_t count, void *context)
+{
+    StrBuf_Append(context, Str_From(bytes, size * count));
+    return size * count;
+}
+
+static bool
+ask_proxy(Fleet *fleet, const char *path, Str body, StrBuf *out)
+{
+    CURL *curl = curl_easy_init();
+    StrBuf url = {0};
+    long status = 0;
+
+    StrBuf_AppendFmt(&url, "http://127.0.%d.%d:%d%s", fleet->subnet,
+                     PROXY_HOST, CONTROL_PORT, path);
+    curl_easy_setopt(curl, CURLOPT_URL, StrBuf_CStr(&url));
+    if (body.len) {
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)body.len);
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.ptr);
+    }
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_text);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, out);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 5000L);
+    curl_easy_perform(curl);
+    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_cleanup(curl);
+    StrBuf_Finish(&url);
+    return status == 200;
+}
+
+bool
+Fleet_Proxy(Fleet *fleet, Str command)
+{
+    StrBuf out = {0};
+    bool good = ask_proxy(fleet, "/control", command, &out);
+
+    StrBuf_Finish(&out);
+    return good;
+}
+
+void
+Fleet_Isolate(Fleet *fleet, int vm)
+{
+    StrBuf command = {0};
+
+    StrBuf_AppendFmt(&command, "hold n%d-* both\nhold n*-%d both", vm, vm);
+    Fleet_Proxy(fleet, StrBuf_View(&command));
+    StrBuf_Finish(&command);
+}
+
+void
+Fleet_Heal(Fleet *fleet)
+{
+    Fleet_Proxy(fleet, Str_LIT("pass *"));
+}
+
+uint64_t
+Fleet_PipeBytes(Fleet *fleet, Str name)
+{
+    StrBuf text = {0};
+    Str rest;
+    uint64_t bytes = 0;
+
+    ask_proxy(fleet, "/stat", (Str){0}, &text);
+    for (rest = StrBuf_View(&text); rest.len;) {
+        size_t end = Str_Find(rest, '\n');
+        Str line = Str_Slice(rest, 0, end);
+        if (Str_StartsWith(line, Str_LIT("pipe "))) {
+            Str item = Str_Slice(line, 5, line.len);
+            size_t space = Str_Find(item, ' ');
+            if (Str_Equal(Str_Slice(item, 0, space), name)) {
+                Str_ToU64(Str_Slice(item, space + 1, item.len), &bytes);
+            }
+        }
+        rest = Str_Slice(rest, end + 1, rest.len);
+    }
+    StrBuf_Finish(&text);
+    return bytes;
+}
