--- a/src/process/keys.c
+++ b/src/process/keys.c
@@ -123,7 +123,7 @@
     size_t size = sizeof more;
 
     for (*count = 0; more; (*count)++) {
-        Frame extra;
+        Frame extra = {0};
         Frame *frame = *count < ZAP_FRAMES ? &frames[*count] : &extra;
         int len = zmq_recv(socket, frame->bytes, FRAME_MAX, ZMQ_DONTWAIT);
         if (len < 0) {
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -2,7 +2,7 @@
 
 #include <stdio.h>
 
-#include "process/keys.h"
+#include "process/setkeys.h"
 #include "value/json.h"
 #include "value/mem.h"
 
@@ -29,6 +29,7 @@
     }
     Mem_Free(settings->domains);
     Mem_Free(settings->replicas);
+    Mem_Free(settings->routes);
     StrBuf_Finish(&settings->name);
     StrBuf_Finish(&settings->data_folder);
     StrBuf_Finish(&settings->preset);
@@ -147,73 +148,23 @@
 }
 
 static void
-check_pair(Settings *settings, JsnObject *o)
+read_routes(Settings *settings, JsnObject *o)
 {
-    Str public_key = StrBuf_View(&settings->curve_public);
-    Str secret_key = StrBuf_View(&settings->curve_secret);
+    json_t *array = Jsn_GetArray(o, Str_LIT("routes"), false);
 
-    if (public_key.len + secret_key.len &&
-        !Key_ArePair(public_key, secret_key)) {
-        Jsn_Find(o, Str_LIT("curve_public"), Str_LIT("no pair of keys"),
-                 Str_LIT("what \"lycheeridge keys new\" printed"));
-    }
-}
-
-static void
-add_allowed(Settings *settings, json_t *value, JsnObject *o)
-{
-    Str text = Str_From(json_string_value(value), json_string_length(value));
-    KeyBytes key;
-
-    if (!Key_Parse(text, &key)) {
-        Jsn_Find(o, Str_LIT("curve_allowed"), Str_LIT("not a public key"),
-                 Str_LIT("40 characters of Z85 each"));
-    }
-    else if (settings->curve_allowed_count < Set_KEYS_MAX) {
-        StrBuf_Set(&settings->curve_allowed[settings->curve_allowed_count++],
-                   text);
-    }
-}
-
-static void
-check_allowed(Settings *settings, json_t *array, JsnObject *o)
-{
-    Str own = StrBuf_View(&settings->curve_public);
-
-    if (json_array_size(array) > Set_KEYS_MAX) {
-        Jsn_Find(o, Str_LIT("curve_allowed"), Str_LIT("too many keys"),
-                 Str_LIT("8 at most"));
-    }
-    for (size_t i = 0; i < settings->curve_allowed_count; i++) {
-        if (Str_Equal(StrBuf_View(&settings->curve_allowed[i]), own)) {
-            return;
-        }
-    }
-    Jsn_Find(o, Str_LIT("curve_allowed"), Str_LIT("without this node's key"),
-             Str_LIT("curve_public among them"));
-}
-
-static void
-read_curve(Settings *settings, JsnObject *o)
-{
-    json_t *array;
-    size_t index;
-    json_t *value;
-
-    Jsn_GetStr(o, Str_LIT("curve_public"), false, &settings->curve_public);
-    Jsn_GetStr(o, Str_LIT("curve_secret"), false, &settings->curve_secret);
-    array = Jsn_GetArray(o, Str_LIT("curve_allowed"), false);
-    check_pair(settings, o);
-    json_array_foreach(array, index, value)
-    {
-        add_allowed(settings, value, o);
-    }
-    if (array) {
-        check_allowed(settings, array, o);
-    }
-    else if (settings->curve_public.len) {
-        StrBuf_Set(&settings->curve_allowed[settings->curve_allowed_count++],
-                   StrBuf_View(&settings->curve_public));
+    settings->route_count = json_array_size(array);
+    settings->routes =
+        Mem_Alloc(settings->route_count, sizeof *settings->routes);
+    for (size_t i = 0; i < settings->route_count; i++) {
+        JsnObject item;
+        StrBuf place = {0};
+        StrBuf_AppendFmt(&place, "/routes/%zu", i);
+        Jsn_Enter(&item, json_array_get(array, i), StrBuf_View(&place),
+                  o->findings);
+        settings->routes[i].to = read_addr(&item, Str_LIT("to"), true);
+        settings->routes[i].via = read_addr(&item, Str_LIT("via"), true);
+        Jsn_Leave(&item);
+        StrBuf_Finish(&place);
     }
 }
 
@@ -263,11 +214,12 @@
     read_domains(settings, o);
     find_domain(settings, o);
     read_replicas(settings, o);
+    read_routes(settings, o);
     Jsn_GetStr(o, Str_LIT("data_folder"), settings->control,
                &settings->data_folder);
     Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
     Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
-    read_curve(settings, o);
+    Set_ReadKeys(settings, o);
     read_log_level(settings, o);
     read_times(settings, o);
     settings->header_bytes_max = (uint32_t)Jsn_GetInt(
