--- a/src/process/cli_main.c
+++ b/src/process/cli_main.c
@@ -3,7 +3,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/stat.h>
 
 #include "process/cli.h"
 #include "process/settings.h"
@@ -148,18 +147,6 @@
            Str_ToU64(Str_Slice(text, dot + 1, text.len), &version->index);
 }
 
-static void
-warn_open_key(const char *file)
-{
-    struct stat info;
-
-    if (stat(file, &info) == 0 && info.st_mode & (S_IRWXG | S_IRWXO)) {
-        fprintf(stderr,
-                "lycheeridge: %s: others may read this key; chmod 600\n",
-                file);
-    }
-}
-
 static bool
 read_key(Cli *cli, const Args *args)
 {
@@ -173,7 +160,12 @@
             fprintf(stderr, "lycheeridge: %.*s\n", Str_ARG(Err_Text(&err)));
             return false;
         }
-        warn_open_key(args->key_file->filename[0]);
+        if (Set_IsOpenToOthers(Str_FromC(args->key_file->filename[0]))) {
+            fprintf(stderr,
+                    "lycheeridge: others may read the key in %s; "
+                    "chmod 600\n",
+                    args->key_file->filename[0]);
+        }
         key = StrBuf_View(&text);
         key = Str_Trim(Str_Slice(key, 0, Str_Find(key, '\n')));
     }
--- a/src/process/cli_preset.c
+++ b/src/process/cli_preset.c
@@ -225,30 +225,22 @@
 
 /* Read and check FILE; its findings go to standard error. */
 static bool
-read_preset(Str file, StrBuf *json, StrBuf *name)
+read_preset(Str file, StrBuf *name)
 {
     FindingList findings;
+    StrBuf text = {0};
     Preset preset;
-    Err err = {0};
     bool good;
 
-    if (!Set_ReadFile(file, json, &err)) {
-        fprintf(stderr, "lycheeridge: %.*s\n", Str_ARG(Err_Text(&err)));
-        return false;
-    }
     Fnd_Init(&findings);
-    Fnd_SetFile(&findings, file);
-    good = Pst_Parse(&preset, StrBuf_View(json), &findings);
+    good = Set_LoadPreset(file, &preset, &findings);
     if (good) {
         StrBuf_Set(name, StrBuf_View(&preset.name));
         Pst_Finish(&preset);
     }
-    else {
-        StrBuf text = {0};
-        Fnd_Print(&findings, &text);
-        fprintf(stderr, "%.*s", Str_ARG(text));
-        StrBuf_Finish(&text);
-    }
+    Fnd_Print(&findings, &text);
+    fprintf(stderr, "%.*s", Str_ARG(text));
+    StrBuf_Finish(&text);
     Fnd_Finish(&findings);
     return good;
 }
@@ -260,7 +252,7 @@
     StrBuf name = {0};
     CliStatus status = Cli_INPUT;
 
-    if (read_preset(file, &text, &name)) {
+    if (read_preset(file, &name) && Set_ReadFile(file, &text, NULL)) {
         json_t *preset = json_loadb(text.ptr, text.len, 0, NULL);
         status = make_change(cli, "put", StrBuf_View(&name), preset);
         json_decref(preset);
@@ -279,9 +271,8 @@
 CliStatus
 Cli_CheckPreset(const Cli *cli, Str file)
 {
-    StrBuf text = {0};
     StrBuf name = {0};
-    bool good = read_preset(file, &text, &name);
+    bool good = read_preset(file, &name);
 
     if (good && cli->json) {
         json_t *answer = json_pack("{s:b}", "good", true);
@@ -291,7 +282,6 @@
     else if (good) {
         printf("%.*s: preset %.*s is good\n", Str_ARG(file), Str_ARG(name));
     }
-    StrBuf_Finish(&text);
     StrBuf_Finish(&name);
     return good ? Cli_GOOD : Cli_INPUT;
 }
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -43,32 +43,56 @@
     return EXIT_GOOD;
 }
 
-static int
-run(Str file, bool check_only)
+/* Read the settings and the preset they name, and report all findings in both
+ * together. */
+static bool
+read_settings(Str file, Settings *settings)
 {
-    Settings settings;
+    FindingList findings;
     StrBuf json = {0};
     StrBuf text = {0};
-    FindingList findings;
+    Preset preset;
     Err err = {0};
-    int status = EXIT_SETTINGS;
+    bool good;
 
-    Set_Init(&settings);
     Fnd_Init(&findings);
     Fnd_SetFile(&findings, file);
     if (!Set_ReadFile(file, &json, &err)) {
-        fprintf(stderr, "lycheeridged: %.*s\n", Str_ARG(Err_Text(&err)));
-    }
-    else if (!Set_Parse(&settings, StrBuf_View(&json), &findings)) {
-        Fnd_Print(&findings, &text);
-        fprintf(stderr, "%.*s", Str_ARG(text));
+        Fnd_Add(&findings, Str_LIT("/"), Err_Text(&err),
+                Str_LIT("a file of settings"));
     }
     else {
-        status = check_only ? EXIT_GOOD : serve(&settings);
+        Set_Parse(settings, StrBuf_View(&json), &findings);
+    }
+    if (settings->preset.len &&
+        Set_LoadPreset(StrBuf_View(&settings->preset), &preset, &findings)) {
+        Pst_Finish(&preset);
+    }
+    Fnd_Print(&findings, &text);
+    fprintf(stderr, "%.*s", Str_ARG(text));
+    good = findings.count == 0;
+    if (good && Set_IsOpenToOthers(file)) {
+        fprintf(stderr,
+                "%.*s: warning: holds keys, and others may read it; "
+                "chmod 600\n",
+                Str_ARG(file));
     }
     StrBuf_Finish(&json);
     StrBuf_Finish(&text);
     Fnd_Finish(&findings);
+    return good;
+}
+
+static int
+run(Str file, bool check_only)
+{
+    Settings settings;
+    int status = EXIT_SETTINGS;
+
+    Set_Init(&settings);
+    if (read_settings(file, &settings)) {
+        status = check_only ? EXIT_GOOD : serve(&settings);
+    }
     Set_Finish(&settings);
     return status;
 }
@@ -78,8 +102,8 @@
 {
     struct arg_lit *help = arg_lit0("h", "help", "show this and end");
     struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
-    struct arg_lit *check =
-        arg_lit0(NULL, "check", "check the settings and end");
+    struct arg_lit *check = arg_lit0(
+        NULL, "check", "check the settings and their preset, and end");
     struct arg_file *file =
         arg_file0(NULL, NULL, "SETTINGS", "settings in JSON");
     struct arg_end *end = arg_end(8);
@@ -92,6 +116,8 @@
         printf("lycheeridged");
         arg_print_syntax(stdout, table, "\n");
         arg_print_glossary(stdout, table, "  %-16s %s\n");
+        printf("Exit statuses: 0 stopped or checked, 1 failed, 2 usage, "
+               "3 bad settings\n");
         status = EXIT_GOOD;
     }
     else if (version->count) {
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -35,19 +35,14 @@
 static bool
 load_preset(Node *node, Err *err)
 {
-    StrBuf json = {0};
     StrBuf text = {0};
     FindingList findings;
-    Str file = StrBuf_View(&node->settings->preset);
     Preset preset;
     bool good;
 
-    if (!Set_ReadFile(file, &json, err)) {
-        return false;
-    }
     Fnd_Init(&findings);
-    Fnd_SetFile(&findings, file);
-    good = Pst_Parse(&preset, StrBuf_View(&json), &findings);
+    good = Set_LoadPreset(StrBuf_View(&node->settings->preset), &preset,
+                          &findings);
     if (good) {
         node->in_force = Inf_New(&preset, (CfgVersion){0});
     }
@@ -56,7 +51,6 @@
         Err_SET(err, Err_MALFORMED, "%.*s", Str_ARG(text));
     }
     Fnd_Finish(&findings);
-    StrBuf_Finish(&json);
     StrBuf_Finish(&text);
     return good;
 }
--- /dev/null
+++ b/src/process/setcheck.h
@@ -0,0 +1,11 @@
+/* What only all settings together can show to be wrong. */
+#ifndef SETCHECK_H
+#define SETCHECK_H
+
+#include "process/settings.h"
+#include "value/json.h"
+
+/* Add a finding for each rule that SETTINGS breaks. */
+void Set_CheckWhole(const Settings *settings, JsnObject *object);
+
+#endif
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -1,7 +1,9 @@
 #include "process/settings.h"
 
 #include <stdio.h>
+#include <sys/stat.h>
 
+#include "process/setcheck.h"
 #include "process/setkeys.h"
 #include "value/json.h"
 #include "value/mem.h"
@@ -226,6 +228,7 @@
         o, Str_LIT("header_bytes_max"), 1024, 1024 * 1024, HEADER_BYTES);
     settings->body_bytes_max = (uint32_t)Jsn_GetInt(
         o, Str_LIT("body_bytes_max"), 0, BODY_BYTES_MAX, BODY_BYTES);
+    Set_CheckWhole(settings, o);
 }
 
 bool
@@ -272,3 +275,37 @@
     }
     return true;
 }
+
+bool
+Set_LoadPreset(Str file, Preset *preset, FindingList *findings)
+{
+    StrBuf json = {0};
+    Err err = {0};
+    bool good = false;
+
+    Pst_Init(preset);
+    Fnd_SetFile(findings, file);
+    if (Set_ReadFile(file, &json, &err)) {
+        good = Pst_Parse(preset, StrBuf_View(&json), findings);
+    }
+    else {
+        Fnd_Add(findings, Str_LIT("/"), Err_Text(&err),
+                Str_LIT("a preset's file"));
+    }
+    StrBuf_Finish(&json);
+    return good;
+}
+
+bool
+Set_IsOpenToOthers(Str file)
+{
+    StrBuf name = {0};
+    struct stat info;
+    bool open;
+
+    StrBuf_Set(&name, file);
+    open = stat(StrBuf_CStr(&name), &info) == 0 &&
+           info.st_mode & (S_IRWXG | S_IRWXO);
+    StrBuf_Finish(&name);
+    return open;
+}
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -8,6 +8,7 @@
 #include "value/addr.h"
 #include "value/finding.h"
 #include "value/instant.h"
+#include "version/preset.h"
 
 typedef struct {
     StrBuf name;
@@ -62,6 +63,13 @@
 /* Read and check JSON; false with findings when anything is wrong. */
 bool Set_Parse(Settings *settings, Str json, FindingList *findings);
 
+/* Read and check the preset in FILE; false with findings when it cannot be
+ * read or anything in it is wrong. */
+bool Set_LoadPreset(Str file, Preset *preset, FindingList *findings);
+
+/* Others than the owner may read FILE, which holds keys. */
+bool Set_IsOpenToOthers(Str file);
+
 /* Read the whole of FILE into OUT. */
 bool Set_ReadFile(Str file, StrBuf *out, Err *err);
 
