--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -1,22 +1,28 @@
 /* Led, the attempt ledger of the node beside a backend server: what became
  * of each attempt id, and which ids must never run.
  *
- * A node asks Led_Begin before it runs anything; an id that was seen, fenced,
- * or names another incarnation never runs.  Answers of ended attempts are
- * kept, bounded in time and bytes, for nodes that ask through a fence.
+ * A node asks Led_OnAttempt before it runs anything; an id that was seen,
+ * fenced, or names another incarnation never runs.  Answers of ended attempts
+ * are kept, bounded in time and bytes, for nodes that ask later.
+ *
+ * An ended entry goes after its retention.  The ledger then keeps only a mark
+ * for each origin, the highest counter it forgot: an unknown id at or below
+ * the mark is refused as expired, so forgetting never lets one run twice.
  */
 #ifndef LEDGER_H
 #define LEDGER_H
 
 #include "value/addr.h"
+#include "value/hash.h"
 #include "value/instant.h"
 #include "value/str.h"
 
 typedef enum {
     Led_FIRST,   /* never seen: may run */
     Led_SEEN,    /* a duplicate of a known attempt */
-    Led_FENCED,  /* was fenced before it came */
-    Led_EXPIRED, /* counter too old to be told from a duplicate */
+    Led_FENCED,  /* was fenced before it came: it never ran */
+    Led_EXPIRED, /* too old to be told from a duplicate: no proof */
+    Led_FULL,    /* no room to remember it: it must not run */
     Led_WRONG_INCARNATION
 } LedBegin;
 
@@ -25,48 +31,61 @@
     Led_RUNNING, /* runs or waits now */
     Led_DONE,    /* ended; the answer is at hand */
     Led_ENDED,   /* ended; its answer is no longer kept */
-    Led_LOST     /* ran, and how it ended is not known */
+    Led_LOST     /* may have run, and how it ended is not known */
 } LedState;
 
 typedef struct LedEntry LedEntry;
 
 typedef struct {
-    Span retention;   /* an ended entry is kept this long */
-    size_t bytes_max; /* of kept answers */
+    Span brief;        /* an ended entry is remembered this long, */
+    Span retention;    /* or this long when its outcome may be asked for */
+    size_t bytes_max;  /* of kept answers, together */
+    size_t answer_max; /* of one kept answer */
     size_t entries_max;
+    size_t origins_max;
 } LedSettings;
 
+/* Ended entries, by age. */
+typedef struct {
+    LedEntry *oldest;
+    LedEntry *newest;
+} LedAges;
+
 typedef struct {
     LedSettings settings;
     uint64_t incarnation; /* of this node */
-    LedEntry **buckets;
-    size_t bucket_count;
-    size_t count;
-    size_t bytes;
-    LedEntry *oldest; /* ended entries by age */
-    LedEntry *newest;
+    Hsh entries;
+    Hsh origins;     /* marks, by incarnation of the origin */
+    uint64_t floor;  /* origins up to here may have been forgotten */
+    size_t bytes;    /* of kept answers */
+    LedAges ages[2]; /* brief; kept */
 } Led;
 
 void Led_Init(Led *led, const LedSettings *settings, uint64_t incarnation);
 void Led_Finish(Led *led);
-void Led_SetSettings(Led *led, const LedSettings *settings);
 
-/* An attempt arrived that names INCARNATION of this node. */
-LedBegin Led_OnAttempt(Led *led, AttemptId id, uint64_t incarnation,
+/* Another retention, from the preset in force. */
+void Led_SetRetention(Led *led, Span retention);
+
+/* An attempt arrived that names INCARNATION of this node.  KEEP: its outcome
+ * may be asked for long after its end. */
+LedBegin Led_OnAttempt(Led *led, AttemptId id, uint64_t incarnation, bool keep,
                        Instant now);
 
 /* The attempt was refused or cancelled before it ran: it never will. */
 void Led_OnRefused(Led *led, AttemptId id, Instant now);
 
-/* The attempt ended; ANSWER (encoded by the caller) is kept if it fits. */
-void Led_OnDone(Led *led, AttemptId id, Str answer, Instant now);
+/* The attempt ended; ANSWER (encoded by the caller) is kept if it fits, and
+ * when WHOLE is set. */
+void Led_OnDone(Led *led, AttemptId id, bool whole, Str answer, Instant now);
 
-/* The backend server was lost while the attempt ran. */
+/* How the attempt ended is not known. */
 void Led_OnLost(Led *led, AttemptId id, Instant now);
 
 /* Another node asks: fence the id when it was never seen.  ANSWER is set for
  * Led_DONE and valid until the next change. */
-LedState Led_Fence(Led *led, AttemptId id, Instant now, Str *answer);
+LedState Led_Fence(Led *led, AttemptId id, uint64_t incarnation, bool keep,
+                   Instant now, Str *answer);
 
 /* Drop what is past its retention. */
 void Led_Expire(Led *led, Instant now);
--- a/src/value/addr.c
+++ b/src/value/addr.c
@@ -62,3 +62,9 @@
 {
     return a.incarnation == b.incarnation && a.counter == b.counter;
 }
+
+uint64_t
+AttemptId_Hash(AttemptId id)
+{
+    return Str_Hash(Str_From((const char *)&id, sizeof id));
+}
--- a/src/value/addr.h
+++ b/src/value/addr.h
@@ -38,4 +38,7 @@
 
 bool AttemptId_Equal(AttemptId a, AttemptId b);
 
+/* For hash tables. */
+uint64_t AttemptId_Hash(AttemptId id);
+
 #endif
