--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -3,21 +3,23 @@
 enum {
     LOAD_FIELDS = 6,
     ID_FIELDS = 2,
-    CALL_FIELDS = ID_FIELDS + 9,
+    CALL_FIELDS = ID_FIELDS + 11,
     PIECE_FIELDS = ID_FIELDS + 6,
     REFUSED_FIELDS = ID_FIELDS + 2,
-    CREDIT_FIELDS = ID_FIELDS + 1
+    CREDIT_FIELDS = ID_FIELDS + 1,
+    FENCE_FIELDS = ID_FIELDS + 3,
+    ANSWER_FIELDS = 3
 };
 
-static void
-put_id(Pack *pack, AttemptId id)
+void
+Callmsg_PutId(Pack *pack, AttemptId id)
 {
     Pack_U64(pack, id.incarnation);
     Pack_U64(pack, id.counter);
 }
 
-static AttemptId
-take_id(Unpack *in)
+AttemptId
+Callmsg_TakeId(Unpack *in)
 {
     AttemptId id;
 
@@ -86,9 +88,11 @@
 Callmsg_PackCall(Pack *pack, const CallMsg *msg)
 {
     Wire_Begin(pack, Wire_CALL, CALL_FIELDS);
-    put_id(pack, msg->id);
+    Callmsg_PutId(pack, msg->id);
     Pack_U64(pack, msg->incarnation);
     Pack_Bool(pack, msg->interactive);
+    Pack_Bool(pack, msg->idempotent);
+    Pack_Bool(pack, msg->keyed);
     Pack_I64(pack, msg->left);
     Pack_U64(pack, msg->fingerprint);
     Pack_Str(pack, msg->request_id);
@@ -101,9 +105,11 @@
 bool
 Callmsg_ReadCall(Unpack *in, CallMsg *msg, Err *err)
 {
-    msg->id = take_id(in);
+    msg->id = Callmsg_TakeId(in);
     msg->incarnation = Unpack_U64(in);
     msg->interactive = Unpack_Bool(in);
+    msg->idempotent = Unpack_Bool(in);
+    msg->keyed = Unpack_Bool(in);
     msg->left = Unpack_I64(in);
     msg->fingerprint = Unpack_U64(in);
     msg->request_id = Unpack_Str(in);
@@ -118,7 +124,7 @@
 Callmsg_PackPiece(Pack *pack, const PieceMsg *msg)
 {
     Wire_Begin(pack, Wire_PIECE, PIECE_FIELDS);
-    put_id(pack, msg->id);
+    Callmsg_PutId(pack, msg->id);
     Pack_U64(pack, msg->sequence);
     Pack_Bool(pack, msg->last);
     Pack_U64(pack, msg->status);
@@ -130,7 +136,7 @@
 bool
 Callmsg_ReadPiece(Unpack *in, PieceMsg *msg, Err *err)
 {
-    msg->id = take_id(in);
+    msg->id = Callmsg_TakeId(in);
     msg->sequence = (uint32_t)Unpack_Bounded(in, UINT32_MAX);
     msg->last = Unpack_Bool(in);
     msg->status = (uint16_t)Unpack_Bounded(in, 999);
@@ -144,7 +150,7 @@
 Callmsg_PackRefused(Pack *pack, const RefusedMsg *msg)
 {
     Wire_Begin(pack, Wire_REFUSED, REFUSED_FIELDS);
-    put_id(pack, msg->id);
+    Callmsg_PutId(pack, msg->id);
     Pack_U64(pack, msg->reason);
     Callmsg_PutLoad(pack, &msg->load);
 }
@@ -152,7 +158,7 @@
 bool
 Callmsg_ReadRefused(Unpack *in, RefusedMsg *msg, Err *err)
 {
-    msg->id = take_id(in);
+    msg->id = Callmsg_TakeId(in);
     msg->reason = (Refusal)Unpack_Bounded(in, Refusal_KINDS - 1);
     Callmsg_TakeLoad(in, &msg->load);
     return Unpack_Ok(in, err);
@@ -162,13 +168,51 @@
 Callmsg_PackId(Pack *pack, WireKind kind, AttemptId id)
 {
     Wire_Begin(pack, kind, ID_FIELDS);
-    put_id(pack, id);
+    Callmsg_PutId(pack, id);
 }
 
 bool
 Callmsg_ReadId(Unpack *in, AttemptId *id, Err *err)
 {
-    *id = take_id(in);
+    *id = Callmsg_TakeId(in);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackFence(Pack *pack, const FenceMsg *msg)
+{
+    Wire_Begin(pack, Wire_FENCE, FENCE_FIELDS);
+    Callmsg_PutId(pack, msg->id);
+    Pack_U64(pack, msg->incarnation);
+    Pack_Bool(pack, msg->keyed);
+    Pack_Bool(pack, msg->stop);
+}
+
+bool
+Callmsg_ReadFence(Unpack *in, FenceMsg *msg, Err *err)
+{
+    msg->id = Callmsg_TakeId(in);
+    msg->incarnation = Unpack_U64(in);
+    msg->keyed = Unpack_Bool(in);
+    msg->stop = Unpack_Bool(in);
+    return Unpack_Ok(in, err);
+}
+
+void
+Callmsg_PackAnswer(Pack *pack, const AnswerMsg *msg)
+{
+    Pack_Init(pack, ANSWER_FIELDS);
+    Pack_U64(pack, msg->status);
+    put_fields(pack, &msg->fields);
+    Pack_Str(pack, msg->bytes);
+}
+
+bool
+Callmsg_ReadAnswer(Unpack *in, AnswerMsg *msg, Err *err)
+{
+    msg->status = (uint16_t)Unpack_Bounded(in, 999);
+    take_fields(in, &msg->fields);
+    msg->bytes = Unpack_Str(in);
     return Unpack_Ok(in, err);
 }
 
@@ -176,7 +220,7 @@
 Callmsg_PackFenced(Pack *pack, const FencedMsg *msg)
 {
     Wire_Begin(pack, Wire_FENCED, REFUSED_FIELDS);
-    put_id(pack, msg->id);
+    Callmsg_PutId(pack, msg->id);
     Pack_U64(pack, msg->state);
     Callmsg_PutLoad(pack, &msg->load);
 }
@@ -184,7 +228,7 @@
 bool
 Callmsg_ReadFenced(Unpack *in, FencedMsg *msg, Err *err)
 {
-    msg->id = take_id(in);
+    msg->id = Callmsg_TakeId(in);
     msg->state = (FencedState)Unpack_Bounded(in, Fenced_KINDS - 1);
     Callmsg_TakeLoad(in, &msg->load);
     return Unpack_Ok(in, err);
@@ -194,14 +238,14 @@
 Callmsg_PackCredit(Pack *pack, const CreditMsg *msg)
 {
     Wire_Begin(pack, Wire_CREDIT, CREDIT_FIELDS);
-    put_id(pack, msg->id);
+    Callmsg_PutId(pack, msg->id);
     Pack_U64(pack, msg->bytes);
 }
 
 bool
 Callmsg_ReadCredit(Unpack *in, CreditMsg *msg, Err *err)
 {
-    msg->id = take_id(in);
+    msg->id = Callmsg_TakeId(in);
     msg->bytes = (uint32_t)Unpack_Bounded(in, Callmsg_WINDOW_BYTES);
     return Unpack_Ok(in, err);
 }
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -15,6 +15,8 @@
     AttemptId id;
     uint64_t incarnation; /* of the node that is asked */
     bool interactive;
+    bool idempotent;
+    bool keyed;           /* its outcome may be asked for long after its end */
     Span left;            /* until the deadline */
     uint64_t fingerprint; /* of the request, for suspects */
     Str request_id;
@@ -42,7 +44,8 @@
     Refusal_FENCED,
     Refusal_SUSPECT,
     Refusal_INCARNATION,
-    Refusal_CUT, /* ran, but its answer was cut short: not a proof */
+    Refusal_CUT,     /* ran, but its answer was cut short: not a proof */
+    Refusal_EXPIRED, /* came too late to be told from a duplicate: no proof */
     Refusal_KINDS
 } Refusal;
 
@@ -56,7 +59,7 @@
     Fenced_NEVER,   /* never ran, and never will */
     Fenced_RUNNING, /* runs; its answer goes to who asks */
     Fenced_ENDED,   /* ended; the answer follows as pieces */
-    Fenced_LOST,    /* ran, and how it ended is not kept */
+    Fenced_LOST,    /* may have run; how it ended is not known or kept */
     Fenced_KINDS
 } FencedState;
 
@@ -66,6 +69,21 @@
     LoadReport load;
 } FencedMsg;
 
+/* Asks what became of an attempt; one that was never seen never will run. */
+typedef struct {
+    AttemptId id;
+    uint64_t incarnation; /* of the node that is asked */
+    bool keyed;
+    bool stop; /* drop it if it still waits */
+} FenceMsg;
+
+/* A whole answer, as it is kept for those who ask later. */
+typedef struct {
+    uint16_t status;
+    FieldList fields;
+    Str bytes;
+} AnswerMsg;
+
 typedef struct {
     AttemptId id;
     uint32_t bytes;
@@ -84,9 +102,19 @@
 void Callmsg_PackRefused(Pack *pack, const RefusedMsg *msg);
 bool Callmsg_ReadRefused(Unpack *in, RefusedMsg *msg, Err *err);
 
-/* Wire_CANCEL and Wire_FENCE carry an id alone. */
+/* An id as two fields of a longer message. */
+void Callmsg_PutId(Pack *pack, AttemptId id);
+AttemptId Callmsg_TakeId(Unpack *in);
+
+/* Wire_CANCEL carries an id alone. */
 void Callmsg_PackId(Pack *pack, WireKind kind, AttemptId id);
 bool Callmsg_ReadId(Unpack *in, AttemptId *id, Err *err);
+void Callmsg_PackFence(Pack *pack, const FenceMsg *msg);
+bool Callmsg_ReadFence(Unpack *in, FenceMsg *msg, Err *err);
+
+/* Not a message of its own: bytes for the ledger and the key registers. */
+void Callmsg_PackAnswer(Pack *pack, const AnswerMsg *msg);
+bool Callmsg_ReadAnswer(Unpack *in, AnswerMsg *msg, Err *err);
 void Callmsg_PackFenced(Pack *pack, const FencedMsg *msg);
 bool Callmsg_ReadFenced(Unpack *in, FencedMsg *msg, Err *err);
 void Callmsg_PackCredit(Pack *pack, const CreditMsg *msg);
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -35,6 +35,8 @@
     Wire_VERSION_ASK, /* a node asks for the version in force */
     Wire_VERSION,     /* the version in force */
     Wire_SUSPECTS,    /* suspectmsg: blame of requests */
+    Wire_FATE_ASK,    /* claimmsg: what became of an attempt */
+    Wire_FATE,        /* its answer */
     Wire_KINDS
 } WireKind;
 
--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -11,6 +11,7 @@
     X(NOT_RUN, "calls_not_run_total", "Calls answered not run")               \
     X(UNKNOWN, "calls_unknown_total", "Calls answered unknown")               \
     X(CUT, "calls_cut_total", "Answers cut after their first piece")          \
+    X(RAN, "calls_ran_total", "Repeats of a key whose answer is not kept")    \
     X(NO_ROUTE, "calls_no_route_total", "Calls that no route matches")        \
     X(HUNG_UP, "calls_hung_up_total", "Calls whose caller hung up")           \
     X(ATTEMPTS, "attempts_total", "Attempts made")                            \
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -130,7 +130,21 @@
             504, Str_LIT("unknown"),
             Str_LIT("it may have run; its answer did not come\n")};
     }
+    if (outcome == Call_RAN) {
+        return (EndText){
+            409, Str_LIT("ran"),
+            Str_LIT("this key's call ran; its answer is not kept\n")};
+    }
     switch (why) {
+    case Call_WHY_KEY:
+        return (EndText){400, not_run, Str_LIT("the key is too long\n")};
+    case Call_WHY_MISMATCH:
+        return (EndText){422, not_run,
+                         Str_LIT("the key named another request before\n")};
+    case Call_WHY_SUSPECT:
+        return (EndText){503, not_run,
+                         Str_LIT("it is held back: it may crash backend "
+                                 "servers\n")};
     case Call_WHY_NO_ROUTE:
         return (EndText){404, not_run, Str_LIT("no route matches\n")};
     case Call_WHY_LATE:
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -1,5 +1,7 @@
 #include "process/node.h"
 
+#include "request/fence.h"
+
 #define TICK Span_MS(10)
 
 static void
@@ -74,6 +76,8 @@
     node->calls.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
     Adm_SetSettings(&node->admission, &admission);
+    Run_SetLimits(&node->runs, limits);
+    Hld_SetLimits(&node->holder, limits);
 }
 
 static bool
@@ -117,15 +121,20 @@
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
     Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
-                 &node->services, node->incarnation);
+                 &node->services, settings, node->incarnation);
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
                 &node->admission, &node->pool, node->incarnation);
+    Fnc_Serve(&node->runs);
+    Hld_Init(&node->holder, &node->loop, &node->net, &node->counters,
+             &node->timeline, settings, node->incarnation,
+             &node->in_force->preset.limits);
     use_preset(node);
 }
 
 static void
 finish_parts(Node *node)
 {
+    Hld_Finish(&node->holder);
     Run_HubFinish(&node->runs);
     Call_HubFinish(&node->calls);
     Mbs_Finish(&node->members);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -8,6 +8,7 @@
 
 #include "process/announce.h"
 #include "process/edge.h"
+#include "process/holder.h"
 #include "process/members.h"
 #include "process/operate.h"
 #include "process/show.h"
@@ -31,6 +32,7 @@
     Members members;
     CallHub calls;
     RunHub runs;
+    Holder holder;
     Edge edge;
     Opr opr;
     Show show;
--- /dev/null
+++ b/src/process/register.c
@@ -0,0 +1,357 @@
+#include "process/register.h"
+
+#include "value/mem.h"
+
+enum { FAST_ROUND = 1 };
+
+struct RegEntry {
+    HshLink link;
+    RegEntry *next; /* newer */
+    RegEntry *previous;
+    StrBuf key;
+    RegBallot promised;
+    RegValue value;
+    StrBuf answer; /* storage of value.answer */
+    bool mixed;    /* others held different attempts: no word on this key */
+    Instant at;    /* of the last change */
+};
+
+static int
+compare(uint64_t a, uint64_t b)
+{
+    return a < b ? -1 : a > b;
+}
+
+int
+Reg_CompareBallots(RegBallot a, RegBallot b)
+{
+    int order = compare(a.round, b.round);
+
+    if (order == 0) {
+        order = compare(a.proposer.incarnation, b.proposer.incarnation);
+    }
+    return order ? order : compare(a.proposer.counter, b.proposer.counter);
+}
+
+void
+Reg_Init(Reg *reg, const RegSettings *settings, bool ready, Instant now)
+{
+    *reg = (Reg){
+        .settings = *settings,
+        .ready = ready,
+        .ready_at = now + settings->retention,
+    };
+}
+
+static void
+unlink_entry(Reg *reg, RegEntry *entry)
+{
+    if (entry->previous) {
+        entry->previous->next = entry->next;
+    }
+    else {
+        reg->oldest = entry->next;
+    }
+    if (entry->next) {
+        entry->next->previous = entry->previous;
+    }
+    else {
+        reg->newest = entry->previous;
+    }
+}
+
+static void
+append_entry(Reg *reg, RegEntry *entry)
+{
+    entry->previous = reg->newest;
+    entry->next = NULL;
+    if (reg->newest) {
+        reg->newest->next = entry;
+    }
+    else {
+        reg->oldest = entry;
+    }
+    reg->newest = entry;
+}
+
+static void
+drop_answer(Reg *reg, RegEntry *entry)
+{
+    reg->bytes -= entry->answer.len;
+    StrBuf_Finish(&entry->answer);
+    entry->value.answer = (Str){0};
+}
+
+static void
+drop_entry(Reg *reg, RegEntry *entry)
+{
+    unlink_entry(reg, entry);
+    drop_answer(reg, entry);
+    Hsh_Drop(&reg->entries, &entry->link);
+    StrBuf_Finish(&entry->key);
+    Mem_Free(entry);
+}
+
+void
+Reg_Finish(Reg *reg)
+{
+    while (reg->oldest) {
+        drop_entry(reg, reg->oldest);
+    }
+    Hsh_Finish(&reg->entries);
+}
+
+void
+Reg_SetRetention(Reg *reg, Span retention)
+{
+    /* A register lost in a restart may be as old as the longest of them. */
+    if (retention > reg->settings.retention && !reg->ready) {
+        reg->ready_at += retention - reg->settings.retention;
+    }
+    reg->settings.retention = retention;
+}
+
+static RegEntry *
+find_entry(const Reg *reg, Str key)
+{
+    HshLink *link = Hsh_First(&reg->entries, Str_Hash(key));
+
+    while (link && !Str_Equal(StrBuf_View(&((RegEntry *)link)->key), key)) {
+        link = Hsh_Next(link);
+    }
+    return (RegEntry *)link;
+}
+
+void
+Reg_Expire(Reg *reg, Instant now)
+{
+    while (reg->oldest && now - reg->oldest->at >= reg->settings.retention) {
+        drop_entry(reg, reg->oldest);
+    }
+    if (now >= reg->ready_at) {
+        reg->ready = true;
+    }
+}
+
+/* The register of KEY, made when it is new; NULL when there is no room. */
+static RegEntry *
+open_entry(Reg *reg, Str key, Instant now)
+{
+    RegEntry *entry = find_entry(reg, key);
+
+    if (entry) {
+        return entry;
+    }
+    if (reg->entries.count >= reg->settings.entries_max) {
+        return NULL;
+    }
+    entry = Mem_Alloc(1, sizeof *entry);
+    StrBuf_Set(&entry->key, key);
+    Hsh_Add(&reg->entries, &entry->link, Str_Hash(key));
+    append_entry(reg, entry);
+    entry->at = now;
+    return entry;
+}
+
+static void
+touch(Reg *reg, RegEntry *entry, Instant now)
+{
+    unlink_entry(reg, entry);
+    append_entry(reg, entry);
+    entry->at = now;
+}
+
+static RegAnswer
+answer_of(const RegEntry *entry, RegVerdict verdict)
+{
+    return (RegAnswer){verdict, entry->promised, entry->value};
+}
+
+/* Find KEY's register for a proposer; NULL with ANSWER when there is none
+ * that may speak. */
+static RegEntry *
+open_for(Reg *reg, Str key, Instant now, RegAnswer *answer)
+{
+    RegEntry *entry;
+
+    *answer = (RegAnswer){.verdict = Reg_NOT_READY};
+    Reg_Expire(reg, now);
+    if (!reg->ready) {
+        return NULL;
+    }
+    entry = open_entry(reg, key, now);
+    if (!entry) {
+        answer->verdict = Reg_FULL;
+    }
+    return entry;
+}
+
+/* One proposer's later attempt follows a proof that the earlier never ran. */
+static bool
+is_later(const RegValue *a, const RegValue *b)
+{
+    int order = Reg_CompareBallots(a->ballot, b->ballot);
+
+    return order > 0 ||
+           (order == 0 && a->attempt.counter > b->attempt.counter);
+}
+
+static bool
+may_accept(const RegEntry *entry, const RegValue *value)
+{
+    RegBallot ballot = value->ballot;
+    int order = Reg_CompareBallots(ballot, entry->promised);
+
+    if (entry->value.state == Reg_ENDED ||
+        (entry->value.state == Reg_PLACED && is_later(&entry->value, value))) {
+        return false;
+    }
+    if (ballot.round == FAST_ROUND) {
+        return order == 0 || entry->promised.round == 0;
+    }
+    return order >= 0;
+}
+
+RegAnswer
+Reg_Accept(Reg *reg, Str key, const RegValue *value, Instant now)
+{
+    RegAnswer answer;
+    RegEntry *entry = open_for(reg, key, now, &answer);
+
+    if (!entry) {
+        return answer;
+    }
+    if (entry->mixed && value->ballot.round == FAST_ROUND) {
+        return answer;
+    }
+    if (!may_accept(entry, value)) {
+        return entry->mixed ? answer : answer_of(entry, Reg_HELD);
+    }
+    entry->promised = value->ballot;
+    entry->value = *value;
+    entry->value.state = Reg_PLACED;
+    entry->value.answer = (Str){0};
+    entry->mixed = false;
+    touch(reg, entry, now);
+    return answer_of(entry, Reg_OK);
+}
+
+RegAnswer
+Reg_Promise(Reg *reg, Str key, RegBallot ballot, Instant now)
+{
+    RegAnswer answer;
+    RegEntry *entry = open_for(reg, key, now, &answer);
+
+    if (!entry || entry->mixed) {
+        return answer;
+    }
+    if (Reg_CompareBallots(ballot, entry->promised) < 0) {
+        return answer_of(entry, Reg_HELD);
+    }
+    entry->promised = ballot;
+    touch(reg, entry, now);
+    return answer_of(entry, Reg_OK);
+}
+
+static void
+make_room(Reg *reg)
+{
+    RegEntry *entry = reg->oldest;
+
+    while (entry && reg->bytes > reg->settings.bytes_max) {
+        drop_answer(reg, entry);
+        entry = entry->next;
+    }
+}
+
+void
+Reg_OnEnded(Reg *reg, Str key, const RegValue *value, Instant now)
+{
+    RegEntry *entry = open_entry(reg, key, now);
+
+    if (!entry || entry->value.state == Reg_ENDED) {
+        return;
+    }
+    entry->value = *value;
+    entry->value.state = Reg_ENDED;
+    entry->value.answer = (Str){0};
+    entry->mixed = false;
+    if (value->answer.len <= reg->settings.answer_max) {
+        StrBuf_Set(&entry->answer, value->answer);
+        entry->value.answer = StrBuf_View(&entry->answer);
+        reg->bytes += entry->answer.len;
+    }
+    touch(reg, entry, now);
+    make_room(reg);
+}
+
+void
+Reg_OnReleased(Reg *reg, Str key, AttemptId attempt)
+{
+    RegEntry *entry = find_entry(reg, key);
+
+    if (!entry || entry->mixed || entry->value.state != Reg_PLACED ||
+        !AttemptId_Equal(entry->value.attempt, attempt)) {
+        return;
+    }
+    /* Its proposer is done with the key: the fast path is open again. */
+    if (entry->promised.round <= FAST_ROUND) {
+        drop_entry(reg, entry);
+        return;
+    }
+    entry->value = (RegValue){0};
+}
+
+static void
+merge_placed(RegEntry *entry, const RegValue *value)
+{
+    if (entry->value.state == Reg_PLACED &&
+        !AttemptId_Equal(entry->value.attempt, value->attempt) &&
+        Reg_CompareBallots(entry->value.ballot, value->ballot) != 0) {
+        entry->mixed = true;
+    }
+    if (entry->value.state == Reg_EMPTY || is_later(value, &entry->value)) {
+        entry->value = *value;
+        entry->value.answer = (Str){0};
+    }
+}
+
+bool
+Reg_Merge(Reg *reg, Str key, RegBallot promised, const RegValue *value,
+          bool mixed, Instant now)
+{
+    RegEntry *entry = open_entry(reg, key, now);
+
+    if (!entry) {
+        return false;
+    }
+    if (Reg_CompareBallots(promised, entry->promised) > 0) {
+        entry->promised = promised;
+    }
+    if (value->state == Reg_ENDED) {
+        Reg_OnEnded(reg, key, value, now);
+    }
+    if (entry->value.state != Reg_ENDED) {
+        entry->mixed |= mixed;
+        if (value->state == Reg_PLACED) {
+            merge_placed(entry, value);
+        }
+    }
+    touch(reg, entry, now);
+    return true;
+}
+
+void
+Reg_SetReady(Reg *reg)
+{
+    reg->ready = true;
+}
+
+void
+Reg_Each(const Reg *reg, RegVisit visit, void *context)
+{
+    for (const RegEntry *entry = reg->oldest; entry; entry = entry->next) {
+        visit(context, StrBuf_View(&entry->key), entry->promised,
+              &entry->value, entry->mixed);
+    }
+}
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -1,8 +1,15 @@
 #include "request/call.h"
 
+#include "request/pieces.h"
 #include "value/mem.h"
 
+/* After the deadline, for what settles a call that may have run. */
+#define SETTLE_GRACE Span_MS(100)
+
+enum { KEY_BYTES_MAX = 1024 };
+
 struct Call {
+    HshLink link; /* first: found by attempt while one is in flight */
     CallHub *hub;
     Call *next;
     Call *previous;
@@ -17,8 +24,12 @@
     Addr node;
     uint64_t incarnation; /* of node */
     Instant attempt_at;
-    uint32_t next_sequence;
+    Pcs pieces;
     bool fencing;
+    bool late;      /* its deadline passed, its attempt is being settled */
+    Keyed *keyed;   /* NULL: no key */
+    KeyPlace place; /* of the next attempt, while its claim is decided */
+    CallWhy why;    /* no attempt can be made */
 };
 
 static void
@@ -48,6 +59,9 @@
         call->next->previous = call->previous;
     }
     hub->count--;
+    if (call->attempt.counter) {
+        Hsh_Drop(&hub->by_attempt, &call->link);
+    }
     Inf_Release(call->in_force);
     Mem_Free(call);
 }
@@ -59,6 +73,7 @@
         Net_Release(call->hub->net, call->node);
         Plc_OnEnd(&call->service->placement, call->node, end,
                   now - call->attempt_at, now);
+        Hsh_Drop(&call->hub->by_attempt, &call->link);
         call->attempt.counter = 0;
         call->fencing = false;
     }
@@ -68,10 +83,9 @@
 end_call(Call *call, CallOutcome outcome, CallWhy why)
 {
     static const CntId ids[] = {
-        [Call_ANSWERED] = Cnt_ANSWERED,
-        [Call_NOT_RUN] = Cnt_NOT_RUN,
-        [Call_UNKNOWN] = Cnt_UNKNOWN,
-        [Call_CUT] = Cnt_CUT,
+        [Call_ANSWERED] = Cnt_ANSWERED, [Call_NOT_RUN] = Cnt_NOT_RUN,
+        [Call_UNKNOWN] = Cnt_UNKNOWN,   [Call_CUT] = Cnt_CUT,
+        [Call_RAN] = Cnt_RAN,
     };
     CallSink sink = call->sink;
 
@@ -80,14 +94,19 @@
     sink.end(sink.context, outcome, why);
 }
 
-static void
-send_attempt(Call *call, const PlcRow *row, Instant now)
+static void decide(Call *call, RtyOutcome outcome, Instant now);
+
+/* True when the request, or a part of it, may reach NODE. */
+static bool
+send_attempt(Call *call, const KeyPlace *place, Instant now)
 {
     CallHub *hub = call->hub;
     CallMsg msg = {
-        .id = {hub->incarnation, ++hub->counter},
-        .incarnation = row->place.incarnation,
+        .id = place->attempt,
+        .incarnation = place->incarnation,
         .interactive = call->route->interactive,
+        .idempotent = call->route->idempotent,
+        .keyed = call->keyed != NULL,
         .left = call->deadline - now,
         .request_id = call->request.request_id,
         .method = call->request.method,
@@ -96,25 +115,41 @@
         .body = call->request.body,
     };
     Pack pack;
+    bool sent;
 
-    call->attempt = msg.id;
-    call->node = row->place.node;
-    call->incarnation = row->place.incarnation;
-    call->attempt_at = now;
-    call->next_sequence = 0;
-    Rty_OnAttempt(&call->retry, call->node);
-    Cnt_Add(hub->counters, Cnt_ATTEMPTS, 1);
     Callmsg_PackCall(&pack, &msg);
     Cnt_Add(hub->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
-    Net_Send(hub->net, call->node, Pack_View(&pack), now);
+    sent = Net_Send(hub->net, place->node, Pack_View(&pack), now);
     Pack_Finish(&pack);
-    Net_Hold(hub->net, call->node);
-    Plc_OnStart(&call->service->placement, call->node, now);
+    return sent;
 }
 
 static void
-make_attempt(Call *call, Instant now)
+start_attempt(Call *call, const KeyPlace *place, Instant now)
 {
+    CallHub *hub = call->hub;
+    bool sent;
+
+    call->attempt = place->attempt;
+    call->node = place->node;
+    call->incarnation = place->incarnation;
+    call->attempt_at = now;
+    call->pieces = (Pcs){0};
+    Hsh_Add(&hub->by_attempt, &call->link, AttemptId_Hash(call->attempt));
+    Rty_OnAttempt(&call->retry, call->node);
+    Cnt_Add(hub->counters, Cnt_ATTEMPTS, 1);
+    Plc_OnStart(&call->service->placement, call->node, now);
+    sent = send_attempt(call, place, now);
+    Net_Hold(hub->net, call->node);
+    if (!sent) {
+        decide(call, Rty_NOT_RUN, now);
+    }
+}
+
+static bool
+choose_place(void *context, KeyPlace *place, Instant now)
+{
+    Call *call = context;
     PlcAsk ask = {
         .interactive = call->route->interactive,
         .left = call->deadline - now,
@@ -125,16 +160,33 @@
 
     switch (Plc_Choose(&call->service->placement, &ask, now, &row)) {
     case Plc_CHOSEN:
-        send_attempt(call, row, now);
-        break;
+        *place = (KeyPlace){
+            .attempt = {call->hub->incarnation, ++call->hub->counter},
+            .node = row->place.node,
+            .incarnation = row->place.incarnation,
+        };
+        return true;
     case Plc_SHED:
-        end_call(call, Call_NOT_RUN, Call_WHY_FULL);
+        call->why = Call_WHY_FULL;
         break;
     case Plc_NOBODY:
-        end_call(call, Call_NOT_RUN,
-                 call->retry.attempts ? Call_WHY_FULL : Call_WHY_NOBODY);
+        call->why = call->retry.attempts ? Call_WHY_FULL : Call_WHY_NOBODY;
         break;
     }
+    return false;
+}
+
+static void
+make_attempt(Call *call, Instant now)
+{
+    KeyPlace place;
+
+    if (choose_place(call, &place, now)) {
+        start_attempt(call, &place, now);
+    }
+    else {
+        end_call(call, Call_NOT_RUN, call->why);
+    }
 }
 
 static void
@@ -147,44 +199,97 @@
     Pack_Finish(&pack);
 }
 
+static void
+send_fence(Call *call, Instant now)
+{
+    FenceMsg msg = {
+        .id = call->attempt,
+        .incarnation = call->incarnation,
+        .keyed = call->keyed != NULL,
+        .stop = call->late,
+    };
+    Pack pack;
+
+    Cnt_Add(call->hub->counters, Cnt_FENCES, 1);
+    call->fencing = true;
+    Callmsg_PackFence(&pack, &msg);
+    Net_Send(call->hub->net, call->node, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+/* The attempt did not run, and another may follow. */
+static void
+try_again(Call *call, Instant now)
+{
+    Cnt_Add(call->hub->counters, Cnt_RETRIES, 1);
+    if (call->keyed) {
+        Key_OnRefused(call->keyed, true, now);
+    }
+    else {
+        make_attempt(call, now);
+    }
+}
+
+static void
+give_up_not_run(Call *call, Instant now)
+{
+    call->why = now >= call->deadline ? Call_WHY_LATE : Call_WHY_FULL;
+    if (call->keyed) {
+        Key_OnRefused(call->keyed, false, now);
+    }
+    else {
+        end_call(call, Call_NOT_RUN, call->why);
+    }
+}
+
+/* Nothing else is known of the attempt than that it may have run. */
+static void
+give_up_unknown(Call *call, Instant now)
+{
+    CallWhy why = now >= call->deadline ? Call_WHY_LATE : Call_WHY_NONE;
+    bool cut = call->pieces.next > 0;
+
+    end_attempt(call, Plc_SILENT, now);
+    if (call->keyed) {
+        Key_Cancel(call->keyed, now);
+        call->keyed = NULL;
+    }
+    end_call(call, cut ? Call_CUT : Call_UNKNOWN, why);
+}
+
 /* An attempt ended without a good answer: what follows. */
 static void
 decide(Call *call, RtyOutcome outcome, Instant now)
 {
-    CallWhy why = now >= call->deadline ? Call_WHY_LATE : Call_WHY_FULL;
-
     switch (Rty_Decide(&call->retry, &call->service->retries, outcome, now)) {
     case Rty_AGAIN:
-        end_attempt(call, Plc_SILENT, now);
-        Cnt_Add(call->hub->counters, Cnt_RETRIES, 1);
-        make_attempt(call, now);
+        end_attempt(call, outcome == Rty_NOT_RUN ? Plc_REFUSED : Plc_SILENT,
+                    now);
+        try_again(call, now);
         break;
     case Rty_FENCE:
-        Cnt_Add(call->hub->counters, Cnt_FENCES, 1);
-        call->fencing = true;
-        send_id(call, Wire_FENCE, now);
+        send_fence(call, now);
         break;
     case Rty_GIVE_NOT_RUN:
         end_attempt(call, Plc_REFUSED, now);
-        end_call(call, Call_NOT_RUN, why);
+        give_up_not_run(call, now);
         break;
     case Rty_GIVE_FAILED:
     case Rty_GIVE_UNKNOWN:
-        end_attempt(call, Plc_SILENT, now);
-        end_call(call, Call_UNKNOWN, why);
+        give_up_unknown(call, now);
         break;
     }
 }
 
 static Call *
-find_call(CallHub *hub, AttemptId id)
+find_call(const CallHub *hub, AttemptId id)
 {
-    for (Call *call = hub->first; call; call = call->next) {
-        if (AttemptId_Equal(call->attempt, id)) {
-            return call;
-        }
+    HshLink *link = Hsh_First(&hub->by_attempt, AttemptId_Hash(id));
+
+    while (link && !AttemptId_Equal(((Call *)link)->attempt, id)) {
+        link = Hsh_Next(link);
     }
-    return NULL;
+    return (Call *)link;
 }
 
 static bool
@@ -197,22 +302,52 @@
     return !whole;
 }
 
+/* An answer of one piece is small enough to be kept at the holders. */
 static void
-take_piece(Call *call, const PieceMsg *msg, Instant now)
+end_keyed(Call *call, const PieceMsg *msg, Instant now)
+{
+    AnswerMsg answer = {msg->status, msg->fields, msg->bytes};
+
+    Key_OnEnded(call->keyed, msg->sequence == 0 ? &answer : NULL, now);
+    call->keyed = NULL;
+}
+
+static void
+pass_on(Call *call, const PieceMsg *msg)
 {
-    if (msg->sequence != call->next_sequence) {
-        return; /* a duplicate, or a gap that silence will settle */
-    }
-    call->next_sequence++;
     if (msg->sequence == 0) {
         call->sink.head(call->sink.context, msg->status, &msg->fields);
     }
     if (msg->bytes.len) {
         call->sink.bytes(call->sink.context, msg->bytes);
     }
-    if (msg->last) {
+}
+
+static void
+take_piece(Call *call, const PieceMsg *msg, Instant now)
+{
+    switch (Pcs_OnPiece(&call->pieces, msg->sequence, msg->last)) {
+    case Pcs_IGNORE:
+        break;
+    case Pcs_GAP:
+        if (call->pieces.next) {
+            give_up_unknown(call, now);
+        }
+        else {
+            decide(call, Rty_UNKNOWN, now);
+        }
+        break;
+    case Pcs_TAKE:
+        pass_on(call, msg);
+        break;
+    case Pcs_TAKE_LAST:
+        if (call->keyed) {
+            end_keyed(call, msg, now);
+        }
+        pass_on(call, msg);
         end_attempt(call, Plc_ANSWERED, now);
         end_call(call, Call_ANSWERED, Call_WHY_NONE);
+        break;
     }
 }
 
@@ -234,6 +369,12 @@
     }
 }
 
+static bool
+proves_not_run(Refusal reason)
+{
+    return reason != Refusal_CUT && reason != Refusal_EXPIRED;
+}
+
 static void
 on_refused(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -250,12 +391,13 @@
         return;
     }
     Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
-    if (call->next_sequence > 0) {
-        end_attempt(call, Plc_SILENT, now);
-        end_call(call, Call_CUT, Call_WHY_NONE);
-    }
-    else if (msg.reason == Refusal_CUT) {
-        decide(call, Rty_UNKNOWN, now);
+    if (!proves_not_run(msg.reason) || call->pieces.next > 0) {
+        if (call->route->idempotent && call->pieces.next == 0) {
+            decide(call, Rty_UNKNOWN, now);
+        }
+        else {
+            give_up_unknown(call, now);
+        }
     }
     else {
         decide(call, Rty_NOT_RUN, now);
@@ -282,8 +424,7 @@
         decide(call, Rty_NOT_RUN, now);
     }
     else if (msg.state == Fenced_LOST) {
-        end_attempt(call, Plc_SILENT, now);
-        end_call(call, Call_UNKNOWN, Call_WHY_NONE);
+        give_up_unknown(call, now);
     }
     /* Otherwise its answer follows as pieces. */
 }
@@ -314,14 +455,20 @@
     for (Call *call = hub->first; call; call = next) {
         next = call->next;
         if (call->attempt.counter && call->node == peer) {
-            decide(call, Rty_UNKNOWN, now);
+            if (call->pieces.next) {
+                give_up_unknown(call, now);
+            }
+            else {
+                decide(call, Rty_UNKNOWN, now);
+            }
         }
     }
 }
 
 void
 Call_HubInit(CallHub *hub, Net *net, Counters *counters, Timeline *timeline,
-             Services *services, uint64_t incarnation)
+             Services *services, const Settings *settings,
+             uint64_t incarnation)
 {
     *hub = (CallHub){
         .net = net,
@@ -331,6 +478,8 @@
         .services = services,
         .incarnation = incarnation,
     };
+    Key_HubInit(&hub->keys, net, counters, timeline, settings->replicas,
+                settings->replica_count);
     Net_On(net, Wire_PIECE, on_piece, hub);
     Net_On(net, Wire_REFUSED, on_refused, hub);
     Net_On(net, Wire_FENCED, on_fenced, hub);
@@ -344,6 +493,8 @@
     while (hub->first) {
         free_call(hub->first);
     }
+    Key_HubFinish(&hub->keys);
+    Hsh_Finish(&hub->by_attempt);
 }
 
 static Str
@@ -352,6 +503,106 @@
     return Str_Slice(target, 0, Str_Find(target, '?'));
 }
 
+static void
+run_placed(void *context, Instant now)
+{
+    Call *call = context;
+
+    start_attempt(call, &call->place, now);
+}
+
+static bool
+place_keyed(void *context, KeyPlace *place, Instant now)
+{
+    Call *call = context;
+
+    if (!choose_place(call, place, now)) {
+        return false;
+    }
+    call->place = *place;
+    return true;
+}
+
+static void
+tell_first_answer(void *context, const AnswerMsg *answer, Instant now)
+{
+    Call *call = context;
+
+    (void)now;
+    call->keyed = NULL;
+    call->sink.head(call->sink.context, answer->status, &answer->fields);
+    if (answer->bytes.len) {
+        call->sink.bytes(call->sink.context, answer->bytes);
+    }
+    end_call(call, Call_ANSWERED, Call_WHY_NONE);
+}
+
+static void
+end_claim(void *context, ClmStep step, Instant now)
+{
+    Call *call = context;
+
+    (void)now;
+    call->keyed = NULL;
+    switch (step) {
+    case Clm_TELL_NOT_RUN:
+        end_call(call, Call_NOT_RUN, call->why ? call->why : Call_WHY_FULL);
+        break;
+    case Clm_TELL_MISMATCH:
+        end_call(call, Call_NOT_RUN, Call_WHY_MISMATCH);
+        break;
+    case Clm_TELL_RAN:
+        end_call(call, Call_RAN, Call_WHY_NONE);
+        break;
+    default:
+        end_call(call, Call_UNKNOWN, Call_WHY_NONE);
+        break;
+    }
+}
+
+/* The same key must come with the same request. */
+static uint64_t
+digest_of(const CallRequest *request)
+{
+    uint64_t parts[] = {Str_Hash(request->method), Str_Hash(request->target),
+                        Str_Hash(request->body)};
+
+    return Str_Hash(Str_From((const char *)parts, sizeof parts));
+}
+
+static void
+start_claim(Call *call, Str key, Instant now)
+{
+    CallHub *hub = call->hub;
+    AttemptId claim = {hub->incarnation, ++hub->counter};
+    KeySink sink = {call, place_keyed, run_placed, tell_first_answer,
+                    end_claim};
+
+    call->keyed = Key_Start(
+        &hub->keys, claim, StrBuf_View(&call->route->service), key,
+        digest_of(&call->request), call->deadline + SETTLE_GRACE, &sink, now);
+}
+
+static void
+start_call(Call *call, Instant now)
+{
+    Str header = StrBuf_View(&call->route->key_header);
+    Str key = {0};
+
+    if (header.len) {
+        key = Field_Get(&call->request.fields, header);
+    }
+    if (key.len > KEY_BYTES_MAX) {
+        end_call(call, Call_NOT_RUN, Call_WHY_KEY);
+    }
+    else if (key.len) {
+        start_claim(call, key, now);
+    }
+    else {
+        make_attempt(call, now);
+    }
+}
+
 Call *
 Call_Start(CallHub *hub, const CallRequest *request, const CallSink *sink,
            Instant now)
@@ -380,7 +631,7 @@
     Rty_OnCall(&call->service->retries);
     Rty_Init(&call->retry, route->idempotent,
              hub->in_force->preset.limits.attempts_max, call->deadline);
-    make_attempt(call, now);
+    start_call(call, now);
     return hub->count > before ? call : NULL;
 }
 
@@ -405,18 +656,35 @@
         send_id(call, Wire_CANCEL, now);
         end_attempt(call, Plc_CANCELLED, now);
     }
+    if (call->keyed) {
+        Key_Cancel(call->keyed, now);
+    }
     free_call(call);
 }
 
 static void
 end_late(Call *call, Instant now)
 {
-    if (call->attempt.counter) {
-        send_id(call, Wire_CANCEL, now);
+    send_id(call, Wire_CANCEL, now);
+    give_up_unknown(call, now);
+}
+
+/* The deadline passed.  A fence may still prove that the attempt did not run;
+ * a claim without an attempt settles itself. */
+static void
+on_late(Call *call, Instant now)
+{
+    if (!call->attempt.counter) {
+        return;
+    }
+    if (call->route->idempotent || call->pieces.next ||
+        now >= call->deadline + SETTLE_GRACE) {
+        end_late(call, now);
+    }
+    else if (!call->late) {
+        call->late = true;
+        send_fence(call, now);
     }
-    end_attempt(call, Plc_SILENT, now);
-    end_call(call, call->next_sequence ? Call_CUT : Call_UNKNOWN,
-             Call_WHY_LATE);
 }
 
 void
@@ -424,10 +692,11 @@
 {
     Call *next;
 
+    Key_HubTick(&hub->keys, now);
     for (Call *call = hub->first; call; call = next) {
         next = call->next;
         if (now >= call->deadline) {
-            end_late(call, now);
+            on_late(call, now);
         }
     }
 }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -2,8 +2,10 @@
  * of its answer.
  *
  * A Call drives the placement and retry deciders and talks to the node beside
- * the chosen backend server.  It knows nothing of HTTP: a front end hands in
- * a CallRequest and takes the answer through a CallSink.
+ * the chosen backend server.  A call with a key is claimed at the holders of
+ * key registers before each attempt.  An attempt that may have run is fenced
+ * before anything else is said of it.  It knows nothing of HTTP: a front end
+ * hands in a CallRequest and takes the answer through a CallSink.
  */
 #ifndef CALL_H
 #define CALL_H
@@ -14,13 +16,15 @@
 #include "process/services.h"
 #include "process/timeline.h"
 #include "request/field.h"
+#include "request/keyed.h"
 #include "version/inforce.h"
 
 typedef enum {
     Call_ANSWERED, /* the whole answer was given to the sink */
     Call_NOT_RUN,  /* it did not run, and never will */
     Call_UNKNOWN,  /* it may have run */
-    Call_CUT       /* the answer stopped after its first piece */
+    Call_CUT,      /* the answer stopped after its first piece */
+    Call_RAN       /* the key's call ran; its answer is no longer kept */
 } CallOutcome;
 
 typedef enum {
@@ -28,7 +32,10 @@
     Call_WHY_NO_ROUTE, /* no route of the preset matches */
     Call_WHY_NOBODY,   /* no backend server of the service is known */
     Call_WHY_FULL,     /* shed */
-    Call_WHY_LATE      /* its deadline passed */
+    Call_WHY_LATE,     /* its deadline passed */
+    Call_WHY_KEY,      /* its key is too long */
+    Call_WHY_MISMATCH, /* its key named another request before */
+    Call_WHY_SUSPECT   /* it crashed backend servers */
 } CallWhy;
 
 /* What the caller asks.  The strings stay valid until the sink's end. */
@@ -63,13 +70,15 @@
     InForce *in_force;    /* held by the node; a call holds its own */
     uint64_t incarnation; /* of this node */
     uint64_t counter;     /* of attempts */
+    KeyHub keys;
+    Hsh by_attempt;
     Call *first;
     size_t count;
 } CallHub;
 
 void Call_HubInit(CallHub *hub, Net *net, Counters *counters,
                   Timeline *timeline, Services *services,
-                  uint64_t incarnation);
+                  const Settings *settings, uint64_t incarnation);
 void Call_HubFinish(CallHub *hub);
 
 /* Take a request on.  The sink may be called before this returns; NULL is
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -1,9 +1,11 @@
-/* Clm, the claim decider of one keyed call: drives the key's register at the
+/* Clm, the claim decider of one keyed call: drives the key's registers at the
  * holders until this call may run, is told the first call's answer, or must
  * be told "unknown".
  *
- * Fed with the holders' answers and the outcome of fences; answers with one
- * step at a time, which the caller carries out.
+ * Fed with the holders' answers and the outcome of asking a node about an
+ * attempt; answers with one step at a time, which the caller carries out.
+ * "Not run" is a step only when a majority of the holders was heard and each
+ * attempt that they named is known never to run.
  */
 #ifndef CLAIM_H
 #define CLAIM_H
@@ -14,62 +16,87 @@
     Clm_WAIT,          /* nothing to do until the next event */
     Clm_SEND_ACCEPT,   /* send value to every holder */
     Clm_SEND_PROMISE,  /* send ballot to every holder */
-    Clm_FENCE,         /* fence held.attempt at held.node */
-    Clm_RUN,           /* a majority accepted: make the attempt */
-    Clm_TELL_ANSWER,   /* the key's call ended: tell held.answer */
-    Clm_TELL_RUNNING,  /* the first call still runs: wait and ask again */
+    Clm_ASK,           /* ask asked.node what became of asked.attempt */
+    Clm_PLACE,         /* choose a node: then Clm_OnPlaced or Clm_OnNobody */
+    Clm_RUN,           /* a majority accepted: make value.attempt */
+    Clm_TELL_ANSWER,   /* the key's call ended: tell answer */
+    Clm_TELL_RAN,      /* it ended, and its answer is no longer kept */
     Clm_TELL_MISMATCH, /* the key named another request before */
-    Clm_TELL_NOT_RUN,  /* no majority, and nothing was placed */
+    Clm_TELL_NOT_RUN,  /* nobody can run it now, and nothing ran */
     Clm_TELL_UNKNOWN   /* doubt remains */
 } ClmStep;
 
+/* What a node said of an attempt. */
 typedef enum {
-    Clm_FENCED_NEVER,
-    Clm_FENCED_RUNNING,
-    Clm_FENCED_DONE, /* with the answer */
-    Clm_FENCED_LOST, /* ran, outcome not kept, or node gone */
-    Clm_FENCED_NO_ANSWER
-} ClmFenced;
+    Clm_NEVER, /* fenced: never ran, never will */
+    Clm_RUNNING,
+    Clm_DONE,  /* with the answer */
+    Clm_ENDED, /* ran; the answer is not kept */
+    Clm_LOST,  /* may have run */
+    Clm_FATES
+} ClmFate;
 
-enum { Clm_HOLDERS_MAX = 7 };
+enum { Clm_HOLDERS_MAX = 7, Clm_SEEN_MAX = 8, Clm_OWN_MAX = 16 };
+
+typedef enum {
+    Clm_FAST, /* accepts of round 1 are out */
+    Clm_PROMISING,
+    Clm_ACCEPTING,
+    Clm_ASKING,
+    Clm_PLACING,
+    Clm_PAUSING, /* before the next promises, or the next question */
+    Clm_GRANTED,
+    Clm_OVER
+} ClmState;
 
 typedef struct {
     uint32_t holders;
-    RegValue value;     /* what this call wants accepted */
-    RegBallot ballot;   /* of the present phase */
-    RegValue held;      /* the highest value learnt */
-    StrBuf held_answer; /* storage of held.answer */
+    Instant deadline;
+    ClmState state;
+    uint32_t phase; /* counts messages to holders; answers carry it */
+    RegBallot ballot;
+    uint64_t round_seen;
+    RegValue value; /* what this call wants accepted */
+    bool nobody;    /* no node can run it now */
+    bool heard;     /* this phase's answers came from a majority */
     uint8_t answered[Clm_HOLDERS_MAX];
     uint32_t agreed;
+    uint32_t full;
     uint32_t refused;
-    uint32_t phase;
-    bool placed;     /* an attempt of this call was sent */
-    uint32_t rounds; /* bounded */
-    Instant deadline;
+    RegValue seen[Clm_SEEN_MAX]; /* attempts to settle */
+    size_t seen_count;
+    RegValue asked;             /* the attempt asked about */
+    bool ask_again;             /* after the pause */
+    AttemptId own[Clm_OWN_MAX]; /* of this call: none of them runs */
+    size_t own_count;
+    StrBuf answer; /* of Clm_TELL_ANSWER, as kept */
+    Instant phase_end;
+    Instant ask_end;
+    uint32_t rounds;
 } Clm;
 
-void Clm_Init(Clm *claim, uint32_t holders, const RegValue *value,
-              Instant deadline);
+/* PROPOSER names this claim among all; DIGEST its request. */
+void Clm_Init(Clm *claim, uint32_t holders, AttemptId proposer,
+              uint64_t digest, Instant deadline);
 void Clm_Finish(Clm *claim);
 
-/* The first step. */
-ClmStep Clm_Start(Clm *claim, Instant now);
-
-/* Holder number HOLDER answered the present phase's message. */
-ClmStep Clm_OnHolder(Clm *claim, uint32_t holder, RegBallot asked,
-                     RegVerdict verdict, RegBallot promised,
-                     const RegValue *held, Instant now);
+/* Clm_PLACE was carried out: the first one starts the fast path. */
+ClmStep Clm_OnPlaced(Clm *claim, AttemptId attempt, Addr node,
+                     uint64_t incarnation, Instant now);
+ClmStep Clm_OnNobody(Clm *claim, Instant now);
 
-ClmStep Clm_OnFenced(Clm *claim, ClmFenced fenced, Str answer, Instant now);
+/* Holder number HOLDER answered the message of PHASE. */
+ClmStep Clm_OnHolder(Clm *claim, uint32_t holder, uint32_t phase,
+                     const RegAnswer *answer, Instant now);
 
-/* The attempt did not run (refused or fenced): place the next at NODE. */
-ClmStep Clm_Move(Clm *claim, AttemptId attempt, Addr node,
-                 uint64_t incarnation, Instant now);
+/* A node answered about ATTEMPT; ANSWER of Clm_DONE. */
+ClmStep Clm_OnFate(Clm *claim, AttemptId attempt, ClmFate fate, Str answer,
+                   Instant now);
 
-/* The attempt ended: record ANSWER at the holders. */
-ClmStep Clm_OnDone(Clm *claim, Str answer, Instant now);
+/* The attempt that was granted did not run: Clm_PLACE comes next. */
+ClmStep Clm_OnRefused(Clm *claim);
 
-/* No answer from enough holders within the bound. */
-ClmStep Clm_OnTimeout(Clm *claim, Instant now);
+/* Timeouts and pauses; call it often. */
+ClmStep Clm_Tick(Clm *claim, Instant now);
 
 #endif
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -2,13 +2,26 @@
 
 #include "value/mem.h"
 
+#define LEDGER_BRIEF Span_S(10)
+#define STALL_GRACE Span_S(10)
+
+enum {
+    LEDGER_ANSWERS = 8 * 1024 * 1024,
+    LEDGER_ENTRIES = 131072,
+    LEDGER_ORIGINS = 4096
+};
+
 struct Run {
+    HshLink link; /* first: found by attempt id */
     RunHub *hub;
     Run *next;
     Run *previous;
     NetOrigin origin;
     AttemptId id;
     AdmClass cls;
+    bool idempotent;
+    bool keyed;
+    bool detached; /* nobody waits for its answer */
     Instant deadline;
     Instant started_at;
     BckExchange *exchange; /* NULL while it waits */
@@ -29,6 +42,7 @@
 link_run(RunHub *hub, Run *run)
 {
     run->hub = hub;
+    Hsh_Add(&hub->by_id, &run->link, AttemptId_Hash(run->id));
     run->previous = hub->last;
     if (hub->last) {
         hub->last->next = run;
@@ -58,6 +72,7 @@
         hub->last = run->previous;
     }
     hub->count--;
+    Hsh_Drop(&hub->by_id, &run->link);
     StrBuf_Finish(&run->method);
     StrBuf_Finish(&run->target);
     StrBuf_Finish(&run->body);
@@ -106,6 +121,16 @@
     Pack_Finish(&pack);
 }
 
+/* The attempt is known to the ledger and will never run. */
+static void
+refuse_run(Run *run, Refusal reason, Instant now)
+{
+    Led_OnRefused(&run->hub->ledger, run->id, now);
+    if (!run->detached) {
+        refuse(run->hub, &run->origin, run->id, reason, now);
+    }
+}
+
 static void
 send_piece(Run *run, Str bytes, bool last, Instant now)
 {
@@ -118,6 +143,9 @@
     };
     Pack pack;
 
+    if (run->detached) {
+        return;
+    }
     if (run->sequence == 0) {
         msg.status = run->status;
         msg.fields = run->head;
@@ -162,12 +190,26 @@
     copy_fields(&run->head, &run->head_text, fields);
 }
 
+/* Nobody takes the answer, and it is too large to be kept. */
+static void
+drop_large(Run *run)
+{
+    if (run->bytes.len >= Callmsg_PIECE_BYTES) {
+        StrBuf_Clear(&run->bytes);
+        run->sequence = 1;
+    }
+}
+
 static void
 on_bytes(void *context, Str bytes)
 {
     Run *run = context;
 
     StrBuf_Append(&run->bytes, bytes);
+    if (run->detached) {
+        drop_large(run);
+        return;
+    }
     send_ready(run, Loop_Now());
     if (run->bytes.len >= Callmsg_WINDOW_BYTES) {
         Bck_Pause(run->exchange);
@@ -187,6 +229,32 @@
     } while (sent < rest.len);
 }
 
+/* An answer of which nothing was sent yet is at hand as a whole. */
+static void
+keep_answer(Run *run, Instant now)
+{
+    AnswerMsg answer = {
+        .status = run->status,
+        .fields = run->head,
+        .bytes = StrBuf_View(&run->bytes),
+    };
+    Pack pack;
+
+    Callmsg_PackAnswer(&pack, &answer);
+    Led_OnDone(&run->hub->ledger, run->id,
+               !run->idempotent && run->sequence == 0, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+static void
+lose_run(Run *run, Instant now)
+{
+    Led_OnLost(&run->hub->ledger, run->id, now);
+    if (!run->detached) {
+        refuse(run->hub, &run->origin, run->id, Refusal_CUT, now);
+    }
+}
+
 static void
 on_end(void *context, BckEnd end)
 {
@@ -198,13 +266,14 @@
     Adm_OnEnd(hub->admission, now - run->started_at, failed, now);
     switch (end) {
     case Bck_WHOLE:
+        keep_answer(run, now);
         send_rest(run, now);
         break;
     case Bck_CUT:
-        refuse(hub, &run->origin, run->id, Refusal_CUT, now);
+        lose_run(run, now);
         break;
     case Bck_UNREACHED:
-        refuse(hub, &run->origin, run->id, Refusal_ABSENT, now);
+        refuse_run(run, Refusal_ABSENT, now);
         break;
     }
     free_run(run);
@@ -232,7 +301,7 @@
         return;
     }
     Adm_OnEnd(hub->admission, 0, true, now);
-    refuse(hub, &run->origin, run->id, Refusal_ABSENT, now);
+    refuse_run(run, Refusal_ABSENT, now);
     free_run(run);
 }
 
@@ -241,9 +310,11 @@
 {
     Run *run = Mem_Alloc(1, sizeof *run);
 
+    run->id = msg->id;
     link_run(hub, run);
     run->origin = *origin;
-    run->id = msg->id;
+    run->idempotent = msg->idempotent;
+    run->keyed = msg->keyed;
     run->cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
     run->deadline = now + msg->left;
     StrBuf_Set(&run->method, msg->method);
@@ -268,6 +339,35 @@
     }
 }
 
+/* True when the ledger lets the attempt run. */
+static bool
+ask_ledger(RunHub *hub, const NetOrigin *origin, const CallMsg *msg,
+           Instant now)
+{
+    switch (Led_OnAttempt(&hub->ledger, msg->id, msg->incarnation, msg->keyed,
+                          now)) {
+    case Led_FIRST:
+        return true;
+    case Led_SEEN:
+        /* The first one's answer is on its way. */
+        Cnt_Add(hub->counters, Cnt_DUPLICATES, 1);
+        break;
+    case Led_FENCED:
+        refuse(hub, origin, msg->id, Refusal_FENCED, now);
+        break;
+    case Led_EXPIRED:
+        refuse(hub, origin, msg->id, Refusal_EXPIRED, now);
+        break;
+    case Led_FULL:
+        refuse(hub, origin, msg->id, Refusal_FULL, now);
+        break;
+    case Led_WRONG_INCARNATION:
+        refuse(hub, origin, msg->id, Refusal_INCARNATION, now);
+        break;
+    }
+    return false;
+}
+
 static void
 on_call(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -281,8 +381,7 @@
         Lgr_LogErr(hub->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
         return;
     }
-    if (msg.incarnation != hub->incarnation) {
-        refuse(hub, origin, msg.id, Refusal_INCARNATION, now);
+    if (!ask_ledger(hub, origin, &msg, now)) {
         return;
     }
     verdict = Adm_Ask(hub->admission,
@@ -295,19 +394,20 @@
         add_run(hub, origin, &msg, now);
     }
     else {
+        Led_OnRefused(&hub->ledger, msg.id, now);
         refuse(hub, origin, msg.id, refusal_of(verdict), now);
     }
 }
 
 static Run *
-find_run(RunHub *hub, AttemptId id)
+find_run(const RunHub *hub, AttemptId id)
 {
-    for (Run *run = hub->first; run; run = run->next) {
-        if (AttemptId_Equal(run->id, id)) {
-            return run;
-        }
+    HshLink *link = Hsh_First(&hub->by_id, AttemptId_Hash(id));
+
+    while (link && !AttemptId_Equal(((Run *)link)->id, id)) {
+        link = Hsh_Next(link);
     }
-    return NULL;
+    return (Run *)link;
 }
 
 static void
@@ -317,6 +417,26 @@
     free_run(run);
 }
 
+static void
+detach(Run *run)
+{
+    run->detached = true;
+    drop_large(run);
+    if (run->exchange) {
+        Bck_Resume(run->exchange);
+    }
+}
+
+/* Its connection to the backend server is closed: it may have run. */
+static void
+cancel_run(Run *run, Instant now)
+{
+    Bck_Cancel(run->exchange);
+    Adm_OnEnd(run->hub->admission, now - run->started_at, true, now);
+    lose_run(run, now);
+    free_run(run);
+}
+
 static void
 on_cancel(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -330,15 +450,21 @@
         return;
     }
     run = find_run(hub, id);
-    if (run && run->exchange) {
-        Bck_Cancel(run->exchange);
-        Adm_OnEnd(hub->admission, now - run->started_at, true, now);
-        free_run(run);
-        Run_HubTick(hub, now);
+    if (!run) {
+        return;
     }
-    else if (run) {
+    if (!run->exchange) {
+        Led_OnRefused(&hub->ledger, id, now);
         leave_queue(run);
     }
+    else if (run->keyed) {
+        detach(run); /* a repeat will want its outcome */
+    }
+    else {
+        run->detached = true;
+        cancel_run(run, now);
+        Run_HubTick(hub, now);
+    }
 }
 
 static void
@@ -381,6 +507,15 @@
 Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
             Adm *admission, BckPool *pool, uint64_t incarnation)
 {
+    LedSettings ledger = {
+        .brief = LEDGER_BRIEF,
+        .retention = LEDGER_BRIEF,
+        .bytes_max = LEDGER_ANSWERS,
+        .answer_max = Callmsg_PIECE_BYTES,
+        .entries_max = LEDGER_ENTRIES,
+        .origins_max = LEDGER_ORIGINS,
+    };
+
     *hub = (RunHub){
         .net = net,
         .counters = counters,
@@ -390,6 +525,7 @@
         .pool = pool,
         .incarnation = incarnation,
     };
+    Led_Init(&hub->ledger, &ledger, incarnation);
     Net_On(net, Wire_CALL, on_call, hub);
     Net_On(net, Wire_CANCEL, on_cancel, hub);
     Net_On(net, Wire_CREDIT, on_credit, hub);
@@ -405,6 +541,33 @@
         }
         free_run(hub->first);
     }
+    Hsh_Finish(&hub->by_id);
+    Led_Finish(&hub->ledger);
+}
+
+FencedState
+Run_TakeOver(RunHub *hub, const NetOrigin *origin, AttemptId id, bool stop,
+             Instant now)
+{
+    Run *run = find_run(hub, id);
+
+    if (!run || run->sequence > 0) {
+        return Fenced_LOST;
+    }
+    if (!run->exchange && stop) {
+        Led_OnRefused(&hub->ledger, id, now);
+        leave_queue(run);
+        return Fenced_NEVER;
+    }
+    run->origin = *origin;
+    run->detached = false;
+    return Fenced_RUNNING;
+}
+
+void
+Run_SetLimits(RunHub *hub, const PstLimits *limits)
+{
+    Led_SetRetention(&hub->ledger, limits->key_retention);
 }
 
 static Run *
@@ -418,6 +581,8 @@
     return NULL;
 }
 
+/* What runs past its deadline, and nobody takes its answer, holds a slot of
+ * the backend server for nothing. */
 static void
 drop_late(RunHub *hub, Instant now)
 {
@@ -426,9 +591,12 @@
     for (Run *run = hub->first; run; run = next) {
         next = run->next;
         if (!run->exchange && now >= run->deadline) {
-            refuse(hub, &run->origin, run->id, Refusal_LATE, now);
+            refuse_run(run, Refusal_LATE, now);
             leave_queue(run);
         }
+        else if (now >= run->deadline + STALL_GRACE) {
+            cancel_run(run, now);
+        }
     }
 }
 
@@ -437,6 +605,7 @@
 {
     AdmClass cls;
 
+    Led_Expire(&hub->ledger, now);
     drop_late(hub, now);
     while (Adm_Next(hub->admission, now, &cls)) {
         start_run(first_waiting(hub, cls), now);
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -1,9 +1,9 @@
 /* Run: one attempt at the node beside its backend server, from its arrival
  * to the last piece of its answer.
  *
- * The hub asks the admission decider about each attempt, keeps those that
- * wait, and sends the answer back in bounded pieces as the ingress node
- * credits them.
+ * The hub asks the ledger and then the admission decider about each attempt,
+ * keeps those that wait, and sends the answer back in bounded pieces as the
+ * ingress node credits them.
  */
 #ifndef RUN_H
 #define RUN_H
@@ -12,8 +12,10 @@
 #include "connection/callmsg.h"
 #include "process/admission.h"
 #include "process/counters.h"
+#include "process/ledger.h"
 #include "process/net.h"
 #include "process/timeline.h"
+#include "version/preset.h"
 
 typedef struct Run Run;
 
@@ -25,7 +27,9 @@
     Adm *admission;
     BckPool *pool;
     uint64_t incarnation; /* of this node */
-    Run *first;           /* oldest first */
+    Led ledger;
+    Hsh by_id;
+    Run *first; /* oldest first */
     Run *last;
     size_t count;
 } RunHub;
@@ -34,6 +38,14 @@
                  Adm *admission, BckPool *pool, uint64_t incarnation);
 void Run_HubFinish(RunHub *hub);
 
+/* The answer of attempt ID goes to ORIGIN from now on, unless a part of it
+ * went elsewhere.  STOP: drop the attempt instead if it still waits. */
+FencedState Run_TakeOver(RunHub *hub, const NetOrigin *origin, AttemptId id,
+                         bool stop, Instant now);
+
+/* Limits of the preset now in force. */
+void Run_SetLimits(RunHub *hub, const PstLimits *limits);
+
 /* Start what may start now; drop what waited past its deadline. */
 void Run_HubTick(RunHub *hub, Instant now);
 
