--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "process/setkeys.h"
 #include "value/json.h"
 #include "value/mem.h"
 
@@ -35,6 +36,9 @@
     StrBuf_Finish(&settings->operator_key);
     StrBuf_Finish(&settings->curve_public);
     StrBuf_Finish(&settings->curve_secret);
+    for (size_t i = 0; i < settings->curve_allowed_count; i++) {
+        StrBuf_Finish(&settings->curve_allowed[i]);
+    }
     *settings = (Settings){0};
 }
 
@@ -164,21 +168,6 @@
     }
 }
 
-static void
-read_curve(Settings *settings, JsnObject *o)
-{
-    enum { Z85_KEY = 40 };
-
-    Jsn_GetStr(o, Str_LIT("curve_public"), false, &settings->curve_public);
-    Jsn_GetStr(o, Str_LIT("curve_secret"), false, &settings->curve_secret);
-    if (settings->curve_public.len != settings->curve_secret.len ||
-        (settings->curve_public.len &&
-         settings->curve_public.len != Z85_KEY)) {
-        Jsn_Find(o, Str_LIT("curve_public"), Str_LIT("no pair of keys"),
-                 Str_LIT("curve_public and curve_secret of 40 characters"));
-    }
-}
-
 static void
 read_times(Settings *settings, JsnObject *o)
 {
@@ -230,7 +219,7 @@
                &settings->data_folder);
     Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
     Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
-    read_curve(settings, o);
+    Set_ReadKeys(settings, o);
     read_log_level(settings, o);
     read_times(settings, o);
     settings->header_bytes_max = (uint32_t)Jsn_GetInt(
