Give each checkout its own loopback net in tests

Ruled out: the nodes themselves, whose logs show the refused listen. The second number of the addresses now comes from the checkout's folder.

--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -11,7 +11,7 @@
 
 #include "process/settings.h"
 
-enum { ARGS_MAX = 40 };
+enum { ARGS_MAX = 40, NETS = 250 };
 
 static const char *const domains[] = {"norte-a", "norte-b", "litoral-a",
                                       "litoral-b"};
@@ -43,17 +43,32 @@
     write_file(fleet, Str_LIT("preset.json"), json);
 }
 
+/* The second number of this checkout's addresses: two checkouts on one
+ * machine must not answer for each other. */
+static int
+net_of_checkout(void)
+{
+    char folder[4096];
+
+    if (!getcwd(folder, sizeof folder)) {
+        return 1;
+    }
+    return 1 + (int)(Str_Hash(Str_FromC(folder)) % NETS);
+}
+
 void
 Fleet_Init(Fleet *fleet, Str build, int subnet, int count, int control)
 {
     char folder[] = "/tmp/fleet-XXXXXX";
 
     *fleet = (Fleet){.subnet = subnet, .count = count, .control = control};
+    fleet->net = net_of_checkout();
     StrBuf_Set(&fleet->build, build);
     StrBuf_Set(&fleet->folder, Str_FromC(mkdtemp(folder)));
     for (int i = 0; i < count; i++) {
         fleet->vms[i].number = i;
-        StrBuf_AppendFmt(&fleet->vms[i].ip, "127.0.%d.%d", subnet, i + 1);
+        StrBuf_AppendFmt(&fleet->vms[i].ip, "127.%d.%d.%d", fleet->net, subnet,
+                         i + 1);
     }
     Fleet_SetPreset(fleet, default_preset);
 }
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -11,7 +11,7 @@
 
 /* One VM: a node, and a backend server beside it (or none). */
 typedef struct {
-    int number; /* its address is 127.0.<fleet>.<number + 1> */
+    int number; /* its address is 127.<net>.<subnet>.<number + 1> */
     pid_t node;
     pid_t backend;
     StrBuf ip;
@@ -21,6 +21,7 @@
 typedef struct {
     StrBuf build;  /* folder of the programs */
     StrBuf folder; /* settings, logs, data, effects */
+    int net;       /* so that two checkouts can test at once */
     int subnet;
     int control; /* the first so many VMs are control replicas */
     FleetVm vms[Fleet_VMS_MAX];
--- a/tests/integration/fleet_proxy.c
+++ b/tests/integration/fleet_proxy.c
@@ -26,9 +26,9 @@
         if (i != vm) {
             StrBuf_AppendFmt(out,
                              "%s{\"to\":\"%.*s:7400\","
-                             "\"via\":\"127.0.%d.%d:%d\"}",
+                             "\"via\":\"127.%d.%d.%d:%d\"}",
                              first ? "" : ",", Str_ARG(fleet->vms[i].ip),
-                             fleet->subnet, PROXY_HOST,
+                             fleet->net, fleet->subnet, PROXY_HOST,
                              FIRST_PORT + vm * PORT_STEP + i);
             first = false;
         }
@@ -44,9 +44,9 @@
     for (int i = 0; i < fleet->count; i++) {
         if (i != vm) {
             StrBuf_AppendFmt(&command,
-                             "add n%d-%d 127.0.%d.%d:%d %.*s:7400 %s>%s "
+                             "add n%d-%d 127.%d.%d.%d:%d %.*s:7400 %s>%s "
                              "%s>%s\n",
-                             vm, i, fleet->subnet, PROXY_HOST,
+                             vm, i, fleet->net, fleet->subnet, PROXY_HOST,
                              FIRST_PORT + vm * PORT_STEP + i,
                              Str_ARG(fleet->vms[i].ip), region_of(vm),
                              region_of(i), region_of(i), region_of(vm));
@@ -63,9 +63,9 @@
 {
     StrBuf command = {0};
 
-    StrBuf_AppendFmt(&command, "%.*s/faultproxy --control 127.0.%d.%d:%d",
-                     Str_ARG(fleet->build), fleet->subnet, PROXY_HOST,
-                     CONTROL_PORT);
+    StrBuf_AppendFmt(&command, "%.*s/faultproxy --control 127.%d.%d.%d:%d",
+                     Str_ARG(fleet->build), fleet->net, fleet->subnet,
+                     PROXY_HOST, CONTROL_PORT);
     fleet->proxy = Fleet_Start(fleet, &command, "proxy");
     StrBuf_Finish(&command);
     for (int i = 0; i < 100 && !Fleet_Proxy(fleet, Str_LIT("\n")); i++) {
@@ -90,8 +90,8 @@
     StrBuf url = {0};
     long status = 0;
 
-    StrBuf_AppendFmt(&url, "http://127.0.%d.%d:%d%s", fleet->subnet,
-                     PROXY_HOST, CONTROL_PORT, path);
+    StrBuf_AppendFmt(&url, "http://127.%d.%d.%d:%d%s", fleet->net,
+                     fleet->subnet, PROXY_HOST, CONTROL_PORT, path);
     curl_easy_setopt(curl, CURLOPT_URL, StrBuf_CStr(&url));
     if (body.len) {
         curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)body.len);
