Check names and routes of presets; table the faults of settings and presets

A preset's name goes into paths and the log of changes as it is: letters, digits, -, _ and . only. Two routes that select the same requests left one of them without effect.

--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -7,7 +7,9 @@
     RATE_MAX = 1000000000,
     PERMILLE = 1000,
     QUEUE_MAX = 100000,
-    HOUR_MS = 3600 * 1000
+    HOUR_MS = 3600 * 1000,
+    NAME_BYTES_MAX = 64,
+    ROUTES_MAX = 1024
 };
 
 void
@@ -84,6 +86,25 @@
     Jsn_Leave(&o);
 }
 
+/* Names go into paths, logs and the log of changes as they are. */
+static void
+check_name(JsnObject *object, Str key, Str name)
+{
+    bool plain = name.len <= NAME_BYTES_MAX;
+
+    for (size_t i = 0; i < name.len; i++) {
+        char c = name.ptr[i];
+        plain = plain &&
+                ((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                 (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.');
+    }
+    if (!plain || (name.len == 0 &&
+                   json_object_getn(object->object, key.ptr, key.len))) {
+        Jsn_Find(object, key, Str_LIT("not a plain name"),
+                 Str_LIT("1 to 64 letters, digits, -, _ or ."));
+    }
+}
+
 static void
 read_route(PstRoute *route, json_t *value, Str place, FindingList *findings)
 {
@@ -92,6 +113,8 @@
     Jsn_Enter(&o, value, place, findings);
     Jsn_GetStr(&o, Str_LIT("service"), true, &route->service);
     Jsn_GetStr(&o, Str_LIT("route"), true, &route->route);
+    check_name(&o, Str_LIT("service"), StrBuf_View(&route->service));
+    check_name(&o, Str_LIT("route"), StrBuf_View(&route->route));
     Jsn_GetStr(&o, Str_LIT("method"), false, &route->method);
     Jsn_GetStr(&o, Str_LIT("path"), true, &route->path);
     Jsn_GetStr(&o, Str_LIT("key_header"), false, &route->key_header);
@@ -110,11 +133,42 @@
     Jsn_Leave(&o);
 }
 
+static bool
+selects_same(const PstRoute *a, const PstRoute *b)
+{
+    return a->path.len &&
+           Str_Equal(StrBuf_View(&a->path), StrBuf_View(&b->path)) &&
+           Str_Equal(StrBuf_View(&a->method), StrBuf_View(&b->method));
+}
+
+static void
+check_routes(const Preset *preset, FindingList *findings)
+{
+    for (size_t i = 0; i < preset->route_count; i++) {
+        for (size_t k = 0; k < i; k++) {
+            if (selects_same(&preset->routes[i], &preset->routes[k])) {
+                StrBuf place = {0};
+                StrBuf_AppendFmt(&place, "/routes/%zu", i);
+                Fnd_Add(findings, StrBuf_View(&place),
+                        Str_LIT("selects what an earlier route selects"),
+                        Str_LIT("another path or method"));
+                StrBuf_Finish(&place);
+                break;
+            }
+        }
+    }
+}
+
 static void
 read_routes(Preset *preset, json_t *array, FindingList *findings)
 {
     size_t count = json_array_size(array);
 
+    if (count > ROUTES_MAX) {
+        Fnd_Add(findings, Str_LIT("/routes"), Str_LIT("too many"),
+                Str_LIT("1024 at most"));
+        return;
+    }
     preset->routes = Mem_Alloc(count, sizeof *preset->routes);
     preset->route_count = count;
     for (size_t i = 0; i < count; i++) {
@@ -139,8 +193,10 @@
     }
     Jsn_Enter(&o, root, (Str){0}, findings);
     Jsn_GetStr(&o, Str_LIT("name"), true, &preset->name);
+    check_name(&o, Str_LIT("name"), StrBuf_View(&preset->name));
     read_limits(&preset->limits, Jsn_Get(&o, Str_LIT("limits")), findings);
     read_routes(preset, Jsn_GetArray(&o, Str_LIT("routes"), true), findings);
+    check_routes(preset, findings);
     Jsn_Leave(&o);
     json_decref(root);
     if (findings->count > before) {
--- /dev/null
+++ b/tests/unit/test_settings.c
@@ -0,0 +1,152 @@
+/* Settings that are wrong in one place: that place is reported, and nothing
+ * else.  Each row replaces one piece of valid settings. */
+#include "process/settings.h"
+#include "support/suite.h"
+
+static const Str valid = Str_LIT(
+    "{\"name\":\"vm1\",\"address\":\"10.0.0.1:7400\","
+    "\"callers\":\"10.0.0.1:8000\",\"operators\":\"10.0.0.1:8100\","
+    "\"failure_domain\":\"a\",\"failure_domains\":["
+    "{\"name\":\"a\",\"region\":\"x\"},{\"name\":\"b\",\"region\":\"x\"}],"
+    "\"control_replicas\":[\"10.0.0.1:7400\",\"10.0.0.2:7400\","
+    "\"10.0.0.3:7400\"],\"data_folder\":\"/data\",\"preset\":\"p.json\","
+    "\"operator_key\":\"12345678\",\"log_level\":\"info\","
+    "\"heartbeat_ms\":500,\"member_expiry_ms\":2500}");
+
+typedef struct {
+    Str from;
+    Str to;
+    Str place; /* of the only finding; empty: none */
+} SettingsCase;
+
+#define K1 "sQW33L]Dvj5tgcOG+vW)lrjImW?Z7essyh-Ac]5="
+#define K1_SECRET "7r6(BxOnd19}/HOi3v}zclXe2F4FHK=PZu}1%aEQ"
+#define CURVE(more)                                                           \
+    Str_LIT("\"log_level\":\"info\",\"curve_public\":\"" K1                   \
+            "\",\"curve_secret\":\"" K1_SECRET "\"" more)
+
+static const SettingsCase cases[] = {
+    {{0}, {0}, {0}},
+    {Str_LIT("\"name\":\"vm1\""), Str_LIT("\"name\":7"), Str_LIT("/name")},
+    {Str_LIT("\"name\":\"vm1\","), {0}, Str_LIT("/name")},
+    {Str_LIT("\"name\":\"vm1\""), Str_LIT("\"nam\":1,\"name\":\"vm1\""),
+     Str_LIT("/nam")},
+    {Str_LIT("\"name\":\"vm1\""), Str_LIT("\"name\":\"vm1\",\"name\":\"vm2\""),
+     Str_LIT("line 1 column ")},
+    {Str_LIT("{\"name\":\"vm1\""), Str_LIT("[\"name\":\"vm1\""),
+     Str_LIT("line 1 column ")},
+    {Str_LIT("10.0.0.1:8000"), Str_LIT("10.0.0.1"), Str_LIT("/callers")},
+    {Str_LIT("10.0.0.1:8000"), Str_LIT("10.0.0.256:8000"),
+     Str_LIT("/callers")},
+    {Str_LIT("10.0.0.1:8000"), Str_LIT("10.0.0.1:65536"), Str_LIT("/callers")},
+    {Str_LIT("10.0.0.1:8000"), Str_LIT("10.0.0.1:8100"), Str_LIT("/callers")},
+    {Str_LIT("10.0.0.1:8100"), Str_LIT("10.0.0.1:7400"), Str_LIT("/address")},
+    {Str_LIT("\"failure_domain\":\"a\""), Str_LIT("\"failure_domain\":\"c\""),
+     Str_LIT("/failure_domain")},
+    {Str_LIT("\"name\":\"b\""), Str_LIT("\"name\":\"a\""),
+     Str_LIT("/failure_domains")},
+    {Str_LIT("\"name\":\"b\""), Str_LIT("\"nom\":\"b\",\"name\":\"b\""),
+     Str_LIT("/failure_domains/1/nom")},
+    {Str_LIT(",\"10.0.0.3:7400\""), {0}, Str_LIT("/control_replicas")},
+    {Str_LIT("10.0.0.3:7400"), Str_LIT("10.0.0.2:7400"),
+     Str_LIT("/control_replicas")},
+    {Str_LIT("\"10.0.0.3:7400\""), Str_LIT("7"), Str_LIT("/control_replicas")},
+    {Str_LIT("\"data_folder\":\"/data\","), {0}, Str_LIT("/data_folder")},
+    {Str_LIT("12345678"), Str_LIT("1234567"), Str_LIT("/operator_key")},
+    {Str_LIT("12345678"), {0}, Str_LIT("/operator_key")},
+    {Str_LIT("\"info\""), Str_LIT("\"loud\""), Str_LIT("/log_level")},
+    {Str_LIT("500"), Str_LIT("0"), Str_LIT("/heartbeat_ms")},
+    {Str_LIT("500"), Str_LIT("5e2"), Str_LIT("/heartbeat_ms")},
+    {Str_LIT("500"), Str_LIT("99999999999999"), Str_LIT("/heartbeat_ms")},
+    {Str_LIT("2500"), Str_LIT("900"), Str_LIT("/member_expiry_ms")},
+    {Str_LIT("\"log_level\":\"info\""), CURVE(""), {0}},
+    {Str_LIT("\"log_level\":\"info\""),
+     CURVE(",\"curve_allowed\":[\"" K1 "\"]"),
+     {0}},
+    {Str_LIT("\"log_level\":\"info\""), CURVE(",\"curve_allowed\":[]"),
+     Str_LIT("/curve_allowed")},
+    {Str_LIT("\"log_level\":\"info\""),
+     CURVE(",\"curve_allowed\":[\"" K1 "\",\"short\"]"),
+     Str_LIT("/curve_allowed")},
+    {Str_LIT("\"log_level\":\"info\""),
+     Str_LIT("\"curve_public\":\"" K1 "\",\"curve_secret\":\"" K1 "\""),
+     Str_LIT("/curve_public")},
+    {Str_LIT("\"log_level\":\"info\""), Str_LIT("\"curve_public\":\"" K1 "\""),
+     Str_LIT("/curve_public")},
+};
+
+/* VALID with its first FROM replaced. */
+static void
+edit(const SettingsCase *c, StrBuf *out)
+{
+    size_t at = 0;
+
+    if (c->from.len == 0) {
+        StrBuf_Set(out, valid);
+        return;
+    }
+    while (!Str_StartsWith(Str_Slice(valid, at, valid.len), c->from)) {
+        ck_assert(++at < valid.len);
+    }
+    StrBuf_Set(out, Str_Slice(valid, 0, at));
+    StrBuf_Append(out, c->to);
+    StrBuf_Append(out, Str_Slice(valid, at + c->from.len, valid.len));
+}
+
+START_TEST(finds_each_fault_at_its_place)
+{
+    const SettingsCase *c = &cases[_i];
+    StrBuf text = {0};
+    StrBuf report = {0};
+    FindingList findings;
+    Settings settings;
+
+    edit(c, &text);
+    Set_Init(&settings);
+    Fnd_Init(&findings);
+    Fnd_SetFile(&findings, Str_LIT("vm1.json"));
+    ck_assert_int_eq(Set_Parse(&settings, StrBuf_View(&text), &findings),
+                     c->place.len == 0);
+    Fnd_Print(&findings, &report);
+    ck_assert_msg(findings.count == (c->place.len ? 1 : 0), "%s",
+                  StrBuf_CStr(&report));
+    if (findings.count) {
+        const Finding *finding = &findings.items[0];
+        ck_assert_msg(Str_StartsWith(StrBuf_View(&finding->place), c->place),
+                      "%s", StrBuf_CStr(&report));
+        ck_assert(Str_Equal(StrBuf_View(&finding->file), Str_LIT("vm1.json")));
+        ck_assert(finding->cause.len && finding->expected.len);
+    }
+    Fnd_Finish(&findings);
+    Set_Finish(&settings);
+    StrBuf_Finish(&text);
+    StrBuf_Finish(&report);
+}
+END_TEST
+
+START_TEST(reports_all_findings_together)
+{
+    FindingList findings;
+    Settings settings;
+
+    Set_Init(&settings);
+    Fnd_Init(&findings);
+    ck_assert(!Set_Parse(&settings, Str_LIT("{\"nam\":1,\"callers\":\"x\"}"),
+                         &findings));
+    /* eight settings missing, one no address, one unknown */
+    ck_assert_uint_eq(findings.count, 10);
+    Fnd_Finish(&findings);
+    Set_Finish(&settings);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {
+        {finds_each_fault_at_its_place, sizeof cases / sizeof cases[0]},
+        {reports_all_findings_together, 1},
+    };
+
+    return Suite_Run("settings", tests, 2, 10);
+}
