--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -1,14 +1,24 @@
 /* Rlog, the replicated log decider of one control replica: election, commit,
  * replacement of replicas, snapshots.
  *
- * Fed with messages, ticks and the completion of writes; answers through the
- * callbacks of RlogOut.  Nothing is acknowledged before the caller reported
- * it synced.  A leader holds a lease from a quorum; without it, it neither
- * accepts nor serves as current.
+ * Fed with messages and ticks; answers through the callbacks of RlogOut.  A
+ * callback that stores returns only when the bytes are synced, so nothing is
+ * acknowledged before; when one fails, the replica stops taking part.
+ *
+ * A leader holds a lease from a quorum: each append carries its send time,
+ * which the answer echoes, and a replica that heard from a leader refuses
+ * votes for the election timeout.  The lease is shorter than that, by
+ * Rlog_LEASE_PERMILLE; clocks of two machines may drift apart by the rest.
+ * Without the lease a leader neither accepts nor serves as current.
+ *
+ * Replicas are named by identity.  A new identity joins as a learner, becomes
+ * a voter once it has the leader's commit, and then those older identities at
+ * its address are removed: one replica changes an entry.
  *
  * Source: D. Ongaro and J. Ousterhout, "In search of an understandable
- * consensus algorithm", USENIX ATC 2014, with pre-vote, check-quorum,
- * non-voting learners and single-server membership changes.
+ * consensus algorithm", USENIX ATC 2014; D. Ongaro, "Consensus: bridging
+ * theory and practice", 2014, for pre-vote, check-quorum, learners and
+ * single-server membership changes.
  */
 #ifndef RLOG_H
 #define RLOG_H
@@ -18,17 +28,29 @@
 #include "value/instant.h"
 #include "value/rng.h"
 
-enum { Rlog_REPLICAS_MAX = 7 };
+enum {
+    Rlog_VOTERS_MAX = 7,
+    Rlog_REPLICAS_MAX = 16, /* with learners and those to be removed */
+    Rlog_BATCH_MAX = 64,
+    Rlog_BATCH_BYTES = 256 * 1024, /* of a batch's data, one entry apart */
+    Rlog_LEASE_PERMILLE = 800      /* of the election timeout */
+};
 
 /* A replica's identity is made when its data folder is: a folder that was
  * lost comes back as another replica. */
 typedef struct {
     uint64_t identity;
     Addr addr;
-    bool voter; /* false: learner, catching up */
+    bool voter;   /* false: learner, catching up */
+    bool genesis; /* there since the log's first entry */
 } RlogReplica;
 
-typedef enum { Rlog_NOOP, Rlog_CHANGE, Rlog_REPLICAS } RlogKind;
+typedef struct {
+    RlogReplica items[Rlog_REPLICAS_MAX];
+    uint32_t count;
+} RlogReplicas;
+
+typedef enum { Rlog_NOOP, Rlog_CHANGE, Rlog_REPLICAS, Rlog_KINDS } RlogKind;
 
 typedef struct {
     uint64_t term;
@@ -38,45 +60,154 @@
 } RlogEntry;
 
 typedef enum {
-    Rlog_VOTE, /* asks for a vote; pre when before is set */
-    Rlog_VOTED,
+    Rlog_VOTE,  /* asks for a vote */
+    Rlog_VOTED, /* answers */
     Rlog_APPEND,
     Rlog_APPENDED,
-    Rlog_SNAPSHOT,
-    Rlog_SNAPSHOT_TAKEN
+    Rlog_SNAPSHOT, /* answered by Rlog_APPENDED */
+    Rlog_MESSAGE_KINDS
 } RlogMessageKind;
 
-enum { Rlog_BATCH_MAX = 64 };
-
 typedef struct {
     RlogMessageKind kind;
     uint64_t from; /* identity */
     uint64_t to;
     uint64_t term;
-    bool pre;           /* of a vote: a trial that changes no term */
-    bool granted;       /* of an answer */
-    uint64_t last_term; /* of the sender's log, or before the entries */
-    uint64_t last_index;
+    bool pre;            /* of a vote: a trial that changes no term */
+    bool granted;        /* of an answer */
+    uint64_t last_term;  /* of the sender's log, or before the entries */
+    uint64_t last_index; /* of an answer: what matches, or may match */
     uint64_t commit;
-    uint64_t round; /* of an append, echoed: renews the lease */
+    uint64_t round; /* send time of an append, echoed: renews the lease */
     RlogEntry entries[Rlog_BATCH_MAX];
     uint32_t entry_count;
     Str snapshot; /* of Rlog_SNAPSHOT: one whole piece, last_* its place */
 } RlogMessage;
 
-/* What the decider asks its owner to do. */
+/* What the decider asks its owner to do.  Messages and entries are valid
+ * during the call only; a callback calls no function of this decider that
+ * changes it. */
 typedef struct {
     void *context;
     void (*send)(void *context, const RlogMessage *message);
-    /* Store and sync, then call Rlog_OnSynced. */
-    void (*store_vote)(void *context, uint64_t term, uint64_t voted_for);
-    void (*store_entries)(void *context, const RlogEntry *entries,
+
+    /* Store and sync; false when that failed. */
+    bool (*store_vote)(void *context, uint64_t term, uint64_t voted_for);
+    bool (*store_entries)(void *context, const RlogEntry *entries,
                           size_t count);
-    void (*truncate)(void *context, uint64_t from_index);
+    /* Drop the entries from FROM_INDEX on. */
+    bool (*truncate)(void *context, uint64_t from_index);
+    /* Store a snapshot, and of the log only the entries after it. */
+    bool (*store_snapshot)(void *context, uint64_t term, uint64_t index,
+                           Str snapshot);
+
+    /* An entry is committed: called once each, in order. */
     void (*commit)(void *context, const RlogEntry *entry);
-    void (*load_snapshot)(void *context, uint64_t term, uint64_t index,
-                          Str snapshot);
-    void (*role)(void *context, bool leader, uint64_t term);
+    /* The owner's state as of the last committed entry, appended to OUT. */
+    void (*save_state)(void *context, StrBuf *out);
+    /* Replace the owner's state; false when it cannot be read. */
+    bool (*load_state)(void *context, Str state);
+    void (*role)(void *context, bool leader, uint64_t term, Instant now);
+    void (*replicas)(void *context, const RlogReplicas *replicas);
 } RlogOut;
 
+typedef struct {
+    uint64_t identity;
+    Addr addr;
+    Span election;    /* timeout, at least; drawn up to twice of it */
+    Span heartbeat;   /* between appends of a leader */
+    uint32_t log_max; /* entries kept before a snapshot is taken */
+} RlogSettings;
+
+typedef enum {
+    Rlog_FOLLOWER,
+    Rlog_TRIAL, /* asks for pre-votes */
+    Rlog_CANDIDATE,
+    Rlog_LEADER
+} RlogRole;
+
+/* What a leader knows of another replica. */
+typedef struct {
+    uint64_t identity;
+    uint64_t next;  /* index to send */
+    uint64_t match; /* known to be the same up to here */
+    Instant acked;  /* send time of the latest append it answered; 0: none */
+    Instant snapshot_at;
+} RlogProgress;
+
+typedef struct {
+    RlogSettings settings;
+    RlogOut out;
+    Rng *rng;
+    RlogRole role;
+    bool failed; /* a store failed: takes no part any more */
+    uint64_t term;
+    uint64_t voted_for;
+    uint64_t leader;  /* identity; 0: not known */
+    Instant heard_at; /* from a leader, or the start */
+    Instant election_at;
+    Instant beat_at;
+    Instant led_at; /* when this one became leader */
+
+    RlogEntry *entries; /* after the snapshot; their data is owned */
+    size_t entry_count;
+    size_t entry_cap;
+    uint64_t snapshot_term;
+    uint64_t snapshot_index;
+    StrBuf snapshot;
+    uint64_t commit;
+    uint64_t settled; /* first commit told by a leader; 0: none */
+
+    RlogReplicas replicas; /* the latest in the log, committed or not */
+    uint64_t replicas_index;
+    RlogReplicas snapshot_replicas;
+    uint64_t votes[Rlog_REPLICAS_MAX];
+    uint32_t vote_count;
+    RlogProgress progress[Rlog_REPLICAS_MAX];
+    uint32_t progress_count;
+} Rlog;
+
+/* A replica without history: it waits for Rlog_Found or for a leader. */
+void Rlog_Init(Rlog *rlog, const RlogSettings *settings, const RlogOut *out,
+               Rng *rng, Instant now);
+void Rlog_Finish(Rlog *rlog);
+
+/* After Init, take over what was stored: the vote, the snapshot if there is
+ * one, then each entry after it.  load_state is called for the snapshot. */
+void Rlog_RestoreVote(Rlog *rlog, uint64_t term, uint64_t voted_for);
+bool Rlog_RestoreSnapshot(Rlog *rlog, uint64_t term, uint64_t index,
+                          Str snapshot, Err *err);
+bool Rlog_RestoreEntry(Rlog *rlog, const RlogEntry *entry, Err *err);
+
+/* Begin the fleet's log with these voters.  Only where every listed replica
+ * is known to be without history; false when this one has some. */
+bool Rlog_Found(Rlog *rlog, const RlogReplicas *voters, Instant now);
+
+void Rlog_OnMessage(Rlog *rlog, const RlogMessage *message, Instant now);
+void Rlog_OnTick(Rlog *rlog, Instant now);
+
+/* Propose a change; its index, or 0 when this is no leader with a lease.  It
+ * is committed when the commit callback gets the same term and index. */
+uint64_t Rlog_Propose(Rlog *rlog, Str data, Instant now);
+
+/* A leader heard of IDENTITY at ADDR: it joins as a learner unless it is
+ * there already. */
+void Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant now);
+
+/* A leader whose lease holds and whose own term has a committed entry: what
+ * it has committed is all that was ever accepted. */
+bool Rlog_IsCurrent(const Rlog *rlog, Instant now);
+
+/* Heard, since its start, from a leader, and holds all that this leader had
+ * committed then. */
+bool Rlog_IsSettled(const Rlog *rlog);
+
+/* Nothing was ever stored here. */
+bool Rlog_IsBlank(const Rlog *rlog);
+
+const RlogReplica *Rlog_FindReplica(const RlogReplicas *replicas,
+                                    uint64_t identity);
+uint64_t Rlog_LastIndex(const Rlog *rlog);
+uint64_t Rlog_LastTerm(const Rlog *rlog);
+
 #endif
--- /dev/null
+++ b/src/version/rlog_replicas.c
@@ -0,0 +1,295 @@
+#include "value/pack.h"
+#include "version/rlog_impl.h"
+
+enum { REPLICA_FIELDS = 4, SNAPSHOT_FIELDS = 2 };
+
+const RlogReplica *
+Rlog_FindReplica(const RlogReplicas *replicas, uint64_t identity)
+{
+    for (uint32_t i = 0; i < replicas->count; i++) {
+        if (replicas->items[i].identity == identity) {
+            return &replicas->items[i];
+        }
+    }
+    return NULL;
+}
+
+bool
+Rlog_IsVoter(const Rlog *rlog, uint64_t identity)
+{
+    const RlogReplica *found = Rlog_FindReplica(&rlog->replicas, identity);
+
+    return found && found->voter;
+}
+
+static uint32_t
+count_voters(const RlogReplicas *replicas)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < replicas->count; i++) {
+        count += replicas->items[i].voter;
+    }
+    return count;
+}
+
+uint32_t
+Rlog_Quorum(const RlogReplicas *replicas)
+{
+    return count_voters(replicas) / 2 + 1;
+}
+
+static void
+put_replicas(Pack *pack, const RlogReplicas *replicas)
+{
+    for (uint32_t i = 0; i < replicas->count; i++) {
+        const RlogReplica *replica = &replicas->items[i];
+        Pack_Array(pack, REPLICA_FIELDS);
+        Pack_U64(pack, replica->identity);
+        Pack_U64(pack, replica->addr);
+        Pack_Bool(pack, replica->voter);
+        Pack_Bool(pack, replica->genesis);
+    }
+}
+
+static bool
+take_replicas(Unpack *in, RlogReplicas *replicas)
+{
+    uint32_t count = in->count;
+
+    *replicas = (RlogReplicas){0};
+    if (count > Rlog_REPLICAS_MAX) {
+        return false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        Unpack item;
+        RlogReplica *replica = &replicas->items[i];
+        Unpack_Array(in, REPLICA_FIELDS, &item);
+        replica->identity = Unpack_U64(&item);
+        replica->addr = Unpack_U64(&item);
+        replica->voter = Unpack_Bool(&item);
+        replica->genesis = Unpack_Bool(&item);
+        if (!Unpack_Ok(&item, NULL)) {
+            return false;
+        }
+    }
+    replicas->count = count;
+    return Unpack_Ok(in, NULL);
+}
+
+void
+Rlog_PackReplicas(const RlogReplicas *replicas, StrBuf *out)
+{
+    Pack pack;
+
+    Pack_Init(&pack, replicas->count);
+    put_replicas(&pack, replicas);
+    StrBuf_Set(out, Pack_View(&pack));
+    Pack_Finish(&pack);
+}
+
+bool
+Rlog_ReadReplicas(Str bytes, RlogReplicas *replicas)
+{
+    Unpack in;
+    bool good;
+
+    if (!Unpack_Init(&in, bytes, NULL)) {
+        return false;
+    }
+    good = take_replicas(&in, replicas);
+    Unpack_Finish(&in);
+    return good;
+}
+
+void
+Rlog_PackSnapshot(const RlogReplicas *replicas, Str state, StrBuf *out)
+{
+    Pack pack;
+
+    Pack_Init(&pack, SNAPSHOT_FIELDS);
+    Pack_Array(&pack, replicas->count);
+    put_replicas(&pack, replicas);
+    Pack_Str(&pack, state);
+    StrBuf_Set(out, Pack_View(&pack));
+    Pack_Finish(&pack);
+}
+
+bool
+Rlog_ReadSnapshot(Str bytes, RlogReplicas *replicas, StrBuf *state)
+{
+    Unpack in;
+    Unpack list;
+    bool good;
+
+    if (!Unpack_Init(&in, bytes, NULL)) {
+        return false;
+    }
+    Unpack_Array(&in, Rlog_REPLICAS_MAX, &list);
+    good = take_replicas(&list, replicas);
+    StrBuf_Set(state, Unpack_Str(&in));
+    good = Unpack_Ok(&in, NULL) && good;
+    Unpack_Finish(&in);
+    return good;
+}
+
+RlogProgress *
+Rlog_FindProgress(Rlog *rlog, uint64_t identity)
+{
+    for (uint32_t i = 0; i < rlog->progress_count; i++) {
+        if (rlog->progress[i].identity == identity) {
+            return &rlog->progress[i];
+        }
+    }
+    return NULL;
+}
+
+/* Keep what is known of replicas that stay; begin with those that came. */
+static void
+renew_progress(Rlog *rlog)
+{
+    RlogProgress kept[Rlog_REPLICAS_MAX];
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < rlog->replicas.count; i++) {
+        uint64_t identity = rlog->replicas.items[i].identity;
+        RlogProgress *old = Rlog_FindProgress(rlog, identity);
+        if (identity == rlog->settings.identity) {
+            continue;
+        }
+        kept[count] =
+            old ? *old
+                : (RlogProgress){identity, Rlog_LastIndex(rlog) + 1, 0, 0, 0};
+        count++;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        rlog->progress[i] = kept[i];
+    }
+    rlog->progress_count = count;
+}
+
+void
+Rlog_UseReplicas(Rlog *rlog)
+{
+    uint64_t index = rlog->snapshot_index;
+    RlogReplicas replicas = rlog->snapshot_replicas;
+
+    for (size_t i = rlog->entry_count; i > 0; i--) {
+        const RlogEntry *entry = &rlog->entries[i - 1];
+        if (entry->kind == Rlog_REPLICAS) {
+            Rlog_ReadReplicas(entry->data, &replicas);
+            index = entry->index;
+            break;
+        }
+    }
+    rlog->replicas = replicas;
+    rlog->replicas_index = index;
+    renew_progress(rlog);
+    rlog->out.replicas(rlog->out.context, &rlog->replicas);
+}
+
+/* One change at a time, and none before this leader has committed. */
+static bool
+may_change(const Rlog *rlog, Instant now)
+{
+    return Rlog_IsCurrent(rlog, now) && rlog->replicas_index <= rlog->commit;
+}
+
+static void
+propose_replicas(Rlog *rlog, const RlogReplicas *replicas, Instant now)
+{
+    StrBuf data = {0};
+
+    Rlog_PackReplicas(replicas, &data);
+    Rlog_AppendOwn(rlog, Rlog_REPLICAS, StrBuf_View(&data), now);
+    StrBuf_Finish(&data);
+}
+
+static void
+remove_at(RlogReplicas *replicas, uint32_t at)
+{
+    replicas->count--;
+    for (uint32_t i = at; i < replicas->count; i++) {
+        replicas->items[i] = replicas->items[i + 1];
+    }
+}
+
+/* A learner that never caught up gives way to the next at its address. */
+static void
+remove_learner_at(RlogReplicas *replicas, Addr addr)
+{
+    for (uint32_t i = 0; i < replicas->count; i++) {
+        if (replicas->items[i].addr == addr && !replicas->items[i].voter) {
+            remove_at(replicas, i);
+            return;
+        }
+    }
+}
+
+void
+Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant now)
+{
+    RlogReplicas next = rlog->replicas;
+
+    if (!may_change(rlog, now) || Rlog_FindReplica(&next, identity)) {
+        return;
+    }
+    remove_learner_at(&next, addr);
+    if (next.count == Rlog_REPLICAS_MAX) {
+        return;
+    }
+    next.items[next.count++] =
+        (RlogReplica){.identity = identity, .addr = addr};
+    propose_replicas(rlog, &next, now);
+}
+
+static bool
+has_caught_up(Rlog *rlog, uint64_t identity, Instant now)
+{
+    const RlogProgress *progress = Rlog_FindProgress(rlog, identity);
+
+    return progress && progress->match >= rlog->commit &&
+           now - progress->acked < rlog->settings.election;
+}
+
+/* Another voter at the same address that is silent while NEWER is heard. */
+static bool
+is_replaced(Rlog *rlog, const RlogReplica *old, Instant now)
+{
+    const RlogProgress *progress = Rlog_FindProgress(rlog, old->identity);
+
+    if (!progress || now - progress->acked < rlog->settings.election) {
+        return false;
+    }
+    for (uint32_t i = 0; i < rlog->replicas.count; i++) {
+        const RlogReplica *newer = &rlog->replicas.items[i];
+        if (newer->addr == old->addr && newer->identity != old->identity &&
+            newer->voter && has_caught_up(rlog, newer->identity, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+Rlog_TickReplicas(Rlog *rlog, Instant now)
+{
+    RlogReplicas next = rlog->replicas;
+
+    if (!may_change(rlog, now)) {
+        return;
+    }
+    for (uint32_t i = 0; i < next.count; i++) {
+        RlogReplica *replica = &next.items[i];
+        if (replica->voter && is_replaced(rlog, replica, now)) {
+            remove_at(&next, i);
+            propose_replicas(rlog, &next, now);
+            return;
+        }
+        if (!replica->voter && has_caught_up(rlog, replica->identity, now)) {
+            replica->voter = true;
+            propose_replicas(rlog, &next, now);
+            return;
+        }
+    }
+}
