--- /dev/null
+++ b/src/version/disklog.c
@@ -0,0 +1,176 @@
+#include "version/disklog.h"
+
+#include "value/mem.h"
+#include "value/pack.h"
+#include "version/frame.h"
+
+enum {
+    FRAME_ENTRIES = 1,
+    FRAME_CUT = 2,
+    ENTRY_FIELDS = 4,
+    PER_FRAME_MAX = 65536
+};
+
+void
+Dlg_Init(DlgList *list)
+{
+    *list = (DlgList){0};
+}
+
+void
+Dlg_Finish(DlgList *list)
+{
+    Mem_Free(list->items);
+    *list = (DlgList){0};
+}
+
+static void
+append_frame(StrBuf *out, Pack *pack)
+{
+    Frm_Append(out, Pack_View(pack));
+    Pack_Finish(pack);
+}
+
+void
+Dlg_AppendEntries(StrBuf *out, const RlogEntry *entries, size_t count)
+{
+    Pack pack;
+
+    Pack_Init(&pack, (uint32_t)count + 1);
+    Pack_U64(&pack, FRAME_ENTRIES);
+    for (size_t i = 0; i < count; i++) {
+        Pack_Array(&pack, ENTRY_FIELDS);
+        Pack_U64(&pack, entries[i].term);
+        Pack_U64(&pack, entries[i].index);
+        Pack_U64(&pack, entries[i].kind);
+        Pack_Str(&pack, entries[i].data);
+    }
+    append_frame(out, &pack);
+}
+
+void
+Dlg_AppendCut(StrBuf *out, uint64_t from_index)
+{
+    Pack pack;
+
+    Pack_Init(&pack, 2);
+    Pack_U64(&pack, FRAME_CUT);
+    Pack_U64(&pack, from_index);
+    append_frame(out, &pack);
+}
+
+static bool
+add_entry(DlgList *list, const RlogEntry *entry)
+{
+    if (list->count &&
+        entry->index != list->items[list->count - 1].index + 1) {
+        return false;
+    }
+    if (list->count == list->cap) {
+        list->cap = list->cap ? list->cap * 2 : 64;
+        list->items = Mem_Resize(list->items, list->cap, sizeof *list->items);
+    }
+    list->items[list->count++] = *entry;
+    return true;
+}
+
+static bool
+take_entry(DlgList *list, Unpack *in)
+{
+    Unpack item;
+    RlogEntry entry;
+
+    Unpack_Array(in, ENTRY_FIELDS, &item);
+    entry.term = Unpack_U64(&item);
+    entry.index = Unpack_U64(&item);
+    entry.kind = (RlogKind)Unpack_Bounded(&item, Rlog_KINDS - 1);
+    entry.data = Unpack_Str(&item);
+    return Unpack_Ok(&item, NULL) && add_entry(list, &entry);
+}
+
+static bool
+take_entries(DlgList *list, Unpack *in)
+{
+    while (in->next < in->count) {
+        if (!take_entry(list, in)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+cut_entries(DlgList *list, uint64_t from_index)
+{
+    while (list->count && list->items[list->count - 1].index >= from_index) {
+        list->count--;
+    }
+}
+
+static bool
+take_frame(DlgList *list, Str payload, Err *err)
+{
+    Unpack in;
+    bool good = true;
+
+    if (!Unpack_Init(&in, payload, err)) {
+        return false;
+    }
+    switch (Unpack_U64(&in)) {
+    case FRAME_ENTRIES:
+        good = take_entries(list, &in);
+        break;
+    case FRAME_CUT:
+        cut_entries(list, Unpack_U64(&in));
+        break;
+    default:
+        good = false;
+    }
+    good = good && Unpack_Ok(&in, NULL);
+    Unpack_Finish(&in);
+    return good || Err_SET(err, Err_CORRUPT, "log frame not readable");
+}
+
+bool
+Dlg_Read(DlgList *list, Str bytes, Err *err)
+{
+    Str rest = bytes;
+    Str payload;
+    FrmState state;
+
+    while ((state = Frm_Take(&rest, &payload)) == Frm_WHOLE) {
+        if (!take_frame(list, payload, err)) {
+            return false;
+        }
+    }
+    list->whole_bytes = bytes.len - rest.len;
+    if (state == Frm_CORRUPT) {
+        return Err_SET(err, Err_CORRUPT, "log changed at byte %zu",
+                       list->whole_bytes);
+    }
+    return true;
+}
+
+bool
+Dlg_KeepAfter(DlgList *list, uint64_t term, uint64_t index, Err *err)
+{
+    size_t skip = 0;
+
+    if (list->count && list->items[0].index > index + 1) {
+        return Err_SET(err, Err_CORRUPT, "entries %llu to %llu are missing",
+                       (unsigned long long)index + 1,
+                       (unsigned long long)list->items[0].index - 1);
+    }
+    while (skip < list->count && list->items[skip].index <= index) {
+        skip++;
+    }
+    if (skip > 0 && (list->items[skip - 1].index != index ||
+                     list->items[skip - 1].term != term)) {
+        skip = list->count; /* of another history: the snapshot replaces it */
+    }
+    list->count -= skip;
+    for (size_t i = 0; i < list->count; i++) {
+        list->items[i] = list->items[i + skip];
+    }
+    return true;
+}
--- a/src/version/rlog_append.c
+++ b/src/version/rlog_append.c
@@ -7,7 +7,7 @@
 static uint64_t
 quorum_value(const Rlog *rlog, uint64_t own, ProgressValue value_of)
 {
-    uint64_t values[Rlog_REPLICAS_MAX];
+    uint64_t values[Rlog_REPLICAS_MAX] = {0};
     uint32_t count = 0;
     uint32_t quorum = Rlog_Quorum(&rlog->replicas);
 
