--- a/src/version/config.h
+++ b/src/version/config.h
@@ -4,19 +4,31 @@
  * Every change names the version it builds on and a change id.  Of two changes
  * on the same version one wins and the other is told the winner; a change sent
  * again gets its first outcome.  Versions go only upward.
+ *
+ * Bounds: Cfg_PRESETS_MAX presets of Cfg_JSON_MAX bytes, and the outcomes of
+ * the last Cfg_RECORDS_MAX changes.  A change that may be older than these
+ * does not run and is answered Cfg_FORGOTTEN.
  */
 #ifndef CONFIG_H
 #define CONFIG_H
 
-#include "value/err.h"
+#include "value/finding.h"
+#include "value/pack.h"
 #include "value/str.h"
 
+enum {
+    Cfg_PRESETS_MAX = 16,
+    Cfg_JSON_MAX = 32 * 1024, /* bytes of one preset */
+    Cfg_NAME_MAX = 64,        /* bytes of a change's id or a preset's name */
+    Cfg_RECORDS_MAX = 1024
+};
+
 typedef struct {
     uint64_t term;
     uint64_t index;
 } CfgVersion;
 
-typedef enum { Cfg_PUT, Cfg_USE } CfgVerb;
+typedef enum { Cfg_PUT, Cfg_USE, Cfg_VERBS } CfgVerb;
 
 typedef struct {
     CfgVerb verb;
@@ -26,8 +38,102 @@
     Str json;        /* of Cfg_PUT */
 } CfgChange;
 
-typedef enum { Cfg_ACCEPTED, Cfg_CONFLICT, Cfg_REFUSED } CfgOutcome;
+typedef enum {
+    Cfg_ACCEPTED,
+    Cfg_CONFLICT,  /* a change on the same base, or a later one, won */
+    Cfg_REFUSED,   /* see CfgWhy */
+    Cfg_FORGOTTEN, /* too old to tell whether it ran before */
+    Cfg_OUTCOMES
+} CfgOutcome;
+
+typedef enum {
+    Cfg_WHY_NONE,
+    Cfg_WHY_NO_PRESET, /* none of that name */
+    Cfg_WHY_FULL,      /* Cfg_PRESETS_MAX are there */
+    Cfg_WHY_ID_USED,   /* by a change of other content */
+    Cfg_WHYS
+} CfgWhy;
+
+/* Strings are valid until the Cfg changes. */
+typedef struct {
+    CfgOutcome outcome;
+    CfgWhy why;
+    bool again;         /* it had been decided before */
+    CfgVersion version; /* of an accepted change its own, else the one in
+                           force when it was decided */
+    bool has_winner;    /* of a conflict */
+    Str winner_id;
+    CfgVerb winner_verb;
+    Str winner_preset;
+    CfgVersion winner_version;
+} CfgResult;
+
+typedef struct {
+    StrBuf name;
+    StrBuf json;
+    CfgVersion changed; /* by its last change */
+} CfgPreset;
+
+/* How a change was decided. */
+typedef struct {
+    StrBuf id;
+    StrBuf preset;
+    uint64_t content; /* hash of the change */
+    CfgVersion base;
+    CfgVersion version;
+    CfgVersion winner; /* of a conflict; {0, 0}: not known any more */
+    CfgVerb verb;
+    CfgOutcome outcome;
+    CfgWhy why;
+} CfgRecord;
+
+typedef struct {
+    CfgPreset presets[Cfg_PRESETS_MAX];
+    uint32_t preset_count;
+    int32_t in_force; /* number in presets; -1: nothing agreed on yet */
+    CfgVersion version;
+    CfgVersion forgotten; /* highest base of what was dropped */
+    CfgRecord *records;   /* a ring */
+    uint32_t record_count;
+    uint32_t record_first;
+} Cfg;
 
 int Cfg_CompareVersions(CfgVersion a, CfgVersion b);
 
+void Cfg_Init(Cfg *cfg);
+void Cfg_Finish(Cfg *cfg);
+
+/* Look at CHANGE before it is proposed: its bounds, and its preset by
+ * Pst_Parse.  False with findings. */
+bool Cfg_Check(const CfgChange *change, FindingList *findings);
+
+/* Decide the committed CHANGE, which gets VERSION if it is accepted.  The
+ * first preset put becomes the one in force. */
+void Cfg_Apply(Cfg *cfg, const CfgChange *change, CfgVersion version,
+               CfgResult *result);
+
+/* The outcome CHANGE had; false when it is not known. */
+bool Cfg_Recall(const Cfg *cfg, const CfgChange *change, CfgResult *result);
+
+const CfgPreset *Cfg_Find(const Cfg *cfg, Str name);
+
+/* NULL before the fleet has agreed on anything. */
+const CfgPreset *Cfg_InForce(const Cfg *cfg);
+
+Str Cfg_VerbName(CfgVerb verb);
+bool Cfg_ParseVerb(Str name, CfgVerb *verb);
+
+/* What operators are told. */
+Str Cfg_WhyText(CfgWhy why);
+
+/* A change as Cfg_CHANGE_FIELDS fields, as they stand in the log and in
+ * messages. */
+enum { Cfg_CHANGE_FIELDS = 6 };
+void Cfg_PackChange(Pack *pack, const CfgChange *change);
+void Cfg_TakeChange(Unpack *in, CfgChange *change);
+
+/* The whole state, for snapshots. */
+void Cfg_Save(const Cfg *cfg, StrBuf *out);
+bool Cfg_Load(Cfg *cfg, Str state, Err *err);
+
 #endif
--- a/tests/support/rlogworld.c
+++ b/tests/support/rlogworld.c
@@ -332,7 +332,7 @@
         replica->world = world;
         replica->number = i;
         replica->identity = ++world->identities;
-        replica->addr = (Addr)(1000 + i);
+        replica->addr = 1000 + (Addr)i;
         voters.items[i] =
             (RlogReplica){replica->identity, replica->addr, true, true};
         World_Start(world, i);
