--- a/src/process/node.c
+++ b/src/process/node.c
@@ -1,5 +1,7 @@
 #include "process/node.h"
 
+#include "request/fence.h"
+
 #define TICK Span_MS(10)
 
 static void
@@ -74,35 +76,8 @@
     node->calls.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
     Adm_SetSettings(&node->admission, &admission);
-}
-
-static OprAnswer
-show_status(void *context, struct evhttp_request *request, Str body,
-            Instant now)
-{
-    Node *node = context;
-    const Mbr *mbr = &node->members.membership;
-    json_t *list = json_array();
-
-    (void)request;
-    (void)body;
-    for (size_t i = 0; i < mbr->count; i++) {
-        const MbrRow *row = &mbr->rows[i];
-        StrBuf addr = {0};
-        Addr_Print(row->record.node, &addr);
-        json_array_append_new(
-            list,
-            json_pack("{s:s%, s:s%, s:b, s:b, s:i, s:i, s:I}", "node",
-                      addr.ptr, addr.len, "service",
-                      row->record.service.ptr ? row->record.service.ptr : "",
-                      row->record.service.len, "gone", row->gone, "draining",
-                      row->record.load.draining, "slots",
-                      (int)row->record.load.slots, "running",
-                      (int)row->record.load.running, "age_us",
-                      (json_int_t)(now - row->heard_at)));
-        StrBuf_Finish(&addr);
-    }
-    return (OprAnswer){200, json_pack("{s:o}", "members", list)};
+    Run_SetLimits(&node->runs, limits);
+    Hld_SetLimits(&node->holder, limits);
 }
 
 static bool
@@ -113,13 +88,21 @@
     if (!Edge_Init(&node->edge, &node->loop, settings, &node->calls, err)) {
         return false;
     }
-    if (!Opr_Init(&node->opr, &node->loop, settings, &node->logger,
+    if (!Opr_Init(&node->opr, &node->loop, settings, &node->timeline,
                   &node->counters, err)) {
         Edge_Finish(&node->edge);
         return false;
     }
     Ann_Serve(&node->ann, &node->opr);
-    Opr_On(&node->opr, Str_LIT("/v1/status"), true, show_status, node);
+    node->show = (Show){
+        .settings = settings,
+        .timeline = &node->timeline,
+        .counters = &node->counters,
+        .members = &node->members,
+        .calls = &node->calls,
+        .runs = &node->runs,
+    };
+    Shw_Serve(&node->show, &node->opr);
     return true;
 }
 
@@ -138,15 +121,20 @@
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
     Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
-                 &node->services, node->incarnation);
+                 &node->services, settings, node->incarnation);
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
                 &node->admission, &node->pool, node->incarnation);
+    Fnc_Serve(&node->runs);
+    Hld_Init(&node->holder, &node->loop, &node->net, &node->counters,
+             &node->timeline, settings, node->incarnation,
+             &node->in_force->preset.limits);
     use_preset(node);
 }
 
 static void
 finish_parts(Node *node)
 {
+    Hld_Finish(&node->holder);
     Run_HubFinish(&node->runs);
     Call_HubFinish(&node->calls);
     Mbs_Finish(&node->members);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -8,8 +8,10 @@
 
 #include "process/announce.h"
 #include "process/edge.h"
+#include "process/holder.h"
 #include "process/members.h"
 #include "process/operate.h"
+#include "process/show.h"
 #include "request/call.h"
 #include "request/run.h"
 
@@ -30,8 +32,10 @@
     Members members;
     CallHub calls;
     RunHub runs;
+    Holder holder;
     Edge edge;
     Opr opr;
+    Show show;
     LoopTimer tick;
 } Node;
 
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "process/setkeys.h"
 #include "value/json.h"
 #include "value/mem.h"
 
@@ -28,12 +29,16 @@
     }
     Mem_Free(settings->domains);
     Mem_Free(settings->replicas);
+    Mem_Free(settings->routes);
     StrBuf_Finish(&settings->name);
     StrBuf_Finish(&settings->data_folder);
     StrBuf_Finish(&settings->preset);
     StrBuf_Finish(&settings->operator_key);
     StrBuf_Finish(&settings->curve_public);
     StrBuf_Finish(&settings->curve_secret);
+    for (size_t i = 0; i < settings->curve_allowed_count; i++) {
+        StrBuf_Finish(&settings->curve_allowed[i]);
+    }
     *settings = (Settings){0};
 }
 
@@ -143,17 +148,23 @@
 }
 
 static void
-read_curve(Settings *settings, JsnObject *o)
+read_routes(Settings *settings, JsnObject *o)
 {
-    enum { Z85_KEY = 40 };
+    json_t *array = Jsn_GetArray(o, Str_LIT("routes"), false);
 
-    Jsn_GetStr(o, Str_LIT("curve_public"), false, &settings->curve_public);
-    Jsn_GetStr(o, Str_LIT("curve_secret"), false, &settings->curve_secret);
-    if (settings->curve_public.len != settings->curve_secret.len ||
-        (settings->curve_public.len &&
-         settings->curve_public.len != Z85_KEY)) {
-        Jsn_Find(o, Str_LIT("curve_public"), Str_LIT("no pair of keys"),
-                 Str_LIT("curve_public and curve_secret of 40 characters"));
+    settings->route_count = json_array_size(array);
+    settings->routes =
+        Mem_Alloc(settings->route_count, sizeof *settings->routes);
+    for (size_t i = 0; i < settings->route_count; i++) {
+        JsnObject item;
+        StrBuf place = {0};
+        StrBuf_AppendFmt(&place, "/routes/%zu", i);
+        Jsn_Enter(&item, json_array_get(array, i), StrBuf_View(&place),
+                  o->findings);
+        settings->routes[i].to = read_addr(&item, Str_LIT("to"), true);
+        settings->routes[i].via = read_addr(&item, Str_LIT("via"), true);
+        Jsn_Leave(&item);
+        StrBuf_Finish(&place);
     }
 }
 
@@ -203,11 +214,12 @@
     read_domains(settings, o);
     find_domain(settings, o);
     read_replicas(settings, o);
+    read_routes(settings, o);
     Jsn_GetStr(o, Str_LIT("data_folder"), settings->control,
                &settings->data_folder);
     Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
     Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
-    read_curve(settings, o);
+    Set_ReadKeys(settings, o);
     read_log_level(settings, o);
     read_times(settings, o);
     settings->header_bytes_max = (uint32_t)Jsn_GetInt(
