--- /dev/null
+++ b/src/connection/configmsg.c
@@ -0,0 +1,202 @@
+#include "connection/configmsg.h"
+
+enum {
+    CHANGED_FIELDS = 15,
+    VERSION_ASK_FIELDS = 4,
+    VERSION_FIELDS = 5,
+    PRESETS_FIELDS = 8,
+    ITEM_FIELDS = 3
+};
+
+static void
+put_version(Pack *pack, CfgVersion version)
+{
+    Pack_U64(pack, version.term);
+    Pack_U64(pack, version.index);
+}
+
+static CfgVersion
+take_version(Unpack *in)
+{
+    CfgVersion version;
+
+    version.term = Unpack_U64(in);
+    version.index = Unpack_U64(in);
+    return version;
+}
+
+static Str
+take_bounded(Unpack *in, size_t max)
+{
+    Str text = Unpack_Str(in);
+
+    if (text.len > max) {
+        Unpack_Fail(in);
+        return (Str){0};
+    }
+    return text;
+}
+
+void
+Configmsg_PackChange(Pack *pack, const ChangeMsg *msg)
+{
+    Wire_Begin(pack, Wire_CHANGE, Cfg_CHANGE_FIELDS + 1);
+    Pack_U64(pack, msg->ask);
+    Cfg_PackChange(pack, &msg->change);
+}
+
+bool
+Configmsg_ReadChange(Unpack *in, ChangeMsg *msg, Err *err)
+{
+    msg->ask = Unpack_U64(in);
+    Cfg_TakeChange(in, &msg->change);
+    return Unpack_Ok(in, err);
+}
+
+void
+Configmsg_PackChanged(Pack *pack, const ChangedMsg *msg)
+{
+    const CfgResult *result = &msg->result;
+
+    Wire_Begin(pack, Wire_CHANGED, CHANGED_FIELDS);
+    Pack_U64(pack, msg->ask);
+    Pack_Bool(pack, msg->decided);
+    Pack_U64(pack, msg->leader);
+    Pack_U64(pack, result->outcome);
+    Pack_U64(pack, result->why);
+    Pack_Bool(pack, result->again);
+    put_version(pack, result->version);
+    Pack_Bool(pack, result->has_winner);
+    Pack_Str(pack, result->winner_id);
+    Pack_U64(pack, result->winner_verb);
+    Pack_Str(pack, result->winner_preset);
+    put_version(pack, result->winner_version);
+    Pack_Str(pack, msg->detail);
+}
+
+bool
+Configmsg_ReadChanged(Unpack *in, ChangedMsg *msg, Err *err)
+{
+    CfgResult *result = &msg->result;
+
+    msg->ask = Unpack_U64(in);
+    msg->decided = Unpack_Bool(in);
+    msg->leader = Unpack_U64(in);
+    result->outcome = (CfgOutcome)Unpack_Bounded(in, Cfg_OUTCOMES - 1);
+    result->why = (CfgWhy)Unpack_Bounded(in, Cfg_WHYS - 1);
+    result->again = Unpack_Bool(in);
+    result->version = take_version(in);
+    result->has_winner = Unpack_Bool(in);
+    result->winner_id = take_bounded(in, Cfg_NAME_MAX);
+    result->winner_verb = (CfgVerb)Unpack_Bounded(in, Cfg_VERBS - 1);
+    result->winner_preset = take_bounded(in, Cfg_NAME_MAX);
+    result->winner_version = take_version(in);
+    msg->detail = take_bounded(in, Configmsg_DETAIL_MAX);
+    return Unpack_Ok(in, err);
+}
+
+void
+Configmsg_PackVersionAsk(Pack *pack, const VersionAskMsg *msg)
+{
+    Wire_Begin(pack, Wire_VERSION_ASK, VERSION_ASK_FIELDS);
+    Pack_U64(pack, msg->node);
+    put_version(pack, msg->have);
+    Pack_Bool(pack, msg->wanted);
+}
+
+bool
+Configmsg_ReadVersionAsk(Unpack *in, VersionAskMsg *msg, Err *err)
+{
+    msg->node = Unpack_U64(in);
+    msg->have = take_version(in);
+    msg->wanted = Unpack_Bool(in);
+    return Unpack_Ok(in, err);
+}
+
+void
+Configmsg_PackVersion(Pack *pack, const VersionMsg *msg)
+{
+    Wire_Begin(pack, Wire_VERSION, VERSION_FIELDS);
+    Pack_Bool(pack, msg->current);
+    Pack_U64(pack, msg->leader);
+    put_version(pack, msg->version);
+    Pack_Str(pack, msg->json);
+}
+
+bool
+Configmsg_ReadVersion(Unpack *in, VersionMsg *msg, Err *err)
+{
+    msg->current = Unpack_Bool(in);
+    msg->leader = Unpack_U64(in);
+    msg->version = take_version(in);
+    msg->json = take_bounded(in, Cfg_JSON_MAX);
+    return Unpack_Ok(in, err);
+}
+
+void
+Configmsg_PackPresetsAsk(Pack *pack, const PresetsAskMsg *msg)
+{
+    Wire_Begin(pack, Wire_PRESETS_ASK, 2);
+    Pack_U64(pack, msg->ask);
+    Pack_Str(pack, msg->name);
+}
+
+bool
+Configmsg_ReadPresetsAsk(Unpack *in, PresetsAskMsg *msg, Err *err)
+{
+    msg->ask = Unpack_U64(in);
+    msg->name = take_bounded(in, Cfg_NAME_MAX);
+    return Unpack_Ok(in, err);
+}
+
+void
+Configmsg_PackPresets(Pack *pack, const PresetsMsg *msg)
+{
+    Wire_Begin(pack, Wire_PRESETS, PRESETS_FIELDS);
+    Pack_U64(pack, msg->ask);
+    Pack_Bool(pack, msg->current);
+    Pack_U64(pack, msg->leader);
+    put_version(pack, msg->version);
+    Pack_Str(pack, msg->in_force);
+    Pack_Str(pack, msg->json);
+    Pack_Array(pack, msg->count);
+    for (uint32_t i = 0; i < msg->count; i++) {
+        Pack_Array(pack, ITEM_FIELDS);
+        Pack_Str(pack, msg->items[i].name);
+        put_version(pack, msg->items[i].changed);
+    }
+}
+
+static bool
+take_item(Unpack *list, PresetsItem *item)
+{
+    Unpack in;
+
+    Unpack_Array(list, ITEM_FIELDS, &in);
+    item->name = take_bounded(&in, Cfg_NAME_MAX);
+    item->changed = take_version(&in);
+    return Unpack_Ok(&in, NULL);
+}
+
+bool
+Configmsg_ReadPresets(Unpack *in, PresetsMsg *msg, Err *err)
+{
+    Unpack list;
+    uint32_t count;
+
+    msg->ask = Unpack_U64(in);
+    msg->current = Unpack_Bool(in);
+    msg->leader = Unpack_U64(in);
+    msg->version = take_version(in);
+    msg->in_force = take_bounded(in, Cfg_NAME_MAX);
+    msg->json = take_bounded(in, Cfg_JSON_MAX);
+    count = Unpack_Array(in, Cfg_PRESETS_MAX, &list);
+    msg->count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        if (!take_item(&list, &msg->items[i])) {
+            Unpack_Fail(in);
+            break;
+        }
+    }
+    return Unpack_Ok(in, err);
+}
--- /dev/null
+++ b/src/connection/logmsg.c
@@ -0,0 +1,99 @@
+#include "connection/logmsg.h"
+
+enum { MESSAGE_FIELDS = 12, ENTRY_FIELDS = 4, HELLO_FIELDS = 4 };
+
+void
+Logmsg_Pack(Pack *pack, const RlogMessage *message)
+{
+    Wire_Begin(pack, Wire_LOG, MESSAGE_FIELDS);
+    Pack_U64(pack, message->kind);
+    Pack_U64(pack, message->from);
+    Pack_U64(pack, message->to);
+    Pack_U64(pack, message->term);
+    Pack_Bool(pack, message->pre);
+    Pack_Bool(pack, message->granted);
+    Pack_U64(pack, message->last_term);
+    Pack_U64(pack, message->last_index);
+    Pack_U64(pack, message->commit);
+    Pack_U64(pack, message->round);
+    Pack_Str(pack, message->snapshot);
+    Pack_Array(pack, message->entry_count);
+    for (uint32_t i = 0; i < message->entry_count; i++) {
+        Pack_Array(pack, ENTRY_FIELDS);
+        Pack_U64(pack, message->entries[i].term);
+        Pack_U64(pack, message->entries[i].index);
+        Pack_U64(pack, message->entries[i].kind);
+        Pack_Str(pack, message->entries[i].data);
+    }
+}
+
+static bool
+take_entry(Unpack *list, RlogEntry *entry)
+{
+    Unpack in;
+
+    Unpack_Array(list, ENTRY_FIELDS, &in);
+    entry->term = Unpack_U64(&in);
+    entry->index = Unpack_U64(&in);
+    entry->kind = (RlogKind)Unpack_Bounded(&in, Rlog_KINDS - 1);
+    entry->data = Unpack_Str(&in);
+    return Unpack_Ok(&in, NULL) && entry->data.len <= Logmsg_DATA_MAX;
+}
+
+static void
+take_entries(Unpack *in, RlogMessage *message)
+{
+    Unpack list;
+    uint32_t count = Unpack_Array(in, Rlog_BATCH_MAX, &list);
+
+    for (uint32_t i = 0; i < count; i++) {
+        if (!take_entry(&list, &message->entries[i])) {
+            Unpack_Fail(in);
+            return;
+        }
+    }
+    message->entry_count = count;
+}
+
+bool
+Logmsg_Read(Unpack *in, RlogMessage *message, Err *err)
+{
+    message->kind =
+        (RlogMessageKind)Unpack_Bounded(in, Rlog_MESSAGE_KINDS - 1);
+    message->from = Unpack_U64(in);
+    message->to = Unpack_U64(in);
+    message->term = Unpack_U64(in);
+    message->pre = Unpack_Bool(in);
+    message->granted = Unpack_Bool(in);
+    message->last_term = Unpack_U64(in);
+    message->last_index = Unpack_U64(in);
+    message->commit = Unpack_U64(in);
+    message->round = Unpack_Bounded(in, INT64_MAX);
+    message->snapshot = Unpack_Str(in);
+    if (message->snapshot.len > Logmsg_SNAPSHOT_MAX) {
+        Unpack_Fail(in);
+    }
+    message->entry_count = 0;
+    take_entries(in, message);
+    return Unpack_Ok(in, err);
+}
+
+void
+Logmsg_PackHello(Pack *pack, const HelloMsg *hello)
+{
+    Wire_Begin(pack, Wire_HELLO, HELLO_FIELDS);
+    Pack_U64(pack, hello->identity);
+    Pack_U64(pack, hello->addr);
+    Pack_Bool(pack, hello->blank);
+    Pack_Bool(pack, hello->answer);
+}
+
+bool
+Logmsg_ReadHello(Unpack *in, HelloMsg *hello, Err *err)
+{
+    hello->identity = Unpack_U64(in);
+    hello->addr = Unpack_U64(in);
+    hello->blank = Unpack_Bool(in);
+    hello->answer = Unpack_Bool(in);
+    return Unpack_Ok(in, err);
+}
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -37,6 +37,8 @@
     Wire_SUSPECTS,    /* suspectmsg: blame of requests */
     Wire_FATE_ASK,    /* claimmsg: what became of an attempt */
     Wire_FATE,        /* its answer */
+    Wire_PRESETS_ASK, /* configmsg: which presets there are, to the leader */
+    Wire_PRESETS,     /* its answer */
     Wire_KINDS
 } WireKind;
 
--- /dev/null
+++ b/src/process/control.c
@@ -0,0 +1,553 @@
+#include "process/control.h"
+
+#include <inttypes.h>
+#include <sys/stat.h>
+
+#include "connection/logmsg.h"
+#include "value/mem.h"
+
+#define TICK Span_MS(20)
+#define ELECTION Span_MS(1000)
+#define HEARTBEAT Span_MS(200)
+#define HELLO Span_MS(500)
+#define HELLO_BLANK Span_MS(100) /* while the fleet's history may begin */
+#define HELLO_EXPIRY Span_MS(2000)
+#define OPEN_AGAIN Span_S(5)
+
+enum { LOG_MAX = 128 };
+
+static const Str genesis_id = Str_LIT("genesis");
+
+void
+Ctl_Count(Control *control, const Pack *pack)
+{
+    Cnt_Add(control->counters, Cnt_CONTROL_MESSAGES, 1);
+    Cnt_Add(control->counters, Cnt_CONTROL_BYTES, Pack_View(pack).len);
+}
+
+static void
+on_send(void *context, const RlogMessage *message)
+{
+    Control *control = context;
+    bool answer =
+        message->kind == Rlog_VOTED || message->kind == Rlog_APPENDED;
+    const RlogReplica *to =
+        Rlog_FindReplica(&control->rlog.replicas, message->to);
+    Pack pack;
+
+    if (!answer && !to) {
+        return;
+    }
+    Logmsg_Pack(&pack, message);
+    Ctl_Count(control, &pack);
+    if (answer) {
+        Net_Answer(control->net, control->origin, Pack_View(&pack),
+                   Loop_Now());
+    }
+    else {
+        Net_Send(control->net, to->addr, Pack_View(&pack), Loop_Now());
+    }
+    Pack_Finish(&pack);
+}
+
+static bool
+is_stored(Control *control, bool good, const Err *err)
+{
+    if (!good) {
+        Lgr_LogErr(control->timeline->logger, Lgr_ERROR,
+                   Str_LIT("control_folder_failed"), err);
+    }
+    return good;
+}
+
+static bool
+on_store_vote(void *context, uint64_t term, uint64_t voted_for)
+{
+    Control *control = context;
+    Err err = {0};
+    bool good = Disk_StoreVote(&control->disk, term, voted_for, &err);
+
+    return is_stored(control, good, &err);
+}
+
+static bool
+on_store_entries(void *context, const RlogEntry *entries, size_t count)
+{
+    Control *control = context;
+    Err err = {0};
+    bool good = Disk_StoreEntries(&control->disk, entries, count, &err);
+
+    return is_stored(control, good, &err);
+}
+
+static bool
+on_truncate(void *context, uint64_t from_index)
+{
+    Control *control = context;
+    Err err = {0};
+    bool good = Disk_Truncate(&control->disk, from_index, &err);
+
+    return is_stored(control, good, &err);
+}
+
+static bool
+on_store_snapshot(void *context, uint64_t term, uint64_t index, Str snapshot)
+{
+    Control *control = context;
+    Err err = {0};
+    bool good =
+        Disk_StoreSnapshot(&control->disk, term, index, snapshot, &err);
+
+    return is_stored(control, good, &err);
+}
+
+static void
+record_change(Control *control, const CfgChange *change,
+              const CfgResult *result)
+{
+    static const char *const outcomes[Cfg_OUTCOMES] = {"accepted", "conflict",
+                                                       "refused", "forgotten"};
+    Str verb = Cfg_VerbName(change->verb);
+
+    if (control->rlog.role == Rlog_LEADER) {
+        Tml_Record(control->timeline, Tml_CHANGE,
+                   "id=%.*s %.*s %.*s %s%s version=%" PRIu64 ".%" PRIu64,
+                   Str_ARG(change->id), Str_ARG(verb), Str_ARG(change->preset),
+                   outcomes[result->outcome], result->again ? " again" : "",
+                   result->version.term, result->version.index);
+    }
+}
+
+static void
+on_commit(void *context, const RlogEntry *entry)
+{
+    Control *control = context;
+    CfgVersion version = {entry->term, entry->index};
+    CfgChange change;
+    CfgResult result;
+    Unpack in;
+
+    if (entry->kind != Rlog_CHANGE || !Unpack_Init(&in, entry->data, NULL)) {
+        return;
+    }
+    Cfg_TakeChange(&in, &change);
+    if (Unpack_Ok(&in, NULL)) {
+        Cfg_Apply(&control->cfg, &change, version, &result);
+        record_change(control, &change, &result);
+        Ctl_OnDecided(control, entry->term, entry->index, &result, Loop_Now());
+    }
+    Unpack_Finish(&in);
+}
+
+static void
+on_save_state(void *context, StrBuf *out)
+{
+    Cfg_Save(&((Control *)context)->cfg, out);
+}
+
+static bool
+on_load_state(void *context, Str state)
+{
+    return Cfg_Load(&((Control *)context)->cfg, state, NULL);
+}
+
+static void
+on_role(void *context, bool leader, uint64_t term, Instant now)
+{
+    Control *control = context;
+
+    (void)now;
+    Tml_Record(control->timeline, leader ? Tml_ELECTED : Tml_STEPPED_DOWN,
+               "term=%" PRIu64 " identity=%016" PRIx64, term,
+               control->disk.identity);
+    /* Their outcomes are another leader's to tell. */
+    for (size_t i = 0; i < Ctl_WAITERS_MAX; i++) {
+        control->waiters[i].index = 0;
+    }
+}
+
+static void
+record_replica(Control *control, TmlKind kind, const RlogReplica *replica)
+{
+    StrBuf addr = {0};
+
+    Addr_Print(replica->addr, &addr);
+    Tml_Record(control->timeline, kind, "%.*s identity=%016" PRIx64 " %s",
+               Str_ARG(addr), replica->identity,
+               replica->voter ? "voter" : "learner");
+    StrBuf_Finish(&addr);
+}
+
+static void
+on_replicas(void *context, const RlogReplicas *replicas)
+{
+    Control *control = context;
+    RlogReplicas *old = &control->replicas;
+
+    for (uint32_t i = 0; i < replicas->count; i++) {
+        const RlogReplica *now = &replicas->items[i];
+        const RlogReplica *was = Rlog_FindReplica(old, now->identity);
+        if (!was || was->voter != now->voter) {
+            record_replica(control, Tml_REPLICA_CAME, now);
+        }
+    }
+    for (uint32_t i = 0; i < old->count; i++) {
+        if (!Rlog_FindReplica(replicas, old->items[i].identity)) {
+            record_replica(control, Tml_REPLICA_GONE, &old->items[i]);
+        }
+    }
+    *old = *replicas;
+}
+
+static bool
+restore_vote(void *context, uint64_t term, uint64_t voted_for, Err *err)
+{
+    (void)err;
+    if (term) {
+        Rlog_RestoreVote(&((Control *)context)->rlog, term, voted_for);
+    }
+    return true;
+}
+
+static bool
+restore_snapshot(void *context, uint64_t term, uint64_t index, Str snapshot,
+                 Err *err)
+{
+    return Rlog_RestoreSnapshot(&((Control *)context)->rlog, term, index,
+                                snapshot, err);
+}
+
+static bool
+restore_entry(void *context, const RlogEntry *entry, Err *err)
+{
+    return Rlog_RestoreEntry(&((Control *)context)->rlog, entry, err);
+}
+
+static void
+init_rlog(Control *control, Instant now)
+{
+    RlogSettings settings = {control->disk.identity,
+                             control->settings->address, ELECTION, HEARTBEAT,
+                             LOG_MAX};
+    RlogOut out = {
+        .context = control,
+        .send = on_send,
+        .store_vote = on_store_vote,
+        .store_entries = on_store_entries,
+        .truncate = on_truncate,
+        .store_snapshot = on_store_snapshot,
+        .commit = on_commit,
+        .save_state = on_save_state,
+        .load_state = on_load_state,
+        .role = on_role,
+        .replicas = on_replicas,
+    };
+
+    Rlog_Init(&control->rlog, &settings, &out, control->rng, now);
+}
+
+static bool
+open_folder(Control *control, Err *err)
+{
+    StrBuf folder = {0};
+    bool good;
+
+    StrBuf_Set(&folder, StrBuf_View(&control->settings->data_folder));
+    mkdir(StrBuf_CStr(&folder), 0700); /* Disk_Init tells when it failed */
+    StrBuf_Append(&folder, Str_LIT("/control"));
+    good =
+        Disk_Init(&control->disk, StrBuf_View(&folder), Loop_Entropy(), err);
+    StrBuf_Finish(&folder);
+    return good;
+}
+
+static void
+close_role(Control *control)
+{
+    Rlog_Finish(&control->rlog);
+    Cfg_Finish(&control->cfg);
+    Disk_Finish(&control->disk);
+    control->open = false;
+}
+
+static void
+open_role(Control *control, Instant now)
+{
+    DiskReader reader = {control, restore_vote, restore_snapshot,
+                         restore_entry};
+    Err err = {0};
+
+    control->open_at = now + OPEN_AGAIN;
+    if (open_folder(control, &err)) {
+        Cfg_Init(&control->cfg);
+        init_rlog(control, now);
+        control->open = Disk_Load(&control->disk, &reader, &err);
+        if (!control->open) {
+            close_role(control);
+        }
+    }
+    if (!control->open) {
+        Lgr_LogErr(control->timeline->logger, Lgr_ERROR,
+                   Str_LIT("control_folder_not_opened"), &err);
+    }
+    else if (control->disk.cut) {
+        Lgr_Log(control->timeline->logger, Lgr_WARNING,
+                Str_LIT("control_log_cut"), "%zu bytes of a torn record",
+                control->disk.cut);
+    }
+}
+
+static void
+send_hello(Control *control, Addr to, const NetOrigin *origin, Instant now)
+{
+    HelloMsg hello = {
+        .identity = control->disk.identity,
+        .addr = control->settings->address,
+        .blank = Rlog_IsBlank(&control->rlog),
+        .answer = origin != NULL,
+    };
+    Pack pack;
+
+    Logmsg_PackHello(&pack, &hello);
+    Ctl_Count(control, &pack);
+    if (origin) {
+        Net_Answer(control->net, origin, Pack_View(&pack), now);
+    }
+    else {
+        Net_Send(control->net, to, Pack_View(&pack), now);
+    }
+    Pack_Finish(&pack);
+}
+
+static void
+send_hellos(Control *control, Instant now)
+{
+    const Settings *settings = control->settings;
+    bool blank = Rlog_IsBlank(&control->rlog);
+
+    if (now < control->hello_at) {
+        return;
+    }
+    control->hello_at = now + (blank ? HELLO_BLANK : HELLO);
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        if (settings->replicas[i] != settings->address) {
+            send_hello(control, settings->replicas[i], NULL, now);
+        }
+    }
+}
+
+static void
+on_hello(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Control *control = context;
+    const Settings *settings = control->settings;
+    HelloMsg hello;
+    Err err = {0};
+
+    if (!Logmsg_ReadHello(in, &hello, &err)) {
+        Cnt_Add(control->counters, Cnt_MALFORMED, 1);
+        return;
+    }
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        if (settings->replicas[i] == hello.addr) {
+            control->hellos[i] = (CtlHello){hello.identity, hello.blank, now};
+        }
+    }
+    if (!hello.answer && control->open) {
+        send_hello(control, hello.addr, origin, now);
+    }
+}
+
+static bool
+is_heard(const CtlHello *hello, Instant now)
+{
+    return hello->heard_at && now - hello->heard_at < HELLO_EXPIRY;
+}
+
+/* Begin the history, when all are here and none holds anything. */
+static void
+found(Control *control, Instant now)
+{
+    const Settings *settings = control->settings;
+    RlogReplicas voters = {.count = (uint32_t)settings->replica_count};
+
+    if (settings->replicas[0] != settings->address ||
+        !Rlog_IsBlank(&control->rlog)) {
+        return;
+    }
+    voters.items[0] =
+        (RlogReplica){control->disk.identity, settings->address, true, true};
+    for (size_t i = 1; i < settings->replica_count; i++) {
+        const CtlHello *hello = &control->hellos[i];
+        if (!is_heard(hello, now) || !hello->blank) {
+            return;
+        }
+        voters.items[i] =
+            (RlogReplica){hello->identity, settings->replicas[i], true, true};
+    }
+    Rlog_Found(&control->rlog, &voters, now);
+}
+
+static void
+introduce(Control *control, Instant now)
+{
+    const Settings *settings = control->settings;
+
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        const CtlHello *hello = &control->hellos[i];
+        if (is_heard(hello, now)) {
+            Rlog_OnReplica(&control->rlog, hello->identity,
+                           settings->replicas[i], now);
+        }
+    }
+}
+
+/* The first version of all is the preset in the leader's file. */
+static void
+propose_genesis(Control *control, Instant now)
+{
+    CfgChange change = {
+        .verb = Cfg_PUT,
+        .id = genesis_id,
+        .preset = control->preset_name,
+        .json = control->preset_json,
+    };
+    Pack pack;
+
+    if (Cfg_InForce(&control->cfg) ||
+        control->genesis_term == control->rlog.term) {
+        return;
+    }
+    control->genesis_term = control->rlog.term;
+    Pack_Init(&pack, Cfg_CHANGE_FIELDS);
+    Cfg_PackChange(&pack, &change);
+    Rlog_Propose(&control->rlog, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+static void
+run_role(Control *control, Instant now)
+{
+    Rlog_OnTick(&control->rlog, now);
+    send_hellos(control, now);
+    found(control, now);
+    if (Ctl_IsCurrent(control, now)) {
+        introduce(control, now);
+        propose_genesis(control, now);
+    }
+    Ctl_TellVersion(control, now);
+    if (control->rlog.failed) {
+        control->open_at = now + OPEN_AGAIN;
+        close_role(control);
+    }
+}
+
+static void
+on_tick(void *context, Instant now)
+{
+    Control *control = context;
+
+    if (control->open) {
+        run_role(control, now);
+    }
+    else if (now >= control->open_at) {
+        open_role(control, now);
+    }
+}
+
+static void
+on_log(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Control *control = context;
+    static RlogMessage message;
+    Err err = {0};
+
+    if (!Logmsg_Read(in, &message, &err)) {
+        Cnt_Add(control->counters, Cnt_MALFORMED, 1);
+        Lgr_LogErr(control->timeline->logger, Lgr_WARNING,
+                   Str_LIT("message_refused"), &err);
+        return;
+    }
+    if (!control->open) {
+        return;
+    }
+    control->origin = origin;
+    Rlog_OnMessage(&control->rlog, &message, now);
+    control->origin = NULL;
+    Ctl_TellVersion(control, now);
+}
+
+void
+Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
+         Timeline *timeline, const Settings *settings, Rng *rng,
+         Str preset_name, Str preset_json)
+{
+    *control = (Control){
+        .settings = settings,
+        .loop = loop,
+        .net = net,
+        .counters = counters,
+        .timeline = timeline,
+        .rng = rng,
+        .preset_name = preset_name,
+        .preset_json = preset_json,
+    };
+    if (!settings->control) {
+        return;
+    }
+    control->watchers = Mem_Alloc(Ctl_WATCHERS_MAX, sizeof *control->watchers);
+    open_role(control, Loop_Now());
+    Net_On(net, Wire_LOG, on_log, control);
+    Net_On(net, Wire_HELLO, on_hello, control);
+    Ctl_Serve(control);
+    LoopTimer_Init(&control->tick, loop, TICK, on_tick, control);
+}
+
+void
+Ctl_Finish(Control *control)
+{
+    if (!control->settings->control) {
+        return;
+    }
+    LoopTimer_Finish(&control->tick);
+    if (control->open) {
+        close_role(control);
+    }
+    Mem_Free(control->watchers);
+}
+
+bool
+Ctl_IsGenesis(const Control *control)
+{
+    const RlogReplica *own;
+
+    if (!control->open) {
+        return false;
+    }
+    own = Rlog_FindReplica(&control->rlog.replicas, control->disk.identity);
+    return own && own->genesis;
+}
+
+bool
+Ctl_IsFirstStart(const Control *control)
+{
+    return Ctl_IsGenesis(control) && control->disk.fresh;
+}
+
+Addr
+Ctl_Leader(const Control *control)
+{
+    const RlogReplica *leader;
+
+    if (!control->open) {
+        return Addr_NONE;
+    }
+    leader = Rlog_FindReplica(&control->rlog.replicas, control->rlog.leader);
+    return leader ? leader->addr : Addr_NONE;
+}
+
+bool
+Ctl_IsCurrent(const Control *control, Instant now)
+{
+    return control->open && Rlog_IsCurrent(&control->rlog, now);
+}
--- /dev/null
+++ b/src/process/control.h
@@ -0,0 +1,106 @@
+/* Ctl: the control replica role: the replicated log, its folder, the
+ * configuration it builds, and the messages about them.
+ *
+ * The fleet's history begins once, when all listed control replicas are up
+ * and none holds anything; the first of the list founds it and proposes the
+ * preset of its settings' file.  A replica whose folder was lost has a new
+ * identity and waits until the leader takes it in as a learner.
+ *
+ * A replica that knows of nothing newer tells a node so; only the leader
+ * under its lease tells it as current.
+ */
+#ifndef CONTROL_H
+#define CONTROL_H
+
+#include "process/net.h"
+#include "version/config.h"
+#include "version/disk.h"
+#include "version/rlog.h"
+
+enum {
+    Ctl_WAITERS_MAX = 64,   /* changes proposed and not committed yet */
+    Ctl_WATCHERS_MAX = 2048 /* nodes told of a new version */
+};
+
+/* What another control replica said last. */
+typedef struct {
+    uint64_t identity;
+    bool blank;
+    Instant heard_at; /* 0: never */
+} CtlHello;
+
+/* Who waits for the outcome of an entry. */
+typedef struct {
+    NetOrigin origin;
+    uint64_t ask;
+    uint64_t term;
+    uint64_t index; /* 0: free */
+} CtlWaiter;
+
+/* A node that asked for the version lately. */
+typedef struct {
+    Addr node;
+    NetOrigin origin;
+    Instant asked_at;
+} CtlWatcher;
+
+typedef struct {
+    const Settings *settings;
+    Loop *loop;
+    Net *net;
+    Counters *counters;
+    Timeline *timeline;
+    Rng *rng;
+    Str preset_name; /* of the settings' file */
+    Str preset_json;
+    bool open; /* the role runs: its folder was read */
+    Disk disk;
+    Rlog rlog;
+    Cfg cfg;
+    CfgVersion told; /* to the nodes that watch */
+    RlogReplicas replicas;
+    uint64_t genesis_term;   /* in which the file's preset was proposed */
+    const NetOrigin *origin; /* of the message that is handled */
+    CtlHello hellos[Rlog_VOTERS_MAX]; /* by control replica */
+    CtlWaiter waiters[Ctl_WAITERS_MAX];
+    CtlWatcher *watchers;
+    size_t watcher_count;
+    Instant hello_at;
+    Instant open_at; /* of the next try to read the folder */
+    LoopTimer tick;
+} Control;
+
+/* Does nothing on a node that is no control replica.  PRESET_NAME and
+ * PRESET_JSON outlive CONTROL. */
+void Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
+              Timeline *timeline, const Settings *settings, Rng *rng,
+              Str preset_name, Str preset_json);
+void Ctl_Finish(Control *control);
+
+/* This replica's folder was made at the fleet's first start: it has been
+ * there since the history began.  False as long as that is not known. */
+bool Ctl_IsGenesis(const Control *control);
+
+/* As Ctl_IsGenesis, and this process made the folder. */
+bool Ctl_IsFirstStart(const Control *control);
+
+/* The leader's address as far as this replica knows. */
+Addr Ctl_Leader(const Control *control);
+
+/* The leader under its lease. */
+bool Ctl_IsCurrent(const Control *control, Instant now);
+
+/* Serve nodes: changes, versions, presets (control_serve.c). */
+void Ctl_Serve(Control *control);
+
+/* The entry at TERM, INDEX was decided. */
+void Ctl_OnDecided(Control *control, uint64_t term, uint64_t index,
+                   const CfgResult *result, Instant now);
+
+/* Tell the nodes that watch of a newer version. */
+void Ctl_TellVersion(Control *control, Instant now);
+
+/* Count a message of control. */
+void Ctl_Count(Control *control, const Pack *pack);
+
+#endif
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -4,6 +4,7 @@
 #include <zmq.h>
 
 #include "connection/callmsg.h"
+#include "connection/logmsg.h"
 #include "value/mem.h"
 
 enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 1000 };
@@ -22,13 +23,15 @@
 {
     int max = (int)net->settings->body_bytes_max +
               (int)net->settings->header_bytes_max + Callmsg_PIECE_BYTES;
+    int least = Logmsg_SNAPSHOT_MAX + Callmsg_PIECE_BYTES;
 
     set_int(socket, ZMQ_LINGER, 0);
     set_int(socket, ZMQ_SNDHWM, SEND_QUEUE);
     set_int(socket, ZMQ_RCVHWM, SEND_QUEUE);
     set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
     set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &(int64_t){max}, sizeof(int64_t));
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE,
+                   &(int64_t){max > least ? max : least}, sizeof(int64_t));
 }
 
 /* Counter of the processor time that handling KIND takes, Cnt_COUNT when it
--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -11,8 +11,8 @@
         .settings = *settings,
         .out = *out,
         .rng = rng,
-        /* A vote just before the start may have given a leader its lease. */
-        .heard_at = now,
+        .started_at = now,
+        .heard_at = now - settings->election,
     };
     Rlog_DelayElection(rlog, now);
 }
@@ -220,6 +220,8 @@
 {
     rlog->term = term;
     rlog->voted_for = voted_for;
+    /* It may have given a leader its lease just before the start. */
+    rlog->heard_at = rlog->started_at;
 }
 
 bool
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -143,8 +143,9 @@
     bool failed; /* a store failed: takes no part any more */
     uint64_t term;
     uint64_t voted_for;
-    uint64_t leader;  /* identity; 0: not known */
-    Instant heard_at; /* from a leader, or the start */
+    uint64_t leader; /* identity; 0: not known */
+    Instant started_at;
+    Instant heard_at; /* from a leader, or the start if it may have before */
     Instant election_at;
     Instant beat_at;
     Instant led_at; /* when this one became leader */
--- a/tests/support/rlogworld.c
+++ b/tests/support/rlogworld.c
@@ -254,7 +254,9 @@
 {
     Err err = {0};
 
-    Rlog_RestoreVote(&replica->rlog, replica->term, replica->voted_for);
+    if (replica->term) {
+        Rlog_RestoreVote(&replica->rlog, replica->term, replica->voted_for);
+    }
     if (replica->snapshot_index &&
         !Rlog_RestoreSnapshot(&replica->rlog, replica->snapshot_term,
                               replica->snapshot_index,
