Follow the version in force on every node; serve operators' changes

A node takes no call until the leader has confirmed which version is in force: a restart with changes in its absence can't bring back an older state. Before: every node served the settings' file for good.

--- /dev/null
+++ b/src/process/changes.c
@@ -0,0 +1,473 @@
+#include "process/changes.h"
+
+#include <event2/keyvalq_struct.h>
+#include <stdlib.h>
+
+#include "connection/configmsg.h"
+#include "process/chganswer.h"
+#include "value/json.h"
+#include "value/mem.h"
+
+#define TICK Span_MS(50)
+#define FIND_AGAIN Span_MS(300)
+#define SEND_AGAIN Span_MS(1000)
+#define WAIT Span_MS(6000)          /* for an outcome */
+#define WAIT_VERSIONS Span_MS(1000) /* for the leader's version */
+
+typedef enum { ASK_PRESETS, ASK_PRESET, ASK_VERSIONS, ASK_CHANGE } AskKind;
+
+/* One operators' request that waits for the leader. */
+struct ChgAsk {
+    ChgAsk *next;
+    Changes *changes;
+    struct evhttp_request *request;
+    AskKind kind;
+    uint64_t number;
+    StrBuf name;
+    StrBuf id; /* of a change, as what follows */
+    StrBuf json;
+    CfgVerb verb;
+    CfgVersion base;
+    Addr target;  /* asked last */
+    bool leads;   /* and said that it leads */
+    uint32_t out; /* changes sent and not answered */
+    Instant again_at;
+    Instant deadline;
+};
+
+static void
+end_ask(ChgAsk *ask, OprAnswer answer)
+{
+    ChgAsk **at = &ask->changes->first;
+
+    while (*at != ask) {
+        at = &(*at)->next;
+    }
+    *at = ask->next;
+    Opr_Answer(ask->request, answer.status, answer.body);
+    StrBuf_Finish(&ask->name);
+    StrBuf_Finish(&ask->id);
+    StrBuf_Finish(&ask->json);
+    Mem_Free(ask);
+}
+
+static ChgAsk *
+find_ask(Changes *changes, uint64_t number)
+{
+    for (ChgAsk *ask = changes->first; ask; ask = ask->next) {
+        if (ask->number == number) {
+            return ask;
+        }
+    }
+    return NULL;
+}
+
+static void
+send_message(Changes *changes, Addr to, Pack *pack, Instant now)
+{
+    Cnt_Add(changes->counters, Cnt_CONTROL_MESSAGES, 1);
+    Cnt_Add(changes->counters, Cnt_CONTROL_BYTES, Pack_View(pack).len);
+    Net_Send(changes->net, to, Pack_View(pack), now);
+    Pack_Finish(pack);
+}
+
+static void
+send_presets_ask(ChgAsk *ask, Instant now)
+{
+    PresetsAskMsg msg = {.ask = ask->number};
+    Pack pack;
+
+    if (ask->kind == ASK_PRESET) {
+        msg.name = StrBuf_View(&ask->name);
+    }
+    ask->leads = false;
+    ask->again_at = now + FIND_AGAIN;
+    Configmsg_PackPresetsAsk(&pack, &msg);
+    send_message(ask->changes, ask->target, &pack, now);
+}
+
+static void
+send_change(ChgAsk *ask, Instant now)
+{
+    ChangeMsg msg = {
+        .ask = ask->number,
+        .change = {.verb = ask->verb,
+                   .id = StrBuf_View(&ask->id),
+                   .base = ask->base,
+                   .preset = StrBuf_View(&ask->name),
+                   .json = StrBuf_View(&ask->json)},
+    };
+    Pack pack;
+
+    ask->leads = true;
+    ask->out++;
+    ask->again_at = now + SEND_AGAIN;
+    Configmsg_PackChange(&pack, &msg);
+    send_message(ask->changes, ask->target, &pack, now);
+}
+
+/* Ask the leader as last told, else the next replica of the list. */
+static void
+look_for_leader(ChgAsk *ask, Instant now)
+{
+    Changes *changes = ask->changes;
+    const Settings *settings = changes->settings;
+    Addr known = changes->follow->leader;
+
+    if (known && known != ask->target) {
+        ask->target = known;
+    }
+    else {
+        ask->target =
+            settings->replicas[changes->next++ % settings->replica_count];
+    }
+    send_presets_ask(ask, now);
+}
+
+static void
+answer_versions(ChgAsk *ask, CfgVersion version, bool current)
+{
+    Changes *changes = ask->changes;
+    const Preset *preset = &(*changes->in_force)->preset;
+
+    end_ask(ask, (OprAnswer){200, Cha_Versions(changes->settings,
+                                               changes->membership, version,
+                                               current,
+                                               StrBuf_View(&preset->name))});
+}
+
+static void
+give_up(ChgAsk *ask)
+{
+    if (ask->kind == ASK_VERSIONS) {
+        answer_versions(ask, ask->changes->follow->newest, false);
+    }
+    else if (ask->out) {
+        end_ask(ask,
+                (OprAnswer){504, Cha_Outcome(Str_LIT("unknown"),
+                                             Str_LIT("no outcome came back: "
+                                                     "send it again with the "
+                                                     "same id"))});
+    }
+    else {
+        end_ask(ask, (OprAnswer){503, Cha_Outcome(Str_LIT("unreachable"),
+                                                  Str_LIT("no leader of the "
+                                                          "control replicas "
+                                                          "answers"))});
+    }
+}
+
+static void
+on_tick(void *context, Instant now)
+{
+    Changes *changes = context;
+    ChgAsk *next;
+
+    for (ChgAsk *ask = changes->first; ask; ask = next) {
+        next = ask->next;
+        if (now >= ask->deadline) {
+            give_up(ask);
+        }
+        else if (now >= ask->again_at) {
+            look_for_leader(ask, now);
+        }
+    }
+}
+
+static ChgAsk *
+start_ask(Changes *changes, struct evhttp_request *request, AskKind kind,
+          Instant now)
+{
+    ChgAsk *ask = Mem_Alloc(1, sizeof *ask);
+
+    ask->changes = changes;
+    ask->request = request;
+    ask->kind = kind;
+    ask->number = ++changes->counter;
+    ask->deadline = now + (kind == ASK_VERSIONS ? WAIT_VERSIONS : WAIT);
+    ask->next = changes->first;
+    changes->first = ask;
+    return ask;
+}
+
+/* Another replica leads: ask that one at once, unless it was asked just now.
+ */
+static void
+turn_to(ChgAsk *ask, Addr leader, Instant now)
+{
+    if (leader && leader != ask->target) {
+        ask->target = leader;
+        send_presets_ask(ask, now);
+    }
+}
+
+static void
+take_presets(ChgAsk *ask, const PresetsMsg *msg, Instant now)
+{
+    switch (ask->kind) {
+    case ASK_PRESETS:
+        end_ask(ask, (OprAnswer){200, Cha_Presets(msg)});
+        break;
+    case ASK_PRESET:
+        end_ask(ask, Cha_Preset(msg, StrBuf_View(&ask->name)));
+        break;
+    case ASK_VERSIONS:
+        answer_versions(ask, msg->version, true);
+        break;
+    case ASK_CHANGE:
+        if (!ask->leads) {
+            send_change(ask, now);
+        }
+        break;
+    }
+}
+
+static void
+on_presets(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Changes *changes = context;
+    PresetsMsg msg;
+    Err err = {0};
+    ChgAsk *ask;
+
+    if (!Configmsg_ReadPresets(in, &msg, &err)) {
+        Cnt_Add(changes->counters, Cnt_MALFORMED, 1);
+        return;
+    }
+    ask = find_ask(changes, msg.ask);
+    if (!ask || origin->peer != ask->target) {
+        return;
+    }
+    if (msg.current) {
+        take_presets(ask, &msg, now);
+    }
+    else {
+        turn_to(ask, msg.leader, now);
+    }
+}
+
+static void
+on_changed(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Changes *changes = context;
+    ChangedMsg msg;
+    Err err = {0};
+    ChgAsk *ask;
+
+    (void)origin;
+    if (!Configmsg_ReadChanged(in, &msg, &err)) {
+        Cnt_Add(changes->counters, Cnt_MALFORMED, 1);
+        return;
+    }
+    ask = find_ask(changes, msg.ask);
+    if (!ask) {
+        return;
+    }
+    if (msg.decided) {
+        end_ask(ask, Cha_Change(&msg));
+        return;
+    }
+    ask->out -= ask->out > 0;
+    ask->leads = false;
+    turn_to(ask, msg.leader, now);
+}
+
+static OprAnswer
+show_presets(void *context, struct evhttp_request *request, Str body,
+             Instant now)
+{
+    (void)body;
+    look_for_leader(start_ask(context, request, ASK_PRESETS, now), now);
+    return (OprAnswer){0};
+}
+
+static OprAnswer
+show_versions(void *context, struct evhttp_request *request, Str body,
+              Instant now)
+{
+    (void)body;
+    look_for_leader(start_ask(context, request, ASK_VERSIONS, now), now);
+    return (OprAnswer){0};
+}
+
+static void
+read_name(struct evhttp_request *request, StrBuf *name)
+{
+    const char *query =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(request));
+    struct evkeyvalq fields;
+
+    if (query && evhttp_parse_query_str(query, &fields) == 0) {
+        StrBuf_Set(name, Str_FromC(evhttp_find_header(&fields, "name")));
+        evhttp_clear_headers(&fields);
+    }
+}
+
+static OprAnswer
+show_preset(void *context, struct evhttp_request *request, Str body,
+            Instant now)
+{
+    ChgAsk *ask;
+    StrBuf name = {0};
+
+    (void)body;
+    read_name(request, &name);
+    if (name.len == 0 || name.len > Cfg_NAME_MAX) {
+        StrBuf_Finish(&name);
+        return (OprAnswer){400, Opr_Error(Str_LIT("malformed"),
+                                          Str_LIT("name: 1 to 64 bytes"))};
+    }
+    ask = start_ask(context, request, ASK_PRESET, now);
+    ask->name = name;
+    look_for_leader(ask, now);
+    return (OprAnswer){0};
+}
+
+static OprAnswer
+show_replicas(void *context, struct evhttp_request *request, Str body,
+              Instant now)
+{
+    const Changes *changes = context;
+
+    (void)request;
+    (void)body;
+    if (!changes->settings->control) {
+        return (OprAnswer){404, Opr_Error(Str_LIT("no_replica"),
+                                          Str_LIT("this node is no control "
+                                                  "replica"))};
+    }
+    return (OprAnswer){
+        200,
+        Cha_Replicas(changes->control, Ctl_IsCurrent(changes->control, now))};
+}
+
+static void
+read_base(JsnObject *change, CfgVersion *base, FindingList *findings)
+{
+    JsnObject o;
+
+    Jsn_Enter(&o, Jsn_Get(change, Str_LIT("base")), Str_LIT("/base"),
+              findings);
+    base->term = (uint64_t)Jsn_GetInt(&o, Str_LIT("term"), 0, INT64_MAX, 0);
+    base->index = (uint64_t)Jsn_GetInt(&o, Str_LIT("index"), 0, INT64_MAX, 0);
+    Jsn_Leave(&o);
+}
+
+static void
+read_preset(ChgAsk *ask, JsnObject *change)
+{
+    json_t *preset = Jsn_Get(change, Str_LIT("preset"));
+    char *text;
+
+    if ((ask->verb == Cfg_PUT) != json_is_object(preset)) {
+        Jsn_Find(change, Str_LIT("preset"), Str_LIT("does not fit the verb"),
+                 Str_LIT("an object with put, nothing with use"));
+        return;
+    }
+    text = preset ? json_dumps(preset, JSON_COMPACT) : NULL;
+    StrBuf_Set(&ask->json, Str_FromC(text));
+    free(text);
+}
+
+/* Bounds are checked here too, where the message would be refused. */
+static void
+check_bounds(const ChgAsk *ask, FindingList *findings)
+{
+    CfgChange change = {
+        .verb = ask->verb,
+        .id = StrBuf_View(&ask->id),
+        .preset = StrBuf_View(&ask->name),
+        .json = StrBuf_View(&ask->json),
+    };
+
+    Cfg_Check(&change, findings);
+}
+
+static bool
+read_change(ChgAsk *ask, Str body, FindingList *findings)
+{
+    json_t *root = Jsn_Load(body, findings);
+    StrBuf verb = {0};
+    JsnObject o;
+
+    if (!root) {
+        return false;
+    }
+    Jsn_Enter(&o, root, (Str){0}, findings);
+    Jsn_GetStr(&o, Str_LIT("id"), true, &ask->id);
+    Jsn_GetStr(&o, Str_LIT("name"), true, &ask->name);
+    Jsn_GetStr(&o, Str_LIT("verb"), true, &verb);
+    read_base(&o, &ask->base, findings);
+    if (!Cfg_ParseVerb(StrBuf_View(&verb), &ask->verb)) {
+        Jsn_Find(&o, Str_LIT("verb"), Str_LIT("no such verb"),
+                 Str_LIT("put or use"));
+    }
+    read_preset(ask, &o);
+    Jsn_Leave(&o);
+    if (findings->count == 0) {
+        check_bounds(ask, findings);
+    }
+    json_decref(root);
+    StrBuf_Finish(&verb);
+    return findings->count == 0;
+}
+
+static OprAnswer
+on_change(void *context, struct evhttp_request *request, Str body, Instant now)
+{
+    ChgAsk *ask = start_ask(context, request, ASK_CHANGE, now);
+    FindingList findings;
+    StrBuf text = {0};
+
+    Fnd_Init(&findings);
+    Fnd_SetFile(&findings, Str_LIT("change"));
+    if (read_change(ask, body, &findings)) {
+        look_for_leader(ask, now);
+    }
+    else {
+        Fnd_Print(&findings, &text);
+        end_ask(ask, (OprAnswer){400, Cha_Outcome(Str_LIT("refused"),
+                                                  StrBuf_View(&text))});
+    }
+    Fnd_Finish(&findings);
+    StrBuf_Finish(&text);
+    return (OprAnswer){0};
+}
+
+void
+Chg_Init(Changes *changes, Loop *loop, Net *net, Counters *counters,
+         const Settings *settings, const Follow *follow, const Mbr *membership,
+         const Control *control, InForce *const *in_force)
+{
+    *changes = (Changes){
+        .settings = settings,
+        .net = net,
+        .counters = counters,
+        .follow = follow,
+        .membership = membership,
+        .control = control,
+        .in_force = in_force,
+    };
+    Net_On(net, Wire_PRESETS, on_presets, changes);
+    Net_On(net, Wire_CHANGED, on_changed, changes);
+    LoopTimer_Init(&changes->tick, loop, TICK, on_tick, changes);
+}
+
+void
+Chg_Finish(Changes *changes)
+{
+    LoopTimer_Finish(&changes->tick);
+    while (changes->first) {
+        give_up(changes->first);
+    }
+}
+
+void
+Chg_Serve(Changes *changes, Opr *opr)
+{
+    Opr_On(opr, Str_LIT("/v1/presets"), true, show_presets, changes);
+    Opr_On(opr, Str_LIT("/v1/presets/show"), true, show_preset, changes);
+    Opr_On(opr, Str_LIT("/v1/change"), true, on_change, changes);
+    Opr_On(opr, Str_LIT("/v1/versions"), true, show_versions, changes);
+    Opr_On(opr, Str_LIT("/v1/replicas"), true, show_replicas, changes);
+}
--- /dev/null
+++ b/src/process/chganswer.c
@@ -0,0 +1,162 @@
+#include "process/chganswer.h"
+
+#include <inttypes.h>
+
+#include "process/opjson.h"
+
+json_t *
+Cha_Outcome(Str outcome, Str detail)
+{
+    return json_pack("{s:o, s:o}", "outcome", Opj_Str(outcome), "detail",
+                     Opj_Str(detail));
+}
+
+static json_t *
+json_conflict(const CfgResult *result)
+{
+    json_t *body = Cha_Outcome(
+        Str_LIT("conflict"), Str_LIT("the base is not the version in force"));
+
+    json_object_set_new(body, "version", Opj_Version(result->version));
+    if (result->has_winner) {
+        json_object_set_new(
+            body, "winner",
+            json_pack("{s:o, s:o, s:o, s:o}", "id", Opj_Str(result->winner_id),
+                      "verb", Opj_Str(Cfg_VerbName(result->winner_verb)),
+                      "name", Opj_Str(result->winner_preset), "version",
+                      Opj_Version(result->winner_version)));
+    }
+    return body;
+}
+
+OprAnswer
+Cha_Change(const ChangedMsg *msg)
+{
+    const CfgResult *result = &msg->result;
+
+    switch (result->outcome) {
+    case Cfg_ACCEPTED:
+        return (OprAnswer){200,
+                           json_pack("{s:s, s:o, s:b}", "outcome", "accepted",
+                                     "version", Opj_Version(result->version),
+                                     "again", result->again)};
+    case Cfg_CONFLICT:
+        return (OprAnswer){409, json_conflict(result)};
+    case Cfg_REFUSED:
+        return (OprAnswer){400, Cha_Outcome(Str_LIT("refused"), msg->detail)};
+    default:
+        return (OprAnswer){
+            504, Cha_Outcome(Str_LIT("unknown"),
+                             Str_LIT("the change may be older than the "
+                                     "outcomes that are kept"))};
+    }
+}
+
+json_t *
+Cha_Presets(const PresetsMsg *msg)
+{
+    json_t *list = json_array();
+
+    for (uint32_t i = 0; i < msg->count; i++) {
+        json_array_append_new(
+            list, json_pack("{s:o, s:o}", "name", Opj_Str(msg->items[i].name),
+                            "version", Opj_Version(msg->items[i].changed)));
+    }
+    return json_pack("{s:o, s:o, s:o}", "version", Opj_Version(msg->version),
+                     "in_force", Opj_Str(msg->in_force), "presets", list);
+}
+
+static CfgVersion
+find_changed(const PresetsMsg *msg, Str name)
+{
+    for (uint32_t i = 0; i < msg->count; i++) {
+        if (Str_Equal(msg->items[i].name, name)) {
+            return msg->items[i].changed;
+        }
+    }
+    return (CfgVersion){0};
+}
+
+OprAnswer
+Cha_Preset(const PresetsMsg *msg, Str name)
+{
+    json_t *preset =
+        json_loadb(msg->json.ptr ? msg->json.ptr : "", msg->json.len, 0, NULL);
+
+    if (!preset) {
+        return (OprAnswer){404,
+                           Opr_Error(Str_LIT("no_preset"),
+                                     Str_LIT("there is none of that name"))};
+    }
+    return (OprAnswer){200, json_pack("{s:o, s:o, s:o, s:o}", "name",
+                                      Opj_Str(name), "version",
+                                      Opj_Version(msg->version), "changed",
+                                      Opj_Version(find_changed(msg, name)),
+                                      "preset", preset)};
+}
+
+static json_t *
+json_region(const Settings *settings, uint16_t domain)
+{
+    return domain < settings->domain_count
+               ? Opj_Str(StrBuf_View(&settings->domains[domain].region))
+               : json_null();
+}
+
+json_t *
+Cha_Versions(const Settings *settings, const Mbr *membership,
+             CfgVersion version, bool current, Str preset)
+{
+    json_t *nodes = json_array();
+    json_t *missing = json_array();
+
+    for (size_t i = 0; i < membership->count; i++) {
+        const MbrRow *row = &membership->rows[i];
+        const MbrRecord *record = &row->record;
+        CfgVersion there = {record->version_term, record->version_index};
+        bool here = !row->gone && !record->leaving;
+        json_array_append_new(
+            nodes,
+            json_pack("{s:o, s:o, s:o, s:b}", "node", Opj_Addr(record->node),
+                      "region", json_region(settings, record->domain),
+                      "version", Opj_Version(there), "here", here));
+        if (here && Cfg_CompareVersions(there, version) < 0) {
+            json_array_append_new(missing, Opj_Addr(record->node));
+        }
+    }
+    return json_pack("{s:o, s:b, s:o, s:o, s:o}", "version",
+                     Opj_Version(version), "current", current, "preset",
+                     Opj_Str(preset), "nodes", nodes, "missing", missing);
+}
+
+static json_t *
+json_identity(uint64_t identity)
+{
+    StrBuf text = {0};
+    json_t *value;
+
+    StrBuf_AppendFmt(&text, "%016" PRIx64, identity);
+    value = Opj_Str(StrBuf_View(&text));
+    StrBuf_Finish(&text);
+    return value;
+}
+
+json_t *
+Cha_Replicas(const Control *control, bool current)
+{
+    json_t *list = json_array();
+
+    for (uint32_t i = 0; i < control->replicas.count; i++) {
+        const RlogReplica *replica = &control->replicas.items[i];
+        json_array_append_new(
+            list,
+            json_pack("{s:o, s:o, s:b, s:b}", "node", Opj_Addr(replica->addr),
+                      "identity", json_identity(replica->identity), "voter",
+                      replica->voter, "genesis", replica->genesis));
+    }
+    return json_pack("{s:b, s:b, s:o, s:I, s:I, s:o}", "running",
+                     control->open, "current", current, "leader",
+                     Opj_Addr(Ctl_Leader(control)), "term",
+                     (json_int_t)control->rlog.term, "commit",
+                     (json_int_t)control->rlog.commit, "replicas", list);
+}
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -409,8 +409,8 @@
     CfgChange change = {
         .verb = Cfg_PUT,
         .id = genesis_id,
-        .preset = control->preset_name,
-        .json = control->preset_json,
+        .preset = StrBuf_View(&control->preset_name),
+        .json = StrBuf_View(&control->preset_json),
     };
     Pack pack;
 
@@ -446,6 +446,7 @@
 on_tick(void *context, Instant now)
 {
     Control *control = context;
+    int64_t start = Loop_CpuNs();
 
     if (control->open) {
         run_role(control, now);
@@ -453,6 +454,7 @@
     else if (now >= control->open_at) {
         open_role(control, now);
     }
+    Cnt_AddNs(control->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
 static void
@@ -489,12 +491,12 @@
         .counters = counters,
         .timeline = timeline,
         .rng = rng,
-        .preset_name = preset_name,
-        .preset_json = preset_json,
     };
     if (!settings->control) {
         return;
     }
+    StrBuf_Set(&control->preset_name, preset_name);
+    StrBuf_Set(&control->preset_json, preset_json);
     control->watchers = Mem_Alloc(Ctl_WATCHERS_MAX, sizeof *control->watchers);
     open_role(control, Loop_Now());
     Net_On(net, Wire_LOG, on_log, control);
@@ -514,6 +516,8 @@
         close_role(control);
     }
     Mem_Free(control->watchers);
+    StrBuf_Finish(&control->preset_name);
+    StrBuf_Finish(&control->preset_json);
 }
 
 bool
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -51,8 +51,8 @@
     Counters *counters;
     Timeline *timeline;
     Rng *rng;
-    Str preset_name; /* of the settings' file */
-    Str preset_json;
+    StrBuf preset_name; /* of the settings' file */
+    StrBuf preset_json;
     bool open; /* the role runs: its folder was read */
     Disk disk;
     Rlog rlog;
@@ -71,7 +71,7 @@
 } Control;
 
 /* Does nothing on a node that is no control replica.  PRESET_NAME and
- * PRESET_JSON outlive CONTROL. */
+ * PRESET_JSON are those of the settings' file, copied. */
 void Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
               Timeline *timeline, const Settings *settings, Rng *rng,
               Str preset_name, Str preset_json);
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -149,6 +149,10 @@
         return (EndText){404, not_run, Str_LIT("no route matches\n")};
     case Call_WHY_LATE:
         return (EndText){504, not_run, Str_LIT("its deadline passed\n")};
+    case Call_WHY_VERSION:
+        return (EndText){503, not_run,
+                         Str_LIT("which preset is in force is not known "
+                                 "yet\n")};
     case Call_WHY_NOBODY:
         return (EndText){503, not_run,
                          Str_LIT("no backend server is known\n")};
--- /dev/null
+++ b/src/process/follow.c
@@ -0,0 +1,150 @@
+#include "process/follow.h"
+
+#include "connection/configmsg.h"
+
+#define TICK Span_MS(100)
+#define ASK_EVERY Span_MS(1000)
+#define FETCH_AGAIN Span_MS(300)
+
+enum { UNANSWERED_MAX = 3 }; /* then replicas of other regions are asked */
+
+static void
+ask(Follow *follow, Addr replica, Instant now)
+{
+    VersionAskMsg msg = {
+        .node = follow->settings->address,
+        .have = follow->version,
+        .wanted = true,
+    };
+    Pack pack;
+
+    Configmsg_PackVersionAsk(&pack, &msg);
+    Cnt_Add(follow->counters, Cnt_CONTROL_MESSAGES, 1);
+    Cnt_Add(follow->counters, Cnt_CONTROL_BYTES, Pack_View(&pack).len);
+    Net_Send(follow->net, replica, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+    follow->unanswered++;
+}
+
+static bool
+is_near(const Follow *follow, Addr replica)
+{
+    const MbrRow *row = Mbr_Find(follow->membership, replica);
+
+    return row && !row->gone && row->record.region == follow->settings->region;
+}
+
+/* The next replica of this region, or of any when none there answers. */
+static Addr
+choose(Follow *follow)
+{
+    const Settings *settings = follow->settings;
+    bool any = follow->unanswered >= UNANSWERED_MAX;
+
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        Addr replica =
+            settings->replicas[follow->next++ % settings->replica_count];
+        if (any || is_near(follow, replica)) {
+            return replica;
+        }
+    }
+    return settings->replicas[follow->next++ % settings->replica_count];
+}
+
+static void
+on_tick(void *context, Instant now)
+{
+    Follow *follow = context;
+
+    if (follow->settled && now < follow->ask_at) {
+        return;
+    }
+    follow->ask_at = now + ASK_EVERY;
+    if (!follow->settled && follow->leader) {
+        ask(follow, follow->leader, now);
+        follow->leader = Addr_NONE; /* until it is told again */
+    }
+    else {
+        ask(follow, choose(follow), now);
+    }
+}
+
+static void
+fetch(Follow *follow, Addr replica, CfgVersion version, Instant now)
+{
+    if (Cfg_CompareVersions(version, follow->fetched) <= 0 &&
+        now - follow->fetched_at < FETCH_AGAIN) {
+        return;
+    }
+    follow->fetched = version;
+    follow->fetched_at = now;
+    ask(follow, replica, now);
+}
+
+static void
+take(Follow *follow, Addr from, const VersionMsg *msg, Instant now)
+{
+    if (Cfg_CompareVersions(msg->version, follow->newest) > 0) {
+        follow->newest = msg->version;
+    }
+    if (Cfg_CompareVersions(msg->version, follow->version) <= 0) {
+        return;
+    }
+    if (msg->json.len == 0) {
+        fetch(follow, from, msg->version, now);
+    }
+    else if (follow->use(follow->context, msg->version, msg->json, now)) {
+        follow->version = msg->version;
+    }
+}
+
+static void
+on_version(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Follow *follow = context;
+    VersionMsg msg;
+    Err err = {0};
+
+    if (!Configmsg_ReadVersion(in, &msg, &err) || !origin->peer) {
+        Cnt_Add(follow->counters, Cnt_MALFORMED, 1);
+        Lgr_LogErr(follow->timeline->logger, Lgr_WARNING,
+                   Str_LIT("message_refused"), &err);
+        return;
+    }
+    follow->unanswered = 0;
+    if (msg.leader) {
+        follow->leader = msg.leader;
+    }
+    if (!follow->settled && !msg.current) {
+        return;
+    }
+    take(follow, origin->peer, &msg, now);
+    if (msg.version.term > 0 &&
+        Cfg_CompareVersions(follow->version, msg.version) >= 0) {
+        follow->settled = true;
+    }
+}
+
+void
+Fol_Init(Follow *follow, Loop *loop, Net *net, Counters *counters,
+         Timeline *timeline, const Settings *settings, const Mbr *membership,
+         FolUse use, void *context)
+{
+    *follow = (Follow){
+        .settings = settings,
+        .net = net,
+        .counters = counters,
+        .timeline = timeline,
+        .membership = membership,
+        .use = use,
+        .context = context,
+    };
+    Net_On(net, Wire_VERSION, on_version, follow);
+    LoopTimer_Init(&follow->tick, loop, TICK, on_tick, follow);
+}
+
+void
+Fol_Finish(Follow *follow)
+{
+    LoopTimer_Finish(&follow->tick);
+}
--- /dev/null
+++ b/src/process/follow.h
@@ -0,0 +1,45 @@
+/* Fol: how a node learns which version is in force.
+ *
+ * It asks the control replicas of its region in turn; each of them tells it
+ * of a newer version as soon as it has one.  Versions are taken only upward.
+ * After its start the node trusts none until the leader, under its lease, has
+ * told the newest: a replica that lags or is cut off can't bring back an
+ * older one.
+ */
+#ifndef FOLLOW_H
+#define FOLLOW_H
+
+#include "process/membership.h"
+#include "process/net.h"
+#include "version/config.h"
+
+/* Put JSON in force; false when it cannot be read here. */
+typedef bool (*FolUse)(void *context, CfgVersion version, Str json,
+                       Instant now);
+
+typedef struct {
+    const Settings *settings;
+    Net *net;
+    Counters *counters;
+    Timeline *timeline;
+    const Mbr *membership;
+    FolUse use;
+    void *context;
+    CfgVersion version; /* in force here */
+    CfgVersion newest;  /* heard of */
+    bool settled;       /* confirmed since the start */
+    Addr leader;        /* as told; Addr_NONE: not known */
+    size_t next;        /* control replica to ask */
+    uint32_t unanswered;
+    Instant ask_at;
+    CfgVersion fetched; /* asked for after a replica's word */
+    Instant fetched_at;
+    LoopTimer tick;
+} Follow;
+
+void Fol_Init(Follow *follow, Loop *loop, Net *net, Counters *counters,
+              Timeline *timeline, const Settings *settings,
+              const Mbr *membership, FolUse use, void *context);
+void Fol_Finish(Follow *follow);
+
+#endif
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -16,7 +16,8 @@
     MbrRecord *own = &members->own;
 
     own->sequence++;
-    own->present = members->ann->present;
+    /* Without a confirmed version no call may come here. */
+    own->present = members->ann->present && own->version_term > 0;
     StrBuf_Set(&own->service, StrBuf_View(&members->ann->service));
     own->load = Adm_Report(members->admission);
     Mbr_OnRecord(&members->membership, own, 0, now);
@@ -46,6 +47,14 @@
     }
 }
 
+void
+Mbs_SetVersion(Members *members, CfgVersion version, Instant now)
+{
+    members->own.version_term = version.term;
+    members->own.version_index = version.index;
+    Mbs_SendRecord(members, now);
+}
+
 void
 Mbs_Leave(Members *members, Instant now)
 {
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -7,6 +7,7 @@
 #include "process/announce.h"
 #include "process/membership.h"
 #include "process/net.h"
+#include "version/config.h"
 
 typedef struct {
     uint64_t table;  /* start of the replica that numbered it */
@@ -36,6 +37,9 @@
 /* Send this node's record now: something in it changed. */
 void Mbs_SendRecord(Members *members, Instant now);
 
+/* VERSION is confirmed and in force at this node. */
+void Mbs_SetVersion(Members *members, CfgVersion version, Instant now);
+
 /* This node is stopping: tell everybody. */
 void Mbs_Leave(Members *members, Instant now);
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -42,6 +42,14 @@
     Preset preset;
     bool good;
 
+    if (!Set_ReadFile(StrBuf_View(&node->settings->preset), &node->preset_json,
+                      err)) {
+        return false;
+    }
+    if (node->preset_json.len > Cfg_JSON_MAX) {
+        return Err_SET(err, Err_TOO_LARGE, "%.*s is over %d bytes",
+                       Str_ARG(node->settings->preset), Cfg_JSON_MAX);
+    }
     Fnd_Init(&findings);
     good = Set_LoadPreset(StrBuf_View(&node->settings->preset), &preset,
                           &findings);
@@ -74,6 +82,39 @@
     Hld_SetLimits(&node->holder, limits);
 }
 
+/* A confirmed version comes into force; calls under way keep theirs. */
+static bool
+on_version(void *context, CfgVersion version, Str json, Instant now)
+{
+    Node *node = context;
+    Preset preset;
+    FindingList findings;
+    bool good;
+
+    Fnd_Init(&findings);
+    good = Pst_Parse(&preset, json, &findings);
+    if (good) {
+        Inf_Release(node->in_force);
+        node->in_force = Inf_New(&preset, version);
+        use_preset(node);
+        node->calls.confirmed = true;
+        Mbs_SetVersion(&node->members, version, now);
+        Tml_Record(&node->timeline, Tml_IN_FORCE,
+                   "preset=%.*s version=%llu.%llu",
+                   Str_ARG(node->in_force->preset.name),
+                   (unsigned long long)version.term,
+                   (unsigned long long)version.index);
+    }
+    else {
+        Lgr_Log(&node->logger, Lgr_ERROR, Str_LIT("version_not_readable"),
+                "version=%llu.%llu findings=%zu",
+                (unsigned long long)version.term,
+                (unsigned long long)version.index, findings.count);
+    }
+    Fnd_Finish(&findings);
+    return good;
+}
+
 static bool
 init_fronts(Node *node, Err *err)
 {
@@ -88,6 +129,7 @@
         return false;
     }
     Ann_Serve(&node->ann, &node->opr);
+    Chg_Serve(&node->changes, &node->opr);
     node->show = (Show){
         .settings = settings,
         .timeline = &node->timeline,
@@ -123,11 +165,24 @@
              &node->timeline, settings, node->incarnation,
              &node->in_force->preset.limits);
     use_preset(node);
+    Ctl_Init(&node->control, &node->loop, &node->net, &node->counters,
+             &node->timeline, settings, &node->rng,
+             StrBuf_View(&node->in_force->preset.name),
+             StrBuf_View(&node->preset_json));
+    Fol_Init(&node->follow, &node->loop, &node->net, &node->counters,
+             &node->timeline, settings, &node->members.membership, on_version,
+             node);
+    Chg_Init(&node->changes, &node->loop, &node->net, &node->counters,
+             settings, &node->follow, &node->members.membership,
+             &node->control, &node->in_force);
 }
 
 static void
 finish_parts(Node *node)
 {
+    Chg_Finish(&node->changes);
+    Fol_Finish(&node->follow);
+    Ctl_Finish(&node->control);
     Hld_Finish(&node->holder);
     Run_HubFinish(&node->runs);
     Call_HubFinish(&node->calls);
@@ -172,11 +227,13 @@
 Node_Finish(Node *node)
 {
     LoopTimer_Finish(&node->tick);
+    Chg_Finish(&node->changes); /* answers while there is a front */
     Opr_Finish(&node->opr);
     Edge_Finish(&node->edge);
     finish_parts(node);
     Net_Finish(&node->net);
     Inf_Release(node->in_force);
+    StrBuf_Finish(&node->preset_json);
     Rng_Finish(&node->rng);
     Lgr_Finish(&node->logger);
     Loop_Finish(&node->loop);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -7,7 +7,10 @@
 #define NODE_H
 
 #include "process/announce.h"
+#include "process/changes.h"
+#include "process/control.h"
 #include "process/edge.h"
+#include "process/follow.h"
 #include "process/holder.h"
 #include "process/members.h"
 #include "process/operate.h"
@@ -24,6 +27,7 @@
     uint64_t incarnation;
     Timeline timeline;
     InForce *in_force;
+    StrBuf preset_json; /* of the settings' file */
     Net net;
     Adm admission;
     BckPool pool;
@@ -33,6 +37,9 @@
     CallHub calls;
     RunHub runs;
     Holder holder;
+    Control control;
+    Follow follow;
+    Changes changes;
     Edge edge;
     Opr opr;
     Show show;
--- a/src/process/show.c
+++ b/src/process/show.c
@@ -3,38 +3,13 @@
 #include <event2/keyvalq_struct.h>
 #include <inttypes.h>
 
-static json_t *
-json_str(Str text)
-{
-    json_t *value = json_stringn(text.ptr ? text.ptr : "", text.len);
-
-    return value ? value : json_string("(not UTF-8)");
-}
-
-static json_t *
-json_addr(Addr addr)
-{
-    StrBuf text = {0};
-    json_t *value;
-
-    Addr_Print(addr, &text);
-    value = json_str(StrBuf_View(&text));
-    StrBuf_Finish(&text);
-    return value;
-}
-
-static json_t *
-json_version(uint64_t term, uint64_t index)
-{
-    return json_pack("{s:I, s:I}", "term", (json_int_t)term, "index",
-                     (json_int_t)index);
-}
+#include "process/opjson.h"
 
 static json_t *
 json_domain(const Settings *settings, uint16_t number)
 {
     return number < settings->domain_count
-               ? json_str(StrBuf_View(&settings->domains[number].name))
+               ? Opj_Str(StrBuf_View(&settings->domains[number].name))
                : json_null();
 }
 
@@ -44,12 +19,13 @@
     const MbrRecord *record = &row->record;
     json_t *member = json_pack(
         "{s:o, s:o, s:o, s:o, s:o, s:b, s:b, s:b, s:b, s:b}", "node",
-        json_addr(record->node), "operators", json_addr(record->operators),
+        Opj_Addr(record->node), "operators", Opj_Addr(record->operators),
         "failure_domain", json_domain(settings, record->domain), "service",
-        json_str(StrBuf_View(&record->service)), "version",
-        json_version(record->version_term, record->version_index), "control",
-        record->control, "gone", row->gone, "leaving", record->leaving,
-        "backend", record->present, "draining", record->load.draining);
+        Opj_Str(StrBuf_View(&record->service)), "version",
+        Opj_Version((CfgVersion){record->version_term, record->version_index}),
+        "control", record->control, "gone", row->gone, "leaving",
+        record->leaving, "backend", record->present, "draining",
+        record->load.draining);
 
     json_object_set_new(member, "slots", json_integer(record->load.slots));
     json_object_set_new(member, "running", json_integer(record->load.running));
@@ -75,13 +51,11 @@
                               json_member(show->settings, &mbr->rows[i], now));
     }
     return (OprAnswer){
-        200, json_pack(
-                 "{s:o, s:o, s:o, s:o, s:o}", "name",
-                 json_str(StrBuf_View(&show->settings->name)), "node",
-                 json_addr(show->settings->address), "preset",
-                 json_str(StrBuf_View(&in_force->preset.name)), "version",
-                 json_version(in_force->version.term, in_force->version.index),
-                 "members", list)};
+        200, json_pack("{s:o, s:o, s:o, s:o, s:o}", "name",
+                       Opj_Str(StrBuf_View(&show->settings->name)), "node",
+                       Opj_Addr(show->settings->address), "preset",
+                       Opj_Str(StrBuf_View(&in_force->preset.name)), "version",
+                       Opj_Version(in_force->version), "members", list)};
 }
 
 /* The value of query parameter NAME; FALLBACK when absent; false when it is
@@ -117,10 +91,10 @@
     /* As text: a stamp needs more digits than JSON numbers keep elsewhere. */
     StrBuf_AppendFmt(&stamp, "%" PRIu64, event->stamp);
     value = json_pack("{s:o, s:I, s:o, s:o}", "stamp",
-                      json_str(StrBuf_View(&stamp)), "time_ms",
+                      Opj_Str(StrBuf_View(&stamp)), "time_ms",
                       (json_int_t)Hlc_WallMs(event->stamp), "kind",
-                      json_str(Tml_Name(event->kind)), "detail",
-                      json_str(Str_From(event->detail, event->detail_len)));
+                      Opj_Str(Tml_Name(event->kind)), "detail",
+                      Opj_Str(Str_From(event->detail, event->detail_len)));
     StrBuf_Finish(&stamp);
     return value;
 }
@@ -170,7 +144,7 @@
     }
     return (OprAnswer){
         200, json_pack("{s:o, s:o, s:b}", "name",
-                       json_str(StrBuf_View(&show->settings->name)), "events",
+                       Opj_Str(StrBuf_View(&show->settings->name)), "events",
                        list, "more", next < timeline->count)};
 }
 
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -613,6 +613,11 @@
     size_t before;
 
     Cnt_Add(hub->counters, Cnt_CALLS, 1);
+    if (!hub->confirmed) {
+        Cnt_Add(hub->counters, Cnt_NOT_RUN, 1);
+        sink->end(sink->context, Call_NOT_RUN, Call_WHY_VERSION);
+        return NULL;
+    }
     if (!route) {
         Cnt_Add(hub->counters, Cnt_NO_ROUTE, 1);
         sink->end(sink->context, Call_NOT_RUN, Call_WHY_NO_ROUTE);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -35,7 +35,8 @@
     Call_WHY_LATE,     /* its deadline passed */
     Call_WHY_KEY,      /* its key is too long */
     Call_WHY_MISMATCH, /* its key named another request before */
-    Call_WHY_SUSPECT   /* it crashed backend servers */
+    Call_WHY_SUSPECT,  /* it crashed backend servers */
+    Call_WHY_VERSION   /* which preset is in force is not confirmed */
 } CallWhy;
 
 /* What the caller asks.  The strings stay valid until the sink's end. */
@@ -68,6 +69,7 @@
     Timeline *timeline;
     Services *services;
     InForce *in_force;    /* held by the node; a call holds its own */
+    bool confirmed;       /* it is the one in force: calls are taken */
     uint64_t incarnation; /* of this node */
     uint64_t counter;     /* of attempts */
     KeyHub keys;
