--- a/src/process/changes.c
+++ b/src/process/changes.c
@@ -118,8 +118,10 @@
         ask->target = known;
     }
     else {
-        ask->target =
-            settings->replicas[changes->next++ % settings->replica_count];
+        ask->target = settings->replicas[changes->next];
+        changes->next = changes->next + 1 < settings->replica_count
+                            ? changes->next + 1
+                            : 0;
     }
     send_presets_ask(ask, now);
 }
--- a/src/process/follow.c
+++ b/src/process/follow.c
@@ -34,21 +34,32 @@
     return row && !row->gone && row->record.region == follow->settings->region;
 }
 
+static Addr
+take_turn(Follow *follow)
+{
+    const Settings *settings = follow->settings;
+    Addr replica = settings->replicas[follow->next];
+
+    follow->next++;
+    if (follow->next == settings->replica_count) {
+        follow->next = 0;
+    }
+    return replica;
+}
+
 /* The next replica of this region, or of any when none there answers. */
 static Addr
 choose(Follow *follow)
 {
-    const Settings *settings = follow->settings;
     bool any = follow->unanswered >= UNANSWERED_MAX;
 
-    for (size_t i = 0; i < settings->replica_count; i++) {
-        Addr replica =
-            settings->replicas[follow->next++ % settings->replica_count];
+    for (size_t i = 0; i < follow->settings->replica_count; i++) {
+        Addr replica = take_turn(follow);
         if (any || is_near(follow, replica)) {
             return replica;
         }
     }
-    return settings->replicas[follow->next++ % settings->replica_count];
+    return take_turn(follow);
 }
 
 static void
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -21,17 +21,19 @@
 static void
 set_common(Net *net, void *socket)
 {
-    int max = (int)net->settings->body_bytes_max +
-              (int)net->settings->header_bytes_max + Callmsg_PIECE_BYTES;
-    int least = Logmsg_SNAPSHOT_MAX + Callmsg_PIECE_BYTES;
+    int64_t max = (int64_t)net->settings->body_bytes_max +
+                  net->settings->header_bytes_max;
 
+    if (max < Logmsg_SNAPSHOT_MAX) {
+        max = Logmsg_SNAPSHOT_MAX;
+    }
+    max += Callmsg_PIECE_BYTES;
     set_int(socket, ZMQ_LINGER, 0);
     set_int(socket, ZMQ_SNDHWM, SEND_QUEUE);
     set_int(socket, ZMQ_RCVHWM, SEND_QUEUE);
     set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
     set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
-    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE,
-                   &(int64_t){max > least ? max : least}, sizeof(int64_t));
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof max);
 }
 
 /* Counter of the processor time that handling KIND takes, Cnt_COUNT when it
