Prove changes and control replicas with real processes

test_changes: races of two operators on one base, changes sent again after their answer was lost, kill -9 of the leader while a change is out, a node and a replica back after 300 changes, restarts without a leader and beside a replica that is cut off, bad input. test_replicas: a lost folder and a second machine lost right after, lost folders of a majority, a leader frozen, cut off by the proxy, with a full disk, torn and changed files. Versions are watched over all nodes.

Every decoder of the log's and the configuration's messages is spoilt and mutated like the others.

SIGXFSZ is ignored: a file at its limit is an error of write.

--- a/src/process/main.c
+++ b/src/process/main.c
@@ -112,6 +112,7 @@
     int status = EXIT_USAGE;
 
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN); /* a full disk is an error of write */
     if (help->count) {
         printf("lycheeridged");
         arg_print_syntax(stdout, table, "\n");
--- /dev/null
+++ b/tests/integration/test_changes.c
@@ -0,0 +1,349 @@
+/* Changes of the configuration with real processes: races, repeats, a leader
+ * killed, a node away for long.  Versions never go back. */
+#include <signal.h>
+#include <stdio.h>
+
+#include "operators.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define EVERYWHERE_WITHIN Span_S(5)
+
+enum { VMS = 5, CONTROL = 3, RACES = 8, ABSENT_CHANGES = 300 };
+
+static Str build;
+
+static void
+start_fleet(Fleet *fleet, OpsWatch *watch, int subnet, int vms, int control)
+{
+    *watch = (OpsWatch){0};
+    Fleet_Init(fleet, build, subnet, vms, control);
+    for (int i = 0; i < vms; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    ck_assert_int_ge(
+        Ops_WaitForAll(fleet, watch, (CfgVersion){1, 1}, Span_S(10)), 0);
+}
+
+static void
+end_fleet(Fleet *fleet, const OpsWatch *watch)
+{
+    ck_assert_int_eq(watch->backwards, 0);
+    Fleet_Finish(fleet);
+}
+
+typedef struct {
+    int vms;
+    int control;
+} SizeCase;
+
+static const SizeCase sizes[] = {{5, 3}, {7, 5}};
+
+/* One round: two operators at two nodes build on the same version. */
+static void
+race(Fleet *fleet, int round)
+{
+    CfgVersion base = Ops_Newest(fleet, 0);
+    char ids[2][16];
+    OpsChange changes[2];
+    int fds[2];
+    OpsAnswer answers[2];
+    int winner;
+
+    for (int i = 0; i < 2; i++) {
+        snprintf(ids[i], sizeof ids[i], "race-%d-%d", round, i);
+        changes[i] = (OpsChange){(round + i * 2) % fleet->count, ids[i], "put",
+                                 i ? "peak" : "ordinary",        base,   true};
+        fds[i] = Ops_SendChange(fleet, &changes[i]);
+    }
+    for (int i = 0; i < 2; i++) {
+        Ops_Read(fds[i], Span_S(10), &answers[i]);
+    }
+    winner = answers[0].status == 200 ? 0 : 1;
+    ck_assert_int_eq(answers[winner].status, 200);
+    ck_assert_int_eq(answers[1 - winner].status, 409);
+    ck_assert_str_eq(
+        json_string_value(json_object_get(
+            json_object_get(answers[1 - winner].body, "winner"), "id")),
+        ids[winner]);
+    Ops_Finish(&answers[0]);
+    Ops_Finish(&answers[1]);
+}
+
+START_TEST(one_of_two_on_a_base_wins_and_is_everywhere_soon)
+{
+    const SizeCase *c = &sizes[_i];
+    Fleet fleet;
+    OpsWatch watch;
+    Span longest = 0;
+
+    start_fleet(&fleet, &watch, 20 + _i, c->vms, c->control);
+    for (int round = 0; round < RACES; round++) {
+        Span took;
+        race(&fleet, round);
+        took = Ops_WaitForAll(&fleet, &watch, Ops_Newest(&fleet, 0),
+                              EVERYWHERE_WITHIN);
+        ck_assert_int_ge(took, 0);
+        longest = took > longest ? took : longest;
+    }
+    printf("in force at %d nodes within %d ms\n", c->vms,
+           (int)(longest / 1000));
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+/* Through which nodes a change goes first and again; the first answer is not
+ * waited for. */
+typedef struct {
+    int first;
+    int again;
+} AgainCase;
+
+static const AgainCase agains[] = {{0, 0}, {4, 0}, {1, 3}};
+
+START_TEST(a_change_sent_again_gets_its_first_outcome)
+{
+    const AgainCase *c = &agains[_i];
+    Fleet fleet;
+    OpsWatch watch;
+    OpsAnswer answer;
+    OpsChange change = {c->first, "lost", "put", "peak", {0}, true};
+    OpsChange later = {2, "later", "use", "peak", {0}, true};
+    CfgVersion own;
+
+    start_fleet(&fleet, &watch, 22, VMS, CONTROL);
+    change.base = Ops_Newest(&fleet, 0);
+    Fleet_RawClose(Ops_SendChange(&fleet, &change));
+    own = (CfgVersion){change.base.term, change.base.index + 1};
+    ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, own, EVERYWHERE_WITHIN),
+                     0);
+    ck_assert(Ops_MustChange(&fleet, &later, Span_S(5)));
+    change.vm = c->again;
+    Ops_Change(&fleet, &change, &answer);
+    ck_assert_int_eq(answer.status, 200);
+    ck_assert(json_is_true(json_object_get(answer.body, "again")));
+    ck_assert_int_eq(Cfg_CompareVersions(Ops_Version(answer.body), own), 0);
+    Ops_Finish(&answer);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+START_TEST(a_killed_leader_takes_no_accepted_change_with_it)
+{
+    Fleet fleet;
+    OpsWatch watch;
+    CfgVersion before;
+
+    start_fleet(&fleet, &watch, 23, VMS, CONTROL);
+    for (int round = 0; round < 4; round++) {
+        char id[16];
+        OpsChange change = {4, id, "put", "peak", {0}, true};
+        int leader = Ops_WaitForLeader(&fleet, Span_S(10));
+        ck_assert_int_ge(leader, 0);
+        snprintf(id, sizeof id, "kill-%d", round);
+        change.base = before = Ops_Newest(&fleet, 4);
+        Fleet_RawClose(Ops_SendChange(&fleet, &change));
+        Fleet_Kill(&fleet.vms[leader].node, SIGKILL);
+        ck_assert(Ops_MustChange(&fleet, &change, Span_S(15)));
+        ck_assert_int_gt(Cfg_CompareVersions(Ops_Newest(&fleet, 4), before),
+                         0);
+        Ops_Observe(&fleet, &watch);
+        Fleet_StartNode(&fleet, leader);
+        ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, Ops_Newest(&fleet, 4),
+                                        EVERYWHERE_WITHIN),
+                         0);
+    }
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+/* The first preset has a route for /visor/, all later ones have none: only
+ * an older state would serve it. */
+static int
+count_served(Fleet *fleet, int vm, Span time)
+{
+    int served = 0;
+
+    for (Span waited = 0; waited < time; waited += Span_MS(5)) {
+        FleetAnswer answer;
+        Fleet_Call(fleet, vm, Str_LIT("GET"), Str_LIT("/visor/x"), (Str){0},
+                   (Str){0}, &answer);
+        served += answer.status != 0 && answer.status != 404 &&
+                  !Str_Equal(StrBuf_View(&answer.body),
+                             Str_LIT("which preset is in force is not known "
+                                     "yet\n"));
+        Fleet_FinishAnswer(&answer);
+        Fleet_Sleep(Span_MS(5));
+    }
+    return served;
+}
+
+static void
+make_changes(Fleet *fleet, int count)
+{
+    CfgVersion base = Ops_Newest(fleet, 0);
+
+    for (int i = 0; i < count; i++) {
+        char id[16];
+        OpsChange change = {0, id, "put", "ordinary", base, false};
+        OpsAnswer answer;
+        snprintf(id, sizeof id, "many-%d", i);
+        Ops_Change(fleet, &change, &answer);
+        ck_assert_int_eq(answer.status, 200);
+        base = Ops_Version(answer.body);
+        Ops_Finish(&answer);
+    }
+}
+
+static const int absentees[] = {2, 4}; /* a control replica; a plain node */
+
+START_TEST(back_after_300_changes_it_shows_no_older_state)
+{
+    int absent = absentees[_i];
+    Fleet fleet;
+    OpsWatch watch;
+
+    start_fleet(&fleet, &watch, 24, VMS, CONTROL);
+    ck_assert_int_gt(count_served(&fleet, absent, Span_MS(50)), 0);
+    Fleet_Kill(&fleet.vms[absent].node, SIGKILL);
+    make_changes(&fleet, ABSENT_CHANGES);
+    Fleet_StartNode(&fleet, absent);
+    ck_assert_int_eq(count_served(&fleet, absent, Span_MS(1500)), 0);
+    ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, Ops_Newest(&fleet, 0),
+                                    EVERYWHERE_WITHIN),
+                     0);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+START_TEST(without_a_leader_a_restarted_node_takes_no_call)
+{
+    Fleet fleet;
+    OpsWatch watch;
+    OpsAnswer answer;
+
+    start_fleet(&fleet, &watch, 25, VMS, CONTROL);
+    make_changes(&fleet, 2);
+    Fleet_Kill(&fleet.vms[0].node, SIGKILL);
+    Fleet_Kill(&fleet.vms[1].node, SIGKILL);
+    Fleet_Kill(&fleet.vms[4].node, SIGKILL);
+    Fleet_StartNode(&fleet, 4);
+    ck_assert_int_eq(count_served(&fleet, 4, Span_MS(2500)), 0);
+    Ops_Get(&fleet, 4, "/v1/presets", &answer);
+    ck_assert_int_eq(answer.status, 503);
+    ck_assert_str_eq(Ops_Outcome(&answer), "unreachable");
+    Ops_Finish(&answer);
+    Fleet_StartNode(&fleet, 1);
+    ck_assert_int_ge(
+        Ops_WaitForAll(&fleet, &watch, (CfgVersion){1, 1}, Span_S(10)), 0);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+/* Cut off from replicas 0 and 1 are VM 2, a replica, and VM 3. */
+static const char *const cuts[] = {"n0-2", "n2-0", "n1-2", "n2-1",
+                                   "n0-3", "n3-0", "n1-3", "n3-1"};
+
+START_TEST(a_node_that_reaches_a_cut_off_replica_alone_takes_no_call)
+{
+    Fleet fleet;
+    OpsWatch watch = {0};
+
+    Fleet_Init(&fleet, build, 25, 4, 3);
+    Fleet_UseProxy(&fleet);
+    for (int i = 0; i < 4; i++) {
+        Fleet_StartNode(&fleet, i);
+    }
+    ck_assert_int_ge(
+        Ops_WaitForAll(&fleet, &watch, (CfgVersion){1, 1}, Span_S(10)), 0);
+    for (int i = 0; i < ROWS(cuts); i++) {
+        char command[32];
+        int len = snprintf(command, sizeof command, "hold %s both", cuts[i]);
+        ck_assert(Fleet_Proxy(&fleet, Str_From(command, (size_t)len)));
+    }
+    Fleet_Kill(&fleet.vms[3].node, SIGKILL);
+    ck_assert_int_ge(Ops_WaitForLeader(&fleet, Span_S(10)), 0);
+    Fleet_Sleep(Span_MS(1500)); /* a leader that was cut off steps down */
+    ck_assert_int_ge(Ops_WaitForLeader(&fleet, Span_S(10)), 0);
+    make_changes(&fleet, 2);
+    Fleet_StartNode(&fleet, 3);
+    ck_assert_int_eq(count_served(&fleet, 3, Span_MS(2500)), 0);
+    Fleet_Heal(&fleet);
+    ck_assert_int_ge(
+        Ops_WaitForAll(&fleet, &watch, Ops_Newest(&fleet, 0), Span_S(10)), 0);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+typedef struct {
+    const char *method;
+    const char *path;
+    Str body;
+    int status;
+    const char *outcome;
+} BadCase;
+
+static const BadCase bads[] = {
+    {"POST", "/v1/change", Str_LIT(""), 400, "refused"},
+    {"POST", "/v1/change", Str_LIT("[]"), 400, "refused"},
+    {"POST", "/v1/change", Str_LIT("{\"id\":\"a\"}"), 400, "refused"},
+    {"POST", "/v1/change",
+     Str_LIT("{\"id\":\"a\",\"base\":{\"term\":2,\"index\":3},"
+             "\"verb\":\"drop\",\"name\":\"x\"}"),
+     400, "refused"},
+    {"POST", "/v1/change",
+     Str_LIT("{\"id\":\"a\",\"base\":{\"term\":2,\"index\":3},"
+             "\"verb\":\"put\",\"name\":\"x\",\"preset\":{\"name\":\"y\","
+             "\"limits\":{},\"routes\":[]}}"),
+     400, "refused"},
+    {"POST", "/v1/change",
+     Str_LIT("{\"id\":\"a\",\"base\":{\"term\":2,\"index\":3},"
+             "\"verb\":\"use\",\"name\":\"nowhere\"}"),
+     400, "refused"},
+    {"POST", "/v1/change",
+     Str_LIT("{\"id\":\"b\",\"base\":{\"term\":2,\"index\":9},"
+             "\"verb\":\"use\",\"name\":\"ordinary\"}"),
+     409, "conflict"},
+    {"GET", "/v1/presets/show?name=nowhere", {0}, 404, ""},
+    {"GET", "/v1/presets/show", {0}, 400, ""},
+};
+
+START_TEST(bad_input_changes_nothing)
+{
+    Fleet fleet;
+    OpsWatch watch;
+    CfgVersion before;
+
+    start_fleet(&fleet, &watch, 26, 1, 1);
+    before = Ops_Newest(&fleet, 0);
+    for (int i = 0; i < ROWS(bads); i++) {
+        const BadCase *c = &bads[i];
+        OpsAnswer answer;
+        Ops_Read(Ops_Send(&fleet, 0, c->method, c->path, c->body), Span_S(10),
+                 &answer);
+        ck_assert_msg(answer.status == c->status, "row %d: %d", i,
+                      answer.status);
+        ck_assert_str_eq(Ops_Outcome(&answer), c->outcome);
+        Ops_Finish(&answer);
+    }
+    ck_assert_int_eq(Cfg_CompareVersions(Ops_Newest(&fleet, 0), before), 0);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {
+        {one_of_two_on_a_base_wins_and_is_everywhere_soon, ROWS(sizes)},
+        {a_change_sent_again_gets_its_first_outcome, ROWS(agains)},
+        {a_killed_leader_takes_no_accepted_change_with_it, 1},
+        {back_after_300_changes_it_shows_no_older_state, ROWS(absentees)},
+        {without_a_leader_a_restarted_node_takes_no_call, 1},
+        {a_node_that_reaches_a_cut_off_replica_alone_takes_no_call, 1},
+        {bad_input_changes_nothing, 1},
+    };
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("changes", tests, ROWS(tests), 60);
+}
--- /dev/null
+++ b/tests/integration/test_replicas.c
@@ -0,0 +1,372 @@
+/* Control replicas with real processes: lost folders, a leader that is frozen
+ * or cut off, a full disk, torn and changed files. */
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "operators.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define EVERYWHERE_WITHIN Span_S(5)
+#define ELECTED_WITHIN Span_S(10)
+#define REPLACED_WITHIN Span_S(15)
+
+enum { VMS = 4, CONTROL = 3, CHANGES = 8 };
+
+static Str build;
+
+static void
+start_fleet(Fleet *fleet, OpsWatch *watch, int subnet, bool proxy)
+{
+    *watch = (OpsWatch){0};
+    Fleet_Init(fleet, build, subnet, VMS, CONTROL);
+    if (proxy) {
+        Fleet_UseProxy(fleet);
+    }
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    ck_assert_int_ge(
+        Ops_WaitForAll(fleet, watch, (CfgVersion){1, 1}, ELECTED_WITHIN), 0);
+}
+
+static void
+end_fleet(Fleet *fleet, const OpsWatch *watch)
+{
+    ck_assert_int_eq(watch->backwards, 0);
+    Fleet_Finish(fleet);
+}
+
+/* Put preset NAME through the first node from FROM on that takes it. */
+static CfgVersion
+put(Fleet *fleet, int from, const char *name)
+{
+    OpsChange change = {from, name, "put", name, {0}, true};
+
+    ck_assert(Ops_MustChange(fleet, &change, Span_S(15)));
+    return Ops_Newest(fleet, change.vm);
+}
+
+static bool
+has_preset(Fleet *fleet, int vm, const char *name)
+{
+    char path[128];
+    OpsAnswer answer;
+    bool found;
+
+    snprintf(path, sizeof path, "/v1/presets/show?name=%s", name);
+    Ops_Get(fleet, vm, path, &answer);
+    found = answer.status == 200;
+    Ops_Finish(&answer);
+    return found;
+}
+
+static void
+path_in(const Fleet *fleet, int vm, const char *name, StrBuf *path)
+{
+    StrBuf_Clear(path);
+    StrBuf_AppendFmt(path, "%.*s/data%d/%s", Str_ARG(fleet->folder), vm, name);
+}
+
+static void
+lose_folder(Fleet *fleet, int vm)
+{
+    StrBuf command = {0};
+
+    Fleet_Kill(&fleet->vms[vm].node, SIGKILL);
+    StrBuf_AppendFmt(&command, "rm -rf %.*s/data%d", Str_ARG(fleet->folder),
+                     vm);
+    ck_assert_int_eq(system(StrBuf_CStr(&command)), 0);
+    StrBuf_Finish(&command);
+}
+
+/* Until three vote, of which WANTED were there from the beginning. */
+static bool
+wait_for_voters(Fleet *fleet, int wanted)
+{
+    for (Span waited = 0; waited < REPLACED_WITHIN; waited += Span_MS(100)) {
+        if (Ops_CountVoters(fleet, false) == CONTROL &&
+            Ops_CountVoters(fleet, true) == wanted) {
+            return true;
+        }
+        Fleet_Sleep(Span_MS(100));
+    }
+    return false;
+}
+
+/* Whose folder is lost first, and which machine goes right after the
+ * repair: numbers from the leader on. */
+typedef struct {
+    int first;
+    int second;
+} LossCase;
+
+static const LossCase losses[] = {{1, 2}, {1, 0}, {0, 1}};
+
+START_TEST(a_second_machine_lost_right_after_the_repair_loses_nothing)
+{
+    const LossCase *c = &losses[_i];
+    Fleet fleet;
+    OpsWatch watch;
+    char names[CHANGES][8];
+    int leader;
+    int first;
+    int second;
+    CfgVersion newest = {0};
+
+    start_fleet(&fleet, &watch, 27, false);
+    leader = Ops_WaitForLeader(&fleet, ELECTED_WITHIN);
+    first = (leader + c->first) % CONTROL;
+    second = (leader + c->second) % CONTROL;
+    for (int i = 0; i < CHANGES / 2; i++) {
+        snprintf(names[i], sizeof names[i], "p%d", i);
+        newest = put(&fleet, 3, names[i]);
+    }
+    lose_folder(&fleet, first);
+    Fleet_StartNode(&fleet, first);
+    ck_assert(wait_for_voters(&fleet, 2));
+    lose_folder(&fleet, second);
+    Ops_Observe(&fleet, &watch);
+    for (int i = CHANGES / 2; i < CHANGES; i++) {
+        snprintf(names[i], sizeof names[i], "p%d", i);
+        newest = put(&fleet, 3, names[i]);
+    }
+    Fleet_StartNode(&fleet, second);
+    ck_assert(wait_for_voters(&fleet, 1));
+    ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, newest, EVERYWHERE_WITHIN),
+                     0);
+    for (int i = 0; i < CHANGES; i++) {
+        ck_assert_msg(has_preset(&fleet, 3, names[i]), "%s", names[i]);
+    }
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+START_TEST(lost_folders_of_a_majority_start_no_new_history)
+{
+    Fleet fleet;
+    OpsWatch watch;
+    OpsAnswer answer;
+    OpsChange change = {3, "x", "use", "ordinary", {2, 3}, true};
+
+    start_fleet(&fleet, &watch, 27, false);
+    put(&fleet, 3, "p");
+    lose_folder(&fleet, 0);
+    lose_folder(&fleet, 1);
+    Fleet_StartNode(&fleet, 0);
+    Fleet_StartNode(&fleet, 1);
+    Fleet_Sleep(Span_S(4));
+    ck_assert_int_eq(Ops_Leader(&fleet), -1);
+    Ops_Change(&fleet, &change, &answer);
+    ck_assert_int_eq(answer.status, 503);
+    ck_assert_str_eq(Ops_Outcome(&answer), "unreachable");
+    Ops_Finish(&answer);
+    Ops_Observe(&fleet, &watch);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+/* The node of a leader that does not know what the others decided since. */
+static void
+check_old_leader(Fleet *fleet, int old, CfgVersion newest)
+{
+    OpsChange change = {old, "old", "use", "ordinary", {2, 3}, true};
+    OpsAnswer answer;
+
+    Ops_Get(fleet, old, "/v1/presets", &answer);
+    if (answer.status == 200) {
+        ck_assert_int_ge(Cfg_CompareVersions(Ops_Version(answer.body), newest),
+                         0);
+    }
+    Ops_Finish(&answer);
+    Ops_Change(fleet, &change, &answer);
+    ck_assert_int_ne(answer.status, 200);
+    ck_assert_int_ne(answer.status, 0);
+    Ops_Finish(&answer);
+}
+
+/* How many replicas lead under a lease, by their own word. */
+static int
+count_current(Fleet *fleet)
+{
+    int count = 0;
+
+    for (int vm = 0; vm < CONTROL; vm++) {
+        OpsAnswer answer;
+        Ops_Get(fleet, vm, "/v1/replicas", &answer);
+        count += json_is_true(json_object_get(answer.body, "current"));
+        Ops_Finish(&answer);
+    }
+    return count;
+}
+
+static const int frozen_ms[] = {1500, 4000};
+
+START_TEST(a_frozen_leader_that_wakes_neither_accepts_nor_serves)
+{
+    Fleet fleet;
+    OpsWatch watch;
+    int old;
+    CfgVersion newest;
+
+    start_fleet(&fleet, &watch, 28, false);
+    old = Ops_WaitForLeader(&fleet, ELECTED_WITHIN);
+    kill(fleet.vms[old].node, SIGSTOP);
+    Fleet_Sleep(Span_MS(frozen_ms[_i]));
+    newest = put(&fleet, 3, "while-frozen");
+    kill(fleet.vms[old].node, SIGCONT);
+    check_old_leader(&fleet, old, newest);
+    ck_assert_int_le(count_current(&fleet), 1);
+    ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, newest, EVERYWHERE_WITHIN),
+                     0);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+START_TEST(a_leader_cut_off_silently_neither_accepts_nor_serves)
+{
+    Fleet fleet;
+    OpsWatch watch;
+    int old;
+    int other;
+    CfgVersion newest;
+    OpsAnswer answer;
+
+    start_fleet(&fleet, &watch, 28, true);
+    old = Ops_WaitForLeader(&fleet, ELECTED_WITHIN);
+    other = (old + 1) % CONTROL;
+    Fleet_Isolate(&fleet, old);
+    Fleet_Sleep(Span_MS(1100)); /* over the lease */
+    Ops_Get(&fleet, old, "/v1/replicas", &answer);
+    ck_assert(json_is_false(json_object_get(answer.body, "current")));
+    Ops_Finish(&answer);
+    newest = put(&fleet, other, "while-cut");
+    check_old_leader(&fleet, old, newest);
+    Ops_Observe(&fleet, &watch);
+    Fleet_Heal(&fleet);
+    ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, newest, Span_S(10)), 0);
+    ck_assert_int_eq(count_current(&fleet), 1);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+START_TEST(a_leader_with_a_full_disk_steps_down)
+{
+    Fleet fleet;
+    OpsWatch watch;
+    int old;
+    struct rlimit none = {1, RLIM_INFINITY};
+    struct rlimit plenty = {RLIM_INFINITY, RLIM_INFINITY};
+    CfgVersion newest;
+
+    start_fleet(&fleet, &watch, 29, false);
+    old = Ops_WaitForLeader(&fleet, ELECTED_WITHIN);
+    ck_assert_int_eq(prlimit(fleet.vms[old].node, RLIMIT_FSIZE, &none, NULL),
+                     0);
+    put(&fleet, 3, "while-full");
+    ck_assert_int_ne(Ops_WaitForLeader(&fleet, ELECTED_WITHIN), old);
+    ck_assert_int_eq(prlimit(fleet.vms[old].node, RLIMIT_FSIZE, &plenty, NULL),
+                     0);
+    Fleet_Kill(&fleet.vms[(old + 1) % CONTROL].node, SIGKILL);
+    /* It opens its folder again, and is needed for the quorum. */
+    newest = put(&fleet, 3, "after-full");
+    ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, newest, EVERYWHERE_WITHIN),
+                     0);
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+typedef struct {
+    const char *file;
+    off_t at;   /* from the end; -1: append instead */
+    bool voter; /* it takes part again as it was */
+} DamageCase;
+
+static const DamageCase damages[] = {
+    {"control/log", -1, true},      /* torn */
+    {"control/log", 200, false},    /* changed in the middle */
+    {"control/identity", 1, false}, /* changed */
+};
+
+static void
+damage(const Fleet *fleet, int vm, const DamageCase *c)
+{
+    StrBuf path = {0};
+    const char bytes[] = "\x07\x00\x00";
+    int fd;
+
+    path_in(fleet, vm, c->file, &path);
+    fd = open(StrBuf_CStr(&path), O_RDWR);
+    ck_assert_int_ge(fd, 0);
+    lseek(fd, c->at < 0 ? 0 : -c->at, SEEK_END);
+    ck_assert_int_eq(write(fd, bytes, c->at < 0 ? 3 : 1), c->at < 0 ? 3 : 1);
+    close(fd);
+    StrBuf_Finish(&path);
+}
+
+static bool
+runs_role(Fleet *fleet, int vm)
+{
+    OpsAnswer answer;
+    bool running;
+
+    Ops_Get(fleet, vm, "/v1/replicas", &answer);
+    running = json_is_true(json_object_get(answer.body, "running"));
+    Ops_Finish(&answer);
+    return running;
+}
+
+START_TEST(damaged_files_are_cut_or_reported)
+{
+    const DamageCase *c = &damages[_i];
+    Fleet fleet;
+    OpsWatch watch;
+    int leader;
+    int hurt;
+
+    start_fleet(&fleet, &watch, 29, false);
+    for (int i = 0; i < 4; i++) {
+        char name[8];
+        snprintf(name, sizeof name, "p%d", i);
+        put(&fleet, 3, name);
+    }
+    leader = Ops_WaitForLeader(&fleet, ELECTED_WITHIN);
+    hurt = (leader + 1) % CONTROL;
+    Fleet_Kill(&fleet.vms[hurt].node, SIGKILL);
+    damage(&fleet, hurt, c);
+    Fleet_StartNode(&fleet, hurt);
+    ck_assert_int_ge(Ops_WaitForAll(&fleet, &watch, Ops_Newest(&fleet, 3),
+                                    EVERYWHERE_WITHIN),
+                     0);
+    ck_assert_int_eq(runs_role(&fleet, hurt), c->voter);
+    if (!c->voter) { /* the way back: an empty folder */
+        lose_folder(&fleet, hurt);
+        Fleet_StartNode(&fleet, hurt);
+        ck_assert(wait_for_voters(&fleet, 2));
+    }
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {
+        {a_second_machine_lost_right_after_the_repair_loses_nothing,
+         ROWS(losses)},
+        {lost_folders_of_a_majority_start_no_new_history, 1},
+        {a_frozen_leader_that_wakes_neither_accepts_nor_serves,
+         ROWS(frozen_ms)},
+        {a_leader_cut_off_silently_neither_accepts_nor_serves, 1},
+        {a_leader_with_a_full_disk_steps_down, 1},
+        {damaged_files_are_cut_or_reported, ROWS(damages)},
+    };
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("replicas", tests, ROWS(tests), 60);
+}
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -2,6 +2,7 @@
 
 #include "connection/callmsg.h"
 #include "connection/membermsg.h"
+#include "support/samples_control.h"
 
 static const LoadReport load = {9, 3, 1, 5000, 7, false};
 static const AttemptId attempt = {UINT64_C(1796381848187260), 42};
@@ -261,6 +262,14 @@
     {"pong", pack_pong, read_pong},
     {"record", pack_record, read_record},
     {"table", pack_table, read_table},
+    {"log", Sample_PackLog, Sample_ReadLog},
+    {"hello", Sample_PackHello, Sample_ReadHello},
+    {"change", Sample_PackChange, Sample_ReadChange},
+    {"changed", Sample_PackChanged, Sample_ReadChanged},
+    {"version ask", Sample_PackVersionAsk, Sample_ReadVersionAsk},
+    {"version", Sample_PackVersion, Sample_ReadVersion},
+    {"presets ask", Sample_PackPresetsAsk, Sample_ReadPresetsAsk},
+    {"presets", Sample_PackPresets, Sample_ReadPresets},
 };
 
 const int sample_count = sizeof samples / sizeof samples[0];
