--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -4,14 +4,25 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <sys/socket.h>
 
 #include "connection/evtext.h"
 #include "value/mem.h"
 
+enum { HEADER_BYTES_MAX = 64 * 1024, OK = 200, PART_BYTES = 4096 };
+
+/* Idle connections that are older are not used again: the backend server may
+ * be closing them. */
+#define IDLE_MAX Span_S(1)
+
+/* Given on top of the deadline, within which the caller's node cancels. */
+#define GRACE Span_MS(500)
+
 struct BckConnection {
     struct evhttp_connection *http;
     Addr addr;
     bool used; /* an exchange ended well over it */
+    Instant idle_since;
     BckConnection *next;
 };
 
@@ -19,8 +30,14 @@
     BckPool *pool;
     BckConnection *connection;
     struct evhttp_request *request;
+    struct evbuffer_cb_entry *tap; /* on what comes in; NULL: none */
+    struct event *pauser; /* evhttp reads on after a callback: pause later */
+    bool paused;
     BckSink sink;
-    bool connected; /* the request may have reached the backend server */
+    bool starting; /* inside Bck_Start */
+    bool ended;    /* while starting */
+    bool reached;  /* the request may have reached the backend server */
+    bool answered; /* the answer's head came */
 };
 
 static BckConnection *
@@ -33,7 +50,7 @@
     connection->addr = pool->addr;
     connection->http = evhttp_connection_base_new(
         pool->base, NULL, StrBuf_CStr(&ip), Addr_Port(pool->addr));
-    evhttp_connection_set_max_headers_size(connection->http, 64 * 1024);
+    evhttp_connection_set_max_headers_size(connection->http, HEADER_BYTES_MAX);
     StrBuf_Finish(&ip);
     return connection;
 }
@@ -46,31 +63,54 @@
 }
 
 static void
-close_later(evutil_socket_t fd, short what, void *context)
+close_all(BckConnection **list)
+{
+    BckConnection *connection;
+
+    while ((connection = *list)) {
+        *list = connection->next;
+        close_connection(connection);
+    }
+}
+
+static void
+close_retired(evutil_socket_t fd, short what, void *context)
 {
     (void)fd;
     (void)what;
-    close_connection(context);
+    close_all(&((BckPool *)context)->retired);
 }
 
 /* evhttp still uses a connection while it reports its failure. */
 static void
 retire(BckPool *pool, BckConnection *connection)
 {
-    struct timeval at_once = {0};
+    connection->next = pool->retired;
+    pool->retired = connection;
+    event_active(pool->closer, EV_TIMEOUT, 0);
+}
 
-    event_base_once(pool->base, -1, EV_TIMEOUT, close_later, connection,
-                    &at_once);
+/* Still open at the other end, and nothing came that nobody asked for. */
+static bool
+is_open(const BckConnection *connection)
+{
+    struct bufferevent *stream =
+        evhttp_connection_get_bufferevent(connection->http);
+    int fd = stream ? bufferevent_getfd(stream) : -1;
+    char byte;
+
+    return fd >= 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
 static BckConnection *
-take_connection(BckPool *pool)
+take_connection(BckPool *pool, Instant now)
 {
     BckConnection *connection;
 
     while ((connection = pool->idle)) {
         pool->idle = connection->next;
-        if (connection->addr == pool->addr) {
+        if (connection->addr == pool->addr &&
+            now - connection->idle_since < IDLE_MAX && is_open(connection)) {
             return connection;
         }
         close_connection(connection);
@@ -78,19 +118,78 @@
     return open_connection(pool);
 }
 
+/* A length beside chunks counts for nothing (RFC 9112, section 6.3). */
+static void
+drop_length(FieldList *fields)
+{
+    size_t kept = 0;
+
+    for (size_t i = 0; i < fields->count; i++) {
+        if (!Str_EqualNoCase(fields->items[i].name,
+                             Str_LIT("Content-Length"))) {
+            fields->items[kept++] = fields->items[i];
+        }
+    }
+    fields->count = kept;
+}
+
+static struct evbuffer *
+input_of(const BckExchange *exchange)
+{
+    return bufferevent_get_input(
+        evhttp_connection_get_bufferevent(exchange->connection->http));
+}
+
+/* evhttp hands a chunk over when all of it came.  Take the part that is here
+ * already, so that a large chunk is not kept in memory as a whole. */
+static void
+take_part(struct evbuffer *input, const struct evbuffer_cb_info *info,
+          void *context)
+{
+    BckExchange *exchange = context;
+    struct evhttp_request *request = exchange->request;
+    size_t len = evbuffer_get_length(input);
+
+    if (info->n_added == 0 || request->ntoread <= PART_BYTES ||
+        len < PART_BYTES || (ev_int64_t)len >= request->ntoread) {
+        return;
+    }
+    request->ntoread -= (ev_int64_t)len;
+    exchange->sink.bytes(exchange->sink.context, Evt_View(input));
+    evbuffer_drain(input, len);
+}
+
+static void
+stop_tapping(BckExchange *exchange)
+{
+    if (exchange->tap) {
+        evbuffer_remove_cb_entry(input_of(exchange), exchange->tap);
+        exchange->tap = NULL;
+    }
+}
+
 static int
 on_head(struct evhttp_request *request, void *context)
 {
     BckExchange *exchange = context;
+    int status = evhttp_request_get_response_code(request);
+    struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
     FieldList fields;
 
-    exchange->connected = true;
-    if (!Evt_ReadFields(evhttp_request_get_input_headers(request), &fields)) {
+    exchange->reached = true;
+    if (status < OK) {
+        return 0; /* interim: the answer's own head follows */
+    }
+    if (!Evt_ReadFields(headers, &fields)) {
         return -1;
     }
-    exchange->sink.head(exchange->sink.context,
-                        (uint16_t)evhttp_request_get_response_code(request),
-                        &fields);
+    if (evhttp_find_header(headers, "Transfer-Encoding")) {
+        drop_length(&fields);
+        exchange->tap =
+            evbuffer_add_cb(input_of(exchange), take_part, exchange);
+    }
+    exchange->answered = true;
+    exchange->sink.head(exchange->sink.context, (uint16_t)status, &fields);
     return 0;
 }
 
@@ -106,65 +205,73 @@
     }
 }
 
+static void
+free_exchange(BckExchange *exchange)
+{
+    event_free(exchange->pauser);
+    Mem_Free(exchange);
+}
+
+static void
+keep_connection(BckPool *pool, BckConnection *connection)
+{
+    connection->used = true;
+    connection->idle_since = pool->clock();
+    connection->next = pool->idle;
+    pool->idle = connection;
+}
+
 static void
 on_end(struct evhttp_request *request, void *context)
 {
     BckExchange *exchange = context;
     BckPool *pool = exchange->pool;
-    BckConnection *connection = exchange->connection;
     BckSink sink = exchange->sink;
-    bool whole = request && evhttp_request_get_response_code(request) > 0;
-    bool connected = exchange->connected;
+    bool whole = request && exchange->answered;
+    BckEnd end = exchange->reached ? Bck_CUT : Bck_UNREACHED;
 
-    Mem_Free(exchange);
-    if (whole) {
-        connection->used = true;
-        connection->next = pool->idle;
-        pool->idle = connection;
-        sink.end(sink.context, Bck_WHOLE);
+    if (exchange->starting) {
+        exchange->ended = true;
         return;
     }
-    retire(pool, connection);
-    sink.end(sink.context, connected ? Bck_CUT : Bck_UNREACHED);
+    stop_tapping(exchange);
+    if (whole) {
+        keep_connection(pool, exchange->connection);
+        end = Bck_WHOLE;
+    }
+    else {
+        retire(pool, exchange->connection);
+    }
+    free_exchange(exchange);
+    sink.end(sink.context, end);
 }
 
-/* Any failure but one while connecting may follow a request that ran. */
+/* Called for every failure but one to connect. */
 static void
 on_error(enum evhttp_request_error error, void *context)
 {
     BckExchange *exchange = context;
-    struct bufferevent *stream =
-        evhttp_connection_get_bufferevent(exchange->connection->http);
 
-    (void)error;
-    if (stream && bufferevent_getfd(stream) >= 0 &&
-        !(bufferevent_get_enabled(stream) & EV_READ)) {
-        return;
+    exchange->reached = true;
+    if (error == EVREQ_HTTP_TIMEOUT) {
+        /* Other connections may have gone silent with this one. */
+        close_all(&exchange->pool->idle);
     }
-    exchange->connected = true;
 }
 
 void
-Bck_PoolInit(BckPool *pool, struct event_base *base)
+Bck_PoolInit(BckPool *pool, struct event_base *base, BckClock clock)
 {
-    *pool = (BckPool){.base = base};
-}
-
-static void
-close_idle(BckPool *pool)
-{
-    BckConnection *connection;
-
-    while ((connection = pool->idle)) {
-        pool->idle = connection->next;
-        close_connection(connection);
-    }
+    *pool = (BckPool){.base = base, .clock = clock};
+    pool->closer = event_new(base, -1, 0, close_retired, pool);
 }
 
 void
 Bck_PoolFinish(BckPool *pool)
 {
-    close_idle(pool);
+    close_all(&pool->idle);
+    close_all(&pool->retired);
+    event_free(pool->closer);
 }
 
 void
@@ -172,7 +279,7 @@
 {
     if (pool->addr != addr) {
         pool->addr = addr;
-        close_idle(pool);
+        close_all(&pool->idle);
     }
 }
 
@@ -201,6 +308,36 @@
     return request;
 }
 
+static void
+do_pause(evutil_socket_t fd, short what, void *context)
+{
+    BckExchange *exchange = context;
+
+    (void)fd;
+    (void)what;
+    if (exchange->paused) {
+        bufferevent_disable(
+            evhttp_connection_get_bufferevent(exchange->connection->http),
+            EV_READ);
+    }
+}
+
+static BckExchange *
+add_exchange(BckPool *pool, const BckRequest *request, const BckSink *sink)
+{
+    BckExchange *exchange = Mem_Alloc(1, sizeof *exchange);
+    Span wait = request->left + GRACE;
+    struct timeval bound = {wait / 1000000, wait % 1000000};
+
+    exchange->pool = pool;
+    exchange->sink = *sink;
+    exchange->pauser = event_new(pool->base, -1, 0, do_pause, exchange);
+    exchange->connection = take_connection(pool, pool->clock());
+    exchange->request = build_request(exchange, request);
+    evhttp_connection_set_timeout_tv(exchange->connection->http, &bound);
+    return exchange;
+}
+
 BckExchange *
 Bck_Start(BckPool *pool, const BckRequest *request, const BckSink *sink)
 {
@@ -213,19 +350,16 @@
         pool->addr == Addr_NONE) {
         return NULL;
     }
-    exchange = Mem_Alloc(1, sizeof *exchange);
-    exchange->pool = pool;
-    exchange->sink = *sink;
-    exchange->connection = take_connection(pool);
-    exchange->connected = exchange->connection->used;
-    exchange->request = build_request(exchange, request);
+    exchange = add_exchange(pool, request, sink);
+    exchange->starting = true;
     StrBuf_Set(&target, request->target);
     made = evhttp_make_request(exchange->connection->http, exchange->request,
                                method, StrBuf_CStr(&target)) == 0;
     StrBuf_Finish(&target);
-    if (!made) {
+    exchange->starting = false;
+    if (!made || exchange->ended) {
         retire(pool, exchange->connection);
-        Mem_Free(exchange);
+        free_exchange(exchange);
         return NULL;
     }
     return exchange;
@@ -234,23 +368,32 @@
 void
 Bck_Cancel(BckExchange *exchange)
 {
+    BckPool *pool = exchange->pool;
+
+    stop_tapping(exchange);
     evhttp_cancel_request(exchange->request);
-    retire(exchange->pool, exchange->connection);
-    Mem_Free(exchange);
+    retire(pool, exchange->connection);
+    if (!exchange->answered) {
+        /* Other connections may have gone silent with this one. */
+        close_all(&pool->idle);
+    }
+    free_exchange(exchange);
 }
 
 void
 Bck_Pause(BckExchange *exchange)
 {
-    bufferevent_disable(
-        evhttp_connection_get_bufferevent(exchange->connection->http),
-        EV_READ);
+    exchange->paused = true;
+    event_active(exchange->pauser, EV_TIMEOUT, 0);
 }
 
 void
 Bck_Resume(BckExchange *exchange)
 {
-    bufferevent_enable(
-        evhttp_connection_get_bufferevent(exchange->connection->http),
-        EV_READ);
+    if (exchange->paused) {
+        exchange->paused = false;
+        bufferevent_enable(
+            evhttp_connection_get_bufferevent(exchange->connection->http),
+            EV_READ);
+    }
 }
--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -35,20 +35,25 @@
 typedef struct BckExchange BckExchange;
 typedef struct BckConnection BckConnection;
 
+typedef Instant (*BckClock)(void);
+
 typedef struct {
     struct event_base *base;
+    BckClock clock;
     Addr addr; /* of the backend server; Addr_NONE: none */
     BckConnection *idle;
+    BckConnection *retired; /* to be closed from the loop */
+    struct event *closer;
 } BckPool;
 
-void Bck_PoolInit(BckPool *pool, struct event_base *base);
+void Bck_PoolInit(BckPool *pool, struct event_base *base, BckClock clock);
 void Bck_PoolFinish(BckPool *pool);
 
 /* The backend server listens at ADDR from now on. */
 void Bck_SetAddr(BckPool *pool, Addr addr);
 
-/* Start an exchange; NULL when no request could be made.  The sink is never
- * called before this returns. */
+/* Start an exchange; NULL when no request could be made, and none ran.  The
+ * sink is never called before this returns. */
 BckExchange *Bck_Start(BckPool *pool, const BckRequest *request,
                        const BckSink *sink);
 
--- /dev/null
+++ b/src/connection/caller.c
@@ -0,0 +1,213 @@
+#include "connection/caller.h"
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http_struct.h>
+#include <sys/socket.h>
+
+#include "value/mem.h"
+#include "value/str.h"
+
+void
+Clr_Init(CallerList *list, struct event_base *base)
+{
+    *list = (CallerList){.base = base};
+}
+
+static int
+descriptor(const Caller *caller)
+{
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(caller->http));
+}
+
+static void
+free_caller(Caller *caller)
+{
+    CallerList *list = caller->list;
+
+    Clr_Unwatch(caller);
+    if (caller->request) {
+        list->busy--;
+    }
+    if (caller->previous) {
+        caller->previous->next = caller->next;
+    }
+    else {
+        list->first = caller->next;
+    }
+    if (caller->next) {
+        caller->next->previous = caller->previous;
+    }
+    list->count--;
+    Mem_Free(caller);
+}
+
+void
+Clr_Finish(CallerList *list)
+{
+    while (list->first) {
+        evhttp_connection_set_closecb(list->first->http, NULL, NULL);
+        free_caller(list->first);
+    }
+}
+
+static void
+tell_gone(Caller *caller)
+{
+    ClrGone gone = caller->gone;
+
+    Clr_Unwatch(caller);
+    if (gone) {
+        gone(caller->context);
+    }
+}
+
+/* evhttp is about to free the connection. */
+static void
+on_closed(struct evhttp_connection *connection, void *context)
+{
+    Caller *caller = context;
+    struct evhttp_request *request = caller->request;
+
+    (void)connection;
+    tell_gone(caller);
+    /* A request that lost its connection is only freed by its end. */
+    if (request && !evhttp_request_get_connection(request)) {
+        evhttp_send_reply_end(request);
+    }
+    free_caller(caller);
+}
+
+static void
+on_hangup(evutil_socket_t fd, short what, void *context)
+{
+    Caller *caller = context;
+
+    (void)fd;
+    (void)what;
+    tell_gone(caller);
+    evhttp_connection_free(caller->http);
+}
+
+static Caller *
+find_caller(const CallerList *list, struct evhttp_connection *http)
+{
+    for (Caller *caller = list->first; caller; caller = caller->next) {
+        if (caller->http == http) {
+            return caller;
+        }
+    }
+    return NULL;
+}
+
+static Caller *
+add_caller(CallerList *list, struct evhttp_connection *http)
+{
+    Caller *caller = Mem_Alloc(1, sizeof *caller);
+
+    caller->list = list;
+    caller->http = http;
+    caller->next = list->first;
+    if (list->first) {
+        list->first->previous = caller;
+    }
+    list->first = caller;
+    list->count++;
+    evhttp_connection_set_closecb(http, on_closed, caller);
+    return caller;
+}
+
+static void
+on_sent(struct evhttp_request *request, void *context)
+{
+    Caller *caller = context;
+
+    (void)request;
+    Clr_Unwatch(caller);
+    caller->request = NULL;
+    caller->list->busy--;
+}
+
+Caller *
+Clr_OnRequest(CallerList *list, struct evhttp_request *request)
+{
+    struct evhttp_connection *http = evhttp_request_get_connection(request);
+    Caller *caller = find_caller(list, http);
+
+    if (!caller) {
+        caller = add_caller(list, http);
+    }
+    caller->request = request;
+    list->busy++;
+    evhttp_request_set_on_complete_cb(request, on_sent, caller);
+    return caller;
+}
+
+/* A caller that announced its last request may close its sending side and
+ * still read. */
+static bool
+may_half_close(const struct evhttp_request *request)
+{
+    const char *value =
+        evhttp_find_header(request->input_headers, "Connection");
+
+    return request->minor == 0 ||
+           Str_EqualNoCase(Str_FromC(value), Str_LIT("close"));
+}
+
+void
+Clr_Watch(Caller *caller, ClrGone gone, void *context)
+{
+    caller->gone = gone;
+    caller->context = context;
+    if (!may_half_close(caller->request)) {
+        caller->hangup = event_new(caller->list->base, descriptor(caller),
+                                   EV_CLOSED, on_hangup, caller);
+        event_add(caller->hangup, NULL);
+    }
+}
+
+void
+Clr_Unwatch(Caller *caller)
+{
+    if (caller->hangup) {
+        event_free(caller->hangup);
+        caller->hangup = NULL;
+    }
+    caller->gone = NULL;
+}
+
+void
+Clr_Cut(Caller *caller)
+{
+    struct sockaddr nowhere = {.sa_family = AF_UNSPEC};
+
+    /* This resets the connection: without a length, an orderly end would
+     * look like the end of a whole answer. */
+    if (connect(descriptor(caller), &nowhere, sizeof nowhere)) {
+        shutdown(descriptor(caller), SHUT_RDWR);
+    }
+    evhttp_connection_free(caller->http);
+}
+
+/* Bytes of a request that arrived just now. */
+static bool
+has_input(const Caller *caller)
+{
+    char byte;
+
+    return recv(descriptor(caller), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void
+Clr_CloseIdle(CallerList *list)
+{
+    Caller *next;
+
+    for (Caller *caller = list->first; caller; caller = next) {
+        next = caller->next;
+        if (!caller->request && !has_input(caller)) {
+            evhttp_connection_free(caller->http);
+        }
+    }
+}
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -77,6 +77,10 @@
     Callmsg_WINDOW_BYTES = 262144, /* pieces not credited yet, at most */
 };
 
+/* An answer that began may take longer than its deadline, as long as it
+ * moves on within this time. */
+#define Callmsg_STALL Span_S(30)
+
 void Callmsg_PackCall(Pack *pack, const CallMsg *msg);
 bool Callmsg_ReadCall(Unpack *in, CallMsg *msg, Err *err);
 void Callmsg_PackPiece(Pack *pack, const PieceMsg *msg);
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -109,7 +109,7 @@
     AdmSettings admission = {0};
 
     Adm_Init(&node->admission, &admission);
-    Bck_PoolInit(&node->pool, node->loop.base);
+    Bck_PoolInit(&node->pool, node->loop.base, Loop_Now);
     Ann_Init(&node->ann, settings, &node->logger, &node->admission,
              &node->pool, on_announced, node);
     Svc_Init(&node->services, settings->region, settings->domain, &node->rng);
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -204,6 +204,7 @@
         return; /* a duplicate, or a gap that silence will settle */
     }
     call->next_sequence++;
+    call->deadline = now + Callmsg_STALL;
     if (msg->sequence == 0) {
         call->sink.head(call->sink.context, msg->status, &msg->fields);
     }
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -2,6 +2,8 @@
 
 #include "value/mem.h"
 
+#define CANCEL_GRACE Span_S(1)
+
 struct Run {
     RunHub *hub;
     Run *next;
@@ -123,6 +125,7 @@
         msg.fields = run->head;
     }
     run->sequence++;
+    run->deadline = now + Callmsg_STALL;
     run->uncredited += (uint32_t)bytes.len;
     Callmsg_PackPiece(&pack, &msg);
     Cnt_Add(run->hub->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
@@ -418,6 +421,15 @@
     return NULL;
 }
 
+/* Nobody waits for it any more: its node cancels at the deadline. */
+static void
+give_up(Run *run, Instant now)
+{
+    Bck_Cancel(run->exchange);
+    Adm_OnEnd(run->hub->admission, now - run->started_at, true, now);
+    free_run(run);
+}
+
 static void
 drop_late(RunHub *hub, Instant now)
 {
@@ -429,6 +441,9 @@
             refuse(hub, &run->origin, run->id, Refusal_LATE, now);
             leave_queue(run);
         }
+        else if (run->exchange && now >= run->deadline + CANCEL_GRACE) {
+            give_up(run, now);
+        }
     }
 }
 
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -36,7 +36,8 @@
     Str key;     /* Idempotency-Key; empty: none */
     Str headers; /* further lines, separated by a newline each */
     Str body;
-    Span wait; /* for the whole answer; 0: 20 s */
+    Span wait;        /* for the whole answer; 0: 20 s */
+    bool old_version; /* HTTP/1.0 */
 } FleetRequest;
 
 typedef struct {
--- a/tests/integration/fleet_call.c
+++ b/tests/integration/fleet_call.c
@@ -84,6 +84,9 @@
     if (Str_Equal(request->method, Str_LIT("HEAD"))) {
         curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
     }
+    if (request->old_version) {
+        curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_0);
+    }
     if (request->body.len) {
         curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)request->body.len);
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body.ptr);
--- /dev/null
+++ b/tests/integration/test_whole_answers.c
@@ -0,0 +1,254 @@
+/* Every caller gets the whole answer to its own request, or sees that it did
+ * not.
+ */
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+static Str build;
+
+/* A node with what it serves has to stay under this. */
+enum { NODE_KB_MAX = 32 * 1024 };
+
+static void
+start_fleet(Fleet *fleet)
+{
+    Fleet_Init(fleet, build, 52, 2, 1);
+    Fleet_StartNode(fleet, 0);
+    Fleet_StartNode(fleet, 1);
+    Fleet_StartBackend(fleet, 1, Str_LIT("visor"), Str_LIT("--slots 64"));
+    ck_assert(Fleet_WaitFor(fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+}
+
+typedef struct {
+    const char *name;
+    Str headers;
+    int version; /* minor one of HTTP/1 */
+    bool whole;
+    size_t bytes; /* of a whole body */
+} AnswerCase;
+
+#define LARGE "X-Fake-Size: 31457280"
+
+static const AnswerCase cases[] = {
+    {"empty", Str_LIT("X-Fake-Size: 0"), 1, true, 0},
+    {"one byte over a piece", Str_LIT("X-Fake-Size: 65537"), 1, true, 65537},
+    {"large", Str_LIT(LARGE), 1, true, 31457280},
+    {"large, in chunks", Str_LIT(LARGE "\nX-Fake-Chunked: 1"), 1, true,
+     31457280},
+    {"large, to 1.0", Str_LIT(LARGE), 0, true, 31457280},
+    {"cut", Str_LIT("X-Fake-Size: 900\nX-Fake-Cut: 1"), 1, false, 0},
+    {"cut in chunks", Str_LIT("X-Fake-Size: 900\nX-Fake-Cut: chunked"), 1,
+     false, 0},
+    {"large, cut", Str_LIT("X-Fake-Size: 1500000\nX-Fake-Cut: 1"), 1, false,
+     0},
+    {"large, cut in chunks",
+     Str_LIT("X-Fake-Size: 1500000\nX-Fake-Cut: chunked"), 1, false, 0},
+    {"large, cut in chunks, to 1.0",
+     Str_LIT("X-Fake-Size: 1500000\nX-Fake-Cut: chunked"), 0, false, 0},
+};
+
+enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
+
+START_TEST(whole_or_seen_as_cut)
+{
+    const AnswerCase *c = &cases[_i];
+    FleetRequest request = {
+        .method = Str_LIT("GET"),
+        .path = Str_LIT("/visor/a"),
+        .headers = c->headers,
+        .old_version = c->version == 0,
+    };
+    Fleet fleet;
+    FleetAnswer answer;
+
+    start_fleet(&fleet);
+    Fleet_Send(&fleet, 0, &request, &answer);
+    /* An answer that says so itself is whole, but not the one asked for. */
+    ck_assert_msg((answer.whole && answer.status == 200) == c->whole,
+                  "%s: status %ld", c->name, answer.status);
+    if (c->whole) {
+        ck_assert_uint_eq(answer.body.len, c->bytes);
+    }
+    Fleet_FinishAnswer(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+/* Slow callers: they stop reading after the head; then read on, or leave. */
+typedef struct {
+    int callers;
+    bool chunked;
+    bool read_on;
+    size_t bytes;
+} SlowCase;
+
+static const SlowCase slow_cases[] = {
+    {8, false, false, 31457280},
+    {8, true, false, 31457280},
+    {4, false, true, 4194304},
+};
+
+enum { SLOW_COUNT = sizeof slow_cases / sizeof slow_cases[0], SLOW_MAX = 8 };
+
+static void
+check_memory(Fleet *fleet)
+{
+    for (int vm = 0; vm < 2; vm++) {
+        uint64_t kb = Fleet_ResidentKb(fleet->vms[vm].node);
+        ck_assert_msg(kb < NODE_KB_MAX, "node %d: %lu KB", vm,
+                      (unsigned long)kb);
+    }
+}
+
+static int
+open_slow(Fleet *fleet, const SlowCase *c)
+{
+    int fd = Fleet_RawOpen(fleet, 0, 8000);
+    int bytes = 64 * 1024;
+    StrBuf request = {0};
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    StrBuf_AppendFmt(&request,
+                     "GET /visor/a HTTP/1.1\r\nHost: barns\r\n"
+                     "X-Lycheeridge-Deadline-Ms: 1000\r\n"
+                     "X-Fake-Size: %zu\r\n%sConnection: close\r\n\r\n",
+                     c->bytes, c->chunked ? "X-Fake-Chunked: 1\r\n" : "");
+    Fleet_RawSend(fd, StrBuf_View(&request));
+    StrBuf_Finish(&request);
+    return fd;
+}
+
+static void
+read_to_end(int fd, size_t bytes)
+{
+    StrBuf answer = {0};
+
+    ck_assert(Fleet_RawRead(fd, Span_S(5), &answer));
+    ck_assert_uint_gt(answer.len, bytes);
+    StrBuf_Finish(&answer);
+}
+
+START_TEST(slow_callers_cost_little)
+{
+    const SlowCase *c = &slow_cases[_i];
+    int fds[SLOW_MAX];
+    Fleet fleet;
+
+    start_fleet(&fleet);
+    for (int i = 0; i < c->callers; i++) {
+        fds[i] = open_slow(&fleet, c);
+    }
+    for (int i = 0; i < 8; i++) {
+        Fleet_Sleep(Span_MS(250));
+        check_memory(&fleet);
+    }
+    /* Others are served meanwhile, over the same connections. */
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/b"), Span_MS(200)));
+    for (int i = 0; i < c->callers; i++) {
+        if (c->read_on) {
+            read_to_end(fds[i], c->bytes);
+        }
+        Fleet_RawClose(fds[i]);
+    }
+    Fleet_Sleep(Span_MS(300));
+    check_memory(&fleet);
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/b"), Span_S(1)));
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+/* Answers in another order than the requests, and late ones. */
+typedef struct {
+    int requests;
+    int step_us;  /* service time of the last; longer for those before */
+    int deadline; /* ms */
+} OrderCase;
+
+static const OrderCase orders[] = {
+    {24, 20000, 5000},
+    {24, 20000, 250},
+};
+
+enum { ORDER_COUNT = sizeof orders / sizeof orders[0], ORDER_MAX = 24 };
+
+static void
+send_numbered(int fd, const OrderCase *c, int number, int time_us)
+{
+    StrBuf request = {0};
+
+    StrBuf_AppendFmt(&request,
+                     "GET /visor/a HTTP/1.1\r\nHost: barns\r\n"
+                     "X-Request-Id: order-%d.\r\nX-Fake-Time-Us: %d\r\n"
+                     "X-Lycheeridge-Deadline-Ms: %d\r\n\r\n",
+                     number, time_us, c->deadline);
+    Fleet_RawSend(fd, StrBuf_View(&request));
+    StrBuf_Finish(&request);
+}
+
+/* The answer names the request NUMBER, or says that it came too late. */
+static void
+check_numbered(int fd, const OrderCase *c, int number, int time_us)
+{
+    StrBuf answer = {0};
+    StrBuf expected = {0};
+    Str text;
+    bool late = time_us >= c->deadline * 1000;
+
+    Fleet_RawRead(fd, Span_MS(300), &answer);
+    text = StrBuf_View(&answer);
+    StrBuf_AppendFmt(&expected, "answer to order-%d.\n", number);
+    if (Str_StartsWith(text, Str_LIT("HTTP/1.1 200 "))) {
+        ck_assert(text.len > expected.len);
+        ck_assert(
+            Str_Equal(Str_Slice(text, text.len - expected.len, expected.len),
+                      StrBuf_View(&expected)));
+    }
+    else {
+        ck_assert_msg(Str_StartsWith(text, Str_LIT("HTTP/1.1 504 ")) &&
+                          (late || time_us > c->deadline * 800),
+                      "%d, %d us: %.*s", number, time_us, Str_ARG(text));
+    }
+    StrBuf_Finish(&answer);
+    StrBuf_Finish(&expected);
+}
+
+START_TEST(each_gets_its_own)
+{
+    const OrderCase *c = &orders[_i];
+    int fds[ORDER_MAX];
+    Fleet fleet;
+
+    start_fleet(&fleet);
+    for (int i = 0; i < c->requests; i++) {
+        fds[i] = Fleet_RawOpen(&fleet, 0, 8000);
+        send_numbered(fds[i], c, i, (c->requests - i) * c->step_us);
+    }
+    Fleet_Sleep(Span_MS(600));
+    for (int i = 0; i < c->requests; i++) {
+        check_numbered(fds[i], c, i, (c->requests - i) * c->step_us);
+    }
+    /* The next request on each connection gets its own answer too. */
+    for (int i = 0; i < c->requests; i++) {
+        send_numbered(fds[i], c, 100 + i, 1000);
+    }
+    for (int i = 0; i < c->requests; i++) {
+        check_numbered(fds[i], c, 100 + i, 1000);
+        Fleet_RawClose(fds[i]);
+    }
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{whole_or_seen_as_cut, CASE_COUNT},
+                               {slow_callers_cost_little, SLOW_COUNT},
+                               {each_gets_its_own, ORDER_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("whole answers", tests, 3, 60);
+}
--- a/tools/fake_server.c
+++ b/tools/fake_server.c
@@ -120,6 +120,7 @@
     }
     fake->started = Loop_Now();
     fake->http = evhttp_new(fake->loop.base);
+    Clr_Init(&fake->callers, fake->loop.base);
     evhttp_set_gencb(fake->http, on_request, fake);
     evhttp_set_allowed_methods(fake->http, Evt_METHODS);
     evhttp_set_cb(fake->http, "/fake/control", on_control, fake);
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -6,8 +6,10 @@
  *   X-Fake-Time-Us  its service time
  *   X-Fake-Status   status of the answer
  *   X-Fake-Crash    the process ends: "before" or "after" the effect
- *   X-Fake-Cut      half of the body goes out, then the connection ends
+ *   X-Fake-Cut      half of the body goes out, then the connection ends;
+ *                   "chunked": of a body in chunks
  *   X-Fake-Chunked  the body goes out in chunks, without Content-Length
+ *   X-Fake-Show     the body is "NAME=VALUE" of that header field
  *   X-Fake-Echo     the body is the request's body
  */
 #ifndef FAKE_SERVER_H
@@ -15,6 +17,7 @@
 
 #include <event2/http.h>
 
+#include "connection/caller.h"
 #include "fake_knobs.h"
 #include "process/loop.h"
 #include "request/field.h"
@@ -42,6 +45,7 @@
     uint16_t announced_port;
     int effects; /* descriptor; -1: none */
     struct evhttp *http;
+    CallerList callers;
     FakeWork *first; /* oldest first; running or waiting */
     FakeWork *last;
     int64_t running;
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -13,6 +13,7 @@
     Fake *fake;
     FakeWork *next;
     FakeWork *previous;
+    Caller *caller;
     struct evhttp_request *request;
     struct event *timer; /* NULL while it waits */
     Instant deadline;
@@ -53,15 +54,12 @@
 }
 
 static void
-on_hung_up(struct evhttp_connection *connection, void *context)
+on_hung_up(void *context)
 {
     FakeWork *work = context;
     Fake *fake = work->fake;
 
-    (void)connection;
     fake->counts.cancelled++;
-    /* Without its connection, evhttp only frees the request here. */
-    evhttp_send_reply_end(work->request);
     free_work(work);
     Wrk_StartWaiting(fake, Loop_Now());
 }
@@ -94,6 +92,12 @@
                             evhttp_request_get_input_buffer(work->request));
         return;
     }
+    if (get(work, "X-Fake-Show").len) {
+        const char *name = evhttp_find_header(
+            evhttp_request_get_input_headers(work->request), "X-Fake-Show");
+        evbuffer_add_printf(out, "%s=%.*s\n", name, Str_ARG(get(work, name)));
+        return;
+    }
     if (!Str_ToU64(get(work, "X-Fake-Size"), &size)) {
         evbuffer_add_printf(out, "answer to %.*s\n",
                             Str_ARG(get(work, "X-Request-Id")));
@@ -116,14 +120,25 @@
     struct evhttp_connection *connection =
         evhttp_request_get_connection(work->request);
     struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
-    int fd = bufferevent_getfd(stream);
     size_t len = evbuffer_get_length(body);
+    bool chunked = Str_Equal(get(work, "X-Fake-Cut"), Str_LIT("chunked"));
     StrBuf text = {0};
 
-    StrBuf_AppendFmt(&text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
-                     len);
+    if (chunked) {
+        StrBuf_AppendFmt(&text,
+                         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                         "\r\n%zx\r\n",
+                         len / 2);
+    }
+    else {
+        StrBuf_AppendFmt(
+            &text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", len);
+    }
     StrBuf_Append(&text, Str_Slice(Evt_View(body), 0, len / 2));
-    if (write(fd, text.ptr, text.len) < 0) {
+    if (chunked) {
+        StrBuf_Append(&text, Str_LIT("\r\n"));
+    }
+    if (write(bufferevent_getfd(stream), text.ptr, text.len) < 0) {
         perror("fakeback: half");
     }
     StrBuf_Finish(&text);
@@ -267,8 +282,8 @@
     }
     fake->last = work;
     fake->waiting++;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
-                                  on_hung_up, work);
+    work->caller = Clr_OnRequest(&fake->callers, request);
+    Clr_Watch(work->caller, on_hung_up, work);
 }
 
 void
