--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -1,7 +1,10 @@
 #include "process/settings.h"
 
 #include <stdio.h>
+#include <sys/stat.h>
 
+#include "process/setcheck.h"
+#include "process/setkeys.h"
 #include "value/json.h"
 #include "value/mem.h"
 
@@ -35,6 +38,9 @@
     StrBuf_Finish(&settings->operator_key);
     StrBuf_Finish(&settings->curve_public);
     StrBuf_Finish(&settings->curve_secret);
+    for (size_t i = 0; i < settings->curve_allowed_count; i++) {
+        StrBuf_Finish(&settings->curve_allowed[i]);
+    }
     *settings = (Settings){0};
 }
 
@@ -164,21 +170,6 @@
     }
 }
 
-static void
-read_curve(Settings *settings, JsnObject *o)
-{
-    enum { Z85_KEY = 40 };
-
-    Jsn_GetStr(o, Str_LIT("curve_public"), false, &settings->curve_public);
-    Jsn_GetStr(o, Str_LIT("curve_secret"), false, &settings->curve_secret);
-    if (settings->curve_public.len != settings->curve_secret.len ||
-        (settings->curve_public.len &&
-         settings->curve_public.len != Z85_KEY)) {
-        Jsn_Find(o, Str_LIT("curve_public"), Str_LIT("no pair of keys"),
-                 Str_LIT("curve_public and curve_secret of 40 characters"));
-    }
-}
-
 static void
 read_times(Settings *settings, JsnObject *o)
 {
@@ -230,13 +221,14 @@
                &settings->data_folder);
     Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
     Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
-    read_curve(settings, o);
+    Set_ReadKeys(settings, o);
     read_log_level(settings, o);
     read_times(settings, o);
     settings->header_bytes_max = (uint32_t)Jsn_GetInt(
         o, Str_LIT("header_bytes_max"), 1024, 1024 * 1024, HEADER_BYTES);
     settings->body_bytes_max = (uint32_t)Jsn_GetInt(
         o, Str_LIT("body_bytes_max"), 0, BODY_BYTES_MAX, BODY_BYTES);
+    Set_CheckWhole(settings, o);
 }
 
 bool
@@ -283,3 +275,37 @@
     }
     return true;
 }
+
+bool
+Set_LoadPreset(Str file, Preset *preset, FindingList *findings)
+{
+    StrBuf json = {0};
+    Err err = {0};
+    bool good = false;
+
+    Pst_Init(preset);
+    Fnd_SetFile(findings, file);
+    if (Set_ReadFile(file, &json, &err)) {
+        good = Pst_Parse(preset, StrBuf_View(&json), findings);
+    }
+    else {
+        Fnd_Add(findings, Str_LIT("/"), Err_Text(&err),
+                Str_LIT("a preset's file"));
+    }
+    StrBuf_Finish(&json);
+    return good;
+}
+
+bool
+Set_IsOpenToOthers(Str file)
+{
+    StrBuf name = {0};
+    struct stat info;
+    bool open;
+
+    StrBuf_Set(&name, file);
+    open = stat(StrBuf_CStr(&name), &info) == 0 &&
+           info.st_mode & (S_IRWXG | S_IRWXO);
+    StrBuf_Finish(&name);
+    return open;
+}
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -8,6 +8,7 @@
 #include "value/addr.h"
 #include "value/finding.h"
 #include "value/instant.h"
+#include "version/preset.h"
 
 typedef struct {
     StrBuf name;
@@ -15,6 +16,8 @@
     uint16_t region_number; /* of the first failure domain in that region */
 } SetDomain;
 
+enum { Set_KEYS_MAX = 8 };
+
 /* Connections to node TO go to VIA, as through a proxy. */
 typedef struct {
     Addr to;
@@ -38,8 +41,10 @@
     StrBuf data_folder;  /* of a control replica */
     StrBuf preset;       /* file, in force until the fleet agreed on one */
     StrBuf operator_key; /* needed for operators' requests */
-    StrBuf curve_public; /* Z85; of the fleet; empty: no CURVE */
+    StrBuf curve_public; /* Z85; this node's; empty: no CURVE */
     StrBuf curve_secret;
+    StrBuf curve_allowed[Set_KEYS_MAX]; /* public keys let in */
+    size_t curve_allowed_count;
     LgrLevel log_level;
     Span heartbeat;      /* between records of a node */
     Span member_expiry;  /* a silent node goes after this */
@@ -58,6 +63,13 @@
 /* Read and check JSON; false with findings when anything is wrong. */
 bool Set_Parse(Settings *settings, Str json, FindingList *findings);
 
+/* Read and check the preset in FILE; false with findings when it cannot be
+ * read or anything in it is wrong. */
+bool Set_LoadPreset(Str file, Preset *preset, FindingList *findings);
+
+/* Others than the owner may read FILE, which holds keys. */
+bool Set_IsOpenToOthers(Str file);
+
 /* Read the whole of FILE into OUT. */
 bool Set_ReadFile(Str file, StrBuf *out, Err *err);
 
