--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -31,7 +31,10 @@
     BckConnection *connection;
     struct evhttp_request *request;
     struct evbuffer_cb_entry *tap; /* on what comes in; NULL: none */
-    struct event *pauser; /* evhttp reads on after a callback: pause later */
+    BckRequest from;
+    enum evhttp_cmd_type method;
+    struct event *repeater; /* NULL: not to be repeated */
+    struct event *pauser;   /* evhttp reads on after a callback: pause later */
     bool paused;
     BckSink sink;
     bool starting; /* inside Bck_Start */
@@ -168,6 +171,15 @@
     }
 }
 
+static void
+stop_repeater(BckExchange *exchange)
+{
+    if (exchange->repeater) {
+        event_free(exchange->repeater);
+        exchange->repeater = NULL;
+    }
+}
+
 static int
 on_head(struct evhttp_request *request, void *context)
 {
@@ -189,6 +201,7 @@
             evbuffer_add_cb(input_of(exchange), take_part, exchange);
     }
     exchange->answered = true;
+    stop_repeater(exchange);
     exchange->sink.head(exchange->sink.context, (uint16_t)status, &fields);
     return 0;
 }
@@ -208,6 +221,7 @@
 static void
 free_exchange(BckExchange *exchange)
 {
+    stop_repeater(exchange);
     event_free(exchange->pauser);
     Mem_Free(exchange);
 }
@@ -326,42 +340,89 @@
 add_exchange(BckPool *pool, const BckRequest *request, const BckSink *sink)
 {
     BckExchange *exchange = Mem_Alloc(1, sizeof *exchange);
-    Span wait = request->left + GRACE;
-    struct timeval bound = {wait / 1000000, wait % 1000000};
 
     exchange->pool = pool;
+    exchange->from = *request;
     exchange->sink = *sink;
     exchange->pauser = event_new(pool->base, -1, 0, do_pause, exchange);
-    exchange->connection = take_connection(pool, pool->clock());
-    exchange->request = build_request(exchange, request);
-    evhttp_connection_set_timeout_tv(exchange->connection->http, &bound);
     return exchange;
 }
 
+/* Send the request over the exchange's connection. */
+static bool
+make_request(BckExchange *exchange)
+{
+    struct evhttp_connection *http = exchange->connection->http;
+    Span wait = exchange->from.left + GRACE;
+    struct timeval bound = {wait / 1000000, wait % 1000000};
+    StrBuf target = {0};
+    bool made;
+
+    exchange->starting = true;
+    exchange->request = build_request(exchange, &exchange->from);
+    evhttp_connection_set_timeout_tv(http, &bound);
+    StrBuf_Set(&target, exchange->from.target);
+    made = evhttp_make_request(http, exchange->request, exchange->method,
+                               StrBuf_CStr(&target)) == 0;
+    StrBuf_Finish(&target);
+    exchange->starting = false;
+    return made && !exchange->ended;
+}
+
+static void
+on_repeat(evutil_socket_t fd, short what, void *context)
+{
+    BckExchange *exchange = context;
+    BckPool *pool = exchange->pool;
+    BckSink sink = exchange->sink;
+
+    (void)fd;
+    (void)what;
+    stop_repeater(exchange);
+    stop_tapping(exchange);
+    evhttp_cancel_request(exchange->request);
+    retire(pool, exchange->connection);
+    close_all(&pool->idle);
+    exchange->connection = open_connection(pool);
+    if (!make_request(exchange)) {
+        retire(pool, exchange->connection);
+        free_exchange(exchange);
+        sink.end(sink.context, Bck_CUT);
+    }
+}
+
+static void
+start_repeater(BckExchange *exchange)
+{
+    Span wait = exchange->from.repeat_after;
+    struct timeval after = {wait / 1000000, wait % 1000000};
+
+    if (wait && exchange->connection->used) {
+        exchange->repeater =
+            evtimer_new(exchange->pool->base, on_repeat, exchange);
+        evtimer_add(exchange->repeater, &after);
+    }
+}
+
 BckExchange *
 Bck_Start(BckPool *pool, const BckRequest *request, const BckSink *sink)
 {
     enum evhttp_cmd_type method;
     BckExchange *exchange;
-    StrBuf target = {0};
-    bool made;
 
     if (!Evt_ParseMethod(request->method, &method) ||
         pool->addr == Addr_NONE) {
         return NULL;
     }
     exchange = add_exchange(pool, request, sink);
-    exchange->starting = true;
-    StrBuf_Set(&target, request->target);
-    made = evhttp_make_request(exchange->connection->http, exchange->request,
-                               method, StrBuf_CStr(&target)) == 0;
-    StrBuf_Finish(&target);
-    exchange->starting = false;
-    if (!made || exchange->ended) {
+    exchange->method = method;
+    exchange->connection = take_connection(pool, pool->clock());
+    if (!make_request(exchange)) {
         retire(pool, exchange->connection);
         free_exchange(exchange);
         return NULL;
     }
+    start_repeater(exchange);
     return exchange;
 }
 
--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -15,7 +15,8 @@
     Str target;
     FieldList fields;
     Str body;
-    Span left; /* until the deadline */
+    Span left;         /* until the deadline */
+    Span repeat_after; /* 0: never; see Bck_Start */
 } BckRequest;
 
 typedef enum {
@@ -53,7 +54,10 @@
 void Bck_SetAddr(BckPool *pool, Addr addr);
 
 /* Start an exchange; NULL when no request could be made, and none ran.  The
- * sink is never called before this returns. */
+ * sink is never called before this returns.  REQUEST's strings stay valid
+ * until the end.  A request over a kept-open connection that brings nothing
+ * for its repeat_after is sent once more, over a fresh one: the open one may
+ * be silent for good. */
 BckExchange *Bck_Start(BckPool *pool, const BckRequest *request,
                        const BckSink *sink);
 
--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -1,10 +1,17 @@
 #include "connection/peer.h"
 
+/* Without an attempt that waits, nobody is in a hurry. */
+enum { PATIENCE = 5 };
+
 PeerState
 Peer_Watch(const Peer *peer, Span ping, Span silence, Instant now)
 {
     if (peer->holds == 0) {
-        return Peer_FINE;
+        if (!peer->asked_at) {
+            return Peer_FINE;
+        }
+        ping *= PATIENCE;
+        silence *= PATIENCE;
     }
     if (peer->asked_at && now - peer->asked_at >= silence) {
         return Peer_GONE_SILENT;
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -2,7 +2,9 @@
  *
  * Peer_Watch decides, from the times of what was sent and heard, whether a
  * used connection needs a ping or has gone silent; the owner then opens a
- * fresh one and settles over it what was in flight.
+ * fresh one and settles over it what was in flight.  A connection is used
+ * while attempts wait for an answer over it; one that only carries messages
+ * without such is given five times as long.
  */
 #ifndef PEER_H
 #define PEER_H
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -8,7 +8,9 @@
 enum {
     LEDGER_ANSWERS = 8 * 1024 * 1024,
     LEDGER_ENTRIES = 131072,
-    LEDGER_ORIGINS = 4096
+    LEDGER_ORIGINS = 4096,
+    USUAL_FACTOR = 8, /* times the usual service time */
+    REPEAT_PART = 4   /* part of the time until the deadline */
 };
 
 struct Run {
@@ -281,6 +283,19 @@
     Run_HubTick(hub, now);
 }
 
+/* When a connection to the backend server that brings nothing is taken for
+ * silent; 0 for a request that may not run again. */
+static Span
+repeat_after(const Run *run, Span left)
+{
+    Span usual = (Span)run->hub->admission->service_us * USUAL_FACTOR;
+
+    if (!run->idempotent) {
+        return 0;
+    }
+    return usual > left / REPEAT_PART ? usual : left / REPEAT_PART;
+}
+
 /* The attempt is counted as running already. */
 static void
 start_run(Run *run, Instant now)
@@ -292,6 +307,7 @@
         .fields = run->fields,
         .body = StrBuf_View(&run->body),
         .left = run->deadline - now,
+        .repeat_after = repeat_after(run, run->deadline - now),
     };
     BckSink sink = {run, on_head, on_bytes, on_end};
 
--- /dev/null
+++ b/tests/integration/test_silent_connections.c
@@ -0,0 +1,189 @@
+/* A connection loses everything for good, in one direction or both, while new
+ * ones work.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+static Str build;
+
+enum { DEADLINE_MS = 3000 };
+
+typedef struct {
+    const char *name;
+    Str freeze;
+    bool read;   /* idempotent; otherwise a booking */
+    int time_us; /* of the service */
+    int before;  /* ms that the request is under way when it freezes; <0: the
+                  * connection froze while it was idle */
+    bool known;  /* the outcome has to be known */
+} SilentCase;
+
+static const SilentCase cases[] = {
+    {"idle, forward", Str_LIT("freeze n0-1 forward"), true, 1000, -1, true},
+    {"idle, back", Str_LIT("freeze n0-1 back"), true, 1000, -1, true},
+    {"idle, both", Str_LIT("freeze n0-1 both"), true, 1000, -1, true},
+    {"under way, forward", Str_LIT("freeze n0-1 forward"), true, 400000, 100,
+     true},
+    {"under way, back", Str_LIT("freeze n0-1 back"), true, 400000, 100, true},
+    {"under way, both", Str_LIT("freeze n0-1 both"), true, 400000, 100, true},
+    {"booking, idle, forward", Str_LIT("freeze n0-1 forward"), false, 1000, -1,
+     true},
+    {"booking, idle, back", Str_LIT("freeze n0-1 back"), false, 1000, -1,
+     true},
+    {"booking, idle, both", Str_LIT("freeze n0-1 both"), false, 1000, -1,
+     true},
+    {"booking, under way, forward", Str_LIT("freeze n0-1 forward"), false,
+     400000, 100, true},
+    {"booking, under way, back", Str_LIT("freeze n0-1 back"), false, 400000,
+     100, true},
+    {"booking, under way, both", Str_LIT("freeze n0-1 both"), false, 400000,
+     100, true},
+    {"backend, idle, forward", Str_LIT("freeze b1 forward"), true, 1000, -1,
+     true},
+    {"backend, idle, back", Str_LIT("freeze b1 back"), true, 1000, -1, true},
+    {"backend, idle, both", Str_LIT("freeze b1 both"), true, 1000, -1, true},
+    {"booking, backend, idle, both", Str_LIT("freeze b1 both"), false, 1000,
+     -1, false},
+    {"booking, backend, under way", Str_LIT("freeze b1 back"), false, 400000,
+     100, false},
+};
+
+enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
+
+static const Str preset =
+    Str_LIT("{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
+            "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+            "\"method\":\"GET\",\"interactive\":true,\"idempotent\":true},"
+            "{\"service\":\"visor\",\"route\":\"book\",\"method\":\"POST\","
+            "\"path\":\"/visor/\"}]}");
+
+static void
+start_fleet(Fleet *fleet)
+{
+    Fleet_Init(fleet, build, 53, 2, 1);
+    Fleet_SetPreset(fleet, preset);
+    Fleet_UseProxy(fleet);
+    Fleet_StartNode(fleet, 0);
+    Fleet_StartNode(fleet, 1);
+    Fleet_StartBackend(fleet, 1, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+}
+
+static int
+send_case(Fleet *fleet, const SilentCase *c)
+{
+    StrBuf request = {0};
+    int fd = Fleet_RawOpen(fleet, 0, 8000);
+
+    StrBuf_AppendFmt(&request,
+                     "%s /visor/a HTTP/1.1\r\nHost: barns\r\n"
+                     "Content-Length: 0\r\nIdempotency-Key: lot\r\n"
+                     "X-Lycheeridge-Deadline-Ms: %d\r\n"
+                     "X-Fake-Time-Us: %d\r\nConnection: close\r\n\r\n",
+                     c->read ? "GET" : "POST", DEADLINE_MS, c->time_us);
+    Fleet_RawSend(fd, StrBuf_View(&request));
+    StrBuf_Finish(&request);
+    return fd;
+}
+
+static bool
+contains(const StrBuf *text, const char *part)
+{
+    return memmem(text->ptr, text->len, part, strlen(part)) != NULL;
+}
+
+/* What the caller was told against what was done. */
+static void
+check_answer(Fleet *fleet, const SilentCase *c, const StrBuf *answer)
+{
+    int effects = Fleet_CountEffects(fleet, Str_LIT("lot"));
+
+    if (c->read) {
+        ck_assert_msg(
+            Str_StartsWith(StrBuf_View(answer), Str_LIT("HTTP/1.1 200 ")),
+            "%s: %.*s", c->name, Str_ARG(*answer));
+        return;
+    }
+    ck_assert_msg(effects <= 1, "%s: %d effects", c->name, effects);
+    if (contains(answer, "Outcome: ran")) {
+        ck_assert_msg(effects == 1, "%s: ran, without effect", c->name);
+    }
+    else if (contains(answer, "Outcome: not-run")) {
+        ck_assert_msg(effects == 0, "%s: not run, with effect", c->name);
+    }
+    else {
+        ck_assert_msg(!c->known && contains(answer, "Outcome: unknown"),
+                      "%s: %.*s", c->name, Str_ARG(*answer));
+    }
+}
+
+START_TEST(settled_within_the_deadline)
+{
+    const SilentCase *c = &cases[_i];
+    Fleet fleet;
+    StrBuf answer = {0};
+    int fd;
+
+    start_fleet(&fleet);
+    if (c->before < 0) {
+        ck_assert(Fleet_Proxy(&fleet, c->freeze));
+    }
+    fd = send_case(&fleet, c);
+    if (c->before >= 0) {
+        Fleet_Sleep(Span_MS(c->before));
+        ck_assert(Fleet_Proxy(&fleet, c->freeze));
+    }
+    /* A second more for settling a request that is not idempotent. */
+    ck_assert_msg(Fleet_RawRead(fd,
+                                Span_MS(DEADLINE_MS + (c->read ? 100 : 1500)),
+                                &answer),
+                  "%s: no answer", c->name);
+    Fleet_RawClose(fd);
+    Fleet_Sleep(Span_MS(200));
+    check_answer(&fleet, c, &answer);
+    /* Nothing of it is left for the next requests. */
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/next"), Span_MS(200)));
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+/* A node's connection to the only control replica freezes: the node has to
+ * stay a member, and to learn of new ones. */
+static const Str control_freezes[] = {
+    Str_LIT("freeze n1-0 forward"),
+    Str_LIT("freeze n1-0 back"),
+    Str_LIT("freeze n1-0 both"),
+};
+
+enum { CONTROL_COUNT = sizeof control_freezes / sizeof control_freezes[0] };
+
+START_TEST(membership_goes_on)
+{
+    Fleet fleet;
+
+    Fleet_Init(&fleet, build, 53, 2, 1);
+    Fleet_SetPreset(&fleet, preset);
+    Fleet_UseProxy(&fleet);
+    Fleet_StartNode(&fleet, 0);
+    Fleet_StartNode(&fleet, 1);
+    Fleet_Sleep(Span_S(1));
+    ck_assert(Fleet_Proxy(&fleet, control_freezes[_i]));
+    Fleet_StartBackend(&fleet, 0, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(&fleet, 1, Str_LIT("/visor/ready"), Span_S(5)));
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{settled_within_the_deadline, CASE_COUNT},
+                               {membership_goes_on, CONTROL_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("silent connections", tests, 2, 60);
+}
--- a/tests/integration/test_whole_answers.c
+++ b/tests/integration/test_whole_answers.c
@@ -134,7 +134,7 @@
 START_TEST(slow_callers_cost_little)
 {
     const SlowCase *c = &slow_cases[_i];
-    int fds[SLOW_MAX];
+    int fds[SLOW_MAX] = {0};
     Fleet fleet;
 
     start_fleet(&fleet);
@@ -218,7 +218,7 @@
 START_TEST(each_gets_its_own)
 {
     const OrderCase *c = &orders[_i];
-    int fds[ORDER_MAX];
+    int fds[ORDER_MAX] = {0};
     Fleet fleet;
 
     start_fleet(&fleet);
