--- a/src/request/call.c
+++ b/src/request/call.c
@@ -30,6 +30,7 @@
     Keyed *keyed;   /* NULL: no key */
     KeyPlace place; /* of the next attempt, while its claim is decided */
     CallWhy why;    /* no attempt can be made */
+    bool doubt;     /* an attempt of it may have run */
 };
 
 static void
@@ -89,6 +90,9 @@
     };
     CallSink sink = call->sink;
 
+    if (outcome == Call_NOT_RUN && call->doubt) {
+        outcome = Call_UNKNOWN; /* an earlier attempt may have run */
+    }
     Cnt_Add(call->hub->counters, ids[outcome], 1);
     free_call(call);
     sink.end(sink.context, outcome, why);
@@ -158,7 +162,15 @@
     };
     const PlcRow *row;
 
-    switch (Plc_Choose(&call->service->placement, &ask, now, &row)) {
+    PlcVerdict verdict =
+        Plc_Choose(&call->service->placement, &ask, now, &row);
+
+    if (verdict == Plc_NOBODY && call->doubt) {
+        /* A node that was silent is asked again over a fresh connection. */
+        ask.tried_count = 0;
+        verdict = Plc_Choose(&call->service->placement, &ask, now, &row);
+    }
+    switch (verdict) {
     case Plc_CHOSEN:
         *place = (KeyPlace){
             .attempt = {call->hub->incarnation, ++call->hub->counter},
@@ -263,6 +275,7 @@
 {
     switch (Rty_Decide(&call->retry, &call->service->retries, outcome, now)) {
     case Rty_AGAIN:
+        call->doubt |= outcome == Rty_UNKNOWN;
         end_attempt(call, outcome == Rty_NOT_RUN ? Plc_REFUSED : Plc_SILENT,
                     now);
         try_again(call, now);
@@ -614,6 +627,11 @@
     size_t before;
 
     Cnt_Add(hub->counters, Cnt_CALLS, 1);
+    if (!hub->confirmed) {
+        Cnt_Add(hub->counters, Cnt_NOT_RUN, 1);
+        sink->end(sink->context, Call_NOT_RUN, Call_WHY_VERSION);
+        return NULL;
+    }
     if (!route) {
         Cnt_Add(hub->counters, Cnt_NO_ROUTE, 1);
         sink->end(sink->context, Call_NOT_RUN, Call_WHY_NO_ROUTE);
