--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -44,7 +44,7 @@
 race(Fleet *fleet, int round)
 {
     CfgVersion base = Ops_Newest(fleet, 0);
-    char ids[2][16];
+    char ids[2][32];
     OpsChange changes[2];
     int fds[2];
     OpsAnswer answers[2];
@@ -136,7 +136,7 @@
 
     start_fleet(&fleet, &watch, 23, VMS, CONTROL);
     for (int round = 0; round < 4; round++) {
-        char id[16];
+        char id[32];
         OpsChange change = {4, id, "put", "peak", {0}, true};
         int leader = Ops_WaitForLeader(&fleet, Span_S(10));
         ck_assert_int_ge(leader, 0);
@@ -184,7 +184,7 @@
     CfgVersion base = Ops_Newest(fleet, 0);
 
     for (int i = 0; i < count; i++) {
-        char id[16];
+        char id[32];
         OpsChange change = {0, id, "put", "ordinary", base, false};
         OpsAnswer answer;
         snprintf(id, sizeof id, "many-%d", i);
--- a/tests/integration/test_replicas.c
+++ b/tests/integration/test_replicas.c
@@ -113,7 +113,7 @@
     const LossCase *c = &losses[_i];
     Fleet fleet;
     OpsWatch watch;
-    char names[CHANGES][8];
+    char names[CHANGES][16];
     int leader;
     int first;
     int second;
@@ -331,7 +331,7 @@
 
     start_fleet(&fleet, &watch, 29, false);
     for (int i = 0; i < 4; i++) {
-        char name[8];
+        char name[16];
         snprintf(name, sizeof name, "p%d", i);
         put(&fleet, 3, name);
     }
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -175,7 +175,7 @@
 fill(Cfg *cfg, const Op *op)
 {
     for (uint64_t i = 0; i < op->version; i++) {
-        char id[16];
+        char id[32];
         CfgResult result;
         snprintf(id, sizeof id, "f%u", (unsigned)i);
         apply(cfg, op, id, op->base + i, op->index + i, &result);
@@ -267,7 +267,7 @@
 {
     Cfg cfg;
     CfgResult result;
-    char names[Cfg_PRESETS_MAX + 1][8];
+    char names[Cfg_PRESETS_MAX + 1][16];
 
     Cfg_Init(&cfg);
     for (int i = 0; i <= Cfg_PRESETS_MAX; i++) {
