Give a change sent again its first outcome whatever base it names

The command-line tool reads the newest base before it sends; the second sending of a put with its id was refused as another change (tried by hand: exit status 5, now 0 with the first version).

--- a/src/version/config.c
+++ b/src/version/config.c
@@ -127,14 +127,17 @@
     return cfg->in_force < 0 ? NULL : &cfg->presets[cfg->in_force];
 }
 
+/* Without the base: who sends a change again may have read a newer one. */
 static uint64_t
 hash_content(const CfgChange *change)
 {
+    CfgChange content = *change;
     Pack pack;
     uint64_t hash;
 
+    content.base = (CfgVersion){0};
     Pack_Init(&pack, Cfg_CHANGE_FIELDS);
-    Cfg_PackChange(&pack, change);
+    Cfg_PackChange(&pack, &content);
     hash = Str_Hash(Pack_View(&pack));
     Pack_Finish(&pack);
     return hash;
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -78,7 +78,7 @@
 typedef struct {
     StrBuf id;
     StrBuf preset;
-    uint64_t content; /* hash of the change */
+    uint64_t content; /* hash of the change, its base apart */
     CfgVersion base;
     CfgVersion version;
     CfgVersion winner; /* of a conflict; {0, 0}: not known any more */
--- a/tests/integration/test_replicas.c
+++ b/tests/integration/test_replicas.c
@@ -55,12 +55,13 @@
 static bool
 has_preset(Fleet *fleet, int vm, const char *name)
 {
-    char path[128];
+    StrBuf path = {0};
     OpsAnswer answer;
     bool found;
 
-    snprintf(path, sizeof path, "/v1/presets/show?name=%s", name);
-    Ops_Get(fleet, vm, path, &answer);
+    StrBuf_AppendFmt(&path, "/v1/presets/show?name=%s", name);
+    Ops_Get(fleet, vm, StrBuf_CStr(&path), &answer);
+    StrBuf_Finish(&path);
     found = answer.status == 200;
     Ops_Finish(&answer);
     return found;
