Drive the deciders from tables of events

A bench that holds a fleet's deciders and a queue for each fake backend server, so that policies compare in seconds: random, round robin, least in flight known to the node, two choices, and ours. The hedge decider comes with it, on the same kind of budget as retries.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -146,20 +146,103 @@
     return wait;
 }
 
+/* The NTH candidate. */
+static PlcRow *
+pick(Plc *plc, const PlcAsk *ask, uint32_t nth)
+{
+    for (size_t i = 0; i < plc->count; i++) {
+        if (is_candidate(&plc->rows[i], ask) && nth-- == 0) {
+            return &plc->rows[i];
+        }
+    }
+    return NULL;
+}
+
+static PlcRow *
+choose_random(Plc *plc, const PlcAsk *ask, uint32_t candidates)
+{
+    return pick(plc, ask, Rng_Below(plc->rng, candidates));
+}
+
+static PlcRow *
+choose_round_robin(Plc *plc, const PlcAsk *ask)
+{
+    for (size_t i = 0; i < plc->count; i++) {
+        PlcRow *row = &plc->rows[plc->round++ % plc->count];
+        if (is_candidate(row, ask)) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+static PlcRow *
+choose_least_mine(Plc *plc, const PlcAsk *ask)
+{
+    size_t start = Rng_Below(plc->rng, (uint32_t)plc->count);
+    PlcRow *best = NULL;
+
+    for (size_t i = 0; i < plc->count; i++) {
+        PlcRow *row = &plc->rows[(start + i) % plc->count];
+        if (is_candidate(row, ask) && (!best || row->mine < best->mine)) {
+            best = row;
+        }
+    }
+    return best;
+}
+
+static PlcRow *
+choose_two(Plc *plc, const PlcAsk *ask, uint32_t candidates)
+{
+    PlcRow *a = choose_random(plc, ask, candidates);
+    PlcRow *b = choose_random(plc, ask, candidates);
+
+    return b->mine < a->mine ? b : a;
+}
+
+static PlcRow *
+choose_least_wait(Plc *plc, const PlcAsk *ask, uint32_t candidates)
+{
+    PlcRow *best = NULL;
+
+    for (uint32_t i = 0; i < plc->settings.sample; i++) {
+        PlcRow *row = choose_random(plc, ask, candidates);
+        if (!best || price(plc, row) < price(plc, best)) {
+            best = row;
+        }
+    }
+    return best;
+}
+
 PlcVerdict
 Plc_Choose(Plc *plc, const PlcAsk *ask, Instant now, const PlcRow **row)
 {
-    const PlcRow *best = NULL;
-    size_t start = Rng_Below(plc->rng, (uint32_t)plc->count);
+    uint32_t candidates = 0;
 
     (void)now;
+    *row = NULL;
     for (size_t i = 0; i < plc->count; i++) {
-        const PlcRow *seen = &plc->rows[(start + i) % plc->count];
-        if (is_candidate(seen, ask) &&
-            (!best || price(plc, seen) < price(plc, best))) {
-            best = seen;
-        }
+        candidates += is_candidate(&plc->rows[i], ask);
+    }
+    if (candidates == 0) {
+        return Plc_NOBODY;
+    }
+    switch (plc->settings.policy) {
+    case Plc_RANDOM:
+        *row = choose_random(plc, ask, candidates);
+        break;
+    case Plc_ROUND_ROBIN:
+        *row = choose_round_robin(plc, ask);
+        break;
+    case Plc_LEAST_MINE:
+        *row = choose_least_mine(plc, ask);
+        break;
+    case Plc_TWO_CHOICES:
+        *row = choose_two(plc, ask, candidates);
+        break;
+    case Plc_LEAST_WAIT:
+        *row = choose_least_wait(plc, ask, candidates);
+        break;
     }
-    *row = best;
-    return best ? Plc_CHOSEN : Plc_NOBODY;
+    return Plc_CHOSEN;
 }
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -26,6 +26,16 @@
     }
 }
 
+bool
+Rty_BudgetTake(RtyBudget *budget)
+{
+    if (budget->tokens < 1) {
+        return false;
+    }
+    budget->tokens -= 1;
+    return true;
+}
+
 void
 Rty_Init(Rty *retry, bool idempotent, uint32_t attempts_max, Instant deadline)
 {
@@ -70,9 +80,8 @@
         return now < retry->deadline ? Rty_FENCE : Rty_GIVE_UNKNOWN;
     }
     if (now >= retry->deadline || retry->attempts >= retry->attempts_max ||
-        budget->tokens < 1) {
+        !Rty_BudgetTake(budget)) {
         return give_up(outcome);
     }
-    budget->tokens -= 1;
     return Rty_AGAIN;
 }
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -48,6 +48,9 @@
 /* A call arrived: the budget grows. */
 void Rty_OnCall(RtyBudget *budget);
 
+/* One more attempt is wanted; false when the budget has none. */
+bool Rty_BudgetTake(RtyBudget *budget);
+
 void Rty_Init(Rty *retry, bool idempotent, uint32_t attempts_max,
               Instant deadline);
 
--- /dev/null
+++ b/tools/bench_main.c
@@ -0,0 +1,259 @@
+/* bench: policies compared on the deciders alone, in one run, A and B in turn.
+ *
+ * Each set is a table of cases that differ in one thing; a line of JSON for
+ * each case goes to the file, a table to standard output.
+ */
+#include <argtable2.h>
+#include <jansson.h>
+#include <stdio.h>
+
+#include "bench.h"
+
+#define ROWS(table) (sizeof(table) / sizeof(table)[0])
+
+typedef struct {
+    PlcPolicy policy;
+    const char *name;
+} PolicyName;
+
+static const PolicyName policies[] = {
+    {Plc_RANDOM, "random"},         {Plc_ROUND_ROBIN, "round-robin"},
+    {Plc_LEAST_MINE, "least-mine"}, {Plc_TWO_CHOICES, "two-choices"},
+    {Plc_LEAST_WAIT, "ours"},
+};
+
+static const char *const disturbance_names[Bnc_DISTURBANCES] = {
+    "quiet", "noisy", "cold", "drain", "fail", "lie", "slow"};
+
+static const BncFleet fleets[] = {
+    {Str_LIT("visor"), 5, 9, 13},
+    {Str_LIT("dossiers"), 6, 6, 14},
+    {Str_LIT("target"), 13, 9, 68},
+};
+
+/* What a set varies besides the policy. */
+typedef struct {
+    const char *name;
+    double load;
+    Span hedge_delay;
+    uint32_t fleet; /* number in fleets */
+    uint32_t regions;
+    BncDisturbance disturbance;
+    uint32_t hedge_permille;
+    bool exponential;
+    bool ours_only;
+} BenchRow;
+
+static const BenchRow loads[] = {
+#define LOADS(fleet, regions)                                                 \
+    {"loads", 0.50, 0, fleet, regions, Bnc_NOISY, 0, false, false},           \
+        {"loads", 0.80, 0, fleet, regions, Bnc_NOISY, 0, false, false},       \
+        {"loads", 0.95, 0, fleet, regions, Bnc_NOISY, 0, false, false},       \
+    {                                                                         \
+        "loads", 1.20, 0, fleet, regions, Bnc_NOISY, 0, false, false          \
+    }
+    LOADS(0, 1), LOADS(1, 1), LOADS(0, 2), LOADS(1, 2), LOADS(2, 2),
+};
+
+static const BenchRow disturbances[] = {
+#define DISTURBED(disturbance)                                                \
+    {"disturbances", 0.80, 0, 0, 1, disturbance, 0, false, false},            \
+    {                                                                         \
+        "disturbances", 0.80, 0, 1, 2, disturbance, 0, false, false           \
+    }
+    DISTURBED(Bnc_QUIET), DISTURBED(Bnc_COLD), DISTURBED(Bnc_DRAIN),
+    DISTURBED(Bnc_FAIL),  DISTURBED(Bnc_LIE),  DISTURBED(Bnc_SLOW),
+};
+
+static const BenchRow spreads[] = {
+    {"spread", 0.80, 0, 0, 1, Bnc_NOISY, 0, true, false},
+    {"spread", 0.80, 0, 1, 2, Bnc_NOISY, 0, true, false},
+};
+
+static const BenchRow hedges[] = {
+#define HEDGED(load, permille, delay)                                         \
+    {"hedges", load, delay, 0, 1, Bnc_NOISY, permille, false, true},          \
+    {                                                                         \
+        "hedges", load, delay, 0, 1, Bnc_NOISY, permille, true, true          \
+    }
+    HEDGED(0.80, 0, 0),
+    HEDGED(0.80, 50, Span_MS(15)),
+    HEDGED(0.80, 50, Span_MS(25)),
+    HEDGED(1.20, 0, 0),
+    HEDGED(1.20, 50, Span_MS(15)),
+    HEDGED(1.20, 50, Span_MS(25)),
+};
+
+typedef struct {
+    const char *name;
+    const BenchRow *rows;
+    size_t count;
+} BenchSet;
+
+static const BenchSet sets[] = {
+    {"loads", loads, ROWS(loads)},
+    {"disturbances", disturbances, ROWS(disturbances)},
+    {"spread", spreads, ROWS(spreads)},
+    {"hedges", hedges, ROWS(hedges)},
+};
+
+typedef struct {
+    FILE *out; /* JSON lines; NULL: none */
+    uint64_t seed;
+    Span length;
+    int sample;
+    int retry_permille;
+} BenchOptions;
+
+static void
+write_json(const BenchOptions *options, const BenchRow *row, const BncCase *c,
+           const char *policy, const BncResult *r)
+{
+    json_t *shares = json_array();
+    json_t *line;
+
+    for (int i = 0; i < Bnc_STEPS; i++) {
+        json_array_append_new(shares, json_real(r->share[i]));
+    }
+    line = json_pack(
+        "{s:s, s:s%, s:i, s:s, s:f, s:s, s:s, s:I, s:f, s:f, s:f, s:I, s:I,"
+        " s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:i, s:I,"
+        " s:o}",
+        "set", row->name, "fleet", c->fleet.name.ptr, c->fleet.name.len,
+        "regions", (int)c->regions, "service",
+        c->exponential ? "exponential" : "uniform", "load", c->load,
+        "disturbance", disturbance_names[c->disturbance], "policy", policy,
+        "seed", (json_int_t)c->seed, "p50_ms", r->p50_ms, "p99_ms", r->p99_ms,
+        "p999_ms", r->p999_ms, "interactive_calls",
+        (json_int_t)r->calls[Adm_INTERACTIVE], "interactive_good",
+        (json_int_t)r->good[Adm_INTERACTIVE], "patient_calls",
+        (json_int_t)r->calls[Adm_PATIENT], "patient_good",
+        (json_int_t)r->good[Adm_PATIENT], "failed", (json_int_t)r->failed,
+        "not_run", (json_int_t)r->not_run, "shed", (json_int_t)r->shed,
+        "refusals", (json_int_t)r->refusals, "attempts",
+        (json_int_t)r->attempts, "retries", (json_int_t)r->retries, "hedges",
+        (json_int_t)r->hedges, "crossings", (json_int_t)r->crossings,
+        "measure_link_bytes_s", r->measure_link_bytes_s, "ejected_max",
+        (int)r->ejected_max, "hedge_delay_us", (json_int_t)c->hedge_delay,
+        "share_of_first", shares);
+    json_dumpf(line, options->out, JSON_COMPACT);
+    fputc('\n', options->out);
+    json_decref(line);
+}
+
+static void
+print_head(void)
+{
+    printf("%-9s %s %-7s %4s %-6s %-11s %7s %7s %8s %9s %9s %7s %7s %7s %6s "
+           "%7s %8s\n",
+           "fleet", "rg", "service", "load", "dist", "policy", "p50 ms",
+           "p99 ms", "p99.9 ms", "int.good/s", "pat.good/s", "failed",
+           "refused", "retries", "hedges", "across", "meas.B/s");
+}
+
+static void
+print_line(const BncCase *c, const char *policy, const BncResult *r)
+{
+    double seconds = (double)c->length / 1e6;
+
+    printf("%-9.*s %2u %-7.7s %3.0f%% %-6s %-11s %7.2f %7.2f %8.2f %9.0f "
+           "%9.0f %7llu %7llu %7llu %6llu %7llu %8.0f\n",
+           Str_ARG(c->fleet.name), c->regions,
+           c->exponential ? "exponential" : "uniform", c->load * 100,
+           disturbance_names[c->disturbance], policy, r->p50_ms, r->p99_ms,
+           r->p999_ms, (double)r->good[Adm_INTERACTIVE] / seconds,
+           (double)r->good[Adm_PATIENT] / seconds,
+           (unsigned long long)r->failed, (unsigned long long)r->refusals,
+           (unsigned long long)r->retries, (unsigned long long)r->hedges,
+           (unsigned long long)r->crossings, r->measure_link_bytes_s);
+}
+
+static void
+run_case(const BenchOptions *options, const BenchRow *row,
+         const PolicyName *policy)
+{
+    BncResult result;
+    BncCase c = {
+        .fleet = fleets[row->fleet],
+        .regions = row->regions,
+        .exponential = row->exponential,
+        .load = row->load,
+        .patient = 300,
+        .length = options->length,
+        .policy = policy->policy,
+        .disturbance = row->disturbance,
+        .retry_permille = (uint32_t)options->retry_permille,
+        .hedge_permille = row->hedge_permille,
+        .hedge_delay = row->hedge_delay,
+        .sample = (uint32_t)options->sample,
+        .seed = options->seed,
+    };
+
+    Bnc_Run(&c, &result);
+    print_line(&c, policy->name, &result);
+    if (options->out) {
+        write_json(options, row, &c, policy->name, &result);
+    }
+}
+
+static void
+run_set(const BenchOptions *options, const BenchSet *set)
+{
+    printf("\nset %s, seed %llu, %.0f s a case\n", set->name,
+           (unsigned long long)options->seed, (double)options->length / 1e6);
+    print_head();
+    for (size_t i = 0; i < set->count; i++) {
+        for (size_t k = 0; k < ROWS(policies); k++) {
+            if (!set->rows[i].ours_only ||
+                policies[k].policy == Plc_LEAST_WAIT) {
+                run_case(options, &set->rows[i], &policies[k]);
+            }
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *only =
+        arg_str0(NULL, "set", "NAME", "loads, disturbances, spread, hedges");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed (1)");
+    struct arg_int *seconds =
+        arg_int0(NULL, "seconds", "N", "length of a case (20)");
+    struct arg_int *sample =
+        arg_int0(NULL, "sample", "N", "rows compared by ours (3)");
+    struct arg_int *retries =
+        arg_int0(NULL, "retry-permille", "N", "retry budget (100)");
+    struct arg_file *file =
+        arg_file0(NULL, "json", "FILE", "a line for each case");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {only, seed, seconds, sample, retries, file, end};
+    BenchOptions options = {
+        .seed = 1, .length = Span_S(20), .sample = 3, .retry_permille = 100};
+
+    if (arg_parse(argc, argv, table)) {
+        arg_print_errors(stderr, end, "bench");
+        arg_print_glossary(stderr, table, "  %-24s %s\n");
+        return 2;
+    }
+    options.seed = seed->count ? (uint64_t)seed->ival[0] : options.seed;
+    options.length =
+        seconds->count ? Span_S(seconds->ival[0]) : options.length;
+    options.sample = sample->count ? sample->ival[0] : options.sample;
+    options.retry_permille =
+        retries->count ? retries->ival[0] : options.retry_permille;
+    if (file->count) {
+        options.out = fopen(file->filename[0], "w");
+    }
+    for (size_t i = 0; i < ROWS(sets); i++) {
+        if (!only->count ||
+            Str_Equal(Str_FromC(only->sval[0]), Str_FromC(sets[i].name))) {
+            run_set(&options, &sets[i]);
+        }
+    }
+    if (options.out) {
+        fclose(options.out);
+    }
+    arg_freetable(table, ROWS(table));
+    return 0;
+}
