--- a/src/process/node.c
+++ b/src/process/node.c
@@ -1,5 +1,7 @@
 #include "process/node.h"
 
+#include "request/fence.h"
+
 #define TICK Span_MS(10)
 
 static void
@@ -35,19 +37,22 @@
 static bool
 load_preset(Node *node, Err *err)
 {
-    StrBuf json = {0};
     StrBuf text = {0};
     FindingList findings;
-    Str file = StrBuf_View(&node->settings->preset);
     Preset preset;
     bool good;
 
-    if (!Set_ReadFile(file, &json, err)) {
+    if (!Set_ReadFile(StrBuf_View(&node->settings->preset), &node->preset_json,
+                      err)) {
         return false;
     }
+    if (node->preset_json.len > Cfg_JSON_MAX) {
+        return Err_SET(err, Err_TOO_LARGE, "%.*s is over %d bytes",
+                       Str_ARG(node->settings->preset), Cfg_JSON_MAX);
+    }
     Fnd_Init(&findings);
-    Fnd_SetFile(&findings, file);
-    good = Pst_Parse(&preset, StrBuf_View(&json), &findings);
+    good = Set_LoadPreset(StrBuf_View(&node->settings->preset), &preset,
+                          &findings);
     if (good) {
         node->in_force = Inf_New(&preset, (CfgVersion){0});
     }
@@ -56,7 +61,6 @@
         Err_SET(err, Err_MALFORMED, "%.*s", Str_ARG(text));
     }
     Fnd_Finish(&findings);
-    StrBuf_Finish(&json);
     StrBuf_Finish(&text);
     return good;
 }
@@ -74,6 +78,41 @@
     node->calls.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
     Adm_SetSettings(&node->admission, &admission);
+    Run_SetLimits(&node->runs, limits);
+    Hld_SetLimits(&node->holder, limits);
+}
+
+/* A confirmed version comes into force; calls under way keep theirs. */
+static bool
+on_version(void *context, CfgVersion version, Str json, Instant now)
+{
+    Node *node = context;
+    Preset preset;
+    FindingList findings;
+    bool good;
+
+    Fnd_Init(&findings);
+    good = Pst_Parse(&preset, json, &findings);
+    if (good) {
+        Inf_Release(node->in_force);
+        node->in_force = Inf_New(&preset, version);
+        use_preset(node);
+        node->calls.confirmed = true;
+        Mbs_SetVersion(&node->members, version, now);
+        Tml_Record(&node->timeline, Tml_IN_FORCE,
+                   "preset=%.*s version=%llu.%llu",
+                   Str_ARG(node->in_force->preset.name),
+                   (unsigned long long)version.term,
+                   (unsigned long long)version.index);
+    }
+    else {
+        Lgr_Log(&node->logger, Lgr_ERROR, Str_LIT("version_not_readable"),
+                "version=%llu.%llu findings=%zu",
+                (unsigned long long)version.term,
+                (unsigned long long)version.index, findings.count);
+    }
+    Fnd_Finish(&findings);
+    return good;
 }
 
 static bool
@@ -90,6 +129,7 @@
         return false;
     }
     Ann_Serve(&node->ann, &node->opr);
+    Chg_Serve(&node->changes, &node->opr);
     node->show = (Show){
         .settings = settings,
         .timeline = &node->timeline,
@@ -117,15 +157,33 @@
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
     Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
-                 &node->services, node->incarnation);
+                 &node->services, settings, node->incarnation);
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
                 &node->admission, &node->pool, node->incarnation);
+    Fnc_Serve(&node->runs);
+    Hld_Init(&node->holder, &node->loop, &node->net, &node->counters,
+             &node->timeline, settings, node->incarnation,
+             &node->in_force->preset.limits);
     use_preset(node);
+    Ctl_Init(&node->control, &node->loop, &node->net, &node->counters,
+             &node->timeline, settings, &node->rng,
+             StrBuf_View(&node->in_force->preset.name),
+             StrBuf_View(&node->preset_json));
+    Fol_Init(&node->follow, &node->loop, &node->net, &node->counters,
+             &node->timeline, settings, &node->members.membership, on_version,
+             node);
+    Chg_Init(&node->changes, &node->loop, &node->net, &node->counters,
+             settings, &node->follow, &node->members.membership,
+             &node->control, &node->in_force);
 }
 
 static void
 finish_parts(Node *node)
 {
+    Chg_Finish(&node->changes);
+    Fol_Finish(&node->follow);
+    Ctl_Finish(&node->control);
+    Hld_Finish(&node->holder);
     Run_HubFinish(&node->runs);
     Call_HubFinish(&node->calls);
     Mbs_Finish(&node->members);
@@ -169,11 +227,13 @@
 Node_Finish(Node *node)
 {
     LoopTimer_Finish(&node->tick);
+    Chg_Finish(&node->changes); /* answers while there is a front */
     Opr_Finish(&node->opr);
     Edge_Finish(&node->edge);
     finish_parts(node);
     Net_Finish(&node->net);
     Inf_Release(node->in_force);
+    StrBuf_Finish(&node->preset_json);
     Rng_Finish(&node->rng);
     Lgr_Finish(&node->logger);
     Loop_Finish(&node->loop);
