Price placement by expected wait and by what own attempts saw

Reports age within one service time, so alone they cannot see a server that stopped answering. A row now keeps decayed sums of attempts that ended and of time spent unanswered; their quotient against the expected time is the slowness that multiplies the price. Rows of the region are compared first, two of the other region only against the price of the link. Servers that fail are ejected, never more than half, and return by single trials. A service with more backend servers than rows_max is known in part, by rendezvous weight over failure domains.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -152,7 +152,8 @@
     Bck_PoolInit(&node->pool, node->loop.base);
     Ann_Init(&node->ann, settings, &node->logger, &node->admission,
              &node->pool, on_announced, node);
-    Svc_Init(&node->services, settings->region, settings->domain, &node->rng);
+    Svc_Init(&node->services, settings->address, settings->region,
+             settings->domain, &node->rng);
     Mbs_Init(&node->members, &node->loop, &node->net, &node->counters,
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -1,8 +1,20 @@
 #include "process/placement.h"
 
+#include <math.h>
+
+#include "process/policy.h"
 #include "value/mem.h"
 
-#define SMOOTHING 0.2
+#define WINDOW_US 20000.0           /* decay of what attempts told of speed */
+#define FAILURE_WINDOW_US 2000000.0 /* decay of what they told of failure */
+#define FAILURES_MIN 4.0            /* before an ejection */
+#define FAILURE_SHARE 0.5      /* of outcomes, from which one is ejected */
+#define OUTCOMES_MAX 20.0      /* remembered */
+#define TRIAL_FORGIVES 0.5     /* what a good trial leaves of failures */
+#define EJECT_TIME Span_S(1)   /* doubled with each ejection in a row */
+#define RECORD_FRESH Span_S(1) /* a report counts before a record */
+
+enum { EJECT_DOUBLINGS_MAX = 5, TRIALS_GOOD = 3 };
 
 void
 Plc_Init(Plc *plc, const PlcSettings *settings, Rng *rng)
@@ -34,6 +46,47 @@
     return NULL;
 }
 
+/* Rendezvous weight of NODE for this node. */
+static uint64_t
+weight_of(const Plc *plc, Addr node)
+{
+    Addr pair[2] = {plc->settings.self, node};
+
+    return Str_Hash(Str_From((const char *)pair, sizeof pair));
+}
+
+static size_t
+count_domain(const Plc *plc, uint16_t domain)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < plc->count; i++) {
+        count += plc->rows[i].place.domain == domain;
+    }
+    return count;
+}
+
+/* The row to give up when there is one too many: of the failure domain with
+ * most rows, the one of least weight. */
+static PlcRow *
+find_excess(Plc *plc)
+{
+    PlcRow *excess = NULL;
+    size_t most = 0;
+
+    for (size_t i = 0; i < plc->count; i++) {
+        PlcRow *row = &plc->rows[i];
+        size_t size = count_domain(plc, row->place.domain);
+        if (size > most || (size == most && excess &&
+                            weight_of(plc, row->place.node) <
+                                weight_of(plc, excess->place.node))) {
+            excess = row;
+            most = size;
+        }
+    }
+    return excess;
+}
+
 static PlcRow *
 add_row(Plc *plc)
 {
@@ -45,21 +98,47 @@
     return &plc->rows[plc->count++];
 }
 
+static void
+start_row(PlcRow *row, const PlcPlace *place, const LoadReport *load,
+          Instant now)
+{
+    *row = (PlcRow){
+        .place = *place,
+        .load = *load,
+        .load_at = now,
+        .weighed_at = now,
+    };
+}
+
+static void
+take_record(PlcRow *row, const PlcPlace *place, const LoadReport *load,
+            Instant now)
+{
+    row->place = *place;
+    if (now - row->load_at < RECORD_FRESH) {
+        row->load.draining = row->load.draining || load->draining;
+        return;
+    }
+    row->load = *load;
+    row->load_at = now;
+    row->since = 0;
+}
+
 void
 Plc_SetPlace(Plc *plc, const PlcPlace *place, const LoadReport *load,
              Instant now)
 {
     PlcRow *row = find_row(plc, place->node);
 
-    if (!row) {
-        row = add_row(plc);
+    if (row && row->place.incarnation == place->incarnation) {
+        take_record(row, place, load, now);
+        return;
     }
-    else if (row->place.incarnation != place->incarnation) {
-        *row = (PlcRow){0};
+    start_row(row ? row : add_row(plc), place, load, now);
+    if (plc->settings.rows_max && plc->count > plc->settings.rows_max) {
+        *find_excess(plc) = plc->rows[plc->count - 1];
+        plc->count--;
     }
-    row->place = *place;
-    row->load = *load;
-    row->load_at = now;
 }
 
 void
@@ -72,6 +151,21 @@
     }
 }
 
+void
+Plc_Weigh(PlcRow *row, Instant now)
+{
+    double age = (double)(now - row->weighed_at);
+    double keep = exp(-age / WINDOW_US);
+    double keep_failure = exp(-age / FAILURE_WINDOW_US);
+
+    row->ends *= keep;
+    row->waited_us =
+        row->waited_us * keep + row->mine * WINDOW_US * (1 - keep);
+    row->outcomes *= keep_failure;
+    row->failures *= keep_failure;
+    row->weighed_at = now;
+}
+
 void
 Plc_OnReport(Plc *plc, Addr node, const LoadReport *load, Instant now)
 {
@@ -89,160 +183,119 @@
 {
     PlcRow *row = find_row(plc, node);
 
-    (void)now;
     if (row) {
+        Plc_Weigh(row, now);
         row->mine++;
         row->since++;
+        row->started_at = now;
     }
 }
 
-void
-Plc_OnEnd(Plc *plc, Addr node, PlcEnd end, Span took, Instant now)
+static bool
+may_eject(const Plc *plc)
 {
-    PlcRow *row = find_row(plc, node);
+    size_t ejected = 0;
 
-    (void)now;
-    if (!row) {
-        return;
-    }
-    if (row->mine) {
-        row->mine--;
-    }
-    if (end == Plc_ANSWERED) {
-        row->latency_us += SMOOTHING * ((double)took - row->latency_us);
+    for (size_t i = 0; i < plc->count; i++) {
+        ejected += plc->rows[i].on_trial;
     }
+    return 2 * (ejected + 1) <= plc->count;
 }
 
-static bool
-was_tried(const PlcAsk *ask, Addr node)
+static void
+eject(PlcRow *row, Instant now)
 {
-    for (size_t i = 0; i < ask->tried_count; i++) {
-        if (ask->tried[i] == node) {
-            return true;
-        }
+    row->on_trial = true;
+    row->trial_good = 0;
+    row->eject_until = now + (EJECT_TIME << row->eject_count);
+    if (row->eject_count < EJECT_DOUBLINGS_MAX) {
+        row->eject_count++;
     }
-    return false;
 }
 
-static bool
-is_candidate(const PlcRow *row, const PlcAsk *ask)
+static void
+end_ejection(PlcRow *row)
 {
-    return row->load.slots > 0 && !row->load.draining &&
-           !was_tried(ask, row->place.node);
+    row->on_trial = false;
+    row->eject_until = 0;
+    row->eject_count = 0;
+    row->failures = 0;
 }
 
-static double
-price(const Plc *plc, const PlcRow *row)
+/* Recent outcomes only: a long failure is not held against it for long. */
+static void
+add_outcome(PlcRow *row, bool bad)
 {
-    double work = row->load.running + row->load.queued + row->since + 1.0;
-    double wait = work * row->load.service_us / row->load.slots;
-
-    if (row->place.region != plc->settings.region) {
-        wait += (double)plc->settings.region_price;
+    row->outcomes += 1;
+    row->failures += bad;
+    if (row->outcomes > OUTCOMES_MAX) {
+        row->failures *= OUTCOMES_MAX / row->outcomes;
+        row->outcomes = OUTCOMES_MAX;
     }
-    else if (row->place.domain != plc->settings.domain) {
-        wait += (double)plc->settings.domain_price;
-    }
-    return wait;
 }
 
-/* The NTH candidate. */
-static PlcRow *
-pick(Plc *plc, const PlcAsk *ask, uint32_t nth)
+static void
+on_good(PlcRow *row)
 {
-    for (size_t i = 0; i < plc->count; i++) {
-        if (is_candidate(&plc->rows[i], ask) && nth-- == 0) {
-            return &plc->rows[i];
-        }
+    add_outcome(row, false);
+    if (row->trying) {
+        row->failures *= TRIAL_FORGIVES;
     }
-    return NULL;
-}
-
-static PlcRow *
-choose_random(Plc *plc, const PlcAsk *ask, uint32_t candidates)
-{
-    return pick(plc, ask, Rng_Below(plc->rng, candidates));
-}
-
-static PlcRow *
-choose_round_robin(Plc *plc, const PlcAsk *ask)
-{
-    for (size_t i = 0; i < plc->count; i++) {
-        PlcRow *row = &plc->rows[plc->round++ % plc->count];
-        if (is_candidate(row, ask)) {
-            return row;
-        }
+    if (row->on_trial && ++row->trial_good >= TRIALS_GOOD) {
+        end_ejection(row);
     }
-    return NULL;
 }
 
-static PlcRow *
-choose_least_mine(Plc *plc, const PlcAsk *ask)
+static void
+on_bad(const Plc *plc, PlcRow *row, Instant now)
 {
-    size_t start = Rng_Below(plc->rng, (uint32_t)plc->count);
-    PlcRow *best = NULL;
-
-    for (size_t i = 0; i < plc->count; i++) {
-        PlcRow *row = &plc->rows[(start + i) % plc->count];
-        if (is_candidate(row, ask) && (!best || row->mine < best->mine)) {
-            best = row;
+    add_outcome(row, true);
+    if (row->on_trial) {
+        if (now >= row->eject_until) {
+            eject(row, now);
         }
     }
-    return best;
-}
-
-static PlcRow *
-choose_two(Plc *plc, const PlcAsk *ask, uint32_t candidates)
-{
-    PlcRow *a = choose_random(plc, ask, candidates);
-    PlcRow *b = choose_random(plc, ask, candidates);
-
-    return b->mine < a->mine ? b : a;
+    else if (row->failures >= FAILURES_MIN &&
+             row->failures >= FAILURE_SHARE * row->outcomes &&
+             may_eject(plc)) {
+        eject(row, now);
+    }
 }
 
-static PlcRow *
-choose_least_wait(Plc *plc, const PlcAsk *ask, uint32_t candidates)
+void
+Plc_OnEnd(Plc *plc, Addr node, PlcEnd end, Span took, Instant now)
 {
-    PlcRow *best = NULL;
+    PlcRow *row = find_row(plc, node);
 
-    for (uint32_t i = 0; i < plc->settings.sample; i++) {
-        PlcRow *row = choose_random(plc, ask, candidates);
-        if (!best || price(plc, row) < price(plc, best)) {
-            best = row;
-        }
+    (void)took;
+    if (!row) {
+        return;
+    }
+    Plc_Weigh(row, now);
+    if (row->mine) {
+        row->mine--;
     }
-    return best;
+    if (row->since > row->mine) {
+        row->since = row->mine;
+    }
+    row->ends += end == Plc_ANSWERED || end == Plc_FAILED;
+    if (end == Plc_ANSWERED) {
+        on_good(row);
+    }
+    else if (end == Plc_FAILED || end == Plc_SILENT) {
+        on_bad(plc, row, now);
+    }
+    row->trying = row->trying && row->mine;
 }
 
 PlcVerdict
 Plc_Choose(Plc *plc, const PlcAsk *ask, Instant now, const PlcRow **row)
 {
-    uint32_t candidates = 0;
+    bool full = false;
 
-    (void)now;
-    *row = NULL;
-    for (size_t i = 0; i < plc->count; i++) {
-        candidates += is_candidate(&plc->rows[i], ask);
-    }
-    if (candidates == 0) {
-        return Plc_NOBODY;
-    }
-    switch (plc->settings.policy) {
-    case Plc_RANDOM:
-        *row = choose_random(plc, ask, candidates);
-        break;
-    case Plc_ROUND_ROBIN:
-        *row = choose_round_robin(plc, ask);
-        break;
-    case Plc_LEAST_MINE:
-        *row = choose_least_mine(plc, ask);
-        break;
-    case Plc_TWO_CHOICES:
-        *row = choose_two(plc, ask, candidates);
-        break;
-    case Plc_LEAST_WAIT:
-        *row = choose_least_wait(plc, ask, candidates);
-        break;
-    }
-    return Plc_CHOSEN;
+    *row = Pol_Choose(plc, ask, now, &full);
+    if (*row) {
+        return Plc_CHOSEN;
+    }
+    return full ? Plc_SHED : Plc_NOBODY;
 }
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -1,9 +1,15 @@
 /* Plc, the placement decider: which backend server takes one attempt.
  *
  * One Plc per service.  It keeps a row for each backend server it knows: the
- * last load report with its age, and the attempts of this node that are not
- * answered yet.  Plc_Choose prices the expected wait of a sample of rows and
- * answers with the cheapest.  No socket, clock or file in here.
+ * last load report with its age, the attempts of this node that are not
+ * answered yet, and decayed sums of what became of earlier ones.  Plc_Choose
+ * prices the expected time to an answer for a sample of rows and answers with
+ * the cheapest (see policy.h).  No socket, clock or file in here.
+ *
+ * A backend server that fails what it is given is ejected: it gets nothing for
+ * a while, then one trial at a time until some in a row were good.  Never are
+ * more than half of the rows ejected.  One that failed and is too dear to be
+ * chosen gets trials as well.
  *
  * Sources: M. Mitzenmacher, "The power of two choices in randomized load
  * balancing", 2001; B. Wydrowski et al., "Load is not what you should
@@ -49,24 +55,33 @@
 typedef struct {
     PlcPlace place;
     LoadReport load;
-    Instant load_at;     /* when the report arrived */
-    uint32_t mine;       /* attempts of this node not answered yet */
-    uint32_t since;      /* attempts sent since the last report */
-    double failure;      /* decayed share of failed attempts, 0 to 1 */
-    Instant failure_at;  /* last update of failure */
-    double latency_us;   /* smoothed time to answer seen by this node */
-    Instant eject_until; /* no load but a trial before this */
+    Instant load_at; /* when the report arrived */
+    uint32_t mine;   /* attempts of this node not answered yet */
+    uint32_t since;  /* attempts sent since the last report */
+    /* Sums whose parts lose weight with age. */
+    Instant weighed_at;
+    double ends;      /* attempts answered */
+    double waited_us; /* time that attempts spent unanswered */
+    double outcomes;  /* attempts that ended well or badly */
+    double failures;  /* of these, badly */
+    /* Ejection. */
+    Instant eject_until; /* no load at all before this */
     uint32_t eject_count;
-    Instant trial_at; /* last trial while ejected */
+    bool on_trial; /* ejected, and not proved good again */
+    uint32_t trial_good;
+    bool trying;        /* the attempt in flight is a trial */
+    Instant started_at; /* last attempt */
 } PlcRow;
 
 typedef struct {
     PlcPolicy policy;
+    Addr self;       /* this node: its share of a large service differs */
     uint16_t region; /* of this node */
     uint16_t domain;
     Span domain_price; /* added to the wait outside the failure domain */
     Span region_price; /* added to the wait outside the region */
-    uint32_t sample;   /* rows compared for one attempt */
+    uint32_t sample;   /* rows of the region compared for one attempt */
+    uint32_t rows_max; /* backend servers known at most; 0: no bound */
     uint32_t queue_max;
     uint32_t patient_queue_max;
 } PlcSettings;
@@ -91,7 +106,10 @@
 void Plc_Finish(Plc *plc);
 void Plc_SetSettings(Plc *plc, const PlcSettings *settings);
 
-/* Add or refresh a backend server; another incarnation starts a new row. */
+/* Add or refresh a backend server; another incarnation starts a new row.  A
+ * load that came with membership counts only where no fresher report is.
+ * With rows_max rows, the failure domain with most rows gives up the one of
+ * least rendezvous weight, so that each node keeps a subset of its own. */
 void Plc_SetPlace(Plc *plc, const PlcPlace *place, const LoadReport *load,
                   Instant now);
 void Plc_DropPlace(Plc *plc, Addr node);
@@ -101,6 +119,9 @@
 void Plc_OnStart(Plc *plc, Addr node, Instant now);
 void Plc_OnEnd(Plc *plc, Addr node, PlcEnd end, Span took, Instant now);
 
+/* Bring the decayed sums of ROW up to NOW. */
+void Plc_Weigh(PlcRow *row, Instant now);
+
 /* Choose for one attempt; *ROW is valid until the next change. */
 PlcVerdict Plc_Choose(Plc *plc, const PlcAsk *ask, Instant now,
                       const PlcRow **row);
--- /dev/null
+++ b/src/process/policy.h
@@ -0,0 +1,19 @@
+/* Pol: the choices behind PlcPolicy.
+ *
+ * Ours prices the expected time to an answer: service time and wait from the
+ * last report, drawn towards the service's mean as the report ages, plus what
+ * this node sent since; times the slowness that this node's own attempts saw,
+ * answered or not; plus the price of the way.  A sample of the region's rows
+ * is compared, and two of the other region's, which win only when the wait at
+ * home exceeds the price of the link.
+ */
+#ifndef POLICY_H
+#define POLICY_H
+
+#include "process/placement.h"
+
+/* The row for one attempt; NULL when there is none, and FULL tells whether
+ * that is so only because every candidate's queue is full. */
+PlcRow *Pol_Choose(Plc *plc, const PlcAsk *ask, Instant now, bool *full);
+
+#endif
--- a/src/process/services.h
+++ b/src/process/services.h
@@ -11,18 +11,21 @@
     StrBuf name;
     Plc placement;
     RtyBudget retries;
+    RtyBudget hedges;
 } Service;
 
 typedef struct {
     PlcSettings placement; /* for each service */
     uint32_t retry_permille;
+    uint32_t hedge_permille;
     Rng *rng;
     Service **items;
     size_t count;
     size_t cap;
 } Services;
 
-void Svc_Init(Services *services, uint16_t region, uint16_t domain, Rng *rng);
+void Svc_Init(Services *services, Addr self, uint16_t region, uint16_t domain,
+              Rng *rng);
 void Svc_Finish(Services *services);
 
 /* The limits of the preset now in force. */
--- /dev/null
+++ b/tests/unit/test_retry.c
@@ -0,0 +1,128 @@
+/* Retries and hedges: when one more attempt may be made. */
+#include "request/hedge.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define DEADLINE Span_MS(500)
+
+typedef struct {
+    double tokens;
+    Instant now;
+    uint32_t attempts;
+    RtyOutcome outcome;
+    RtyVerdict verdict;
+    bool idempotent;
+} RetryCase;
+
+static const RetryCase retries[] = {
+    {1, 0, 1, Rty_NOT_RUN, Rty_AGAIN, true},
+    {1, 0, 1, Rty_FAILED, Rty_AGAIN, true},
+    {1, 0, 1, Rty_UNKNOWN, Rty_AGAIN, true},
+    {1, 0, 1, Rty_NOT_RUN, Rty_AGAIN, false},
+    {1, 0, 1, Rty_FAILED, Rty_GIVE_FAILED, false},
+    {1, 0, 1, Rty_UNKNOWN, Rty_FENCE, false},
+    {0, 0, 1, Rty_UNKNOWN, Rty_FENCE, false},
+    {1, DEADLINE, 1, Rty_UNKNOWN, Rty_GIVE_UNKNOWN, false},
+    {0.5, 0, 1, Rty_NOT_RUN, Rty_GIVE_NOT_RUN, true},
+    {9, 0, 3, Rty_NOT_RUN, Rty_GIVE_NOT_RUN, true},
+    {1, DEADLINE, 1, Rty_FAILED, Rty_GIVE_FAILED, true},
+    {0, 0, 1, Rty_UNKNOWN, Rty_GIVE_UNKNOWN, true},
+};
+
+START_TEST(decides_retries)
+{
+    const RetryCase *c = &retries[_i];
+    RtyBudget budget;
+    Rty retry;
+
+    Rty_BudgetInit(&budget, 100, 10);
+    budget.tokens = c->tokens;
+    Rty_Init(&retry, c->idempotent, 3, DEADLINE);
+    for (uint32_t i = 0; i < c->attempts; i++) {
+        Rty_OnAttempt(&retry, i + 1);
+    }
+    ck_assert_int_eq(Rty_Decide(&retry, &budget, c->outcome, c->now),
+                     c->verdict);
+    ck_assert(budget.tokens == c->tokens - (c->verdict == Rty_AGAIN));
+}
+END_TEST
+
+typedef struct {
+    uint32_t permille;
+    int calls;
+    int most; /* attempts that the budget gives over all calls */
+} BudgetCase;
+
+static const BudgetCase budgets[] = {
+    {0, 10000, 0},
+    {100, 10000, 1010},
+    {20, 10000, 210},
+};
+
+START_TEST(keeps_the_budget)
+{
+    const BudgetCase *c = &budgets[_i];
+    RtyBudget budget;
+    int given = 0;
+
+    Rty_BudgetInit(&budget, c->permille, 10);
+    for (int i = 0; i < c->calls; i++) {
+        Rty_OnCall(&budget);
+        for (int k = 0; k < 3; k++) {
+            given += Rty_BudgetTake(&budget);
+        }
+    }
+    ck_assert_int_le(given, c->most);
+    ck_assert_int_ge(given, c->most - 11);
+}
+END_TEST
+
+typedef struct {
+    double tokens;
+    Span delay;
+    Instant now;
+    uint32_t depth;
+    bool idempotent;
+    bool answered;
+    bool hedged;
+} HedgeCase;
+
+static const HedgeCase hedges[] = {
+    {1, Span_MS(20), Span_MS(20), 0, true, false, true},
+    {1, Span_MS(20), Span_MS(19), 0, true, false, false},
+    {1, Span_MS(20), Span_MS(20), 0, true, true, false},
+    {0, Span_MS(20), Span_MS(20), 0, true, false, false},
+    {1, Span_MS(20), DEADLINE, 0, true, false, false},
+    {1, DEADLINE, DEADLINE, 0, true, false, false},
+    {1, Span_MS(20), Span_MS(20), 1, true, false, false},
+    {1, Span_MS(20), Span_MS(20), 0, false, false, false},
+};
+
+START_TEST(decides_hedges)
+{
+    const HedgeCase *c = &hedges[_i];
+    RtyBudget budget;
+    Hdg hedge;
+
+    Rty_BudgetInit(&budget, 100, 10);
+    budget.tokens = c->tokens;
+    Hdg_Init(&hedge, c->idempotent, c->depth, c->delay, DEADLINE, 0);
+    if (c->answered) {
+        Hdg_OnAnswer(&hedge);
+    }
+    ck_assert_int_eq(Hdg_Decide(&hedge, &budget, c->now), c->hedged);
+    ck_assert(!Hdg_Decide(&hedge, &budget, c->now)); /* once a call */
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {
+        {decides_retries, ROWS(retries)},
+        {keeps_the_budget, ROWS(budgets)},
+        {decides_hedges, ROWS(hedges)},
+    };
+
+    return Suite_Run("retry", tests, ROWS(tests), 10);
+}
--- a/tools/bench_main.c
+++ b/tools/bench_main.c
@@ -221,7 +221,7 @@
     struct arg_int *seconds =
         arg_int0(NULL, "seconds", "N", "length of a case (20)");
     struct arg_int *sample =
-        arg_int0(NULL, "sample", "N", "rows compared by ours (3)");
+        arg_int0(NULL, "sample", "N", "rows compared by ours (4)");
     struct arg_int *retries =
         arg_int0(NULL, "retry-permille", "N", "retry budget (100)");
     struct arg_file *file =
@@ -229,7 +229,7 @@
     struct arg_end *end = arg_end(8);
     void *table[] = {only, seed, seconds, sample, retries, file, end};
     BenchOptions options = {
-        .seed = 1, .length = Span_S(20), .sample = 3, .retry_permille = 100};
+        .seed = 1, .length = Span_S(20), .sample = 4, .retry_permille = 100};
 
     if (arg_parse(argc, argv, table)) {
         arg_print_errors(stderr, end, "bench");
--- a/tools/bench_world.c
+++ b/tools/bench_world.c
@@ -75,6 +75,7 @@
     BnwNode *node = &world->nodes[number];
     PlcSettings settings = {
         .policy = world->c->policy,
+        .self = 1000 + number,
         .region = region_of(world, number % DOMAINS),
         .domain = number % DOMAINS,
         .domain_price = 2 * DOMAIN_DELAY,
