--- a/src/process/cli_main.c
+++ b/src/process/cli_main.c
@@ -214,6 +214,10 @@
         if (cli->id.len < 1 || cli->id.len > ID_MAX) {
             return complain("--id", "1 to 64 bytes");
         }
+        /* A change sent again is the same one only on the same version. */
+        if (!cli->has_base) {
+            return complain("--id", "--base as well");
+        }
     }
     return true;
 }
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -6,12 +6,11 @@
 static const LoadReport load = {9, 3, 1, 5000, 7, false};
 static const AttemptId attempt = {UINT64_C(1796381848187260), 42};
 
-/* Sum of every byte read, here and not in a library, so that the address
- * sanitizer notices a string outside its message. */
+/* In this file and not in a library, which the sanitizer does not see. */
 static uint64_t touched;
 
-static void
-touch(Str text)
+void
+Sample_Touch(Str text)
 {
     for (size_t i = 0; i < text.len; i++) {
         touched += (unsigned char)text.ptr[i];
@@ -22,8 +21,8 @@
 touch_fields(const FieldList *fields)
 {
     for (size_t i = 0; i < fields->count; i++) {
-        touch(fields->items[i].name);
-        touch(fields->items[i].value);
+        Sample_Touch(fields->items[i].name);
+        Sample_Touch(fields->items[i].value);
     }
 }
 
@@ -61,10 +60,10 @@
     bool good = Callmsg_ReadCall(in, &msg, err);
 
     if (good) {
-        touch(msg.request_id);
-        touch(msg.method);
-        touch(msg.target);
-        touch(msg.body);
+        Sample_Touch(msg.request_id);
+        Sample_Touch(msg.method);
+        Sample_Touch(msg.target);
+        Sample_Touch(msg.body);
         touch_fields(&msg.fields);
     }
     return good;
@@ -92,7 +91,7 @@
     bool good = Callmsg_ReadPiece(in, &msg, err);
 
     if (good) {
-        touch(msg.bytes);
+        Sample_Touch(msg.bytes);
         touch_fields(&msg.fields);
     }
     return good;
@@ -208,7 +207,7 @@
 
     Mbr_RecordInit(&record);
     good = Membermsg_ReadRecord(in, &record, &table, &seen, err);
-    touch(StrBuf_View(&record.service));
+    Sample_Touch(StrBuf_View(&record.service));
     Mbr_RecordFinish(&record);
     return good;
 }
@@ -251,7 +250,7 @@
     return good;
 }
 
-const Sample samples[] = {
+const Sample call_samples[] = {
     {"call", pack_call, read_call},
     {"piece", pack_piece, read_piece},
     {"refused", pack_refused, read_refused},
@@ -263,7 +262,21 @@
     {"table", pack_table, read_table},
 };
 
-const int sample_count = sizeof samples / sizeof samples[0];
+const int call_sample_count = sizeof call_samples / sizeof call_samples[0];
+
+int
+Sample_Count(void)
+{
+    return call_sample_count + control_sample_count;
+}
+
+const Sample *
+Sample_At(int index)
+{
+    return index < call_sample_count
+               ? &call_samples[index]
+               : &control_samples[index - call_sample_count];
+}
 
 bool
 Sample_Read(const Sample *sample, Str bytes, Err *err)
--- a/tests/support/samples.h
+++ b/tests/support/samples.h
@@ -11,8 +11,18 @@
     bool (*read)(Unpack *in, Err *err);
 } Sample;
 
-extern const Sample samples[];
-extern const int sample_count;
+/* Messages of calls and membership; of keyed calls, log and configuration. */
+extern const Sample call_samples[];
+extern const int call_sample_count;
+extern const Sample control_samples[];
+extern const int control_sample_count;
+
+int Sample_Count(void);
+const Sample *Sample_At(int index);
+
+/* Reads every byte of TEXT, so that the address sanitizer notices a string
+ * outside its message. */
+void Sample_Touch(Str text);
 
 /* Open BYTES as a message and read it with SAMPLE's decoder. */
 bool Sample_Read(const Sample *sample, Str bytes, Err *err);
--- /dev/null
+++ b/tests/support/samples_control.c
@@ -0,0 +1,360 @@
+#include "connection/claimmsg.h"
+#include "connection/configmsg.h"
+#include "connection/logmsg.h"
+#include "support/samples.h"
+
+static const AttemptId attempt = {UINT64_C(1796381848187260), 42};
+static const CfgVersion version = {2, 10};
+
+static const RegBallot ballot = {3, {UINT64_C(1796381848187261), 7}};
+
+static RegValue
+make_value(void)
+{
+    return (RegValue){
+        .state = Reg_ENDED,
+        .ballot = ballot,
+        .attempt = attempt,
+        .node = 77,
+        .incarnation = 5,
+        .digest = 99,
+        .answer = Str_LIT("41 tons"),
+    };
+}
+
+static void
+pack_claim(Pack *pack)
+{
+    ClaimMsg msg = {attempt, 2, Claim_ACCEPT, Str_LIT("lot-4"), make_value()};
+
+    Claimmsg_PackClaim(pack, &msg);
+}
+
+static bool
+read_claim(Unpack *in, Err *err)
+{
+    ClaimMsg msg;
+    bool good = Claimmsg_ReadClaim(in, &msg, err);
+
+    if (good) {
+        Sample_Touch(msg.key);
+        Sample_Touch(msg.value.answer);
+    }
+    return good;
+}
+
+static void
+pack_claimed(Pack *pack)
+{
+    ClaimedMsg msg = {attempt, 2, {Reg_HELD, ballot, make_value()}};
+
+    Claimmsg_PackClaimed(pack, &msg);
+}
+
+static bool
+read_claimed(Unpack *in, Err *err)
+{
+    ClaimedMsg msg;
+    bool good = Claimmsg_ReadClaimed(in, &msg, err);
+
+    if (good) {
+        Sample_Touch(msg.answer.held.answer);
+    }
+    return good;
+}
+
+static void
+pack_fate_ask(Pack *pack)
+{
+    FateAskMsg msg = {attempt, attempt, 5};
+
+    Claimmsg_PackFateAsk(pack, &msg);
+}
+
+static bool
+read_fate_ask(Unpack *in, Err *err)
+{
+    FateAskMsg msg;
+
+    return Claimmsg_ReadFateAsk(in, &msg, err);
+}
+
+static void
+pack_fate(Pack *pack)
+{
+    FateMsg msg = {attempt, attempt, Clm_DONE, Str_LIT("41 tons")};
+
+    Claimmsg_PackFate(pack, &msg);
+}
+
+static bool
+read_fate(Unpack *in, Err *err)
+{
+    FateMsg msg;
+    bool good = Claimmsg_ReadFate(in, &msg, err);
+
+    if (good) {
+        Sample_Touch(msg.answer);
+    }
+    return good;
+}
+
+static void
+pack_registers_ask(Pack *pack)
+{
+    RegistersAskMsg msg = {77, 5, 6, true};
+
+    Claimmsg_PackRegistersAsk(pack, &msg);
+}
+
+static bool
+read_registers_ask(Unpack *in, Err *err)
+{
+    RegistersAskMsg msg;
+
+    return Claimmsg_ReadRegistersAsk(in, &msg, err);
+}
+
+static void
+pack_registers(Pack *pack)
+{
+    static RegistersMsg msg = {.number = 6, .last = true, .ready = true};
+
+    msg.row_count = 2;
+    for (uint32_t i = 0; i < msg.row_count; i++) {
+        msg.rows[i] =
+            (RegisterRow){Str_LIT("lot-4"), ballot, make_value(), false};
+    }
+    Claimmsg_PackRegisters(pack, &msg);
+}
+
+static bool
+read_registers(Unpack *in, Err *err)
+{
+    static RegistersMsg msg;
+    bool good = Claimmsg_ReadRegisters(in, &msg, err);
+
+    for (uint32_t i = 0; good && i < msg.row_count; i++) {
+        Sample_Touch(msg.rows[i].key);
+        Sample_Touch(msg.rows[i].value.answer);
+    }
+    return good;
+}
+
+static void
+pack_log(Pack *pack)
+{
+    static RlogMessage msg = {
+        .kind = Rlog_APPEND,
+        .from = 1,
+        .to = 2,
+        .term = 3,
+        .last_term = 2,
+        .last_index = 9,
+        .commit = 8,
+        .entry_count = 2,
+    };
+
+    msg.entries[0] = (RlogEntry){3, 10, Rlog_CHANGE, Str_LIT("change")};
+    msg.entries[1] = (RlogEntry){3, 11, Rlog_NOOP, {0}};
+    Logmsg_Pack(pack, &msg);
+}
+
+static bool
+read_log(Unpack *in, Err *err)
+{
+    static RlogMessage msg;
+    bool good = Logmsg_Read(in, &msg, err);
+
+    for (uint32_t i = 0; good && i < msg.entry_count; i++) {
+        Sample_Touch(msg.entries[i].data);
+    }
+    if (good) {
+        Sample_Touch(msg.snapshot);
+    }
+    return good;
+}
+
+static void
+pack_hello(Pack *pack)
+{
+    HelloMsg msg = {UINT64_MAX, 77, true, false};
+
+    Logmsg_PackHello(pack, &msg);
+}
+
+static bool
+read_hello(Unpack *in, Err *err)
+{
+    HelloMsg msg;
+
+    return Logmsg_ReadHello(in, &msg, err);
+}
+
+static void
+pack_change(Pack *pack)
+{
+    ChangeMsg msg = {
+        6,
+        {Cfg_PUT, Str_LIT("id-1"), version, Str_LIT("peak"), Str_LIT("{}")}};
+
+    Configmsg_PackChange(pack, &msg);
+}
+
+static bool
+read_change(Unpack *in, Err *err)
+{
+    ChangeMsg msg;
+    bool good = Configmsg_ReadChange(in, &msg, err);
+
+    if (good) {
+        Sample_Touch(msg.change.id);
+        Sample_Touch(msg.change.preset);
+        Sample_Touch(msg.change.json);
+    }
+    return good;
+}
+
+static void
+pack_changed(Pack *pack)
+{
+    ChangedMsg msg = {
+        .ask = 6,
+        .decided = true,
+        .leader = 77,
+        .result =
+            {
+                .outcome = Cfg_CONFLICT,
+                .version = version,
+                .has_winner = true,
+                .winner_id = Str_LIT("id-1"),
+                .winner_preset = Str_LIT("peak"),
+                .winner_version = version,
+            },
+    };
+
+    Configmsg_PackChanged(pack, &msg);
+}
+
+static bool
+read_changed(Unpack *in, Err *err)
+{
+    ChangedMsg msg;
+    bool good = Configmsg_ReadChanged(in, &msg, err);
+
+    if (good) {
+        Sample_Touch(msg.detail);
+        Sample_Touch(msg.result.winner_id);
+        Sample_Touch(msg.result.winner_preset);
+    }
+    return good;
+}
+
+static void
+pack_version_ask(Pack *pack)
+{
+    VersionAskMsg msg = {77, version, true};
+
+    Configmsg_PackVersionAsk(pack, &msg);
+}
+
+static bool
+read_version_ask(Unpack *in, Err *err)
+{
+    VersionAskMsg msg;
+
+    return Configmsg_ReadVersionAsk(in, &msg, err);
+}
+
+static void
+pack_version(Pack *pack)
+{
+    VersionMsg msg = {true, 77, version, Str_LIT("{}")};
+
+    Configmsg_PackVersion(pack, &msg);
+}
+
+static bool
+read_version(Unpack *in, Err *err)
+{
+    VersionMsg msg;
+    bool good = Configmsg_ReadVersion(in, &msg, err);
+
+    if (good) {
+        Sample_Touch(msg.json);
+    }
+    return good;
+}
+
+static void
+pack_presets_ask(Pack *pack)
+{
+    PresetsAskMsg msg = {6, Str_LIT("peak")};
+
+    Configmsg_PackPresetsAsk(pack, &msg);
+}
+
+static bool
+read_presets_ask(Unpack *in, Err *err)
+{
+    PresetsAskMsg msg;
+    bool good = Configmsg_ReadPresetsAsk(in, &msg, err);
+
+    if (good) {
+        Sample_Touch(msg.name);
+    }
+    return good;
+}
+
+static void
+pack_presets(Pack *pack)
+{
+    PresetsMsg msg = {
+        .ask = 6,
+        .current = true,
+        .leader = 77,
+        .version = version,
+        .in_force = Str_LIT("peak"),
+        .items = {{Str_LIT("ordinary"), version}, {Str_LIT("peak"), version}},
+        .count = 2,
+        .json = Str_LIT("{}"),
+    };
+
+    Configmsg_PackPresets(pack, &msg);
+}
+
+static bool
+read_presets(Unpack *in, Err *err)
+{
+    PresetsMsg msg;
+    bool good = Configmsg_ReadPresets(in, &msg, err);
+
+    for (uint32_t i = 0; good && i < msg.count; i++) {
+        Sample_Touch(msg.items[i].name);
+    }
+    if (good) {
+        Sample_Touch(msg.in_force);
+        Sample_Touch(msg.json);
+    }
+    return good;
+}
+
+const Sample control_samples[] = {
+    {"claim", pack_claim, read_claim},
+    {"claimed", pack_claimed, read_claimed},
+    {"fate ask", pack_fate_ask, read_fate_ask},
+    {"fate", pack_fate, read_fate},
+    {"registers ask", pack_registers_ask, read_registers_ask},
+    {"registers", pack_registers, read_registers},
+    {"log", pack_log, read_log},
+    {"hello", pack_hello, read_hello},
+    {"change", pack_change, read_change},
+    {"changed", pack_changed, read_changed},
+    {"version ask", pack_version_ask, read_version_ask},
+    {"version", pack_version, read_version},
+    {"presets ask", pack_presets_ask, read_presets_ask},
+    {"presets", pack_presets, read_presets},
+};
+
+const int control_sample_count =
+    sizeof control_samples / sizeof control_samples[0];
--- a/tests/unit/test_messages.c
+++ b/tests/unit/test_messages.c
@@ -123,9 +123,9 @@
     Pack pack;
     Err err = {0};
 
-    samples[_i].pack(&pack);
-    ck_assert_msg(Sample_Read(&samples[_i], Pack_View(&pack), &err), "%s: %s",
-                  samples[_i].name, err.text);
+    Sample_At(_i)->pack(&pack);
+    ck_assert_msg(Sample_Read(Sample_At(_i), Pack_View(&pack), &err), "%s: %s",
+                  Sample_At(_i)->name, err.text);
     Pack_Finish(&pack);
 }
 END_TEST
@@ -134,16 +134,16 @@
 {
     Pack pack;
 
-    samples[_i].pack(&pack);
+    Sample_At(_i)->pack(&pack);
     for (int row = 0; row < SPOILS; row++) {
         const SpoilCase *c = &spoils[row];
         StrBuf bytes = {0};
         Err err = {0};
         c->spoil(Pack_View(&pack), &bytes);
-        ck_assert_msg(!Sample_Read(&samples[_i], StrBuf_View(&bytes), &err),
-                      "%s, %s: was read", samples[_i].name, c->name);
+        ck_assert_msg(!Sample_Read(Sample_At(_i), StrBuf_View(&bytes), &err),
+                      "%s, %s: was read", Sample_At(_i)->name, c->name);
         ck_assert_msg(err.code == c->code, "%s, %s: error %d",
-                      samples[_i].name, c->name, (int)err.code);
+                      Sample_At(_i)->name, c->name, (int)err.code);
         StrBuf_Finish(&bytes);
     }
     Pack_Finish(&pack);
@@ -154,8 +154,8 @@
 main(void)
 {
     const SuiteTest tests[] = {
-        {reads_what_was_packed, sample_count},
-        {refuses_what_is_spoilt, sample_count},
+        {reads_what_was_packed, Sample_Count()},
+        {refuses_what_is_spoilt, Sample_Count()},
     };
 
     return Suite_Run("messages", tests, 2, 20);
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -97,7 +97,7 @@
 
 START_TEST(decoders_bear_mutations)
 {
-    const Sample *sample = &samples[_i];
+    const Sample *sample = Sample_At(_i);
     Pack pack;
     Rng rng;
     uint32_t refused = 0;
@@ -196,7 +196,7 @@
 main(void)
 {
     const SuiteTest tests[] = {
-        {decoders_bear_mutations, sample_count},
+        {decoders_bear_mutations, Sample_Count()},
         {parsers_bear_mutations, sizeof texts / sizeof texts[0]},
     };
 
--- a/tools/demo_main.c
+++ b/tools/demo_main.c
@@ -74,7 +74,7 @@
     if (!Loop_Init(&demo->loop, NULL)) {
         return 1;
     }
-    Dmo_Run(demo, (size_t)(seconds * rate), Span_S(1) / rate);
+    Dmo_Run(demo, (size_t)seconds * (size_t)rate, Span_S(1) / rate);
     for (int i = 0; i < effects->count; i++) {
         if (!Dmo_CountEffects(demo, Str_FromC(effects->filename[i]))) {
             fprintf(stderr, "demo: cannot read %s\n", effects->filename[i]);
