--- /dev/null
+++ b/tests/integration/test_commands.c
@@ -0,0 +1,185 @@
+/* Exit statuses and words of the daemon and the operators' tool, against a
+ * fleet of three control replicas. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+static Str build;
+
+enum { VMS = 3, SUBNET = 67 };
+
+typedef struct {
+    /* $B is the build's folder, $F the fleet's, $T the tool with its key and
+     * two nodes. */
+    const char *command;
+    int status;
+    Str fragment; /* in what it prints */
+} CommandCase;
+
+static const CommandCase cases[] = {
+    /* the daemon */
+    {"$B/lycheeridged --help", 0, Str_LIT("Exit statuses")},
+    {"$B/lycheeridged --version", 0, Str_LIT("lycheeridged 0.")},
+    {"$B/lycheeridged", 2, Str_LIT("try --help")},
+    {"$B/lycheeridged --nope x", 2, Str_LIT("try --help")},
+    {"$B/lycheeridged --check $F/none.json", 3, Str_LIT("cannot open")},
+    {"$B/lycheeridged --check $F/preset.json", 3, Str_LIT("/callers")},
+    {"$B/lycheeridged --check $F/node0.json", 0, Str_LIT("others may read")},
+    {"$B/lycheeridged $F/node0.json", 1, Str_LIT("cannot listen")},
+    /* the tool, without a node */
+    {"$B/lycheeridge --help", 0, Str_LIT("preset use NAME")},
+    {"$B/lycheeridge --version", 0, Str_LIT("lycheeridge 0.")},
+    {"$B/lycheeridge", 2, Str_LIT("no such command")},
+    {"$B/lycheeridge status", 2, Str_LIT("--node")},
+    {"$T status now", 2, Str_LIT("no such command")},
+    {"$T --node 1.2.3 status", 2, Str_LIT("--node")},
+    {"$T --limit 0 timeline", 2, Str_LIT("--limit")},
+    {"$T --wait -1 status", 2, Str_LIT("--wait")},
+    {"$T --since x timeline", 2, Str_LIT("--since")},
+    {"$T --base 1 preset use peak", 2, Str_LIT("--base")},
+    {"$T --id a preset use peak", 2, Str_LIT("--base")},
+    {"$T preset show a/b", 2, Str_LIT("no preset's name")},
+    {"$B/lycheeridge check $F/preset.json", 0, Str_LIT("is good")},
+    {"$B/lycheeridge check $F/node0.json", 3, Str_LIT("/limits: missing")},
+    {"$B/lycheeridge --json keys new", 0, Str_LIT("curve_secret")},
+    {"$T --key-file $F/none status", 2, Str_LIT("cannot open")},
+    {"LYCHEERIDGE_KEY=wrong $T status", 4, Str_LIT("key is needed")},
+    {"$B/lycheeridge -n 127.0.0.1:1 status", 8, Str_LIT("no answer")},
+    /* the tool, with a fleet */
+    {"$T status --wait 20", 0, Str_LIT("in force on every node")},
+    {"$T status --json", 0, Str_LIT("\"missing\": []")},
+    {"$T preset list", 0, Str_LIT("in force")},
+    {"$T preset show ordinary", 0, Str_LIT("\"routes\"")},
+    {"$T preset show nix", 5, Str_LIT("404")},
+    {"$T preset put $F/node0.json", 3, Str_LIT("/limits: missing")},
+    {"$T preset use nix", 5, Str_LIT("no preset of that name")},
+    {"$T preset put examples/salinera/peak.json --wait 5", 0,
+     Str_LIT("accepted")},
+    {"$T preset use peak --base 0.0", 6, Str_LIT("conflict")},
+    {"$T preset use peak --base 0.0 --json", 6, Str_LIT("\"winner\"")},
+    {"$T preset use peak --wait 5", 0, Str_LIT("accepted")},
+    {"$T preset list", 0, Str_LIT("peak ")},
+    {"$T timeline --limit 5", 0, Str_LIT("preset=peak")},
+    {"$T timeline --json --limit 1", 0, Str_LIT("\"unreached\": []")},
+};
+
+static bool
+contains(Str text, Str fragment)
+{
+    for (size_t i = 0; i + fragment.len <= text.len; i++) {
+        if (Str_Equal(Str_Slice(text, i, fragment.len), fragment)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+run_command(const char *command, StrBuf *out)
+{
+    StrBuf line = {0};
+    char bytes[1024];
+    size_t got;
+    FILE *pipe;
+
+    StrBuf_AppendFmt(&line, "{ %s; } 2>&1", command);
+    pipe = popen(StrBuf_CStr(&line), "r");
+    while ((got = fread(bytes, 1, sizeof bytes, pipe)) > 0) {
+        StrBuf_Append(out, Str_From(bytes, got));
+    }
+    StrBuf_Finish(&line);
+    return WEXITSTATUS(pclose(pipe));
+}
+
+static void
+set_variables(Fleet *fleet)
+{
+    StrBuf tool = {0};
+
+    StrBuf_AppendFmt(&tool, "%.*s/lycheeridge -n %.*s:8100 -n %.*s:8100",
+                     Str_ARG(build), Str_ARG(fleet->vms[1].ip),
+                     Str_ARG(fleet->vms[0].ip));
+    setenv("B", StrBuf_CStr(&fleet->build), 1);
+    setenv("F", StrBuf_CStr(&fleet->folder), 1);
+    setenv("T", StrBuf_CStr(&tool), 1);
+    setenv("LYCHEERIDGE_KEY", "test-key", 1);
+    StrBuf_Finish(&tool);
+}
+
+START_TEST(end_with_their_status)
+{
+    Fleet fleet;
+
+    Fleet_Init(&fleet, build, SUBNET, VMS, VMS);
+    for (int vm = 0; vm < VMS; vm++) {
+        Fleet_StartNode(&fleet, vm);
+    }
+    set_variables(&fleet);
+    Fleet_Sleep(Span_S(1));
+    for (size_t row = 0; row < sizeof cases / sizeof cases[0]; row++) {
+        StrBuf out = {0};
+        int status = run_command(cases[row].command, &out);
+        ck_assert_msg(status == cases[row].status, "%s: %d: %s",
+                      cases[row].command, status, StrBuf_CStr(&out));
+        ck_assert_msg(contains(StrBuf_View(&out), cases[row].fragment),
+                      "%s: %s", cases[row].command, StrBuf_CStr(&out));
+        StrBuf_Finish(&out);
+    }
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+typedef struct {
+    int stopped; /* so many control replicas do not answer */
+    const char *command;
+    int status;
+} LossCase;
+
+static const LossCase losses[] = {
+    {1, "$T --timeout 3 preset use ordinary --wait 1", 9},
+    {2, "$T --timeout 3 preset use ordinary", 8},
+    {2, "$T --timeout 3 preset use ordinary --base 2.3", 7},
+};
+
+/* Replicas stopped in the midst: what a change ends with then. */
+START_TEST(tells_what_a_loss_means)
+{
+    const LossCase *c = &losses[_i];
+    Fleet fleet;
+    StrBuf out = {0};
+    int status;
+
+    Fleet_Init(&fleet, build, SUBNET + 1, VMS, VMS);
+    for (int vm = 0; vm < VMS; vm++) {
+        Fleet_StartNode(&fleet, vm);
+    }
+    set_variables(&fleet);
+    Fleet_Sleep(Span_S(1));
+    ck_assert_int_eq(run_command("$T status --wait 20", &out), 0);
+    for (int vm = VMS - c->stopped; vm < VMS; vm++) {
+        kill(fleet.vms[vm].node, SIGSTOP);
+    }
+    StrBuf_Clear(&out);
+    status = run_command(c->command, &out);
+    ck_assert_msg(status == c->status, "%s: %d: %s", c->command, status,
+                  StrBuf_CStr(&out));
+    StrBuf_Finish(&out);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {
+        {end_with_their_status, 1},
+        {tells_what_a_loss_means, sizeof losses / sizeof losses[0]},
+    };
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("commands", tests, 2, 60);
+}
