--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -244,6 +244,23 @@
 static const char *const cuts[] = {"n0-2", "n2-0", "n1-2", "n2-1",
                                    "n0-3", "n3-0", "n1-3", "n3-1"};
 
+static void
+command_proxy(Fleet *fleet, const char *text)
+{
+    ck_assert_msg(Fleet_Proxy(fleet, Str_FromC(text)), "%s", text);
+}
+
+/* VMs 0 and 1 are in norte with two of three replicas. */
+static void
+part_regions(Fleet *fleet)
+{
+    for (int i = 0; i < ROWS(cuts); i++) {
+        char command[32];
+        snprintf(command, sizeof command, "hold %s both", cuts[i]);
+        command_proxy(fleet, command);
+    }
+}
+
 START_TEST(a_node_that_reaches_a_cut_off_replica_alone_takes_no_call)
 {
     Fleet fleet;
@@ -256,11 +273,7 @@
     }
     ck_assert_int_ge(
         Ops_WaitForAll(&fleet, &watch, (CfgVersion){1, 1}, Span_S(10)), 0);
-    for (int i = 0; i < ROWS(cuts); i++) {
-        char command[32];
-        int len = snprintf(command, sizeof command, "hold %s both", cuts[i]);
-        ck_assert(Fleet_Proxy(&fleet, Str_From(command, (size_t)len)));
-    }
+    part_regions(&fleet);
     Fleet_Kill(&fleet.vms[3].node, SIGKILL);
     ck_assert_int_ge(Ops_WaitForLeader(&fleet, Span_S(10)), 0);
     Fleet_Sleep(Span_MS(1500)); /* a leader that was cut off steps down */
@@ -275,6 +288,86 @@
 }
 END_TEST
 
+typedef struct {
+    int kill_follower;
+    int kill_leader;
+    bool part; /* the regions can't reach each other */
+} LinkCase;
+
+static const LinkCase links[] = {
+    {0, 0, false}, {1, 0, false}, {0, 1, false}, {0, 0, true}};
+
+/* 12 ms one way and 30 Mbit/s. */
+static const char *const slow_link[] = {
+    "delay norte>litoral 12000", "delay litoral>norte 12000",
+    "rate norte>litoral 3750000", "rate litoral>norte 3750000"};
+
+static void
+start_slow_fleet(Fleet *fleet, OpsWatch *watch)
+{
+    *watch = (OpsWatch){0};
+    Fleet_Init(fleet, build, 26, 4, 3);
+    Fleet_UseProxy(fleet);
+    for (int i = 0; i < ROWS(slow_link); i++) {
+        command_proxy(fleet, slow_link[i]);
+    }
+    for (int i = 0; i < 4; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    ck_assert_int_ge(
+        Ops_WaitForAll(fleet, watch, (CfgVersion){1, 1}, Span_S(10)), 0);
+}
+
+static void
+check_parted(Fleet *fleet, OpsWatch *watch, CfgVersion newest)
+{
+    for (int i = 0; i < 20; i++) {
+        Ops_Observe(fleet, watch);
+        Fleet_Sleep(Span_MS(50));
+    }
+    for (int vm = 0; vm < 4; vm++) {
+        CfgVersion there = Ops_InForce(fleet, vm);
+        ck_assert_int_gt((int)there.term, 0); /* it goes on */
+        ck_assert_int_eq(Cfg_CompareVersions(there, newest) < 0, vm >= 2);
+    }
+    Fleet_Heal(fleet);
+}
+
+START_TEST(over_the_regions_link_a_change_is_everywhere_soon)
+{
+    const LinkCase *c = &links[_i];
+    Fleet fleet;
+    OpsWatch watch;
+    OpsChange change = {0, "link", "put", "ordinary", {0}, true};
+    CfgVersion newest;
+    int leader;
+    Span took;
+
+    start_slow_fleet(&fleet, &watch);
+    leader = Ops_WaitForLeader(&fleet, Span_S(10));
+    if (c->kill_follower) {
+        Fleet_Kill(&fleet.vms[(leader + 1) % 3].node, SIGKILL);
+    }
+    if (c->kill_leader) {
+        Fleet_Kill(&fleet.vms[leader].node, SIGKILL);
+    }
+    if (c->part) {
+        part_regions(&fleet);
+        Fleet_Sleep(Span_MS(2500)); /* a leader that was cut off steps down */
+    }
+    ck_assert(Ops_MustChange(&fleet, &change, Span_S(15)));
+    newest = Ops_Newest(&fleet, change.vm);
+    if (c->part) {
+        check_parted(&fleet, &watch, newest);
+    }
+    took = Ops_WaitForAll(&fleet, &watch, newest, EVERYWHERE_WITHIN);
+    ck_assert_int_ge(took, 0);
+    printf("over the link, row %d: in force within %d ms\n", _i,
+           (int)(took / 1000));
+    end_fleet(&fleet, &watch);
+}
+END_TEST
+
 typedef struct {
     const char *method;
     const char *path;
@@ -341,6 +434,7 @@
         {back_after_300_changes_it_shows_no_older_state, ROWS(absentees)},
         {without_a_leader_a_restarted_node_takes_no_call, 1},
         {a_node_that_reaches_a_cut_off_replica_alone_takes_no_call, 1},
+        {over_the_regions_link_a_change_is_everywhere_soon, ROWS(links)},
         {bad_input_changes_nothing, 1},
     };
 
