--- a/src/process/cli.h
+++ b/src/process/cli.h
@@ -78,8 +78,10 @@
 CliStatus Cli_NewKeys(const Cli *cli);
 
 /* Wait until VERSION or a later one is in force everywhere, at most
- * cli->wait; names on standard error who lacks it. */
-CliStatus Cli_WaitInForce(Cli *cli, CfgVersion version);
+ * cli->wait; names on standard error who lacks it.  BEFORE is an answer of
+ * /v1/versions, or NULL: a node that was here then and has gone silent since
+ * may still serve under an older version, and counts as lacking it. */
+CliStatus Cli_WaitInForce(Cli *cli, CfgVersion version, const json_t *before);
 
 /* Helpers over JSON answers. */
 Str Cli_Text(const json_t *object, const char *key);
--- a/src/process/cli_preset.c
+++ b/src/process/cli_preset.c
@@ -195,11 +195,13 @@
     CliStatus status = find_base(cli);
     json_t *change;
     CliAsk ask;
+    CliAsk before;
 
     if (status != Cli_GOOD) {
         return status;
     }
     make_id(cli);
+    Cli_AskAny(cli, Str_LIT("/v1/versions"), &before);
     change = json_pack("{s:s%, s:{s:I, s:I}, s:s, s:s%}", "id", cli->id.ptr,
                        cli->id.len, "base", "term", (json_int_t)cli->base.term,
                        "index", (json_int_t)cli->base.index, "verb", verb,
@@ -217,8 +219,10 @@
     }
     status = judge(&ask);
     if (status == Cli_GOOD && cli->wait) {
-        status = Cli_WaitInForce(cli, Cli_Version(ask.answer, "version"));
+        status = Cli_WaitInForce(cli, Cli_Version(ask.answer, "version"),
+                                 before.answer);
     }
+    Cli_AskFinish(&before);
     Cli_AskFinish(&ask);
     return status;
 }
--- a/src/process/cli_status.c
+++ b/src/process/cli_status.c
@@ -130,7 +130,8 @@
     Cli_AskAny(cli, Str_LIT("/v1/versions"), &versions);
     result = show(cli, &status, &versions);
     if (result == Cli_GOOD && cli->wait) {
-        result = Cli_WaitInForce(cli, Cli_Version(versions.answer, "version"));
+        result = Cli_WaitInForce(cli, Cli_Version(versions.answer, "version"),
+                                 versions.answer);
     }
     Cli_AskFinish(&status);
     Cli_AskFinish(&versions);
@@ -155,37 +156,88 @@
     Loop_Run(&cli->loop);
 }
 
+static const json_t *
+find_node(const json_t *versions, Str name)
+{
+    const json_t *nodes = json_object_get(versions, "nodes");
+    size_t index;
+    const json_t *node;
+
+    json_array_foreach(nodes, index, node)
+    {
+        if (Str_Equal(Cli_Text(node, "node"), name)) {
+            return node;
+        }
+    }
+    return NULL;
+}
+
+/* Name on OUT the nodes that were here BEFORE, are silent now and lack
+ * VERSION; their number. */
+static int
+count_silent(const json_t *before, const json_t *versions, CfgVersion version,
+             FILE *out)
+{
+    const json_t *nodes = json_object_get(before, "nodes");
+    size_t index;
+    const json_t *node;
+    int count = 0;
+
+    json_array_foreach(nodes, index, node)
+    {
+        Str name = Cli_Text(node, "node");
+        const json_t *now = find_node(versions, name);
+        if (json_is_true(json_object_get(node, "here")) &&
+            (!now ||
+             Cfg_CompareVersions(Cli_Version(now, "version"), version) < 0)) {
+            count++;
+            if (out && !json_is_true(json_object_get(now, "here"))) {
+                fprintf(out, "lycheeridge: %.*s fell silent without it\n",
+                        Str_ARG(name));
+            }
+        }
+    }
+    return count;
+}
+
 static bool
-is_everywhere(const CliAsk *ask, CfgVersion version)
+is_everywhere(const CliAsk *ask, CfgVersion version, const json_t *before)
 {
     return ask->status == 200 &&
            json_is_true(json_object_get(ask->answer, "current")) &&
            Cfg_CompareVersions(Cli_Version(ask->answer, "version"), version) >=
                0 &&
-           json_array_size(json_object_get(ask->answer, "missing")) == 0;
+           json_array_size(json_object_get(ask->answer, "missing")) == 0 &&
+           count_silent(before, ask->answer, version, NULL) == 0;
+}
+
+static void
+print_lacking(const CliAsk *ask, CfgVersion version, const json_t *before)
+{
+    fprintf(stderr, "lycheeridge: version %" PRIu64 ".%" PRIu64 " ",
+            version.term, version.index);
+    if (ask->status != 200) {
+        fprintf(stderr, "cannot be followed: no node answers\n");
+        return;
+    }
+    print_missing(stderr, ask->answer);
+    count_silent(before, ask->answer, version, stderr);
 }
 
 CliStatus
-Cli_WaitInForce(Cli *cli, CfgVersion version)
+Cli_WaitInForce(Cli *cli, CfgVersion version, const json_t *before)
 {
     Instant end = Loop_Now() + cli->wait;
 
     for (;;) {
         CliAsk ask;
         Cli_AskAny(cli, Str_LIT("/v1/versions"), &ask);
-        if (is_everywhere(&ask, version)) {
+        if (is_everywhere(&ask, version, before)) {
             Cli_AskFinish(&ask);
             return Cli_GOOD;
         }
         if (Loop_Now() >= end) {
-            fprintf(stderr, "lycheeridge: version %" PRIu64 ".%" PRIu64 " ",
-                    version.term, version.index);
-            if (ask.status == 200) {
-                print_missing(stderr, ask.answer);
-            }
-            else {
-                fprintf(stderr, "cannot be followed: no node answers\n");
-            }
+            print_lacking(&ask, version, before);
             Cli_AskFinish(&ask);
             return Cli_MISSING;
         }
