Record members, backend servers and silent connections in the time line

Members by the control replicas only, and a silence only of a connection that worked: in a first trial every node repeated the silence of a dead one each two seconds.

--- a/src/process/announce.c
+++ b/src/process/announce.c
@@ -54,9 +54,6 @@
                 Addr_WithPort(ann->settings->operators, from->port));
     Adm_OnAnnounce(ann->admission, from->slots, from->draining, now);
     if (changed) {
-        Lgr_Log(ann->logger, Lgr_INFO, Str_LIT("backend_announced"),
-                "%.*s slots=%u draining=%d", Str_ARG(from->service),
-                from->slots, from->draining);
         ann->changed(ann->context, now);
     }
 }
@@ -119,8 +116,6 @@
     if (ann->present && now - ann->heard_at >= ann->settings->backend_expiry) {
         ann->present = false;
         Adm_OnGone(ann->admission);
-        Lgr_Log(ann->logger, Lgr_WARNING, Str_LIT("backend_gone"), "%.*s",
-                Str_ARG(ann->service));
         ann->changed(ann->context, now);
     }
 }
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -292,6 +292,21 @@
     return peer;
 }
 
+/* Only of a connection that did work: the next ones to a dead node are no
+ * news. */
+static void
+tell_silence(Net *net, const Peer *peer)
+{
+    StrBuf addr = {0};
+
+    if (!peer->heard) {
+        return;
+    }
+    Addr_Print(peer->addr, &addr);
+    Tml_Record(net->timeline, Tml_SILENT, "to=%.*s", Str_ARG(addr));
+    StrBuf_Finish(&addr);
+}
+
 static void
 watch_peer(Net *net, Peer *peer, Instant now)
 {
@@ -315,6 +330,7 @@
         break;
     case Peer_GONE_SILENT:
         Cnt_Add(net->counters, Cnt_SILENT, 1);
+        tell_silence(net, peer);
         close_peer(peer);
         open_peer(net, peer);
         if (net->on_silence) {
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -4,6 +4,22 @@
 
 #define TICK Span_MS(10)
 
+/* In the time line of the control replicas only: each node would say it. */
+static void
+tell_member(Node *node, MbrChange change, const MbrRecord *record)
+{
+    StrBuf addr = {0};
+
+    if (node->settings->control && change != Mbr_CHANGED) {
+        Addr_Print(record->node, &addr);
+        Tml_Record(&node->timeline,
+                   change == Mbr_CAME ? Tml_MEMBER_CAME : Tml_MEMBER_GONE,
+                   "%.*s service=%.*s%s", Str_ARG(addr),
+                   Str_ARG(record->service), record->leaving ? " left" : "");
+        StrBuf_Finish(&addr);
+    }
+}
+
 static void
 on_member(void *context, MbrChange change, const MbrRecord *record,
           Instant now)
@@ -11,6 +27,7 @@
     Node *node = context;
 
     Svc_OnMember(&node->services, change, record, now);
+    tell_member(node, change, record);
     if (change == Mbr_GONE) {
         Net_Drop(&node->net, record->node);
     }
@@ -20,7 +37,12 @@
 on_announced(void *context, Instant now)
 {
     Node *node = context;
+    const Ann *ann = &node->ann;
+    TmlKind kind = !ann->present   ? Tml_BACKEND_GONE
+                   : ann->draining ? Tml_BACKEND_DRAINS
+                                   : Tml_BACKEND_CAME;
 
+    Tml_Record(&node->timeline, kind, "service=%.*s", Str_ARG(ann->service));
     Mbs_SendRecord(&node->members, now);
 }
 
