Name the nodes that are gone with an older version; make the tool's loss rows certain

The rows now choose a replica that does not lead and an expiry far from the wait, one row for each side; and the tool names gone nodes, which may still serve callers behind a partition.

--- a/src/process/cli_status.c
+++ b/src/process/cli_status.c
@@ -68,6 +68,25 @@
     fprintf(out, "\n");
 }
 
+/* Nodes that the table lost while they had an older version: they may still
+ * serve callers on their side of a partition. */
+static void
+print_gone(FILE *out, const json_t *versions)
+{
+    CfgVersion version = Cli_Version(versions, "version");
+    size_t index;
+    const json_t *node;
+
+    json_array_foreach(json_object_get(versions, "nodes"), index, node)
+    {
+        if (!json_is_true(json_object_get(node, "here")) &&
+            Cfg_CompareVersions(Cli_Version(node, "version"), version) < 0) {
+            fprintf(out, "gone with an older version: %.*s\n",
+                    Str_ARG(Cli_Text(node, "node")));
+        }
+    }
+}
+
 static void
 print_versions(const json_t *versions)
 {
@@ -80,6 +99,7 @@
                : " (no leader confirms that it is the newest)",
            Str_ARG(Cli_Text(versions, "preset")));
     print_missing(stdout, versions);
+    print_gone(stdout, versions);
 }
 
 static void
@@ -174,6 +194,7 @@
         CliAsk ask;
         Cli_AskAny(cli, Str_LIT("/v1/versions"), &ask);
         if (is_everywhere(&ask, version)) {
+            print_gone(stderr, ask.answer);
             Cli_AskFinish(&ask);
             return Cli_GOOD;
         }
--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -62,6 +62,7 @@
     char folder[] = "/tmp/fleet-XXXXXX";
 
     *fleet = (Fleet){.subnet = subnet, .count = count, .control = control};
+    fleet->expiry = Span_S(1);
     fleet->net = net_of_checkout();
     StrBuf_Set(&fleet->build, build);
     StrBuf_Set(&fleet->folder, Str_FromC(mkdtemp(folder)));
@@ -145,9 +146,9 @@
                      Str_ARG(fleet->folder));
     StrBuf_AppendFmt(out,
                      "\"operator_key\":\"test-key\","
-                     "\"heartbeat_ms\":200,\"member_expiry_ms\":1000,"
+                     "\"heartbeat_ms\":200,\"member_expiry_ms\":%d,"
                      "\"backend_expiry_ms\":1500%.*s}",
-                     Str_ARG(fleet->extra));
+                     (int)(fleet->expiry / 1000), Str_ARG(fleet->extra));
 }
 
 void
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -28,6 +28,7 @@
     int count;
     StrBuf preset; /* file */
     StrBuf extra;  /* members of every node's settings */
+    Span expiry;   /* of members; set before any node starts */
     pid_t proxy;   /* 0: connections do not go through the proxy */
 } Fleet;
 
--- a/tests/integration/test_commands.c
+++ b/tests/integration/test_commands.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <sys/wait.h>
 
-#include "fleet.h"
+#include "operators.h"
 #include "support/suite.h"
 
 static Str build;
@@ -134,17 +134,42 @@
 END_TEST
 
 typedef struct {
-    int stopped; /* so many control replicas do not answer */
-    const char *command;
+    int stopped; /* so many control replicas no longer answer */
     int status;
+    Span expiry; /* of members */
+    Span stopped_for;
+    const char *command;
+    Str fragment;
 } LossCase;
 
 static const LossCase losses[] = {
-    {1, "$T --timeout 3 preset use ordinary --wait 1", 9},
-    {2, "$T --timeout 3 preset use ordinary", 8},
-    {2, "$T --timeout 3 preset use ordinary --base 2.3", 7},
+    /* still in the table; gone from it */
+    {1, 9, Span_S(20), 0, "$T --timeout 4 preset use ordinary --wait 1",
+     Str_LIT("not yet in force on: 127.")},
+    {1, 0, Span_S(1), Span_MS(2500),
+     "$T --timeout 4 preset use ordinary --wait 5",
+     Str_LIT("gone with an older version: 127.")},
+    /* no quorum */
+    {2, 8, Span_S(1), 0, "$T --timeout 3 preset use ordinary", {0}},
+    {2, 7, Span_S(1), 0, "$T --timeout 3 preset use ordinary --base 2.3",
+     Str_LIT("--base 2.3")},
 };
 
+/* Stop COUNT replicas, none of them the first, nor the leader when one is
+ * enough. */
+static void
+stop_replicas(Fleet *fleet, int count)
+{
+    int leader = count == 1 ? Ops_WaitForLeader(fleet, Span_S(10)) : -1;
+
+    for (int vm = VMS - 1; vm > 0 && count; vm--) {
+        if (vm != leader) {
+            kill(fleet->vms[vm].node, SIGSTOP);
+            count--;
+        }
+    }
+}
+
 /* Replicas stopped in the midst: what a change ends with then. */
 START_TEST(tells_what_a_loss_means)
 {
@@ -154,19 +179,20 @@
     int status;
 
     Fleet_Init(&fleet, build, SUBNET + 1, VMS, VMS);
+    fleet.expiry = c->expiry;
     for (int vm = 0; vm < VMS; vm++) {
         Fleet_StartNode(&fleet, vm);
     }
     set_variables(&fleet);
     Fleet_Sleep(Span_S(1));
     ck_assert_int_eq(run_command("$T status --wait 20", &out), 0);
-    for (int vm = VMS - c->stopped; vm < VMS; vm++) {
-        kill(fleet.vms[vm].node, SIGSTOP);
-    }
+    stop_replicas(&fleet, c->stopped);
+    Fleet_Sleep(c->stopped_for);
     StrBuf_Clear(&out);
     status = run_command(c->command, &out);
-    ck_assert_msg(status == c->status, "%s: %d: %s", c->command, status,
-                  StrBuf_CStr(&out));
+    ck_assert_msg(status == c->status &&
+                      contains(StrBuf_View(&out), c->fragment),
+                  "%s: %d: %s", c->command, status, StrBuf_CStr(&out));
     StrBuf_Finish(&out);
     Fleet_Finish(&fleet);
 }
