--- a/tests/integration/test_replicas.c
+++ b/tests/integration/test_replicas.c
@@ -55,12 +55,13 @@
 static bool
 has_preset(Fleet *fleet, int vm, const char *name)
 {
-    char path[128];
+    StrBuf path = {0};
     OpsAnswer answer;
     bool found;
 
-    snprintf(path, sizeof path, "/v1/presets/show?name=%s", name);
-    Ops_Get(fleet, vm, path, &answer);
+    StrBuf_AppendFmt(&path, "/v1/presets/show?name=%s", name);
+    Ops_Get(fleet, vm, StrBuf_CStr(&path), &answer);
+    StrBuf_Finish(&path);
     found = answer.status == 200;
     Ops_Finish(&answer);
     return found;
@@ -113,7 +114,7 @@
     const LossCase *c = &losses[_i];
     Fleet fleet;
     OpsWatch watch;
-    char names[CHANGES][8];
+    char names[CHANGES][16];
     int leader;
     int first;
     int second;
@@ -331,7 +332,7 @@
 
     start_fleet(&fleet, &watch, 29, false);
     for (int i = 0; i < 4; i++) {
-        char name[8];
+        char name[16];
         snprintf(name, sizeof name, "p%d", i);
         put(&fleet, 3, name);
     }
