Probe within budgets, keep the patient class off a full link, retry at one level

A probe goes only to a backend server of a service in use about which nothing fresh rode on answers, and only when byte, link and processor budgets allow it. The regions' link has a budget of its own: the patient class keeps to its region while less than half a burst is left. A call that stands below another in its call tree is not retried. Errors of a backend server's own count as failures towards ejection.

--- /dev/null
+++ b/src/process/linkbudget.h
@@ -0,0 +1,26 @@
+/* Lnk, the budget of the regions' link: what of this node's calls may cross,
+ * and in which order.
+ *
+ * Interactive calls go first: they are charged and may overdraw by one burst.
+ * The patient class crosses only while half the burst is left, and keeps to
+ * its region otherwise.
+ */
+#ifndef LINKBUDGET_H
+#define LINKBUDGET_H
+
+#include "process/bucket.h"
+
+typedef struct {
+    Bkt bytes;
+} Lnk;
+
+void Lnk_Init(Lnk *link, uint32_t bytes_per_s, Instant now);
+void Lnk_SetRate(Lnk *link, uint32_t bytes_per_s, Instant now);
+
+/* May a call of BYTES cross now?  Nothing is charged. */
+bool Lnk_Ask(const Lnk *link, bool interactive, uint32_t bytes, Instant now);
+
+/* BYTES crossed, either way. */
+void Lnk_OnBytes(Lnk *link, uint32_t bytes, Instant now);
+
+#endif
--- /dev/null
+++ b/src/process/measure.c
@@ -0,0 +1,61 @@
+#include "process/measure.h"
+
+#include "connection/callmsg.h"
+
+/* Of what a node may send across regions, the part for measuring. */
+#define LINK_SHARE 0.01
+
+void
+Msr_Init(Measure *measure, Net *net, Counters *counters, Services *services)
+{
+    PrbLimits none = {0};
+
+    *measure = (Measure){
+        .net = net,
+        .counters = counters,
+        .services = services,
+    };
+    Prb_Init(&measure->probe, &none, 0);
+}
+
+void
+Msr_SetLimits(Measure *measure, const PstLimits *limits, Instant now)
+{
+    PrbLimits probe = {
+        .bytes_per_s = limits->measure_bytes_per_s,
+        .link_bytes_per_s = (uint32_t)(limits->link_bytes_per_s * LINK_SHARE),
+        .cpu_permille = limits->measure_cpu_permille,
+    };
+
+    Prb_SetLimits(&measure->probe, &probe, now);
+}
+
+static void
+send_probe(Measure *measure, Addr node, Instant now)
+{
+    Pack pack;
+
+    Callmsg_PackPing(&pack);
+    Net_Send(measure->net, node, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+    Cnt_Add(measure->counters, Cnt_MEASURE_MESSAGES, 1);
+    Cnt_Add(measure->counters, Cnt_MEASURE_BYTES, Prb_BYTES);
+}
+
+void
+Msr_OnTick(Measure *measure, Instant now)
+{
+    int64_t start = Loop_CpuNs();
+    int64_t took;
+
+    for (size_t i = 0; i < measure->services->count; i++) {
+        const PlcRow *row = Prb_Choose(
+            &measure->probe, &measure->services->items[i]->placement, now);
+        if (row) {
+            send_probe(measure, row->place.node, now);
+        }
+    }
+    took = Loop_CpuNs() - start;
+    Prb_OnCpu(&measure->probe, (double)took / 1e3, now);
+    Cnt_AddNs(measure->counters, Cnt_MEASURE_CPU_US, took);
+}
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -32,6 +32,7 @@
     Ann_Expire(&node->ann, now);
     Call_HubTick(&node->calls, now);
     Run_HubTick(&node->runs, now);
+    Msr_OnTick(&node->measure, now);
 }
 
 static bool
@@ -77,6 +78,8 @@
 
     node->calls.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
+    Msr_SetLimits(&node->measure, limits, Loop_Now());
+    Lnk_SetRate(&node->calls.link, limits->link_bytes_per_s, Loop_Now());
     Adm_SetSettings(&node->admission, &admission);
     Run_SetLimits(&node->runs, limits);
     Hld_SetLimits(&node->holder, limits);
@@ -154,6 +157,7 @@
              &node->pool, on_announced, node);
     Svc_Init(&node->services, settings->address, settings->region,
              settings->domain, &node->rng);
+    Msr_Init(&node->measure, &node->net, &node->counters, &node->services);
     Mbs_Init(&node->members, &node->loop, &node->net, &node->counters,
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,6 +12,7 @@
 #include "process/edge.h"
 #include "process/follow.h"
 #include "process/holder.h"
+#include "process/measure.h"
 #include "process/members.h"
 #include "process/operate.h"
 #include "process/show.h"
@@ -33,6 +34,7 @@
     BckPool pool;
     Ann ann;
     Services services;
+    Measure measure;
     Members members;
     CallHub calls;
     RunHub runs;
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -71,6 +71,7 @@
     uint32_t trial_good;
     bool trying;        /* the attempt in flight is a trial */
     Instant started_at; /* last attempt */
+    Instant probed_at;  /* last probe */
 } PlcRow;
 
 typedef struct {
@@ -97,6 +98,7 @@
 
 typedef struct {
     bool interactive;
+    bool home_only;     /* the link is not for this call now */
     Span left;          /* until the deadline */
     const Addr *tried;  /* nodes not to be chosen again for this call */
     size_t tried_count; /* of them */
--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -183,7 +183,7 @@
 static bool
 is_met(const Comparison *c, const PlcRow *row, bool home)
 {
-    return is_home(c->plc, row) == home &&
+    return is_home(c->plc, row) == home && (home || !c->ask->home_only) &&
            is_candidate(c->plc, row, c->ask, c->now);
 }
 
@@ -237,7 +237,8 @@
 {
     for (size_t i = 0; i < plc->count; i++) {
         PlcRow *row = &plc->rows[i];
-        if (is_here(row, ask) && needs_trial(row, now)) {
+        if (is_here(row, ask) && (is_home(plc, row) || !ask->home_only) &&
+            needs_trial(row, now)) {
             row->trying = true;
             return row;
         }
@@ -282,7 +283,9 @@
     }
     for (size_t i = 0; !row && i < plc->count; i++) {
         const PlcRow *seen = &plc->rows[i];
-        *full = *full || (is_here(seen, ask) && is_full(plc, seen, ask, now));
+        *full = *full || (is_here(seen, ask) &&
+                          (is_full(plc, seen, ask, now) ||
+                           (ask->home_only && !is_home(plc, seen))));
     }
     return row;
 }
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -1,5 +1,6 @@
 #include "request/call.h"
 
+#include "request/depth.h"
 #include "request/pieces.h"
 #include "value/mem.h"
 
@@ -20,6 +21,8 @@
     Service *service;
     Rty retry;
     Instant deadline;
+    bool failed;       /* answered by an error of the backend server's own */
+    bool crosses;      /* the attempt is at the other region */
     AttemptId attempt; /* the one in flight; counter 0: none */
     Addr node;
     uint64_t incarnation; /* of node */
@@ -100,6 +103,15 @@
 
 static void decide(Call *call, RtyOutcome outcome, Instant now);
 
+static void
+count_crossing(Call *call, size_t bytes, Instant now)
+{
+    if (call->crosses) {
+        Cnt_Add(call->hub->counters, Cnt_LINK_BYTES, bytes);
+        Lnk_OnBytes(&call->hub->link, (uint32_t)bytes, now);
+    }
+}
+
 /* True when the request, or a part of it, may reach NODE. */
 static bool
 send_attempt(Call *call, const KeyPlace *place, Instant now)
@@ -118,11 +130,15 @@
         .fields = call->request.fields,
         .body = call->request.body,
     };
+    StrBuf depth = {0};
     Pack pack;
     bool sent;
 
+    Dep_Write(&msg.fields, Dep_Read(&msg.fields) + 1, &depth);
     Callmsg_PackCall(&pack, &msg);
+    StrBuf_Finish(&depth);
     Cnt_Add(hub->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
+    count_crossing(call, Pack_View(&pack).len, now);
     sent = Net_Send(hub->net, place->node, Pack_View(&pack), now);
     Pack_Finish(&pack);
     return sent;
@@ -156,6 +172,8 @@
     Call *call = context;
     PlcAsk ask = {
         .interactive = call->route->interactive,
+        .home_only = !Lnk_Ask(&call->hub->link, call->route->interactive,
+                              (uint32_t)call->request.body.len, now),
         .left = call->deadline - now,
         .tried = call->retry.tried,
         .tried_count = call->retry.attempts,
@@ -172,6 +190,8 @@
     }
     switch (verdict) {
     case Plc_CHOSEN:
+        call->crosses =
+            row->place.region != call->hub->services->placement.region;
         *place = (KeyPlace){
             .attempt = {call->hub->incarnation, ++call->hub->counter},
             .node = row->place.node,
@@ -329,6 +349,7 @@
 pass_on(Call *call, const PieceMsg *msg)
 {
     if (msg->sequence == 0) {
+        call->failed = msg->status >= 500;
         call->sink.head(call->sink.context, msg->status, &msg->fields);
     }
     if (msg->bytes.len) {
@@ -359,7 +380,7 @@
             end_keyed(call, msg, now);
         }
         pass_on(call, msg);
-        end_attempt(call, Plc_ANSWERED, now);
+        end_attempt(call, call->failed ? Plc_FAILED : Plc_ANSWERED, now);
         end_call(call, Call_ANSWERED, Call_WHY_NONE);
         break;
     }
@@ -379,6 +400,7 @@
     call = find_call(hub, msg.id);
     if (call) {
         Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
+        count_crossing(call, msg.bytes.len, now);
         take_piece(call, &msg, now);
     }
 }
@@ -648,8 +670,12 @@
     call->deadline =
         now + (request->deadline ? request->deadline : route->deadline);
     Rty_OnCall(&call->service->retries);
+    /* Retries are made at one level of a call tree. */
     Rty_Init(&call->retry, route->idempotent,
-             hub->in_force->preset.limits.attempts_max, call->deadline);
+             Dep_Read(&request->fields)
+                 ? 1
+                 : hub->in_force->preset.limits.attempts_max,
+             call->deadline);
     start_call(call, now);
     return hub->count > before ? call : NULL;
 }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -12,6 +12,7 @@
 
 #include "connection/callmsg.h"
 #include "process/counters.h"
+#include "process/linkbudget.h"
 #include "process/net.h"
 #include "process/services.h"
 #include "process/timeline.h"
@@ -73,6 +74,7 @@
     uint64_t incarnation; /* of this node */
     uint64_t counter;     /* of attempts */
     KeyHub keys;
+    Lnk link; /* bytes across regions */
     Hsh by_attempt;
     Call *first;
     size_t count;
--- /dev/null
+++ b/tests/unit/test_measure.c
@@ -0,0 +1,165 @@
+/* What may be spent on measuring, and on the regions' link. */
+#include "process/linkbudget.h"
+#include "process/probe.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define TICK Span_MS(10)
+#define LENGTH Span_S(20)
+
+typedef struct {
+    PrbLimits limits;
+    uint16_t region;   /* of the backend servers; this node's is 0 */
+    Span report_every; /* reports ride on answers so often; 0: never */
+    bool used;
+    double cpu_us; /* of one probe */
+    bool probes;   /* some are sent */
+} ProbeCase;
+
+static const ProbeCase probes[] = {
+    {{2000, 400, 5}, 0, 0, true, 20, true},
+    {{2000, 400, 5}, 1, 0, true, 20, true},
+    {{2000, 400, 5}, 0, 0, true, 5000, true},
+    {{160, 160, 5}, 0, 0, true, 20, true},
+    {{2000, 400, 5}, 0, TICK, true, 20, false},
+    {{2000, 400, 5}, 0, 0, false, 20, false},
+    {{0, 400, 5}, 0, 0, true, 20, false},
+    {{2000, 0, 5}, 1, 0, true, 20, false},
+    {{2000, 400, 0}, 0, 0, true, 20, false},
+};
+
+static void
+fill(Plc *plc, const ProbeCase *c)
+{
+    const LoadReport load = {9, 0, 0, 5000, 0, false};
+
+    for (Addr i = 1; i <= 4; i++) {
+        PlcPlace place = {.node = i, .incarnation = 1, .region = c->region};
+        Plc_SetPlace(plc, &place, &load, 0);
+    }
+}
+
+START_TEST(keeps_the_measuring_budget)
+{
+    const ProbeCase *c = &probes[_i];
+    const LoadReport load = {9, 0, 0, 5000, 0, false};
+    PlcSettings settings = {.sample = 3};
+    double seconds = (double)LENGTH / 1e6;
+    int sent = 0;
+    Prb probe;
+    Rng rng;
+    Plc plc;
+
+    Rng_Init(&rng, 1);
+    Plc_Init(&plc, &settings, &rng);
+    fill(&plc, c);
+    Prb_Init(&probe, &c->limits, 0);
+    for (Instant now = TICK; now < LENGTH; now += TICK) {
+        if (c->used) {
+            Plc_OnStart(&plc, 1, now);
+        }
+        for (Addr i = 1; c->report_every && i <= 4; i++) {
+            Plc_OnReport(&plc, i, &load, now);
+        }
+        if (Prb_Choose(&probe, &plc, now)) {
+            sent++;
+            Prb_OnCpu(&probe, c->cpu_us, now);
+        }
+    }
+    ck_assert_int_eq(sent > 0, c->probes);
+    /* One second's worth may be spent at once. */
+    ck_assert(sent * Prb_BYTES <= c->limits.bytes_per_s * (seconds + 1));
+    ck_assert(!c->region ||
+              sent * Prb_BYTES <= c->limits.link_bytes_per_s * (seconds + 1));
+    ck_assert(sent * c->cpu_us <=
+              c->limits.cpu_permille * 1000.0 * (seconds + 1) + c->cpu_us);
+    Plc_Finish(&plc);
+    Rng_Finish(&rng);
+}
+END_TEST
+
+typedef struct {
+    uint32_t rate;
+    uint32_t spent;
+    uint32_t bytes;
+    Span later;
+    bool interactive;
+    bool allowed;
+} LinkCase;
+
+/* The burst is a quarter of the rate. */
+static const LinkCase links[] = {
+    {400000, 0, 1000, 0, true, true},
+    {400000, 0, 1000, 0, false, true},
+    {400000, 60000, 1000, 0, true, true},
+    {400000, 60000, 1000, 0, false, false},
+    {400000, 60000, 1000, Span_MS(100), false, true},
+    {400000, 150000, 1000, 0, true, true},
+    {400000, 250000, 1000, 0, true, false},
+    {400000, 250000, 1000, Span_S(1), true, true},
+    {0, 0, 1, 0, true, false},
+    {0, 0, 1, Span_S(9), false, false},
+};
+
+START_TEST(orders_the_link)
+{
+    const LinkCase *c = &links[_i];
+    Lnk link;
+
+    Lnk_Init(&link, c->rate, 0);
+    Lnk_OnBytes(&link, c->spent, 0);
+    ck_assert_int_eq(Lnk_Ask(&link, c->interactive, c->bytes, c->later),
+                     c->allowed);
+}
+END_TEST
+
+typedef struct {
+    bool home_only;
+    bool home_full;
+    PlcVerdict verdict;
+} HomeCase;
+
+static const HomeCase homes[] = {
+    {false, false, Plc_CHOSEN},
+    {false, true, Plc_CHOSEN},
+    {true, false, Plc_CHOSEN},
+    {true, true, Plc_SHED},
+};
+
+START_TEST(keeps_home)
+{
+    const HomeCase *c = &homes[_i];
+    const LoadReport idle = {9, 0, 0, 5000, 0, false};
+    const LoadReport full = {9, 9, 40, 5000, 0, false};
+    PlcSettings settings = {.sample = 3, .queue_max = 32};
+    PlcAsk ask = {.interactive = true, .home_only = c->home_only};
+    const PlcRow *row;
+    Rng rng;
+    Plc plc;
+
+    Rng_Init(&rng, 1);
+    Plc_Init(&plc, &settings, &rng);
+    for (Addr i = 1; i <= 4; i++) {
+        PlcPlace place = {.node = i, .incarnation = 1, .region = i > 2};
+        Plc_SetPlace(&plc, &place, c->home_full && i < 3 ? &full : &idle, 0);
+    }
+    for (int i = 0; i < 100; i++) {
+        ck_assert_int_eq(Plc_Choose(&plc, &ask, 0, &row), c->verdict);
+        ck_assert(!c->home_only || !row || row->place.region == 0);
+    }
+    Plc_Finish(&plc);
+    Rng_Finish(&rng);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {
+        {keeps_the_measuring_budget, ROWS(probes)},
+        {orders_the_link, ROWS(links)},
+        {keeps_home, ROWS(homes)},
+    };
+
+    return Suite_Run("measure", tests, ROWS(tests), 10);
+}
--- a/tests/unit/test_retry.c
+++ b/tests/unit/test_retry.c
@@ -1,4 +1,5 @@
 /* Retries and hedges: when one more attempt may be made. */
+#include "request/depth.h"
 #include "request/hedge.h"
 #include "support/suite.h"
 
@@ -115,6 +116,41 @@
 }
 END_TEST
 
+typedef struct {
+    Str value;
+    uint32_t depth;
+    Str next;
+} DepthCase;
+
+static const DepthCase depths[] = {
+    {Str_LIT(""), 0, Str_LIT("1")},
+    {Str_LIT("1"), 1, Str_LIT("2")},
+    {Str_LIT("29"), 29, Str_LIT("30")},
+    {Str_LIT("-1"), 0, Str_LIT("1")},
+    {Str_LIT("many"), 0, Str_LIT("1")},
+    {Str_LIT("99999999999"), UINT32_MAX - 1, Str_LIT("4294967295")},
+};
+
+START_TEST(counts_the_depth)
+{
+    const DepthCase *c = &depths[_i];
+    const Str name = Str_LIT("X-Lycheeridge-Depth");
+    static FieldList fields;
+    StrBuf text = {0};
+
+    fields.count = 0;
+    Field_Add(&fields, Str_LIT("Accept"), Str_LIT("*/*"));
+    if (c->value.len) {
+        Field_Add(&fields, name, c->value);
+    }
+    ck_assert_uint_eq(Dep_Read(&fields), c->depth);
+    ck_assert(Dep_Write(&fields, c->depth + 1, &text));
+    ck_assert(Str_Equal(Field_Get(&fields, name), c->next));
+    ck_assert_uint_eq(fields.count, 2);
+    StrBuf_Finish(&text);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -122,6 +158,7 @@
         {decides_retries, ROWS(retries)},
         {keeps_the_budget, ROWS(budgets)},
         {decides_hedges, ROWS(hedges)},
+        {counts_the_depth, ROWS(depths)},
     };
 
     return Suite_Run("retry", tests, ROWS(tests), 10);
