Compare steeply within a region, flatly across the link

One curve served both: beyond full slots it was flat, so that an overloaded region kept to itself, and nodes queued at home while slots were free next door. A steep curve now compares rows of a region, and a flat one decides whether the link is worth it.

--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -74,12 +74,20 @@
     return (others + row->since + row->mine + 1) / row->load.slots;
 }
 
+/* How crowded a server is beside others of its region: steep, so that nobody
+ * queues while slots are free elsewhere. */
+static double
+crowding_of(double load)
+{
+    return load * load * load * load;
+}
+
 /* Expected wait in service times: a queue is short until nearly all slots are
  * taken, and from then on each further request adds its own share. */
 static double
 wait_of(double load)
 {
-    return load < 1 ? load * load * load * load : load;
+    return load < 1 ? crowding_of(load) : load;
 }
 
 /* How many times longer than expected this node's attempts take, those not
@@ -91,9 +99,11 @@
            ((PRIOR_ENDS + row->ends) * expected);
 }
 
-/* Expected time to a good answer, microseconds. */
+/* Expected time to a good answer, microseconds; WAIT gives the wait in
+ * service times from the work for each slot. */
 static double
-price(const Plc *plc, PlcRow *row, double usual, Instant now)
+price(const Plc *plc, PlcRow *row, double usual, double (*wait)(double),
+      Instant now)
 {
     double service = row->load.service_us ? row->load.service_us : UNKNOWN_US;
     double way = distance(plc, row);
@@ -102,8 +112,8 @@
 
     Plc_Weigh(row, now);
     failing = row->failures / (row->outcomes + FAILURE_PRIOR);
-    return service * (1 + wait_of(load)) * slowness_of(row, service + way) +
-           way + failing * FAILURE_US;
+    return service * (1 + wait(load)) * slowness_of(row, service + way) + way +
+           failing * FAILURE_US;
 }
 
 static PlcRow *
@@ -215,7 +225,7 @@
             continue;
         }
         count--;
-        cost = price(c->plc, row, c->usual, c->now);
+        cost = price(c->plc, row, c->usual, crowding_of, c->now);
         if (!c->best || cost < c->best_price) {
             c->best = row;
             c->best_price = cost;
@@ -249,17 +259,24 @@
 static PlcRow *
 choose_least_wait(Plc *plc, const PlcAsk *ask, Instant now)
 {
-    Comparison c = {.plc = plc, .ask = ask, .now = now};
-
+    double usual = usual_load(plc);
+    Comparison home = {.plc = plc, .ask = ask, .now = now, .usual = usual};
+    Comparison away = home;
     /* A first attempt only: a retry has failed once already. */
-    c.best = ask->tried_count ? NULL : find_trial(plc, ask, now);
-    if (c.best) {
-        return c.best;
+    PlcRow *trial = ask->tried_count ? NULL : find_trial(plc, ask, now);
+
+    if (trial) {
+        return trial;
+    }
+    compare(&home, true, plc->settings.sample);
+    compare(&away, false, REMOTE_SAMPLE);
+    if (!home.best || !away.best) {
+        return home.best ? home.best : away.best;
     }
-    c.usual = usual_load(plc);
-    compare(&c, true, plc->settings.sample);
-    compare(&c, false, REMOTE_SAMPLE);
-    return c.best;
+    return price(plc, away.best, usual, wait_of, now) <
+                   price(plc, home.best, usual, wait_of, now)
+               ? away.best
+               : home.best;
 }
 
 PlcRow *
--- a/tests/unit/test_measure.c
+++ b/tests/unit/test_measure.c
@@ -8,24 +8,24 @@
 #define LENGTH Span_S(20)
 
 typedef struct {
-    PrbLimits limits;
-    uint16_t region;   /* of the backend servers; this node's is 0 */
     Span report_every; /* reports ride on answers so often; 0: never */
+    double cpu_us;     /* of one probe */
+    PrbLimits limits;
+    uint16_t region; /* of the backend servers; this node's is 0 */
     bool used;
-    double cpu_us; /* of one probe */
-    bool probes;   /* some are sent */
+    bool probes; /* some are sent */
 } ProbeCase;
 
 static const ProbeCase probes[] = {
-    {{2000, 400, 5}, 0, 0, true, 20, true},
-    {{2000, 400, 5}, 1, 0, true, 20, true},
-    {{2000, 400, 5}, 0, 0, true, 5000, true},
-    {{160, 160, 5}, 0, 0, true, 20, true},
-    {{2000, 400, 5}, 0, TICK, true, 20, false},
-    {{2000, 400, 5}, 0, 0, false, 20, false},
-    {{0, 400, 5}, 0, 0, true, 20, false},
-    {{2000, 0, 5}, 1, 0, true, 20, false},
-    {{2000, 400, 0}, 0, 0, true, 20, false},
+    {0, 20, {2000, 400, 5}, 0, true, true},
+    {0, 20, {2000, 400, 5}, 1, true, true},
+    {0, 5000, {2000, 400, 5}, 0, true, true},
+    {0, 20, {160, 160, 5}, 0, true, true},
+    {TICK, 20, {2000, 400, 5}, 0, true, false},
+    {0, 20, {2000, 400, 5}, 0, false, false},
+    {0, 20, {0, 400, 5}, 0, true, false},
+    {0, 20, {2000, 0, 5}, 1, true, false},
+    {0, 20, {2000, 400, 0}, 0, true, false},
 };
 
 static void
@@ -79,26 +79,26 @@
 END_TEST
 
 typedef struct {
+    Span later;
     uint32_t rate;
     uint32_t spent;
     uint32_t bytes;
-    Span later;
     bool interactive;
     bool allowed;
 } LinkCase;
 
 /* The burst is a quarter of the rate. */
 static const LinkCase links[] = {
-    {400000, 0, 1000, 0, true, true},
-    {400000, 0, 1000, 0, false, true},
-    {400000, 60000, 1000, 0, true, true},
-    {400000, 60000, 1000, 0, false, false},
-    {400000, 60000, 1000, Span_MS(100), false, true},
-    {400000, 150000, 1000, 0, true, true},
-    {400000, 250000, 1000, 0, true, false},
-    {400000, 250000, 1000, Span_S(1), true, true},
-    {0, 0, 1, 0, true, false},
-    {0, 0, 1, Span_S(9), false, false},
+    {0, 400000, 0, 1000, true, true},
+    {0, 400000, 0, 1000, false, true},
+    {0, 400000, 60000, 1000, true, true},
+    {0, 400000, 60000, 1000, false, false},
+    {Span_MS(100), 400000, 60000, 1000, false, true},
+    {0, 400000, 150000, 1000, true, true},
+    {0, 400000, 250000, 1000, true, false},
+    {Span_S(1), 400000, 250000, 1000, true, true},
+    {0, 0, 0, 1, true, false},
+    {Span_S(9), 0, 0, 1, false, false},
 };
 
 START_TEST(orders_the_link)
