Let a control replica move to another address

Before, the voter at an address that was taken out of control_replicas stayed for good and counted for the quorum.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -402,6 +402,33 @@
     }
 }
 
+static bool
+is_listed(const Settings *settings, Addr addr)
+{
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        if (settings->replicas[i] == addr) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A replica may have moved to another address. */
+static void
+drop_unlisted(Control *control, Instant now)
+{
+    const Settings *settings = control->settings;
+
+    for (uint32_t i = 0; i < control->replicas.count; i++) {
+        Addr addr = control->replicas.items[i].addr;
+        if (!is_listed(settings, addr)) {
+            Rlog_OnUnlisted(&control->rlog, addr,
+                            (uint32_t)settings->replica_count, now);
+            return;
+        }
+    }
+}
+
 /* The first version of all is the preset in the leader's file. */
 static void
 propose_genesis(Control *control, Instant now)
@@ -433,6 +460,7 @@
     found(control, now);
     if (Ctl_IsCurrent(control, now)) {
         introduce(control, now);
+        drop_unlisted(control, now);
         propose_genesis(control, now);
     }
     Ctl_TellVersion(control, now);
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -195,6 +195,11 @@
  * there already. */
 void Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant now);
 
+/* A leader heard that only LISTED addresses are to carry replicas and ADDR is
+ * none of them: a replica there that is silent is removed, once more vote
+ * than are listed. */
+void Rlog_OnUnlisted(Rlog *rlog, Addr addr, uint32_t listed, Instant now);
+
 /* A leader whose lease holds and whose own term has a committed entry: what
  * it has committed is all that was ever accepted. */
 bool Rlog_IsCurrent(const Rlog *rlog, Instant now);
--- a/src/version/rlog_replicas.c
+++ b/src/version/rlog_replicas.c
@@ -243,6 +243,32 @@
     propose_replicas(rlog, &next, now);
 }
 
+static bool
+is_silent(Rlog *rlog, uint64_t identity, Instant now)
+{
+    const RlogProgress *progress = Rlog_FindProgress(rlog, identity);
+
+    return progress && now - progress->acked >= rlog->settings.election;
+}
+
+void
+Rlog_OnUnlisted(Rlog *rlog, Addr addr, uint32_t listed, Instant now)
+{
+    RlogReplicas next = rlog->replicas;
+
+    if (!may_change(rlog, now) || count_voters(&next) <= listed) {
+        return;
+    }
+    for (uint32_t i = 0; i < next.count; i++) {
+        if (next.items[i].addr == addr &&
+            is_silent(rlog, next.items[i].identity, now)) {
+            remove_at(&next, i);
+            propose_replicas(rlog, &next, now);
+            return;
+        }
+    }
+}
+
 static bool
 has_caught_up(Rlog *rlog, uint64_t identity, Instant now)
 {
@@ -256,9 +282,7 @@
 static bool
 is_replaced(Rlog *rlog, const RlogReplica *old, Instant now)
 {
-    const RlogProgress *progress = Rlog_FindProgress(rlog, old->identity);
-
-    if (!progress || now - progress->acked < rlog->settings.election) {
+    if (!is_silent(rlog, old->identity, now)) {
         return false;
     }
     for (uint32_t i = 0; i < rlog->replicas.count; i++) {
--- a/tests/support/rlogworld.c
+++ b/tests/support/rlogworld.c
@@ -397,6 +397,31 @@
     }
 }
 
+/* The addresses that replicas have now are the listed ones. */
+static bool
+is_listed(const World *world, Addr addr)
+{
+    for (int i = 0; i < world->count; i++) {
+        if (world->replicas[i].addr == addr) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+drop_unlisted(World *world, WorldReplica *leader)
+{
+    for (uint32_t i = 0; i < leader->rlog.replicas.count; i++) {
+        Addr addr = leader->rlog.replicas.items[i].addr;
+        if (!is_listed(world, addr)) {
+            Rlog_OnUnlisted(&leader->rlog, addr, (uint32_t)world->count,
+                            world->now);
+            return;
+        }
+    }
+}
+
 /* What the owners do by their hellos: a leader hears of every replica. */
 static void
 introduce(World *world, WorldReplica *leader)
@@ -427,6 +452,7 @@
         check_current(world);
         if (leader >= 0 && world->now % HELLO == 0) {
             introduce(world, &world->replicas[leader]);
+            drop_unlisted(world, &world->replicas[leader]);
         }
     }
 }
--- a/tests/unit/test_rlog.c
+++ b/tests/unit/test_rlog.c
@@ -21,6 +21,7 @@
     HEAL,
     DEAFEN, /* replica NUMBER hears no appends */
     LOSE_DISK,
+    MOVE,        /* replica NUMBER loses its disk and its address */
     FILL_LEADER, /* its disk takes nothing more */
     RUN,         /* NUMBER milliseconds */
     VOTERS,      /* the current leader counts NUMBER voters */
@@ -177,6 +178,21 @@
       {VOTERS, 3},
       {EQUAL, 0},
       {END, 0}}},
+    {"a replica moved to another address takes the old one's place",
+     3,
+     {{ELECT, 0},
+      {MANY, 30},
+      {MOVE, 2},
+      {RUN, 4000},
+      {VOTERS, 3},
+      {START, 2},
+      {RUN, 4000},
+      {VOTES, 2},
+      {VOTERS, 3},
+      {CHANGE, 0},
+      {RUN, 500},
+      {EQUAL, 0},
+      {END, 0}}},
     {"two lost disks leave no quorum, and nothing is accepted",
      3,
      {{ELECT, 0},
@@ -305,6 +321,10 @@
     case LOSE_DISK:
         World_LoseDisk(world, step->number);
         return true;
+    case MOVE:
+        World_LoseDisk(world, step->number);
+        world->replicas[step->number].addr += World_REPLICAS;
+        return true;
     case FILL_LEADER:
         world->replicas[play->leader].full = true;
         return true;
