--- a/tests/integration/test_http_edges.c
+++ b/tests/integration/test_http_edges.c
@@ -1,6 +1,7 @@
 /* What callers send over a raw connection, and what they get. */
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "fleet.h"
 #include "support/suite.h"
@@ -213,21 +214,82 @@
 }
 END_TEST
 
+/* Bytes that come while the first request is under way. */
+typedef struct {
+    const char *name;
+    Str first;
+    Str second;
+    bool half_close; /* the caller ends its sending side instead */
+    Str expected[2];
+} LaterCase;
+
+static const LaterCase laters[] = {
+    {"next request",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "X-Request-Id: one\r\n"
+             "X-Fake-Time-Us: 300000\r\n\r\n"),
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "X-Request-Id: two\r\n\r\n"),
+     false,
+     {Str_LIT("answer to one\n"), Str_LIT("answer to two\n")}},
+    {"no request",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "X-Request-Id: one\r\n"
+             "X-Fake-Time-Us: 300000\r\n\r\n"),
+     Str_LIT("\x16\x03\x01\r\n\r\n"),
+     false,
+     {Str_LIT("answer to one\n"), Str_LIT(" 400 ")}},
+    {"half closed",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "X-Request-Id: one\r\n"
+             "Connection: close\r\nX-Fake-Time-Us: 300000\r\n\r\n"),
+     {0},
+     true,
+     {Str_LIT("answer to one\n")}},
+    {"half closed, 1.0",
+     Str_LIT("GET /visor/a HTTP/1.0\r\nX-Request-Id: one\r\n"
+             "X-Fake-Time-Us: 300000\r\n\r\n"),
+     {0},
+     true,
+     {Str_LIT("answer to one\n")}},
+};
+
+enum { LATER_COUNT = sizeof laters / sizeof laters[0] };
+
+START_TEST(takes_later_bytes)
+{
+    const LaterCase *c = &laters[_i];
+    Fleet fleet;
+    StrBuf answer = {0};
+    int fd;
+
+    start_fleet(&fleet);
+    fd = Fleet_RawOpen(&fleet, 0, 8000);
+    Fleet_RawSend(fd, c->first);
+    Fleet_Sleep(Span_MS(100));
+    Fleet_RawSend(fd, c->second);
+    if (c->half_close) {
+        shutdown(fd, SHUT_WR);
+    }
+    Fleet_RawRead(fd, Span_MS(600), &answer);
+    for (int i = 0; i < 2; i++) {
+        ck_assert_msg(contains(StrBuf_View(&answer), c->expected[i]),
+                      "%s: no \"%.*s\" in %.*s", c->name,
+                      Str_ARG(c->expected[i]), Str_ARG(answer));
+    }
+    Fleet_RawClose(fd);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 typedef struct {
     const char *name;
     Str request;
-    bool abrupt;
 } HangupCase;
 
 static const HangupCase hangups[] = {
-    {"running",
-     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST
-             "X-Fake-Time-Us: 3000000\r\n\r\n"),
-     false},
+    {"running", Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST
+                        "X-Fake-Time-Us: 3000000\r\n\r\n")},
     {"with a body",
      Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST "Content-Length: 4\r\n"
-             "X-Fake-Time-Us: 3000000\r\n\r\nbarn"),
-     false},
+             "X-Fake-Time-Us: 3000000\r\n\r\nbarn")},
 };
 
 enum { HANGUP_COUNT = sizeof hangups / sizeof hangups[0] };
@@ -256,8 +318,9 @@
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {{answers_as_expected, CASE_COUNT},
+                               {takes_later_bytes, LATER_COUNT},
                                {hanging_up_cancels, HANGUP_COUNT}};
 
     build = Suite_Build(argc, argv);
-    return Suite_Run("http edges", tests, 2, 60);
+    return Suite_Run("http edges", tests, 3, 60);
 }
