--- a/src/connection/membermsg.c
+++ b/src/connection/membermsg.c
@@ -2,7 +2,7 @@
 
 #include "connection/callmsg.h"
 
-enum { RECORD_FIELDS = 13, ROW_FIELDS = RECORD_FIELDS + 1, ROWS_MAX = 4096 };
+enum { RECORD_FIELDS = 13, ROW_FIELDS = RECORD_FIELDS + 1, TABLE_FIELDS = 4 };
 
 static void
 put_record(Pack *pack, const MbrRecord *record)
@@ -60,78 +60,129 @@
     return Unpack_Ok(in, err);
 }
 
-static uint32_t
-count_since(const Mbr *mbr, uint64_t since)
+/* Which rows a message carries, and how each stands. */
+typedef struct {
+    const Mbr *mbr;
+    uint64_t since;
+    bool whole;
+    bool direct; /* an exchange: of rows that this replica hears directly */
+} Choice;
+
+static bool
+stands(const Choice *choice, const MbrRow *row)
 {
-    uint32_t count = 0;
+    return !row->gone && (!choice->direct || row->direct_at);
+}
 
-    for (size_t i = 0; i < mbr->count; i++) {
-        count += mbr->rows[i].change > since;
-    }
-    return count;
+/* A whole table holds only what stands. */
+static bool
+is_chosen(const Choice *choice, const MbrRow *row)
+{
+    return choice->whole ? stands(choice, row) : row->change > choice->since;
 }
 
-static void
-put_row(Pack *pack, const MbrRow *row, Instant now)
+static uint32_t
+count_rows(const Choice *choice)
 {
-    MbrRecord record = row->record;
+    uint32_t count = 0;
 
-    record.leaving = record.leaving || row->gone;
-    Pack_Array(pack, ROW_FIELDS);
-    put_record(pack, &record);
-    Pack_I64(pack, now - row->heard_at);
+    for (size_t i = 0; i < choice->mbr->count; i++) {
+        count += is_chosen(choice, &choice->mbr->rows[i]);
+    }
+    return count;
 }
 
 void
 Membermsg_PackTable(Pack *pack, WireKind kind, const Mbr *mbr, uint64_t table,
-                    uint64_t since, Instant now)
+                    uint64_t since)
 {
-    Wire_Begin(pack, kind, 3);
+    Choice choice = {mbr, since, Mbr_NeedsWhole(mbr, since),
+                     kind == Wire_EXCHANGE};
+
+    Wire_Begin(pack, kind, TABLE_FIELDS);
     Pack_U64(pack, table);
     Pack_U64(pack, mbr->change);
-    Pack_Array(pack, count_since(mbr, since));
+    Pack_Bool(pack, choice.whole);
+    Pack_Array(pack, count_rows(&choice));
     for (size_t i = 0; i < mbr->count; i++) {
-        if (mbr->rows[i].change > since) {
-            put_row(pack, &mbr->rows[i], now);
+        const MbrRow *row = &mbr->rows[i];
+        if (is_chosen(&choice, row)) {
+            Pack_Array(pack, ROW_FIELDS);
+            put_record(pack, &row->record);
+            Pack_Bool(pack, !stands(&choice, row));
         }
     }
 }
 
 static bool
-take_row(Unpack *rows, Mbr *mbr, Instant now)
+take_row(Unpack *rows, const MembermsgSink *sink, Instant now)
 {
     Unpack row;
     MbrRecord record;
-    Span age;
+    bool gone;
     bool whole;
 
     Mbr_RecordInit(&record);
     Unpack_Array(rows, ROW_FIELDS, &row);
     take_record(&row, &record);
-    age = Unpack_I64(&row);
-    whole = Unpack_Ok(&row, NULL) && age >= 0;
-    if (whole) {
-        Mbr_OnRecord(mbr, &record, age, now);
+    gone = Unpack_Bool(&row);
+    whole = Unpack_Ok(&row, NULL);
+    if (whole && sink->via < 0) {
+        Mbr_OnRow(sink->mbr, &record, gone, now);
+    }
+    else if (whole) {
+        Mbr_OnHeld(sink->mbr, (unsigned)sink->via, &record, !gone, now);
     }
     Mbr_RecordFinish(&record);
     return whole;
 }
 
+static void
+begin(const MembermsgSink *sink, bool whole)
+{
+    if (sink->via < 0) {
+        Mbr_BeginTable(sink->mbr, whole);
+    }
+    else {
+        Mbr_BeginExchange(sink->mbr, (unsigned)sink->via, whole);
+    }
+}
+
+static void
+end(const MembermsgSink *sink, bool whole, Instant now)
+{
+    if (sink->via < 0) {
+        Mbr_EndTable(sink->mbr, whole, now);
+    }
+    else {
+        Mbr_EndExchange(sink->mbr, (unsigned)sink->via, now);
+    }
+}
+
 bool
-Membermsg_ReadTable(Unpack *in, Mbr *mbr, uint64_t *table, uint64_t *number,
-                    Instant now, Err *err)
+Membermsg_ReadTable(Unpack *in, const MembermsgSink *sink, uint64_t *table,
+                    uint64_t *number, Instant now, Err *err)
 {
     Unpack rows;
     uint32_t count;
+    bool whole;
 
     *table = Unpack_U64(in);
     *number = Unpack_U64(in);
-    count = Unpack_Array(in, ROWS_MAX, &rows);
+    whole = Unpack_Bool(in);
+    count = Unpack_Array(in, Mbr_ROWS_MAX, &rows);
+    if (in->failed) {
+        return Unpack_Ok(in, err);
+    }
+    begin(sink, whole);
     for (uint32_t i = 0; i < count; i++) {
-        if (!take_row(&rows, mbr, now)) {
+        if (!take_row(&rows, sink, now)) {
             Unpack_Fail(in);
             break;
         }
     }
+    if (!in->failed) {
+        end(sink, whole, now);
+    }
     return Unpack_Ok(in, err);
 }
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -1,5 +1,7 @@
-/* Mbs: membership as it runs: this node's record goes to the control replicas
- * of its region, their tables come back, and replicas exchange theirs.
+/* Mbs: membership as it runs.  At each heartbeat this node's record goes to
+ * the control replicas of its region, or to all when none there answers; one
+ * of them, the source, sends the rows that changed.  A replica's record goes
+ * to all others, which answer with what they hear directly.
  */
 #ifndef MEMBERS_H
 #define MEMBERS_H
@@ -10,8 +12,9 @@
 #include "version/config.h"
 
 typedef struct {
-    uint64_t table;  /* start of the replica that numbered it */
-    uint64_t number; /* last table number got from it */
+    uint64_t table;      /* start of the replica that numbered it */
+    uint64_t number;     /* last table number got from it */
+    Instant answered_at; /* 0: never */
 } MbsSeen;
 
 typedef struct {
@@ -24,6 +27,7 @@
     Mbr membership;
     MbrRecord own;
     MbsSeen *seen; /* by control replica */
+    size_t source; /* the replica whose rows are taken */
     LoopTimer beat;
 } Members;
 
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -2,6 +2,9 @@
 
 #include "value/mem.h"
 
+/* Rows that are gone are kept for so many expiries. */
+enum { GONE_KEPT = 20 };
+
 void
 Mbr_RecordInit(MbrRecord *record)
 {
@@ -77,6 +80,20 @@
     return a->sequence > b->sequence;
 }
 
+/* The parts that others act on; load rides on answers. */
+static bool
+says_the_same(const MbrRecord *a, const MbrRecord *b)
+{
+    return a->incarnation == b->incarnation && a->region == b->region &&
+           a->domain == b->domain && a->control == b->control &&
+           a->leaving == b->leaving && a->present == b->present &&
+           a->operators == b->operators && a->load.slots == b->load.slots &&
+           a->load.draining == b->load.draining &&
+           a->version_term == b->version_term &&
+           a->version_index == b->version_index &&
+           Str_Equal(StrBuf_View(&a->service), StrBuf_View(&b->service));
+}
+
 static void
 tell(Mbr *mbr, MbrChange change, MbrRow *row, Instant now)
 {
@@ -87,40 +104,203 @@
     }
 }
 
+static void
+set_gone(Mbr *mbr, MbrRow *row, Instant now)
+{
+    row->gone = true;
+    row->heard_at = now;
+    tell(mbr, Mbr_GONE, row, now);
+}
+
+/* Take RECORD over as it is now; true when that is a change. */
+static bool
+take(Mbr *mbr, MbrRow *row, const MbrRecord *record, Instant now)
+{
+    bool gone = record->leaving;
+    bool came = row->gone && !gone;
+    bool changed =
+        came || (gone && !row->gone) || !says_the_same(&row->record, record);
+
+    Mbr_RecordCopy(&row->record, record);
+    row->heard_at = now;
+    if (!changed) {
+        return false;
+    }
+    row->gone = gone;
+    tell(mbr, gone ? Mbr_GONE : came ? Mbr_CAME : Mbr_CHANGED, row, now);
+    return true;
+}
+
+static MbrRow *
+get_row(Mbr *mbr, Addr node)
+{
+    MbrRow *row = find_row(mbr, node);
+
+    if (row || mbr->count >= Mbr_ROWS_MAX) {
+        return row;
+    }
+    row = add_row(mbr);
+    row->record.node = node;
+    return row;
+}
+
 bool
-Mbr_OnRecord(Mbr *mbr, const MbrRecord *record, Span age, Instant now)
+Mbr_OnRecord(Mbr *mbr, const MbrRecord *record, Instant now)
 {
-    MbrRow *row = find_row(mbr, record->node);
-    bool came;
+    MbrRow *row = get_row(mbr, record->node);
+    bool first;
+    bool changed;
 
-    if (age >= mbr->settings.expiry ||
-        (row && !is_newer(record, &row->record))) {
+    if (!row || !is_newer(record, &row->record)) {
         return false;
     }
-    if (!row) {
-        row = add_row(mbr);
+    if (record->node != mbr->settings.self) {
+        mbr->node_heard_at = now;
     }
-    came = row->gone;
-    Mbr_RecordCopy(&row->record, record);
-    row->heard_at = now - age;
-    row->gone = record->leaving;
-    if (record->leaving) {
-        tell(mbr, Mbr_GONE, row, now);
+    first = row->direct_at == 0;
+    row->direct_at = now;
+    changed = take(mbr, row, record, now);
+    if (first && !changed) {
+        row->change = ++mbr->change; /* for other replicas */
+    }
+    return changed;
+}
+
+void
+Mbr_BeginTable(Mbr *mbr, bool whole)
+{
+    for (size_t i = 0; whole && i < mbr->count; i++) {
+        mbr->rows[i].listed = false;
+    }
+}
+
+void
+Mbr_OnRow(Mbr *mbr, const MbrRecord *record, bool gone, Instant now)
+{
+    MbrRow *row;
+
+    if (record->node == mbr->settings.self ||
+        !(row = get_row(mbr, record->node))) {
+        return;
+    }
+    row->listed = true;
+    if (is_newer(&row->record, record)) {
+        return;
+    }
+    if (!gone) {
+        take(mbr, row, record, now);
+    }
+    else if (!row->gone) {
+        set_gone(mbr, row, now);
+    }
+}
+
+void
+Mbr_EndTable(Mbr *mbr, bool whole, Instant now)
+{
+    for (size_t i = 0; whole && i < mbr->count; i++) {
+        MbrRow *row = &mbr->rows[i];
+        if (!row->listed && !row->gone &&
+            row->record.node != mbr->settings.self) {
+            set_gone(mbr, row, now);
+        }
+    }
+}
+
+void
+Mbr_BeginExchange(Mbr *mbr, unsigned via, bool whole)
+{
+    for (size_t i = 0; whole && i < mbr->count; i++) {
+        mbr->rows[i].via &= (uint8_t) ~(1u << via);
+    }
+}
+
+void
+Mbr_OnHeld(Mbr *mbr, unsigned via, const MbrRecord *record, bool held,
+           Instant now)
+{
+    MbrRow *row;
+
+    if (record->node == mbr->settings.self ||
+        !(row = get_row(mbr, record->node))) {
+        return;
+    }
+    if (held) {
+        row->via |= (uint8_t)(1u << via);
     }
     else {
-        tell(mbr, came ? Mbr_CAME : Mbr_CHANGED, row, now);
+        row->via &= (uint8_t) ~(1u << via);
+    }
+    if ((held || record->leaving) && !is_newer(&row->record, record)) {
+        take(mbr, row, record, now);
     }
-    return true;
 }
 
 void
-Mbr_Expire(Mbr *mbr, Instant now)
+Mbr_EndExchange(Mbr *mbr, unsigned via, Instant now)
 {
+    mbr->replica_heard_at = now;
     for (size_t i = 0; i < mbr->count; i++) {
+        if (mbr->rows[i].via & (1u << via)) {
+            mbr->rows[i].heard_at = now;
+        }
+    }
+}
+
+/* A replica that hears nobody cannot tell who is gone. */
+static bool
+may_expire(const Mbr *mbr, const MbrRow *row, Instant now)
+{
+    const MbrSettings *settings = &mbr->settings;
+
+    if (!settings->replica) {
+        return false;
+    }
+    return settings->replicas < 2 ||
+           (mbr->replica_heard_at &&
+            now - mbr->replica_heard_at < settings->expiry) ||
+           (row->record.region == settings->region &&
+            now - mbr->node_heard_at < settings->expiry);
+}
+
+static void
+forget_row(Mbr *mbr, size_t index)
+{
+    MbrRow *row = &mbr->rows[index];
+
+    if (row->change > mbr->forgotten) {
+        mbr->forgotten = row->change;
+    }
+    Mbr_RecordFinish(&row->record);
+    *row = mbr->rows[--mbr->count];
+}
+
+void
+Mbr_Expire(Mbr *mbr, Instant now)
+{
+    Span expiry = mbr->settings.expiry;
+
+    for (size_t i = mbr->count; i-- > 0;) {
         MbrRow *row = &mbr->rows[i];
-        if (!row->gone && now - row->heard_at >= mbr->settings.expiry) {
-            row->gone = true;
-            tell(mbr, Mbr_GONE, row, now);
+        if (row->gone) {
+            if (now - row->heard_at >= expiry * GONE_KEPT) {
+                forget_row(mbr, i);
+            }
+            continue;
+        }
+        if (row->direct_at && now - row->direct_at >= expiry &&
+            row->record.node != mbr->settings.self) {
+            row->direct_at = 0;
+            row->change = ++mbr->change; /* for other replicas */
+        }
+        if (now - row->heard_at >= expiry && may_expire(mbr, row, now)) {
+            set_gone(mbr, row, now);
         }
     }
 }
+
+bool
+Mbr_NeedsWhole(const Mbr *mbr, uint64_t since)
+{
+    return since < mbr->forgotten || since > mbr->change || since == 0;
+}
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -1,11 +1,13 @@
 /* Mbr, the membership decider: which nodes are here, with which backend
  * server beside them.
  *
- * Each node sends its own record to the control replicas of its region; these
- * keep a numbered table, exchange records with the other replicas, and answer
- * with the rows that changed since the number the node last saw.  Records are
- * soft state: a higher (incarnation, sequence) replaces a lower one, and what
- * is not renewed in time goes.
+ * Each node sends its own record to the control replicas of its region.  A
+ * replica keeps a numbered table and answers with the rows that changed since
+ * the number the node last saw.  A renewal, and a change of load, is no
+ * change.  Replicas tell each other which rows they hear from directly; a row
+ * that no replica hears of any more is gone.  Only replicas let rows expire:
+ * everybody else goes by their tables, so that a node cut off from them keeps
+ * what it knows.
  */
 #ifndef MEMBERSHIP_H
 #define MEMBERSHIP_H
@@ -30,11 +32,19 @@
     uint64_t version_index;
 } MbrRecord;
 
+enum {
+    Mbr_ROWS_MAX = 4096, /* further nodes are refused */
+    Mbr_REPLICAS_MAX = 8
+};
+
 typedef struct {
     MbrRecord record;
-    Instant heard_at;
-    uint64_t change; /* table number of its last change */
-    bool gone;       /* kept for a while so that deltas can tell */
+    Instant heard_at;  /* of it, directly or by another replica */
+    Instant direct_at; /* last record from the node itself; 0: none */
+    uint8_t via;       /* bit set of replicas that hear it directly */
+    uint64_t change;   /* table number of its last change */
+    bool gone;         /* kept for a while so that deltas can tell */
+    bool listed;       /* while a whole table is read: it is in there */
 } MbrRow;
 
 typedef enum { Mbr_CAME, Mbr_CHANGED, Mbr_GONE } MbrChange;
@@ -44,7 +54,11 @@
                             const MbrRecord *record, Instant now);
 
 typedef struct {
-    Span expiry; /* a record not renewed for this long goes */
+    Addr self;       /* this node: its row never comes from a table */
+    uint16_t region; /* of this node */
+    bool replica;    /* lets rows expire */
+    size_t replicas; /* control replicas there are */
+    Span expiry;     /* a record not renewed for this long goes */
     MbrListener listener;
     void *context;
 } MbrSettings;
@@ -54,7 +68,10 @@
     MbrRow *rows;
     size_t count;
     size_t cap;
-    uint64_t change; /* table number */
+    uint64_t change;          /* table number */
+    uint64_t forgotten;       /* highest number of a row no longer kept */
+    Instant replica_heard_at; /* any other replica */
+    Instant node_heard_at;    /* any other node, directly */
 } Mbr;
 
 void Mbr_RecordInit(MbrRecord *record);
@@ -64,13 +81,30 @@
 void Mbr_Init(Mbr *mbr, const MbrSettings *settings);
 void Mbr_Finish(Mbr *mbr);
 
-/* Take a record over, when it is newer; true when anything changed.  AGE is
- * how long ago its node sent it. */
-bool Mbr_OnRecord(Mbr *mbr, const MbrRecord *record, Span age, Instant now);
+/* A record from its node itself (or this node's own); true when that is a
+ * change to be told. */
+bool Mbr_OnRecord(Mbr *mbr, const MbrRecord *record, Instant now);
+
+/* A row of a control replica's table.  Rows of a WHOLE table are enclosed in
+ * Begin and End, and rows not among them are gone. */
+void Mbr_BeginTable(Mbr *mbr, bool whole);
+void Mbr_OnRow(Mbr *mbr, const MbrRecord *record, bool gone, Instant now);
+void Mbr_EndTable(Mbr *mbr, bool whole, Instant now);
 
-/* Drop records that were not renewed. */
+/* What control replica VIA hears directly: a row of which that changed; and
+ * that it still hears all it told of.  A WHOLE exchange starts afresh. */
+void Mbr_BeginExchange(Mbr *mbr, unsigned via, bool whole);
+void Mbr_OnHeld(Mbr *mbr, unsigned via, const MbrRecord *record, bool held,
+                Instant now);
+void Mbr_EndExchange(Mbr *mbr, unsigned via, Instant now);
+
+/* Let records expire that were not renewed (on a replica), and forget rows
+ * that are gone for long. */
 void Mbr_Expire(Mbr *mbr, Instant now);
 
+/* True when rows changed after SINCE may be missing: a whole table is due. */
+bool Mbr_NeedsWhole(const Mbr *mbr, uint64_t since);
+
 const MbrRow *Mbr_Find(const Mbr *mbr, Addr node);
 
 #endif
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -230,10 +230,10 @@
     for (uint64_t node = 1; node <= 3; node++) {
         MbrRecord record;
         fill_record(&record, node << 16);
-        Mbr_OnRecord(&mbr, &record, 0, Span_S(9));
+        Mbr_OnRecord(&mbr, &record, Span_S(9));
         Mbr_RecordFinish(&record);
     }
-    Membermsg_PackTable(pack, Wire_TABLE, &mbr, 5, 0, Span_S(9));
+    Membermsg_PackTable(pack, Wire_TABLE, &mbr, 5, 0);
     Mbr_Finish(&mbr);
 }
 
@@ -241,12 +241,13 @@
 read_table(Unpack *in, Err *err)
 {
     Mbr mbr;
+    MembermsgSink sink = {&mbr, -1};
     uint64_t table;
     uint64_t number;
     bool good;
 
     start_members(&mbr);
-    good = Membermsg_ReadTable(in, &mbr, &table, &number, Span_S(9), err);
+    good = Membermsg_ReadTable(in, &sink, &table, &number, Span_S(9), err);
     Mbr_Finish(&mbr);
     return good;
 }
