--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -34,6 +34,12 @@
     adm->present = false;
 }
 
+void
+Adm_Leave(Adm *adm)
+{
+    adm->leaving = true;
+}
+
 static uint32_t
 open_slots(const Adm *adm, Instant now)
 {
@@ -79,7 +85,7 @@
     if (!adm->present) {
         return Adm_REFUSE_ABSENT;
     }
-    if (adm->draining) {
+    if (adm->draining || adm->leaving) {
         return Adm_REFUSE_DRAINING;
     }
     if (left <= 0) {
@@ -154,6 +160,6 @@
         .queued = waiting(adm),
         .service_us = (uint32_t)adm->service_us,
         .error_permille = (uint32_t)(adm->error * 1000),
-        .draining = adm->draining,
+        .draining = adm->draining || adm->leaving,
     };
 }
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -32,6 +32,7 @@
     AdmSettings settings;
     bool present; /* a backend server is announced */
     bool draining;
+    bool leaving;  /* the node itself stops */
     Instant since; /* of the announcement, for the ramp */
     uint32_t running;
     uint32_t queued[Adm_CLASSES];
@@ -46,6 +47,9 @@
 void Adm_OnAnnounce(Adm *adm, uint32_t slots, bool draining, Instant now);
 void Adm_OnGone(Adm *adm);
 
+/* The node stops: no attempt is taken from now on. */
+void Adm_Leave(Adm *adm);
+
 /* Decide; Adm_RUN and Adm_QUEUE are counted at once. */
 AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now);
 
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -1,6 +1,7 @@
 #include "process/edge.h"
 
 #include <event2/bufferevent.h>
+#include <event2/listener.h>
 #include <linux/filter.h>
 #include <sys/socket.h>
 
@@ -41,10 +42,22 @@
                 StrBuf_CStr(&ip), Addr_Port(settings->callers));
         evhttp_free(edge->http);
     }
+    else {
+        evconnlistener_disable(evhttp_bound_socket_get_listener(edge->socket));
+    }
     StrBuf_Finish(&ip);
     return edge->socket != NULL;
 }
 
+void
+Edge_Open(Edge *edge)
+{
+    if (!edge->open && edge->socket) {
+        edge->open = true;
+        evconnlistener_enable(evhttp_bound_socket_get_listener(edge->socket));
+    }
+}
+
 void
 Edge_Finish(Edge *edge)
 {
@@ -91,3 +104,9 @@
 {
     return edge->callers.busy;
 }
+
+size_t
+Edge_Callers(const Edge *edge)
+{
+    return edge->callers.count;
+}
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -14,14 +14,19 @@
 typedef struct {
     struct evhttp *http;
     struct evhttp_bound_socket *socket; /* NULL: no longer listening */
+    bool open;
     CallerList callers;
     ExchangeList exchanges;
 } Edge;
 
+/* Listen; connections wait until Edge_Open. */
 bool Edge_Init(Edge *edge, Loop *loop, const Settings *settings, CallHub *hub,
                Err *err);
 void Edge_Finish(Edge *edge);
 
+/* Take callers' connections. */
+void Edge_Open(Edge *edge);
+
 /* The node stops, step by step: each answer from now on is the last of its
  * connection, and nobody connects any more ... */
 void Edge_Refuse(Edge *edge);
@@ -35,4 +40,7 @@
 /* Requests and answers that are still under way. */
 size_t Edge_Busy(const Edge *edge);
 
+/* Callers' connections, with a request or without. */
+size_t Edge_Callers(const Edge *edge);
+
 #endif
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -17,7 +17,7 @@
     (void)what;
     Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("stopping"), "signal %d",
             (int)number);
-    Loop_Stop(&node->loop);
+    Node_Stop(node, Loop_Now());
 }
 
 static int
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -9,6 +9,9 @@
 
 enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 1000 };
 
+/* For what is still to be sent when the node ends. */
+enum { FINISH_LINGER_MS = 300 };
+
 /* An unused connection tries another key after so many times the silence. */
 enum { KEY_SILENCES = 2 };
 
@@ -387,7 +390,9 @@
 Net_Finish(Net *net)
 {
     LoopTimer_Finish(&net->watch);
+    set_int(net->router, ZMQ_LINGER, FINISH_LINGER_MS);
     for (size_t i = 0; i < net->peer_count; i++) {
+        set_int(net->peers[i]->socket, ZMQ_LINGER, FINISH_LINGER_MS);
         close_peer(net->peers[i]);
         Mem_Free(net->peers[i]);
     }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -4,6 +4,16 @@
 
 #define TICK Span_MS(10)
 
+/* Within so many heartbeats every node knows that another leaves. */
+enum { SETTLE_BEATS = 4 };
+
+/* A node that starts takes callers so many heartbeats after it knows the
+ * version in force: by then it knows its members. */
+enum { OPEN_BEATS = 2 };
+
+/* And without knowing it after this: it tells callers so. */
+#define OPEN_ANYWAY Span_S(5)
+
 static void
 on_member(void *context, MbrChange change, const MbrRecord *record,
           Instant now)
@@ -24,6 +34,60 @@
     Mbs_SendRecord(&node->members, now);
 }
 
+static StpLoad
+stop_load(const Node *node)
+{
+    return (StpLoad){
+        .calls = node->calls.count,
+        .runs = node->runs.count,
+        .answers = Edge_Busy(&node->edge),
+        .callers = Edge_Callers(&node->edge),
+        .asked_at = node->runs.asked_at,
+    };
+}
+
+static void
+take_stop_step(Node *node, Instant now)
+{
+    StpLoad load = stop_load(node);
+
+    switch (Stp_Decide(&node->stop, &load, now)) {
+    case Stp_NOTHING:
+        break;
+    case Stp_LEAVE:
+        Adm_Leave(&node->admission);
+        Mbs_Leave(&node->members, now);
+        Edge_Refuse(&node->edge);
+        break;
+    case Stp_STOP_LISTENING:
+        Edge_StopListening(&node->edge);
+        break;
+    case Stp_CLOSE_IDLE:
+        Edge_CloseIdle(&node->edge);
+        break;
+    case Stp_END:
+        Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("stopped"),
+                "cut=%d calls=%zu runs=%zu", node->stop.bounded, load.calls,
+                load.runs);
+        Loop_Stop(&node->loop);
+        break;
+    }
+}
+
+static void
+open_when_ready(Node *node, Instant now)
+{
+    Span beats = node->settings->heartbeat * OPEN_BEATS;
+
+    if (!node->confirmed_at && node->calls.confirmed) {
+        node->confirmed_at = now;
+    }
+    if ((node->confirmed_at && now - node->confirmed_at >= beats) ||
+        now - node->started_at >= OPEN_ANYWAY) {
+        Edge_Open(&node->edge);
+    }
+}
+
 static void
 on_tick(void *context, Instant now)
 {
@@ -32,6 +96,8 @@
     Ann_Expire(&node->ann, now);
     Call_HubTick(&node->calls, now);
     Run_HubTick(&node->runs, now);
+    open_when_ready(node, now);
+    take_stop_step(node, now);
 }
 
 static bool
@@ -217,6 +283,9 @@
         Net_Finish(&node->net);
         return false;
     }
+    Stp_Init(&node->stop, &(StpSettings){settings->stop_bound,
+                                         settings->heartbeat * SETTLE_BEATS});
+    node->started_at = Loop_Now();
     LoopTimer_Init(&node->tick, &node->loop, TICK, on_tick, node);
     Tml_Record(&node->timeline, Tml_STARTED, "incarnation=%llu",
                (unsigned long long)node->incarnation);
@@ -244,3 +313,12 @@
 {
     Loop_Run(&node->loop);
 }
+
+void
+Node_Stop(Node *node, Instant now)
+{
+    Tml_Record(&node->timeline, Tml_STOPPING, "calls=%zu runs=%zu",
+               node->calls.count, node->runs.count);
+    Stp_OnSignal(&node->stop, now);
+    take_stop_step(node, now);
+}
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -15,6 +15,7 @@
 #include "process/members.h"
 #include "process/operate.h"
 #include "process/show.h"
+#include "process/stop.h"
 #include "request/call.h"
 #include "request/run.h"
 
@@ -43,6 +44,9 @@
     Edge edge;
     Opr opr;
     Show show;
+    Stp stop;
+    Instant started_at;
+    Instant confirmed_at; /* of the first version in force; 0: none */
     LoopTimer tick;
 } Node;
 
@@ -50,7 +54,10 @@
 bool Node_Init(Node *node, Settings *settings, Err *err);
 void Node_Finish(Node *node);
 
-/* Serve until Node_Stop. */
+/* Serve until a stop has ended. */
 void Node_Run(Node *node);
 
+/* Begin to stop; a second time, end at once. */
+void Node_Stop(Node *node, Instant now);
+
 #endif
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -393,6 +393,7 @@
     Err err = {0};
     AdmVerdict verdict;
 
+    hub->asked_at = now;
     if (!Callmsg_ReadCall(in, &msg, &err)) {
         Cnt_Add(hub->counters, Cnt_MALFORMED, 1);
         Lgr_LogErr(hub->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -32,6 +32,7 @@
     Run *first; /* oldest first */
     Run *last;
     size_t count;
+    Instant asked_at; /* last attempt that a node sent; 0: none */
 } RunHub;
 
 void Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -47,9 +47,38 @@
     StrBuf headers; /* all lines as they came */
     StrBuf outcome; /* X-Lycheeridge-Outcome */
     bool whole;
+    bool unconnected; /* nobody listens there */
     Span took;
 } FleetAnswer;
 
+enum { Fleet_LOAD_MAX = 16 };
+
+/* Processes that call through one node after another, each with a key of its
+ * own. */
+typedef struct {
+    Str method;
+    Str path;
+    Str headers;
+    int nodes; /* the first so many VMs' */
+    int processes;
+    Span pause; /* between two calls of a process */
+    pid_t ids[Fleet_LOAD_MAX];
+} FleetLoad;
+
+/* What callers were told, compared with the effects by key. */
+typedef struct {
+    int calls;
+    int ran;
+    int not_run;
+    int unknown;
+    int cut;     /* no whole answer */
+    int doubled; /* more than one effect */
+    int wrong;   /* ran without effect, or not run with one */
+} FleetTotals;
+
+void Fleet_StartLoad(Fleet *fleet, FleetLoad *load);
+FleetTotals Fleet_StopLoad(Fleet *fleet, FleetLoad *load);
+
 /* A folder for a fleet of COUNT VMs; nothing is started yet. */
 void Fleet_Init(Fleet *fleet, Str build, int subnet, int count, int control);
 
--- a/tests/integration/fleet_call.c
+++ b/tests/integration/fleet_call.c
@@ -77,6 +77,7 @@
     Span wait = request->wait ? request->wait : Span_S(DEFAULT_WAIT_S);
     StrBuf verb = {0};
     double seconds = 0;
+    CURLcode result;
 
     StrBuf_Set(&verb, request->method);
     curl_easy_setopt(curl, CURLOPT_URL, StrBuf_CStr(url));
@@ -98,7 +99,9 @@
     curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, take_header);
     curl_easy_setopt(curl, CURLOPT_HEADERDATA, answer);
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)(wait / 1000));
-    answer->whole = curl_easy_perform(curl) == CURLE_OK;
+    result = curl_easy_perform(curl);
+    answer->whole = result == CURLE_OK;
+    answer->unconnected = result == CURLE_COULDNT_CONNECT;
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &answer->status);
     curl_easy_getinfo(curl, CURLINFO_TOTAL_TIME, &seconds);
     answer->took = (Span)(seconds * 1000000);
--- /dev/null
+++ b/tests/integration/fleet_load.c
@@ -0,0 +1,141 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "fleet.h"
+#include "process/settings.h"
+
+static void
+print_path(Fleet *fleet, const char *name, int number, StrBuf *out)
+{
+    StrBuf_AppendFmt(out, "%.*s/%s%d", Str_ARG(fleet->folder), name, number);
+    StrBuf_CStr(out);
+}
+
+/* One call, through the next node that lets itself be connected to. */
+static void
+make_call(Fleet *fleet, const FleetLoad *load, int process, int number,
+          FILE *out)
+{
+    StrBuf key = {0};
+    FleetAnswer answer = {0};
+    FleetRequest request = {.method = load->method, .path = load->path};
+
+    StrBuf_AppendFmt(&key, "load-%d-%d", process, number);
+    request.key = StrBuf_View(&key);
+    request.headers = load->headers;
+    for (int i = 0; i < load->nodes; i++) {
+        Fleet_FinishAnswer(&answer);
+        Fleet_Send(fleet, (process + number + i) % load->nodes, &request,
+                   &answer);
+        if (!answer.unconnected) {
+            break;
+        }
+    }
+    fprintf(
+        out, "%.*s %.*s %ld\n", Str_ARG(key),
+        Str_ARG(answer.whole ? StrBuf_View(&answer.outcome) : Str_LIT("cut")),
+        answer.status);
+    Fleet_FinishAnswer(&answer);
+    StrBuf_Finish(&key);
+}
+
+static void
+run_load(Fleet *fleet, const FleetLoad *load, int process)
+{
+    StrBuf path = {0};
+    StrBuf stop = {0};
+    FILE *out;
+
+    print_path(fleet, "load", process, &path);
+    print_path(fleet, "stop", 0, &stop);
+    out = fopen(path.ptr, "w");
+    for (int i = 0; out && access(stop.ptr, F_OK); i++) {
+        make_call(fleet, load, process, i, out);
+        Fleet_Sleep(load->pause);
+    }
+    if (out) {
+        fclose(out);
+    }
+    _exit(0);
+}
+
+void
+Fleet_StartLoad(Fleet *fleet, FleetLoad *load)
+{
+    for (int i = 0; i < load->processes; i++) {
+        load->ids[i] = fork();
+        if (load->ids[i] == 0) {
+            run_load(fleet, load, i);
+        }
+    }
+}
+
+static void
+count_call(Fleet *fleet, Str line, FleetTotals *totals)
+{
+    size_t space = Str_Find(line, ' ');
+    Str key = Str_Slice(line, 0, space);
+    Str rest = Str_Slice(line, space + 1, line.len);
+    Str outcome = Str_Slice(rest, 0, Str_Find(rest, ' '));
+    int effects = Fleet_CountEffects(fleet, key);
+
+    totals->calls++;
+    totals->doubled += effects > 1;
+    if (Str_Equal(outcome, Str_LIT("ran"))) {
+        totals->ran++;
+        totals->wrong += effects == 0;
+    }
+    else if (Str_Equal(outcome, Str_LIT("not-run"))) {
+        totals->not_run++;
+        totals->wrong += effects > 0;
+    }
+    else if (Str_Equal(outcome, Str_LIT("unknown"))) {
+        totals->unknown++;
+    }
+    else {
+        totals->cut++;
+        fprintf(stderr, "cut: %.*s\n", Str_ARG(line));
+    }
+}
+
+static void
+count_calls(Fleet *fleet, int process, FleetTotals *totals)
+{
+    StrBuf path = {0};
+    StrBuf text = {0};
+    Str rest;
+
+    print_path(fleet, "load", process, &path);
+    Set_ReadFile(StrBuf_View(&path), &text, NULL);
+    for (rest = StrBuf_View(&text); rest.len;) {
+        size_t end = Str_Find(rest, '\n');
+        count_call(fleet, Str_Slice(rest, 0, end), totals);
+        rest = Str_Slice(rest, end + 1, rest.len);
+    }
+    StrBuf_Finish(&path);
+    StrBuf_Finish(&text);
+}
+
+FleetTotals
+Fleet_StopLoad(Fleet *fleet, FleetLoad *load)
+{
+    FleetTotals totals = {0};
+    StrBuf stop = {0};
+    FILE *file;
+
+    print_path(fleet, "stop", 0, &stop);
+    file = fopen(stop.ptr, "w");
+    if (file) {
+        fclose(file);
+    }
+    for (int i = 0; i < load->processes; i++) {
+        waitpid(load->ids[i], NULL, 0);
+    }
+    for (int i = 0; i < load->processes; i++) {
+        count_calls(fleet, i, &totals);
+    }
+    StrBuf_Finish(&stop);
+    return totals;
+}
--- /dev/null
+++ b/tests/integration/test_graceful_stop.c
@@ -0,0 +1,165 @@
+/* A node that is told to stop cuts no request, loses none, and doubles none.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <sys/wait.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+static Str build;
+
+enum { VMS = 4 };
+
+static const Str preset = Str_LIT(
+    "{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
+    "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+    "\"method\":\"GET\",\"interactive\":true,\"idempotent\":true},"
+    "{\"service\":\"visor\",\"route\":\"book\",\"method\":\"POST\","
+    "\"path\":\"/visor/\"},"
+    "{\"service\":\"visor\",\"route\":\"keyed\",\"method\":\"POST\","
+    "\"path\":\"/visor/keyed/\",\"key_header\":\"Idempotency-Key\"}]}");
+
+static void
+start_fleet(Fleet *fleet)
+{
+    Fleet_Init(fleet, build, 54, VMS, 3);
+    Fleet_SetPreset(fleet, preset);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartBackend(fleet, i, Str_LIT("visor"), (Str){0});
+    }
+    for (int i = 0; i < VMS; i++) {
+        ck_assert(
+            Fleet_WaitFor(fleet, i, Str_LIT("/visor/ready"), Span_S(10)));
+    }
+    Fleet_Sleep(Span_S(1));
+}
+
+typedef struct {
+    const char *name;
+    Str method;
+    Str path;
+    Str headers;
+} RollCase;
+
+static const RollCase rolls[] = {
+    {"reads", Str_LIT("GET"), Str_LIT("/visor/a"), {0}},
+    {"bookings", Str_LIT("POST"), Str_LIT("/visor/a"), {0}},
+    {"keyed bookings", Str_LIT("POST"), Str_LIT("/visor/keyed/a"), {0}},
+    {"large answers", Str_LIT("GET"), Str_LIT("/visor/a"),
+     Str_LIT("X-Fake-Size: 1000000")},
+    {"long bookings", Str_LIT("POST"), Str_LIT("/visor/a"),
+     Str_LIT("X-Fake-Time-Us: 300000")},
+};
+
+enum { ROLL_COUNT = sizeof rolls / sizeof rolls[0] };
+
+START_TEST(rolling_over_all_nodes)
+{
+    const RollCase *c = &rolls[_i];
+    Fleet fleet;
+    FleetLoad load = {.method = c->method,
+                      .path = c->path,
+                      .headers = c->headers,
+                      .nodes = VMS,
+                      .processes = 6,
+                      .pause = Span_MS(5)};
+    FleetTotals totals;
+
+    start_fleet(&fleet);
+    Fleet_StartLoad(&fleet, &load);
+    Fleet_Sleep(Span_MS(300));
+    for (int i = 0; i < VMS; i++) {
+        int status = Fleet_Kill(&fleet.vms[i].node, SIGTERM);
+        ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0,
+                      "%s: node %d: status %x", c->name, i, status);
+        Fleet_StartNode(&fleet, i);
+        ck_assert(
+            Fleet_WaitFor(&fleet, i, Str_LIT("/visor/ready"), Span_S(10)));
+    }
+    totals = Fleet_StopLoad(&fleet, &load);
+    fprintf(
+        stderr,
+        "%s: %d calls, %d ran, %d not run, %d unknown, %d cut, %d doubled, "
+        "%d wrong\n",
+        c->name, totals.calls, totals.ran, totals.not_run, totals.unknown,
+        totals.cut, totals.doubled, totals.wrong);
+    ck_assert_int_gt(totals.ran, 100);
+    ck_assert_int_eq(totals.cut, 0);
+    ck_assert_int_eq(totals.unknown, 0);
+    ck_assert_int_eq(totals.not_run, 0);
+    ck_assert_int_eq(totals.doubled, 0);
+    ck_assert_int_eq(totals.wrong, 0);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+/* Callers' connections end the orderly way. */
+typedef struct {
+    const char *name;
+    int time_us; /* of a request under way; 0: the connection is idle */
+    int bytes;   /* of its answer */
+} CloseCase;
+
+static const CloseCase closes[] = {
+    {"idle", 0, 0},
+    {"under way", 1000000, 10},
+    {"large answer", 300000, 20000000},
+};
+
+enum { CLOSE_COUNT = sizeof closes / sizeof closes[0] };
+
+static bool
+ends_orderly(int fd, const CloseCase *c, StrBuf *answer)
+{
+    if (!Fleet_RawRead(fd, Span_S(4), answer)) {
+        return false;
+    }
+    return c->time_us == 0 ||
+           (answer->len > (size_t)c->bytes &&
+            Str_StartsWith(StrBuf_View(answer), Str_LIT("HTTP/1.1 200 ")));
+}
+
+START_TEST(connections_end_orderly)
+{
+    const CloseCase *c = &closes[_i];
+    Fleet fleet;
+    StrBuf request = {0};
+    StrBuf answer = {0};
+    int fd;
+
+    start_fleet(&fleet);
+    fd = Fleet_RawOpen(&fleet, 0, 8000);
+    StrBuf_AppendFmt(&request,
+                     "GET /visor/a HTTP/1.1\r\nHost: barns\r\n"
+                     "X-Fake-Time-Us: %d\r\nX-Fake-Size: %d\r\n\r\n",
+                     c->time_us, c->bytes);
+    Fleet_RawSend(fd, StrBuf_View(&request));
+    if (c->time_us == 0) {
+        Fleet_RawRead(fd, Span_MS(200), &answer);
+    }
+    Fleet_Sleep(Span_MS(100));
+    kill(fleet.vms[0].node, SIGTERM);
+    ck_assert_msg(ends_orderly(fd, c, &answer), "%s: %.*s", c->name,
+                  (int)(answer.len < 300 ? answer.len : 300), answer.ptr);
+    ck_assert_int_eq(Fleet_Kill(&fleet.vms[0].node, SIGTERM), 0);
+    ck_assert_int_eq(Fleet_RawOpen(&fleet, 0, 8000), -1);
+    Fleet_RawClose(fd);
+    StrBuf_Finish(&request);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{rolling_over_all_nodes, ROLL_COUNT},
+                               {connections_end_orderly, CLOSE_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("graceful stop", tests, 2, 60);
+}
