--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -2,6 +2,14 @@
 
 #define SMOOTHING 0.1
 
+/* So many attempts turned away, over this time at least, are evidence that
+ * the backend server leaves; a trial is made after the pause, and given the
+ * time for its answer. */
+enum { EVIDENCE = 3 };
+#define EVIDENCE_SPAN Span_MS(500)
+#define TRIAL_PAUSE Span_S(5)
+#define TRIAL_TIME Span_S(1)
+
 void
 Adm_Init(Adm *adm, const AdmSettings *settings)
 {
@@ -40,6 +48,36 @@
     adm->leaving = true;
 }
 
+void
+Adm_OnTurnedAway(Adm *adm, Instant now)
+{
+    if (adm->turned_away++ == 0) {
+        adm->turned_away_since = now;
+    }
+    if (adm->turned_away >= EVIDENCE &&
+        now - adm->turned_away_since >= EVIDENCE_SPAN) {
+        adm->refuse_until = now + TRIAL_PAUSE;
+    }
+}
+
+void
+Adm_OnTaken(Adm *adm)
+{
+    adm->turned_away = 0;
+    adm->refuse_until = 0;
+}
+
+/* True but for a trial. */
+static bool
+seems_to_leave(Adm *adm, Instant now)
+{
+    if (adm->refuse_until && now >= adm->refuse_until) {
+        adm->refuse_until = now + TRIAL_TIME;
+        return false;
+    }
+    return adm->refuse_until > 0;
+}
+
 static uint32_t
 open_slots(const Adm *adm, Instant now)
 {
@@ -91,6 +129,9 @@
     if (left <= 0) {
         return Adm_REFUSE_LATE;
     }
+    if (seems_to_leave(adm, now)) {
+        return Adm_REFUSE_DRAINING;
+    }
     if (adm->running < open_slots(adm, now) && waiting(adm) == 0) {
         adm->running++;
         return Adm_RUN;
@@ -160,6 +201,6 @@
         .queued = waiting(adm),
         .service_us = (uint32_t)adm->service_us,
         .error_permille = (uint32_t)(adm->error * 1000),
-        .draining = adm->draining || adm->leaving,
+        .draining = adm->draining || adm->leaving || adm->refuse_until > 0,
     };
 }
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -32,8 +32,11 @@
     AdmSettings settings;
     bool present; /* a backend server is announced */
     bool draining;
-    bool leaving;  /* the node itself stops */
-    Instant since; /* of the announcement, for the ramp */
+    bool leaving;              /* the node itself stops */
+    uint32_t turned_away;      /* answers in a row that refused the work */
+    Instant turned_away_since; /* first of these */
+    Instant refuse_until;      /* it leaves, to all appearance; 0: no */
+    Instant since;             /* of the announcement, for the ramp */
     uint32_t running;
     uint32_t queued[Adm_CLASSES];
     double service_us; /* smoothed time of one request */
@@ -53,6 +56,12 @@
 /* Decide; Adm_RUN and Adm_QUEUE are counted at once. */
 AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now);
 
+/* The backend server turned an attempt away (503, or no connection), or took
+ * one.  One that turns everything away gets no work but a trial now and
+ * then, as if it had announced that it leaves. */
+void Adm_OnTurnedAway(Adm *adm, Instant now);
+void Adm_OnTaken(Adm *adm);
+
 /* A running attempt ended after TOOK. */
 void Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now);
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -9,8 +9,9 @@
     LEDGER_ANSWERS = 8 * 1024 * 1024,
     LEDGER_ENTRIES = 131072,
     LEDGER_ORIGINS = 4096,
-    USUAL_FACTOR = 8, /* times the usual service time */
-    REPEAT_PART = 4   /* part of the time until the deadline */
+    TURNED_AWAY = 503, /* status of HTTP */
+    USUAL_FACTOR = 8,  /* times the usual service time */
+    REPEAT_PART = 4    /* part of the time until the deadline */
 };
 
 struct Run {
@@ -267,6 +268,13 @@
     bool failed = end != Bck_WHOLE || run->status >= 500;
 
     Adm_OnEnd(hub->admission, now - run->started_at, failed, now);
+    if (end == Bck_UNREACHED ||
+        (end == Bck_WHOLE && run->status == TURNED_AWAY)) {
+        Adm_OnTurnedAway(hub->admission, now);
+    }
+    else if (end == Bck_WHOLE) {
+        Adm_OnTaken(hub->admission);
+    }
     switch (end) {
     case Bck_WHOLE:
         keep_answer(run, now);
--- /dev/null
+++ b/tests/integration/test_leaving.c
@@ -0,0 +1,135 @@
+/* A backend server that leaves gets no new work after 3 s, from any node, also
+ * from one that is cut off from the control replicas.
+ */
+#include <signal.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+static Str build;
+
+/* The first three are control replicas; the backend server beside LEAVING
+ * leaves; CUT is a node that may be cut off from the replicas. */
+enum { VMS = 5, CONTROL = 3, CUT = 3, LEAVING = 4 };
+
+#define NOTICE Span_S(3)
+#define WATCHED Span_MS(1500)
+
+typedef struct {
+    const char *name;
+    Str knobs;     /* of the backend server that leaves */
+    int node_dies; /* signal for the node beside it; 0: none */
+    bool cut;
+} LeaveCase;
+
+static const LeaveCase cases[] = {
+    {"announced", Str_LIT("draining=1"), 0, false},
+    {"announced, a node cut off", Str_LIT("draining=1"), 0, true},
+    {"turns all away", Str_LIT("silent_drain=1"), 0, false},
+    {"turns all away, a node cut off", Str_LIT("silent_drain=1"), 0, true},
+    {"announces no more", Str_LIT("quiet=1"), 0, false},
+    {"announces no more, a node cut off", Str_LIT("quiet=1"), 0, true},
+    {"its node stops", {0}, SIGTERM, false},
+    {"its node stops, a node cut off", {0}, SIGTERM, true},
+    {"its node is killed", {0}, SIGKILL, false},
+    {"its node hangs", {0}, SIGSTOP, true},
+};
+
+enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
+
+static const Str preset =
+    Str_LIT("{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
+            "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+            "\"interactive\":true,\"idempotent\":true}]}");
+
+static void
+start_fleet(Fleet *fleet)
+{
+    Fleet_Init(fleet, build, 55, VMS, CONTROL);
+    Fleet_SetPreset(fleet, preset);
+    Fleet_UseProxy(fleet);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    Fleet_StartBackend(fleet, 0, Str_LIT("visor"), (Str){0});
+    Fleet_StartBackend(fleet, CUT, Str_LIT("visor"), (Str){0});
+    Fleet_StartBackend(fleet, LEAVING, Str_LIT("visor"), (Str){0});
+    for (int i = 0; i < VMS; i++) {
+        ck_assert(
+            Fleet_WaitFor(fleet, i, Str_LIT("/visor/ready"), Span_S(10)));
+    }
+    Fleet_Sleep(Span_S(1));
+}
+
+static uint64_t
+work_of(Fleet *fleet, int vm)
+{
+    return Fleet_BackendCount(fleet, vm, Str_LIT("served")) +
+           Fleet_BackendCount(fleet, vm, Str_LIT("shed"));
+}
+
+static void
+cut_off(Fleet *fleet)
+{
+    for (int i = 0; i < CONTROL; i++) {
+        StrBuf command = {0};
+        StrBuf_AppendFmt(&command, "hold n%d-%d both\nhold n%d-%d both", CUT,
+                         i, i, CUT);
+        ck_assert(Fleet_Proxy(fleet, StrBuf_View(&command)));
+        StrBuf_Finish(&command);
+    }
+    Fleet_Sleep(Span_S(2));
+}
+
+static void
+leave(Fleet *fleet, const LeaveCase *c)
+{
+    if (c->knobs.len) {
+        ck_assert(Fleet_Knob(fleet, LEAVING, c->knobs));
+    }
+    if (c->node_dies) {
+        kill(fleet->vms[LEAVING].node, c->node_dies);
+    }
+}
+
+START_TEST(no_new_work)
+{
+    const LeaveCase *c = &cases[_i];
+    Fleet fleet;
+    FleetLoad load = {.method = Str_LIT("GET"),
+                      .path = Str_LIT("/visor/a"),
+                      .nodes = LEAVING, /* through every other node */
+                      .processes = 8,
+                      .pause = Span_MS(5)};
+    uint64_t before;
+    uint64_t after;
+
+    start_fleet(&fleet);
+    if (c->cut) {
+        cut_off(&fleet);
+    }
+    before = work_of(&fleet, LEAVING);
+    Fleet_StartLoad(&fleet, &load);
+    Fleet_Sleep(Span_MS(500));
+    ck_assert_msg(work_of(&fleet, LEAVING) > before, "%s: no work before",
+                  c->name);
+    leave(&fleet, c);
+    Fleet_Sleep(NOTICE);
+    before = work_of(&fleet, LEAVING);
+    Fleet_Sleep(WATCHED);
+    after = work_of(&fleet, LEAVING);
+    ck_assert_msg(after == before, "%s: %d requests after 3 s", c->name,
+                  (int)(after - before));
+    Fleet_StopLoad(&fleet, &load);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{no_new_work, CASE_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("leaving", tests, 1, 60);
+}
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -30,7 +30,7 @@
 typedef struct {
     const char *name;
     bool replica;
-    size_t replicas;
+    int replicas;
     Step steps[STEPS_MAX];
     int came;
     int changed;
@@ -258,7 +258,7 @@
     MbrSettings settings = {
         .self = SELF,
         .replica = c->replica,
-        .replicas = c->replicas,
+        .replicas = (size_t)c->replicas,
         .expiry = EXPIRY,
         .listener = on_change,
         .context = &told,
@@ -285,7 +285,7 @@
 /* Rows are bounded, and what is gone for long is forgotten. */
 typedef struct {
     int nodes;
-    size_t kept;
+    int kept;
     Instant expire_at; /* 0: not */
     bool needs_whole;  /* who saw the first change */
 } BoundCase;
@@ -315,7 +315,7 @@
         Mbr_Expire(&mbr, EXPIRY + 1);
         Mbr_Expire(&mbr, c->expire_at);
     }
-    ck_assert_uint_eq(mbr.count, c->kept);
+    ck_assert_int_eq((int)mbr.count, c->kept);
     ck_assert(Mbr_NeedsWhole(&mbr, 1) == c->needs_whole);
     Mbr_Finish(&mbr);
 }
