--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -10,6 +10,21 @@
 #define TRIAL_PAUSE Span_S(5)
 #define TRIAL_TIME Span_S(1)
 
+static void
+tell(const Adm *adm, const AdmEvent *event)
+{
+    if (adm->observer) {
+        adm->observer(adm->observer_context, event);
+    }
+}
+
+void
+Adm_Observe(Adm *adm, AdmObserver observer, void *context)
+{
+    adm->observer = observer;
+    adm->observer_context = context;
+}
+
 void
 Adm_Init(Adm *adm, const AdmSettings *settings)
 {
@@ -23,6 +38,10 @@
 
     adm->settings = *settings;
     adm->settings.slots = slots;
+    tell(adm,
+         &(AdmEvent){.kind = Adm_DID_SETTINGS,
+                     .args = {settings->queue_max, settings->patient_queue_max,
+                              settings->ramp}});
 }
 
 void
@@ -34,18 +53,21 @@
     adm->present = true;
     adm->draining = draining;
     adm->settings.slots = slots;
+    tell(adm, &(AdmEvent){Adm_DID_ANNOUNCE, now, {slots, draining}, 0});
 }
 
 void
 Adm_OnGone(Adm *adm)
 {
     adm->present = false;
+    tell(adm, &(AdmEvent){.kind = Adm_DID_GONE});
 }
 
 void
 Adm_Leave(Adm *adm)
 {
     adm->leaving = true;
+    tell(adm, &(AdmEvent){.kind = Adm_DID_LEAVE});
 }
 
 void
@@ -58,6 +80,7 @@
         now - adm->turned_away_since >= EVIDENCE_SPAN) {
         adm->refuse_until = now + TRIAL_PAUSE;
     }
+    tell(adm, &(AdmEvent){.kind = Adm_DID_TURNED_AWAY, .at = now});
 }
 
 void
@@ -65,6 +88,7 @@
 {
     adm->turned_away = 0;
     adm->refuse_until = 0;
+    tell(adm, &(AdmEvent){.kind = Adm_DID_TAKEN});
 }
 
 /* True but for a trial. */
@@ -117,8 +141,8 @@
     return slots ? (Span)(adm->service_us * (ahead + 1) / slots) : 0;
 }
 
-AdmVerdict
-Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now)
+static AdmVerdict
+decide(Adm *adm, AdmClass cls, Span left, Instant now)
 {
     if (!adm->present) {
         return Adm_REFUSE_ABSENT;
@@ -146,6 +170,15 @@
     return Adm_QUEUE;
 }
 
+AdmVerdict
+Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now)
+{
+    AdmVerdict verdict = decide(adm, cls, left, now);
+
+    tell(adm, &(AdmEvent){Adm_DID_ASK, now, {cls, left}, verdict});
+    return verdict;
+}
+
 void
 Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now)
 {
@@ -162,6 +195,7 @@
         }
     }
     adm->error += SMOOTHING * ((failed ? 1.0 : 0.0) - adm->error);
+    tell(adm, &(AdmEvent){Adm_DID_END, now, {took, failed}, 0});
 }
 
 void
@@ -170,6 +204,7 @@
     if (adm->queued[cls]) {
         adm->queued[cls]--;
     }
+    tell(adm, &(AdmEvent){.kind = Adm_DID_LEAVE_LINE, .args = {cls}});
 }
 
 bool
@@ -189,6 +224,7 @@
     }
     adm->queued[*cls]--;
     adm->running++;
+    tell(adm, &(AdmEvent){.kind = Adm_DID_NEXT, .at = now, .outcome = *cls});
     return true;
 }
 
@@ -204,3 +240,55 @@
         .draining = adm->draining || adm->leaving || adm->refuse_until > 0,
     };
 }
+
+static int64_t
+replay_next(Adm *adm, Instant now)
+{
+    AdmClass cls;
+
+    return Adm_Next(adm, now, &cls) ? (int64_t)cls : -1;
+}
+
+int64_t
+Adm_Replay(Adm *adm, const AdmEvent *event)
+{
+    const int64_t *args = event->args;
+    AdmSettings settings = {.queue_max = (uint32_t)args[0],
+                            .patient_queue_max = (uint32_t)args[1],
+                            .ramp = args[2]};
+
+    switch (event->kind) {
+    case Adm_DID_SETTINGS:
+        Adm_SetSettings(adm, &settings);
+        break;
+    case Adm_DID_ANNOUNCE:
+        Adm_OnAnnounce(adm, (uint32_t)args[0], args[1] != 0, event->at);
+        break;
+    case Adm_DID_GONE:
+        Adm_OnGone(adm);
+        break;
+    case Adm_DID_LEAVE:
+        Adm_Leave(adm);
+        break;
+    case Adm_DID_ASK:
+        return Adm_Ask(adm, args[0] ? Adm_PATIENT : Adm_INTERACTIVE, args[1],
+                       event->at);
+    case Adm_DID_TURNED_AWAY:
+        Adm_OnTurnedAway(adm, event->at);
+        break;
+    case Adm_DID_TAKEN:
+        Adm_OnTaken(adm);
+        break;
+    case Adm_DID_END:
+        Adm_OnEnd(adm, args[0], args[1] != 0, event->at);
+        break;
+    case Adm_DID_LEAVE_LINE:
+        Adm_OnLeave(adm, args[0] ? Adm_PATIENT : Adm_INTERACTIVE);
+        break;
+    case Adm_DID_NEXT:
+        return replay_next(adm, event->at);
+    case Adm_EVENTS:
+        break;
+    }
+    return 0;
+}
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -28,7 +28,35 @@
     Span ramp; /* cold start: slots open one by one over this span */
 } AdmSettings;
 
+/* What was fed to a decider and what it answered, for traces. */
+typedef enum {
+    Adm_DID_SETTINGS = 0, /* queue_max, patient_queue_max, ramp */
+    Adm_DID_ANNOUNCE,     /* slots, draining */
+    Adm_DID_GONE,
+    Adm_DID_LEAVE,
+    Adm_DID_ASK, /* class, time left; outcome: the verdict */
+    Adm_DID_TURNED_AWAY,
+    Adm_DID_TAKEN,
+    Adm_DID_END,        /* time it took, failed */
+    Adm_DID_LEAVE_LINE, /* class */
+    Adm_DID_NEXT,       /* outcome: the class */
+    Adm_EVENTS
+} AdmEventKind;
+
+enum { Adm_ARGS = 3 };
+
+typedef struct {
+    AdmEventKind kind;
+    Instant at; /* 0: the time does not matter */
+    int64_t args[Adm_ARGS];
+    int64_t outcome;
+} AdmEvent;
+
+typedef void (*AdmObserver)(void *context, const AdmEvent *event);
+
 typedef struct {
+    AdmObserver observer; /* NULL: nobody */
+    void *observer_context;
     AdmSettings settings;
     bool present; /* a backend server is announced */
     bool draining;
@@ -73,4 +101,10 @@
 
 LoadReport Adm_Report(const Adm *adm);
 
+/* Tell OBSERVER of each event from now on. */
+void Adm_Observe(Adm *adm, AdmObserver observer, void *context);
+
+/* Feed EVENT; what is answered now. */
+int64_t Adm_Replay(Adm *adm, const AdmEvent *event);
+
 #endif
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -215,6 +215,9 @@
     AdmSettings admission = {0};
 
     Adm_Init(&node->admission, &admission);
+    if (node->recorder.file) {
+        Adm_Observe(&node->admission, Rec_OnAdmission, &node->recorder);
+    }
     Bck_PoolInit(&node->pool, node->loop.base, Loop_Now);
     Ann_Init(&node->ann, settings, &node->logger, &node->admission,
              &node->pool, on_announced, node);
@@ -274,6 +277,7 @@
     /* Wall clock: a later start has the higher incarnation. */
     node->incarnation = (uint64_t)Loop_WallClock();
     if (!load_preset(node, err) ||
+        !Rec_Init(&node->recorder, StrBuf_View(&settings->record), err) ||
         !Net_Init(&node->net, &node->loop, &node->timeline, &node->counters,
                   settings, err)) {
         return false;
@@ -302,6 +306,7 @@
     Edge_Finish(&node->edge);
     finish_parts(node);
     Net_Finish(&node->net);
+    Rec_Finish(&node->recorder);
     Inf_Release(node->in_force);
     StrBuf_Finish(&node->preset_json);
     Rng_Finish(&node->rng);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -14,6 +14,7 @@
 #include "process/holder.h"
 #include "process/members.h"
 #include "process/operate.h"
+#include "process/recorder.h"
 #include "process/show.h"
 #include "process/stop.h"
 #include "request/call.h"
@@ -45,6 +46,7 @@
     Opr opr;
     Show show;
     Stp stop;
+    Recorder recorder;
     Instant started_at;
     Instant confirmed_at; /* of the first version in force; 0: none */
     LoopTimer tick;
--- /dev/null
+++ b/src/process/replay.h
@@ -0,0 +1,20 @@
+/* Rpl: drives a decider from a recorded trace and compares what it answers
+ * with the outcomes in the trace.
+ */
+#ifndef REPLAY_H
+#define REPLAY_H
+
+#include "process/admission.h"
+#include "value/finding.h"
+
+typedef struct {
+    size_t events;
+    size_t refused; /* attempts that were not taken */
+    size_t differing;
+} RplResult;
+
+/* Replay TEXT; what differs and what cannot be read are findings, with the
+ * line as their place.  True when there was neither. */
+bool Rpl_Run(Str text, RplResult *result, FindingList *findings);
+
+#endif
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -34,6 +34,7 @@
     Mem_Free(settings->routes);
     StrBuf_Finish(&settings->name);
     StrBuf_Finish(&settings->data_folder);
+    StrBuf_Finish(&settings->record);
     StrBuf_Finish(&settings->preset);
     StrBuf_Finish(&settings->operator_key);
     StrBuf_Finish(&settings->curve_public);
@@ -222,6 +223,7 @@
     Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
     Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
     Set_ReadKeys(settings, o);
+    Jsn_GetStr(o, Str_LIT("record"), false, &settings->record);
     read_log_level(settings, o);
     read_times(settings, o);
     settings->header_bytes_max = (uint32_t)Jsn_GetInt(
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -39,6 +39,7 @@
     size_t route_count;
     bool control;        /* carries the control replica role */
     StrBuf data_folder;  /* of a control replica */
+    StrBuf record;       /* file for a trace of decisions; empty: none */
     StrBuf preset;       /* file, in force until the fleet agreed on one */
     StrBuf operator_key; /* needed for operators' requests */
     StrBuf curve_public; /* Z85; this node's; empty: no CURVE */
--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -143,6 +143,10 @@
                      Str_ARG(fleet->folder), vm->number);
     StrBuf_AppendFmt(out, "\"preset\":\"%.*s/preset.json\",",
                      Str_ARG(fleet->folder));
+    if (getenv("RECORD_FLEET")) {
+        StrBuf_AppendFmt(out, "\"record\":\"%.*s/trace%d\",",
+                         Str_ARG(fleet->folder), vm->number);
+    }
     StrBuf_AppendFmt(out,
                      "\"operator_key\":\"test-key\","
                      "\"heartbeat_ms\":200,\"member_expiry_ms\":1000,"
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -1,4 +1,8 @@
-/* Fleet: processes of a small fleet on loopback addresses, for tests. */
+/* Fleet: processes of a small fleet on loopback addresses, for tests.
+ *
+ * With KEEP_FLEET in the environment the folder stays, and with RECORD_FLEET
+ * each node writes a trace of its decisions there.
+ */
 #ifndef FLEET_H
 #define FLEET_H
 
--- /dev/null
+++ b/tests/unit/test_replay.c
@@ -0,0 +1,90 @@
+/* Recorded traces of real runs, driven through the deciders again. */
+#include "process/replay.h"
+#include "process/settings.h"
+#include "support/suite.h"
+
+typedef struct {
+    const char *name;
+    Str file;
+    size_t least;   /* events in it */
+    size_t refused; /* attempts that were not taken, at least */
+} TraceCase;
+
+static const TraceCase traces[] = {
+    {"announced", Str_LIT("tests/traces/announced-drain.jsonl"), 20, 0},
+    {"turns all away", Str_LIT("tests/traces/turns-away.jsonl"), 50, 1},
+    {"its node stops", Str_LIT("tests/traces/node-stops.jsonl"), 20, 0},
+    {"announces no more", Str_LIT("tests/traces/no-announcement.jsonl"), 50,
+     1},
+};
+
+enum { TRACE_COUNT = sizeof traces / sizeof traces[0] };
+
+START_TEST(decides_as_it_did)
+{
+    const TraceCase *c = &traces[_i];
+    StrBuf text = {0};
+    StrBuf report = {0};
+    FindingList findings;
+    RplResult result;
+    bool good;
+
+    Fnd_Init(&findings);
+    ck_assert_msg(Set_ReadFile(c->file, &text, NULL), "%s: no file", c->name);
+    good = Rpl_Run(StrBuf_View(&text), &result, &findings);
+    Fnd_Print(&findings, &report);
+    ck_assert_msg(good, "%s: %.*s", c->name, Str_ARG(report));
+    ck_assert_uint_ge(result.events, c->least);
+    ck_assert_uint_ge(result.refused, c->refused);
+    StrBuf_Finish(&text);
+    StrBuf_Finish(&report);
+    Fnd_Finish(&findings);
+}
+END_TEST
+
+/* Traces that differ, or cannot be read, are found. */
+#define HEADER "{\"trace\":1,\"decider\":\"admission\"}\n"
+
+typedef struct {
+    const char *name;
+    Str text;
+} BadCase;
+
+static const BadCase bad[] = {
+    {"another outcome",
+     Str_LIT(HEADER "{\"at\":1,\"do\":\"announce\",\"args\":[2,0,0],"
+                    "\"outcome\":0}\n"
+                    "{\"at\":2,\"do\":\"ask\",\"args\":[0,9,0],"
+                    "\"outcome\":1}\n")},
+    {"no JSON", Str_LIT(HEADER "{\"at\":1,")},
+    {"no such event", Str_LIT(HEADER "{\"at\":1,\"do\":\"melt\",\"args\":"
+                                     "[0,0,0],\"outcome\":0}\n")},
+    {"arguments missing", Str_LIT(HEADER "{\"at\":1,\"do\":\"ask\",\"args\":"
+                                         "[0],\"outcome\":0}\n")},
+    {"another version", Str_LIT("{\"trace\":2,\"decider\":\"admission\"}\n")},
+    {"another decider", Str_LIT("{\"trace\":1,\"decider\":\"oracle\"}\n")},
+};
+
+enum { BAD_COUNT = sizeof bad / sizeof bad[0] };
+
+START_TEST(finds_what_is_wrong)
+{
+    FindingList findings;
+    RplResult result;
+
+    Fnd_Init(&findings);
+    ck_assert_msg(!Rpl_Run(bad[_i].text, &result, &findings), "%s",
+                  bad[_i].name);
+    ck_assert_uint_eq(findings.count, 1);
+    Fnd_Finish(&findings);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {{decides_as_it_did, TRACE_COUNT},
+                               {finds_what_is_wrong, BAD_COUNT}};
+
+    return Suite_Run("replay", tests, 2, 10);
+}
--- /dev/null
+++ b/tools/replay_main.c
@@ -0,0 +1,49 @@
+/* replay: drives the deciders from recorded traces and compares. */
+#include <argtable2.h>
+#include <stdio.h>
+
+#include "process/replay.h"
+#include "process/settings.h"
+
+static bool
+replay_file(Str file)
+{
+    StrBuf text = {0};
+    StrBuf report = {0};
+    FindingList findings;
+    RplResult result = {0};
+    Err err = {0};
+    bool good;
+
+    Fnd_Init(&findings);
+    Fnd_SetFile(&findings, file);
+    good = Set_ReadFile(file, &text, &err) &&
+           Rpl_Run(StrBuf_View(&text), &result, &findings);
+    Fnd_Print(&findings, &report);
+    printf("%.*s: %zu events, %zu refused, %zu differ\n", Str_ARG(file),
+           result.events, result.refused, result.differing);
+    fprintf(stderr, "%.*s%.*s", Str_ARG(report), Str_ARG(Err_Text(&err)));
+    StrBuf_Finish(&text);
+    StrBuf_Finish(&report);
+    Fnd_Finish(&findings);
+    return good;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_file *files = arg_filen(NULL, NULL, "TRACE", 1, 100, "traces");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {files, end};
+    int bad = 0;
+
+    if (arg_parse(argc, argv, table)) {
+        arg_print_errors(stderr, end, "replay");
+        arg_print_glossary(stderr, table, "  %-24s %s\n");
+        return 2;
+    }
+    for (int i = 0; i < files->count; i++) {
+        bad += !replay_file(Str_FromC(files->filename[i]));
+    }
+    return bad ? 1 : 0;
+}
