--- a/src/process/node.c
+++ b/src/process/node.c
@@ -14,6 +14,22 @@
 /* And without knowing it after this: it tells callers so. */
 #define OPEN_ANYWAY Span_S(5)
 
+/* In the time line of the control replicas only: each node would say it. */
+static void
+tell_member(Node *node, MbrChange change, const MbrRecord *record)
+{
+    StrBuf addr = {0};
+
+    if (node->settings->control && change != Mbr_CHANGED) {
+        Addr_Print(record->node, &addr);
+        Tml_Record(&node->timeline,
+                   change == Mbr_CAME ? Tml_MEMBER_CAME : Tml_MEMBER_GONE,
+                   "%.*s service=%.*s%s", Str_ARG(addr),
+                   Str_ARG(record->service), record->leaving ? " left" : "");
+        StrBuf_Finish(&addr);
+    }
+}
+
 static void
 on_member(void *context, MbrChange change, const MbrRecord *record,
           Instant now)
@@ -21,6 +37,7 @@
     Node *node = context;
 
     Svc_OnMember(&node->services, change, record, now);
+    tell_member(node, change, record);
     if (change == Mbr_GONE) {
         Net_Drop(&node->net, record->node);
     }
@@ -30,7 +47,12 @@
 on_announced(void *context, Instant now)
 {
     Node *node = context;
+    const Ann *ann = &node->ann;
+    TmlKind kind = !ann->present   ? Tml_BACKEND_GONE
+                   : ann->draining ? Tml_BACKEND_DRAINS
+                                   : Tml_BACKEND_CAME;
 
+    Tml_Record(&node->timeline, kind, "service=%.*s", Str_ARG(ann->service));
     Mbs_SendRecord(&node->members, now);
 }
 
@@ -98,6 +120,7 @@
     Run_HubTick(&node->runs, now);
     open_when_ready(node, now);
     take_stop_step(node, now);
+    Msr_OnTick(&node->measure, now);
 }
 
 static bool
@@ -143,6 +166,8 @@
 
     node->calls.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
+    Msr_SetLimits(&node->measure, limits, Loop_Now());
+    Lnk_SetRate(&node->calls.link, limits->link_bytes_per_s, Loop_Now());
     Adm_SetSettings(&node->admission, &admission);
     Run_SetLimits(&node->runs, limits);
     Hld_SetLimits(&node->holder, limits);
@@ -223,6 +248,7 @@
              &node->pool, on_announced, node);
     Svc_Init(&node->services, settings->address, settings->region,
              settings->domain, &node->rng);
+    Msr_Init(&node->measure, &node->net, &node->counters, &node->services);
     Mbs_Init(&node->members, &node->loop, &node->net, &node->counters,
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
