--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -28,11 +28,43 @@
     Span ramp; /* cold start: slots open one by one over this span */
 } AdmSettings;
 
+/* What was fed to a decider and what it answered, for traces. */
+typedef enum {
+    Adm_DID_SETTINGS = 0, /* queue_max, patient_queue_max, ramp */
+    Adm_DID_ANNOUNCE,     /* slots, draining */
+    Adm_DID_GONE,
+    Adm_DID_LEAVE,
+    Adm_DID_ASK, /* class, time left; outcome: the verdict */
+    Adm_DID_TURNED_AWAY,
+    Adm_DID_TAKEN,
+    Adm_DID_END,        /* time it took, failed */
+    Adm_DID_LEAVE_LINE, /* class */
+    Adm_DID_NEXT,       /* outcome: the class */
+    Adm_EVENTS
+} AdmEventKind;
+
+enum { Adm_ARGS = 3 };
+
+typedef struct {
+    AdmEventKind kind;
+    Instant at; /* 0: the time does not matter */
+    int64_t args[Adm_ARGS];
+    int64_t outcome;
+} AdmEvent;
+
+typedef void (*AdmObserver)(void *context, const AdmEvent *event);
+
 typedef struct {
+    AdmObserver observer; /* NULL: nobody */
+    void *observer_context;
     AdmSettings settings;
     bool present; /* a backend server is announced */
     bool draining;
-    Instant since; /* of the announcement, for the ramp */
+    bool leaving;              /* the node itself stops */
+    uint32_t turned_away;      /* answers in a row that refused the work */
+    Instant turned_away_since; /* first of these */
+    Instant refuse_until;      /* it leaves, to all appearance; 0: no */
+    Instant since;             /* of the announcement, for the ramp */
     uint32_t running;
     uint32_t queued[Adm_CLASSES];
     double service_us; /* smoothed time of one request */
@@ -46,9 +78,18 @@
 void Adm_OnAnnounce(Adm *adm, uint32_t slots, bool draining, Instant now);
 void Adm_OnGone(Adm *adm);
 
+/* The node stops: no attempt is taken from now on. */
+void Adm_Leave(Adm *adm);
+
 /* Decide; Adm_RUN and Adm_QUEUE are counted at once. */
 AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now);
 
+/* The backend server turned an attempt away (503, or no connection), or took
+ * one.  One that turns everything away gets no work but a trial now and
+ * then, as if it had announced that it leaves. */
+void Adm_OnTurnedAway(Adm *adm, Instant now);
+void Adm_OnTaken(Adm *adm);
+
 /* A running attempt ended after TOOK. */
 void Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now);
 
@@ -60,4 +101,10 @@
 
 LoadReport Adm_Report(const Adm *adm);
 
+/* Tell OBSERVER of each event from now on. */
+void Adm_Observe(Adm *adm, AdmObserver observer, void *context);
+
+/* Feed EVENT; what is answered now. */
+int64_t Adm_Replay(Adm *adm, const AdmEvent *event);
+
 #endif
