Split the replicas' hellos and the log's rules into files of their own

The tests' Ops_MustChange sent a change on base 0.0 when no leader answered its question for the newest; such a change rightly loses, and its id keeps that outcome. It now asks again, within the same time.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -9,15 +9,10 @@
 #define TICK Span_MS(20)
 #define ELECTION Span_MS(1000)
 #define HEARTBEAT Span_MS(200)
-#define HELLO Span_MS(500)
-#define HELLO_BLANK Span_MS(100) /* while the fleet's history may begin */
-#define HELLO_EXPIRY Span_MS(2000)
 #define OPEN_AGAIN Span_S(5)
 
 enum { LOG_MAX = 128 };
 
-static const Str genesis_id = Str_LIT("genesis");
-
 void
 Ctl_Count(Control *control, const Pack *pack)
 {
@@ -297,172 +292,11 @@
     }
 }
 
-static void
-send_hello(Control *control, Addr to, const NetOrigin *origin, Instant now)
-{
-    HelloMsg hello = {
-        .identity = control->disk.identity,
-        .addr = control->settings->address,
-        .blank = Rlog_IsBlank(&control->rlog),
-        .answer = origin != NULL,
-    };
-    Pack pack;
-
-    Logmsg_PackHello(&pack, &hello);
-    Ctl_Count(control, &pack);
-    if (origin) {
-        Net_Answer(control->net, origin, Pack_View(&pack), now);
-    }
-    else {
-        Net_Send(control->net, to, Pack_View(&pack), now);
-    }
-    Pack_Finish(&pack);
-}
-
-static void
-send_hellos(Control *control, Instant now)
-{
-    const Settings *settings = control->settings;
-    bool blank = Rlog_IsBlank(&control->rlog);
-
-    if (now < control->hello_at) {
-        return;
-    }
-    control->hello_at = now + (blank ? HELLO_BLANK : HELLO);
-    for (size_t i = 0; i < settings->replica_count; i++) {
-        if (settings->replicas[i] != settings->address) {
-            send_hello(control, settings->replicas[i], NULL, now);
-        }
-    }
-}
-
-static void
-on_hello(void *context, const NetOrigin *origin, Unpack *in, Instant now)
-{
-    Control *control = context;
-    const Settings *settings = control->settings;
-    HelloMsg hello;
-    Err err = {0};
-
-    if (!Logmsg_ReadHello(in, &hello, &err)) {
-        Cnt_Add(control->counters, Cnt_MALFORMED, 1);
-        return;
-    }
-    for (size_t i = 0; i < settings->replica_count; i++) {
-        if (settings->replicas[i] == hello.addr) {
-            control->hellos[i] = (CtlHello){hello.identity, hello.blank, now};
-        }
-    }
-    if (!hello.answer && control->open) {
-        send_hello(control, hello.addr, origin, now);
-    }
-}
-
-static bool
-is_heard(const CtlHello *hello, Instant now)
-{
-    return hello->heard_at && now - hello->heard_at < HELLO_EXPIRY;
-}
-
-/* Begin the history, when all are here and none holds anything. */
-static void
-found(Control *control, Instant now)
-{
-    const Settings *settings = control->settings;
-    RlogReplicas voters = {.count = (uint32_t)settings->replica_count};
-
-    if (settings->replicas[0] != settings->address ||
-        !Rlog_IsBlank(&control->rlog)) {
-        return;
-    }
-    voters.items[0] =
-        (RlogReplica){control->disk.identity, settings->address, true, true};
-    for (size_t i = 1; i < settings->replica_count; i++) {
-        const CtlHello *hello = &control->hellos[i];
-        if (!is_heard(hello, now) || !hello->blank) {
-            return;
-        }
-        voters.items[i] =
-            (RlogReplica){hello->identity, settings->replicas[i], true, true};
-    }
-    Rlog_Found(&control->rlog, &voters, now);
-}
-
-static void
-introduce(Control *control, Instant now)
-{
-    const Settings *settings = control->settings;
-
-    for (size_t i = 0; i < settings->replica_count; i++) {
-        const CtlHello *hello = &control->hellos[i];
-        if (is_heard(hello, now)) {
-            Rlog_OnReplica(&control->rlog, hello->identity,
-                           settings->replicas[i], now);
-        }
-    }
-}
-
-static bool
-is_listed(const Settings *settings, Addr addr)
-{
-    for (size_t i = 0; i < settings->replica_count; i++) {
-        if (settings->replicas[i] == addr) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* A replica may have moved to another address. */
-static void
-drop_unlisted(Control *control, Instant now)
-{
-    const Settings *settings = control->settings;
-
-    for (uint32_t i = 0; i < control->replicas.count; i++) {
-        Addr addr = control->replicas.items[i].addr;
-        if (!is_listed(settings, addr)) {
-            Rlog_OnUnlisted(&control->rlog, addr,
-                            (uint32_t)settings->replica_count, now);
-            return;
-        }
-    }
-}
-
-/* The first version of all is the preset in the leader's file. */
-static void
-propose_genesis(Control *control, Instant now)
-{
-    CfgChange change = {
-        .verb = Cfg_PUT,
-        .id = genesis_id,
-        .preset = StrBuf_View(&control->preset_name),
-        .json = StrBuf_View(&control->preset_json),
-    };
-    Pack pack;
-
-    if (Cfg_InForce(&control->cfg) ||
-        control->genesis_term == control->rlog.term) {
-        return;
-    }
-    control->genesis_term = control->rlog.term;
-    Pack_Init(&pack, Cfg_CHANGE_FIELDS);
-    Cfg_PackChange(&pack, &change);
-    Rlog_Propose(&control->rlog, Pack_View(&pack), now);
-    Pack_Finish(&pack);
-}
-
 static void
 run_role(Control *control, Instant now)
 {
     Rlog_OnTick(&control->rlog, now);
-    send_hellos(control, now);
-    found(control, now);
-    if (Ctl_IsCurrent(control, now)) {
-        introduce(control, now);
-        drop_unlisted(control, now);
-        propose_genesis(control, now);
-    }
+    Ctl_TickHello(control, now);
     Ctl_TellVersion(control, now);
     if (control->rlog.failed) {
         control->open_at = now + OPEN_AGAIN;
@@ -528,7 +362,7 @@
     control->watchers = Mem_Alloc(Ctl_WATCHERS_MAX, sizeof *control->watchers);
     open_role(control, Loop_Now());
     Net_On(net, Wire_LOG, on_log, control);
-    Net_On(net, Wire_HELLO, on_hello, control);
+    Ctl_ServeHello(control);
     Ctl_Serve(control);
     LoopTimer_Init(&control->tick, loop, TICK, on_tick, control);
 }
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -93,6 +93,11 @@
 /* Serve nodes: changes, versions, presets (control_serve.c). */
 void Ctl_Serve(Control *control);
 
+/* Exchange identities with the other control replicas: the beginning of the
+ * history, and replicas that come and go (control_hello.c). */
+void Ctl_ServeHello(Control *control);
+void Ctl_TickHello(Control *control, Instant now);
+
 /* The entry at TERM, INDEX was decided. */
 void Ctl_OnDecided(Control *control, uint64_t term, uint64_t index,
                    const CfgResult *result, Instant now);
--- a/tests/integration/operators.c
+++ b/tests/integration/operators.c
@@ -164,6 +164,9 @@
         if (change->base.term == 0) {
             change->base = Ops_Newest(fleet, change->vm);
         }
+        if (change->base.term == 0) {
+            continue; /* no leader: the change would lose on this base */
+        }
         Ops_Change(fleet, change, &answer);
         accepted = answer.status == 200;
         Ops_Finish(&answer);
--- /dev/null
+++ b/tests/unit/test_rlog_rules.c
@@ -0,0 +1,139 @@
+/* The rules of one replica: its vote, and what it commits as a leader. */
+#include "support/rlogworld.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+/* One replica with a log of entries of TERMS, alone with a message. */
+typedef struct {
+    const char *name;
+    Span since_heard; /* from a leader, or the start */
+    uint64_t term;
+    uint64_t voted_for;
+    uint64_t from;
+    uint64_t asked_term;
+    uint64_t last_term;
+    uint64_t last_index;
+    uint64_t stored_term; /* afterwards, on disk */
+    uint64_t stored_vote;
+    bool pre;
+    bool granted;
+} VoteCase;
+
+#define LATER Span_MS(1000)
+#define SOON Span_MS(990)
+
+/* Its log ends with entry 3 of term 2. */
+static const VoteCase votes_cases[] = {
+    {"free", LATER, 2, 0, 8, 3, 2, 3, 3, 8, false, true},
+    {"bound to a leader", SOON, 2, 0, 8, 3, 2, 3, 2, 0, false, false},
+    {"bound, pre", SOON, 2, 0, 8, 3, 2, 3, 2, 0, true, false},
+    {"a trial stores nothing", LATER, 2, 0, 8, 3, 2, 3, 2, 0, true, true},
+    {"a trial of the same term", LATER, 3, 0, 8, 3, 2, 3, 3, 0, true, false},
+    {"voted for another", LATER, 3, 9, 8, 3, 2, 3, 3, 9, false, false},
+    {"voted for it", LATER, 3, 8, 8, 3, 2, 3, 3, 8, false, true},
+    {"a term that is over", LATER, 4, 0, 8, 3, 2, 3, 4, 0, false, false},
+    {"shorter log", LATER, 2, 0, 8, 3, 2, 2, 3, 0, false, false},
+    {"older log", LATER, 2, 0, 8, 3, 1, 9, 3, 0, false, false},
+    {"shorter but later log", LATER, 2, 0, 8, 4, 3, 1, 4, 8, false, true},
+    {"shorter log, pre", LATER, 2, 0, 8, 3, 2, 2, 2, 0, true, false},
+};
+
+static RlogMessage last_sent;
+
+static void
+keep_sent(void *context, const RlogMessage *message)
+{
+    (void)context;
+    last_sent = *message;
+}
+
+/* Replica 0 of WORLD alone, its log of one entry for each of TERMS. */
+static Rlog *
+lone_replica(World *world, const uint64_t *terms, int count)
+{
+    Rlog *rlog = &world->replicas[0].rlog;
+
+    World_Init(world, 3, 1);
+    rlog->out.send = keep_sent;
+    for (int i = 1; i < count; i++) {
+        RlogEntry entry = {terms[i], (uint64_t)i + 1, Rlog_CHANGE,
+                           Str_LIT("x")};
+        ck_assert(Rlog_RestoreEntry(rlog, &entry, NULL));
+    }
+    return rlog;
+}
+
+START_TEST(votes_by_its_rules)
+{
+    const VoteCase *c = &votes_cases[_i];
+    const uint64_t terms[] = {1, 2, 2};
+    static World world;
+    Rlog *rlog = lone_replica(&world, terms, 3);
+    RlogMessage ask = {.kind = Rlog_VOTE,
+                       .from = c->from,
+                       .to = rlog->settings.identity,
+                       .term = c->asked_term,
+                       .pre = c->pre,
+                       .last_term = c->last_term,
+                       .last_index = c->last_index};
+
+    world.replicas[0].term = c->term;
+    world.replicas[0].voted_for = c->voted_for;
+    Rlog_RestoreVote(rlog, c->term, c->voted_for);
+    Rlog_OnMessage(rlog, &ask, world.now + c->since_heard);
+    ck_assert_int_eq(last_sent.kind, Rlog_VOTED);
+    ck_assert_msg(last_sent.granted == c->granted, "%s", c->name);
+    ck_assert_msg(world.replicas[0].term == c->stored_term, "%s", c->name);
+    ck_assert_msg(world.replicas[0].voted_for == c->stored_vote, "%s",
+                  c->name);
+    World_Finish(&world);
+}
+END_TEST
+
+/* A new leader of term 4 whose log is entries of terms 1, 2, 2 and its own
+ * first one; two of three hold what MATCH names. */
+typedef struct {
+    uint64_t match;
+    uint64_t commit;
+} CommitCase;
+
+static const CommitCase commits[] = {{2, 0}, {3, 0}, {4, 4}};
+
+START_TEST(commits_only_by_its_own_term)
+{
+    const CommitCase *c = &commits[_i];
+    const uint64_t terms[] = {1, 2, 2};
+    static World world;
+    Rlog *rlog = lone_replica(&world, terms, 3);
+    RlogMessage message = {.kind = Rlog_VOTED,
+                           .from = world.replicas[1].identity,
+                           .to = rlog->settings.identity,
+                           .term = 4,
+                           .pre = true,
+                           .granted = true};
+
+    Rlog_RestoreVote(rlog, 3, 0);
+    Rlog_OnTick(rlog, world.now + Span_S(3));
+    Rlog_OnMessage(rlog, &message, world.now + Span_S(3));
+    message.pre = false;
+    Rlog_OnMessage(rlog, &message, world.now + Span_S(3));
+    ck_assert_int_eq(rlog->role, Rlog_LEADER);
+    message.kind = Rlog_APPENDED;
+    message.last_index = c->match;
+    Rlog_OnMessage(rlog, &message, world.now + Span_S(3));
+    ck_assert_uint_eq(rlog->commit, c->commit);
+    World_Finish(&world);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {
+        {votes_by_its_rules, ROWS(votes_cases)},
+        {commits_only_by_its_own_term, ROWS(commits)},
+    };
+
+    return Suite_Run("rlog rules", tests, ROWS(tests), 30);
+}
