--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -10,6 +10,9 @@
 #include "support/suite.h"
 #include "value/mem.h"
 #include "value/rng.h"
+#include "version/config.h"
+#include "version/disklog.h"
+#include "version/frame.h"
 
 enum {
     SEED = 20261204,
@@ -192,16 +195,145 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    void (*make)(StrBuf *out);
+    bool (*read)(Str bytes, Err *err);
+} StoredCase;
+
+static void
+make_log(StrBuf *out)
+{
+    const RlogEntry entries[] = {
+        {2, 1, Rlog_NOOP, {0}},
+        {2, 2, Rlog_CHANGE, Str_LIT("change")},
+    };
+
+    Dlg_AppendEntries(out, entries, 2);
+    Dlg_AppendCut(out, 2);
+    Dlg_AppendEntries(out, &entries[1], 1);
+}
+
+static bool
+read_log(Str bytes, Err *err)
+{
+    DlgList list;
+    bool good;
+
+    Dlg_Init(&list);
+    good = Dlg_Read(&list, bytes, err);
+    for (size_t i = 0; good && i < list.count; i++) {
+        Sample_Touch(list.items[i].data);
+    }
+    Dlg_Finish(&list);
+    return good;
+}
+
+/* The same without the frames' checksums, which stop nearly every change. */
+static void
+make_log_payload(StrBuf *out)
+{
+    StrBuf framed = {0};
+    Str rest;
+    Str payload;
+
+    make_log(&framed);
+    rest = StrBuf_View(&framed);
+    ck_assert_int_eq(Frm_Take(&rest, &payload), Frm_WHOLE);
+    StrBuf_Set(out, payload);
+    StrBuf_Finish(&framed);
+}
+
+static bool
+read_log_payload(Str bytes, Err *err)
+{
+    StrBuf framed = {0};
+    bool good;
+
+    Frm_Append(&framed, bytes);
+    good = read_log(StrBuf_View(&framed), err);
+    StrBuf_Finish(&framed);
+    return good;
+}
+
+static void
+make_config(StrBuf *out)
+{
+    const CfgChange change = {
+        .verb = Cfg_PUT,
+        .id = Str_LIT("id-1"),
+        .preset = Str_LIT("p"),
+        .json = Str_LIT("{\"name\":\"p\",\"limits\":{},\"routes\":[]}"),
+    };
+    CfgResult result;
+    Cfg cfg;
+
+    Cfg_Init(&cfg);
+    Cfg_Apply(&cfg, &change, (CfgVersion){2, 3}, &result);
+    Cfg_Save(&cfg, out);
+    Cfg_Finish(&cfg);
+}
+
+static bool
+read_config(Str bytes, Err *err)
+{
+    Cfg cfg;
+    bool good;
+
+    Cfg_Init(&cfg);
+    good = Cfg_Load(&cfg, bytes, err);
+    Cfg_Finish(&cfg);
+    return good;
+}
+
+static const StoredCase stored[] = {
+    {"log file", make_log, read_log},
+    {"log frame", make_log_payload, read_log_payload},
+    {"configuration", make_config, read_config},
+};
+
+START_TEST(stored_state_bears_mutations)
+{
+    const StoredCase *c = &stored[_i];
+    StrBuf valid = {0};
+    Rng rng;
+    uint32_t refused = 0;
+
+    c->make(&valid);
+    ck_assert(c->read(StrBuf_View(&valid), NULL));
+    Rng_Init(&rng, seed + (uint64_t)_i);
+    for (int round = 0; round < MESSAGE_ROUNDS; round++) {
+        StrBuf bytes = {0};
+        Err err = {0};
+        Str exact;
+        StrBuf_Set(&bytes, StrBuf_View(&valid));
+        mutate(&bytes, &rng);
+        exact = copy_exactly(&bytes);
+        if (!c->read(exact, &err)) {
+            refused++;
+            ck_assert_msg(err.code != Err_NONE, "%s: refused without a word",
+                          c->name);
+        }
+        free((void *)exact.ptr);
+        StrBuf_Finish(&bytes);
+    }
+    ck_assert(refused > 0);
+    StrBuf_Finish(&valid);
+    Rng_Finish(&rng);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {
         {decoders_bear_mutations, Sample_Count()},
+        {stored_state_bears_mutations, sizeof stored / sizeof stored[0]},
         {parsers_bear_mutations, sizeof texts / sizeof texts[0]},
     };
 
     seed = SEED;
     Str_ToU64(Str_FromC(getenv("MUTATION_SEED")), &seed);
     printf("seed %llu\n", (unsigned long long)seed);
-    return Suite_Run("mutations", tests, 2, 60);
+    return Suite_Run("mutations", tests, 3, 60);
 }
