--- a/src/process/node.c
+++ b/src/process/node.c
@@ -4,6 +4,16 @@
 
 #define TICK Span_MS(10)
 
+/* Within so many heartbeats every node knows that another leaves. */
+enum { SETTLE_BEATS = 4 };
+
+/* A node that starts takes callers so many heartbeats after it knows the
+ * version in force: by then it knows its members. */
+enum { OPEN_BEATS = 2 };
+
+/* And without knowing it after this: it tells callers so. */
+#define OPEN_ANYWAY Span_S(5)
+
 /* In the time line of the control replicas only: each node would say it. */
 static void
 tell_member(Node *node, MbrChange change, const MbrRecord *record)
@@ -46,6 +56,60 @@
     Mbs_SendRecord(&node->members, now);
 }
 
+static StpLoad
+stop_load(const Node *node)
+{
+    return (StpLoad){
+        .calls = node->calls.count,
+        .runs = node->runs.count,
+        .answers = Edge_Busy(&node->edge),
+        .callers = Edge_Callers(&node->edge),
+        .asked_at = node->runs.asked_at,
+    };
+}
+
+static void
+take_stop_step(Node *node, Instant now)
+{
+    StpLoad load = stop_load(node);
+
+    switch (Stp_Decide(&node->stop, &load, now)) {
+    case Stp_NOTHING:
+        break;
+    case Stp_LEAVE:
+        Adm_Leave(&node->admission);
+        Mbs_Leave(&node->members, now);
+        Edge_Refuse(&node->edge);
+        break;
+    case Stp_STOP_LISTENING:
+        Edge_StopListening(&node->edge);
+        break;
+    case Stp_CLOSE_IDLE:
+        Edge_CloseIdle(&node->edge);
+        break;
+    case Stp_END:
+        Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("stopped"),
+                "cut=%d calls=%zu runs=%zu", node->stop.bounded, load.calls,
+                load.runs);
+        Loop_Stop(&node->loop);
+        break;
+    }
+}
+
+static void
+open_when_ready(Node *node, Instant now)
+{
+    Span beats = node->settings->heartbeat * OPEN_BEATS;
+
+    if (!node->confirmed_at && node->calls.confirmed) {
+        node->confirmed_at = now;
+    }
+    if ((node->confirmed_at && now - node->confirmed_at >= beats) ||
+        now - node->started_at >= OPEN_ANYWAY) {
+        Edge_Open(&node->edge);
+    }
+}
+
 static void
 on_tick(void *context, Instant now)
 {
@@ -54,6 +118,9 @@
     Ann_Expire(&node->ann, now);
     Call_HubTick(&node->calls, now);
     Run_HubTick(&node->runs, now);
+    open_when_ready(node, now);
+    take_stop_step(node, now);
+    Msr_OnTick(&node->measure, now);
 }
 
 static bool
@@ -99,6 +166,8 @@
 
     node->calls.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
+    Msr_SetLimits(&node->measure, limits, Loop_Now());
+    Lnk_SetRate(&node->calls.link, limits->link_bytes_per_s, Loop_Now());
     Adm_SetSettings(&node->admission, &admission);
     Run_SetLimits(&node->runs, limits);
     Hld_SetLimits(&node->holder, limits);
@@ -171,11 +240,15 @@
     AdmSettings admission = {0};
 
     Adm_Init(&node->admission, &admission);
+    if (node->recorder.file) {
+        Adm_Observe(&node->admission, Rec_OnAdmission, &node->recorder);
+    }
     Bck_PoolInit(&node->pool, node->loop.base, Loop_Now);
     Ann_Init(&node->ann, settings, &node->logger, &node->admission,
              &node->pool, on_announced, node);
     Svc_Init(&node->services, settings->address, settings->region,
              settings->domain, &node->rng);
+    Msr_Init(&node->measure, &node->net, &node->counters, &node->services);
     Mbs_Init(&node->members, &node->loop, &node->net, &node->counters,
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
@@ -230,6 +303,7 @@
     /* Wall clock: a later start has the higher incarnation. */
     node->incarnation = (uint64_t)Loop_WallClock();
     if (!load_preset(node, err) ||
+        !Rec_Init(&node->recorder, StrBuf_View(&settings->record), err) ||
         !Net_Init(&node->net, &node->loop, &node->timeline, &node->counters,
                   settings, err)) {
         return false;
@@ -240,6 +314,9 @@
         Net_Finish(&node->net);
         return false;
     }
+    Stp_Init(&node->stop, &(StpSettings){settings->stop_bound,
+                                         settings->heartbeat * SETTLE_BEATS});
+    node->started_at = Loop_Now();
     LoopTimer_Init(&node->tick, &node->loop, TICK, on_tick, node);
     Tml_Record(&node->timeline, Tml_STARTED, "incarnation=%llu",
                (unsigned long long)node->incarnation);
@@ -255,6 +332,7 @@
     Edge_Finish(&node->edge);
     finish_parts(node);
     Net_Finish(&node->net);
+    Rec_Finish(&node->recorder);
     Inf_Release(node->in_force);
     StrBuf_Finish(&node->preset_json);
     Rng_Finish(&node->rng);
@@ -267,3 +345,12 @@
 {
     Loop_Run(&node->loop);
 }
+
+void
+Node_Stop(Node *node, Instant now)
+{
+    Tml_Record(&node->timeline, Tml_STOPPING, "calls=%zu runs=%zu",
+               node->calls.count, node->runs.count);
+    Stp_OnSignal(&node->stop, now);
+    take_stop_step(node, now);
+}
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -12,9 +12,12 @@
 #include "process/edge.h"
 #include "process/follow.h"
 #include "process/holder.h"
+#include "process/measure.h"
 #include "process/members.h"
 #include "process/operate.h"
+#include "process/recorder.h"
 #include "process/show.h"
+#include "process/stop.h"
 #include "request/call.h"
 #include "request/run.h"
 
@@ -33,6 +36,7 @@
     BckPool pool;
     Ann ann;
     Services services;
+    Measure measure;
     Members members;
     CallHub calls;
     RunHub runs;
@@ -43,6 +47,10 @@
     Edge edge;
     Opr opr;
     Show show;
+    Stp stop;
+    Recorder recorder;
+    Instant started_at;
+    Instant confirmed_at; /* of the first version in force; 0: none */
     LoopTimer tick;
 } Node;
 
@@ -50,7 +58,10 @@
 bool Node_Init(Node *node, Settings *settings, Err *err);
 void Node_Finish(Node *node);
 
-/* Serve until Node_Stop. */
+/* Serve until a stop has ended. */
 void Node_Run(Node *node);
 
+/* Begin to stop; a second time, end at once. */
+void Node_Stop(Node *node, Instant now);
+
 #endif
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -9,8 +9,9 @@
     LEDGER_ANSWERS = 8 * 1024 * 1024,
     LEDGER_ENTRIES = 131072,
     LEDGER_ORIGINS = 4096,
-    USUAL_FACTOR = 8, /* times the usual service time */
-    REPEAT_PART = 4   /* part of the time until the deadline */
+    TURNED_AWAY = 503, /* status of HTTP */
+    USUAL_FACTOR = 8,  /* times the usual service time */
+    REPEAT_PART = 4    /* part of the time until the deadline */
 };
 
 struct Run {
@@ -267,6 +268,13 @@
     bool failed = end != Bck_WHOLE || run->status >= 500;
 
     Adm_OnEnd(hub->admission, now - run->started_at, failed, now);
+    if (end == Bck_UNREACHED ||
+        (end == Bck_WHOLE && run->status == TURNED_AWAY)) {
+        Adm_OnTurnedAway(hub->admission, now);
+    }
+    else if (end == Bck_WHOLE) {
+        Adm_OnTaken(hub->admission);
+    }
     switch (end) {
     case Bck_WHOLE:
         keep_answer(run, now);
@@ -393,6 +401,7 @@
     Err err = {0};
     AdmVerdict verdict;
 
+    hub->asked_at = now;
     if (!Callmsg_ReadCall(in, &msg, &err)) {
         Cnt_Add(hub->counters, Cnt_MALFORMED, 1);
         Lgr_LogErr(hub->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
