--- a/tools/load_calls.c
+++ b/tools/load_calls.c
@@ -79,7 +79,8 @@
     pending->connection = open_connection(load, pending->target);
     evhttp_add_header(headers, "Host", "load");
     if (booking) {
-        StrBuf_AppendFmt(&key, "load-%zu", number);
+        StrBuf_AppendFmt(&key, "load-%llu-%zu", (unsigned long long)load->run,
+                         number);
         evhttp_add_header(headers, "Idempotency-Key", StrBuf_CStr(&key));
         evbuffer_add(evhttp_request_get_output_buffer(request), "lot=1", 5);
     }
--- a/tools/load_calls.h
+++ b/tools/load_calls.h
@@ -50,6 +50,7 @@
     double gap_us;     /* mean */
     Instant end;
     uint64_t seed;
+    uint64_t run; /* keys of one run differ from those of another */
     LodCall *calls;
     size_t count;
     size_t cap;
--- a/tools/load_main.c
+++ b/tools/load_main.c
@@ -38,12 +38,15 @@
     return true;
 }
 
-/* Lines "load-N REQUEST-ID". */
+/* Lines "load-RUN-N REQUEST-ID". */
 static void
 count_effects(Load *load, Str text)
 {
-    const Str prefix = Str_LIT("load-");
+    StrBuf start = {0};
+    Str prefix;
 
+    StrBuf_AppendFmt(&start, "load-%llu-", (unsigned long long)load->run);
+    prefix = StrBuf_View(&start);
     while (text.len) {
         size_t end = Str_Find(text, '\n');
         Str line = Str_Slice(text, 0, end);
@@ -56,6 +59,7 @@
         }
         text = Str_Slice(text, end + 1, text.len);
     }
+    StrBuf_Finish(&start);
 }
 
 static bool
@@ -192,6 +196,7 @@
     load.bookings = share->count ? (uint32_t)share->ival[0] : 0;
     load.gap_us = 1e6 / rate->dval[0];
     load.seed = seed->count ? (uint64_t)seed->ival[0] : 1;
+    load.run = (uint64_t)Loop_WallClock();
     Rng_Init(&load.rng, load.seed);
     if (!Loop_Init(&load.loop, NULL)) {
         return 1;
