--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -13,7 +13,9 @@
  *
  * Sources: M. Mitzenmacher, "The power of two choices in randomized load
  * balancing", 2001; B. Wydrowski et al., "Load is not what you should
- * balance: introducing Prequal", NSDI 2024.
+ * balance: introducing Prequal", NSDI 2024; the weight that falls with age is
+ * that of Z. Li, G. Simon, A. Gravey, "Caching Policies for In-Network
+ * Caching".
  */
 #ifndef PLACEMENT_H
 #define PLACEMENT_H
