--- a/src/process/net.c
+++ b/src/process/net.c
@@ -9,6 +9,9 @@
 
 enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 1000 };
 
+/* For what is still to be sent when the node ends. */
+enum { FINISH_LINGER_MS = 300 };
+
 /* An unused connection tries another key after so many times the silence. */
 enum { KEY_SILENCES = 2 };
 
@@ -292,6 +295,21 @@
     return peer;
 }
 
+/* Only of a connection that did work: the next ones to a dead node are no
+ * news. */
+static void
+tell_silence(Net *net, const Peer *peer)
+{
+    StrBuf addr = {0};
+
+    if (!peer->heard) {
+        return;
+    }
+    Addr_Print(peer->addr, &addr);
+    Tml_Record(net->timeline, Tml_SILENT, "to=%.*s", Str_ARG(addr));
+    StrBuf_Finish(&addr);
+}
+
 static void
 watch_peer(Net *net, Peer *peer, Instant now)
 {
@@ -315,6 +333,7 @@
         break;
     case Peer_GONE_SILENT:
         Cnt_Add(net->counters, Cnt_SILENT, 1);
+        tell_silence(net, peer);
         close_peer(peer);
         open_peer(net, peer);
         if (net->on_silence) {
@@ -387,7 +406,9 @@
 Net_Finish(Net *net)
 {
     LoopTimer_Finish(&net->watch);
+    set_int(net->router, ZMQ_LINGER, FINISH_LINGER_MS);
     for (size_t i = 0; i < net->peer_count; i++) {
+        set_int(net->peers[i]->socket, ZMQ_LINGER, FINISH_LINGER_MS);
         close_peer(net->peers[i]);
         Mem_Free(net->peers[i]);
     }
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -15,7 +15,9 @@
 #include "process/measure.h"
 #include "process/members.h"
 #include "process/operate.h"
+#include "process/recorder.h"
 #include "process/show.h"
+#include "process/stop.h"
 #include "request/call.h"
 #include "request/run.h"
 
@@ -45,6 +47,10 @@
     Edge edge;
     Opr opr;
     Show show;
+    Stp stop;
+    Recorder recorder;
+    Instant started_at;
+    Instant confirmed_at; /* of the first version in force; 0: none */
     LoopTimer tick;
 } Node;
 
@@ -52,7 +58,10 @@
 bool Node_Init(Node *node, Settings *settings, Err *err);
 void Node_Finish(Node *node);
 
-/* Serve until Node_Stop. */
+/* Serve until a stop has ended. */
 void Node_Run(Node *node);
 
+/* Begin to stop; a second time, end at once. */
+void Node_Stop(Node *node, Instant now);
+
 #endif
