--- /dev/null
+++ b/tests/integration/test_not_run.c
@@ -0,0 +1,231 @@
+/* A flood of calls, each with a key of its own for counting, and a failure in
+ * the middle of it: what was told "not run" has no effect on file, what was
+ * answered has one, what is unknown has at most one.
+ */
+#include <signal.h>
+#include <stdio.h>
+
+#include "fleet_keyed.h"
+#include "support/suite.h"
+
+static Str build;
+
+enum {
+    INGRESS = 0,
+    OTHER_INGRESS = 1, /* may be killed */
+    SERVING = 2,       /* meets the failure */
+    SPARE = 3,
+    VMS = 4,
+    CALLS = 120
+};
+
+typedef enum {
+    NOTHING,
+    KILL_BACKEND,
+    KILL_SERVING,
+    STOP_SERVING, /* for a while */
+    KILL_INGRESS,
+    FREEZE_TO_SERVING, /* connections there are, for good */
+    FREEZE_FROM_SERVING,
+    CUT_TO_SERVING, /* all connections, until the end of the flood */
+    DRAIN
+} Failure;
+
+typedef struct {
+    const char *name;
+    Failure failure;
+    bool keyed;   /* the route has a key */
+    Str headers;  /* of each call */
+    Span spacing; /* between two calls */
+    int not_run;  /* at least */
+    int answers;  /* at least */
+} FloodCase;
+
+#define DEADLINE_300 Str_LIT("X-Lycheeridge-Deadline-Ms: 300\r\n")
+#define DEADLINE_1500 Str_LIT("X-Lycheeridge-Deadline-Ms: 1500\r\n")
+
+/* Both backend servers run 80 calls a second. */
+static const FloodCase cases[] = {
+    {"overload", NOTHING, false, DEADLINE_300, Span_MS(3), 10, 20},
+    {"overload, keyed", NOTHING, true, DEADLINE_300, Span_MS(3), 10, 20},
+    {"backend server killed", KILL_BACKEND, false, DEADLINE_300, Span_MS(15),
+     0, 40},
+    {"serving node killed", KILL_SERVING, false, DEADLINE_300, Span_MS(15), 0,
+     40},
+    {"serving node killed, keyed", KILL_SERVING, true, DEADLINE_1500,
+     Span_MS(15), 0, 40},
+    {"serving node stopped for a second", STOP_SERVING, false, DEADLINE_300,
+     Span_MS(15), 0, 40},
+    {"serving node stopped, keyed", STOP_SERVING, true, DEADLINE_1500,
+     Span_MS(15), 0, 40},
+    {"ingress killed", KILL_INGRESS, false, DEADLINE_300, Span_MS(15), 0, 40},
+    {"connections frozen on the way out", FREEZE_TO_SERVING, false,
+     DEADLINE_1500, Span_MS(20), 0, 100},
+    {"connections frozen on the way back", FREEZE_FROM_SERVING, false,
+     DEADLINE_1500, Span_MS(20), 0, 100},
+    {"cut off", CUT_TO_SERVING, false, DEADLINE_1500, Span_MS(15), 0, 40},
+    {"drained", DRAIN, false, DEADLINE_1500, Span_MS(20), 0, 60},
+};
+
+enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
+
+static const Str preset = Str_LIT(
+    "{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
+    "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+    "\"interactive\":true,\"idempotent\":true},"
+    "{\"service\":\"despachos\",\"route\":\"note\",\"method\":\"POST\","
+    "\"path\":\"/despachos/notes\"},"
+    "{\"service\":\"despachos\",\"route\":\"book\",\"method\":\"POST\","
+    "\"path\":\"/despachos/orders\",\"key_header\":\"Idempotency-Key\"}]}");
+
+static bool
+needs_proxy(Failure failure)
+{
+    return failure == FREEZE_TO_SERVING || failure == FREEZE_FROM_SERVING ||
+           failure == CUT_TO_SERVING;
+}
+
+static void
+start_fleet(Fleet *fleet, Failure failure)
+{
+    static const Str options =
+        Str_LIT("--set slots=2 --slots 2 --service-us 50000");
+
+    Fleet_Init(fleet, build, 31, VMS, 3);
+    Fleet_SetPreset(fleet, preset);
+    if (needs_proxy(failure)) {
+        Fleet_UseProxy(fleet);
+    }
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    Fleet_StartBackend(fleet, SERVING, Str_LIT("despachos"), options);
+    Fleet_StartBackend(fleet, SPARE, Str_LIT("despachos"), options);
+    for (int vm = 0; vm < 2; vm++) {
+        ck_assert(Fleet_WaitForKeys(fleet, vm, Str_LIT("/despachos/orders"),
+                                    Span_S(10)));
+    }
+    Fleet_Sleep(Span_MS(500));
+}
+
+static void
+strike(Fleet *fleet, Failure failure)
+{
+    switch (failure) {
+    case KILL_BACKEND:
+        Fleet_Kill(&fleet->vms[SERVING].backend, SIGKILL);
+        break;
+    case KILL_SERVING:
+        Fleet_Kill(&fleet->vms[SERVING].node, SIGKILL);
+        break;
+    case STOP_SERVING:
+        kill(fleet->vms[SERVING].node, SIGSTOP);
+        break;
+    case KILL_INGRESS:
+        Fleet_Kill(&fleet->vms[OTHER_INGRESS].node, SIGKILL);
+        break;
+    case FREEZE_TO_SERVING:
+        ck_assert(Fleet_Proxy(fleet, Str_LIT("freeze n*-2 forward")));
+        break;
+    case FREEZE_FROM_SERVING:
+        ck_assert(Fleet_Proxy(fleet, Str_LIT("freeze n*-2 back")));
+        break;
+    case CUT_TO_SERVING:
+        ck_assert(Fleet_Proxy(fleet, Str_LIT("hold n*-2 both")));
+        break;
+    case DRAIN:
+        ck_assert(Fleet_Knob(fleet, SERVING, Str_LIT("draining=1")));
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+recover(Fleet *fleet, Failure failure)
+{
+    if (failure == STOP_SERVING) {
+        kill(fleet->vms[SERVING].node, SIGCONT);
+    }
+    else if (failure == CUT_TO_SERVING) {
+        ck_assert(Fleet_Proxy(fleet, Str_LIT("pass n*-2")));
+    }
+}
+
+static void
+name_key(int number, StrBuf *key)
+{
+    StrBuf_Clear(key);
+    StrBuf_AppendFmt(key, "call-%d", number);
+}
+
+static void
+flood(Fleet *fleet, const FloodCase *c, int *fds)
+{
+    Str path =
+        c->keyed ? Str_LIT("/despachos/orders") : Str_LIT("/despachos/notes");
+    StrBuf key = {0};
+
+    for (int i = 0; i < CALLS; i++) {
+        if (i == CALLS / 2) {
+            strike(fleet, c->failure);
+        }
+        name_key(i, &key);
+        fds[i] = Fleet_StartPost(fleet, i % 2, path, StrBuf_View(&key),
+                                 c->headers, Str_LIT("x"));
+        Fleet_Sleep(c->spacing);
+    }
+    Fleet_Sleep(Span_MS(200));
+    recover(fleet, c->failure);
+    StrBuf_Finish(&key);
+}
+
+START_TEST(tells_what_was_done)
+{
+    const FloodCase *c = &cases[_i];
+    Fleet fleet;
+    StrBuf key = {0};
+    StrBuf answer = {0};
+    int fds[CALLS];
+    Told told[CALLS];
+    int counts[Told_ERROR + 1] = {0};
+
+    start_fleet(&fleet, c->failure);
+    flood(&fleet, c, fds);
+    for (int i = 0; i < CALLS; i++) {
+        told[i] = Fleet_FinishPost(fds[i], Span_S(5), &answer);
+        counts[told[i]]++;
+    }
+    Fleet_Sleep(Span_S(1)); /* what still runs shows its effect */
+    printf("%s: %d calls, %d answers, %d not run, %d unknown, %d nothing, %d "
+           "errors\n",
+           c->name, CALLS, counts[Told_ANSWER], counts[Told_NOT_RUN],
+           counts[Told_UNKNOWN], counts[Told_NOTHING], counts[Told_ERROR]);
+    fflush(stdout);
+    for (int i = 0; i < CALLS; i++) {
+        int effects;
+        name_key(i, &key);
+        effects = Fleet_CountEffects(&fleet, StrBuf_View(&key));
+        ck_assert_msg(effects <= 1, "%s: call %d ran %d times", c->name, i,
+                      effects);
+        ck_assert_msg(told[i] != Told_NOT_RUN || effects == 0,
+                      "%s: call %d ran, and was told not run", c->name, i);
+        ck_assert_msg(told[i] != Told_ANSWER || effects == 1,
+                      "%s: call %d was answered, and did not run", c->name, i);
+    }
+    ck_assert_int_ge(counts[Told_NOT_RUN], c->not_run);
+    ck_assert_int_ge(counts[Told_ANSWER], c->answers);
+    StrBuf_Finish(&key);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{tells_what_was_done, CASE_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("not run", tests, 1, 40);
+}
