Unwatch the caller when a fake backend server's work is done

The work was freed while its answer was still being taken; a caller that hung up then reached freed memory (seen by the address sanitizer under test_whole_answers).

--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -31,6 +31,8 @@
 {
     Fake *fake = work->fake;
 
+    /* Its caller may still be taking the answer. */
+    Clr_Unwatch(work->caller);
     if (work->previous) {
         work->previous->next = work->next;
     }
