--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -28,17 +28,18 @@
     Wire_CLAIMED,   /* its answer */
     Wire_REGISTERS, /* registers for a holder that catches up */
     Wire_REGISTERS_ASK,
-    Wire_LOG,         /* logmsg: replicated log, between control replicas */
-    Wire_HELLO,       /* identities of control replicas */
-    Wire_CHANGE,      /* configmsg: a change, to the leader */
-    Wire_CHANGED,     /* its outcome */
-    Wire_VERSION_ASK, /* a node asks for the version in force */
-    Wire_VERSION,     /* the version in force */
-    Wire_SUSPECTS,    /* suspectmsg: blame of requests */
-    Wire_FATE_ASK,    /* claimmsg: what became of an attempt */
-    Wire_FATE,        /* its answer */
-    Wire_PRESETS_ASK, /* configmsg: which presets there are, to the leader */
-    Wire_PRESETS,     /* its answer */
+    Wire_LOG,           /* logmsg: replicated log, between control replicas */
+    Wire_HELLO,         /* identities of control replicas */
+    Wire_CHANGE,        /* configmsg: a change, to the leader */
+    Wire_CHANGED,       /* its outcome */
+    Wire_VERSION_ASK,   /* a node asks for the version in force */
+    Wire_VERSION,       /* the version in force */
+    Wire_SUSPECTS,      /* suspectmsg: blame of requests */
+    Wire_FATE_ASK,      /* claimmsg: what became of an attempt */
+    Wire_FATE,          /* its answer */
+    Wire_PRESETS_ASK,   /* configmsg: which presets there are, to the leader */
+    Wire_PRESETS,       /* its answer */
+    Wire_SUSPECTS_TOLD, /* suspectmsg: they are known */
     Wire_KINDS
 } WireKind;
 
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -109,6 +109,9 @@
     Span ramp = adm->settings.ramp;
     Span age = now - adm->since;
 
+    if (adm->alone) {
+        return 0;
+    }
     if (ramp <= 0 || age >= ramp || slots <= 1) {
         return slots;
     }
@@ -228,6 +231,41 @@
     return true;
 }
 
+void
+Adm_SetAlone(Adm *adm, bool alone)
+{
+    adm->alone = alone;
+}
+
+bool
+Adm_Wait(Adm *adm, AdmClass cls)
+{
+    if (!adm->present || adm->draining || adm->leaving || is_full(adm, cls)) {
+        return false;
+    }
+    adm->held++;
+    return true;
+}
+
+void
+Adm_OnHeldLeave(Adm *adm)
+{
+    if (adm->held) {
+        adm->held--;
+    }
+}
+
+bool
+Adm_NextAlone(Adm *adm)
+{
+    if (!adm->present || !adm->alone || adm->running) {
+        return false;
+    }
+    Adm_OnHeldLeave(adm);
+    adm->running++;
+    return true;
+}
+
 LoadReport
 Adm_Report(const Adm *adm)
 {
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -65,8 +65,10 @@
     Instant turned_away_since; /* first of these */
     Instant refuse_until;      /* it leaves, to all appearance; 0: no */
     Instant since;             /* of the announcement, for the ramp */
+    bool alone; /* nothing new starts: a suspect runs alone, or is next */
     uint32_t running;
     uint32_t queued[Adm_CLASSES];
+    uint32_t held;     /* suspects waiting to run alone */
     double service_us; /* smoothed time of one request */
     double error;      /* smoothed share of failed requests */
 } Adm;
@@ -99,6 +101,18 @@
 /* Which class starts next, when one may: counted as running at once. */
 bool Adm_Next(Adm *adm, Instant now, AdmClass *cls);
 
+/* Only Adm_NextAlone starts anything while ALONE. */
+void Adm_SetAlone(Adm *adm, bool alone);
+
+/* A suspect asks to wait until it may run alone: counted at once. */
+bool Adm_Wait(Adm *adm, AdmClass cls);
+
+/* The waiting suspect may start: counted as running at once. */
+bool Adm_NextAlone(Adm *adm);
+
+/* A suspect left without running. */
+void Adm_OnHeldLeave(Adm *adm);
+
 LoadReport Adm_Report(const Adm *adm);
 
 /* Tell OBSERVER of each event from now on. */
--- a/src/process/announce.c
+++ b/src/process/announce.c
@@ -110,12 +110,26 @@
     Opr_On(opr, Str_LIT("/v1/announce"), false, on_announce, ann);
 }
 
+static void
+set_gone(Ann *ann, Instant now)
+{
+    ann->present = false;
+    Adm_OnGone(ann->admission);
+    ann->changed(ann->context, now);
+}
+
 void
 Ann_Expire(Ann *ann, Instant now)
 {
     if (ann->present && now - ann->heard_at >= ann->settings->backend_expiry) {
-        ann->present = false;
-        Adm_OnGone(ann->admission);
-        ann->changed(ann->context, now);
+        set_gone(ann, now);
+    }
+}
+
+void
+Ann_OnLost(Ann *ann, Instant now)
+{
+    if (ann->present) {
+        set_gone(ann, now);
     }
 }
--- a/src/process/announce.h
+++ b/src/process/announce.h
@@ -35,4 +35,7 @@
 
 void Ann_Expire(Ann *ann, Instant now);
 
+/* Nobody listens at its address: gone until it announces itself again. */
+void Ann_OnLost(Ann *ann, Instant now);
+
 #endif
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -37,12 +37,23 @@
     Node *node = context;
 
     Svc_OnMember(&node->services, change, record, now);
+    if (change == Mbr_CAME) {
+        Sps_OnMember(&node->suspects, record, now);
+    }
     tell_member(node, change, record);
     if (change == Mbr_GONE) {
         Net_Drop(&node->net, record->node);
     }
 }
 
+static void
+on_backend_lost(void *context, Instant now)
+{
+    Node *node = context;
+
+    Ann_OnLost(&node->ann, now);
+}
+
 static void
 on_announced(void *context, Instant now)
 {
@@ -118,6 +129,7 @@
     Ann_Expire(&node->ann, now);
     Call_HubTick(&node->calls, now);
     Run_HubTick(&node->runs, now);
+    Sps_Tick(&node->suspects, now);
     open_when_ready(node, now);
     take_stop_step(node, now);
     Msr_OnTick(&node->measure, now);
@@ -171,6 +183,7 @@
     Adm_SetSettings(&node->admission, &admission);
     Run_SetLimits(&node->runs, limits);
     Hld_SetLimits(&node->holder, limits);
+    Sps_SetLimits(&node->suspects, limits, true);
 }
 
 /* A confirmed version comes into force; calls under way keep theirs. */
@@ -254,8 +267,12 @@
              node->incarnation, on_member, node);
     Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
                  &node->services, settings, node->incarnation);
+    Sps_Init(&node->suspects, &node->net, &node->counters, &node->timeline,
+             &node->members);
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
-                &node->admission, &node->pool, node->incarnation);
+                &node->admission, &node->pool, &node->suspects,
+                node->incarnation);
+    Run_OnLost(&node->runs, on_backend_lost, node);
     Fnc_Serve(&node->runs);
     Hld_Init(&node->holder, &node->loop, &node->net, &node->counters,
              &node->timeline, settings, node->incarnation,
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -39,6 +39,7 @@
     Measure measure;
     Members members;
     CallHub calls;
+    Suspects suspects;
     RunHub runs;
     Holder holder;
     Control control;
--- a/src/process/suspect.h
+++ b/src/process/suspect.h
@@ -1,16 +1,20 @@
 /* Sus, the suspect request decider: which request crashes the backend servers
  * that run it, and when to stop running it.
  *
- * A request is named by its fingerprint (service, route, digest).  Each crash
- * blames the requests that ran at that moment; blame decays with time.  A
- * fingerprint whose blame passes the bound is refused until its release.
- * While a fingerprint is suspect it runs alone on at most one backend server,
- * which clears the innocent and convicts the guilty.
+ * A request is named by its fingerprint, a hash of its service, method,
+ * target and body.  A crash blames every request that ran at that moment.  A
+ * blamed request runs alone: it ends, and is cleared, or it crashes a second
+ * backend server and is stopped.  Blame goes after the release time.
+ *
+ * Each crash has an id, so that knowledge of it may come twice and from
+ * anywhere.
  */
 #ifndef SUSPECT_H
 #define SUSPECT_H
 
-#include "value/addr.h"
+#include <stdbool.h>
+#include <stddef.h>
+
 #include "value/instant.h"
 
 typedef enum {
@@ -19,26 +23,23 @@
     Sus_STOPPED /* refuse it until its release */
 } SusVerdict;
 
-enum { Sus_ENTRIES_MAX = 1024 };
+enum { Sus_ENTRIES_MAX = 1024, Sus_CRASHES_MAX = 2 };
 
 typedef struct {
     uint64_t fingerprint;
-    double blame;
-    Instant blame_at;
-    uint32_t crashes; /* while it ran alone or not */
-    uint32_t crashes_alone;
-    Instant stopped_until;
+    uint64_t crashes[Sus_CRASHES_MAX]; /* their ids */
+    uint32_t count;                    /* of them */
+    Instant at;                        /* of the last one */
 } SusEntry;
 
 typedef struct {
-    uint32_t losses_max;
-    Span half_life; /* of blame */
+    uint32_t losses_max; /* backend servers one request may crash, 1 or 2 */
     Span release;
 } SusSettings;
 
 typedef struct {
     SusSettings settings;
-    SusEntry entries[Sus_ENTRIES_MAX]; /* open addressing, lowest blame out */
+    SusEntry entries[Sus_ENTRIES_MAX];
     size_t count;
 } Sus;
 
@@ -47,15 +48,16 @@
 
 SusVerdict Sus_Ask(const Sus *sus, uint64_t fingerprint, Instant now);
 
-/* A backend server was lost while these ran. */
-void Sus_OnCrash(Sus *sus, const uint64_t *fingerprints, size_t count,
+/* Backend server lost in crash CRASH (not 0) while FINGERPRINT ran, AGE ago.
+ * When there is no room, the one blamed least and longest ago goes. */
+void Sus_OnCrash(Sus *sus, uint64_t fingerprint, uint64_t crash, Span age,
                  Instant now);
 
-/* It ran to its end: blame shrinks. */
-void Sus_OnDone(Sus *sus, uint64_t fingerprint, Instant now);
+/* It ran alone to its end. */
+void Sus_OnDone(Sus *sus, uint64_t fingerprint);
 
-/* Another node's knowledge. */
-void Sus_Merge(Sus *sus, const SusEntry *entry, Instant now);
+/* Drop what is released; returns how many of these had been stopped. */
+size_t Sus_Expire(Sus *sus, Instant now);
 
 /* The operators released every request by a change of preset. */
 void Sus_Clear(Sus *sus);
--- /dev/null
+++ b/src/process/suspects.c
@@ -0,0 +1,227 @@
+#include "process/suspects.h"
+
+#include "connection/suspectmsg.h"
+
+static SusSettings
+settings_of(const PstLimits *limits)
+{
+    return (SusSettings){limits->suspect_losses_max, limits->suspect_release};
+}
+
+void
+Sps_SetLimits(Suspects *suspects, const PstLimits *limits, bool changed)
+{
+    SusSettings settings = settings_of(limits);
+
+    Sus_SetSettings(&suspects->sus, &settings);
+    if (changed && suspects->sus.count) {
+        Sus_Clear(&suspects->sus);
+        Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED, "preset changed");
+    }
+}
+
+SusVerdict
+Sps_Ask(const Suspects *suspects, uint64_t fingerprint, Instant now)
+{
+    return Sus_Ask(&suspects->sus, fingerprint, now);
+}
+
+static void
+send_rows(Suspects *suspects, Addr node, const Pack *pack, Instant now)
+{
+    Cnt_Add(suspects->counters, Cnt_CONTROL_MESSAGES, 1);
+    Cnt_Add(suspects->counters, Cnt_CONTROL_BYTES, Pack_View(pack).len);
+    Net_Send(suspects->net, node, Pack_View(pack), now);
+}
+
+static bool
+serves_the_same(const Suspects *suspects, const MbrRecord *record)
+{
+    const MbrRecord *own = &suspects->members->own;
+
+    return record->node != own->node && record->service.len &&
+           Str_Equal(StrBuf_View(&record->service),
+                     StrBuf_View(&own->service));
+}
+
+static void
+tell_others(Suspects *suspects, const Pack *pack, Instant now)
+{
+    const Mbr *mbr = &suspects->members->membership;
+
+    suspects->untold = 0;
+    for (size_t i = 0; i < mbr->count; i++) {
+        const MbrRow *row = &mbr->rows[i];
+        if (!row->gone && serves_the_same(suspects, &row->record)) {
+            send_rows(suspects, row->record.node, pack, now);
+            suspects->untold++;
+        }
+    }
+}
+
+static uint64_t
+crash_id(Suspects *suspects)
+{
+    const MbrRecord *own = &suspects->members->own;
+    uint64_t parts[] = {own->node, own->incarnation, ++suspects->crashes};
+    uint64_t id = Str_Hash(Str_From((const char *)parts, sizeof parts));
+
+    return id ? id : 1;
+}
+
+static void
+blame(Suspects *suspects, const SuspectRow *row, Instant now)
+{
+    SusVerdict before = Sps_Ask(suspects, row->fingerprint, now);
+
+    Sus_OnCrash(&suspects->sus, row->fingerprint, row->crash, row->age, now);
+    if (before != Sus_STOPPED &&
+        Sps_Ask(suspects, row->fingerprint, now) == Sus_STOPPED) {
+        Tml_Record(suspects->timeline, Tml_SUSPECT_STOPPED,
+                   "fingerprint=%016llx",
+                   (unsigned long long)row->fingerprint);
+    }
+}
+
+void
+Sps_OnCrash(Suspects *suspects, const uint64_t *fingerprints, size_t count,
+            Instant now)
+{
+    SuspectRow row = {.crash = crash_id(suspects)};
+    Pack pack;
+
+    Suspectmsg_Begin(&pack, suspects->crashes, (uint32_t)count);
+    for (size_t i = 0; i < count; i++) {
+        row.fingerprint = fingerprints[i];
+        blame(suspects, &row, now);
+        Suspectmsg_PutRow(&pack, &row);
+    }
+    tell_others(suspects, &pack, now);
+    Pack_Finish(&pack);
+}
+
+void
+Sps_OnDone(Suspects *suspects, uint64_t fingerprint)
+{
+    Sus_OnDone(&suspects->sus, fingerprint);
+}
+
+static uint32_t
+count_rows(const Sus *sus)
+{
+    uint32_t count = 0;
+
+    for (size_t i = 0; i < sus->count; i++) {
+        count += sus->entries[i].count;
+    }
+    return count;
+}
+
+void
+Sps_OnMember(Suspects *suspects, const MbrRecord *record, Instant now)
+{
+    const Sus *sus = &suspects->sus;
+    Pack pack;
+
+    if (sus->count == 0 || !serves_the_same(suspects, record)) {
+        return;
+    }
+    Suspectmsg_Begin(&pack, 0, count_rows(sus));
+    for (size_t i = 0; i < sus->count; i++) {
+        const SusEntry *entry = &sus->entries[i];
+        for (uint32_t k = 0; k < entry->count; k++) {
+            SuspectRow row = {entry->fingerprint, entry->crashes[k],
+                              now - entry->at};
+            Suspectmsg_PutRow(&pack, &row);
+        }
+    }
+    send_rows(suspects, record->node, &pack, now);
+    Pack_Finish(&pack);
+}
+
+static void
+confirm(Suspects *suspects, const NetOrigin *origin, uint64_t number,
+        Instant now)
+{
+    Pack pack;
+
+    Suspectmsg_PackTold(&pack, number);
+    Cnt_Add(suspects->counters, Cnt_CONTROL_MESSAGES, 1);
+    Cnt_Add(suspects->counters, Cnt_CONTROL_BYTES, Pack_View(&pack).len);
+    Net_Answer(suspects->net, origin, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+static void
+on_suspects(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Suspects *suspects = context;
+    SuspectRow row;
+    Unpack rows;
+    uint64_t number;
+    uint32_t count = Suspectmsg_Open(in, &number, &rows);
+    Err err = {0};
+
+    for (uint32_t i = 0; i < count && Suspectmsg_TakeRow(&rows, &row); i++) {
+        if (row.crash && row.age < suspects->sus.settings.release) {
+            blame(suspects, &row, now);
+        }
+    }
+    if (!Unpack_Ok(&rows, &err) || !Unpack_Ok(in, &err)) {
+        Cnt_Add(suspects->counters, Cnt_MALFORMED, 1);
+        Lgr_LogErr(suspects->timeline->logger, Lgr_WARNING,
+                   Str_LIT("message_refused"), &err);
+        return;
+    }
+    confirm(suspects, origin, number, now);
+}
+
+static void
+on_told(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Suspects *suspects = context;
+    uint64_t number;
+
+    (void)origin;
+    (void)now;
+    if (!Suspectmsg_ReadTold(in, &number, NULL)) {
+        Cnt_Add(suspects->counters, Cnt_MALFORMED, 1);
+    }
+    else if (number == suspects->crashes && suspects->untold) {
+        suspects->untold--;
+    }
+}
+
+bool
+Sps_IsTold(const Suspects *suspects)
+{
+    return suspects->untold == 0;
+}
+
+void
+Sps_Init(Suspects *suspects, Net *net, Counters *counters, Timeline *timeline,
+         const Members *members)
+{
+    SusSettings settings = {Sus_CRASHES_MAX, 0};
+
+    suspects->net = net;
+    suspects->counters = counters;
+    suspects->timeline = timeline;
+    suspects->members = members;
+    suspects->crashes = 0;
+    suspects->untold = 0;
+    Sus_Init(&suspects->sus, &settings);
+    Net_On(net, Wire_SUSPECTS, on_suspects, suspects);
+    Net_On(net, Wire_SUSPECTS_TOLD, on_told, suspects);
+}
+
+void
+Sps_Tick(Suspects *suspects, Instant now)
+{
+    size_t released = Sus_Expire(&suspects->sus, now);
+
+    if (released) {
+        Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED, "count=%zu",
+                   released);
+    }
+}
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -1,41 +1,11 @@
 #include "request/call.h"
 
+#include "request/callstate.h"
 #include "request/depth.h"
-#include "request/pieces.h"
 #include "value/mem.h"
 
-/* After the deadline, for what settles a call that may have run. */
-#define SETTLE_GRACE Span_MS(100)
-
 enum { KEY_BYTES_MAX = 1024 };
 
-struct Call {
-    HshLink link; /* first: found by attempt while one is in flight */
-    CallHub *hub;
-    Call *next;
-    Call *previous;
-    CallRequest request;
-    CallSink sink;
-    InForce *in_force; /* when it began */
-    const PstRoute *route;
-    Service *service;
-    Rty retry;
-    Instant deadline;
-    bool failed;       /* answered by an error of the backend server's own */
-    bool crosses;      /* the attempt is at the other region */
-    AttemptId attempt; /* the one in flight; counter 0: none */
-    Addr node;
-    uint64_t incarnation; /* of node */
-    Instant attempt_at;
-    Pcs pieces;
-    bool fencing;
-    bool late;      /* its deadline passed, its attempt is being settled */
-    Keyed *keyed;   /* NULL: no key */
-    KeyPlace place; /* of the next attempt, while its claim is decided */
-    CallWhy why;    /* no attempt can be made */
-    bool doubt;     /* an attempt of it may have run */
-};
-
 static void
 link_call(CallHub *hub, Call *call)
 {
@@ -83,8 +53,8 @@
     }
 }
 
-static void
-end_call(Call *call, CallOutcome outcome, CallWhy why)
+void
+Call_End(Call *call, CallOutcome outcome, CallWhy why)
 {
     static const CntId ids[] = {
         [Call_ANSWERED] = Cnt_ANSWERED, [Call_NOT_RUN] = Cnt_NOT_RUN,
@@ -124,6 +94,7 @@
         .idempotent = call->route->idempotent,
         .keyed = call->keyed != NULL,
         .left = call->deadline - now,
+        .fingerprint = call->digest,
         .request_id = call->request.request_id,
         .method = call->request.method,
         .target = call->request.target,
@@ -144,8 +115,8 @@
     return sent;
 }
 
-static void
-start_attempt(Call *call, const KeyPlace *place, Instant now)
+void
+Call_StartAttempt(Call *call, const KeyPlace *place, Instant now)
 {
     CallHub *hub = call->hub;
     bool sent;
@@ -166,10 +137,9 @@
     }
 }
 
-static bool
-choose_place(void *context, KeyPlace *place, Instant now)
+bool
+Call_ChoosePlace(Call *call, KeyPlace *place, Instant now)
 {
-    Call *call = context;
     PlcAsk ask = {
         .interactive = call->route->interactive,
         .home_only = !Lnk_Ask(&call->hub->link, call->route->interactive,
@@ -213,11 +183,11 @@
 {
     KeyPlace place;
 
-    if (choose_place(call, &place, now)) {
-        start_attempt(call, &place, now);
+    if (Call_ChoosePlace(call, &place, now)) {
+        Call_StartAttempt(call, &place, now);
     }
     else {
-        end_call(call, Call_NOT_RUN, call->why);
+        Call_End(call, Call_NOT_RUN, call->why);
     }
 }
 
@@ -263,14 +233,14 @@
 }
 
 static void
-give_up_not_run(Call *call, Instant now)
+give_up_not_run(Call *call, CallWhy why, Instant now)
 {
-    call->why = now >= call->deadline ? Call_WHY_LATE : Call_WHY_FULL;
+    call->why = why;
     if (call->keyed) {
         Key_OnRefused(call->keyed, false, now);
     }
     else {
-        end_call(call, Call_NOT_RUN, call->why);
+        Call_End(call, Call_NOT_RUN, call->why);
     }
 }
 
@@ -286,7 +256,7 @@
         Key_Cancel(call->keyed, now);
         call->keyed = NULL;
     }
-    end_call(call, cut ? Call_CUT : Call_UNKNOWN, why);
+    Call_End(call, cut ? Call_CUT : Call_UNKNOWN, why);
 }
 
 /* An attempt ended without a good answer: what follows. */
@@ -305,7 +275,8 @@
         break;
     case Rty_GIVE_NOT_RUN:
         end_attempt(call, Plc_REFUSED, now);
-        give_up_not_run(call, now);
+        give_up_not_run(
+            call, now >= call->deadline ? Call_WHY_LATE : Call_WHY_FULL, now);
         break;
     case Rty_GIVE_FAILED:
     case Rty_GIVE_UNKNOWN:
@@ -381,7 +352,7 @@
         }
         pass_on(call, msg);
         end_attempt(call, call->failed ? Plc_FAILED : Plc_ANSWERED, now);
-        end_call(call, Call_ANSWERED, Call_WHY_NONE);
+        Call_End(call, Call_ANSWERED, Call_WHY_NONE);
         break;
     }
 }
@@ -435,6 +406,11 @@
             give_up_unknown(call, now);
         }
     }
+    else if (msg.reason == Refusal_SUSPECT) {
+        /* Every other node refuses it, too. */
+        end_attempt(call, Plc_REFUSED, now);
+        give_up_not_run(call, Call_WHY_SUSPECT, now);
+    }
     else {
         decide(call, Rty_NOT_RUN, now);
     }
@@ -539,86 +515,17 @@
     return Str_Slice(target, 0, Str_Find(target, '?'));
 }
 
-static void
-run_placed(void *context, Instant now)
-{
-    Call *call = context;
-
-    start_attempt(call, &call->place, now);
-}
-
-static bool
-place_keyed(void *context, KeyPlace *place, Instant now)
-{
-    Call *call = context;
-
-    if (!choose_place(call, place, now)) {
-        return false;
-    }
-    call->place = *place;
-    return true;
-}
-
-static void
-tell_first_answer(void *context, const AnswerMsg *answer, Instant now)
-{
-    Call *call = context;
-
-    (void)now;
-    call->keyed = NULL;
-    call->sink.head(call->sink.context, answer->status, &answer->fields);
-    if (answer->bytes.len) {
-        call->sink.bytes(call->sink.context, answer->bytes);
-    }
-    end_call(call, Call_ANSWERED, Call_WHY_NONE);
-}
-
-static void
-end_claim(void *context, ClmStep step, Instant now)
-{
-    Call *call = context;
-
-    (void)now;
-    call->keyed = NULL;
-    switch (step) {
-    case Clm_TELL_NOT_RUN:
-        end_call(call, Call_NOT_RUN, call->why ? call->why : Call_WHY_FULL);
-        break;
-    case Clm_TELL_MISMATCH:
-        end_call(call, Call_NOT_RUN, Call_WHY_MISMATCH);
-        break;
-    case Clm_TELL_RAN:
-        end_call(call, Call_RAN, Call_WHY_NONE);
-        break;
-    default:
-        end_call(call, Call_UNKNOWN, Call_WHY_NONE);
-        break;
-    }
-}
-
-/* The same key must come with the same request. */
+/* The same key must come with the same request; a request that crashes a
+ * backend server is known by it. */
 static uint64_t
-digest_of(const CallRequest *request)
+digest_of(const CallRequest *request, Str service)
 {
-    uint64_t parts[] = {Str_Hash(request->method), Str_Hash(request->target),
-                        Str_Hash(request->body)};
+    uint64_t parts[] = {Str_Hash(service), Str_Hash(request->method),
+                        Str_Hash(request->target), Str_Hash(request->body)};
 
     return Str_Hash(Str_From((const char *)parts, sizeof parts));
 }
 
-static void
-start_claim(Call *call, Str key, Instant now)
-{
-    CallHub *hub = call->hub;
-    AttemptId claim = {hub->incarnation, ++hub->counter};
-    KeySink sink = {call, place_keyed, run_placed, tell_first_answer,
-                    end_claim};
-
-    call->keyed = Key_Start(
-        &hub->keys, claim, StrBuf_View(&call->route->service), key,
-        digest_of(&call->request), call->deadline + SETTLE_GRACE, &sink, now);
-}
-
 static void
 start_call(Call *call, Instant now)
 {
@@ -629,10 +536,10 @@
         key = Field_Get(&call->request.fields, header);
     }
     if (key.len > KEY_BYTES_MAX) {
-        end_call(call, Call_NOT_RUN, Call_WHY_KEY);
+        Call_End(call, Call_NOT_RUN, Call_WHY_KEY);
     }
     else if (key.len) {
-        start_claim(call, key, now);
+        Ccl_Start(call, key, now);
     }
     else {
         make_attempt(call, now);
@@ -676,6 +583,7 @@
                  ? 1
                  : hub->in_force->preset.limits.attempts_max,
              call->deadline);
+    call->digest = digest_of(request, StrBuf_View(&call->service->name));
     start_call(call, now);
     return hub->count > before ? call : NULL;
 }
--- /dev/null
+++ b/src/request/callclaim.c
@@ -0,0 +1,71 @@
+#include "request/callstate.h"
+
+static void
+run_placed(void *context, Instant now)
+{
+    Call *call = context;
+
+    Call_StartAttempt(call, &call->place, now);
+}
+
+static bool
+place_keyed(void *context, KeyPlace *place, Instant now)
+{
+    Call *call = context;
+
+    if (!Call_ChoosePlace(call, place, now)) {
+        return false;
+    }
+    call->place = *place;
+    return true;
+}
+
+static void
+tell_first_answer(void *context, const AnswerMsg *answer, Instant now)
+{
+    Call *call = context;
+
+    (void)now;
+    call->keyed = NULL;
+    call->sink.head(call->sink.context, answer->status, &answer->fields);
+    if (answer->bytes.len) {
+        call->sink.bytes(call->sink.context, answer->bytes);
+    }
+    Call_End(call, Call_ANSWERED, Call_WHY_NONE);
+}
+
+static void
+end_claim(void *context, ClmStep step, Instant now)
+{
+    Call *call = context;
+
+    (void)now;
+    call->keyed = NULL;
+    switch (step) {
+    case Clm_TELL_NOT_RUN:
+        Call_End(call, Call_NOT_RUN, call->why ? call->why : Call_WHY_FULL);
+        break;
+    case Clm_TELL_MISMATCH:
+        Call_End(call, Call_NOT_RUN, Call_WHY_MISMATCH);
+        break;
+    case Clm_TELL_RAN:
+        Call_End(call, Call_RAN, Call_WHY_NONE);
+        break;
+    default:
+        Call_End(call, Call_UNKNOWN, Call_WHY_NONE);
+        break;
+    }
+}
+
+void
+Ccl_Start(Call *call, Str key, Instant now)
+{
+    CallHub *hub = call->hub;
+    AttemptId claim = {hub->incarnation, ++hub->counter};
+    KeySink sink = {call, place_keyed, run_placed, tell_first_answer,
+                    end_claim};
+
+    call->keyed =
+        Key_Start(&hub->keys, claim, StrBuf_View(&call->route->service), key,
+                  call->digest, call->deadline + SETTLE_GRACE, &sink, now);
+}
--- /dev/null
+++ b/src/request/crash.c
@@ -0,0 +1,160 @@
+#include "request/crash.h"
+
+/* For the others to learn of a crash before anybody may repeat it. */
+#define TELL_TIME Span_MS(150)
+
+enum {
+    ALONE_MAX = 2,   /* suspects at one backend server */
+    OTHERS_SHARE = 4 /* time left to others, for one of a suspect's */
+};
+
+bool
+Crs_Hold(RunHub *hub, const NetOrigin *origin, const CallMsg *msg, Instant now)
+{
+    AdmClass cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
+    SusVerdict verdict = Sps_Ask(hub->suspects, msg->fingerprint, now);
+    Refusal reason = Refusal_FULL;
+
+    if (verdict == Sus_CLEAR) {
+        return false;
+    }
+    if (verdict == Sus_STOPPED) {
+        reason = Refusal_SUSPECT;
+        Cnt_Add(hub->counters, Cnt_SUSPECTS, 1);
+    }
+    else if (hub->alone < ALONE_MAX && Adm_Wait(hub->admission, cls)) {
+        Run_Add(hub, origin, msg, now)->alone = true;
+        hub->alone++;
+        Run_HubTick(hub, now);
+        return true;
+    }
+    Led_OnRefused(&hub->ledger, msg->id, now);
+    Run_RefuseId(hub, origin, msg->id, reason, now);
+    return true;
+}
+
+void
+Crs_OnEnd(Run *run, BckEnd end, Instant now)
+{
+    RunHub *hub = run->hub;
+
+    if (!run->alone) {
+        return;
+    }
+    hub->alone_from = now + OTHERS_SHARE * (now - run->started_at);
+    if (end == Bck_WHOLE) {
+        Sps_OnDone(hub->suspects, run->fingerprint);
+    }
+}
+
+/* Its fate was only put off until the knock. */
+static void
+settle_cut(RunHub *hub, Instant now)
+{
+    Run *next;
+
+    for (Run *run = hub->first; run; run = next) {
+        next = run->next;
+        if (run->cut) {
+            Run_Lose(run, now);
+            Run_Free(run);
+        }
+    }
+}
+
+/* They wait for a backend server that is gone. */
+static void
+refuse_waiting(RunHub *hub, Instant now)
+{
+    Run *next;
+
+    for (Run *run = hub->first; run; run = next) {
+        next = run->next;
+        if (Run_IsWaiting(run)) {
+            Run_Refuse(run, Refusal_ABSENT, now);
+            Run_LeaveQueue(run);
+        }
+    }
+}
+
+static void
+blame_cut(RunHub *hub, Instant now)
+{
+    uint64_t ran[Sps_BLAMED_MAX];
+    size_t count = 0;
+
+    for (const Run *run = hub->first; run && count < Sps_BLAMED_MAX;
+         run = run->next) {
+        if (run->cut) {
+            ran[count++] = run->fingerprint;
+        }
+    }
+    Cnt_Add(hub->counters, Cnt_CRASHES, 1);
+    Tml_Record(hub->timeline, Tml_BACKEND_LOST, "ran=%zu", count);
+    Sps_OnCrash(hub->suspects, ran, count, now);
+}
+
+static void
+on_knocked(void *context, KnkResult result)
+{
+    RunHub *hub = context;
+    Instant now = Loop_Now();
+
+    if (result == Knk_REFUSED) {
+        blame_cut(hub, now);
+        hub->lost(hub->lost_context, now);
+        refuse_waiting(hub, now);
+        hub->told_by = now + TELL_TIME;
+    }
+    else if (!hub->told_by) {
+        settle_cut(hub, now);
+    }
+    Run_HubTick(hub, now);
+}
+
+void
+Crs_OnCut(Run *run)
+{
+    RunHub *hub = run->hub;
+    KnkSink sink = {hub, on_knocked};
+
+    run->cut = true;
+    Knk_Start(&hub->knock, hub->pool->base, hub->pool->addr, &sink);
+}
+
+static Run *
+first_alone(RunHub *hub)
+{
+    for (Run *run = hub->first; run; run = run->next) {
+        if (run->alone && Run_IsWaiting(run)) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+static void
+settle_told(RunHub *hub, Instant now)
+{
+    if (hub->told_by && !hub->knock.event &&
+        (Sps_IsTold(hub->suspects) || now >= hub->told_by)) {
+        hub->told_by = 0;
+        settle_cut(hub, now);
+    }
+}
+
+void
+Crs_Tick(RunHub *hub, Instant now)
+{
+    Run *run;
+    bool running;
+
+    settle_told(hub, now);
+    run = hub->alone ? first_alone(hub) : NULL;
+    running = hub->alone && !run;
+    /* Others stop starting once a suspect's turn has come. */
+    Adm_SetAlone(hub->admission, running || (run && now >= hub->alone_from));
+    if (run && Adm_NextAlone(hub->admission)) {
+        Run_StartExchange(run, now);
+    }
+}
--- /dev/null
+++ b/src/request/crash.h
@@ -0,0 +1,24 @@
+/* Crs: what the node beside a backend server does about requests that crash
+ * it.  A cut exchange is followed by a knock at the backend server; when
+ * nobody listens there, everything that ran is blamed.  A blamed request
+ * runs alone, or not at all.
+ */
+#ifndef CRASH_H
+#define CRASH_H
+
+#include "request/runstate.h"
+
+/* True when the attempt is suspect, and was refused or put aside here. */
+bool Crs_Hold(RunHub *hub, const NetOrigin *origin, const CallMsg *msg,
+              Instant now);
+
+/* RUN's exchange ended, before it is forgotten. */
+void Crs_OnEnd(Run *run, BckEnd end, Instant now);
+
+/* RUN's exchange was cut: it is settled after the knock. */
+void Crs_OnCut(Run *run);
+
+/* Start a suspect that may run now. */
+void Crs_Tick(RunHub *hub, Instant now);
+
+#endif
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -1,5 +1,8 @@
 #include "request/run.h"
 
+#include "request/answer.h"
+#include "request/crash.h"
+
 #include "value/mem.h"
 
 #define LEDGER_BRIEF Span_S(10)
@@ -14,33 +17,6 @@
     REPEAT_PART = 4    /* part of the time until the deadline */
 };
 
-struct Run {
-    HshLink link; /* first: found by attempt id */
-    RunHub *hub;
-    Run *next;
-    Run *previous;
-    NetOrigin origin;
-    AttemptId id;
-    AdmClass cls;
-    bool idempotent;
-    bool keyed;
-    bool detached; /* nobody waits for its answer */
-    Instant deadline;
-    Instant started_at;
-    BckExchange *exchange; /* NULL while it waits */
-    StrBuf method;
-    StrBuf target;
-    StrBuf body;
-    StrBuf text; /* names and values of fields */
-    FieldList fields;
-    uint32_t sequence;
-    uint16_t status;
-    StrBuf head_text; /* names and values of the answer's fields */
-    FieldList head;
-    StrBuf bytes;        /* of the answer, not sent yet */
-    uint32_t uncredited; /* sent and not credited yet */
-};
-
 static void
 link_run(RunHub *hub, Run *run)
 {
@@ -57,8 +33,8 @@
     hub->count++;
 }
 
-static void
-free_run(Run *run)
+void
+Run_Free(Run *run)
 {
     RunHub *hub = run->hub;
 
@@ -76,6 +52,7 @@
     }
     hub->count--;
     Hsh_Drop(&hub->by_id, &run->link);
+    hub->alone -= run->alone;
     StrBuf_Finish(&run->method);
     StrBuf_Finish(&run->target);
     StrBuf_Finish(&run->body);
@@ -85,9 +62,8 @@
     Mem_Free(run);
 }
 
-/* Copy FROM so that it outlives its message; TEXT holds the bytes. */
-static void
-copy_fields(FieldList *to, StrBuf *text, const FieldList *from)
+void
+Run_CopyFields(FieldList *to, StrBuf *text, const FieldList *from)
 {
     size_t offset = 0;
 
@@ -107,9 +83,9 @@
     }
 }
 
-static void
-refuse(RunHub *hub, const NetOrigin *origin, AttemptId id, Refusal reason,
-       Instant now)
+void
+Run_RefuseId(RunHub *hub, const NetOrigin *origin, AttemptId id,
+             Refusal reason, Instant now)
 {
     RefusedMsg msg = {
         .id = id,
@@ -124,139 +100,28 @@
     Pack_Finish(&pack);
 }
 
-/* The attempt is known to the ledger and will never run. */
-static void
-refuse_run(Run *run, Refusal reason, Instant now)
+void
+Run_Refuse(Run *run, Refusal reason, Instant now)
 {
     Led_OnRefused(&run->hub->ledger, run->id, now);
     if (!run->detached) {
-        refuse(run->hub, &run->origin, run->id, reason, now);
+        Run_RefuseId(run->hub, &run->origin, run->id, reason, now);
     }
 }
 
-static void
-send_piece(Run *run, Str bytes, bool last, Instant now)
-{
-    PieceMsg msg = {
-        .id = run->id,
-        .sequence = run->sequence,
-        .last = last,
-        .bytes = bytes,
-        .load = Adm_Report(run->hub->admission),
-    };
-    Pack pack;
-
-    if (run->detached) {
-        return;
-    }
-    if (run->sequence == 0) {
-        msg.status = run->status;
-        msg.fields = run->head;
-    }
-    run->sequence++;
-    run->deadline = now + Callmsg_STALL;
-    run->uncredited += (uint32_t)bytes.len;
-    Callmsg_PackPiece(&pack, &msg);
-    Cnt_Add(run->hub->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
-    Net_Answer(run->hub->net, &run->origin, Pack_View(&pack), now);
-    Pack_Finish(&pack);
-}
-
-/* Send whole pieces while the window allows, and keep the rest. */
-static void
-send_ready(Run *run, Instant now)
-{
-    size_t sent = 0;
-
-    while (run->bytes.len - sent >= Callmsg_PIECE_BYTES &&
-           run->uncredited < Callmsg_WINDOW_BYTES) {
-        send_piece(
-            run,
-            Str_Slice(StrBuf_View(&run->bytes), sent, Callmsg_PIECE_BYTES),
-            false, now);
-        sent += Callmsg_PIECE_BYTES;
-    }
-    if (sent) {
-        StrBuf rest = {0};
-        StrBuf_Set(&rest,
-                   Str_Slice(StrBuf_View(&run->bytes), sent, run->bytes.len));
-        StrBuf_Finish(&run->bytes);
-        run->bytes = rest;
-    }
-}
-
-static void
-on_head(void *context, uint16_t status, const FieldList *fields)
-{
-    Run *run = context;
-
-    run->status = status;
-    copy_fields(&run->head, &run->head_text, fields);
-}
-
-/* Nobody takes the answer, and it is too large to be kept. */
-static void
-drop_large(Run *run)
-{
-    if (run->bytes.len >= Callmsg_PIECE_BYTES) {
-        StrBuf_Clear(&run->bytes);
-        run->sequence = 1;
-    }
-}
-
-static void
-on_bytes(void *context, Str bytes)
+void
+Run_Lose(Run *run, Instant now)
 {
-    Run *run = context;
-
-    StrBuf_Append(&run->bytes, bytes);
-    if (run->detached) {
-        drop_large(run);
-        return;
-    }
-    send_ready(run, Loop_Now());
-    if (run->bytes.len >= Callmsg_WINDOW_BYTES) {
-        Bck_Pause(run->exchange);
+    Led_OnLost(&run->hub->ledger, run->id, now);
+    if (!run->detached) {
+        Run_RefuseId(run->hub, &run->origin, run->id, Refusal_CUT, now);
     }
 }
 
-static void
-send_rest(Run *run, Instant now)
-{
-    Str rest = StrBuf_View(&run->bytes);
-    size_t sent = 0;
-
-    do {
-        Str piece = Str_Slice(rest, sent, Callmsg_PIECE_BYTES);
-        sent += piece.len;
-        send_piece(run, piece, sent == rest.len, now);
-    } while (sent < rest.len);
-}
-
-/* An answer of which nothing was sent yet is at hand as a whole. */
-static void
-keep_answer(Run *run, Instant now)
-{
-    AnswerMsg answer = {
-        .status = run->status,
-        .fields = run->head,
-        .bytes = StrBuf_View(&run->bytes),
-    };
-    Pack pack;
-
-    Callmsg_PackAnswer(&pack, &answer);
-    Led_OnDone(&run->hub->ledger, run->id,
-               !run->idempotent && run->sequence == 0, Pack_View(&pack), now);
-    Pack_Finish(&pack);
-}
-
-static void
-lose_run(Run *run, Instant now)
+bool
+Run_IsWaiting(const Run *run)
 {
-    Led_OnLost(&run->hub->ledger, run->id, now);
-    if (!run->detached) {
-        refuse(run->hub, &run->origin, run->id, Refusal_CUT, now);
-    }
+    return !run->exchange && !run->cut;
 }
 
 static void
@@ -268,6 +133,7 @@
     bool failed = end != Bck_WHOLE || run->status >= 500;
 
     Adm_OnEnd(hub->admission, now - run->started_at, failed, now);
+    Crs_OnEnd(run, end, now);
     if (end == Bck_UNREACHED ||
         (end == Bck_WHOLE && run->status == TURNED_AWAY)) {
         Adm_OnTurnedAway(hub->admission, now);
@@ -277,17 +143,18 @@
     }
     switch (end) {
     case Bck_WHOLE:
-        keep_answer(run, now);
-        send_rest(run, now);
+        Ans_Keep(run, now);
+        Ans_SendRest(run, now);
         break;
     case Bck_CUT:
-        lose_run(run, now);
-        break;
+        run->exchange = NULL;
+        Crs_OnCut(run);
+        return;
     case Bck_UNREACHED:
-        refuse_run(run, Refusal_ABSENT, now);
+        Run_Refuse(run, Refusal_ABSENT, now);
         break;
     }
-    free_run(run);
+    Run_Free(run);
     Run_HubTick(hub, now);
 }
 
@@ -304,9 +171,8 @@
     return usual > left / REPEAT_PART ? usual : left / REPEAT_PART;
 }
 
-/* The attempt is counted as running already. */
-static void
-start_run(Run *run, Instant now)
+void
+Run_StartExchange(Run *run, Instant now)
 {
     RunHub *hub = run->hub;
     BckRequest request = {
@@ -317,7 +183,7 @@
         .left = run->deadline - now,
         .repeat_after = repeat_after(run, run->deadline - now),
     };
-    BckSink sink = {run, on_head, on_bytes, on_end};
+    BckSink sink = {run, Ans_OnHead, Ans_OnBytes, on_end};
 
     run->started_at = now;
     run->exchange = Bck_Start(hub->pool, &request, &sink);
@@ -326,12 +192,12 @@
         return;
     }
     Adm_OnEnd(hub->admission, 0, true, now);
-    refuse_run(run, Refusal_ABSENT, now);
-    free_run(run);
+    Run_Refuse(run, Refusal_ABSENT, now);
+    Run_Free(run);
 }
 
-static Run *
-add_run(RunHub *hub, const NetOrigin *origin, const CallMsg *msg, Instant now)
+Run *
+Run_Add(RunHub *hub, const NetOrigin *origin, const CallMsg *msg, Instant now)
 {
     Run *run = Mem_Alloc(1, sizeof *run);
 
@@ -340,12 +206,13 @@
     run->origin = *origin;
     run->idempotent = msg->idempotent;
     run->keyed = msg->keyed;
+    run->fingerprint = msg->fingerprint;
     run->cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
     run->deadline = now + msg->left;
     StrBuf_Set(&run->method, msg->method);
     StrBuf_Set(&run->target, msg->target);
     StrBuf_Set(&run->body, msg->body);
-    copy_fields(&run->fields, &run->text, &msg->fields);
+    Run_CopyFields(&run->fields, &run->text, &msg->fields);
     return run;
 }
 
@@ -378,16 +245,16 @@
         Cnt_Add(hub->counters, Cnt_DUPLICATES, 1);
         break;
     case Led_FENCED:
-        refuse(hub, origin, msg->id, Refusal_FENCED, now);
+        Run_RefuseId(hub, origin, msg->id, Refusal_FENCED, now);
         break;
     case Led_EXPIRED:
-        refuse(hub, origin, msg->id, Refusal_EXPIRED, now);
+        Run_RefuseId(hub, origin, msg->id, Refusal_EXPIRED, now);
         break;
     case Led_FULL:
-        refuse(hub, origin, msg->id, Refusal_FULL, now);
+        Run_RefuseId(hub, origin, msg->id, Refusal_FULL, now);
         break;
     case Led_WRONG_INCARNATION:
-        refuse(hub, origin, msg->id, Refusal_INCARNATION, now);
+        Run_RefuseId(hub, origin, msg->id, Refusal_INCARNATION, now);
         break;
     }
     return false;
@@ -407,21 +274,22 @@
         Lgr_LogErr(hub->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
         return;
     }
-    if (!ask_ledger(hub, origin, &msg, now)) {
+    if (!ask_ledger(hub, origin, &msg, now) ||
+        Crs_Hold(hub, origin, &msg, now)) {
         return;
     }
     verdict = Adm_Ask(hub->admission,
                       msg.interactive ? Adm_INTERACTIVE : Adm_PATIENT,
                       msg.left, now);
     if (verdict == Adm_RUN) {
-        start_run(add_run(hub, origin, &msg, now), now);
+        Run_StartExchange(Run_Add(hub, origin, &msg, now), now);
     }
     else if (verdict == Adm_QUEUE) {
-        add_run(hub, origin, &msg, now);
+        Run_Add(hub, origin, &msg, now);
     }
     else {
         Led_OnRefused(&hub->ledger, msg.id, now);
-        refuse(hub, origin, msg.id, refusal_of(verdict), now);
+        Run_RefuseId(hub, origin, msg.id, refusal_of(verdict), now);
     }
 }
 
@@ -436,21 +304,16 @@
     return (Run *)link;
 }
 
-static void
-leave_queue(Run *run)
-{
-    Adm_OnLeave(run->hub->admission, run->cls);
-    free_run(run);
-}
-
-static void
-detach(Run *run)
+void
+Run_LeaveQueue(Run *run)
 {
-    run->detached = true;
-    drop_large(run);
-    if (run->exchange) {
-        Bck_Resume(run->exchange);
+    if (run->alone) {
+        Adm_OnHeldLeave(run->hub->admission);
+    }
+    else {
+        Adm_OnLeave(run->hub->admission, run->cls);
     }
+    Run_Free(run);
 }
 
 /* Its connection to the backend server is closed: it may have run. */
@@ -459,8 +322,8 @@
 {
     Bck_Cancel(run->exchange);
     Adm_OnEnd(run->hub->admission, now - run->started_at, true, now);
-    lose_run(run, now);
-    free_run(run);
+    Run_Lose(run, now);
+    Run_Free(run);
 }
 
 static void
@@ -479,12 +342,15 @@
     if (!run) {
         return;
     }
-    if (!run->exchange) {
+    if (run->cut) {
+        run->detached = true;
+    }
+    else if (!run->exchange) {
         Led_OnRefused(&hub->ledger, id, now);
-        leave_queue(run);
+        Run_LeaveQueue(run);
     }
     else if (run->keyed) {
-        detach(run); /* a repeat will want its outcome */
+        Ans_Detach(run); /* a repeat will want its outcome */
     }
     else {
         run->detached = true;
@@ -509,7 +375,7 @@
     if (run) {
         run->uncredited -=
             msg.bytes < run->uncredited ? msg.bytes : run->uncredited;
-        send_ready(run, now);
+        Ans_SendReady(run, now);
         if (run->exchange && run->bytes.len < Callmsg_WINDOW_BYTES) {
             Bck_Resume(run->exchange);
         }
@@ -531,7 +397,8 @@
 
 void
 Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
-            Adm *admission, BckPool *pool, uint64_t incarnation)
+            Adm *admission, BckPool *pool, Suspects *suspects,
+            uint64_t incarnation)
 {
     LedSettings ledger = {
         .brief = LEDGER_BRIEF,
@@ -549,6 +416,7 @@
         .timeline = timeline,
         .admission = admission,
         .pool = pool,
+        .suspects = suspects,
         .incarnation = incarnation,
     };
     Led_Init(&hub->ledger, &ledger, incarnation);
@@ -565,12 +433,21 @@
         if (hub->first->exchange) {
             Bck_Cancel(hub->first->exchange);
         }
-        free_run(hub->first);
+        Run_Free(hub->first);
     }
+    Knk_Cancel(&hub->knock);
     Hsh_Finish(&hub->by_id);
     Led_Finish(&hub->ledger);
 }
 
+void
+Run_OnLost(RunHub *hub, void (*lost)(void *context, Instant now),
+           void *context)
+{
+    hub->lost = lost;
+    hub->lost_context = context;
+}
+
 FencedState
 Run_TakeOver(RunHub *hub, const NetOrigin *origin, AttemptId id, bool stop,
              Instant now)
@@ -580,9 +457,9 @@
     if (!run || run->sequence > 0) {
         return Fenced_LOST;
     }
-    if (!run->exchange && stop) {
+    if (Run_IsWaiting(run) && stop) {
         Led_OnRefused(&hub->ledger, id, now);
-        leave_queue(run);
+        Run_LeaveQueue(run);
         return Fenced_NEVER;
     }
     run->origin = *origin;
@@ -600,13 +477,20 @@
 first_waiting(RunHub *hub, AdmClass cls)
 {
     for (Run *run = hub->first; run; run = run->next) {
-        if (!run->exchange && run->cls == cls) {
+        if (Run_IsWaiting(run) && !run->alone && run->cls == cls) {
             return run;
         }
     }
     return NULL;
 }
 
+/* A suspect keeps all others waiting. */
+static Span
+grace_of(const Run *run)
+{
+    return run->alone ? 0 : STALL_GRACE;
+}
+
 /* What runs past its deadline, and nobody takes its answer, holds a slot of
  * the backend server for nothing. */
 static void
@@ -616,11 +500,11 @@
 
     for (Run *run = hub->first; run; run = next) {
         next = run->next;
-        if (!run->exchange && now >= run->deadline) {
-            refuse_run(run, Refusal_LATE, now);
-            leave_queue(run);
+        if (Run_IsWaiting(run) && now >= run->deadline) {
+            Run_Refuse(run, Refusal_LATE, now);
+            Run_LeaveQueue(run);
         }
-        else if (now >= run->deadline + STALL_GRACE) {
+        else if (run->exchange && now >= run->deadline + grace_of(run)) {
             cancel_run(run, now);
         }
     }
@@ -633,7 +517,8 @@
 
     Led_Expire(&hub->ledger, now);
     drop_late(hub, now);
+    Crs_Tick(hub, now);
     while (Adm_Next(hub->admission, now, &cls)) {
-        start_run(first_waiting(hub, cls), now);
+        Run_StartExchange(first_waiting(hub, cls), now);
     }
 }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -10,10 +10,12 @@
 
 #include "connection/backend.h"
 #include "connection/callmsg.h"
+#include "connection/knock.h"
 #include "process/admission.h"
 #include "process/counters.h"
 #include "process/ledger.h"
 #include "process/net.h"
+#include "process/suspects.h"
 #include "process/timeline.h"
 #include "version/preset.h"
 
@@ -26,17 +28,29 @@
     Timeline *timeline;
     Adm *admission;
     BckPool *pool;
+    Suspects *suspects;
     uint64_t incarnation; /* of this node */
     Led ledger;
     Hsh by_id;
     Run *first; /* oldest first */
     Run *last;
     size_t count;
+    Knock knock;        /* after an exchange was cut */
+    Instant told_by;    /* what was cut is settled then at the latest */
+    uint32_t alone;     /* suspects that wait or run */
+    Instant alone_from; /* the next suspect may start */
+    void *lost_context;
+    void (*lost)(void *context, Instant now);
     Instant asked_at; /* last attempt that a node sent; 0: none */
 } RunHub;
 
 void Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
-                 Adm *admission, BckPool *pool, uint64_t incarnation);
+                 Adm *admission, BckPool *pool, Suspects *suspects,
+                 uint64_t incarnation);
+
+/* Told when the backend server was found gone. */
+void Run_OnLost(RunHub *hub, void (*lost)(void *context, Instant now),
+                void *context);
 void Run_HubFinish(RunHub *hub);
 
 /* The answer of attempt ID goes to ORIGIN from now on, unless a part of it
--- /dev/null
+++ b/tests/integration/test_suspect.c
@@ -0,0 +1,173 @@
+/* A request that crashes each backend server that runs it, sent again and
+ * again through different nodes, with neighbours' requests beside it.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <sys/wait.h>
+
+#include "fleet_keyed.h"
+#include "support/suite.h"
+
+static Str build;
+
+enum {
+    VMS = 6,
+    FIRST_BACKEND = 2,
+    REPEATS = 8,
+    NEIGHBOURS = 6,
+    LOSSES_MAX = 2 /* the brief's bound for one service */
+};
+
+typedef struct {
+    const char *name;
+    Str path;     /* of the crashing request */
+    bool keys;    /* each repeat has a new key */
+    bool restart; /* lost backend servers come back */
+} SuspectCase;
+
+static const SuspectCase cases[] = {
+    {"idempotent", Str_LIT("/visor/bad"), false, false},
+    {"not idempotent", Str_LIT("/notes/bad"), false, false},
+    {"a new key each time", Str_LIT("/orders/bad"), true, false},
+    {"backend servers come back", Str_LIT("/notes/bad"), false, true},
+};
+
+enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
+
+static const Str preset =
+    Str_LIT("{\"name\":\"ordinary\",\"limits\":{\"suspect_release_ms\":6000},"
+            "\"routes\":["
+            "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+            "\"interactive\":true,\"idempotent\":true},"
+            "{\"service\":\"visor\",\"route\":\"note\",\"path\":\"/notes/\"},"
+            "{\"service\":\"visor\",\"route\":\"book\",\"path\":\"/orders/\","
+            "\"key_header\":\"Idempotency-Key\"}]}");
+
+#define CRASH Str_LIT("X-Fake-Crash: before\r\n")
+#define SLOW Str_LIT("X-Fake-Time-Us: 100000\r\n")
+
+static void
+start_fleet(Fleet *fleet)
+{
+    Fleet_Init(fleet, build, 32, VMS, 3);
+    Fleet_SetPreset(fleet, preset);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    for (int i = FIRST_BACKEND; i < VMS; i++) {
+        Fleet_StartBackend(fleet, i, Str_LIT("visor"), (Str){0});
+    }
+    for (int i = 0; i < VMS; i++) {
+        ck_assert(
+            Fleet_WaitForKeys(fleet, i, Str_LIT("/orders/x"), Span_S(10)));
+    }
+    Fleet_Sleep(Span_MS(500));
+}
+
+/* Backend servers that ended by themselves since the last look. */
+static int
+count_losses(Fleet *fleet, bool restart)
+{
+    int losses = 0;
+
+    for (int i = FIRST_BACKEND; i < VMS; i++) {
+        pid_t *backend = &fleet->vms[i].backend;
+        if (*backend > 0 && waitpid(*backend, NULL, WNOHANG) == *backend) {
+            *backend = 0;
+            losses++;
+            if (restart) {
+                Fleet_StartBackend(fleet, i, Str_LIT("visor"), (Str){0});
+            }
+        }
+    }
+    return losses;
+}
+
+static int
+start_neighbour(Fleet *fleet, int round, int number)
+{
+    StrBuf path = {0};
+    int fd;
+
+    StrBuf_AppendFmt(&path, "/visor/barn/%d-%d", round, number);
+    fd = Fleet_StartPost(fleet, number % VMS, StrBuf_View(&path), (Str){0},
+                         SLOW, Str_LIT("x"));
+    StrBuf_Finish(&path);
+    return fd;
+}
+
+static Told
+send_bad(Fleet *fleet, const SuspectCase *c, int round, Str headers)
+{
+    StrBuf key = {0};
+    StrBuf answer = {0};
+    Told told;
+
+    if (c->keys) {
+        StrBuf_AppendFmt(&key, "bad-%d", round);
+    }
+    told = Fleet_Post(fleet, round % VMS, c->path, StrBuf_View(&key), headers,
+                      Str_LIT("bad"), Span_S(5), &answer);
+    StrBuf_Finish(&key);
+    StrBuf_Finish(&answer);
+    return told;
+}
+
+/* One repeat, and its neighbours; how many of these were not answered. */
+static int
+play_round(Fleet *fleet, const SuspectCase *c, int round, Told *told)
+{
+    int fds[NEIGHBOURS];
+    int harmed = 0;
+    StrBuf answer = {0};
+
+    for (int i = 0; i < NEIGHBOURS; i++) {
+        fds[i] = start_neighbour(fleet, round, i);
+    }
+    Fleet_Sleep(Span_MS(30));
+    *told = send_bad(fleet, c, round, CRASH);
+    for (int i = 0; i < NEIGHBOURS; i++) {
+        harmed += Fleet_FinishPost(fds[i], Span_S(5), &answer) != Told_ANSWER;
+    }
+    StrBuf_Finish(&answer);
+    return harmed;
+}
+
+START_TEST(is_stopped_after_two_losses)
+{
+    const SuspectCase *c = &cases[_i];
+    Fleet fleet;
+    Told told;
+    int harmed = 0;
+    int losses = 0;
+
+    start_fleet(&fleet);
+    for (int round = 0; round < REPEATS; round++) {
+        harmed += play_round(&fleet, c, round, &told);
+        losses += count_losses(&fleet, c->restart);
+        ck_assert_msg(!(told & (Told_ANSWER | Told_NOTHING)),
+                      "%s: round %d was told %d", c->name, round, told);
+    }
+    printf("%s: sent %d times, %d losses, %d of %d neighbours harmed\n",
+           c->name, REPEATS, losses, harmed, REPEATS * NEIGHBOURS);
+    fflush(stdout);
+    ck_assert_int_ge(losses, 1);
+    ck_assert_int_le(losses, LOSSES_MAX);
+    ck_assert_int_eq(harmed, 0);
+    ck_assert_int_eq(told, Told_NOT_RUN);
+    /* Released after its time: the same request, harmless by now. */
+    Fleet_Sleep(Span_S(6));
+    told = send_bad(&fleet, c, REPEATS, (Str){0});
+    ck_assert_int_eq(told, Told_ANSWER);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{is_stopped_after_two_losses, CASE_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("suspect", tests, 1, 40);
+}
