Keep the repeat over a fresh connection out of the test of hanging up

The request was repeated at a quarter of its deadline, which cancelled the first attempt whether or not the hang-up was noticed. With a deadline of 60 s both cases fail when the watch is not added, and pass with it.

--- a/tests/integration/test_http_edges.c
+++ b/tests/integration/test_http_edges.c
@@ -286,9 +286,11 @@
 
 static const HangupCase hangups[] = {
     {"running", Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST
+                        "X-Lycheeridge-Deadline-Ms: 60000\r\n"
                         "X-Fake-Time-Us: 3000000\r\n\r\n")},
     {"with a body",
      Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST "Content-Length: 4\r\n"
+             "X-Lycheeridge-Deadline-Ms: 60000\r\n"
              "X-Fake-Time-Us: 3000000\r\n\r\nbarn")},
 };
 
