Knock again when a connection is closed at once

A process that ends may close its connections before its listening socket: a knock in between was taken for a backend server that lives, and the crash was not told.

--- a/src/connection/knock.c
+++ b/src/connection/knock.c
@@ -6,7 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { WAIT_US = 200000 };
+enum { WAIT_US = 200000, LINGER_US = 20000, TRIES_MAX = 3 };
 
 void
 Knk_Cancel(Knock *knock)
@@ -18,56 +18,99 @@
     }
 }
 
-static KnkResult
-result_of(const Knock *knock, short what)
+static void
+finish(Knock *knock, KnkResult result)
 {
-    int error = 0;
-    socklen_t size = sizeof error;
+    KnkSink sink = knock->sink;
 
-    if (what & EV_TIMEOUT) {
-        return Knk_SILENT;
-    }
-    getsockopt(knock->fd, SOL_SOCKET, SO_ERROR, &error, &size);
-    return error || knock->error ? Knk_REFUSED : Knk_OPENED;
+    Knk_Cancel(knock);
+    sink.call(sink.context, result);
 }
 
+static void try_once(Knock *knock);
+
+/* A process that ends closes its connections before it stops listening: what
+ * was just opened is then closed again. */
 static void
-on_event(evutil_socket_t fd, short what, void *context)
+on_closed(evutil_socket_t fd, short what, void *context)
 {
     Knock *knock = context;
-    KnkSink sink = knock->sink;
-    KnkResult result = result_of(knock, what);
 
     (void)fd;
+    if (what & EV_TIMEOUT || knock->tries == TRIES_MAX) {
+        finish(knock, Knk_OPENED);
+        return;
+    }
     Knk_Cancel(knock);
-    sink.call(sink.context, result);
+    try_once(knock);
 }
 
-bool
-Knk_Start(Knock *knock, struct event_base *base, Addr addr,
-          const KnkSink *sink)
+static void
+linger(Knock *knock)
+{
+    struct timeval wait = {.tv_usec = LINGER_US};
+    struct event_base *base = event_get_base(knock->event);
+
+    event_free(knock->event);
+    knock->event = event_new(base, knock->fd, EV_READ, on_closed, knock);
+    event_add(knock->event, &wait);
+}
+
+static void
+on_connected(evutil_socket_t fd, short what, void *context)
+{
+    Knock *knock = context;
+    int error = 0;
+    socklen_t size = sizeof error;
+
+    if (what & EV_TIMEOUT) {
+        finish(knock, Knk_SILENT);
+        return;
+    }
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error || knock->error) {
+        finish(knock, Knk_REFUSED);
+        return;
+    }
+    linger(knock);
+}
+
+static void
+try_once(Knock *knock)
 {
     struct sockaddr_in to = {.sin_family = AF_INET};
     struct timeval wait = {.tv_usec = WAIT_US};
     StrBuf ip = {0};
 
-    if (knock->event) {
-        return false;
-    }
-    Addr_PrintIp(addr, &ip);
+    Addr_PrintIp(knock->addr, &ip);
     inet_pton(AF_INET, StrBuf_CStr(&ip), &to.sin_addr);
     StrBuf_Finish(&ip);
-    to.sin_port = htons(Addr_Port(addr));
-    knock->sink = *sink;
+    to.sin_port = htons(Addr_Port(knock->addr));
+    knock->tries++;
     knock->error = 0;
     knock->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    knock->event = event_new(base, knock->fd, EV_WRITE, on_event, knock);
+    knock->event =
+        event_new(knock->base, knock->fd, EV_WRITE, on_connected, knock);
     event_add(knock->event, &wait);
     if (connect(knock->fd, (struct sockaddr *)&to, sizeof to) &&
         errno != EINPROGRESS) {
-        knock->error = errno;
         /* Told through the loop like any other result. */
+        knock->error = errno;
         event_active(knock->event, EV_WRITE, 0);
     }
+}
+
+bool
+Knk_Start(Knock *knock, struct event_base *base, Addr addr,
+          const KnkSink *sink)
+{
+    if (knock->event) {
+        return false;
+    }
+    knock->base = base;
+    knock->addr = addr;
+    knock->sink = *sink;
+    knock->tries = 0;
+    try_once(knock);
     return true;
 }
--- a/src/connection/knock.h
+++ b/src/connection/knock.h
@@ -1,4 +1,4 @@
-/* Knk: one try to open a TCP connection, to tell a process that is gone from
+/* Knk: a try to open a TCP connection, to tell a process that is gone from
  * a connection that broke.
  */
 #ifndef KNOCK_H
@@ -23,6 +23,9 @@
     struct event *event; /* NULL: no try is going on */
     int fd;
     int error; /* known at once */
+    int tries;
+    struct event_base *base;
+    Addr addr;
     KnkSink sink;
 } Knock;
 
