--- a/src/process/linkbudget.c
+++ b/src/process/linkbudget.c
@@ -31,4 +31,7 @@
 Lnk_OnBytes(Lnk *link, uint32_t bytes, Instant now)
 {
     Bkt_Charge(&link->bytes, bytes, now);
+    if (link->bytes.tokens < -link->bytes.burst) {
+        link->bytes.tokens = -link->bytes.burst;
+    }
 }
--- a/src/process/linkbudget.h
+++ b/src/process/linkbudget.h
@@ -1,7 +1,9 @@
 /* Lnk, the budget of the regions' link: what of this node's calls may cross,
  * and in which order.
  *
- * Interactive calls go first: they are charged and may overdraw by one burst.
+ * Interactive calls go first: they are charged, and held back only when the
+ * rate is nil.  The debt is bounded by one burst, so that one large answer
+ * closes the link to the patient class for less than half a second.
  * The patient class crosses only while half the burst is left, and keeps to
  * its region otherwise.
  */
