Give no two nodes the same incarnation

Cause: an incarnation was the wall clock in microseconds, and two nodes that start in the same microsecond shared it; so did their attempt ids and request ids. The ledger then took one node's attempt for a duplicate of the other's and handed over the other's answer: a call told 'ran' without its effect, and one told 'unknown' after its deadline's fence. Ruled out: lost messages (connections were heard), the table of calls, retries.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -1,5 +1,7 @@
 #include "process/node.h"
 
+#include "process/incarnation.h"
+
 #include "request/fence.h"
 
 #define TICK Span_MS(10)
@@ -317,8 +319,7 @@
     Tml_Init(&node->timeline, &node->logger);
     Cnt_Init(&node->counters);
     Rng_Init(&node->rng, Loop_Entropy());
-    /* Wall clock: a later start has the higher incarnation. */
-    node->incarnation = (uint64_t)Loop_WallClock();
+    node->incarnation = Inc_Make(Loop_WallClock(), Loop_Entropy());
     if (!load_preset(node, err) ||
         !Rec_Init(&node->recorder, StrBuf_View(&settings->record), err) ||
         !Net_Init(&node->net, &node->loop, &node->timeline, &node->counters,
