--- a/tests/integration/fleet_call.c
+++ b/tests/integration/fleet_call.c
@@ -233,13 +233,13 @@
     return 0;
 }
 
-uint64_t
-Fleet_Counter(Fleet *fleet, int vm, Str name)
+static uint64_t
+read_number(Fleet *fleet, int vm, int port, Str path, Str name)
 {
     StrBuf text = {0};
     uint64_t number = 0;
 
-    if (Fleet_Get(fleet, vm, 8100, Str_LIT("/metrics"), &text)) {
+    if (Fleet_Get(fleet, vm, port, path, &text)) {
         number = find_number(StrBuf_View(&text), name);
     }
     StrBuf_Finish(&text);
@@ -247,16 +247,15 @@
 }
 
 uint64_t
-Fleet_BackendCount(Fleet *fleet, int vm, Str name)
+Fleet_Counter(Fleet *fleet, int vm, Str name)
 {
-    StrBuf text = {0};
-    uint64_t number = 0;
+    return read_number(fleet, vm, 8100, Str_LIT("/metrics"), name);
+}
 
-    if (Fleet_Get(fleet, vm, 9000, Str_LIT("/fake/counts"), &text)) {
-        number = find_number(StrBuf_View(&text), name);
-    }
-    StrBuf_Finish(&text);
-    return number;
+uint64_t
+Fleet_BackendCount(Fleet *fleet, int vm, Str name)
+{
+    return read_number(fleet, vm, 9000, Str_LIT("/fake/counts"), name);
 }
 
 bool
