--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 CC ?= gcc
 BUILD ?= build
-JOBS ?= 4
+JOBS ?= $(shell nproc)
 PACKAGES = libevent libzmq argtable2 jansson msgpack libxxhash gsl
 CFLAGS ?= -O2 -g
 ALL_CFLAGS = -std=c11 -D_GNU_SOURCE -Isrc -Itools -Itests -Wall -Wextra \
