--- a/tools/load_calls.c
+++ b/tools/load_calls.c
@@ -82,7 +82,8 @@
         StrBuf_AppendFmt(&key, "load-%llu-%zu", (unsigned long long)load->run,
                          number);
         evhttp_add_header(headers, "Idempotency-Key", StrBuf_CStr(&key));
-        evbuffer_add(evhttp_request_get_output_buffer(request), "lot=1", 5);
+        evbuffer_add(evhttp_request_get_output_buffer(request), load->body.ptr,
+                     load->body.len);
     }
     StrBuf_Finish(&key);
     load->open++;
--- a/tools/load_calls.h
+++ b/tools/load_calls.h
@@ -47,6 +47,7 @@
     size_t group_count;
     const char *paths[Lod_KINDS];
     uint32_t bookings; /* permille */
+    Str body;          /* of each booking */
     double gap_us;     /* mean */
     Instant end;
     uint64_t seed;
--- a/tools/load_main.c
+++ b/tools/load_main.c
@@ -13,7 +13,7 @@
 #include "process/settings.h"
 #include "value/mem.h"
 
-enum { FILES_MAX = 64 };
+enum { FILES_MAX = 64, BODY_BYTES = 5 };
 
 typedef struct {
     size_t calls;
@@ -157,6 +157,14 @@
     return tally.doubled + tally.wrong + (tally.good == 0);
 }
 
+static void
+fill_body(StrBuf *body, int bytes)
+{
+    for (int i = 0; i < bytes; i++) {
+        StrBuf_Append(body, Str_LIT("x"));
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -169,6 +177,8 @@
     struct arg_str *book = arg_str0(NULL, "book", "PATH", "of a POST");
     struct arg_int *share =
         arg_int0(NULL, "bookings", "PERMILLE", "share of POSTs (0)");
+    struct arg_int *body =
+        arg_int0(NULL, "body", "BYTES", "length of a POST's body (5)");
     struct arg_dbl *rate = arg_dbl1(NULL, "rate", "N", "calls a second");
     struct arg_int *seconds = arg_int1(NULL, "seconds", "N", "length");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed (1)");
@@ -176,8 +186,9 @@
     struct arg_file *effects = arg_filen(NULL, "effects", "FILE", 0, FILES_MAX,
                                          "of backend servers, checked");
     struct arg_end *end = arg_end(8);
-    void *table[] = {nodes,   straight, read,  book,    share, rate,
-                     seconds, seed,     label, effects, end};
+    void *table[] = {nodes, straight, read, book,  share,   body,
+                     rate,  seconds,  seed, label, effects, end};
+    StrBuf body_text = {0};
     static Load load;
     size_t faults = 0;
 
@@ -194,6 +205,8 @@
     load.paths[Lod_READ] = read->sval[0];
     load.paths[Lod_BOOKING] = book->count ? book->sval[0] : read->sval[0];
     load.bookings = share->count ? (uint32_t)share->ival[0] : 0;
+    fill_body(&body_text, body->count ? body->ival[0] : BODY_BYTES);
+    load.body = StrBuf_View(&body_text);
     load.gap_us = 1e6 / rate->dval[0];
     load.seed = seed->count ? (uint64_t)seed->ival[0] : 1;
     load.run = (uint64_t)Loop_WallClock();
@@ -212,6 +225,7 @@
     }
     Rng_Finish(&load.rng);
     Mem_Free(load.calls);
+    StrBuf_Finish(&body_text);
     Loop_Finish(&load.loop);
     arg_freetable(table, sizeof table / sizeof table[0]);
     return faults ? 1 : 0;
