Measure control replicas beside stand-ins for 677 nodes

Ruled out: a stand-in that only speaks the messages (it would have to be changed with each change of the protocol, and could not tell when all know of a lost node); a process for each node (680 on one machine).

--- /dev/null
+++ b/tools/fleet_main.c
@@ -0,0 +1,232 @@
+/* fleet: one process that stands in for many nodes beside real control
+ * replicas.  Each stand-in runs a node's own membership code over sockets of
+ * its own; it has no backend server, no log and takes no calls.  A line of
+ * JSON a second tells how many members the stand-ins know.
+ */
+#include <argtable2.h>
+#include <stdio.h>
+
+#include "process/members.h"
+#include "value/mem.h"
+
+enum { START_MS = 4, TELL_MS = 100, SLOTS = 9 };
+
+typedef struct {
+    Settings settings; /* strings and lists are the template's */
+    Ann ann;
+    Adm admission;
+    Net net;
+    Members members;
+    int known; /* rows that stand */
+    bool running;
+} StandIn;
+
+typedef struct {
+    Loop loop;
+    Logger logger;
+    Timeline timeline;
+    Counters counters;
+    Settings template;
+    StandIn *nodes;
+    int count;
+    int started;
+    int lose; /* so many, the last ones, fall silent at lose_at */
+    Instant begin_at;
+    Span lose_at;
+    Instant end_at;
+    LoopTimer start;
+    LoopTimer tell;
+} Fleet;
+
+static void
+on_member(void *context, MbrChange change, const MbrRecord *record,
+          Instant now)
+{
+    StandIn *node = context;
+
+    (void)record;
+    (void)now;
+    node->known += change == Mbr_CAME;
+    node->known -= change == Mbr_GONE;
+}
+
+/* Services in the target's number, numbered by node. */
+static void
+announce(StandIn *node, int index)
+{
+    char name[16];
+    int len = snprintf(name, sizeof name, "service%d", index % 52);
+
+    Adm_Init(&node->admission, &(AdmSettings){0});
+    Adm_OnAnnounce(&node->admission, SLOTS, false, Loop_Now());
+    node->ann.present = true;
+    StrBuf_Set(&node->ann.service, Str_From(name, (size_t)len));
+}
+
+static bool
+start_node(Fleet *fleet, int index, Err *err)
+{
+    StandIn *node = &fleet->nodes[index];
+    Settings *settings = &node->settings;
+
+    *settings = fleet->template;
+    settings->address += (Addr)index << 16;
+    settings->domain = (uint16_t)((size_t)index % settings->domain_count);
+    settings->region = settings->domains[settings->domain].region_number;
+    announce(node, index);
+    if (!Net_Init(&node->net, &fleet->loop, &fleet->timeline, &fleet->counters,
+                  settings, err)) {
+        return false;
+    }
+    Mbs_Init(&node->members, &fleet->loop, &node->net, &fleet->counters,
+             &fleet->logger, settings, &node->ann, &node->admission,
+             Loop_Entropy() >> 1, on_member, node);
+    Mbs_SetVersion(&node->members, (CfgVersion){.term = 1, .index = 1},
+                   Loop_Now());
+    node->running = true;
+    return true;
+}
+
+static void
+stop_node(StandIn *node)
+{
+    Mbs_Finish(&node->members);
+    Net_Finish(&node->net);
+    StrBuf_Finish(&node->ann.service);
+    node->running = false;
+}
+
+/* One at a time, so that their heartbeats are spread. */
+static void
+on_start(void *context, Instant now)
+{
+    Fleet *fleet = context;
+    Err err = {0};
+
+    (void)now;
+    if (fleet->started == fleet->count) {
+        return;
+    }
+    if (!start_node(fleet, fleet->started, &err)) {
+        Lgr_LogErr(&fleet->logger, Lgr_ERROR, Str_LIT("not_started"), &err);
+        Loop_Stop(&fleet->loop);
+        return;
+    }
+    fleet->started++;
+}
+
+static void
+lose_nodes(Fleet *fleet)
+{
+    while (fleet->lose > 0 && fleet->count > 0) {
+        fleet->lose--;
+        fleet->count--;
+        stop_node(&fleet->nodes[fleet->count]);
+        fleet->started = fleet->count;
+    }
+}
+
+static void
+tell(const Fleet *fleet, Instant now)
+{
+    int least = fleet->started ? fleet->nodes[0].known : 0;
+    int most = least;
+
+    for (int i = 0; i < fleet->started; i++) {
+        int known = fleet->nodes[i].known;
+        least = known < least ? known : least;
+        most = known > most ? known : most;
+    }
+    printf("{\"at_ms\": %lld, \"stand_ins\": %d, \"least_known\": %d, "
+           "\"most_known\": %d, \"cpu_ms\": %lld}\n",
+           (long long)((now - fleet->begin_at) / 1000), fleet->started, least,
+           most, (long long)(Loop_Usage().cpu_us / 1000));
+    fflush(stdout);
+}
+
+static void
+on_tell(void *context, Instant now)
+{
+    Fleet *fleet = context;
+
+    if (fleet->lose && now - fleet->begin_at >= fleet->lose_at) {
+        tell(fleet, now);
+        lose_nodes(fleet);
+    }
+    tell(fleet, now);
+    if (now >= fleet->end_at) {
+        Loop_Stop(&fleet->loop);
+    }
+}
+
+static bool
+read_template(Fleet *fleet, Str file)
+{
+    StrBuf text = {0};
+    StrBuf report = {0};
+    FindingList findings;
+    Err err = {0};
+    bool good;
+
+    Fnd_Init(&findings);
+    Set_Init(&fleet->template);
+    good = Set_ReadFile(file, &text, &err) &&
+           Set_Parse(&fleet->template, StrBuf_View(&text), &findings);
+    Fnd_Print(&findings, &report);
+    fprintf(stderr, "%.*s%.*s", Str_ARG(report), Str_ARG(Err_Text(&err)));
+    StrBuf_Finish(&report);
+    StrBuf_Finish(&text);
+    Fnd_Finish(&findings);
+    return good;
+}
+
+static bool
+run(Fleet *fleet, int seconds)
+{
+    Err err = {0};
+
+    if (!Loop_Init(&fleet->loop, &err)) {
+        return false;
+    }
+    Lgr_Init(&fleet->logger, Lgr_WARNING, Str_LIT("fleet"), Loop_WallClock);
+    Tml_Init(&fleet->timeline, &fleet->logger);
+    Cnt_Init(&fleet->counters);
+    fleet->nodes = Mem_Alloc((size_t)fleet->count, sizeof *fleet->nodes);
+    fleet->begin_at = Loop_Now();
+    fleet->end_at = fleet->begin_at + Span_S(seconds);
+    LoopTimer_Init(&fleet->start, &fleet->loop, Span_MS(START_MS), on_start,
+                   fleet);
+    LoopTimer_Init(&fleet->tell, &fleet->loop, Span_MS(TELL_MS), on_tell,
+                   fleet);
+    Loop_Run(&fleet->loop);
+    /* Their sockets go with the process. */
+    return fleet->started == fleet->count;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_file *settings = arg_file1(NULL, NULL, "SETTINGS",
+                                          "of the first stand-in; addresses "
+                                          "of the others count up");
+    struct arg_int *nodes = arg_int1(NULL, "nodes", "N", "stand-ins");
+    struct arg_int *seconds = arg_int1(NULL, "seconds", "N", "until the end");
+    struct arg_int *lose = arg_int0(NULL, "lose", "N", "fall silent at once");
+    struct arg_int *at = arg_int0(NULL, "lose-at", "S", "after so long");
+    struct arg_end *end = arg_end(8);
+    void *table[] = {settings, nodes, seconds, lose, at, end};
+    static Fleet fleet;
+
+    if (arg_parse(argc, argv, table)) {
+        arg_print_errors(stderr, end, "fleet");
+        arg_print_glossary(stderr, table, "  %-24s %s\n");
+        return 2;
+    }
+    fleet.count = nodes->ival[0];
+    fleet.lose = lose->count ? lose->ival[0] : 0;
+    fleet.lose_at = at->count ? Span_S(at->ival[0]) : 0;
+    if (!read_template(&fleet, Str_FromC(settings->filename[0]))) {
+        return 2;
+    }
+    return run(&fleet, seconds->ival[0]) ? 0 : 1;
+}
