Run call trees of 30 levels over real processes

Cause: that retries are made at one level and that the deadline shrinks on the way was shown on deciders only. The fake backend server can now call on through the node beside it, passing depth and deadline on; test_call_trees reads whole trees, counts attempts and starts while levels fail, and starts after the deadline.

Ruled out: that the repeat over a fresh connection beside the backend server multiplies by level.

--- /dev/null
+++ b/tests/integration/test_call_trees.c
@@ -0,0 +1,366 @@
+/* Call trees: backend servers that call on through the node beside them, as
+ * services do, while the last level fails or time runs out.
+ */
+#include <stdio.h>
+
+#include "fleet.h"
+#include "process/loop.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define PATH Str_LIT("/visor/tree")
+#define ARRIVAL Span_MS(20) /* of a call at its node, at most */
+#define LAST_PATH Str_LIT("/last/leaf")
+
+static Str build;
+
+enum {
+    VMS = 6,
+    FIRST_LAST = 4, /* VMs from here on run the last level's service */
+    DEPTH_MAX = 30, /* the brief's */
+    BURST = 10      /* retries of one service and node without any call */
+};
+
+static void
+set_preset(Fleet *fleet, int permille)
+{
+    StrBuf json = {0};
+
+    StrBuf_AppendFmt(
+        &json,
+        "{\"name\":\"ordinary\",\"limits\":{\"retry_permille\":%d,"
+        "\"queue_max\":8,\"patient_queue_max\":4},\"routes\":["
+        "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+        "\"interactive\":true,\"idempotent\":true},"
+        "{\"service\":\"visor\",\"route\":\"batch\",\"path\":\"/batch/\","
+        "\"idempotent\":true},"
+        "{\"service\":\"last\",\"route\":\"read\",\"path\":\"/last/\","
+        "\"interactive\":true,\"idempotent\":true}]}",
+        permille);
+    Fleet_SetPreset(fleet, StrBuf_View(&json));
+    StrBuf_Finish(&json);
+}
+
+static void
+start_backend(Fleet *fleet, int vm, int slots, int service_us)
+{
+    StrBuf options = {0};
+
+    StrBuf_AppendFmt(&options, "--slots %d --service-us %d", slots,
+                     service_us);
+    StrBuf_AppendFmt(&options, " --calls %.*s:8000",
+                     Str_ARG(fleet->vms[vm].ip));
+    Fleet_StartBackend(fleet, vm,
+                       vm < FIRST_LAST ? Str_LIT("visor") : Str_LIT("last"),
+                       StrBuf_View(&options));
+    StrBuf_Finish(&options);
+}
+
+static void
+start_fleet(Fleet *fleet, int permille)
+{
+    Fleet_Init(fleet, build, 67, VMS, 3);
+    set_preset(fleet, permille);
+    for (int vm = 0; vm < VMS; vm++) {
+        Fleet_StartNode(fleet, vm);
+    }
+    for (int vm = 0; vm < VMS; vm++) {
+        start_backend(fleet, vm, 64, 2000);
+    }
+    for (int vm = 0; vm < VMS; vm++) {
+        ck_assert(Fleet_WaitFor(fleet, vm, PATH, Span_S(10)));
+        ck_assert(Fleet_WaitFor(fleet, vm, LAST_PATH, Span_S(10)));
+    }
+    Fleet_Sleep(Span_MS(500));
+}
+
+static uint64_t
+sum_counters(Fleet *fleet, int first, Str name)
+{
+    uint64_t sum = 0;
+
+    for (int vm = first; vm < VMS; vm++) {
+        sum += Fleet_Counter(fleet, vm, name);
+    }
+    return sum;
+}
+
+static uint64_t
+sum_backends(Fleet *fleet, Str name)
+{
+    uint64_t sum = 0;
+
+    for (int vm = 0; vm < VMS; vm++) {
+        sum += Fleet_BackendCount(fleet, vm, name);
+    }
+    return sum;
+}
+
+typedef struct {
+    Str name;
+    int depth;
+    int deadline_ms;
+    Str headers; /* further lines */
+} Tree;
+
+/* The root's call, through VM 0. */
+static void
+call_tree(Fleet *fleet, const Tree *tree, FleetAnswer *answer)
+{
+    StrBuf headers = {0};
+    FleetRequest request = {.method = Str_LIT("GET"), .path = PATH};
+
+    StrBuf_AppendFmt(&headers,
+                     "X-Fake-Calls: %d\nX-Lycheeridge-Deadline-Ms: %d\n",
+                     tree->depth - 1, tree->deadline_ms);
+    StrBuf_Append(&headers, tree->headers);
+    request.headers = StrBuf_View(&headers);
+    Fleet_Send(fleet, 0, &request, answer);
+    StrBuf_Finish(&headers);
+}
+
+static const Tree whole_trees[] = {
+    {Str_LIT("one"), 1, 2000, Str_LIT("")},
+    {Str_LIT("six"), 6, 2000, Str_LIT("")},
+    {Str_LIT("thirty"), DEPTH_MAX, 5000, Str_LIT("")},
+};
+
+/* A line of the answer: depth, and milliseconds left on arrival. */
+static void
+read_level(Str *rest, uint64_t *depth, uint64_t *left)
+{
+    size_t end = Str_Find(*rest, '\n');
+    Str line = Str_Slice(*rest, 0, end);
+    size_t space = Str_Find(line, ' ');
+
+    ck_assert(Str_ToU64(Str_Slice(line, 0, space), depth));
+    ck_assert(Str_ToU64(Str_Slice(line, space + 1, line.len), left));
+    *rest = Str_Slice(*rest, end + 1, rest->len);
+}
+
+START_TEST(answers_a_tree_whole)
+{
+    const Tree *tree = &whole_trees[_i];
+    Fleet fleet;
+    FleetAnswer answer;
+    Str rest;
+    uint64_t last = (uint64_t)tree->deadline_ms + 1;
+    uint64_t depth = 0;
+    uint64_t left = 0;
+    int levels = 0;
+
+    start_fleet(&fleet, 100);
+    call_tree(&fleet, tree, &answer);
+    ck_assert_int_eq(answer.status, 200);
+    ck_assert(answer.whole);
+    for (rest = StrBuf_View(&answer.body); rest.len; levels++) {
+        read_level(&rest, &depth, &left);
+        ck_assert_uint_eq(depth, (uint64_t)levels + 1);
+        ck_assert_msg(left < last, "level %d has %d ms, the one above %d",
+                      levels, (int)left, (int)last);
+        last = left;
+    }
+    ck_assert_int_eq(levels, tree->depth);
+    printf("%.*s: %d levels, %d of %d ms left at the last\n",
+           Str_ARG(tree->name), levels, (int)last, tree->deadline_ms);
+    Fleet_FinishAnswer(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+typedef struct {
+    Tree tree;
+    int permille; /* retry budget */
+    int roots;    /* calls */
+    int warm;     /* whole trees before each, so that connections are used */
+} FailingCase;
+
+static const FailingCase failing[] = {
+    {{Str_LIT("last fails"), DEPTH_MAX, 4000, Str_LIT("X-Fake-Last: fails\n")},
+     1000,
+     10,
+     0},
+    {{Str_LIT("last hangs up"), DEPTH_MAX, 4000,
+      Str_LIT("X-Fake-Last: hangs-up\n")},
+     1000,
+     10,
+     0},
+    {{Str_LIT("each hangs up, small budget"), 6, 4000,
+      Str_LIT("X-Fake-Last: hangs-up\nX-Fake-Below: hangs-up\n")},
+     100,
+     40,
+     0},
+    {{Str_LIT("each hangs up, large budget"), 6, 4000,
+      Str_LIT("X-Fake-Last: hangs-up\nX-Fake-Below: hangs-up\n")},
+     1000,
+     20,
+     0},
+    {{Str_LIT("last drains"), 6, 4000,
+      Str_LIT("X-Fake-Last-Path: /last/leaf\n")},
+     1000,
+     20,
+     0},
+    {{Str_LIT("last is slower than its deadline"), 6, 800,
+      Str_LIT("X-Fake-Last-Us: 2000000\n")},
+     1000,
+     5,
+     15},
+};
+
+/* The last level's backend servers refuse, and say nothing of it. */
+static void
+drain_last(Fleet *fleet)
+{
+    for (int vm = FIRST_LAST; vm < VMS; vm++) {
+        ck_assert(Fleet_Knob(fleet, vm, Str_LIT("silent_drain=1")));
+    }
+}
+
+typedef struct {
+    uint64_t calls;    /* of the root's node */
+    uint64_t attempts; /* of all nodes */
+    uint64_t retries;  /* of the nodes below the root's */
+    uint64_t started;  /* at all backend servers */
+} Counts;
+
+static Counts
+read_counts(Fleet *fleet)
+{
+    return (Counts){
+        Fleet_Counter(fleet, 0, Str_LIT("lycheeridge_calls_total")),
+        sum_counters(fleet, 0, Str_LIT("lycheeridge_attempts_total")),
+        sum_counters(fleet, 1, Str_LIT("lycheeridge_retries_total")),
+        sum_backends(fleet, Str_LIT("started")),
+    };
+}
+
+static void
+add_since(Counts *sum, const Counts *before, const Counts *after)
+{
+    sum->calls += after->calls - before->calls;
+    sum->attempts += after->attempts - before->attempts;
+    sum->retries += after->retries - before->retries;
+    sum->started += after->started - before->started;
+}
+
+static void
+warm_up(Fleet *fleet, const FailingCase *c)
+{
+    Tree quick = {c->tree.name, c->tree.depth, 2000, {0}};
+    FleetAnswer answer;
+
+    for (int i = 0; i < c->warm; i++) {
+        call_tree(fleet, &quick, &answer);
+        Fleet_FinishAnswer(&answer);
+    }
+}
+
+static Counts
+call_roots(Fleet *fleet, const FailingCase *c)
+{
+    Counts sum = {0};
+    Counts before;
+    Counts after;
+    FleetAnswer answer;
+
+    for (int i = 0; i < c->roots; i++) {
+        warm_up(fleet, c);
+        before = read_counts(fleet);
+        call_tree(fleet, &c->tree, &answer);
+        ck_assert_int_ge(answer.status, 500);
+        Fleet_FinishAnswer(&answer);
+        Fleet_Sleep(Span_MS(30)); /* what was cancelled ends */
+        after = read_counts(fleet);
+        add_since(&sum, &before, &after);
+    }
+    return sum;
+}
+
+/* Retries of the root's calls. */
+static uint64_t
+budget_of(const FailingCase *c, uint64_t calls)
+{
+    uint64_t budget = BURST + calls * (uint64_t)c->permille / 1000;
+    uint64_t most = (uint64_t)c->roots * 2; /* attempts_max is 3 */
+
+    return budget < most ? budget : most;
+}
+
+START_TEST(does_not_multiply)
+{
+    const FailingCase *c = &failing[_i];
+    Fleet fleet;
+    Counts counts;
+    uint64_t most;
+
+    start_fleet(&fleet, c->permille);
+    drain_last(&fleet);
+    counts = call_roots(&fleet, c);
+    most = (uint64_t)c->tree.depth *
+           ((uint64_t)c->roots + budget_of(c, counts.calls));
+    printf("%.*s: %d trees of %d levels, %d attempts, %d starts, at most %d; "
+           "%d retries below the root's node\n",
+           Str_ARG(c->tree.name), c->roots, c->tree.depth,
+           (int)counts.attempts, (int)counts.started, (int)most,
+           (int)counts.retries);
+    fflush(stdout);
+    ck_assert_uint_eq(counts.retries, 0);
+    ck_assert_uint_le(counts.attempts, most);
+    ck_assert_uint_le(counts.started, most);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+static const Tree late_trees[] = {
+    {Str_LIT("no time for the last levels"), DEPTH_MAX, 400,
+     Str_LIT("X-Fake-Time-Us: 50000\n")},
+    {Str_LIT("time for the first level only"), DEPTH_MAX, 60,
+     Str_LIT("X-Fake-Time-Us: 50000\n")},
+};
+
+START_TEST(starts_nothing_late)
+{
+    const Tree *c = &late_trees[_i];
+    Tree tree = *c;
+    Fleet fleet;
+    FleetAnswer answer;
+    StrBuf headers = {0};
+    uint64_t started;
+    uint64_t overdue;
+
+    start_fleet(&fleet, 100);
+    started = sum_backends(&fleet, Str_LIT("started"));
+    /* The root's deadline counts from its arrival. */
+    StrBuf_AppendFmt(
+        &headers, "%.*sX-Fake-Until: %lld\n", Str_ARG(c->headers),
+        (long long)(Loop_Now() + Span_MS(c->deadline_ms) + ARRIVAL));
+    tree.headers = StrBuf_View(&headers);
+    call_tree(&fleet, &tree, &answer);
+    ck_assert_int_eq(answer.status, 504);
+    Fleet_Sleep(Span_MS(300));
+    started = sum_backends(&fleet, Str_LIT("started")) - started;
+    overdue = sum_backends(&fleet, Str_LIT("overdue"));
+    printf("%.*s: %d ms, told after %d ms, %d starts, %d overdue\n",
+           Str_ARG(c->name), c->deadline_ms, (int)(answer.took / 1000),
+           (int)started, (int)overdue);
+    fflush(stdout);
+    ck_assert_uint_ge(started, 1);
+    ck_assert_uint_eq(overdue, 0);
+    StrBuf_Finish(&headers);
+    Fleet_FinishAnswer(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {
+        {answers_a_tree_whole, ROWS(whole_trees)},
+        {does_not_multiply, ROWS(failing)},
+        {starts_nothing_late, ROWS(late_trees)},
+    };
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("call trees", tests, ROWS(tests), 60);
+}
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -11,6 +11,15 @@
  *   X-Fake-Chunked  the body goes out in chunks, without Content-Length
  *   X-Fake-Show     the body is "NAME=VALUE" of that header field
  *   X-Fake-Echo     the body is the request's body
+ * A call tree; these go on to the levels below:
+ *   X-Fake-Calls     levels below, called through the node beside it; the
+ *                    body has a line "DEPTH DEADLINE-MS" of each level
+ *   X-Fake-Last-Path target of the last level
+ *   X-Fake-Last      the last level: "fails" with 500, or "hangs-up"
+ *   X-Fake-Last-Us   service time of the last level
+ *   X-Fake-Below     when the level below failed: "hangs-up"; else 502
+ *   X-Fake-Until     microseconds of the monotonic clock: a start later than
+ *                    that is counted as overdue
  */
 #ifndef FAKE_SERVER_H
 #define FAKE_SERVER_H
@@ -29,6 +38,8 @@
     uint64_t served;
     uint64_t cancelled; /* the caller hung up first */
     uint64_t late;      /* not started: the deadline had passed */
+    uint64_t started;
+    uint64_t overdue; /* started after X-Fake-Until */
     uint64_t shed;
     uint64_t failed;
 } FakeCounts;
@@ -41,7 +52,8 @@
     Instant started;
     Str service;
     Addr addr;
-    Addr node; /* operators' address of the node beside it */
+    Addr node;  /* operators' address of the node beside it */
+    Addr calls; /* callers' address there, for call trees */
     uint16_t announced_port;
     int effects; /* descriptor; -1: none */
     struct evhttp *http;
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "connection/evtext.h"
+#include "fake_onward.h"
 #include "value/mem.h"
 
 struct FakeWork {
@@ -17,6 +18,8 @@
     struct evhttp_request *request;
     struct event *timer; /* NULL while it waits */
     Instant deadline;
+    Onward *onward; /* NULL: it does not wait for a level below */
+    StrBuf below;   /* what the level below answered */
 };
 
 static Str
@@ -33,6 +36,10 @@
 
     /* Its caller may still be taking the answer. */
     Clr_Unwatch(work->caller);
+    if (work->onward) {
+        Onw_Cancel(work->onward);
+    }
+    StrBuf_Finish(&work->below);
     if (work->previous) {
         work->previous->next = work->next;
     }
@@ -83,12 +90,26 @@
     StrBuf_Finish(&line);
 }
 
+/* A level of a call tree, and those below it. */
+static void
+append_tree(const FakeWork *work, struct evbuffer *out)
+{
+    evbuffer_add_printf(out, "%.*s %.*s\n",
+                        Str_ARG(get(work, "X-Lycheeridge-Depth")),
+                        Str_ARG(get(work, "X-Lycheeridge-Deadline-Ms")));
+    evbuffer_add(out, work->below.ptr, work->below.len);
+}
+
 static void
 append_body(const FakeWork *work, struct evbuffer *out)
 {
     uint64_t size = 0;
     char block[4096];
 
+    if (get(work, "X-Fake-Calls").len) {
+        append_tree(work, out);
+        return;
+    }
     if (get(work, "X-Fake-Echo").len) {
         evbuffer_add_buffer(out,
                             evhttp_request_get_input_buffer(work->request));
@@ -171,6 +192,12 @@
     evbuffer_free(body);
 }
 
+static void
+refuse(struct evhttp_request *request, int status)
+{
+    evhttp_send_error(request, status, NULL);
+}
+
 static void
 crash_if_asked(const FakeWork *work, Str when)
 {
@@ -179,21 +206,109 @@
     }
 }
 
+/* It is gone, and its slot free. */
+static void
+end_work(FakeWork *work)
+{
+    Fake *fake = work->fake;
+
+    free_work(work);
+    Wrk_StartWaiting(fake, Loop_Now());
+}
+
+/* STATUS, or no answer at all. */
+static void
+fail_work(FakeWork *work, bool hangs_up, int status)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(work->request);
+
+    work->fake->counts.failed++;
+    Clr_Unwatch(work->caller);
+    evhttp_connection_set_closecb(connection, NULL, NULL);
+    if (hangs_up) {
+        evhttp_connection_free(connection);
+    }
+    else {
+        refuse(work->request, status);
+    }
+    end_work(work);
+}
+
+static void
+answer_work(FakeWork *work)
+{
+    work->fake->counts.served++;
+    send_answer(work);
+    end_work(work);
+}
+
+static void
+on_below(void *context, int status, Str body)
+{
+    FakeWork *work = context;
+
+    work->onward = NULL;
+    if (status != 200) {
+        fail_work(work,
+                  Str_Equal(get(work, "X-Fake-Below"), Str_LIT("hangs-up")),
+                  502);
+        return;
+    }
+    StrBuf_Set(&work->below, body);
+    answer_work(work);
+}
+
+/* The deadline that came with the request, less the time since. */
+static void
+call_on(FakeWork *work, Instant now)
+{
+    Span left = work->deadline - now;
+
+    if (left < Span_MS(1)) {
+        fail_work(work, false, 504);
+        return;
+    }
+    work->onward = Onw_Start(work->fake, work->request, left, on_below, work);
+}
+
+static bool
+is_last(const FakeWork *work)
+{
+    return get(work, "X-Fake-Calls").len && Onw_Levels(work->request) == 0;
+}
+
 static void
 on_done(evutil_socket_t fd, short what, void *context)
 {
     FakeWork *work = context;
-    Fake *fake = work->fake;
+    Str last = get(work, "X-Fake-Last");
 
     (void)fd;
     (void)what;
     crash_if_asked(work, Str_LIT("before"));
     write_effect(work);
     crash_if_asked(work, Str_LIT("after"));
-    fake->counts.served++;
-    send_answer(work);
-    free_work(work);
-    Wrk_StartWaiting(fake, Loop_Now());
+    if (Onw_Levels(work->request)) {
+        call_on(work, Loop_Now());
+    }
+    else if (is_last(work) && last.len) {
+        fail_work(work, Str_Equal(last, Str_LIT("hangs-up")), 500);
+    }
+    else {
+        answer_work(work);
+    }
+}
+
+static void
+count_start(const FakeWork *work, Instant now)
+{
+    uint64_t until;
+
+    work->fake->counts.started++;
+    if (Str_ToU64(get(work, "X-Fake-Until"), &until) && now > (Instant)until) {
+        work->fake->counts.overdue++;
+    }
 }
 
 static void
@@ -207,6 +322,10 @@
     if (Str_ToU64(get(work, "X-Fake-Time-Us"), &asked)) {
         time = (Span)asked * fake->knobs.slow;
     }
+    if (is_last(work) && Str_ToU64(get(work, "X-Fake-Last-Us"), &asked)) {
+        time = (Span)asked;
+    }
+    count_start(work, now);
     wait = (struct timeval){time / 1000000, time % 1000000};
     work->timer = evtimer_new(fake->loop.base, on_done, work);
     event_add(work->timer, &wait);
@@ -214,12 +333,6 @@
     fake->running++;
 }
 
-static void
-refuse(struct evhttp_request *request, int status)
-{
-    evhttp_send_error(request, status, NULL);
-}
-
 /* The work is still linked as waiting. */
 static void
 refuse_late(FakeWork *work)
--- a/tools/fakeback_main.c
+++ b/tools/fakeback_main.c
@@ -62,6 +62,8 @@
     struct arg_str *addr = arg_str1(NULL, "listen", "IP:PORT", "its address");
     struct arg_str *node =
         arg_str1(NULL, "node", "IP:PORT", "operators' address of its node");
+    struct arg_str *calls =
+        arg_str0(NULL, "calls", "IP:PORT", "callers' address there");
     struct arg_int *port =
         arg_int0(NULL, "announce-port", "PORT", "port it announces (its own)");
     struct arg_int *slots = arg_int0(NULL, "slots", "N", "slots (9)");
@@ -73,7 +75,7 @@
     struct arg_str *knobs =
         arg_strn(NULL, "set", "NAME=VALUE", 0, 20, "a knob (fake_knobs.h)");
     struct arg_end *end = arg_end(8);
-    void *table[] = {service, addr, node,    port,  slots,
+    void *table[] = {service, addr, node,    calls, port, slots,
                      time,    seed, effects, knobs, end};
     Fake fake = {.effects = -1};
 
@@ -82,7 +84,9 @@
     signal(SIGPIPE, SIG_IGN);
     if (arg_parse(argc, argv, table) ||
         !Addr_Parse(Str_FromC(addr->sval[0]), &fake.addr) ||
-        !Addr_Parse(Str_FromC(node->sval[0]), &fake.node)) {
+        !Addr_Parse(Str_FromC(node->sval[0]), &fake.node) ||
+        (calls->count &&
+         !Addr_Parse(Str_FromC(calls->sval[0]), &fake.calls))) {
         arg_print_errors(stderr, end, "fakeback");
         arg_print_glossary(stderr, table, "  %-24s %s\n");
         return 2;
