Let slow and refusing backend servers come back, and prove it

Cause: with real processes a backend server that had been 20 times slower never got its share back (0.000 of 340 calls in each half second, 5 s long), and one that had turned everything away neither (0.000 for 10 s). The first kept the service time it last reported, and nobody sent it a request that would have told another. The second was reported as draining, so nobody sent the trial that admission would have let through.

Now 1 attempt in 200 goes to the row at home that got nothing for longest, a service time older than a quarter of a second gives way to the next one, and the report says draining only until a trial is due. Ruled out: a trial by time from each node, which grows with the number of nodes and would be more than a slow server can take at the target.

--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -1,6 +1,9 @@
 #include "process/admission.h"
 
+#include <math.h>
+
 #define SMOOTHING 0.1
+#define TIME_AGE_US 250000.0 /* an older time gives way to the next one */
 
 /* So many attempts turned away, over this time at least, are evidence that
  * the backend server leaves; a trial is made after the pause, and given the
@@ -182,20 +185,28 @@
     return verdict;
 }
 
+/* Few requests in a while, trials above all, count for more each. */
+static void
+take_time(Adm *adm, Span took, Instant now)
+{
+    double aged = 1 - exp(-(double)(now - adm->timed_at) / TIME_AGE_US);
+    double weight = aged > SMOOTHING ? aged : SMOOTHING;
+
+    if (adm->service_us <= 0) {
+        weight = 1;
+    }
+    adm->service_us += weight * ((double)took - adm->service_us);
+    adm->timed_at = now;
+}
+
 void
 Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now)
 {
-    (void)now;
     if (adm->running) {
         adm->running--;
     }
     if (!failed) {
-        if (adm->service_us > 0) {
-            adm->service_us += SMOOTHING * ((double)took - adm->service_us);
-        }
-        else {
-            adm->service_us = (double)took;
-        }
+        take_time(adm, took, now);
     }
     adm->error += SMOOTHING * ((failed ? 1.0 : 0.0) - adm->error);
     tell(adm, &(AdmEvent){Adm_DID_END, now, {took, failed}, 0});
@@ -267,7 +278,7 @@
 }
 
 LoadReport
-Adm_Report(const Adm *adm)
+Adm_Report(const Adm *adm, Instant now)
 {
     return (LoadReport){
         .slots = adm->present ? adm->settings.slots : 0,
@@ -275,7 +286,7 @@
         .queued = waiting(adm),
         .service_us = (uint32_t)adm->service_us,
         .error_permille = (uint32_t)(adm->error * 1000),
-        .draining = adm->draining || adm->leaving || adm->refuse_until > 0,
+        .draining = adm->draining || adm->leaving || adm->refuse_until > now,
     };
 }
 
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -70,6 +70,7 @@
     uint32_t queued[Adm_CLASSES];
     uint32_t held;     /* suspects waiting to run alone */
     double service_us; /* smoothed time of one request */
+    Instant timed_at;  /* last request that counted for it */
     double error;      /* smoothed share of failed requests */
 } Adm;
 
@@ -113,7 +114,9 @@
 /* A suspect left without running. */
 void Adm_OnHeldLeave(Adm *adm);
 
-LoadReport Adm_Report(const Adm *adm);
+/* Draining is said of one that turns everything away only until the next
+ * trial is due: otherwise nobody would send it. */
+LoadReport Adm_Report(const Adm *adm, Instant now);
 
 /* Tell OBSERVER of each event from now on. */
 void Adm_Observe(Adm *adm, AdmObserver observer, void *context);
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -24,7 +24,7 @@
     /* Without a confirmed version no call may come here. */
     own->present = members->ann->present && own->version_term > 0;
     StrBuf_Set(&own->service, StrBuf_View(&members->ann->service));
-    own->load = Adm_Report(members->admission);
+    own->load = Adm_Report(members->admission, now);
     Mbr_OnRecord(&members->membership, own, now);
 }
 
--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -10,7 +10,8 @@
 #define FAILURES_DEAR 0.1   /* from which a row may be too dear */
 #define TRIAL_PERIOD Span_MS(200)
 
-enum { REMOTE_SAMPLE = 2, SAMPLE_ALL_MAX = 2 };
+/* One attempt in LOOK_ONE_IN looks at a row that gets none. */
+enum { REMOTE_SAMPLE = 2, SAMPLE_ALL_MAX = 2, LOOK_ONE_IN = 200 };
 
 static bool
 was_tried(const PlcAsk *ask, Addr node)
@@ -256,6 +257,28 @@
     return NULL;
 }
 
+/* The row at home that got nothing for longest: what is told of it may be old
+ * and is not told anew unless somebody looks.  A share of the attempts, so
+ * that it is as much from many nodes as from few. */
+static PlcRow *
+find_forgotten(Plc *plc, const PlcAsk *ask, Instant now)
+{
+    PlcRow *oldest = NULL;
+
+    if (Rng_Below(plc->rng, LOOK_ONE_IN)) {
+        return NULL;
+    }
+    for (size_t i = 0; i < plc->count; i++) {
+        PlcRow *row = &plc->rows[i];
+        if (is_home(plc, row) && is_candidate(plc, row, ask, now) &&
+            row->mine == 0 && now >= row->started_at + TRIAL_PERIOD &&
+            (!oldest || row->started_at < oldest->started_at)) {
+            oldest = row;
+        }
+    }
+    return oldest;
+}
+
 static PlcRow *
 choose_least_wait(Plc *plc, const PlcAsk *ask, Instant now)
 {
@@ -265,6 +288,9 @@
     /* A first attempt only: a retry has failed once already. */
     PlcRow *trial = ask->tried_count ? NULL : find_trial(plc, ask, now);
 
+    if (!trial && ask->tried_count == 0) {
+        trial = find_forgotten(plc, ask, now);
+    }
     if (trial) {
         return trial;
     }
--- a/src/process/policy.h
+++ b/src/process/policy.h
@@ -5,7 +5,9 @@
  * this node sent since; times the slowness that this node's own attempts saw,
  * answered or not; plus the price of the way.  A sample of the region's rows
  * is compared, and two of the other region's, which win only when the wait at
- * home exceeds the price of the link.
+ * home exceeds the price of the link.  A small share of the attempts goes to
+ * the row at home that got none for longest: what is reported of a server that
+ * was slow would otherwise stay as it is.
  */
 #ifndef POLICY_H
 #define POLICY_H
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -90,7 +90,7 @@
     RefusedMsg msg = {
         .id = id,
         .reason = reason,
-        .load = Adm_Report(hub->admission),
+        .load = Adm_Report(hub->admission, now),
     };
     Pack pack;
 
@@ -386,7 +386,7 @@
 on_ping(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
     RunHub *hub = context;
-    LoadReport load = Adm_Report(hub->admission);
+    LoadReport load = Adm_Report(hub->admission, now);
     Pack pack;
 
     (void)in;
--- a/tests/unit/test_turned_away.c
+++ b/tests/unit/test_turned_away.c
@@ -72,12 +72,15 @@
             Adm_OnTaken(&adm);
             break;
         default:
+            /* Who reads the report must know when a trial is due. */
+            ck_assert(Adm_Report(&adm, now).draining ==
+                      (c->steps[i].event != RUNS));
             verdict = Adm_Ask(&adm, Adm_PATIENT, Span_S(1), now);
             ck_assert_msg((verdict == Adm_RUN) == (c->steps[i].event == RUNS),
                           "%s: step %d", c->name, i);
             if (verdict != Adm_RUN) {
                 ck_assert(verdict == Adm_REFUSE_DRAINING);
-                ck_assert(Adm_Report(&adm).draining);
+                ck_assert(Adm_Report(&adm, now).draining);
             }
         }
     }
--- a/tools/bench_run.c
+++ b/tools/bench_run.c
@@ -228,7 +228,7 @@
 on_record(BenchWorld *world, uint32_t number, Instant now)
 {
     const BnwServer *server = &world->servers[number];
-    LoadReport load = Adm_Report(&server->admission);
+    LoadReport load = Adm_Report(&server->admission, now);
     PlcPlace place = {.node = server->addr,
                       .incarnation = server->incarnation};
 
--- a/tools/bench_server.c
+++ b/tools/bench_server.c
@@ -48,7 +48,7 @@
     const BnwNode *node = &world->nodes[world->calls[attempt->call].node];
 
     attempt->end = end;
-    attempt->load = Adm_Report(&server->admission);
+    attempt->load = Adm_Report(&server->admission, now);
     Bnq_Add(&world->queue,
             now + Bnw_Delay(world, server->domain, node->domain), Bnw_BACK,
             number, 0);
--- a/tools/bench_world.c
+++ b/tools/bench_world.c
@@ -35,7 +35,7 @@
 static void
 tell_record(BenchWorld *world, const BnwServer *server, Instant now)
 {
-    LoadReport load = Adm_Report(&server->admission);
+    LoadReport load = Adm_Report(&server->admission, now);
     PlcPlace place = {
         .node = server->addr,
         .incarnation = server->incarnation,
--- a/tools/fake_knobs.h
+++ b/tools/fake_knobs.h
@@ -21,6 +21,7 @@
     int64_t silent_drain; /* silent_drain: refuses, announces nothing */
     int64_t shed;         /* shed: 503 when no slot is free, no queue */
     int64_t fail;         /* fail: 500 at once, always */
+    int64_t boast;        /* boast: announces so many times its slots */
     int64_t lie;          /* lie: the load endpoint shows no load */
     int64_t quiet;        /* quiet: no announcements */
 } FakeKnobs;
--- a/tools/fake_server.c
+++ b/tools/fake_server.c
@@ -38,7 +38,7 @@
                      "{\"service\":\"%.*s\",\"port\":%u,\"slots\":%d,"
                      "\"draining\":%s}",
                      Str_ARG(fake->service), fake->announced_port,
-                     (int)fake->knobs.slots,
+                     (int)(fake->knobs.slots * fake->knobs.boast),
                      fake->knobs.draining ? "true" : "false");
     evbuffer_add(evhttp_request_get_output_buffer(request), body.ptr,
                  body.len);
--- a/tools/fakeback_main.c
+++ b/tools/fakeback_main.c
@@ -77,8 +77,8 @@
                      time,    seed, effects, knobs, end};
     Fake fake = {.effects = -1};
 
-    fake.knobs =
-        (FakeKnobs){.slots = 9, .service_us = 5000, .slow = 1, .cold_slow = 1};
+    fake.knobs = (FakeKnobs){
+        .slots = 9, .service_us = 5000, .slow = 1, .cold_slow = 1, .boast = 1};
     signal(SIGPIPE, SIG_IGN);
     if (arg_parse(argc, argv, table) ||
         !Addr_Parse(Str_FromC(addr->sval[0]), &fake.addr) ||
