See a disk's refusal after a failed write failing

Cause: the refusal after a write that failed was not seen failing, because the file size limit that made the write fail still stood, so the second write of the log failed for want of room also without the refusal.

The bytes read back are compared as before.

Run with has_failed() made to answer false: before, row 1 of 2 failed and row 0 passed; now 8 rows of 8 fail. With the refusal 31 checks pass.

--- a/tests/unit/test_disk.c
+++ b/tests/unit/test_disk.c
@@ -313,34 +313,58 @@
 }
 END_TEST
 
+/* A write for which there is no room, and one that comes when there is room
+ * again. */
 typedef struct {
-    OpKind kind;
+    OpKind fails;
+    Op later;
 } FullCase;
 
-static const FullCase fulls[] = {{ENTRY}, {SNAPSHOT}};
+static const FullCase fulls[] = {
+    {ENTRY, {ENTRY, 1, 2}},    {ENTRY, {VOTE, 3, 9}},
+    {ENTRY, {CUT, 0, 1}},      {ENTRY, {SNAPSHOT, 1, 1}},
+    {SNAPSHOT, {ENTRY, 1, 2}}, {SNAPSHOT, {VOTE, 3, 9}},
+    {SNAPSHOT, {CUT, 0, 1}},   {SNAPSHOT, {SNAPSHOT, 1, 1}},
+};
 
-START_TEST(reports_a_full_disk)
+static void
+limit_files(rlim_t bytes)
 {
+    struct rlimit limit;
+
+    ck_assert_int_eq(getrlimit(RLIMIT_FSIZE, &limit), 0);
+    limit.rlim_cur = bytes < limit.rlim_max ? bytes : limit.rlim_max;
+    ck_assert_int_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
+}
+
+static bool
+store_big(Disk *disk, OpKind kind, Err *err)
+{
+    static char big[2 * FULL_BYTES];
+    RlogEntry entry = {1, 2, Rlog_CHANGE, Str_From(big, sizeof big)};
+
+    return kind == ENTRY ? Disk_StoreEntries(disk, &entry, 1, err)
+                         : Disk_StoreSnapshot(disk, 1, 1, entry.data, err);
+}
+
+START_TEST(refuses_all_after_a_write_that_failed)
+{
+    const FullCase *c = &fulls[_i];
     const Op before[] = {{ENTRY, 1, 1}, {END, 0, 0}};
     Folder folder;
     Disk disk;
     Err err = {0};
-    struct rlimit limit = {FULL_BYTES, FULL_BYTES};
-    static char big[2 * FULL_BYTES];
-    RlogEntry entry = {1, 2, Rlog_CHANGE, Str_From(big, sizeof big)};
-    bool good;
 
     fill(&folder, before);
     ck_assert(Disk_Init(&disk, StrBuf_View(&folder.folder), 1, &err));
     signal(SIGXFSZ, SIG_IGN);
-    setrlimit(RLIMIT_FSIZE, &limit);
-    good = fulls[_i].kind == ENTRY
-               ? Disk_StoreEntries(&disk, &entry, 1, &err)
-               : Disk_StoreSnapshot(&disk, 1, 1, entry.data, &err);
-    ck_assert(!good);
+    limit_files(FULL_BYTES);
+    ck_assert(!store_big(&disk, c->fails, &err));
+    ck_assert_int_eq(err.code, Err_IO);
+    limit_files(RLIM_INFINITY);
+    err = (Err){0};
+    ck_assert(!apply(&disk, &c->later, &err));
     ck_assert_int_eq(err.code, Err_IO);
-    entry.data = Str_LIT("y"); /* there would be room for it */
-    ck_assert(!Disk_StoreEntries(&disk, &entry, 1, &err));
     Disk_Finish(&disk);
     ck_assert_int_eq(reopen(&folder), Err_NONE);
     ck_assert(Str_Equal(StrBuf_View(&folder.seen),
@@ -373,7 +397,7 @@
         {cuts_a_torn_last_record_at_every_byte, ROWS(torn)},
         {reports_a_changed_byte, ROWS(flips)},
         {reports_a_lost_file, ROWS(lost_files)},
-        {reports_a_full_disk, ROWS(fulls)},
+        {refuses_all_after_a_write_that_failed, ROWS(fulls)},
         {serves_one_process, 1},
     };
 
