See the changes over the regions' link failing

Cause: no row of test_changes over the link of 12 ms and 30 Mbit/s was seen failing without its mechanism, and none needed a node to ask a replica of another region.

Two rows are new: the only replica of VM 3's region is killed, or is silent for VM 3 alone, 6 s before the change, so that no replica that VM 3 asked earlier still tells it. No row or bound was changed.

--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -292,10 +292,16 @@
     int kill_follower;
     int kill_leader;
     bool part; /* the regions can't reach each other */
+    /* VM 3 has one replica in its region, VM 2: */
+    bool kill_near;
+    bool hold_near; /* silent for VM 3 alone */
 } LinkCase;
 
 static const LinkCase links[] = {
-    {0, 0, false}, {1, 0, false}, {0, 1, false}, {0, 0, true}};
+    {0, 0, false, false, false}, {1, 0, false, false, false},
+    {0, 1, false, false, false}, {0, 0, true, false, false},
+    {0, 0, false, true, false},  {0, 0, false, false, true},
+};
 
 /* 12 ms one way and 30 Mbit/s. */
 static const char *const slow_link[] = {
@@ -318,6 +324,22 @@
         Ops_WaitForAll(fleet, watch, (CfgVersion){1, 1}, Span_S(10)), 0);
 }
 
+/* Replicas that VM 3 asked before tell it of changes for 5 s. */
+static void
+lose_near(Fleet *fleet, const LinkCase *c)
+{
+    if (c->kill_near) {
+        Fleet_Kill(&fleet->vms[2].node, SIGKILL);
+    }
+    if (c->hold_near) {
+        command_proxy(fleet, "hold n3-2 both");
+        command_proxy(fleet, "hold n2-3 both");
+    }
+    if (c->kill_near || c->hold_near) {
+        Fleet_Sleep(Span_S(6));
+    }
+}
+
 static void
 check_parted(Fleet *fleet, OpsWatch *watch, CfgVersion newest)
 {
@@ -344,6 +366,7 @@
     Span took;
 
     start_slow_fleet(&fleet, &watch);
+    lose_near(&fleet, c);
     leader = Ops_WaitForLeader(&fleet, Span_S(10));
     if (c->kill_follower) {
         Fleet_Kill(&fleet.vms[(leader + 1) % 3].node, SIGKILL);
