Run two failures together under bookings

Cause: two failures at once were run in three places only, and never with the effects of a load compared.

test_two_failures is a table of scripts with six VMs, three control replicas and three backend servers, each run with bookings without a key and with one: serving node killed while the leader is cut off, regions parted while a backend server drains, connections frozen while the other one is cut, a control replica frozen during planned stops, a holder killed while another's folder is lost, a change while a replica is lost and a failure domain is cut. With keys, callers repeat 24 early calls at the end. None may be doubled or wrong, no version may go back, and a change is in force within 5 s at the end.

--- /dev/null
+++ b/tests/integration/test_two_failures.c
@@ -0,0 +1,337 @@
+/* Two failures together, under bookings: what callers are told fits the
+ * effects on file, none is doubled, also by repeats of a key, and versions
+ * never go back.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include "fleet_keyed.h"
+#include "operators.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define EVERYWHERE_WITHIN Span_S(5)
+
+/* VMs 0, 1 and 2 are control replicas; 3, 4 and 5 have a backend server.
+ * VMs 2 and 3 are alone in litoral, VM 3 alone in its failure domain. */
+enum {
+    REPLICAS = 3,
+    VMS = 6,
+    LEADER = -1, /* whoever leads at that time */
+    NOBODY = -2,
+    STEPS_MAX = 12,
+    PROCESSES = 6,
+    REPEATS = 4, /* of each process's first keys */
+    RAN = 100    /* at least: a fleet that stands still keeps every promise */
+};
+
+static Str build;
+
+typedef enum {
+    END,
+    KILL,     /* the node, and not its backend server */
+    START,    /* it again */
+    TERM,     /* stop it as planned and start it again */
+    LOSE,     /* kill it, remove its data folder, start it */
+    STOP,     /* freeze the process */
+    CONTINUE, /* let it go on */
+    ISOLATE,  /* its node reaches no other */
+    PART,     /* the regions */
+    PROXY,    /* a command */
+    DRAIN,    /* the backend server */
+    HEAL,     /* all that the proxy does */
+    CHANGE,   /* the presets, and in force soon everywhere but at VM */
+} Act;
+
+typedef struct {
+    Act act;
+    int vm;
+    int then; /* ms until the next step */
+    Str command;
+} Step;
+
+typedef struct {
+    const char *name;
+    Step steps[STEPS_MAX];
+} TwoCase;
+
+static const TwoCase cases[] = {
+    {"serving node killed, leader cut off",
+     {{ISOLATE, LEADER, 200, {0}},
+      {KILL, 4, 2500, {0}},
+      {START, 4, 500, {0}},
+      {HEAL, 0, 500, {0}},
+      {CHANGE, NOBODY, 0, {0}}}},
+    {"regions parted, backend server drains",
+     {{PART, 0, 200, {0}},
+      {DRAIN, 4, 2500, {0}},
+      {HEAL, 0, 500, {0}},
+      {CHANGE, NOBODY, 0, {0}}}},
+    {"a connection frozen, the other one killed",
+     {{PROXY, 0, 0, Str_LIT("freeze n0-4 both")},
+      {PROXY, 0, 600, Str_LIT("cut n0-5")},
+      {PROXY, 0, 0, Str_LIT("freeze n1-5 back")},
+      {PROXY, 0, 600, Str_LIT("cut n1-4")},
+      {PROXY, 0, 0, Str_LIT("freeze n2-4 forward")},
+      {PROXY, 0, 1000, Str_LIT("cut n2-3")},
+      {CHANGE, NOBODY, 0, {0}}}},
+    {"control replica stands still during planned stops",
+     {{STOP, 1, 200, {0}},
+      {TERM, 3, 300, {0}},
+      {TERM, 4, 300, {0}},
+      {TERM, 5, 300, {0}},
+      {CONTINUE, 1, 1000, {0}},
+      {CHANGE, NOBODY, 0, {0}}}},
+    {"holder killed, another one's folder lost",
+     {{KILL, 1, 500, {0}},
+      {LOSE, 2, 1500, {0}},
+      {START, 1, 2500, {0}},
+      {CHANGE, NOBODY, 0, {0}}}},
+    {"change, a replica lost and a failure domain cut",
+     {{KILL, 1, 0, {0}},
+      {ISOLATE, 3, 1500, {0}},
+      {CHANGE, 3, 0, {0}},
+      {HEAL, 0, 0, {0}},
+      {START, 1, 500, {0}},
+      {CHANGE, NOBODY, 0, {0}}}},
+};
+
+/* Without a key, and with one. */
+static const Str paths[] = {Str_LIT("/despachos/notes"),
+                            Str_LIT("/despachos/orders")};
+
+enum { KEYED = 1 };
+
+static const Str preset = Str_LIT(
+    "{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
+    "{\"service\":\"despachos\",\"route\":\"note\",\"method\":\"POST\","
+    "\"path\":\"/despachos/notes\"},"
+    "{\"service\":\"despachos\",\"route\":\"book\",\"method\":\"POST\","
+    "\"path\":\"/despachos/orders\",\"key_header\":\"Idempotency-Key\"}]}");
+
+static void
+start_fleet(Fleet *fleet, OpsWatch *watch)
+{
+    *watch = (OpsWatch){0};
+    Fleet_Init(fleet, build, 70, VMS, REPLICAS);
+    Fleet_SetPreset(fleet, preset);
+    Fleet_UseProxy(fleet);
+    for (int vm = 0; vm < VMS; vm++) {
+        Fleet_StartNode(fleet, vm);
+    }
+    for (int vm = REPLICAS; vm < VMS; vm++) {
+        Fleet_StartBackend(fleet, vm, Str_LIT("despachos"), (Str){0});
+    }
+    for (int vm = 0; vm < VMS; vm++) {
+        ck_assert(Fleet_WaitForKeys(fleet, vm, paths[KEYED], Span_S(10)));
+    }
+    ck_assert_int_ge(
+        Ops_WaitForAll(fleet, watch, (CfgVersion){1, 1}, Span_S(10)), 0);
+    Fleet_Sleep(Span_S(1));
+}
+
+static void
+hold(Fleet *fleet, int from, int to)
+{
+    StrBuf command = {0};
+
+    StrBuf_AppendFmt(&command, "hold n%d-%d both\nhold n%d-%d both", from, to,
+                     to, from);
+    ck_assert(Fleet_Proxy(fleet, StrBuf_View(&command)));
+    StrBuf_Finish(&command);
+}
+
+static void
+part_regions(Fleet *fleet)
+{
+    for (int vm = 0; vm < VMS; vm++) {
+        if (vm % 4 < 2) {
+            hold(fleet, vm, 2);
+            hold(fleet, vm, 3);
+        }
+    }
+}
+
+static void
+lose_folder(Fleet *fleet, int vm)
+{
+    StrBuf command = {0};
+
+    Fleet_Kill(&fleet->vms[vm].node, SIGKILL);
+    StrBuf_AppendFmt(&command, "rm -rf %.*s/data%d", Str_ARG(fleet->folder),
+                     vm);
+    ck_assert_int_eq(system(StrBuf_CStr(&command)), 0);
+    StrBuf_Finish(&command);
+    Fleet_StartNode(fleet, vm);
+}
+
+static void
+stop_as_planned(Fleet *fleet, int vm)
+{
+    int status = Fleet_Kill(&fleet->vms[vm].node, SIGTERM);
+
+    ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0,
+                  "node %d ended with status %x", vm, status);
+    Fleet_StartNode(fleet, vm);
+}
+
+static bool
+have_all_but(Fleet *fleet, OpsWatch *watch, CfgVersion version, int cut)
+{
+    bool all = true;
+
+    Ops_Observe(fleet, watch);
+    for (int vm = 0; vm < VMS; vm++) {
+        all = all && (vm == cut || !fleet->vms[vm].node ||
+                      Cfg_CompareVersions(watch->seen[vm], version) >= 0);
+    }
+    return all;
+}
+
+/* Make a change; it is in force within 5 s at every node but CUT. */
+static void
+make_change(Fleet *fleet, OpsWatch *watch, int number, int cut)
+{
+    char id[32];
+    OpsChange change = {0, id, "put", "peak", {0}, true};
+    CfgVersion newest;
+    Span waited = 0;
+
+    snprintf(id, sizeof id, "two-%d", number);
+    ck_assert_msg(Ops_MustChange(fleet, &change, Span_S(15)), "no change");
+    newest = Ops_Newest(fleet, change.vm);
+    while (!have_all_but(fleet, watch, newest, cut) &&
+           waited < EVERYWHERE_WITHIN) {
+        Fleet_Sleep(Span_MS(20));
+        waited += Span_MS(20);
+    }
+    ck_assert_msg(have_all_but(fleet, watch, newest, cut),
+                  "not in force everywhere");
+}
+
+static void
+carry_out(Fleet *fleet, OpsWatch *watch, const Step *step, int number)
+{
+    int vm =
+        step->vm == LEADER ? Ops_WaitForLeader(fleet, Span_S(10)) : step->vm;
+
+    switch (step->act) {
+    case KILL:
+        Fleet_Kill(&fleet->vms[vm].node, SIGKILL);
+        break;
+    case START:
+        Fleet_StartNode(fleet, vm);
+        break;
+    case TERM:
+        stop_as_planned(fleet, vm);
+        break;
+    case LOSE:
+        lose_folder(fleet, vm);
+        break;
+    case STOP:
+        kill(fleet->vms[vm].node, SIGSTOP);
+        break;
+    case CONTINUE:
+        kill(fleet->vms[vm].node, SIGCONT);
+        break;
+    case ISOLATE:
+        Fleet_Isolate(fleet, vm);
+        break;
+    case PART:
+        part_regions(fleet);
+        break;
+    case PROXY:
+        ck_assert(Fleet_Proxy(fleet, step->command));
+        break;
+    case DRAIN:
+        ck_assert(Fleet_Knob(fleet, vm, Str_LIT("draining=1")));
+        break;
+    case HEAL:
+        Fleet_Heal(fleet);
+        break;
+    case CHANGE:
+        make_change(fleet, watch, number, vm);
+        break;
+    case END:
+        break;
+    }
+    Fleet_Sleep(Span_MS(step->then));
+}
+
+/* Callers repeat early calls under their keys, through other nodes; the
+ * effects are counted with those of the load. */
+static void
+repeat_calls(Fleet *fleet, int *unknown)
+{
+    for (int process = 0; process < PROCESSES; process++) {
+        for (int call = 0; call < REPEATS; call++) {
+            StrBuf key = {0};
+            StrBuf answer = {0};
+            Told told;
+            StrBuf_AppendFmt(&key, "load-%d-%d", process, call);
+            told = Fleet_Post(fleet, (process + call + 1) % VMS, paths[KEYED],
+                              StrBuf_View(&key), (Str){0}, (Str){0}, Span_S(8),
+                              &answer);
+            *unknown += told == Told_UNKNOWN;
+            ck_assert_msg(told != Told_MISMATCH, "another request");
+            StrBuf_Finish(&key);
+            StrBuf_Finish(&answer);
+        }
+    }
+}
+
+static void
+print_totals(const TwoCase *c, bool keyed, const FleetTotals *t, int repeats)
+{
+    printf("%s%s: %d calls, %d ran, %d not run, %d unknown, %d cut, %d "
+           "doubled, %d wrong; %d of %d repeats unknown\n",
+           c->name, keyed ? ", keyed" : "", t->calls, t->ran, t->not_run,
+           t->unknown, t->cut, t->doubled, t->wrong, repeats,
+           keyed ? PROCESSES * REPEATS : 0);
+    fflush(stdout);
+}
+
+START_TEST(none_doubled_none_wrong)
+{
+    const TwoCase *c = &cases[_i / 2];
+    bool keyed = _i % 2 == KEYED;
+    Fleet fleet;
+    OpsWatch watch;
+    FleetLoad load = {.method = Str_LIT("POST"),
+                      .path = paths[keyed],
+                      .headers = Str_LIT("X-Lycheeridge-Deadline-Ms: 1500"),
+                      .nodes = VMS,
+                      .processes = PROCESSES,
+                      .pause = Span_MS(5)};
+    FleetTotals totals;
+    int unknown = 0;
+
+    start_fleet(&fleet, &watch);
+    Fleet_StartLoad(&fleet, &load);
+    Fleet_Sleep(Span_MS(500));
+    for (int i = 0; c->steps[i].act != END; i++) {
+        carry_out(&fleet, &watch, &c->steps[i], i);
+    }
+    if (keyed) {
+        repeat_calls(&fleet, &unknown);
+    }
+    totals = Fleet_StopLoad(&fleet, &load);
+    print_totals(c, keyed, &totals, unknown);
+    ck_assert_int_gt(totals.ran, RAN);
+    ck_assert_int_eq(totals.doubled, 0);
+    ck_assert_int_eq(totals.wrong, 0);
+    ck_assert_int_eq(watch.backwards, 0);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{none_doubled_none_wrong, 2 * ROWS(cases)}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("two failures", tests, 1, 60);
+}
