Go from no node keys to keys without a stop

Cause: a node listened and connected either with CURVE keys or without, so going from none to keys needed a stop of the whole fleet.

A ZeroMQ socket that listens has one mechanism. Ruled out: a second, keyed socket for each node, which needs a second address in every settings file and in the table and stays open to peers without keys until the last step; a proxy that looks at the greeting.

Now curve_change says how a node listens during the change (unkeyed, then keyed), and a connection that hears nothing tries with keys and without in turn. Without curve_change nothing changes: strict.

--- a/src/process/keys.c
+++ b/src/process/keys.c
@@ -165,6 +165,13 @@
         Key_Parse(StrBuf_View(&settings->curve_allowed[i]), &keys->allowed[i]);
     }
     keys->allowed_count = settings->curve_allowed_count;
+    keys->change = settings->curve_change;
+}
+
+static bool
+listens_keyed(const Keys *keys)
+{
+    return keys->allowed_count && keys->change != Set_CURVE_UNKEYED;
 }
 
 bool
@@ -181,6 +188,9 @@
         return true;
     }
     read_keys(keys, settings);
+    if (!listens_keyed(keys)) {
+        return true;
+    }
     StrBuf_Set(&endpoint, zap_endpoint);
     keys->socket = zmq_socket(zmq, ZMQ_REP);
     bound = zmq_bind(keys->socket, StrBuf_CStr(&endpoint)) == 0;
@@ -221,18 +231,42 @@
 {
     int on = 1;
 
-    if (keys->allowed_count) {
+    if (listens_keyed(keys)) {
         set_pair(keys, socket);
         zmq_setsockopt(socket, ZMQ_CURVE_SERVER, &on, sizeof on);
         zmq_setsockopt(socket, ZMQ_ZAP_DOMAIN, zap_domain.ptr, zap_domain.len);
     }
 }
 
+/* What the other side may need: one of the keys or, during a change, none. */
+static size_t
+count_choices(const Keys *keys)
+{
+    return keys->allowed_count + (keys->change != Set_CURVE_SETTLED);
+}
+
+/* The key to try, NULL for none; first what this node itself does. */
+static const KeyBytes *
+choose_server(const Keys *keys, uint32_t attempt)
+{
+    size_t choice;
+
+    if (keys->allowed_count == 0) {
+        return NULL;
+    }
+    choice = attempt % count_choices(keys);
+    if (keys->change == Set_CURVE_UNKEYED) {
+        return choice ? &keys->allowed[choice - 1] : NULL;
+    }
+    return choice < keys->allowed_count ? &keys->allowed[choice] : NULL;
+}
+
 void
 Key_SetClient(const Keys *keys, void *socket, uint32_t attempt)
 {
-    if (keys->allowed_count) {
-        const KeyBytes *server = &keys->allowed[attempt % keys->allowed_count];
+    const KeyBytes *server = choose_server(keys, attempt);
+
+    if (server) {
         set_pair(keys, socket);
         zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, server->bytes, Key_BYTES);
     }
@@ -241,5 +275,5 @@
 bool
 Key_AreChanging(const Keys *keys)
 {
-    return keys->allowed_count > 1;
+    return count_choices(keys) > 1;
 }
--- a/src/process/keys.h
+++ b/src/process/keys.h
@@ -5,7 +5,9 @@
  * each new connection over an inproc socket (ZAP, RFC 27), which the
  * process's one loop watches.  While keys are being changed several are
  * allowed, and a connection that hears nothing tries the next of them as the
- * other side's.
+ * other side's; while the fleet goes from none to keys, no key is one of the
+ * choices.  A socket that listens is always one or the other: ZeroMQ has one
+ * mechanism for each.
  */
 #ifndef KEYS_H
 #define KEYS_H
@@ -28,6 +30,7 @@
     KeyBytes secret_key;
     KeyBytes allowed[Set_KEYS_MAX];
     size_t allowed_count; /* 0: no CURVE */
+    SetCurveChange change;
     void *socket;
     struct event *event;
     Instant told_at; /* last refusal in the time line */
@@ -45,7 +48,7 @@
  * heard nothing. */
 void Key_SetClient(const Keys *keys, void *socket, uint32_t attempt);
 
-/* Several keys are allowed: the other side's may be any of them. */
+/* The other side's key may be one of several, or none. */
 bool Key_AreChanging(const Keys *keys);
 
 /* Read 40 characters of Z85; false when TEXT is anything else. */
--- a/src/process/setkeys.c
+++ b/src/process/setkeys.c
@@ -49,6 +49,29 @@
              Str_LIT("curve_public among them"));
 }
 
+static void
+read_change(Settings *settings, JsnObject *o)
+{
+    StrBuf text = {0};
+
+    Jsn_GetStr(o, Str_LIT("curve_change"), false, &text);
+    if (Str_Equal(StrBuf_View(&text), Str_LIT("unkeyed"))) {
+        settings->curve_change = Set_CURVE_UNKEYED;
+    }
+    else if (Str_Equal(StrBuf_View(&text), Str_LIT("keyed"))) {
+        settings->curve_change = Set_CURVE_KEYED;
+    }
+    else if (json_object_getn(o->object, "curve_change", 12)) {
+        Jsn_Find(o, Str_LIT("curve_change"), Str_LIT("no such step"),
+                 Str_LIT("unkeyed or keyed, or left out"));
+    }
+    if (settings->curve_change && settings->curve_public.len == 0) {
+        Jsn_Find(o, Str_LIT("curve_change"), Str_LIT("without keys"),
+                 Str_LIT("curve_public and curve_secret too"));
+    }
+    StrBuf_Finish(&text);
+}
+
 void
 Set_ReadKeys(Settings *settings, JsnObject *o)
 {
@@ -71,4 +94,5 @@
         StrBuf_Set(&settings->curve_allowed[settings->curve_allowed_count++],
                    StrBuf_View(&settings->curve_public));
     }
+    read_change(settings, o);
 }
--- a/src/process/setkeys.h
+++ b/src/process/setkeys.h
@@ -5,7 +5,7 @@
 #include "process/settings.h"
 #include "value/json.h"
 
-/* Read and check curve_public, curve_secret and curve_allowed. */
+/* Read and check what begins with curve_. */
 void Set_ReadKeys(Settings *settings, JsnObject *object);
 
 #endif
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -18,6 +18,14 @@
 
 enum { Set_KEYS_MAX = 8 };
 
+/* While a fleet goes from no CURVE keys to keys: how this node listens.  It
+ * connects either way. */
+typedef enum {
+    Set_CURVE_SETTLED, /* no change: keys both ways, or none */
+    Set_CURVE_UNKEYED,
+    Set_CURVE_KEYED
+} SetCurveChange;
+
 /* Connections to node TO go to VIA, as through a proxy. */
 typedef struct {
     Addr to;
@@ -46,6 +54,7 @@
     StrBuf curve_secret;
     StrBuf curve_allowed[Set_KEYS_MAX]; /* public keys let in */
     size_t curve_allowed_count;
+    SetCurveChange curve_change;
     LgrLevel log_level;
     Span heartbeat;      /* between records of a node */
     Span member_expiry;  /* a silent node goes after this */
--- a/tests/integration/test_keys.c
+++ b/tests/integration/test_keys.c
@@ -8,7 +8,7 @@
 
 static Str build;
 
-enum { KEYS = 3, KEY_TEXT = 41, VMS = 2, NO_KEY = -1 };
+enum { KEYS = 3, KEY_TEXT = 41, VMS = 2, FLEET = 3, NO_KEY = -1 };
 
 typedef struct {
     char public_key[KEY_TEXT];
@@ -21,6 +21,7 @@
 typedef struct {
     int own;
     bool allowed[KEYS];
+    const char *change; /* NULL: none */
 } NodeKeys;
 
 static void
@@ -45,6 +46,9 @@
         }
     }
     StrBuf_Append(&text, Str_LIT("]"));
+    if (keys->change) {
+        StrBuf_AppendFmt(&text, ",\"curve_change\":\"%s\"", keys->change);
+    }
     Fleet_SetExtra(fleet, StrBuf_View(&text));
     StrBuf_Finish(&text);
 }
@@ -64,9 +68,9 @@
 }
 
 static void
-init_fleet(Fleet *fleet)
+init_fleet(Fleet *fleet, int count, int control)
 {
-    Fleet_Init(fleet, build, 61, VMS, 1);
+    Fleet_Init(fleet, build, 61, count, control);
     Fleet_SetPreset(fleet,
                     Str_LIT("{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
                             "{\"service\":\"visor\",\"route\":\"read\","
@@ -93,17 +97,44 @@
     bool refused; /* node 0 counts a refusal by key */
 } KeyCase;
 
+#define UNKEYED                                                               \
+    {                                                                         \
+        0, {true}, "unkeyed"                                                  \
+    }
+#define KEYED                                                                 \
+    {                                                                         \
+        0, {true}, "keyed"                                                    \
+    }
+#define STRICT                                                                \
+    {                                                                         \
+        0, {true}, NULL                                                       \
+    }
+#define NONE                                                                  \
+    {                                                                         \
+        NO_KEY, {false}, NULL                                                 \
+    }
+
 static const KeyCase cases[] = {
-    {{{0, {true}}, {0, {true}}}, true, false},
+    {{{0, {true}, NULL}, {0, {true}, NULL}}, true, false},
     /* Another pair, which node 0 does not let in. */
-    {{{0, {true}}, {1, {true, true}}}, false, true},
+    {{{0, {true}, NULL}, {1, {true, true}, NULL}}, false, true},
     /* The same, and it does not let node 0 in either. */
-    {{{0, {true}}, {1, {false, true}}}, false, false},
+    {{{0, {true}, NULL}, {1, {false, true}, NULL}}, false, false},
     /* No key at all, against one; one against none. */
-    {{{0, {true}}, {NO_KEY, {false}}}, false, false},
-    {{{NO_KEY, {false}}, {0, {true}}}, false, false},
+    {{{0, {true}, NULL}, {NO_KEY, {false}, NULL}}, false, false},
+    {{{NO_KEY, {false}, NULL}, {0, {true}, NULL}}, false, false},
     /* Different pairs, each let in: the middle of a change. */
-    {{{0, {true, true}}, {1, {true, true}}}, true, false},
+    {{{0, {true, true}, NULL}, {1, {true, true}, NULL}}, true, false},
+    /* Neighbours in the change from none to keys understand each other. */
+    {{UNKEYED, NONE}, true, false},
+    {{UNKEYED, KEYED}, true, false},
+    {{KEYED, UNKEYED}, true, false},
+    {{KEYED, STRICT}, true, false},
+    /* Whoever listens with a key lets in nobody without. */
+    {{KEYED, NONE}, false, false},
+    {{STRICT, NONE}, false, false},
+    /* And whoever is strict connects to nobody without. */
+    {{UNKEYED, STRICT}, false, false},
 };
 
 START_TEST(lets_in_only_allowed_keys)
@@ -111,7 +142,7 @@
     const KeyCase *c = &cases[_i];
     Fleet fleet;
 
-    init_fleet(&fleet);
+    init_fleet(&fleet, VMS, 1);
     for (int vm = 0; vm < VMS; vm++) {
         start_node(&fleet, vm, &c->nodes[vm]);
     }
@@ -140,16 +171,17 @@
 
 /* Let the new key in everywhere, use it everywhere, let the old one out. */
 static const Step steps[] = {
-    {0, {0, {true, true}}}, {1, {0, {true, true}}},  {0, {1, {true, true}}},
-    {1, {1, {true, true}}}, {0, {1, {false, true}}}, {1, {1, {false, true}}},
+    {0, {0, {true, true}, NULL}},  {1, {0, {true, true}, NULL}},
+    {0, {1, {true, true}, NULL}},  {1, {1, {true, true}, NULL}},
+    {0, {1, {false, true}, NULL}}, {1, {1, {false, true}, NULL}},
 };
 
 START_TEST(replaces_keys_node_by_node)
 {
-    static const NodeKeys before = {0, {true}};
+    static const NodeKeys before = {0, {true}, NULL};
     Fleet fleet;
 
-    init_fleet(&fleet);
+    init_fleet(&fleet, VMS, 1);
     for (int vm = 0; vm < VMS; vm++) {
         start_node(&fleet, vm, &before);
     }
@@ -167,14 +199,81 @@
 }
 END_TEST
 
+/* From none to keys: each step on all nodes, one after the other. */
+static const NodeKeys keying[] = {UNKEYED, KEYED, STRICT};
+
+enum { KEYING = sizeof keying / sizeof keying[0] };
+
+static void
+restart(Fleet *fleet, int vm, const NodeKeys *keys)
+{
+    ck_assert_int_eq(Fleet_Kill(&fleet->vms[vm].node, SIGTERM), 0);
+    start_node(fleet, vm, keys);
+    ck_assert_msg(
+        Fleet_WaitFor(fleet, vm, Str_LIT("/visor/ready"), Span_S(10)),
+        "node %d serves no longer", vm);
+}
+
+static void
+check_totals(const FleetTotals *totals)
+{
+    ck_assert_msg(totals->ran > 100 && totals->ran == totals->calls &&
+                      totals->doubled == 0 && totals->wrong == 0,
+                  "%d calls, %d ran, %d not run, %d unknown, %d cut, "
+                  "%d doubled, %d wrong",
+                  totals->calls, totals->ran, totals->not_run, totals->unknown,
+                  totals->cut, totals->doubled, totals->wrong);
+}
+
+START_TEST(goes_from_none_to_keys_under_calls)
+{
+    static const NodeKeys none = NONE;
+    Fleet fleet;
+    FleetLoad load = {.method = Str_LIT("GET"),
+                      .path = Str_LIT("/visor/barn"),
+                      .nodes = FLEET,
+                      .processes = 4,
+                      .pause = Span_MS(5)};
+    FleetTotals totals;
+
+    init_fleet(&fleet, FLEET, 3);
+    for (int vm = 0; vm < FLEET; vm++) {
+        start_node(&fleet, vm, &none);
+        Fleet_StartBackend(&fleet, vm, Str_LIT("visor"), (Str){0});
+    }
+    for (int vm = 0; vm < FLEET; vm++) {
+        ck_assert(
+            Fleet_WaitFor(&fleet, vm, Str_LIT("/visor/ready"), Span_S(10)));
+    }
+    Fleet_Sleep(Span_S(1));
+    Fleet_StartLoad(&fleet, &load);
+    Fleet_Sleep(Span_MS(300));
+    for (int step = 0; step < KEYING; step++) {
+        for (int vm = 0; vm < FLEET; vm++) {
+            restart(&fleet, vm, &keying[step]);
+            Fleet_Sleep(Span_MS(1500)); /* the others find it again */
+        }
+    }
+    totals = Fleet_StopLoad(&fleet, &load);
+    check_totals(&totals);
+    /* One without a key is outside now: no version reaches it. */
+    Fleet_Kill(&fleet.vms[FLEET - 1].node, SIGTERM);
+    start_node(&fleet, FLEET - 1, &none);
+    ck_assert(
+        !Fleet_WaitFor(&fleet, FLEET - 1, Str_LIT("/visor/barn"), Span_S(3)));
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {
         {lets_in_only_allowed_keys, sizeof cases / sizeof cases[0]},
         {replaces_keys_node_by_node, 1},
+        {goes_from_none_to_keys_under_calls, 1},
     };
 
     build = Suite_Build(argc, argv);
-    return Suite_Run("keys", tests, 2, 60);
+    return Suite_Run("keys", tests, 3, 120);
 }
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -73,6 +73,18 @@
      Str_LIT("/curve_public")},
     {Str_LIT("\"log_level\":\"info\""), Str_LIT("\"curve_public\":\"" K1 "\""),
      Str_LIT("/curve_public")},
+    {Str_LIT("\"log_level\":\"info\""),
+     CURVE(",\"curve_change\":\"keyed\""),
+     {0}},
+    {Str_LIT("\"log_level\":\"info\""),
+     CURVE(",\"curve_change\":\"unkeyed\""),
+     {0}},
+    {Str_LIT("\"log_level\":\"info\""), CURVE(",\"curve_change\":\"both\""),
+     Str_LIT("/curve_change")},
+    {Str_LIT("\"log_level\":\"info\""), CURVE(",\"curve_change\":\"\""),
+     Str_LIT("/curve_change")},
+    {Str_LIT("\"log_level\":\"info\""), Str_LIT("\"curve_change\":\"keyed\""),
+     Str_LIT("/curve_change")},
 };
 
 /* VALID with its first FROM replaced. */
