Bound the operators' open connections

Cause: any number of connections to the operators' address could be open, for 60 s each: whoever opens many of them takes descriptors that callers need.

Now at most operators_connections_max (128) are open: a request over it is answered 503 with Retry-After and closed. Announcements and /metrics go through over the bound, so that a full front costs no backend server; over twice the bound the connection used longest ago is closed for a new one. operators_idle_ms closes idle ones. evhttp of libevent 2.1 has no bound of its own and tells of no end of a connection without a request: the front keeps a reference to each connection's stream and sees by its callbacks that it was closed. Ruled out: to stop accepting at the bound, which shuts the backend server out, and to close unanswered, which tells the operator nothing.

--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -34,6 +34,10 @@
     X(LINK_BYTES, "link_bytes_total", "Bytes sent across regions")            \
     X(KEY_REFUSED, "node_keys_refused_total", "Nodes refused by their key")   \
     X(OPERATORS_BUSY, "operators_busy_total", "Operators' requests shed")     \
+    X(OPERATORS_OVER, "operators_over_total",                                 \
+      "Operators' requests refused over the bound of connections")            \
+    X(OPERATORS_CLOSED, "operators_closed_total",                             \
+      "Operators' connections closed to make room")                           \
     X(DATA_BYTES, "data_bytes_total", "Bytes sent to other nodes for calls")
 
 typedef enum {
--- a/src/process/operate.c
+++ b/src/process/operate.c
@@ -94,9 +94,12 @@
 static void
 on_held_done(struct evhttp_request *request, void *context)
 {
+    Opr *opr = context;
+
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL,
                                   NULL);
-    ((Opr *)context)->held--;
+    Opc_SetBusy(&opr->conns, request, false);
+    opr->held--;
 }
 
 /* Count a request whose handler answers later until its answer has gone out
@@ -105,36 +108,55 @@
 hold(Opr *opr, struct evhttp_request *request)
 {
     opr->held++;
+    Opc_SetBusy(&opr->conns, request, true);
     evhttp_request_set_on_complete_cb(request, on_held_done, opr);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                   on_held_gone, opr);
 }
 
 static void
-refuse_busy(Opr *opr, struct evhttp_request *request)
+refuse_busy(Opr *opr, struct evhttp_request *request, CntId counter,
+            Str detail)
 {
-    Cnt_Add(opr->counters, Cnt_OPERATORS_BUSY, 1);
+    Cnt_Add(opr->counters, counter, 1);
     Evt_AddField(evhttp_request_get_output_headers(request),
                  Str_LIT("Retry-After"), Str_LIT("1"));
-    Opr_Answer(request, 503,
-               Opr_Error(Str_LIT("busy"),
-                         Str_LIT("too many operators' requests wait")));
+    Opr_Answer(request, 503, Opr_Error(Str_LIT("busy"), detail));
+}
+
+/* Announcements and counters go through, so that a full front costs no
+ * backend server and can be seen; but such a connection does not stay. */
+static bool
+is_over(OprPath *path, struct evhttp_request *request, Instant now)
+{
+    Opr *opr = path->opr;
+
+    if (!Opc_OnRequest(&opr->conns, request, now)) {
+        return false;
+    }
+    Evt_AddField(evhttp_request_get_output_headers(request),
+                 Str_LIT("Connection"), Str_LIT("close"));
+    return path->needs_key;
 }
 
 static void
-on_request(struct evhttp_request *request, void *context)
+serve(OprPath *path, struct evhttp_request *request, Instant now)
 {
-    OprPath *path = context;
     Opr *opr = path->opr;
-    Instant now = Loop_Now();
     OprAnswer answer;
 
+    if (is_over(path, request, now)) {
+        refuse_busy(opr, request, Cnt_OPERATORS_OVER,
+                    Str_LIT("too many operators' connections are open"));
+        return;
+    }
     if (path->needs_key && !has_key(opr, request)) {
         deny(opr, request, now);
         return;
     }
     if (path->needs_key && opr->held >= Opr_HELD_MAX) {
-        refuse_busy(opr, request);
+        refuse_busy(opr, request, Cnt_OPERATORS_BUSY,
+                    Str_LIT("too many operators' requests wait"));
         return;
     }
     /* Counted before the call: the handler may answer before it returns. */
@@ -147,6 +169,14 @@
     }
 }
 
+static void
+on_request(struct evhttp_request *request, void *context)
+{
+    OprPath *path = context;
+
+    serve(path, request, Loop_Now());
+}
+
 static void
 on_unknown(struct evhttp_request *request, void *context)
 {
@@ -159,6 +189,10 @@
 Opr_Init(Opr *opr, Loop *loop, const Settings *settings, Timeline *timeline,
          Counters *counters, Err *err)
 {
+    struct timeval idle = {
+        .tv_sec = settings->operators_idle / 1000000,
+        .tv_usec = settings->operators_idle % 1000000,
+    };
     StrBuf ip = {0};
     int failed;
 
@@ -170,7 +204,9 @@
     opr->http = evhttp_new(loop->base);
     evhttp_set_max_headers_size(opr->http, settings->header_bytes_max);
     evhttp_set_max_body_size(opr->http, BODY_BYTES_MAX);
-    evhttp_set_timeout(opr->http, Opr_TIMEOUT_S);
+    evhttp_set_timeout_tv(opr->http, &idle);
+    Opc_Init(&opr->conns, opr->http, settings->operators_connections_max,
+             counters);
     evhttp_set_gencb(opr->http, on_unknown, opr);
     Addr_PrintIp(settings->operators, &ip);
     failed = evhttp_bind_socket(opr->http, StrBuf_CStr(&ip),
@@ -178,7 +214,7 @@
     if (failed) {
         Err_SET(err, Err_IO, "cannot listen for operators on %s:%u",
                 StrBuf_CStr(&ip), Addr_Port(settings->operators));
-        evhttp_free(opr->http);
+        Opr_Finish(opr);
     }
     StrBuf_Finish(&ip);
     return !failed;
@@ -188,6 +224,7 @@
 Opr_Finish(Opr *opr)
 {
     evhttp_free(opr->http);
+    Opc_Finish(&opr->conns);
 }
 
 void
--- a/src/process/operate.h
+++ b/src/process/operate.h
@@ -12,6 +12,7 @@
 
 #include "process/counters.h"
 #include "process/loop.h"
+#include "process/opconns.h"
 #include "process/settings.h"
 #include "process/timeline.h"
 
@@ -26,8 +27,7 @@
 
 enum {
     Opr_PATHS_MAX = 24,
-    Opr_HELD_MAX = 64, /* requests that wait for their answer, at most */
-    Opr_TIMEOUT_S = 60 /* of an idle connection */
+    Opr_HELD_MAX = 64 /* requests that wait for their answer, at most */
 };
 
 typedef struct Opr Opr;
@@ -44,6 +44,7 @@
     Timeline *timeline;
     Counters *counters;
     struct evhttp *http;
+    OpConns conns;
     OprPath paths[Opr_PATHS_MAX];
     size_t path_count;
     size_t held;       /* requests whose handler answers later */
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -11,6 +11,7 @@
 enum {
     FILE_BYTES_MAX = 4 * 1024 * 1024,
     MINUTE_MS = 60 * 1000,
+    CONNECTIONS = 128,
     HEADER_BYTES = 16 * 1024,
     BODY_BYTES = 1024 * 1024,
     BODY_BYTES_MAX = 64 * 1024 * 1024
@@ -182,6 +183,8 @@
     settings->backend_expiry =
         read_ms(o, Str_LIT("backend_expiry_ms"), 50, 2500);
     settings->stop_bound = read_ms(o, Str_LIT("stop_bound_ms"), 0, 30000);
+    settings->operators_idle =
+        read_ms(o, Str_LIT("operators_idle_ms"), 100, MINUTE_MS);
     settings->ramp = read_ms(o, Str_LIT("ramp_ms"), 0, 0);
     if (settings->member_expiry < 2 * settings->heartbeat) {
         Jsn_Find(o, Str_LIT("member_expiry_ms"), Str_LIT("too short"),
@@ -226,6 +229,8 @@
     Jsn_GetStr(o, Str_LIT("record"), false, &settings->record);
     read_log_level(settings, o);
     read_times(settings, o);
+    settings->operators_connections_max = (uint32_t)Jsn_GetInt(
+        o, Str_LIT("operators_connections_max"), 1, 4096, CONNECTIONS);
     settings->header_bytes_max = (uint32_t)Jsn_GetInt(
         o, Str_LIT("header_bytes_max"), 1024, 1024 * 1024, HEADER_BYTES);
     settings->body_bytes_max = (uint32_t)Jsn_GetInt(
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -63,6 +63,8 @@
     Span backend_expiry; /* a backend server that no longer announces */
     Span stop_bound;     /* for a graceful stop */
     Span ramp;           /* of a cold backend server */
+    Span operators_idle; /* an operators' connection without a word */
+    uint32_t operators_connections_max;
     uint32_t header_bytes_max;
     uint32_t body_bytes_max;
 } Settings;
--- a/tests/integration/test_operators.c
+++ b/tests/integration/test_operators.c
@@ -5,7 +5,7 @@
 
 static Str build;
 
-enum { OPERATORS = 8100 };
+enum { CALLERS = 8000, OPERATORS = 8100 };
 
 #define KEY "Authorization: Bearer test-key\r\n"
 #define GET(path, headers)                                                    \
@@ -286,6 +286,111 @@
 }
 END_TEST
 
+enum { CONNECTIONS = 4, IDLE_MS = 1500, ROW_OPEN_MAX = 40 };
+
+/* So many idle connections are open, then this request comes. */
+typedef struct {
+    int open;
+    int port;
+    Str request;
+    Str status;
+    Str fragment;
+    bool over;   /* counted as refused over the bound */
+    bool closes; /* idle ones were closed to make room */
+} ConnCase;
+
+#define ANNOUNCE                                                              \
+    Str_LIT("POST /v1/announce HTTP/1.1\r\nHost: n\r\n"                       \
+            "Content-Length: 41\r\n\r\n"                                      \
+            "{\"service\":\"visor\",\"port\":9000,\"slots\":9}")
+
+static const ConnCase conn_cases[] = {
+    {CONNECTIONS - 1, OPERATORS, GET("/v1/status", KEY), Str_LIT("200"),
+     Str_LIT("members"), false, false},
+    {CONNECTIONS, OPERATORS, GET("/v1/status", KEY), Str_LIT("503"),
+     Str_LIT("Retry-After: 1"), true, false},
+    /* with or without the key */
+    {CONNECTIONS, OPERATORS, GET("/v1/status", ""), Str_LIT("503"),
+     Str_LIT("Connection: close"), true, false},
+    {CONNECTIONS, OPERATORS, ANNOUNCE, Str_LIT("204"),
+     Str_LIT("Connection: close"), false, false},
+    {CONNECTIONS, OPERATORS, GET("/metrics", ""), Str_LIT("200"),
+     Str_LIT("lycheeridge_members"), false, false},
+    {CONNECTIONS, CALLERS, GET("/none", ""), Str_LIT("404"),
+     Str_LIT("not-run"), false, false},
+    {ROW_OPEN_MAX, OPERATORS, GET("/v1/status", KEY), Str_LIT("503"),
+     Str_LIT("busy"), true, true},
+    {ROW_OPEN_MAX, OPERATORS, ANNOUNCE, Str_LIT("204"), {0}, false, true},
+    {ROW_OPEN_MAX,
+     CALLERS,
+     GET("/none", ""),
+     Str_LIT("404"),
+     {0},
+     false,
+     true},
+};
+
+static void
+wait_for_callers(Fleet *fleet)
+{
+    long status = 0;
+
+    for (int tries = 0; tries < 200 && status != 404; tries++) {
+        FleetAnswer answer = {0};
+        Fleet_Call(fleet, 0, Str_LIT("GET"), Str_LIT("/none"), (Str){0},
+                   (Str){0}, &answer);
+        status = answer.status;
+        Fleet_FinishAnswer(&answer);
+        Fleet_Sleep(Span_MS(50));
+    }
+    ck_assert_int_eq(status, 404);
+}
+
+START_TEST(bounds_its_connections)
+{
+    const ConnCase *c = &conn_cases[_i];
+    Fleet fleet;
+    int fds[ROW_OPEN_MAX];
+    StrBuf answer = {0};
+    int fd;
+
+    Fleet_Init(&fleet, build, 66, 1, 1);
+    Fleet_SetExtra(&fleet, Str_LIT("\"operators_connections_max\":4,"
+                                   "\"operators_idle_ms\":1500"));
+    Fleet_StartNode(&fleet, 0);
+    wait_for_callers(&fleet);
+    for (int i = 0; i < c->open; i++) {
+        fds[i] = Fleet_RawOpen(&fleet, 0, OPERATORS);
+    }
+    fd = Fleet_RawOpen(&fleet, 0, c->port);
+    Fleet_RawSend(fd, c->request);
+    Fleet_RawRead(fd, Span_S(3), &answer);
+    Fleet_RawClose(fd);
+    ck_assert_msg(
+        Str_Equal(Str_Slice(StrBuf_View(&answer), 9, 3), c->status) &&
+            contains(StrBuf_View(&answer), c->fragment),
+        "%s", StrBuf_CStr(&answer));
+    ck_assert_int_eq(count(&fleet, "operators_over") > 0, c->over);
+    ck_assert_int_eq(count(&fleet, "operators_closed") > 0, c->closes);
+    /* Idle ones end by themselves, and make room. */
+    for (int i = 0; i < c->open; i++) {
+        StrBuf rest = {0};
+        ck_assert(Fleet_RawRead(fds[i], Span_MS(2 * IDLE_MS), &rest));
+        Fleet_RawClose(fds[i]);
+        StrBuf_Finish(&rest);
+    }
+    StrBuf_Clear(&answer);
+    fd = Fleet_RawOpen(&fleet, 0, OPERATORS);
+    Fleet_RawSend(fd, GET("/v1/status", KEY));
+    Fleet_RawRead(fd, Span_S(3), &answer);
+    Fleet_RawClose(fd);
+    ck_assert(
+        Str_Equal(Str_Slice(StrBuf_View(&answer), 9, 3), Str_LIT("200")));
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -294,8 +399,9 @@
         {answers_each_announcement_as_due, 1},
         {records_denied_requests, 1},
         {sheds_over_its_bound, 1},
+        {bounds_its_connections, sizeof conn_cases / sizeof conn_cases[0]},
     };
 
     build = Suite_Build(argc, argv);
-    return Suite_Run("operators", tests, 4, 60);
+    return Suite_Run("operators", tests, 5, 60);
 }
