Renew members by short messages to one replica, with digests

Cause: every node sent its whole record to every replica of its region at each heartbeat and got a table back. Now a record that did not change is renewed by a short message (node, incarnation, sequences, table number) to one replica, the source, which answers two bytes of kind when nothing changed; one that does not know the row as renewed asks for the record. Who is told what is a decider of its own (process/membersource.h): a second replica after one unanswered heartbeat, another source after three. Nodes are spread over the replicas of their region. Exchanges between replicas, which were changes already, carry count and hash of the rows; who differs asks for all.

So that a single replica is as safe a witness as two: a replica out of sight here but heard by others keeps its rows; one that started a moment ago makes no row gone by lacking it until a member expiry has passed; one that was stopped expires its rows before it tells them.

Processor time of membership messages was counted twice, in the message loop and in the handler; now once.

Ruled out: telling content by the digest (rows may differ for a moment for good reasons; the table number covers content); renewals every second heartbeat (expiry is five heartbeats).

--- a/src/connection/membermsg.c
+++ b/src/connection/membermsg.c
@@ -2,7 +2,12 @@
 
 #include "connection/callmsg.h"
 
-enum { RECORD_FIELDS = 13, ROW_FIELDS = RECORD_FIELDS + 1, TABLE_FIELDS = 4 };
+enum {
+    RECORD_FIELDS = 13,
+    ROW_FIELDS = RECORD_FIELDS + 1,
+    RENEWAL_FIELDS = 6,
+    TABLE_FIELDS = 6
+};
 
 static void
 put_record(Pack *pack, const MbrRecord *record)
@@ -60,6 +65,44 @@
     return Unpack_Ok(in, err);
 }
 
+void
+Membermsg_PackRenewal(Pack *pack, const MbrRenewal *renewal, uint64_t table,
+                      uint64_t seen)
+{
+    Wire_Begin(pack, Wire_RENEWAL, RENEWAL_FIELDS);
+    Pack_U64(pack, renewal->node);
+    Pack_U64(pack, renewal->incarnation);
+    Pack_U64(pack, renewal->said);
+    Pack_U64(pack, renewal->sequence);
+    Pack_U64(pack, table);
+    Pack_U64(pack, seen);
+}
+
+bool
+Membermsg_ReadRenewal(Unpack *in, MbrRenewal *renewal, uint64_t *table,
+                      uint64_t *seen, Err *err)
+{
+    renewal->node = Unpack_U64(in);
+    renewal->incarnation = Unpack_U64(in);
+    renewal->said = Unpack_U64(in);
+    renewal->sequence = Unpack_U64(in);
+    *table = Unpack_U64(in);
+    *seen = Unpack_U64(in);
+    return Unpack_Ok(in, err);
+}
+
+void
+Membermsg_PackShort(Pack *pack, WireKind kind)
+{
+    Wire_Begin(pack, kind, 0);
+}
+
+bool
+Membermsg_ReadShort(const Unpack *in, Err *err)
+{
+    return Unpack_Ok(in, err);
+}
+
 /* Which rows a message carries, and how each stands. */
 typedef struct {
     const Mbr *mbr;
@@ -92,17 +135,41 @@
     return count;
 }
 
+static MbrDigest
+digest(const Choice *choice, Addr to, bool complete)
+{
+    if (!complete) {
+        return (MbrDigest){0};
+    }
+    return choice->direct ? Mbr_DigestDirect(choice->mbr, to)
+                          : Mbr_DigestAll(choice->mbr, to);
+}
+
+static void
+put_head(Pack *pack, const MembermsgHead *head)
+{
+    Pack_U64(pack, head->table);
+    Pack_U64(pack, head->number);
+    Pack_Bool(pack, head->whole);
+    Pack_U64(pack, head->digest.count);
+    Pack_U64(pack, head->digest.hash);
+}
+
 void
 Membermsg_PackTable(Pack *pack, WireKind kind, const Mbr *mbr, uint64_t table,
-                    uint64_t since)
+                    uint64_t since, Addr to, bool complete)
 {
     Choice choice = {mbr, since, Mbr_NeedsWhole(mbr, since),
                      kind == Wire_EXCHANGE};
+    MembermsgHead head = {
+        .table = table,
+        .number = mbr->change,
+        .whole = choice.whole && complete,
+        .digest = digest(&choice, to, complete),
+    };
 
     Wire_Begin(pack, kind, TABLE_FIELDS);
-    Pack_U64(pack, table);
-    Pack_U64(pack, mbr->change);
-    Pack_Bool(pack, choice.whole);
+    put_head(pack, &head);
     Pack_Array(pack, count_rows(&choice));
     for (size_t i = 0; i < mbr->count; i++) {
         const MbrRow *row = &mbr->rows[i];
@@ -159,22 +226,29 @@
     }
 }
 
+static void
+take_head(Unpack *in, MembermsgHead *head)
+{
+    head->table = Unpack_U64(in);
+    head->number = Unpack_U64(in);
+    head->whole = Unpack_Bool(in);
+    head->digest.count = (uint32_t)Unpack_Bounded(in, Mbr_ROWS_MAX);
+    head->digest.hash = Unpack_U64(in);
+}
+
 bool
-Membermsg_ReadTable(Unpack *in, const MembermsgSink *sink, uint64_t *table,
-                    uint64_t *number, Instant now, Err *err)
+Membermsg_ReadTable(Unpack *in, const MembermsgSink *sink, MembermsgHead *head,
+                    Instant now, Err *err)
 {
     Unpack rows;
     uint32_t count;
-    bool whole;
 
-    *table = Unpack_U64(in);
-    *number = Unpack_U64(in);
-    whole = Unpack_Bool(in);
+    take_head(in, head);
     count = Unpack_Array(in, Mbr_ROWS_MAX, &rows);
     if (in->failed) {
         return Unpack_Ok(in, err);
     }
-    begin(sink, whole);
+    begin(sink, head->whole);
     for (uint32_t i = 0; i < count; i++) {
         if (!take_row(&rows, sink, now)) {
             Unpack_Fail(in);
@@ -182,7 +256,19 @@
         }
     }
     if (!in->failed) {
-        end(sink, whole, now);
+        end(sink, head->whole, now);
     }
     return Unpack_Ok(in, err);
 }
+
+bool
+Membermsg_IsEqual(const MembermsgSink *sink, const MembermsgHead *head)
+{
+    Addr self = sink->mbr->settings.self;
+    MbrDigest mine = sink->via < 0
+                         ? Mbr_DigestAll(sink->mbr, self)
+                         : Mbr_DigestVia(sink->mbr, (unsigned)sink->via, self);
+
+    return (head->digest.count == 0 && head->digest.hash == 0) ||
+           Mbr_IsEqual(mine, head->digest);
+}
--- a/src/connection/membermsg.h
+++ b/src/connection/membermsg.h
@@ -15,20 +15,43 @@
 bool Membermsg_ReadRecord(Unpack *in, MbrRecord *record, uint64_t *table,
                           uint64_t *seen, Err *err);
 
+/* Wire_RENEWAL, in place of a record that did not change. */
+void Membermsg_PackRenewal(Pack *pack, const MbrRenewal *renewal,
+                           uint64_t table, uint64_t seen);
+bool Membermsg_ReadRenewal(Unpack *in, MbrRenewal *renewal, uint64_t *table,
+                           uint64_t *seen, Err *err);
+
+/* Wire_RENEWED or Wire_RECORD_ASK: nothing but their kind. */
+void Membermsg_PackShort(Pack *pack, WireKind kind);
+bool Membermsg_ReadShort(const Unpack *in, Err *err);
+
 /* Where the rows of a message go. */
 typedef struct {
     Mbr *mbr;
     int via; /* Wire_EXCHANGE: number of the replica; Wire_TABLE: -1 */
 } MembermsgSink;
 
+/* Head of Wire_TABLE and Wire_EXCHANGE. */
+typedef struct {
+    uint64_t table;
+    uint64_t number;  /* table number of this state */
+    bool whole;       /* rows not in there are gone */
+    MbrDigest digest; /* of the state; count and hash 0: none is given */
+} MembermsgHead;
+
 /* Wire_TABLE (to a node) or Wire_EXCHANGE (to another replica, of what this
- * one hears directly): the rows of MBR changed after SINCE, or all. */
+ * one hears directly): the rows of MBR changed after SINCE, or all.  The
+ * digest leaves out TO.  A table that is not COMPLETE, as after a start, makes
+ * no row gone by lacking it, and has no digest. */
 void Membermsg_PackTable(Pack *pack, WireKind kind, const Mbr *mbr,
-                         uint64_t table, uint64_t since);
+                         uint64_t table, uint64_t since, Addr to,
+                         bool complete);
 
 /* Hand the rows of a Wire_TABLE or Wire_EXCHANGE to SINK. */
 bool Membermsg_ReadTable(Unpack *in, const MembermsgSink *sink,
-                         uint64_t *table, uint64_t *number, Instant now,
-                         Err *err);
+                         MembermsgHead *head, Instant now, Err *err);
+
+/* SINK's rows are those that HEAD tells of; else a whole table is needed. */
+bool Membermsg_IsEqual(const MembermsgSink *sink, const MembermsgHead *head);
 
 #endif
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -40,6 +40,9 @@
     Wire_PRESETS_ASK,   /* configmsg: which presets there are, to the leader */
     Wire_PRESETS,       /* its answer */
     Wire_SUSPECTS_TOLD, /* suspectmsg: they are known */
+    Wire_RENEWAL,       /* membermsg: a node's record did not change */
+    Wire_RENEWED,       /* nor did the table */
+    Wire_RECORD_ASK,    /* the whole record is needed */
     Wire_KINDS
 } WireKind;
 
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -1,12 +1,6 @@
 #include "process/members.h"
 
 #include "connection/membermsg.h"
-#include "value/mem.h"
-
-#define NO_SOURCE SIZE_MAX
-
-/* A replica that left so many heartbeats unanswered is not relied on. */
-enum { UNANSWERED_BEATS = 3 };
 
 static void
 count_control(Members *members, const Pack *pack)
@@ -25,15 +19,9 @@
     own->present = members->ann->present && own->version_term > 0;
     StrBuf_Set(&own->service, StrBuf_View(&members->ann->service));
     own->load = Adm_Report(members->admission);
-    Mbr_OnRecord(&members->membership, own, now);
-}
-
-static bool
-is_fresh(const Members *members, size_t replica, Instant now)
-{
-    Instant at = members->seen[replica].answered_at;
-
-    return at && now - at < members->settings->heartbeat * UNANSWERED_BEATS;
+    if (Mbr_OnRecord(&members->membership, own, now) || own->leaving) {
+        members->said = own->sequence;
+    }
 }
 
 static bool
@@ -46,80 +34,69 @@
            row->record.region == members->settings->region;
 }
 
-/* A fresh replica, of this region if there is one; NO_SOURCE when none is. */
-static size_t
-find_fresh(const Members *members, Instant now)
+static void
+choose_source(Members *members, Instant now)
 {
-    size_t found = NO_SOURCE;
-
-    for (size_t i = 0; i < members->settings->replica_count; i++) {
-        if (is_fresh(members, i, now)) {
-            found = i;
-            if (is_near(members, i)) {
-                break;
-            }
-        }
+    for (size_t i = 0; i < members->replicas.count; i++) {
+        members->replicas.replicas[i].near = is_near(members, i);
     }
-    return found;
+    Mso_Choose(&members->replicas, now);
+}
+
+/* The table number that REPLICA is to go by. */
+static uint64_t
+seen_number(const Members *members, size_t replica)
+{
+    return Mso_Wants(&members->replicas, replica)
+               ? members->replicas.replicas[replica].number
+               : Membermsg_NO_ROWS;
 }
 
-/* Rows come from one replica at a time; a new one sends all of them. */
 static void
-choose_source(Members *members, Instant now)
+pack_renewal(const Members *members, size_t replica, Pack *pack)
 {
-    size_t found;
+    const MbrRenewal renewal = {
+        .node = members->own.node,
+        .incarnation = members->own.incarnation,
+        .said = members->replicas.replicas[replica].said,
+        .sequence = members->own.sequence,
+    };
 
-    if (members->source != NO_SOURCE &&
-        is_fresh(members, members->source, now) &&
-        is_near(members, members->source)) {
-        return;
-    }
-    found = find_fresh(members, now);
-    if (found != NO_SOURCE && found != members->source) {
-        members->source = found;
-        members->seen[found].table = 0;
-    }
+    Membermsg_PackRenewal(pack, &renewal,
+                          members->replicas.replicas[replica].table,
+                          seen_number(members, replica));
 }
 
 static void
-send_own(Members *members, size_t replica, Instant now)
+send_own(Members *members, size_t replica, MsoTell tell, Instant now)
 {
-    MbsSeen *seen = &members->seen[replica];
-    bool wants = members->settings->control || replica == members->source;
     Pack pack;
 
-    Membermsg_PackRecord(&pack, &members->own, seen->table,
-                         wants ? seen->number : Membermsg_NO_ROWS);
+    if (tell == Mso_RENEWAL) {
+        pack_renewal(members, replica, &pack);
+    }
+    else {
+        Membermsg_PackRecord(&pack, &members->own,
+                             members->replicas.replicas[replica].table,
+                             seen_number(members, replica));
+        Mso_OnSaid(&members->replicas, replica, members->own.sequence);
+    }
     count_control(members, &pack);
     Net_Send(members->net, members->settings->replicas[replica],
              Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
 
-/* Replicas tell each other; everybody else tells those of its region, or all
- * when none there answers. */
-static bool
-is_told(const Members *members, size_t replica, bool any)
-{
-    const Settings *settings = members->settings;
-
-    return settings->replicas[replica] != settings->address &&
-           (any || settings->control || is_near(members, replica));
-}
-
 void
 Mbs_SendRecord(Members *members, Instant now)
 {
-    bool any;
-
     renew_own(members, now);
     choose_source(members, now);
-    any = members->source == NO_SOURCE ||
-          !is_fresh(members, members->source, now) ||
-          !is_near(members, members->source);
-    for (size_t i = 0; i < members->settings->replica_count; i++) {
-        if (is_told(members, i, any)) {
-            send_own(members, i, now);
+    for (size_t i = 0; i < members->replicas.count; i++) {
+        MsoTell tell = Mso_Ask(&members->replicas, i, members->said,
+                               members->own.leaving, now);
+        if (tell != Mso_NOTHING) {
+            send_own(members, i, tell, now);
         }
     }
 }
@@ -145,6 +122,9 @@
     Members *members = context;
     int64_t start = Loop_CpuNs();
 
+    if (!members->complete_at) {
+        members->complete_at = now + members->settings->member_expiry;
+    }
     Mbr_Expire(&members->membership, now);
     Mbs_SendRecord(members, now);
     Cnt_AddNs(members->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
@@ -158,89 +138,161 @@
 }
 
 static void
-answer_record(Members *members, const NetOrigin *origin, bool replica,
-              uint64_t table, uint64_t seen, Instant now)
+answer(Members *members, const NetOrigin *origin, Pack *pack, Instant now)
+{
+    count_control(members, pack);
+    Net_Answer(members->net, origin, Pack_View(pack), now);
+    Pack_Finish(pack);
+}
+
+static void
+answer_short(Members *members, const NetOrigin *origin, WireKind kind,
+             Instant now)
+{
+    Pack pack;
+
+    Membermsg_PackShort(&pack, kind);
+    answer(members, origin, &pack, now);
+}
+
+static bool
+is_complete(const Members *members, Instant now)
+{
+    return members->complete_at && now >= members->complete_at;
+}
+
+/* A table that is not complete has another identity than the one that comes
+ * after it, which is sent whole. */
+static uint64_t
+own_table(const Members *members, Instant now)
+{
+    uint64_t table = members->own.incarnation;
+
+    return is_complete(members, now) ? table : table ^ 1;
+}
+
+/* Rows for NODE, which saw number SEEN of TABLE. */
+static void
+answer_rows(Members *members, const NetOrigin *origin, Addr node,
+            uint64_t table, uint64_t seen, Instant now)
 {
     const Mbr *mbr = &members->membership;
+    uint64_t own = own_table(members, now);
     Pack pack;
 
-    if (seen == Membermsg_NO_ROWS) {
-        seen = mbr->change;
-    }
-    else if (table != members->own.incarnation) {
-        seen = 0;
+    if (seen == Membermsg_NO_ROWS || (table == own && seen == mbr->change)) {
+        answer_short(members, origin, Wire_RENEWED, now);
+        return;
     }
-    Membermsg_PackTable(&pack, replica ? Wire_EXCHANGE : Wire_TABLE, mbr,
-                        members->own.incarnation, seen);
-    count_control(members, &pack);
-    Net_Answer(members->net, origin, Pack_View(&pack), now);
-    Pack_Finish(&pack);
+    Membermsg_PackTable(&pack, Wire_TABLE, mbr, own, table == own ? seen : 0,
+                        node, is_complete(members, now));
+    answer(members, origin, &pack, now);
+}
+
+/* To another replica: what this one hears directly, and nothing that it let
+ * lie while it was stopped itself. */
+static void
+answer_exchange(Members *members, const NetOrigin *origin, Addr node,
+                uint64_t table, uint64_t seen, Instant now)
+{
+    Mbr *mbr = &members->membership;
+    uint64_t own = members->own.incarnation;
+    Pack pack;
+
+    Mbr_Expire(mbr, now);
+    Membermsg_PackTable(&pack, Wire_EXCHANGE, mbr, own,
+                        table == own ? seen : 0, node, true);
+    answer(members, origin, &pack, now);
 }
 
 static void
 on_record(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
     Members *members = context;
-    int64_t start = Loop_CpuNs();
     MbrRecord record;
     uint64_t table;
     uint64_t seen;
     Err err = {0};
 
     Mbr_RecordInit(&record);
-    if (Membermsg_ReadRecord(in, &record, &table, &seen, &err)) {
-        Mbr_OnRecord(&members->membership, &record, now);
-        answer_record(members, origin, record.control, table, seen, now);
+    if (!Membermsg_ReadRecord(in, &record, &table, &seen, &err)) {
+        refuse_message(members, &err);
     }
     else {
-        refuse_message(members, &err);
+        Mbr_OnRecord(&members->membership, &record, now);
+        (record.control ? answer_exchange : answer_rows)(
+            members, origin, record.node, table, seen, now);
     }
     Mbr_RecordFinish(&record);
-    Cnt_AddNs(members->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
+static void
+on_renewal(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Members *members = context;
+    MbrRenewal renewal;
+    uint64_t table;
+    uint64_t seen;
+    Err err = {0};
+
+    if (!Membermsg_ReadRenewal(in, &renewal, &table, &seen, &err)) {
+        refuse_message(members, &err);
+        return;
+    }
+    switch (Mbr_OnRenewal(&members->membership, &renewal, now)) {
+    case Mbr_RENEWED:
+        answer_rows(members, origin, renewal.node, table, seen, now);
+        break;
+    case Mbr_UNKNOWN:
+        answer_short(members, origin, Wire_RECORD_ASK, now);
+        break;
+    case Mbr_OLD:
+        break;
+    }
+}
+
+/* Number of the replica that ORIGIN is; Mso_NONE when it is none. */
 static size_t
-find_replica(const Members *members, Addr addr)
+find_replica(const Members *members, const NetOrigin *origin)
 {
     for (size_t i = 0; i < members->settings->replica_count; i++) {
-        if (members->settings->replicas[i] == addr) {
+        if (members->settings->replicas[i] == origin->peer) {
             return i;
         }
     }
-    return NO_SOURCE;
+    return Mso_NONE;
 }
 
 static void
-take_table(Members *members, const NetOrigin *origin, Unpack *in,
-           bool exchange, Instant now)
+take_rows(Members *members, size_t replica, Unpack *in, bool exchange,
+          Instant now)
 {
-    size_t replica = find_replica(members, origin->peer);
-    int64_t start = Loop_CpuNs();
-    MembermsgSink sink = {&members->membership, -1};
-    MbsSeen *seen;
-    uint64_t table;
-    uint64_t number;
+    MembermsgSink sink = {&members->membership, exchange ? (int)replica : -1};
+    MsoReplica *from = &members->replicas.replicas[replica];
+    MembermsgHead head;
     Err err = {0};
 
-    if (replica == NO_SOURCE || exchange != members->settings->control) {
+    if (!Membermsg_ReadTable(in, &sink, &head, now, &err)) {
+        refuse_message(members, &err);
         return;
     }
-    seen = &members->seen[replica];
-    seen->answered_at = now;
-    if (exchange) {
-        sink.via = (int)replica;
-    }
-    else if (replica != members->source) {
-        return; /* it was told to send no rows */
-    }
-    if (Membermsg_ReadTable(in, &sink, &table, &number, now, &err)) {
-        seen->table = table;
-        seen->number = number;
+    from->number = head.number;
+    from->table = Membermsg_IsEqual(&sink, &head) ? head.table : 0;
+}
+
+static void
+take_table(Members *members, const NetOrigin *origin, Unpack *in,
+           bool exchange, Instant now)
+{
+    size_t replica = find_replica(members, origin);
+
+    if (replica == Mso_NONE || exchange != members->settings->control) {
+        return;
     }
-    else {
-        refuse_message(members, &err);
+    Mso_OnAnswer(&members->replicas, replica, now);
+    if (Mso_Wants(&members->replicas, replica)) {
+        take_rows(members, replica, in, exchange, now);
     }
-    Cnt_AddNs(members->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
 static void
@@ -255,6 +307,72 @@
     take_table(context, origin, in, true, now);
 }
 
+static size_t
+take_short(Members *members, const NetOrigin *origin, const Unpack *in,
+           Instant now)
+{
+    size_t replica = find_replica(members, origin);
+    Err err = {0};
+
+    if (!Membermsg_ReadShort(in, &err)) {
+        refuse_message(members, &err);
+        return Mso_NONE;
+    }
+    if (replica != Mso_NONE) {
+        Mso_OnAnswer(&members->replicas, replica, now);
+    }
+    return replica;
+}
+
+static void
+on_renewed(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    take_short(context, origin, in, now);
+}
+
+static void
+on_record_ask(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Members *members = context;
+    size_t replica = take_short(members, origin, in, now);
+
+    if (replica != Mso_NONE) {
+        Mso_OnUnknown(&members->replicas, replica);
+        renew_own(members, now);
+        send_own(members, replica, Mso_RECORD, now);
+    }
+}
+
+static void
+init_replicas(Members *members)
+{
+    const Settings *settings = members->settings;
+    uint64_t spread = Str_Hash(
+        Str_From((const char *)&settings->address, sizeof settings->address));
+
+    Mso_Init(&members->replicas, settings->replica_count, settings->heartbeat,
+             settings->control, spread);
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        members->replicas.replicas[i].self =
+            settings->replicas[i] == settings->address;
+    }
+}
+
+static void
+init_own(Members *members, uint64_t incarnation)
+{
+    const Settings *settings = members->settings;
+    MbrRecord *own = &members->own;
+
+    Mbr_RecordInit(own);
+    own->node = settings->address;
+    own->operators = settings->operators;
+    own->incarnation = incarnation;
+    own->region = settings->region;
+    own->domain = settings->domain;
+    own->control = settings->control;
+}
+
 void
 Mbs_Init(Members *members, Loop *loop, Net *net, Counters *counters,
          Logger *logger, const Settings *settings, const Ann *ann,
@@ -266,6 +384,7 @@
         .region = settings->region,
         .replica = settings->control,
         .replicas = settings->replica_count,
+        .addrs = settings->replicas,
         .expiry = settings->member_expiry,
         .listener = listener,
         .context = context,
@@ -278,20 +397,16 @@
         .logger = logger,
         .ann = ann,
         .admission = admission,
-        .source = NO_SOURCE,
     };
     Mbr_Init(&members->membership, &mbr);
-    Mbr_RecordInit(&members->own);
-    members->own.node = settings->address;
-    members->own.operators = settings->operators;
-    members->own.incarnation = incarnation;
-    members->own.region = settings->region;
-    members->own.domain = settings->domain;
-    members->own.control = settings->control;
-    members->seen = Mem_Alloc(settings->replica_count, sizeof *members->seen);
+    init_own(members, incarnation);
+    init_replicas(members);
     Net_On(net, Wire_RECORD, on_record, members);
     Net_On(net, Wire_TABLE, on_table, members);
     Net_On(net, Wire_EXCHANGE, on_exchange, members);
+    Net_On(net, Wire_RENEWAL, on_renewal, members);
+    Net_On(net, Wire_RENEWED, on_renewed, members);
+    Net_On(net, Wire_RECORD_ASK, on_record_ask, members);
     LoopTimer_Init(&members->beat, loop, settings->heartbeat, on_beat,
                    members);
 }
@@ -302,5 +417,5 @@
     LoopTimer_Finish(&members->beat);
     Mbr_Finish(&members->membership);
     Mbr_RecordFinish(&members->own);
-    Mem_Free(members->seen);
+    Mso_Finish(&members->replicas);
 }
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -1,22 +1,20 @@
-/* Mbs: membership as it runs.  At each heartbeat this node's record goes to
- * the control replicas of its region, or to all when none there answers; one
- * of them, the source, sends the rows that changed.  A replica's record goes
- * to all others, which answer with what they hear directly.
+/* Mbs: membership as it runs.  At each heartbeat this node renews its record
+ * at one control replica of its region, the source, which sends the rows that
+ * changed (who is told what: process/membersource.h).  A replica's record
+ * goes to all others, which answer with what they hear directly.
+ *
+ * A replica that started a moment ago does not know all rows yet: until a
+ * member expiry has passed, no row is gone because its table lacks it.
  */
 #ifndef MEMBERS_H
 #define MEMBERS_H
 
 #include "process/announce.h"
 #include "process/membership.h"
+#include "process/membersource.h"
 #include "process/net.h"
 #include "version/config.h"
 
-typedef struct {
-    uint64_t table;      /* start of the replica that numbered it */
-    uint64_t number;     /* last table number got from it */
-    Instant answered_at; /* 0: never */
-} MbsSeen;
-
 typedef struct {
     const Settings *settings;
     Net *net;
@@ -26,8 +24,9 @@
     const Adm *admission;
     Mbr membership;
     MbrRecord own;
-    MbsSeen *seen; /* by control replica */
-    size_t source; /* the replica whose rows are taken */
+    uint64_t said;       /* sequence at which the own record changed last */
+    Mso replicas;        /* the control replicas, as in the settings */
+    Instant complete_at; /* a replica's table is; 0: not started */
     LoopTimer beat;
 } Members;
 
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -159,6 +159,7 @@
     }
     first = row->direct_at == 0;
     row->direct_at = now;
+    row->said = record->sequence;
     changed = take(mbr, row, record, now);
     if (first && !changed) {
         row->change = ++mbr->change; /* for other replicas */
@@ -166,6 +167,92 @@
     return changed;
 }
 
+static bool
+is_old(const MbrRow *row, const MbrRenewal *renewal)
+{
+    const MbrRecord *record = &row->record;
+
+    return renewal->incarnation < record->incarnation ||
+           (renewal->incarnation == record->incarnation &&
+            renewal->sequence <= record->sequence);
+}
+
+MbrRenewed
+Mbr_OnRenewal(Mbr *mbr, const MbrRenewal *renewal, Instant now)
+{
+    MbrRow *row = find_row(mbr, renewal->node);
+
+    if (row && is_old(row, renewal)) {
+        return Mbr_OLD;
+    }
+    if (!row || row->gone || !row->direct_at ||
+        row->record.incarnation != renewal->incarnation ||
+        row->said != renewal->said) {
+        return Mbr_UNKNOWN;
+    }
+    row->record.sequence = renewal->sequence;
+    row->heard_at = now;
+    row->direct_at = now;
+    mbr->node_heard_at = now;
+    return Mbr_RENEWED;
+}
+
+bool
+Mbr_IsEqual(MbrDigest a, MbrDigest b)
+{
+    return a.count == b.count && a.hash == b.hash;
+}
+
+static void
+add_to_digest(MbrDigest *digest, Addr node)
+{
+    digest->count++;
+    digest->hash ^= Str_Hash(Str_From((const char *)&node, sizeof node));
+}
+
+MbrDigest
+Mbr_DigestAll(const Mbr *mbr, Addr except)
+{
+    MbrDigest digest = {0};
+
+    for (size_t i = 0; i < mbr->count; i++) {
+        const MbrRow *row = &mbr->rows[i];
+        if (!row->gone && row->record.node != except) {
+            add_to_digest(&digest, row->record.node);
+        }
+    }
+    return digest;
+}
+
+MbrDigest
+Mbr_DigestDirect(const Mbr *mbr, Addr except)
+{
+    MbrDigest digest = {0};
+
+    for (size_t i = 0; i < mbr->count; i++) {
+        const MbrRow *row = &mbr->rows[i];
+        if (!row->gone && row->direct_at && row->record.node != except) {
+            add_to_digest(&digest, row->record.node);
+        }
+    }
+    return digest;
+}
+
+MbrDigest
+Mbr_DigestVia(const Mbr *mbr, unsigned via, Addr except)
+{
+    MbrDigest digest = {0};
+
+    for (size_t i = 0; i < mbr->count; i++) {
+        const MbrRow *row = &mbr->rows[i];
+        if (!row->gone && row->via & (1u << via) &&
+            row->record.node != except) {
+            add_to_digest(&digest, row->record.node);
+        }
+    }
+    return digest;
+}
+
 void
 Mbr_BeginTable(Mbr *mbr, bool whole)
 {
@@ -247,6 +334,27 @@
     }
 }
 
+/* A replica that hears the row's node is still here, as others hear it, but
+ * not from here: it alone can tell. */
+static bool
+is_held_out_of_sight(const Mbr *mbr, const MbrRow *row)
+{
+    const MbrSettings *settings = &mbr->settings;
+
+    for (size_t i = 0; settings->addrs && i < settings->replicas; i++) {
+        const MbrRow *replica;
+        if (!(row->via & (1u << i)) ||
+            settings->addrs[i] == row->record.node) {
+            continue;
+        }
+        replica = find_row(mbr, settings->addrs[i]);
+        if (replica && !replica->gone) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A replica that hears nobody cannot tell who is gone. */
 static bool
 may_expire(const Mbr *mbr, const MbrRow *row, Instant now)
@@ -293,7 +401,8 @@
             row->direct_at = 0;
             row->change = ++mbr->change; /* for other replicas */
         }
-        if (now - row->heard_at >= expiry && may_expire(mbr, row, now)) {
+        if (now - row->heard_at >= expiry && may_expire(mbr, row, now) &&
+            !is_held_out_of_sight(mbr, row)) {
             set_gone(mbr, row, now);
         }
     }
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -1,11 +1,13 @@
 /* Mbr, the membership decider: which nodes are here, with which backend
  * server beside them.
  *
- * Each node sends its own record to the control replicas of its region.  A
- * replica keeps a numbered table and answers with the rows that changed since
- * the number the node last saw.  A renewal, and a change of load, is no
- * change.  Replicas tell each other which rows they hear from directly; a row
- * that no replica hears of any more is gone.  Only replicas let rows expire:
+ * Each node sends its own record to a control replica of its region, and
+ * renewals of it from then on.  A replica keeps a numbered table and answers
+ * with the rows that changed since the number the node last saw.  A renewal,
+ * and a change of load, is no change.  Replicas tell each other which rows
+ * they hear from directly, as changes, with a digest of all; a row that no
+ * replica hears of any more is gone.  A replica that cannot be heard while
+ * others hear it keeps the rows it told of.  Only replicas let rows expire:
  * everybody else goes by their tables, so that a node cut off from them keeps
  * what it knows.
  */
@@ -41,6 +43,7 @@
     MbrRecord record;
     Instant heard_at;  /* of it, directly or by another replica */
     Instant direct_at; /* last record from the node itself; 0: none */
+    uint64_t said;     /* sequence of the last whole record, directly */
     uint8_t via;       /* bit set of replicas that hear it directly */
     uint64_t change;   /* table number of its last change */
     bool gone;         /* kept for a while so that deltas can tell */
@@ -54,11 +57,12 @@
                             const MbrRecord *record, Instant now);
 
 typedef struct {
-    Addr self;       /* this node: its row never comes from a table */
-    uint16_t region; /* of this node */
-    bool replica;    /* lets rows expire */
-    size_t replicas; /* control replicas there are */
-    Span expiry;     /* a record not renewed for this long goes */
+    Addr self;         /* this node: its row never comes from a table */
+    uint16_t region;   /* of this node */
+    bool replica;      /* lets rows expire */
+    size_t replicas;   /* control replicas there are */
+    const Addr *addrs; /* theirs, by number; NULL: not known */
+    Span expiry;       /* a record not renewed for this long goes */
     MbrListener listener;
     void *context;
 } MbrSettings;
@@ -85,6 +89,36 @@
  * change to be told. */
 bool Mbr_OnRecord(Mbr *mbr, const MbrRecord *record, Instant now);
 
+/* Nothing changed since the whole record of sequence SAID. */
+typedef struct {
+    Addr node;
+    uint64_t incarnation;
+    uint64_t said;
+    uint64_t sequence;
+} MbrRenewal;
+
+typedef enum {
+    Mbr_RENEWED,
+    Mbr_OLD,     /* repeated, overtaken or of an earlier start: no effect */
+    Mbr_UNKNOWN, /* the whole record is needed */
+} MbrRenewed;
+
+MbrRenewed Mbr_OnRenewal(Mbr *mbr, const MbrRenewal *renewal, Instant now);
+
+/* Which nodes a set of rows has; two that differ differ here too. */
+typedef struct {
+    uint32_t count;
+    uint64_t hash;
+} MbrDigest;
+
+bool Mbr_IsEqual(MbrDigest a, MbrDigest b);
+
+/* Of rows that stand but EXCEPT's: all; those heard directly; those that
+ * control replica VIA hears directly. */
+MbrDigest Mbr_DigestAll(const Mbr *mbr, Addr except);
+MbrDigest Mbr_DigestDirect(const Mbr *mbr, Addr except);
+MbrDigest Mbr_DigestVia(const Mbr *mbr, unsigned via, Addr except);
+
 /* A row of a control replica's table.  Rows of a WHOLE table are enclosed in
  * Begin and End, and rows not among them are gone. */
 void Mbr_BeginTable(Mbr *mbr, bool whole);
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -248,7 +248,7 @@
         Mbr_OnRecord(&mbr, &record, Span_S(9));
         Mbr_RecordFinish(&record);
     }
-    Membermsg_PackTable(pack, Wire_TABLE, &mbr, 5, 0);
+    Membermsg_PackTable(pack, Wire_TABLE, &mbr, 5, 0, Addr_NONE, true);
     Mbr_Finish(&mbr);
 }
 
@@ -257,16 +257,33 @@
 {
     Mbr mbr;
     MembermsgSink sink = {&mbr, -1};
-    uint64_t table;
-    uint64_t number;
+    MembermsgHead head;
     bool good;
 
     start_members(&mbr);
-    good = Membermsg_ReadTable(in, &sink, &table, &number, Span_S(9), err);
+    good = Membermsg_ReadTable(in, &sink, &head, Span_S(9), err);
     Mbr_Finish(&mbr);
     return good;
 }
 
+static void
+pack_renewal(Pack *pack)
+{
+    const MbrRenewal renewal = {11, 77, 3, 4};
+
+    Membermsg_PackRenewal(pack, &renewal, 5, 6);
+}
+
+static bool
+read_renewal(Unpack *in, Err *err)
+{
+    MbrRenewal renewal;
+    uint64_t table;
+    uint64_t seen;
+
+    return Membermsg_ReadRenewal(in, &renewal, &table, &seen, err);
+}
+
 const Sample call_samples[] = {
     {"call", pack_call, read_call},
     {"piece", pack_piece, read_piece},
@@ -278,6 +295,7 @@
     {"pong", pack_pong, read_pong},
     {"record", pack_record, read_record},
     {"table", pack_table, read_table},
+    {"renewal", pack_renewal, read_renewal},
 };
 
 const int call_sample_count = sizeof call_samples / sizeof call_samples[0];
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -1,4 +1,5 @@
 /* Tables of events over the membership decider. */
+#include "connection/membermsg.h"
 #include "process/membership.h"
 #include "support/suite.h"
 
@@ -19,6 +20,7 @@
     ROW_GONE,
     WHOLE, /* a whole table with this node alone */
     EXPIRE,
+    RENEW, /* nothing changed since its record */
 } Event;
 
 typedef struct {
@@ -321,11 +323,381 @@
 }
 END_TEST
 
+/* Renewals of node 2, whose record came in a start with incarnation 6. */
+typedef struct {
+    Event event;
+    uint64_t incarnation;
+    uint64_t said;
+    uint64_t sequence;
+    Instant at;
+    MbrRenewed answer; /* to a renewal */
+} RenewStep;
+
+typedef struct {
+    const char *name;
+    RenewStep steps[STEPS_MAX];
+    bool here; /* after an expiry at 1500 */
+} RenewCase;
+
+static const RenewCase renewals[] = {
+    {"without any the row expires", {{RECORD, 6, 0, 1, 10, 0}}, false},
+    {"one keeps it",
+     {{RECORD, 6, 0, 1, 10, 0}, {RENEW, 6, 1, 2, 900, Mbr_RENEWED}},
+     true},
+    {"repeated later it has no effect",
+     {{RECORD, 6, 0, 1, 10, 0},
+      {RENEW, 6, 1, 2, 400, Mbr_RENEWED},
+      {RENEW, 6, 1, 2, 900, Mbr_OLD}},
+     false},
+    {"overtaken by another it has none",
+     {{RECORD, 6, 0, 1, 10, 0},
+      {RENEW, 6, 1, 3, 400, Mbr_RENEWED},
+      {RENEW, 6, 1, 2, 900, Mbr_OLD}},
+     false},
+    {"of an earlier start it has none",
+     {{RECORD, 6, 0, 1, 10, 0}, {RENEW, 5, 1, 9, 900, Mbr_OLD}},
+     false},
+    {"of a later start it needs the record",
+     {{RECORD, 6, 0, 1, 10, 0}, {RENEW, 7, 1, 2, 900, Mbr_UNKNOWN}},
+     false},
+    {"of a record that got lost it needs the record",
+     {{RECORD, 6, 0, 1, 10, 0}, {RENEW, 6, 2, 3, 900, Mbr_UNKNOWN}},
+     false},
+    {"at a replica that knows nothing it needs the record",
+     {{RENEW, 6, 1, 2, 900, Mbr_UNKNOWN}},
+     false},
+    {"of a row that another replica told of it needs the record",
+     {{HELD, 6, 0, 1, 10, 0}, {RENEW, 6, 1, 2, 400, Mbr_UNKNOWN}},
+     false},
+    {"of a row that expired it needs the record",
+     {{RECORD, 6, 0, 1, 10, 0},
+      {EXPIRE, 0, 0, 0, 1010, 0},
+      {RENEW, 6, 1, 2, 1020, Mbr_UNKNOWN}},
+     false},
+    {"overtaken by the leave it has no effect",
+     {{RECORD, 6, 0, 1, 10, 0},
+      {LEAVE, 6, 0, 5, 20, 0},
+      {RENEW, 6, 1, 4, 900, Mbr_OLD}},
+     false},
+};
+
+enum { RENEWAL_COUNT = sizeof renewals / sizeof renewals[0] };
+
+static void
+do_renew_step(Mbr *mbr, const RenewStep *step, const char *name)
+{
+    const MbrRenewal renewal = {2, step->incarnation, step->said,
+                                step->sequence};
+    const Step as = {step->event, 2, step->at};
+    MbrRecord record;
+
+    if (step->event == EXPIRE) {
+        Mbr_Expire(mbr, step->at);
+        return;
+    }
+    if (step->event == RENEW) {
+        MbrRenewed answer = Mbr_OnRenewal(mbr, &renewal, step->at);
+        ck_assert_msg(answer == step->answer, "%s: answer %d at %d", name,
+                      (int)answer, (int)step->at);
+        return;
+    }
+    fill_record(&record, &as, step->sequence);
+    record.incarnation = step->incarnation;
+    if (step->event == HELD) {
+        Mbr_OnHeld(mbr, 0, &record, true, step->at);
+    }
+    else {
+        Mbr_OnRecord(mbr, &record, step->at);
+    }
+    Mbr_RecordFinish(&record);
+}
+
+START_TEST(renewals_keep_rows)
+{
+    const RenewCase *c = &renewals[_i];
+    MbrSettings settings = {
+        .self = SELF, .replica = true, .replicas = 1, .expiry = EXPIRY};
+    Mbr mbr;
+    const MbrRow *row;
+
+    Mbr_Init(&mbr, &settings);
+    for (int i = 0; i < STEPS_MAX && c->steps[i].event; i++) {
+        do_renew_step(&mbr, &c->steps[i], c->name);
+    }
+    Mbr_Expire(&mbr, 1500);
+    row = Mbr_Find(&mbr, 2);
+    ck_assert_msg((row && !row->gone) == c->here, "%s: here", c->name);
+    Mbr_Finish(&mbr);
+}
+END_TEST
+
+/* Three replicas, nodes 101 to 103, that tell each other by messages; node 2
+ * renews at some of them. */
+enum { REPLICAS = 3 };
+
+static const Addr replica_addrs[REPLICAS] = {101, 102, 103};
+
+typedef enum {
+    W_END,
+    W_SAYS,    /* node 2's whole record comes to replica A */
+    W_LEAVES,  /* the same, leaving */
+    W_EXPIRES, /* at A */
+    W_TELLS,   /* A answers B's question: an exchange from A to B */
+    W_OLD,     /* the exchange that A sent first comes to B once more */
+    W_EMPTY,   /* A restarts with no rows */
+    W_LOSES,   /* A's row of node 2 is gone by a fault */
+} WorldEvent;
+
+typedef struct {
+    WorldEvent event;
+    Instant at;
+    int a;
+    int b;
+} WorldStep;
+
+typedef struct {
+    const char *name;
+    WorldStep steps[12];
+    const char *here; /* of node 2, by replica: y or n */
+} WorldCase;
+
+typedef struct {
+    Mbr replicas[REPLICAS];
+    uint64_t starts[REPLICAS];
+    MembermsgHead seen[REPLICAS][REPLICAS]; /* by who saw, of whom */
+    uint64_t sequence;
+    StrBuf first; /* exchange */
+} World;
+
+#define EACH(at)                                                              \
+    {W_TELLS, at, 1, 0},                                                      \
+    {                                                                         \
+        W_TELLS, at, 1, 2                                                     \
+    }
+
+static const WorldCase worlds[] = {
+    {"told of by one, known by all", {{W_SAYS, 10, 1, 0}, EACH(20)}, "yyy"},
+    {"the source dies with its node",
+     {{W_SAYS, 10, 1, 0},
+      EACH(20),
+      {W_TELLS, 900, 0, 2},
+      {W_TELLS, 900, 2, 0},
+      {W_EXPIRES, 1030, 0, 0},
+      {W_EXPIRES, 1030, 2, 0},
+      {W_TELLS, 1900, 0, 2},
+      {W_TELLS, 1900, 2, 0},
+      {W_EXPIRES, 2030, 0, 0},
+      {W_EXPIRES, 2030, 2, 0}},
+     "nyn"},
+    {"the source dies, another hears the node in time",
+     {{W_SAYS, 10, 1, 0},
+      EACH(20),
+      {W_SAYS, 800, 0, 0},
+      {W_TELLS, 900, 0, 2},
+      {W_TELLS, 900, 2, 0},
+      {W_EXPIRES, 1030, 0, 0},
+      {W_EXPIRES, 1030, 2, 0}},
+     "yyy"},
+    {"a restarted replica learns by the node's record",
+     {{W_SAYS, 10, 1, 0},
+      EACH(20),
+      {W_EMPTY, 30, 1, 0},
+      EACH(40),
+      {W_SAYS, 500, 1, 0},
+      EACH(600),
+      {W_EXPIRES, 1030, 0, 0},
+      {W_EXPIRES, 1030, 2, 0}},
+     "yyy"},
+    {"two that differ get equal again",
+     {{W_SAYS, 10, 1, 0}, EACH(20), {W_LOSES, 30, 2, 0}, EACH(40), EACH(50)},
+     "yyy"},
+    {"a leave reaches all by changes",
+     {{W_SAYS, 10, 1, 0}, EACH(20), {W_LEAVES, 30, 1, 0}, EACH(40)},
+     "nnn"},
+    {"an old exchange does not bring back who left",
+     {{W_SAYS, 10, 1, 0},
+      EACH(20),
+      {W_LEAVES, 30, 1, 0},
+      EACH(40),
+      {W_OLD, 50, 1, 2}},
+     "nnn"},
+};
+
+enum { WORLD_COUNT = sizeof worlds / sizeof worlds[0] };
+
+static void
+start_replica(World *world, int i)
+{
+    const MbrSettings settings = {
+        .self = replica_addrs[i],
+        .replica = true,
+        .replicas = REPLICAS,
+        .addrs = replica_addrs,
+        .expiry = EXPIRY,
+    };
+
+    Mbr_Init(&world->replicas[i], &settings);
+    world->starts[i] += 10;
+    for (int k = 0; k < REPLICAS; k++) {
+        world->seen[i][k] = (MembermsgHead){0};
+    }
+}
+
+static void
+say(World *world, int to, Event event, Addr node, Instant at)
+{
+    const Step step = {event, node, at};
+
+    do_step(&world->replicas[to], &step, ++world->sequence);
+}
+
+static void
+take_exchange(World *world, int from, int to, Str bytes, Instant at)
+{
+    MembermsgSink sink = {&world->replicas[to], from};
+    MembermsgHead *seen = &world->seen[to][from];
+    Unpack in;
+    WireKind kind;
+    Err err = {0};
+
+    ck_assert(Wire_Open(&in, bytes, &kind, &err));
+    ck_assert(Membermsg_ReadTable(&in, &sink, seen, at, &err));
+    if (!Membermsg_IsEqual(&sink, seen)) {
+        seen->table = 0;
+    }
+    Unpack_Finish(&in);
+}
+
+/* TO asks with its own record, as replicas do. */
+static void
+exchange(World *world, int from, int to, Instant at)
+{
+    const MembermsgHead *seen = &world->seen[to][from];
+    bool same = seen->table == world->starts[from];
+    Pack pack;
+
+    say(world, from, RECORD, replica_addrs[to], at);
+    Membermsg_PackTable(&pack, Wire_EXCHANGE, &world->replicas[from],
+                        world->starts[from], same ? seen->number : 0,
+                        replica_addrs[to], true);
+    if (!world->first.len) {
+        StrBuf_Set(&world->first, Pack_View(&pack));
+    }
+    take_exchange(world, from, to, Pack_View(&pack), at);
+    Pack_Finish(&pack);
+}
+
+static void
+lose_row(Mbr *mbr)
+{
+    for (size_t i = 0; i < mbr->count; i++) {
+        mbr->rows[i].gone |= mbr->rows[i].record.node == 2;
+    }
+}
+
+static void
+do_world_step(World *world, const WorldStep *step)
+{
+    switch (step->event) {
+    case W_SAYS:
+    case W_LEAVES:
+        say(world, step->a, step->event == W_SAYS ? RECORD : LEAVE, 2,
+            step->at);
+        break;
+    case W_EXPIRES:
+        Mbr_Expire(&world->replicas[step->a], step->at);
+        break;
+    case W_TELLS:
+        exchange(world, step->a, step->b, step->at);
+        break;
+    case W_OLD:
+        take_exchange(world, step->a, step->b, StrBuf_View(&world->first),
+                      step->at);
+        break;
+    case W_EMPTY:
+        Mbr_Finish(&world->replicas[step->a]);
+        start_replica(world, step->a);
+        break;
+    case W_LOSES:
+        lose_row(&world->replicas[step->a]);
+        break;
+    case W_END:
+        break;
+    }
+}
+
+START_TEST(replicas_agree)
+{
+    const WorldCase *c = &worlds[_i];
+    World world = {0};
+
+    for (int i = 0; i < REPLICAS; i++) {
+        start_replica(&world, i);
+    }
+    for (int i = 0; i < 12 && c->steps[i].event; i++) {
+        do_world_step(&world, &c->steps[i]);
+    }
+    for (int i = 0; i < REPLICAS; i++) {
+        const MbrRow *row = Mbr_Find(&world.replicas[i], 2);
+        ck_assert_msg((row && !row->gone) == (c->here[i] == 'y'),
+                      "%s: here at %d", c->name, i);
+        Mbr_Finish(&world.replicas[i]);
+    }
+    StrBuf_Finish(&world.first);
+}
+END_TEST
+
+/* Row 2 is held by replica 0 (node 101), which falls silent here at 20. */
+typedef struct {
+    const char *name;
+    bool replica_here; /* others still hear that replica */
+    bool dropped;      /* and it told that it no longer hears the node */
+    bool here;
+} SightCase;
+
+static const SightCase sights[] = {
+    {"a replica out of sight keeps its rows", true, false, true},
+    {"but not those that it dropped", true, true, false},
+    {"one that nobody hears keeps none", false, false, false},
+};
+
+enum { SIGHT_COUNT = sizeof sights / sizeof sights[0] };
+
+START_TEST(keeps_rows_out_of_sight)
+{
+    const SightCase *c = &sights[_i];
+    const Step holder = {RECORD, 101, 4900};
+    const Step held = {HELD, 2, 20};
+    const Step dropped = {DROPPED, 2, 30};
+    World world = {0};
+    Mbr *mbr = &world.replicas[2];
+    const MbrRow *row;
+
+    start_replica(&world, 2);
+    do_step(mbr, &held, 1);
+    if (c->dropped) {
+        do_step(mbr, &dropped, 1);
+    }
+    if (c->replica_here) {
+        do_step(mbr, &holder, 1);
+    }
+    Mbr_BeginExchange(mbr, 1, false);
+    Mbr_EndExchange(mbr, 1, 4900);
+    Mbr_Expire(mbr, 5000);
+    row = Mbr_Find(mbr, 2);
+    ck_assert_msg((row && !row->gone) == c->here, "%s", c->name);
+    Mbr_Finish(mbr);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {{follows_the_events, CASE_COUNT},
-                               {keeps_to_bounds, BOUND_COUNT}};
+                               {keeps_to_bounds, BOUND_COUNT},
+                               {renewals_keep_rows, RENEWAL_COUNT},
+                               {replicas_agree, WORLD_COUNT},
+                               {keeps_rows_out_of_sight, SIGHT_COUNT}};
 
-    return Suite_Run("membership", tests, 2, 10);
+    return Suite_Run("membership", tests, 5, 10);
 }
--- a/tests/unit/test_messages.c
+++ b/tests/unit/test_messages.c
@@ -1,6 +1,7 @@
 /* Messages between nodes that are malformed, cut, oversized, of another
  * version, or joined to another: each decoder refuses them with an error.
  * Row _i is a sample. */
+#include "connection/membermsg.h"
 #include "support/samples.h"
 #include "support/suite.h"
 
@@ -150,13 +151,51 @@
 }
 END_TEST
 
+/* Messages that are nothing but their kind. */
+typedef struct {
+    WireKind kind;
+    uint32_t fields;
+    bool good;
+} ShortCase;
+
+static const ShortCase shorts[] = {
+    {Wire_RENEWED, 0, true},
+    {Wire_RENEWED, 1, false},
+    {Wire_RECORD_ASK, 0, true},
+    {Wire_RECORD_ASK, 1, false},
+};
+
+enum { SHORTS = sizeof shorts / sizeof shorts[0] };
+
+START_TEST(short_messages_have_no_fields)
+{
+    const ShortCase *c = &shorts[_i];
+    Pack pack;
+    Unpack in;
+    WireKind kind;
+    Err err = {0};
+
+    Wire_Begin(&pack, c->kind, c->fields);
+    for (uint32_t i = 0; i < c->fields; i++) {
+        Pack_U64(&pack, 7);
+    }
+    ck_assert(Wire_Open(&in, Pack_View(&pack), &kind, &err));
+    ck_assert(kind == c->kind);
+    ck_assert(Membermsg_ReadShort(&in, &err) == c->good);
+    ck_assert(err.code == (c->good ? Err_NONE : Err_MALFORMED));
+    Unpack_Finish(&in);
+    Pack_Finish(&pack);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {
         {reads_what_was_packed, Sample_Count()},
         {refuses_what_is_spoilt, Sample_Count()},
+        {short_messages_have_no_fields, SHORTS},
     };
 
-    return Suite_Run("messages", tests, 2, 20);
+    return Suite_Run("messages", tests, 3, 20);
 }
