--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -690,14 +690,61 @@
 }
 END_TEST
 
+/* A follower knows nodes 2 and 3; a replica sends all it has: node 3. */
+typedef struct {
+    bool complete;
+    bool here; /* node 2, afterwards */
+} StartCase;
+
+static const StartCase starts[] = {
+    {true, false},
+    {false, true}, /* started a moment ago: nothing can be told */
+};
+
+enum { START_COUNT = sizeof starts / sizeof starts[0] };
+
+START_TEST(a_table_tells_who_is_gone_when_complete)
+{
+    const StartCase *c = &starts[_i];
+    const MbrSettings follower = {.self = SELF, .expiry = EXPIRY};
+    const Step known = {ROW, 2, 10};
+    World world = {0};
+    Mbr mbr;
+    MembermsgSink sink = {&mbr, -1};
+    MembermsgHead head;
+    Pack pack;
+    Unpack in;
+    WireKind kind;
+    Err err = {0};
+
+    Mbr_Init(&mbr, &follower);
+    do_step(&mbr, &known, 1);
+    start_replica(&world, 0);
+    say(&world, 0, RECORD, 3, 10);
+    Membermsg_PackTable(&pack, Wire_TABLE, &world.replicas[0], 5, 0, SELF,
+                        c->complete);
+    ck_assert(Wire_Open(&in, Pack_View(&pack), &kind, &err));
+    ck_assert(Membermsg_ReadTable(&in, &sink, &head, 20, &err));
+    ck_assert(!Mbr_Find(&mbr, 2)->gone == c->here);
+    ck_assert(!Mbr_Find(&mbr, 3)->gone);
+    ck_assert(Membermsg_IsEqual(&sink, &head));
+    Unpack_Finish(&in);
+    Pack_Finish(&pack);
+    Mbr_Finish(&world.replicas[0]);
+    Mbr_Finish(&mbr);
+}
+END_TEST
+
 int
 main(void)
 {
-    const SuiteTest tests[] = {{follows_the_events, CASE_COUNT},
-                               {keeps_to_bounds, BOUND_COUNT},
-                               {renewals_keep_rows, RENEWAL_COUNT},
-                               {replicas_agree, WORLD_COUNT},
-                               {keeps_rows_out_of_sight, SIGHT_COUNT}};
-
-    return Suite_Run("membership", tests, 5, 10);
+    const SuiteTest tests[] = {
+        {follows_the_events, CASE_COUNT},
+        {keeps_to_bounds, BOUND_COUNT},
+        {renewals_keep_rows, RENEWAL_COUNT},
+        {replicas_agree, WORLD_COUNT},
+        {keeps_rows_out_of_sight, SIGHT_COUNT},
+        {a_table_tells_who_is_gone_when_complete, START_COUNT}};
+
+    return Suite_Run("membership", tests, 6, 10);
 }
