Count all of control's processor time

Cause: control_cpu_us_total had message handlers, the membership beat and the replicated log's tick; operators' requests, the question for the version, the changes that wait, the watch over connections and the check of nodes' keys were left out, and membership's messages were counted twice: by their handlers and by the dispatcher.

Now each of these counts once. The clock is the thread's processor time, so waiting for fsync is not in it.

The test does not see a message counted twice: its share is too small for that.

--- a/src/process/changes.c
+++ b/src/process/changes.c
@@ -163,6 +163,7 @@
 on_tick(void *context, Instant now)
 {
     Changes *changes = context;
+    int64_t start = Loop_CpuNs();
     ChgAsk *next;
 
     for (ChgAsk *ask = changes->first; ask; ask = next) {
@@ -174,6 +175,7 @@
             look_for_leader(ask, now);
         }
     }
+    Cnt_AddNs(changes->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
 static ChgAsk *
--- a/src/process/follow.c
+++ b/src/process/follow.c
@@ -63,10 +63,8 @@
 }
 
 static void
-on_tick(void *context, Instant now)
+ask_when_due(Follow *follow, Instant now)
 {
-    Follow *follow = context;
-
     if (follow->settled && now < follow->ask_at) {
         return;
     }
@@ -80,6 +78,16 @@
     }
 }
 
+static void
+on_tick(void *context, Instant now)
+{
+    Follow *follow = context;
+    int64_t start = Loop_CpuNs();
+
+    ask_when_due(follow, now);
+    Cnt_AddNs(follow->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
+}
+
 static void
 fetch(Follow *follow, Addr replica, CfgVersion version, Instant now)
 {
--- a/src/process/keys.c
+++ b/src/process/keys.c
@@ -139,6 +139,7 @@
 on_request(evutil_socket_t fd, short what, void *context)
 {
     Keys *keys = context;
+    int64_t start = Loop_CpuNs();
     Frame frames[ZAP_FRAMES];
     size_t count;
 
@@ -154,6 +155,7 @@
         }
         answer(keys, &frames[ZAP_REQUEST], good);
     }
+    Cnt_AddNs(keys->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
 static void
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -40,10 +40,13 @@
 }
 
 /* Counter of the processor time that handling KIND takes, Cnt_COUNT when it
- * is a call's. */
+ * is a call's or its handler counts for itself. */
 static CntId
 cpu_counter(WireKind kind)
 {
+    if (kind == Wire_RECORD || kind == Wire_TABLE || kind == Wire_EXCHANGE) {
+        return Cnt_COUNT;
+    }
     if (kind == Wire_PING || kind == Wire_PONG) {
         return Cnt_MEASURE_CPU_US;
     }
@@ -350,10 +353,12 @@
 watch_peers(void *context, Instant now)
 {
     Net *net = context;
+    int64_t start = Loop_CpuNs();
 
     for (size_t i = 0; i < net->peer_count; i++) {
         watch_peer(net, net->peers[i], now);
     }
+    Cnt_AddNs(net->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
 static bool
--- a/src/process/operate.c
+++ b/src/process/operate.c
@@ -173,8 +173,10 @@
 on_request(struct evhttp_request *request, void *context)
 {
     OprPath *path = context;
+    int64_t start = Loop_CpuNs();
 
     serve(path, request, Loop_Now());
+    Cnt_AddNs(path->opr->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
 static void
