--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -46,6 +46,22 @@
     *settings = (Settings){0};
 }
 
+static bool
+is_string(const JsnObject *object, Str key)
+{
+    return json_is_string(json_object_getn(object->object, key.ptr, key.len));
+}
+
+/* One that is given must say something: empty is not the same as left out. */
+static void
+read_text(JsnObject *object, Str key, bool required, StrBuf *out)
+{
+    Jsn_GetStr(object, key, required, out);
+    if (is_string(object, key) && out->len == 0) {
+        Jsn_Find(object, key, Str_LIT("empty"), Str_LIT("a text"));
+    }
+}
+
 static Addr
 read_addr(JsnObject *object, Str key, bool required)
 {
@@ -53,7 +69,7 @@
     Addr addr = Addr_NONE;
 
     Jsn_GetStr(object, key, required, &text);
-    if (text.len && !Addr_Parse(StrBuf_View(&text), &addr)) {
+    if (is_string(object, key) && !Addr_Parse(StrBuf_View(&text), &addr)) {
         Jsn_Find(object, key, Str_LIT("not an address"),
                  Str_LIT("an IPv4 number and port such as 127.0.1.1:7400"));
     }
@@ -202,7 +218,7 @@
     StrBuf name = {0};
 
     Jsn_GetStr(o, Str_LIT("log_level"), false, &name);
-    if (name.len &&
+    if (is_string(o, Str_LIT("log_level")) &&
         !Lgr_ParseLevel(StrBuf_View(&name), &settings->log_level)) {
         Jsn_Find(o, Str_LIT("log_level"), Str_LIT("no such level"),
                  Str_LIT("debug, info, warning or error"));
@@ -213,7 +229,7 @@
 static void
 read_all(Settings *settings, JsnObject *o)
 {
-    Jsn_GetStr(o, Str_LIT("name"), true, &settings->name);
+    read_text(o, Str_LIT("name"), true, &settings->name);
     settings->address = read_addr(o, Str_LIT("address"), true);
     settings->callers = read_addr(o, Str_LIT("callers"), true);
     settings->operators = read_addr(o, Str_LIT("operators"), true);
@@ -221,12 +237,12 @@
     find_domain(settings, o);
     read_replicas(settings, o);
     read_routes(settings, o);
-    Jsn_GetStr(o, Str_LIT("data_folder"), settings->control,
-               &settings->data_folder);
-    Jsn_GetStr(o, Str_LIT("preset"), true, &settings->preset);
+    read_text(o, Str_LIT("data_folder"), settings->control,
+              &settings->data_folder);
+    read_text(o, Str_LIT("preset"), true, &settings->preset);
     Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
     Set_ReadKeys(settings, o);
-    Jsn_GetStr(o, Str_LIT("record"), false, &settings->record);
+    read_text(o, Str_LIT("record"), false, &settings->record);
     read_log_level(settings, o);
     read_times(settings, o);
     settings->operators_connections_max = (uint32_t)Jsn_GetInt(
