Give each fleet of the tests addresses that no other fleet has

Cause: a fleet's net came from a hash of its checkout's folder alone. Two checkouts whose hashes met (one in 250) answered for each other: a run of test_measure_budget failed with status 0 and with 109,600 bytes measured while a scratch copy without the budget ran the same test at the same net (165 of 250 for both folders). Ruled out: the machine's load, as no budget can be passed by waiting.

Now a socket bound in the net claims it, inherited by the fleet's processes, and the next net is taken when it is held. Earlier flaky rows may have the same cause; that is not proved.

--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -11,7 +11,7 @@
 
 #include "process/settings.h"
 
-enum { ARGS_MAX = 40, NETS = 250 };
+enum { ARGS_MAX = 40 };
 
 static const char *const domains[] = {"norte-a", "norte-b", "litoral-a",
                                       "litoral-b"};
@@ -43,19 +43,6 @@
     write_file(fleet, Str_LIT("preset.json"), json);
 }
 
-/* The second number of this checkout's addresses: two checkouts on one
- * machine must not answer for each other. */
-static int
-net_of_checkout(void)
-{
-    char folder[4096];
-
-    if (!getcwd(folder, sizeof folder)) {
-        return 1;
-    }
-    return 1 + (int)(Str_Hash(Str_FromC(folder)) % NETS);
-}
-
 void
 Fleet_Init(Fleet *fleet, Str build, int subnet, int count, int control)
 {
@@ -63,7 +50,10 @@
 
     *fleet = (Fleet){.subnet = subnet, .count = count, .control = control};
     fleet->expiry = Span_S(1);
-    fleet->net = net_of_checkout();
+    if (!Fleet_ClaimNet(fleet)) {
+        fprintf(stderr, "fleet: no addresses are free\n");
+        exit(1);
+    }
     StrBuf_Set(&fleet->build, build);
     StrBuf_Set(&fleet->folder, Str_FromC(mkdtemp(folder)));
     for (int i = 0; i < count; i++) {
@@ -222,6 +212,7 @@
         StrBuf_Finish(&vm->service);
     }
     Fleet_Kill(&fleet->proxy, SIGKILL);
+    close(fleet->claim);
     StrBuf_AppendFmt(&command, "rm -rf %.*s", Str_ARG(fleet->folder));
     if (!getenv("KEEP_FLEET") && system(StrBuf_CStr(&command)) != 0) {
         perror("fleet");
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -25,7 +25,8 @@
 typedef struct {
     StrBuf build;  /* folder of the programs */
     StrBuf folder; /* settings, logs, data, effects */
-    int net;       /* so that two checkouts can test at once */
+    int net;       /* no other fleet on this machine has it */
+    int claim;     /* socket that holds the addresses */
     int subnet;
     int control; /* the first so many VMs are control replicas */
     FleetVm vms[Fleet_VMS_MAX];
@@ -84,6 +85,9 @@
 void Fleet_StartLoad(Fleet *fleet, FleetLoad *load);
 FleetTotals Fleet_StopLoad(Fleet *fleet, FleetLoad *load);
 
+/* Choose addresses that no other fleet uses; false when all are in use. */
+bool Fleet_ClaimNet(Fleet *fleet);
+
 /* A folder for a fleet of COUNT VMs; nothing is started yet. */
 void Fleet_Init(Fleet *fleet, Str build, int subnet, int count, int control);
 
