--- a/tests/integration/test_replicas.c
+++ b/tests/integration/test_replicas.c
@@ -298,14 +298,24 @@
 damage(const Fleet *fleet, int vm, const DamageCase *c)
 {
     StrBuf path = {0};
-    const char bytes[] = "\x07\x00\x00";
+    const char torn[] = "\x07\x00\x00";
+    char byte;
+    off_t end;
     int fd;
 
     path_in(fleet, vm, c->file, &path);
     fd = open(StrBuf_CStr(&path), O_RDWR);
     ck_assert_int_ge(fd, 0);
-    lseek(fd, c->at < 0 ? 0 : -c->at, SEEK_END);
-    ck_assert_int_eq(write(fd, bytes, c->at < 0 ? 3 : 1), c->at < 0 ? 3 : 1);
+    end = lseek(fd, 0, SEEK_END);
+    if (c->at < 0) {
+        ck_assert_int_eq(write(fd, torn, 3), 3);
+    }
+    else {
+        /* Another value, whatever it was. */
+        ck_assert_int_eq(pread(fd, &byte, 1, end - c->at), 1);
+        byte ^= 0x07;
+        ck_assert_int_eq(pwrite(fd, &byte, 1, end - c->at), 1);
+    }
     close(fd);
     StrBuf_Finish(&path);
 }
