Record and replay the attempt ledger

Cause: replay covered the admission decider only.

The ledger tells an observer what it was fed and what it answered, as admission does, and Led_Replay feeds it again; a node with "record" writes a second trace, FILE.ledger, whose first line names the decider. The replayer takes from a table what differs between deciders. Of an answer only the length is kept, and an expiry only when it dropped something. The ledger draws no chance, so there is no seed to record.

Three bad ledger traces are found.

Left: placement is not recorded.

--- a/src/process/ledger.c
+++ b/src/process/ledger.c
@@ -21,6 +21,22 @@
     Instant used_at;
 } Origin;
 
+static void
+tell(const Led *led, const LedEvent *event)
+{
+    if (led->observer) {
+        led->observer(led->observer_context, event);
+    }
+}
+
+static void
+tell_of(const Led *led, LedEventKind kind, AttemptId id, Instant at)
+{
+    tell(led,
+         &(LedEvent){
+             kind, at, {(int64_t)id.incarnation, (int64_t)id.counter}, 0});
+}
+
 void
 Led_Init(Led *led, const LedSettings *settings, uint64_t incarnation)
 {
@@ -65,6 +81,7 @@
 Led_SetRetention(Led *led, Span retention)
 {
     led->settings.retention = retention;
+    tell(led, &(LedEvent){.kind = Led_DID_RETENTION, .args = {retention}});
 }
 
 static LedEntry *
@@ -194,13 +211,32 @@
     }
 }
 
-void
-Led_Expire(Led *led, Instant now)
+static void
+expire_all(Led *led, Instant now)
 {
     expire(led, false, led->settings.brief, now);
     expire(led, true, led->settings.retention, now);
 }
 
+static int64_t
+count_expired(Led *led, Instant now)
+{
+    size_t before = led->entries.count;
+
+    expire_all(led, now);
+    return (int64_t)(before - led->entries.count);
+}
+
+void
+Led_Expire(Led *led, Instant now)
+{
+    int64_t dropped = count_expired(led, now);
+
+    if (dropped) {
+        tell(led, &(LedEvent){Led_DID_EXPIRE, now, {0}, dropped});
+    }
+}
+
 /* NULL when there is no room: nothing is forgotten before its time. */
 static LedEntry *
 add_entry(Led *led, AttemptId id, LedState state, bool keep, Instant now)
@@ -208,7 +244,7 @@
     LedEntry *entry;
 
     if (led->entries.count >= led->settings.entries_max) {
-        Led_Expire(led, now);
+        expire_all(led, now);
     }
     if (led->entries.count >= led->settings.entries_max) {
         return NULL;
@@ -240,9 +276,8 @@
     ages->newest = entry;
 }
 
-LedBegin
-Led_OnAttempt(Led *led, AttemptId id, uint64_t incarnation, bool keep,
-              Instant now)
+static LedBegin
+begin(Led *led, AttemptId id, uint64_t incarnation, bool keep, Instant now)
 {
     const LedEntry *entry = find_entry(led, id);
 
@@ -258,6 +293,29 @@
     return add_entry(led, id, Led_RUNNING, keep, now) ? Led_FIRST : Led_FULL;
 }
 
+/* An attempt or a fence. */
+static void
+tell_verdict(const Led *led, LedEventKind kind, AttemptId id,
+             uint64_t incarnation, bool keep, Instant now, int64_t outcome)
+{
+    tell(led, &(LedEvent){kind,
+                          now,
+                          {(int64_t)id.incarnation, (int64_t)id.counter,
+                           (int64_t)incarnation, keep},
+                          outcome});
+}
+
+LedBegin
+Led_OnAttempt(Led *led, AttemptId id, uint64_t incarnation, bool keep,
+              Instant now)
+{
+    LedBegin verdict = begin(led, id, incarnation, keep, now);
+
+    tell_verdict(led, Led_DID_ATTEMPT, id, incarnation, keep, now,
+                 (int64_t)verdict);
+    return verdict;
+}
+
 static LedEntry *
 find_running(const Led *led, AttemptId id)
 {
@@ -271,6 +329,7 @@
 {
     LedEntry *entry = find_running(led, id);
 
+    tell_of(led, Led_DID_REFUSED, id, now);
     if (entry) {
         end_entry(led, entry, Led_NEVER, now);
     }
@@ -293,6 +352,11 @@
 {
     LedEntry *entry = find_running(led, id);
 
+    tell(led, &(LedEvent){Led_DID_DONE,
+                          now,
+                          {(int64_t)id.incarnation, (int64_t)id.counter, whole,
+                           (int64_t)answer.len},
+                          0});
     if (!entry) {
         return;
     }
@@ -311,14 +375,15 @@
 {
     LedEntry *entry = find_running(led, id);
 
+    tell_of(led, Led_DID_LOST, id, now);
     if (entry) {
         end_entry(led, entry, Led_LOST, now);
     }
 }
 
-LedState
-Led_Fence(Led *led, AttemptId id, uint64_t incarnation, bool keep, Instant now,
-          Str *answer)
+static LedState
+fence(Led *led, AttemptId id, uint64_t incarnation, bool keep, Instant now,
+      Str *answer)
 {
     LedEntry *entry = find_entry(led, id);
 
@@ -341,3 +406,93 @@
     end_entry(led, entry, Led_NEVER, now);
     return Led_NEVER;
 }
+
+LedState
+Led_Fence(Led *led, AttemptId id, uint64_t incarnation, bool keep, Instant now,
+          Str *answer)
+{
+    LedState state = fence(led, id, incarnation, keep, now, answer);
+
+    tell_verdict(led, Led_DID_FENCE, id, incarnation, keep, now,
+                 (int64_t)state);
+    return state;
+}
+
+void
+Led_Observe(Led *led, LedObserver observer, void *context)
+{
+    const LedSettings *settings = &led->settings;
+
+    led->observer = observer;
+    led->observer_context = context;
+    tell(led, &(LedEvent){.kind = Led_DID_SETTINGS,
+                          .args = {settings->brief, settings->retention,
+                                   (int64_t)settings->bytes_max,
+                                   (int64_t)settings->answer_max,
+                                   (int64_t)settings->entries_max,
+                                   (int64_t)settings->origins_max}});
+    tell(led, &(LedEvent){.kind = Led_DID_START,
+                          .args = {(int64_t)led->incarnation}});
+}
+
+static LedSettings
+settings_of(const int64_t *args)
+{
+    return (LedSettings){args[0],         args[1],         (size_t)args[2],
+                         (size_t)args[3], (size_t)args[4], (size_t)args[5]};
+}
+
+/* Only the length matters, and not beyond the bound. */
+static void
+replay_done(Led *led, AttemptId id, const LedEvent *event)
+{
+    size_t len = (size_t)event->args[3];
+    char *answer;
+
+    if (len > led->settings.answer_max) {
+        len = led->settings.answer_max + 1;
+    }
+    answer = Mem_Alloc(len + 1, 1);
+    Led_OnDone(led, id, event->args[2] != 0, Str_From(answer, len), event->at);
+    Mem_Free(answer);
+}
+
+int64_t
+Led_Replay(Led *led, const LedEvent *event)
+{
+    const int64_t *args = event->args;
+    AttemptId id = {(uint64_t)args[0], (uint64_t)args[1]};
+    Str answer;
+
+    switch (event->kind) {
+    case Led_DID_SETTINGS:
+        led->settings = settings_of(args);
+        break;
+    case Led_DID_START:
+        led->incarnation = (uint64_t)args[0];
+        break;
+    case Led_DID_RETENTION:
+        Led_SetRetention(led, args[0]);
+        break;
+    case Led_DID_ATTEMPT:
+        return (int64_t)Led_OnAttempt(led, id, (uint64_t)args[2], args[3] != 0,
+                                      event->at);
+    case Led_DID_REFUSED:
+        Led_OnRefused(led, id, event->at);
+        break;
+    case Led_DID_DONE:
+        replay_done(led, id, event);
+        break;
+    case Led_DID_LOST:
+        Led_OnLost(led, id, event->at);
+        break;
+    case Led_DID_FENCE:
+        return (int64_t)Led_Fence(led, id, (uint64_t)args[2], args[3] != 0,
+                                  event->at, &answer);
+    case Led_DID_EXPIRE:
+        return count_expired(led, event->at);
+    case Led_EVENTS:
+        break;
+    }
+    return 0;
+}
--- a/src/process/ledger.h
+++ b/src/process/ledger.h
@@ -36,6 +36,33 @@
 
 typedef struct LedEntry LedEntry;
 
+/* What was fed to a ledger and what it answered, for traces.  The time that
+ * does not matter is 0; of an answer only the length matters. */
+typedef enum {
+    Led_DID_SETTINGS = 0, /* brief, retention, bytes_max, answer_max,
+                           * entries_max, origins_max */
+    Led_DID_START,        /* own incarnation; after the settings */
+    Led_DID_RETENTION,    /* retention */
+    Led_DID_ATTEMPT,      /* id, incarnation, keep; outcome: the LedBegin */
+    Led_DID_REFUSED,      /* id */
+    Led_DID_DONE,         /* id, whole, bytes */
+    Led_DID_LOST,         /* id */
+    Led_DID_FENCE,        /* id, incarnation, keep; outcome: the LedState */
+    Led_DID_EXPIRE,       /* outcome: entries dropped, if any */
+    Led_EVENTS
+} LedEventKind;
+
+enum { Led_ARGS = 6 };
+
+typedef struct {
+    LedEventKind kind;
+    Instant at;
+    int64_t args[Led_ARGS]; /* an id is its incarnation and its counter */
+    int64_t outcome;
+} LedEvent;
+
+typedef void (*LedObserver)(void *context, const LedEvent *event);
+
 typedef struct {
     Span brief;        /* an ended entry is remembered this long, */
     Span retention;    /* or this long when its outcome may be asked for */
@@ -52,6 +79,8 @@
 } LedAges;
 
 typedef struct {
+    LedObserver observer; /* NULL: nobody */
+    void *observer_context;
     LedSettings settings;
     uint64_t incarnation; /* of this node */
     Hsh entries;
@@ -90,4 +119,11 @@
 /* Drop what is past its retention. */
 void Led_Expire(Led *led, Instant now);
 
+/* Tell OBSERVER of each event from now on, and how the ledger was made; right
+ * after Led_Init. */
+void Led_Observe(Led *led, LedObserver observer, void *context);
+
+/* Feed EVENT; what is answered now. */
+int64_t Led_Replay(Led *led, const LedEvent *event);
+
 #endif
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -274,6 +274,9 @@
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
                 &node->admission, &node->pool, &node->suspects,
                 node->incarnation);
+    if (node->ledger_recorder.file) {
+        Led_Observe(&node->runs.ledger, Rec_OnLedger, &node->ledger_recorder);
+    }
     Run_OnLost(&node->runs, on_backend_lost, node);
     Fnc_Serve(&node->runs);
     Hld_Init(&node->holder, &node->loop, &node->net, &node->counters,
@@ -307,6 +310,17 @@
     Bck_PoolFinish(&node->pool);
 }
 
+static bool
+init_recorders(Node *node, Err *err)
+{
+    Str file = StrBuf_View(&node->settings->record);
+
+    return Rec_Init(&node->recorder, Str_LIT("admission"), file, (Str){0},
+                    err) &&
+           Rec_Init(&node->ledger_recorder, Str_LIT("ledger"), file,
+                    Str_LIT(".ledger"), err);
+}
+
 bool
 Node_Init(Node *node, Settings *settings, Err *err)
 {
@@ -320,8 +334,7 @@
     Cnt_Init(&node->counters);
     Rng_Init(&node->rng, Loop_Entropy());
     node->incarnation = Inc_Make(Loop_WallClock(), Loop_Entropy());
-    if (!load_preset(node, err) ||
-        !Rec_Init(&node->recorder, StrBuf_View(&settings->record), err) ||
+    if (!load_preset(node, err) || !init_recorders(node, err) ||
         !Net_Init(&node->net, &node->loop, &node->timeline, &node->counters,
                   settings, err)) {
         return false;
@@ -351,6 +364,7 @@
     finish_parts(node);
     Net_Finish(&node->net);
     Rec_Finish(&node->recorder);
+    Rec_Finish(&node->ledger_recorder);
     Inf_Release(node->in_force);
     StrBuf_Finish(&node->preset_json);
     Rng_Finish(&node->rng);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -49,7 +49,8 @@
     Opr opr;
     Show show;
     Stp stop;
-    Recorder recorder;
+    Recorder recorder; /* of admission */
+    Recorder ledger_recorder;
     Instant started_at;
     Instant confirmed_at; /* of the first version in force; 0: none */
     LoopTimer tick;
--- a/src/process/recorder.c
+++ b/src/process/recorder.c
@@ -3,7 +3,7 @@
 #include <inttypes.h>
 
 bool
-Rec_Init(Recorder *recorder, Str file, Err *err)
+Rec_Init(Recorder *recorder, Str decider, Str file, Str suffix, Err *err)
 {
     StrBuf name = {0};
 
@@ -12,14 +12,15 @@
         return true;
     }
     StrBuf_Set(&name, file);
+    StrBuf_Append(&name, suffix);
     recorder->file = fopen(StrBuf_CStr(&name), "w");
     StrBuf_Finish(&name);
     if (!recorder->file) {
         return Err_SET(err, Err_IO, "cannot write %.*s", Str_ARG(file));
     }
     setvbuf(recorder->file, NULL, _IOLBF, BUFSIZ);
-    fprintf(recorder->file, "{\"trace\":%d,\"decider\":\"admission\"}\n",
-            Rec_FORMAT);
+    fprintf(recorder->file, "{\"trace\":%d,\"decider\":\"%.*s\"}\n",
+            Rec_FORMAT, Str_ARG(decider));
     return true;
 }
 
@@ -51,14 +52,50 @@
     return kind < Adm_EVENTS ? names[kind] : (Str){0};
 }
 
+Str
+Rec_LedgerName(LedEventKind kind)
+{
+    static const Str names[] = {
+        [Led_DID_SETTINGS] = Str_LIT("settings"),
+        [Led_DID_START] = Str_LIT("start"),
+        [Led_DID_RETENTION] = Str_LIT("retention"),
+        [Led_DID_ATTEMPT] = Str_LIT("attempt"),
+        [Led_DID_REFUSED] = Str_LIT("refused"),
+        [Led_DID_DONE] = Str_LIT("done"),
+        [Led_DID_LOST] = Str_LIT("lost"),
+        [Led_DID_FENCE] = Str_LIT("fence"),
+        [Led_DID_EXPIRE] = Str_LIT("expire"),
+    };
+
+    return kind < Led_EVENTS ? names[kind] : (Str){0};
+}
+
+static void
+write_event(FILE *file, Str name, Instant at, const int64_t *args,
+            size_t count, int64_t outcome)
+{
+    fprintf(file, "{\"at\":%" PRId64 ",\"do\":\"%.*s\",\"args\":[", at,
+            Str_ARG(name));
+    for (size_t i = 0; i < count; i++) {
+        fprintf(file, "%s%" PRId64, i ? "," : "", args[i]);
+    }
+    fprintf(file, "],\"outcome\":%" PRId64 "}\n", outcome);
+}
+
 void
 Rec_OnAdmission(void *context, const AdmEvent *event)
 {
     Recorder *recorder = context;
 
-    fprintf(recorder->file,
-            "{\"at\":%" PRId64 ",\"do\":\"%.*s\",\"args\":[%" PRId64
-            ",%" PRId64 ",%" PRId64 "],\"outcome\":%" PRId64 "}\n",
-            event->at, Str_ARG(Rec_AdmissionName(event->kind)), event->args[0],
-            event->args[1], event->args[2], event->outcome);
+    write_event(recorder->file, Rec_AdmissionName(event->kind), event->at,
+                event->args, Adm_ARGS, event->outcome);
+}
+
+void
+Rec_OnLedger(void *context, const LedEvent *event)
+{
+    Recorder *recorder = context;
+
+    write_event(recorder->file, Rec_LedgerName(event->kind), event->at,
+                event->args, Led_ARGS, event->outcome);
 }
--- a/src/process/recorder.h
+++ b/src/process/recorder.h
@@ -1,7 +1,8 @@
 /* Rec: a trace of what was fed to a decider and what it answered, as JSON
  * lines, to be replayed (process/replay.h).
  *
- * First line: {"trace": 1, "decider": "admission"}.  Then one line an event:
+ * First line: {"trace": 1, "decider": "admission"}, or "ledger".  Then one
+ * line an event:
  * {"at": US, "do": NAME, "args": [...], "outcome": NUMBER}.
  */
 #ifndef RECORDER_H
@@ -10,6 +11,7 @@
 #include <stdio.h>
 
 #include "process/admission.h"
+#include "process/ledger.h"
 #include "value/err.h"
 
 enum { Rec_FORMAT = 1 };
@@ -18,14 +20,18 @@
     FILE *file; /* NULL: nothing is recorded */
 } Recorder;
 
-/* Record into FILE; nothing when it is empty. */
-bool Rec_Init(Recorder *recorder, Str file, Err *err);
+/* Record DECIDER into FILE with SUFFIX; nothing when FILE is empty. */
+bool Rec_Init(Recorder *recorder, Str decider, Str file, Str suffix, Err *err);
 void Rec_Finish(Recorder *recorder);
 
 /* An AdmObserver; the context is the Recorder. */
 void Rec_OnAdmission(void *recorder, const AdmEvent *event);
 
+/* A LedObserver; the context is the Recorder. */
+void Rec_OnLedger(void *recorder, const LedEvent *event);
+
 /* The name of an event in traces. */
 Str Rec_AdmissionName(AdmEventKind kind);
+Str Rec_LedgerName(LedEventKind kind);
 
 #endif
--- a/src/process/replay.c
+++ b/src/process/replay.c
@@ -1,17 +1,91 @@
 #include "process/replay.h"
 
 #include <inttypes.h>
+#include <string.h>
 
+#include "process/admission.h"
+#include "process/ledger.h"
 #include "process/recorder.h"
 #include "value/json.h"
 
+enum { ARGS_MAX = Led_ARGS };
+
+_Static_assert((int)Adm_ARGS <= (int)ARGS_MAX, "room for all");
+
+typedef struct {
+    int kind;
+    Instant at;
+    int64_t args[ARGS_MAX];
+    int64_t outcome;
+} Event;
+
+/* How one decider is replayed; the context is the decider. */
+typedef struct {
+    Str name;
+    size_t args;
+    int events;
+    Str (*event_name)(int kind);
+    int64_t (*feed)(void *context, const Event *event);
+    bool (*refuses)(const Event *event);
+} Decider;
+
 typedef struct {
-    Adm admission;
+    const Decider *decider;
+    void *context;
     RplResult *result;
     FindingList *findings;
     size_t line;
 } Replay;
 
+static Str
+admission_name(int kind)
+{
+    return Rec_AdmissionName((AdmEventKind)kind);
+}
+
+static int64_t
+feed_admission(void *context, const Event *event)
+{
+    AdmEvent to = {.kind = (AdmEventKind)event->kind, .at = event->at};
+
+    memcpy(to.args, event->args, sizeof to.args);
+    return Adm_Replay(context, &to);
+}
+
+static bool
+admission_refuses(const Event *event)
+{
+    return event->kind == Adm_DID_ASK && event->outcome > Adm_QUEUE;
+}
+
+static Str
+ledger_name(int kind)
+{
+    return Rec_LedgerName((LedEventKind)kind);
+}
+
+static int64_t
+feed_ledger(void *context, const Event *event)
+{
+    LedEvent to = {.kind = (LedEventKind)event->kind, .at = event->at};
+
+    memcpy(to.args, event->args, sizeof to.args);
+    return Led_Replay(context, &to);
+}
+
+static bool
+ledger_refuses(const Event *event)
+{
+    return event->kind == Led_DID_ATTEMPT && event->outcome != Led_FIRST;
+}
+
+static const Decider admission = {Str_LIT("admission"), Adm_ARGS,
+                                  Adm_EVENTS,           admission_name,
+                                  feed_admission,       admission_refuses};
+
+static const Decider ledger = {Str_LIT("ledger"), Led_ARGS,    Led_EVENTS,
+                               ledger_name,       feed_ledger, ledger_refuses};
+
 static void
 find(Replay *replay, Str cause, Str expected)
 {
@@ -23,11 +97,12 @@
 }
 
 static bool
-find_kind(Str name, AdmEventKind *kind)
+find_kind(const Decider *decider, json_t *name, int *kind)
 {
-    for (int i = 0; i < Adm_EVENTS; i++) {
-        if (Str_Equal(Rec_AdmissionName((AdmEventKind)i), name)) {
-            *kind = (AdmEventKind)i;
+    Str wanted = Str_From(json_string_value(name), json_string_length(name));
+
+    for (*kind = 0; *kind < decider->events; (*kind)++) {
+        if (Str_Equal(decider->event_name(*kind), wanted)) {
             return true;
         }
     }
@@ -35,44 +110,41 @@
 }
 
 static bool
-read_event(json_t *root, AdmEvent *event)
+read_event(const Decider *decider, json_t *root, Event *event)
 {
-    json_t *name = json_object_get(root, "do");
     json_t *args = json_object_get(root, "args");
 
-    *event = (AdmEvent){0};
+    *event = (Event){0};
     if (!json_is_integer(json_object_get(root, "at")) ||
         !json_is_integer(json_object_get(root, "outcome")) ||
-        json_array_size(args) != Adm_ARGS ||
-        !find_kind(Str_From(json_string_value(name), json_string_length(name)),
-                   &event->kind)) {
+        json_array_size(args) != decider->args ||
+        !find_kind(decider, json_object_get(root, "do"), &event->kind)) {
         return false;
     }
     event->at = json_integer_value(json_object_get(root, "at"));
     event->outcome = json_integer_value(json_object_get(root, "outcome"));
-    for (size_t i = 0; i < Adm_ARGS; i++) {
+    for (size_t i = 0; i < decider->args; i++) {
         event->args[i] = json_integer_value(json_array_get(args, i));
     }
     return true;
 }
 
 static void
-compare(Replay *replay, const AdmEvent *event)
+compare(Replay *replay, const Event *event)
 {
-    int64_t outcome = Adm_Replay(&replay->admission, event);
+    const Decider *decider = replay->decider;
+    int64_t outcome = decider->feed(replay->context, event);
     StrBuf cause = {0};
     StrBuf expected = {0};
 
     replay->result->events++;
-    if (event->kind == Adm_DID_ASK && outcome > Adm_QUEUE) {
-        replay->result->refused++;
-    }
     if (outcome == event->outcome) {
+        replay->result->refused += decider->refuses(event);
         return;
     }
     replay->result->differing++;
     StrBuf_AppendFmt(&cause, "%.*s gave %" PRId64,
-                     Str_ARG(Rec_AdmissionName(event->kind)), outcome);
+                     Str_ARG(decider->event_name(event->kind)), outcome);
     StrBuf_AppendFmt(&expected, "%" PRId64, event->outcome);
     find(replay, StrBuf_View(&cause), StrBuf_View(&expected));
     StrBuf_Finish(&cause);
@@ -80,32 +152,48 @@
 }
 
 static bool
-is_header(json_t *root)
+is_header(json_t *root, const Decider *decider)
 {
-    json_t *decider = json_object_get(root, "decider");
+    json_t *name = json_object_get(root, "decider");
 
     return json_integer_value(json_object_get(root, "trace")) == Rec_FORMAT &&
-           Str_Equal(Str_From(json_string_value(decider),
-                              json_string_length(decider)),
-                     Str_LIT("admission"));
+           Str_Equal(
+               Str_From(json_string_value(name), json_string_length(name)),
+               decider->name);
+}
+
+/* Which decider the trace is of; no good header is found with its line. */
+static const Decider *
+choose_decider(Str text)
+{
+    FindingList findings;
+    json_t *root;
+    bool of_ledger;
+
+    Fnd_Init(&findings);
+    root = Jsn_Load(Str_Slice(text, 0, Str_Find(text, '\n')), &findings);
+    of_ledger = root && is_header(root, &ledger);
+    json_decref(root);
+    Fnd_Finish(&findings);
+    return of_ledger ? &ledger : &admission;
 }
 
 static void
 take_line(Replay *replay, Str line)
 {
     json_t *root = Jsn_Load(line, replay->findings);
-    AdmEvent event;
+    Event event;
 
     if (!root) {
         return;
     }
     if (replay->line == 1) {
-        if (!is_header(root)) {
+        if (!is_header(root, replay->decider)) {
             find(replay, Str_LIT("no such trace"),
-                 Str_LIT("trace 1 of the decider admission"));
+                 Str_LIT("trace 1 of admission or ledger"));
         }
     }
-    else if (read_event(root, &event)) {
+    else if (read_event(replay->decider, root, &event)) {
         compare(replay, &event);
     }
     else {
@@ -118,16 +206,21 @@
 Rpl_Run(Str text, RplResult *result, FindingList *findings)
 {
     size_t before = findings->count;
-    AdmSettings settings = {0};
+    Adm adm;
+    Led led;
     Replay replay = {.result = result, .findings = findings};
 
     *result = (RplResult){0};
-    Adm_Init(&replay.admission, &settings);
+    Adm_Init(&adm, &(AdmSettings){0});
+    Led_Init(&led, &(LedSettings){0}, 0);
+    replay.decider = choose_decider(text);
+    replay.context = replay.decider == &ledger ? (void *)&led : (void *)&adm;
     while (text.len && findings->count == before) {
         size_t end = Str_Find(text, '\n');
         replay.line++;
         take_line(&replay, Str_Slice(text, 0, end));
         text = Str_Slice(text, end + 1, text.len);
     }
+    Led_Finish(&led);
     return findings->count == before;
 }
--- a/src/process/replay.h
+++ b/src/process/replay.h
@@ -4,17 +4,17 @@
 #ifndef REPLAY_H
 #define REPLAY_H
 
-#include "process/admission.h"
 #include "value/finding.h"
 
 typedef struct {
     size_t events;
-    size_t refused; /* attempts that were not taken */
+    size_t refused; /* attempts that were not taken, or not first */
     size_t differing;
 } RplResult;
 
-/* Replay TEXT; what differs and what cannot be read are findings, with the
- * line as their place.  True when there was neither. */
+/* Replay TEXT with the decider that its first line names; what differs and
+ * what cannot be read are findings, with the line as their place.  True when
+ * there was neither. */
 bool Rpl_Run(Str text, RplResult *result, FindingList *findings);
 
 #endif
--- a/tests/unit/test_replay.c
+++ b/tests/unit/test_replay.c
@@ -16,6 +16,17 @@
     {"its node stops", Str_LIT("tests/traces/node-stops.jsonl"), 20, 0},
     {"announces no more", Str_LIT("tests/traces/no-announcement.jsonl"), 50,
      1},
+    {"ledger, serving node stopped",
+     Str_LIT("tests/traces/ledger-serving-stopped.jsonl"), 90, 0},
+    {"ledger, answers frozen",
+     Str_LIT("tests/traces/ledger-frozen-back.jsonl"), 110, 0},
+    {"ledger, cut off", Str_LIT("tests/traces/ledger-cut-off.jsonl"), 80, 0},
+    {"ledger, repeats of a key", Str_LIT("tests/traces/ledger-repeats.jsonl"),
+     15, 0},
+    {"ledger, asked of an earlier start",
+     Str_LIT("tests/traces/ledger-restarted.jsonl"), 8, 0},
+    {"ledger, answer not kept", Str_LIT("tests/traces/ledger-not-kept.jsonl"),
+     10, 0},
 };
 
 enum { TRACE_COUNT = sizeof traces / sizeof traces[0] };
@@ -44,6 +55,11 @@
 
 /* Traces that differ, or cannot be read, are found. */
 #define HEADER "{\"trace\":1,\"decider\":\"admission\"}\n"
+#define LEDGER                                                                \
+    "{\"trace\":1,\"decider\":\"ledger\"}\n"                                  \
+    "{\"at\":0,\"do\":\"settings\",\"args\":[9,9,9,9,9,9],\"outcome\":0}\n"   \
+    "{\"at\":0,\"do\":\"start\",\"args\":[7,0,0,0,0,0],\"outcome\":0}\n"      \
+    "{\"at\":1,\"do\":\"fence\",\"args\":[3,1,7,0,0,0],\"outcome\":0}\n"
 
 typedef struct {
     const char *name;
@@ -61,6 +77,15 @@
                                      "[0,0,0],\"outcome\":0}\n")},
     {"arguments missing", Str_LIT(HEADER "{\"at\":1,\"do\":\"ask\",\"args\":"
                                          "[0],\"outcome\":0}\n")},
+    {"ledger, another outcome",
+     Str_LIT(LEDGER "{\"at\":2,\"do\":\"attempt\","
+                    "\"args\":[3,1,7,0,0,0],\"outcome\":0}\n")},
+    {"ledger, event of another decider",
+     Str_LIT(LEDGER "{\"at\":2,\"do\":\"ask\",\"args\":[0,9,0],"
+                    "\"outcome\":1}\n")},
+    {"ledger, arguments missing",
+     Str_LIT(LEDGER "{\"at\":2,\"do\":\"attempt\",\"args\":[3,1,7],"
+                    "\"outcome\":2}\n")},
     {"another version", Str_LIT("{\"trace\":2,\"decider\":\"admission\"}\n")},
     {"another decider", Str_LIT("{\"trace\":1,\"decider\":\"oracle\"}\n")},
 };
