Watch versions during the two failures, change in between

Cause: versions were looked at only at a change.

All nodes are watched between two steps now, and a change is made while one holder is down, before another loses its folder.

--- a/tests/integration/test_two_failures.c
+++ b/tests/integration/test_two_failures.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/wait.h>
+#include <time.h>
 
 #include "fleet_keyed.h"
 #include "operators.h"
@@ -86,6 +87,7 @@
       {CHANGE, NOBODY, 0, {0}}}},
     {"holder killed, another one's folder lost",
      {{KILL, 1, 500, {0}},
+      {CHANGE, NOBODY, 0, {0}},
       {LOSE, 2, 1500, {0}},
       {START, 1, 2500, {0}},
       {CHANGE, NOBODY, 0, {0}}}},
@@ -211,6 +213,27 @@
                   "not in force everywhere");
 }
 
+static Span
+now(void)
+{
+    struct timespec time;
+
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return Span_S(time.tv_sec) + time.tv_nsec / 1000;
+}
+
+/* No version goes back meanwhile. */
+static void
+watch_for(Fleet *fleet, OpsWatch *watch, Span time)
+{
+    Span end = now() + time;
+
+    do {
+        Ops_Observe(fleet, watch);
+        Fleet_Sleep(Span_MS(20));
+    } while (now() < end);
+}
+
 static void
 carry_out(Fleet *fleet, OpsWatch *watch, const Step *step, int number)
 {
@@ -257,7 +280,7 @@
     case END:
         break;
     }
-    Fleet_Sleep(Span_MS(step->then));
+    watch_for(fleet, watch, Span_MS(step->then));
 }
 
 /* Callers repeat early calls under their keys, through other nodes; the
