--- a/src/process/members.c
+++ b/src/process/members.c
@@ -1,6 +1,10 @@
 #include "process/members.h"
 
 #include "connection/membermsg.h"
+#include "value/mem.h"
+
+/* Answers that tell nothing new go out so many times each heartbeat. */
+enum { BATCHES = 5 };
 
 static void
 count_control(Members *members, const Pack *pack)
@@ -171,6 +175,40 @@
     return is_complete(members, now) ? table : table ^ 1;
 }
 
+/* With the others that are due the same. */
+static void
+answer_later(Members *members, const NetOrigin *origin, Instant now)
+{
+    if (members->waiting_count == Mbr_ROWS_MAX) {
+        answer_short(members, origin, Wire_RENEWED, now);
+        return;
+    }
+    if (members->waiting_count == members->waiting_cap) {
+        members->waiting_cap =
+            members->waiting_cap ? members->waiting_cap * 2 : 16;
+        members->waiting = Mem_Resize(members->waiting, members->waiting_cap,
+                                      sizeof *members->waiting);
+    }
+    members->waiting[members->waiting_count++] = *origin;
+}
+
+static void
+on_batch(void *context, Instant now)
+{
+    Members *members = context;
+    int64_t start;
+
+    if (!members->waiting_count) {
+        return;
+    }
+    start = Loop_CpuNs();
+    for (size_t i = 0; i < members->waiting_count; i++) {
+        answer_short(members, &members->waiting[i], Wire_RENEWED, now);
+    }
+    members->waiting_count = 0;
+    Cnt_AddNs(members->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
+}
+
 /* Rows for NODE, which saw number SEEN of TABLE. */
 static void
 answer_rows(Members *members, const NetOrigin *origin, Addr node,
@@ -181,7 +219,7 @@
     Pack pack;
 
     if (seen == Membermsg_NO_ROWS || (table == own && seen == mbr->change)) {
-        answer_short(members, origin, Wire_RENEWED, now);
+        answer_later(members, origin, now);
         return;
     }
     Membermsg_PackTable(&pack, Wire_TABLE, mbr, own, table == own ? seen : 0,
@@ -407,6 +445,10 @@
     Net_On(net, Wire_RENEWAL, on_renewal, members);
     Net_On(net, Wire_RENEWED, on_renewed, members);
     Net_On(net, Wire_RECORD_ASK, on_record_ask, members);
+    if (settings->control) {
+        LoopTimer_Init(&members->batch, loop, settings->heartbeat / BATCHES,
+                       on_batch, members);
+    }
     LoopTimer_Init(&members->beat, loop, settings->heartbeat, on_beat,
                    members);
 }
@@ -415,6 +457,10 @@
 Mbs_Finish(Members *members)
 {
     LoopTimer_Finish(&members->beat);
+    if (members->settings->control) {
+        LoopTimer_Finish(&members->batch);
+    }
+    Mem_Free(members->waiting);
     Mbr_Finish(&members->membership);
     Mbr_RecordFinish(&members->own);
     Mso_Finish(&members->replicas);
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -3,6 +3,9 @@
  * changed (who is told what: process/membersource.h).  A replica's record
  * goes to all others, which answer with what they hear directly.
  *
+ * A replica answers renewals that change nothing together, a few times each
+ * heartbeat: most of their cost is waking up for each.
+ *
  * A replica that started a moment ago does not know all rows yet: until a
  * member expiry has passed, no row is gone because its table lacks it.
  */
@@ -28,6 +31,10 @@
     Mso replicas;        /* the control replicas, as in the settings */
     Instant complete_at; /* a replica's table is; 0: not started */
     LoopTimer beat;
+    NetOrigin *waiting; /* on a replica: who is due a Wire_RENEWED */
+    size_t waiting_count;
+    size_t waiting_cap;
+    LoopTimer batch;
 } Members;
 
 /* LISTENER is told of each change, also of this node's own record. */
