Let few load reports cross the link at high load

Cause: at 120 % load every refusal and answer that crosses carries a report: 1.05 to 2.55 % of the link's rate against 1 %. A report now stays away from a message that crosses when one went to the same node within 20 ms. Fences and pongs always carry one.

test_measure: rows of steps (rides once in a gap, each node by itself, always at home); samples: a refusal without a report, also mutated. Bytes of reports are not counted with real processes.

--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -3,7 +3,7 @@
 enum {
     LOAD_FIELDS = 6,
     ID_FIELDS = 2,
-    CALL_FIELDS = ID_FIELDS + 11,
+    CALL_FIELDS = ID_FIELDS + 12,
     PIECE_FIELDS = ID_FIELDS + 6,
     REFUSED_FIELDS = ID_FIELDS + 2,
     CREDIT_FIELDS = ID_FIELDS + 1,
@@ -40,20 +40,50 @@
     Pack_Bool(pack, load->draining);
 }
 
+static void
+take_load(Unpack *in, Unpack *inner, LoadReport *load)
+{
+    load->slots = (uint32_t)Unpack_Bounded(inner, UINT32_MAX);
+    load->running = (uint32_t)Unpack_Bounded(inner, UINT32_MAX);
+    load->queued = (uint32_t)Unpack_Bounded(inner, UINT32_MAX);
+    load->service_us = (uint32_t)Unpack_Bounded(inner, UINT32_MAX);
+    load->error_permille = (uint32_t)Unpack_Bounded(inner, 1000);
+    load->draining = Unpack_Bool(inner);
+    if (!Unpack_Ok(inner, NULL)) {
+        Unpack_Fail(in);
+    }
+}
+
 void
 Callmsg_TakeLoad(Unpack *in, LoadReport *load)
 {
     Unpack inner;
 
     Unpack_Array(in, LOAD_FIELDS, &inner);
-    load->slots = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
-    load->running = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
-    load->queued = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
-    load->service_us = (uint32_t)Unpack_Bounded(&inner, UINT32_MAX);
-    load->error_permille = (uint32_t)Unpack_Bounded(&inner, 1000);
-    load->draining = Unpack_Bool(&inner);
-    if (!Unpack_Ok(&inner, NULL)) {
-        Unpack_Fail(in);
+    take_load(in, &inner, load);
+}
+
+/* A report, or an empty array where none rides. */
+static void
+put_rider(Pack *pack, const LoadReport *load, bool bare)
+{
+    if (bare) {
+        Pack_Array(pack, 0);
+    }
+    else {
+        Callmsg_PutLoad(pack, load);
+    }
+}
+
+static void
+take_rider(Unpack *in, LoadReport *load, bool *bare)
+{
+    Unpack inner;
+
+    *bare = Unpack_Array(in, LOAD_FIELDS, &inner) == 0;
+    *load = (LoadReport){0};
+    if (!*bare) {
+        take_load(in, &inner, load);
     }
 }
 
@@ -93,6 +123,7 @@
     Pack_Bool(pack, msg->interactive);
     Pack_Bool(pack, msg->idempotent);
     Pack_Bool(pack, msg->keyed);
+    Pack_Bool(pack, msg->crosses);
     Pack_I64(pack, msg->left);
     Pack_U64(pack, msg->fingerprint);
     Pack_Str(pack, msg->request_id);
@@ -110,6 +141,7 @@
     msg->interactive = Unpack_Bool(in);
     msg->idempotent = Unpack_Bool(in);
     msg->keyed = Unpack_Bool(in);
+    msg->crosses = Unpack_Bool(in);
     msg->left = Unpack_I64(in);
     msg->fingerprint = Unpack_U64(in);
     msg->request_id = Unpack_Str(in);
@@ -130,7 +162,7 @@
     Pack_U64(pack, msg->status);
     put_fields(pack, &msg->fields);
     Pack_Str(pack, msg->bytes);
-    Callmsg_PutLoad(pack, &msg->load);
+    put_rider(pack, &msg->load, msg->bare);
 }
 
 bool
@@ -142,7 +174,7 @@
     msg->status = (uint16_t)Unpack_Bounded(in, 999);
     take_fields(in, &msg->fields);
     msg->bytes = Unpack_Str(in);
-    Callmsg_TakeLoad(in, &msg->load);
+    take_rider(in, &msg->load, &msg->bare);
     return Unpack_Ok(in, err);
 }
 
@@ -152,7 +184,7 @@
     Wire_Begin(pack, Wire_REFUSED, REFUSED_FIELDS);
     Callmsg_PutId(pack, msg->id);
     Pack_U64(pack, msg->reason);
-    Callmsg_PutLoad(pack, &msg->load);
+    put_rider(pack, &msg->load, msg->bare);
 }
 
 bool
@@ -160,7 +192,7 @@
 {
     msg->id = Callmsg_TakeId(in);
     msg->reason = (Refusal)Unpack_Bounded(in, Refusal_KINDS - 1);
-    Callmsg_TakeLoad(in, &msg->load);
+    take_rider(in, &msg->load, &msg->bare);
     return Unpack_Ok(in, err);
 }
 
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -17,6 +17,7 @@
     bool interactive;
     bool idempotent;
     bool keyed;           /* its outcome may be asked for long after its end */
+    bool crosses;         /* it comes from another region */
     Span left;            /* until the deadline */
     uint64_t fingerprint; /* of the request, for suspects */
     Str request_id;
@@ -34,6 +35,7 @@
     FieldList fields; /* of piece 0 */
     Str bytes;
     LoadReport load;
+    bool bare; /* no report rides on it */
 } PieceMsg;
 
 typedef enum {
@@ -53,6 +55,7 @@
     AttemptId id;
     Refusal reason;
     LoadReport load;
+    bool bare; /* no report rides on it */
 } RefusedMsg;
 
 typedef enum {
--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -15,6 +15,7 @@
     if (run->detached) {
         return;
     }
+    msg.bare = !Run_Reports(run->hub, &run->origin, run->crosses, now);
     if (run->sequence == 0) {
         msg.status = run->status;
         msg.fields = run->head;
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -85,7 +85,10 @@
     }
     call = find_call(hub, msg.id);
     if (call) {
-        Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
+        if (!msg.bare) {
+            Plc_OnReport(&call->service->placement, origin->peer, &msg.load,
+                         now);
+        }
         Call_CountCrossing(call, msg.bytes.len, now);
         take_piece(call, &msg, now);
     }
@@ -112,7 +115,9 @@
     if (!call) {
         return;
     }
-    Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
+    if (!msg.bare) {
+        Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
+    }
     if (!proves_not_run(msg.reason) || call->pieces.next > 0) {
         if (call->route->idempotent && call->pieces.next == 0) {
             Call_Decide(call, Rty_UNKNOWN, now);
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -33,6 +33,7 @@
         .interactive = call->route->interactive,
         .idempotent = call->route->idempotent,
         .keyed = call->keyed != NULL,
+        .crosses = call->crosses,
         .left = call->deadline - now,
         .fingerprint = call->digest,
         .request_id = call->request.request_id,
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -29,7 +29,7 @@
         return true;
     }
     Led_OnRefused(&hub->ledger, msg->id, now);
-    Run_RefuseId(hub, origin, msg->id, reason, now);
+    Run_RefuseId(hub, origin, msg, reason, now);
     return true;
 }
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -83,14 +83,23 @@
     }
 }
 
-void
-Run_RefuseId(RunHub *hub, const NetOrigin *origin, AttemptId id,
-             Refusal reason, Instant now)
+bool
+Run_Reports(RunHub *hub, const NetOrigin *origin, bool crosses, Instant now)
+{
+    uint64_t node = Str_Hash(Str_From(origin->id, origin->id_len));
+
+    return Rid_Decide(&hub->ride, node, crosses, now);
+}
+
+static void
+refuse(RunHub *hub, const NetOrigin *origin, AttemptId id, bool crosses,
+       Refusal reason, Instant now)
 {
     RefusedMsg msg = {
         .id = id,
         .reason = reason,
         .load = Adm_Report(hub->admission, now),
+        .bare = !Run_Reports(hub, origin, crosses, now),
     };
     Pack pack;
 
@@ -100,12 +109,19 @@
     Pack_Finish(&pack);
 }
 
+void
+Run_RefuseId(RunHub *hub, const NetOrigin *origin, const CallMsg *msg,
+             Refusal reason, Instant now)
+{
+    refuse(hub, origin, msg->id, msg->crosses, reason, now);
+}
+
 void
 Run_Refuse(Run *run, Refusal reason, Instant now)
 {
     Led_OnRefused(&run->hub->ledger, run->id, now);
     if (!run->detached) {
-        Run_RefuseId(run->hub, &run->origin, run->id, reason, now);
+        refuse(run->hub, &run->origin, run->id, run->crosses, reason, now);
     }
 }
 
@@ -114,7 +130,8 @@
 {
     Led_OnLost(&run->hub->ledger, run->id, now);
     if (!run->detached) {
-        Run_RefuseId(run->hub, &run->origin, run->id, Refusal_CUT, now);
+        refuse(run->hub, &run->origin, run->id, run->crosses, Refusal_CUT,
+               now);
     }
 }
 
@@ -206,6 +223,7 @@
     run->origin = *origin;
     run->idempotent = msg->idempotent;
     run->keyed = msg->keyed;
+    run->crosses = msg->crosses;
     run->fingerprint = msg->fingerprint;
     run->cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
     run->deadline = now + msg->left;
@@ -245,16 +263,16 @@
         Cnt_Add(hub->counters, Cnt_DUPLICATES, 1);
         break;
     case Led_FENCED:
-        Run_RefuseId(hub, origin, msg->id, Refusal_FENCED, now);
+        Run_RefuseId(hub, origin, msg, Refusal_FENCED, now);
         break;
     case Led_EXPIRED:
-        Run_RefuseId(hub, origin, msg->id, Refusal_EXPIRED, now);
+        Run_RefuseId(hub, origin, msg, Refusal_EXPIRED, now);
         break;
     case Led_FULL:
-        Run_RefuseId(hub, origin, msg->id, Refusal_FULL, now);
+        Run_RefuseId(hub, origin, msg, Refusal_FULL, now);
         break;
     case Led_WRONG_INCARNATION:
-        Run_RefuseId(hub, origin, msg->id, Refusal_INCARNATION, now);
+        Run_RefuseId(hub, origin, msg, Refusal_INCARNATION, now);
         break;
     }
     return false;
@@ -289,7 +307,7 @@
     }
     else {
         Led_OnRefused(&hub->ledger, msg.id, now);
-        Run_RefuseId(hub, origin, msg.id, refusal_of(verdict), now);
+        Run_RefuseId(hub, origin, &msg, refusal_of(verdict), now);
     }
 }
 
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -15,6 +15,7 @@
 #include "process/counters.h"
 #include "process/ledger.h"
 #include "process/net.h"
+#include "process/ride.h"
 #include "process/suspects.h"
 #include "process/timeline.h"
 #include "version/preset.h"
@@ -31,6 +32,7 @@
     Suspects *suspects;
     uint64_t incarnation; /* of this node */
     Led ledger;
+    Ride ride;
     Hsh by_id;
     Run *first; /* oldest first */
     Run *last;
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -16,6 +16,7 @@
     AdmClass cls;
     bool idempotent;
     bool keyed;
+    bool crosses;  /* its answer goes to another region */
     bool detached; /* nobody waits for its answer */
     Instant deadline;
     Instant started_at;
@@ -46,8 +47,12 @@
 /* It waits: forget it. */
 void Run_LeaveQueue(Run *run);
 
+/* Whether a load report rides on an answer to ORIGIN now. */
+bool Run_Reports(RunHub *hub, const NetOrigin *origin, bool crosses,
+                 Instant now);
+
 /* Tell ORIGIN of an attempt that is no Run. */
-void Run_RefuseId(RunHub *hub, const NetOrigin *origin, AttemptId id,
+void Run_RefuseId(RunHub *hub, const NetOrigin *origin, const CallMsg *msg,
                   Refusal reason, Instant now);
 
 /* It will never run: the ledger knows, and its origin is told. */
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -100,7 +100,15 @@
 static void
 pack_refused(Pack *pack)
 {
-    RefusedMsg msg = {attempt, Refusal_FULL, load};
+    RefusedMsg msg = {attempt, Refusal_FULL, load, false};
+
+    Callmsg_PackRefused(pack, &msg);
+}
+
+static void
+pack_bare(Pack *pack)
+{
+    RefusedMsg msg = {attempt, Refusal_FULL, load, true};
 
     Callmsg_PackRefused(pack, &msg);
 }
@@ -271,6 +279,7 @@
     {"call", pack_call, read_call},
     {"piece", pack_piece, read_piece},
     {"refused", pack_refused, read_refused},
+    {"refused without a report", pack_bare, read_refused},
     {"cancel", pack_id, read_id},
     {"fence", pack_fence, read_fence},
     {"fenced", pack_fenced, read_fenced},
--- a/tests/unit/test_measure.c
+++ b/tests/unit/test_measure.c
@@ -1,6 +1,7 @@
 /* What may be spent on measuring, and on the regions' link. */
 #include "process/linkbudget.h"
 #include "process/probe.h"
+#include "process/ride.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
@@ -154,6 +155,49 @@
 }
 END_TEST
 
+enum { RIDES_MAX = 5 };
+
+typedef struct {
+    Instant at;
+    uint64_t node;
+    bool crosses;
+    bool rides;
+} RideStep;
+
+typedef struct {
+    const char *name;
+    RideStep steps[RIDES_MAX];
+} RideCase;
+
+static const RideCase rides[] = {
+    {"always at home", {{1, 1, false, true}, {2, 1, false, true}}},
+    {"one in a gap across",
+     {{1, 1, true, true},
+      {2, 1, true, false},
+      {Rid_GAP, 1, true, false},
+      {1 + Rid_GAP, 1, true, true},
+      {2 + Rid_GAP, 1, true, false}}},
+    {"each node by itself", {{1, 1, true, true}, {2, 2, true, true}}},
+    {"a gap starts with a report only",
+     {{1, 1, true, true},
+      {Rid_GAP - 1, 1, true, false},
+      {1 + Rid_GAP, 1, true, true}}},
+};
+
+START_TEST(rides_across_once_in_a_gap)
+{
+    const RideCase *c = &rides[_i];
+    Ride ride = {0};
+
+    for (int i = 0; i < RIDES_MAX && c->steps[i].at; i++) {
+        const RideStep *step = &c->steps[i];
+        ck_assert_msg(Rid_Decide(&ride, step->node, step->crosses, step->at) ==
+                          step->rides,
+                      "%s: step %d", c->name, i);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -161,6 +205,7 @@
         {keeps_the_measuring_budget, ROWS(probes)},
         {orders_the_link, ROWS(links)},
         {keeps_home, ROWS(homes)},
+        {rides_across_once_in_a_gap, ROWS(rides)},
     };
 
     return Suite_Run("measure", tests, ROWS(tests), 10);
--- a/tools/bench_run.c
+++ b/tools/bench_run.c
@@ -203,13 +203,15 @@
     BnwNode *node = &world->nodes[call->node];
     Pack pack;
 
-    if (Bnw_Crosses(world, node->domain, server->domain)) {
+    if (!attempt->bare && Bnw_Crosses(world, node->domain, server->domain)) {
         Callmsg_PackPong(&pack, &attempt->load);
         world->link_report_bytes += Pack_View(&pack).len;
         Pack_Finish(&pack);
     }
     call->open--;
-    Plc_OnReport(&node->placement, server->addr, &attempt->load, now);
+    if (!attempt->bare) {
+        Plc_OnReport(&node->placement, server->addr, &attempt->load, now);
+    }
     Plc_OnEnd(&node->placement, server->addr, ends[attempt->end],
               now - attempt->sent_at, now);
     if (call->ended) {
--- a/tools/bench_world.h
+++ b/tools/bench_world.h
@@ -6,6 +6,7 @@
 
 #include "bench.h"
 #include "bench_queue.h"
+#include "process/ride.h"
 
 #define Bnw_SERVICE_US 5000.0
 
@@ -44,6 +45,7 @@
     double left; /* work not done yet */
     BnwEnd end;
     LoadReport load;
+    bool bare; /* no report rides on its answer */
 } BnwAttempt;
 
 /* A list of attempts by number. */
@@ -64,6 +66,7 @@
     BnwList queued[Adm_CLASSES];
     BnwList running;
     uint32_t step_attempts;
+    Ride ride;
 } BnwServer;
 
 typedef struct {
