Believe a boast of slots no longer than service times bear it out

Slots beyond the fewest that are announced at home now count less by the square of how much longer its requests take than the best's there.

test_placement: a boast whose requests take longer loses to a nearly full server, a truly larger one does not.

--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -64,15 +64,37 @@
                : 0;
 }
 
+/* What is usual in a service. */
+typedef struct {
+    double load;          /* mean work for each slot, as last reported */
+    double service_us;    /* the least that one at home reports */
+    uint32_t least_slots; /* the fewest that one at home announces */
+} Usual;
+
+/* Slots beyond what others announce are believed as long as its requests take
+ * no longer than theirs: what was observed counts more. */
+static double
+slots_of(const PlcRow *row, const Usual *usual, double service)
+{
+    double slower = usual->service_us > 0 ? service / usual->service_us : 1;
+    double slots = row->load.slots / (slower * slower);
+
+    if (row->load.slots <= usual->least_slots || slower <= 1) {
+        return row->load.slots;
+    }
+    return slots > usual->least_slots ? slots : usual->least_slots;
+}
+
 /* Work for each slot: what the report said counts less as it ages. */
 static double
-load_of(const PlcRow *row, double usual, double service, Instant now)
+load_of(const PlcRow *row, const Usual *usual, double service, Instant now)
 {
+    double slots = slots_of(row, usual, service);
     double keep = exp(-(double)(now - row->load_at) / service);
     double reported = row->load.running + row->load.queued;
-    double others = reported * keep + usual * row->load.slots * (1 - keep);
+    double others = reported * keep + usual->load * slots * (1 - keep);
 
-    return (others + row->since + row->mine + 1) / row->load.slots;
+    return (others + row->since + row->mine + 1) / slots;
 }
 
 /* How crowded a server is beside others of its region: steep, so that nobody
@@ -103,7 +125,7 @@
 /* Expected time to a good answer, microseconds; WAIT gives the wait in
  * service times from the work for each slot. */
 static double
-price(const Plc *plc, PlcRow *row, double usual, double (*wait)(double),
+price(const Plc *plc, PlcRow *row, const Usual *usual, double (*wait)(double),
       Instant now)
 {
     double service = row->load.service_us ? row->load.service_us : UNKNOWN_US;
@@ -167,10 +189,23 @@
     return a && b->mine < a->mine ? b : a;
 }
 
-/* Mean work for each slot, as last reported. */
-static double
-usual_load(const Plc *plc)
+static void
+take_least(Usual *usual, const LoadReport *load)
+{
+    if (load->service_us &&
+        (usual->service_us <= 0 || load->service_us < usual->service_us)) {
+        usual->service_us = load->service_us;
+    }
+    if (load->slots &&
+        (!usual->least_slots || load->slots < usual->least_slots)) {
+        usual->least_slots = load->slots;
+    }
+}
+
+static Usual
+usual_of(const Plc *plc)
 {
+    Usual usual = {0};
     double work = 0;
     double slots = 0;
 
@@ -178,15 +213,19 @@
         const LoadReport *load = &plc->rows[i].load;
         work += load->running + load->queued;
         slots += load->slots;
+        if (is_home(plc, &plc->rows[i])) {
+            take_least(&usual, load);
+        }
     }
-    return slots > 0 ? work / slots : 0;
+    usual.load = slots > 0 ? work / slots : 0;
+    return usual;
 }
 
 typedef struct {
     Plc *plc;
     const PlcAsk *ask;
     Instant now;
-    double usual;
+    const Usual *usual;
     PlcRow *best;
     double best_price;
 } Comparison;
@@ -282,8 +321,8 @@
 static PlcRow *
 choose_least_wait(Plc *plc, const PlcAsk *ask, Instant now)
 {
-    double usual = usual_load(plc);
-    Comparison home = {.plc = plc, .ask = ask, .now = now, .usual = usual};
+    Usual usual = usual_of(plc);
+    Comparison home = {.plc = plc, .ask = ask, .now = now, .usual = &usual};
     Comparison away = home;
     /* A first attempt only: a retry has failed once already. */
     PlcRow *trial = ask->tried_count ? NULL : find_trial(plc, ask, now);
@@ -299,8 +338,8 @@
     if (!home.best || !away.best) {
         return home.best ? home.best : away.best;
     }
-    return price(plc, away.best, usual, wait_of, now) <
-                   price(plc, home.best, usual, wait_of, now)
+    return price(plc, away.best, &usual, wait_of, now) <
+                   price(plc, home.best, &usual, wait_of, now)
                ? away.best
                : home.best;
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -61,6 +61,18 @@
     {                                                                         \
         SLOTS, SLOTS, 8, 5000, 0, false                                       \
     }
+#define NEARLY                                                                \
+    {                                                                         \
+        SLOTS, SLOTS - 1, 0, 5000, 0, false                                   \
+    }
+#define BOASTS                                                                \
+    {                                                                         \
+        4 * SLOTS, 24, 0, 6500, 0, false                                      \
+    }
+#define LARGE                                                                 \
+    {                                                                         \
+        4 * SLOTS, 24, 0, 5000, 0, false                                      \
+    }
 #define CROWDED                                                               \
     {                                                                         \
         SLOTS, SLOTS, 31, 20000, 0, false                                     \
@@ -89,6 +101,8 @@
     {{DRAINING, IDLE, IDLE, IDLE}, true, 0, Plc_CHOSEN, 0x2},
     {{ABSENT, BUSY, IDLE, IDLE}, true, 0, Plc_CHOSEN, 0x2},
     {{CROWDED, CROWDED, IDLE, IDLE}, true, 0, Plc_CHOSEN, 0xc},
+    {{BOASTS, NEARLY, FULL, FULL}, true, 0, Plc_CHOSEN, 0x2},
+    {{LARGE, NEARLY, FULL, FULL}, true, 0, Plc_CHOSEN, 0x1},
     {{FULL, FULL, FULL, FULL}, true, 0, Plc_SHED, 0},
     {{PATIENT_FULL, PATIENT_FULL, PATIENT_FULL, PATIENT_FULL},
      false,
