Say why the tool failed, and what its commands do

Cause, found by trying each command of OPERATING.md by hand: with two nodes given, one without a leader and one gone, the tool said only "answered 503:" with the second node's address and no reason: the first one's status stayed and its words were thrown away.

Now what one node said goes before another's silence, and these are said.

With cli_ask.c as it was the row "one node says why" fails with "answered 503: ".

--- a/src/process/cli_ask.c
+++ b/src/process/cli_ask.c
@@ -125,16 +125,21 @@
 {
     Cli_AskInit(ask, cli->nodes[0], path);
     for (size_t i = 0; i < cli->node_count; i++) {
-        ask->node = cli->nodes[i];
-        Cli_AskAll(cli, ask, 1);
+        CliAsk next;
+        Cli_AskInit(&next, cli->nodes[i], path);
+        Cli_AskAll(cli, &next, 1);
+        /* What one node said goes before the silence of the next. */
+        if (next.status || !ask->status) {
+            Cli_AskFinish(ask);
+            *ask = next;
+        }
+        else {
+            Cli_AskFinish(&next);
+        }
         /* Another node may reach a leader that this one does not. */
         if (ask->status && ask->status != 503) {
             return;
         }
-        if (i + 1 < cli->node_count) {
-            json_decref(ask->answer);
-            ask->answer = NULL;
-        }
     }
 }
 
--- a/src/process/cli_main.c
+++ b/src/process/cli_main.c
@@ -32,6 +32,7 @@
     Str words[2];
     size_t words_used; /* of the two above */
     Str operand;       /* its name in --help; empty: none */
+    Str does;          /* said in --help */
     bool local;        /* asks no node */
     CliStatus (*plain)(Cli *cli);
     CliStatus (*with_operand)(Cli *cli, Str operand);
@@ -50,38 +51,75 @@
 }
 
 static const Command commands[] = {
-    {{Str_LIT("status")}, 1, {0}, false, Cli_ShowStatus, NULL},
-    {{Str_LIT("timeline")}, 1, {0}, false, Cli_ShowTimeline, NULL},
+    {{Str_LIT("status")},
+     1,
+     {0},
+     Str_LIT("nodes, backend servers, load, versions in force"),
+     false,
+     Cli_ShowStatus,
+     NULL},
+    {{Str_LIT("timeline")},
+     1,
+     {0},
+     Str_LIT("events of all processes in one order"),
+     false,
+     Cli_ShowTimeline,
+     NULL},
     {{Str_LIT("preset"), Str_LIT("list")},
      2,
      {0},
+     Str_LIT("the fleet's presets, and which is in force"),
      false,
      Cli_ListPresets,
      NULL},
     {{Str_LIT("preset"), Str_LIT("show")},
      2,
      Str_LIT("NAME"),
+     Str_LIT("one preset"),
      false,
      NULL,
      Cli_ShowPreset},
     {{Str_LIT("preset"), Str_LIT("put")},
      2,
      Str_LIT("FILE"),
+     Str_LIT("add a preset, or replace the one of that name"),
      false,
      NULL,
      Cli_PutPreset},
     {{Str_LIT("preset"), Str_LIT("use")},
      2,
      Str_LIT("NAME"),
+     Str_LIT("put a preset in force"),
      false,
      NULL,
      Cli_UsePreset},
-    {{Str_LIT("check")}, 1, Str_LIT("FILE"), true, NULL, check_preset},
-    {{Str_LIT("keys"), Str_LIT("new")}, 2, {0}, true, new_keys, NULL},
+    {{Str_LIT("check")},
+     1,
+     Str_LIT("FILE"),
+     Str_LIT("check a preset's file; asks no node"),
+     true,
+     NULL,
+     check_preset},
+    {{Str_LIT("keys"), Str_LIT("new")},
+     2,
+     {0},
+     Str_LIT("a new pair of CURVE keys; asks no node"),
+     true,
+     new_keys,
+     NULL},
 };
 
 enum { COMMANDS = sizeof commands / sizeof commands[0] };
 
+static void
+append_words(const Command *command, StrBuf *out)
+{
+    for (size_t i = 0; i < command->words_used; i++) {
+        StrBuf_AppendFmt(out, "%s%.*s", i ? " " : "",
+                         Str_ARG(command->words[i]));
+    }
+}
+
 static void
 print_help(void **table)
 {
@@ -90,9 +128,11 @@
     printf("Commands:\n");
     for (size_t i = 0; i < COMMANDS; i++) {
         const Command *c = &commands[i];
-        printf("  %.*s %.*s%s%.*s\n", Str_ARG(c->words[0]),
-               Str_ARG(c->words[1]), c->words_used > 1 ? " " : "",
-               Str_ARG(c->operand));
+        StrBuf words = {0};
+        append_words(c, &words);
+        StrBuf_AppendFmt(&words, " %.*s", Str_ARG(c->operand));
+        printf("  %-22s %.*s\n", StrBuf_CStr(&words), Str_ARG(c->does));
+        StrBuf_Finish(&words);
     }
     printf("Options:\n");
     arg_print_glossary(stdout, table, "  %-22s %s\n");
@@ -101,30 +141,56 @@
            "  9 not in force everywhere in time\n");
 }
 
+static bool
+complain(const char *option, const char *expected)
+{
+    fprintf(stderr, "lycheeridge: %s: expected %s\n", option, expected);
+    return false;
+}
+
+static bool
+starts_with_words(const Cli *cli, const Command *command)
+{
+    bool starts = cli->word_count >= command->words_used;
+
+    for (size_t i = 0; starts && i < command->words_used; i++) {
+        starts = Str_Equal(cli->words[i], command->words[i]);
+    }
+    return starts;
+}
+
+static void
+complain_operand(const Command *command)
+{
+    StrBuf words = {0};
+    StrBuf operand = {0};
+
+    append_words(command, &words);
+    StrBuf_Set(&operand, command->operand);
+    complain(StrBuf_CStr(&words), StrBuf_CStr(&operand));
+    StrBuf_Finish(&words);
+    StrBuf_Finish(&operand);
+}
+
+/* NULL, and said why, when the words are none. */
 static const Command *
 find_command(const Cli *cli)
 {
     for (size_t i = 0; i < COMMANDS; i++) {
         const Command *c = &commands[i];
-        bool matches =
-            cli->word_count == c->words_used + (c->operand.len ? 1 : 0);
-        for (size_t word = 0; matches && word < c->words_used; word++) {
-            matches = Str_Equal(cli->words[word], c->words[word]);
-        }
-        if (matches) {
+        size_t wanted = c->words_used + (c->operand.len ? 1 : 0);
+        if (starts_with_words(cli, c) && cli->word_count == wanted) {
             return c;
         }
+        if (starts_with_words(cli, c) && cli->word_count < wanted) {
+            complain_operand(c);
+            return NULL;
+        }
     }
+    fprintf(stderr, "lycheeridge: no such command; try --help\n");
     return NULL;
 }
 
-static bool
-complain(const char *option, const char *expected)
-{
-    fprintf(stderr, "lycheeridge: %s: expected %s\n", option, expected);
-    return false;
-}
-
 static bool
 read_nodes(Cli *cli, const Args *args)
 {
@@ -241,7 +307,6 @@
     CliStatus status;
 
     if (!command) {
-        fprintf(stderr, "lycheeridge: no such command; try --help\n");
         return Cli_USAGE;
     }
     if (!command->local && cli->node_count == 0) {
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -130,6 +130,9 @@
     }
     else if (errors || file->count == 0) {
         arg_print_errors(stderr, end, "lycheeridged");
+        if (!errors) {
+            fprintf(stderr, "lycheeridged: expected a file of settings\n");
+        }
         fprintf(stderr, "lycheeridged: try --help\n");
     }
     else {
--- a/tests/integration/test_commands.c
+++ b/tests/integration/test_commands.c
@@ -14,7 +14,7 @@
 
 typedef struct {
     /* $B is the build's folder, $F the fleet's, $T the tool with its key and
-     * two nodes. */
+     * two nodes, $R with the same nodes the other way round. */
     const char *command;
     int status;
     Str fragment; /* in what it prints */
@@ -25,6 +25,7 @@
     {"$B/lycheeridged --help", 0, Str_LIT("Exit statuses")},
     {"$B/lycheeridged --version", 0, Str_LIT("lycheeridged 0.")},
     {"$B/lycheeridged", 2, Str_LIT("try --help")},
+    {"$B/lycheeridged", 2, Str_LIT("expected a file of settings")},
     {"$B/lycheeridged --nope x", 2, Str_LIT("try --help")},
     {"$B/lycheeridged --check $F/none.json", 3, Str_LIT("cannot open")},
     {"$B/lycheeridged --check $F/preset.json", 3, Str_LIT("/callers")},
@@ -36,6 +37,12 @@
     {"$B/lycheeridge", 2, Str_LIT("no such command")},
     {"$B/lycheeridge status", 2, Str_LIT("--node")},
     {"$T status now", 2, Str_LIT("no such command")},
+    {"$T preset", 2, Str_LIT("no such command")},
+    {"$T preset use", 2, Str_LIT("preset use: expected NAME")},
+    {"$T preset put", 2, Str_LIT("preset put: expected FILE")},
+    {"$T preset use a b", 2, Str_LIT("excess")},
+    {"$B/lycheeridge check", 2, Str_LIT("check: expected FILE")},
+    {"$B/lycheeridge --help", 0, Str_LIT("put a preset in force")},
     {"$T --node 1.2.3 status", 2, Str_LIT("--node")},
     {"$T --limit 0 timeline", 2, Str_LIT("--limit")},
     {"$T --wait -1 status", 2, Str_LIT("--wait")},
@@ -96,18 +103,25 @@
 }
 
 static void
-set_variables(Fleet *fleet)
+set_tool(Fleet *fleet, const char *variable, int first, int second)
 {
     StrBuf tool = {0};
 
     StrBuf_AppendFmt(&tool, "%.*s/lycheeridge -n %.*s:8100 -n %.*s:8100",
-                     Str_ARG(build), Str_ARG(fleet->vms[1].ip),
-                     Str_ARG(fleet->vms[0].ip));
+                     Str_ARG(build), Str_ARG(fleet->vms[first].ip),
+                     Str_ARG(fleet->vms[second].ip));
+    setenv(variable, StrBuf_CStr(&tool), 1);
+    StrBuf_Finish(&tool);
+}
+
+static void
+set_variables(Fleet *fleet)
+{
+    set_tool(fleet, "T", 1, 0);
+    set_tool(fleet, "R", 0, 1);
     setenv("B", StrBuf_CStr(&fleet->build), 1);
     setenv("F", StrBuf_CStr(&fleet->folder), 1);
-    setenv("T", StrBuf_CStr(&tool), 1);
     setenv("LYCHEERIDGE_KEY", "test-key", 1);
-    StrBuf_Finish(&tool);
 }
 
 START_TEST(end_with_their_status)
@@ -153,6 +167,11 @@
     {2, 8, Span_S(1), 0, "$T --timeout 3 preset use ordinary", {0}},
     {2, 7, Span_S(1), 0, "$T --timeout 3 preset use ordinary --base 2.3",
      Str_LIT("--base 2.3")},
+    /* One node says why, the next one is silent. */
+    {2, 8, Span_S(1), Span_S(3), "$R --timeout 7 preset list",
+     Str_LIT("answered 503: no leader")},
+    {2, 0, Span_S(1), Span_S(3), "$R --timeout 7 status",
+     Str_LIT("no leader confirms")},
 };
 
 /* Stop COUNT replicas, none of them the first, nor the leader when one is
