Read the items of a list in one place

Cause: read_domains and read_routes had the same loop over a list's objects, with the place of each for findings.

One loop now hands each object to a callback.

--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -98,29 +98,46 @@
     }
 }
 
+typedef void (*ReadItem)(Settings *settings, size_t index, JsnObject *item);
+
+/* Hand each object of ARRAY, the member KEY, to READ. */
 static void
-read_domains(Settings *settings, JsnObject *o)
+read_items(Settings *settings, JsnObject *o, Str key, json_t *array,
+           ReadItem read)
 {
-    json_t *array = Jsn_GetArray(o, Str_LIT("failure_domains"), true);
-
-    settings->domain_count = json_array_size(array);
-    settings->domains =
-        Mem_Alloc(settings->domain_count, sizeof *settings->domains);
-    for (size_t i = 0; i < settings->domain_count; i++) {
+    for (size_t i = 0; i < json_array_size(array); i++) {
         JsnObject item;
         StrBuf place = {0};
-        StrBuf_AppendFmt(&place, "/failure_domains/%zu", i);
+        StrBuf_AppendFmt(&place, "/%.*s/%zu", Str_ARG(key), i);
         Jsn_Enter(&item, json_array_get(array, i), StrBuf_View(&place),
                   o->findings);
-        Jsn_GetStr(&item, Str_LIT("name"), true, &settings->domains[i].name);
-        Jsn_GetStr(&item, Str_LIT("region"), true,
-                   &settings->domains[i].region);
+        read(settings, i, &item);
         Jsn_Leave(&item);
-        number_region(settings, i);
         StrBuf_Finish(&place);
     }
 }
 
+static void
+read_domain(Settings *settings, size_t index, JsnObject *item)
+{
+    SetDomain *domain = &settings->domains[index];
+
+    Jsn_GetStr(item, Str_LIT("name"), true, &domain->name);
+    Jsn_GetStr(item, Str_LIT("region"), true, &domain->region);
+    number_region(settings, index);
+}
+
+static void
+read_domains(Settings *settings, JsnObject *o)
+{
+    json_t *array = Jsn_GetArray(o, Str_LIT("failure_domains"), true);
+
+    settings->domain_count = json_array_size(array);
+    settings->domains =
+        Mem_Alloc(settings->domain_count, sizeof *settings->domains);
+    read_items(settings, o, Str_LIT("failure_domains"), array, read_domain);
+}
+
 static void
 find_domain(Settings *settings, JsnObject *o)
 {
@@ -167,6 +184,13 @@
     }
 }
 
+static void
+read_route(Settings *settings, size_t index, JsnObject *item)
+{
+    settings->routes[index].to = read_addr(item, Str_LIT("to"), true);
+    settings->routes[index].via = read_addr(item, Str_LIT("via"), true);
+}
+
 static void
 read_routes(Settings *settings, JsnObject *o)
 {
@@ -175,17 +199,7 @@
     settings->route_count = json_array_size(array);
     settings->routes =
         Mem_Alloc(settings->route_count, sizeof *settings->routes);
-    for (size_t i = 0; i < settings->route_count; i++) {
-        JsnObject item;
-        StrBuf place = {0};
-        StrBuf_AppendFmt(&place, "/routes/%zu", i);
-        Jsn_Enter(&item, json_array_get(array, i), StrBuf_View(&place),
-                  o->findings);
-        settings->routes[i].to = read_addr(&item, Str_LIT("to"), true);
-        settings->routes[i].via = read_addr(&item, Str_LIT("via"), true);
-        Jsn_Leave(&item);
-        StrBuf_Finish(&place);
-    }
+    read_items(settings, o, Str_LIT("routes"), array, read_route);
 }
 
 static void
