--- a/tests/integration/test_call_trees.c
+++ b/tests/integration/test_call_trees.c
@@ -325,15 +325,16 @@
     Fleet fleet;
     FleetAnswer answer;
     StrBuf headers = {0};
+    Instant until;
     uint64_t started;
     uint64_t overdue;
 
     start_fleet(&fleet, 100);
     started = sum_backends(&fleet, Str_LIT("started"));
     /* The root's deadline counts from its arrival. */
-    StrBuf_AppendFmt(
-        &headers, "%.*sX-Fake-Until: %lld\n", Str_ARG(c->headers),
-        (long long)(Loop_Now() + Span_MS(c->deadline_ms) + ARRIVAL));
+    until = Loop_Now() + Span_MS(c->deadline_ms) + ARRIVAL;
+    StrBuf_AppendFmt(&headers, "%.*sX-Fake-Until: %lld\n", Str_ARG(c->headers),
+                     (long long)until);
     tree.headers = StrBuf_View(&headers);
     call_tree(&fleet, &tree, &answer);
     ck_assert_int_eq(answer.status, 504);
