Hedge idempotent calls at the root of their tree

Cause: the hedge decider was tested and not used by calls; a call kept one attempt. What belongs to one attempt is an Attempt now (life span: request), a call has two at most. When the decider says so, a second one goes to another node; the first head wins and the other is cancelled. If one of two is refused or lost, the other goes on. The budget is the service's own: hedge_permille and hedge_after_ms of the preset, both 0 (off) by default; a hedge counts in attempts_max. Counter hedges_total.

Ruled out: that the loser leaves no mark in placement. An attempt that its hedge overtakes counts as silent now; a hedge that loses counts as cancelled.

--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -16,6 +16,7 @@
     X(HUNG_UP, "calls_hung_up_total", "Calls whose caller hung up")           \
     X(ATTEMPTS, "attempts_total", "Attempts made")                            \
     X(RETRIES, "retries_total", "Attempts after the first of a call")         \
+    X(HEDGES, "hedges_total", "Attempts made before the first one answered")  \
     X(FENCES, "fences_total", "Attempts settled by a fence")                  \
     X(RUNS, "runs_total", "Attempts run at the backend server")               \
     X(REFUSED, "refused_total", "Attempts refused at the backend server")     \
--- a/src/process/services.c
+++ b/src/process/services.c
@@ -41,10 +41,12 @@
     services->placement.queue_max = limits->queue_max;
     services->placement.patient_queue_max = limits->patient_queue_max;
     services->retry_permille = limits->retry_permille;
+    services->hedge_permille = limits->hedge_permille;
     for (size_t i = 0; i < services->count; i++) {
         Service *service = services->items[i];
         Plc_SetSettings(&service->placement, &services->placement);
         Rty_BudgetSet(&service->retries, limits->retry_permille, RETRY_BURST);
+        Rty_BudgetSet(&service->hedges, limits->hedge_permille, RETRY_BURST);
     }
 }
 
@@ -68,6 +70,7 @@
     StrBuf_Set(&service->name, name);
     Plc_Init(&service->placement, &services->placement, services->rng);
     Rty_BudgetInit(&service->retries, services->retry_permille, RETRY_BURST);
+    Rty_BudgetInit(&service->hedges, services->hedge_permille, RETRY_BURST);
     return service;
 }
 
--- a/src/process/services.h
+++ b/src/process/services.h
@@ -11,11 +11,13 @@
     StrBuf name;
     Plc placement;
     RtyBudget retries;
+    RtyBudget hedges;
 } Service;
 
 typedef struct {
     PlcSettings placement; /* for each service */
     uint32_t retry_permille;
+    uint32_t hedge_permille;
     Rng *rng;
     Service **items;
     size_t count;
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -33,8 +33,10 @@
         call->next->previous = call->previous;
     }
     hub->count--;
-    if (call->attempt.counter) {
-        Hsh_Drop(&hub->by_attempt, &call->link);
+    for (size_t i = 0; i < Call_ATTEMPTS; i++) {
+        if (call->attempts[i].id.counter) {
+            Hsh_Drop(&hub->by_attempt, &call->attempts[i].link);
+        }
     }
     Inf_Release(call->in_force);
     Mem_Free(call);
@@ -108,6 +110,17 @@
     return Str_Hash(Str_From((const char *)parts, sizeof parts));
 }
 
+/* When the first attempt is made; no more than once a call. */
+static void
+init_hedge(Call *call, Instant now)
+{
+    Span after = call->in_force->preset.limits.hedge_after;
+
+    Rty_OnCall(&call->service->hedges);
+    Hdg_Init(&call->hedge, call->route->idempotent && after > 0,
+             Dep_Read(&call->request.fields), after, call->deadline, now);
+}
+
 static void
 start_call(Call *call, Instant now)
 {
@@ -151,6 +164,9 @@
     before = hub->count;
     call = Mem_Alloc(1, sizeof *call);
     link_call(hub, call);
+    for (size_t i = 0; i < Call_ATTEMPTS; i++) {
+        call->attempts[i].call = call;
+    }
     call->request = *request;
     call->sink = *sink;
     call->in_force = Inf_Hold(hub->in_force);
@@ -165,6 +181,7 @@
                  ? 1
                  : hub->in_force->preset.limits.attempts_max,
              call->deadline);
+    init_hedge(call, now);
     call->digest = digest_of(request, StrBuf_View(&call->service->name));
     start_call(call, now);
     return hub->count > before ? call : NULL;
@@ -173,12 +190,13 @@
 void
 Call_OnTaken(Call *call, uint32_t bytes, Instant now)
 {
-    CreditMsg msg = {.id = call->attempt, .bytes = bytes};
+    const Attempt *attempt = Call_Flying(call);
     Pack pack;
 
-    if (call->attempt.counter) {
+    if (attempt) {
+        CreditMsg msg = {.id = attempt->id, .bytes = bytes};
         Callmsg_PackCredit(&pack, &msg);
-        Net_Send(call->hub->net, call->node, Pack_View(&pack), now);
+        Net_Send(call->hub->net, attempt->node, Pack_View(&pack), now);
         Pack_Finish(&pack);
     }
 }
@@ -187,38 +205,30 @@
 Call_Cancel(Call *call, Instant now)
 {
     Cnt_Add(call->hub->counters, Cnt_HUNG_UP, 1);
-    if (call->attempt.counter) {
-        Call_SendId(call, Wire_CANCEL, now);
-        Call_EndAttempt(call, Plc_CANCELLED, now);
-    }
+    Call_CancelAttempts(call, now);
     if (call->keyed) {
         Key_Cancel(call->keyed, now);
     }
     free_call(call);
 }
 
-static void
-end_late(Call *call, Instant now)
-{
-    Call_SendId(call, Wire_CANCEL, now);
-    Call_GiveUpUnknown(call, now);
-}
-
 /* The deadline passed.  A fence may still prove that the attempt did not run;
  * a claim without an attempt settles itself. */
 static void
 on_late(Call *call, Instant now)
 {
-    if (!call->attempt.counter) {
+    Attempt *attempt = Call_Flying(call);
+
+    if (!attempt) {
         return;
     }
-    if (call->route->idempotent || call->pieces.next ||
+    if (call->route->idempotent || attempt->pieces.next ||
         now >= call->deadline + SETTLE_GRACE) {
-        end_late(call, now);
+        Call_GiveUpLate(call, now);
     }
     else if (!call->late) {
         call->late = true;
-        Call_SendFence(call, now);
+        Call_SendFence(attempt, now);
     }
 }
 
@@ -233,5 +243,8 @@
         if (now >= call->deadline) {
             on_late(call, now);
         }
+        else if (Hdg_Decide(&call->hedge, &call->service->hedges, now)) {
+            Call_Hedge(call, now);
+        }
     }
 }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -4,7 +4,9 @@
  * A Call drives the placement and retry deciders and talks to the node beside
  * the chosen backend server.  A call with a key is claimed at the holders of
  * key registers before each attempt.  An attempt that may have run is fenced
- * before anything else is said of it.  It knows nothing of HTTP: a front end
+ * before anything else is said of it.  An idempotent call at the root of its
+ * tree may be hedged: two attempts are in flight then until one of them begins
+ * to answer.  It knows nothing of HTTP: a front end
  * hands in a CallRequest and takes the answer through a CallSink.
  */
 #ifndef CALL_H
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -1,14 +1,14 @@
 #include "request/callstate.h"
 
-static Call *
-find_call(const CallHub *hub, AttemptId id)
+static Attempt *
+find_attempt(const CallHub *hub, AttemptId id)
 {
     HshLink *link = Hsh_First(&hub->by_attempt, AttemptId_Hash(id));
 
-    while (link && !AttemptId_Equal(((Call *)link)->attempt, id)) {
+    while (link && !AttemptId_Equal(((Attempt *)link)->id, id)) {
         link = Hsh_Next(link);
     }
-    return (Call *)link;
+    return (Attempt *)link;
 }
 
 static bool
@@ -43,19 +43,48 @@
     }
 }
 
+/* Its answer will not come, or not whole. */
 static void
-take_piece(Call *call, const PieceMsg *msg, Instant now)
+lose_attempt(Attempt *attempt, Instant now)
 {
-    switch (Pcs_OnPiece(&call->pieces, msg->sequence, msg->last)) {
+    if (attempt->pieces.next) {
+        Call_GiveUpUnknown(attempt->call, now);
+    }
+    else {
+        Call_Decide(attempt, Rty_UNKNOWN, now);
+    }
+}
+
+/* The first head wins; the pieces of two attempts never mix. */
+static void
+on_first_piece(Attempt *attempt, Instant now)
+{
+    Attempt *loser = Call_Other(attempt);
+
+    Hdg_OnAnswer(&attempt->call->hedge);
+    if (loser) {
+        /* To be overtaken by a hedge is a bad mark for its node: it would
+         * stay the first choice. */
+        Call_CancelAttempt(
+            loser, loser->at < attempt->at ? Plc_SILENT : Plc_CANCELLED, now);
+    }
+}
+
+static void
+take_piece(Attempt *attempt, const PieceMsg *msg, Instant now)
+{
+    Call *call = attempt->call;
+    PcsVerdict verdict =
+        Pcs_OnPiece(&attempt->pieces, msg->sequence, msg->last);
+
+    if (attempt->pieces.next == 1) {
+        on_first_piece(attempt, now);
+    }
+    switch (verdict) {
     case Pcs_IGNORE:
         break;
     case Pcs_GAP:
-        if (call->pieces.next) {
-            Call_GiveUpUnknown(call, now);
-        }
-        else {
-            Call_Decide(call, Rty_UNKNOWN, now);
-        }
+        lose_attempt(attempt, now);
         break;
     case Pcs_TAKE:
         call->deadline = now + Callmsg_STALL;
@@ -66,7 +95,8 @@
             end_keyed(call, msg, now);
         }
         pass_on(call, msg);
-        Call_EndAttempt(call, call->failed ? Plc_FAILED : Plc_ANSWERED, now);
+        Call_EndAttempt(attempt, call->failed ? Plc_FAILED : Plc_ANSWERED,
+                        now);
         Call_End(call, Call_ANSWERED, Call_WHY_NONE);
         break;
     }
@@ -78,16 +108,17 @@
     CallHub *hub = context;
     PieceMsg msg;
     Err err = {0};
-    Call *call;
+    Attempt *attempt;
 
     if (read_failed(hub, Callmsg_ReadPiece(in, &msg, &err), &err)) {
         return;
     }
-    call = find_call(hub, msg.id);
-    if (call) {
-        Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
-        Call_CountCrossing(call, msg.bytes.len, now);
-        take_piece(call, &msg, now);
+    attempt = find_attempt(hub, msg.id);
+    if (attempt) {
+        Plc_OnReport(&attempt->call->service->placement, origin->peer,
+                     &msg.load, now);
+        Call_CountCrossing(attempt, msg.bytes.len, now);
+        take_piece(attempt, &msg, now);
     }
 }
 
@@ -103,31 +134,33 @@
     CallHub *hub = context;
     RefusedMsg msg;
     Err err = {0};
+    Attempt *attempt;
     Call *call;
 
     if (read_failed(hub, Callmsg_ReadRefused(in, &msg, &err), &err)) {
         return;
     }
-    call = find_call(hub, msg.id);
-    if (!call) {
+    attempt = find_attempt(hub, msg.id);
+    if (!attempt) {
         return;
     }
+    call = attempt->call;
     Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
-    if (!proves_not_run(msg.reason) || call->pieces.next > 0) {
-        if (call->route->idempotent && call->pieces.next == 0) {
-            Call_Decide(call, Rty_UNKNOWN, now);
+    if (!proves_not_run(msg.reason) || attempt->pieces.next > 0) {
+        if (call->route->idempotent && attempt->pieces.next == 0) {
+            Call_Decide(attempt, Rty_UNKNOWN, now);
         }
         else {
             Call_GiveUpUnknown(call, now);
         }
     }
-    else if (msg.reason == Refusal_SUSPECT) {
+    else if (msg.reason == Refusal_SUSPECT && !Call_Other(attempt)) {
         /* Every other node refuses it, too. */
-        Call_EndAttempt(call, Plc_REFUSED, now);
+        Call_EndAttempt(attempt, Plc_REFUSED, now);
         Call_GiveUpNotRun(call, Call_WHY_SUSPECT, now);
     }
     else {
-        Call_Decide(call, Rty_NOT_RUN, now);
+        Call_Decide(attempt, Rty_NOT_RUN, now);
     }
 }
 
@@ -137,21 +170,22 @@
     CallHub *hub = context;
     FencedMsg msg;
     Err err = {0};
-    Call *call;
+    Attempt *attempt;
 
     if (read_failed(hub, Callmsg_ReadFenced(in, &msg, &err), &err)) {
         return;
     }
-    call = find_call(hub, msg.id);
-    if (!call || !call->fencing) {
+    attempt = find_attempt(hub, msg.id);
+    if (!attempt || !attempt->fencing) {
         return;
     }
-    Plc_OnReport(&call->service->placement, origin->peer, &msg.load, now);
+    Plc_OnReport(&attempt->call->service->placement, origin->peer, &msg.load,
+                 now);
     if (msg.state == Fenced_NEVER) {
-        Call_Decide(call, Rty_NOT_RUN, now);
+        Call_Decide(attempt, Rty_NOT_RUN, now);
     }
     else if (msg.state == Fenced_LOST) {
-        Call_GiveUpUnknown(call, now);
+        Call_GiveUpUnknown(attempt->call, now);
     }
     /* Otherwise its answer follows as pieces. */
 }
@@ -172,6 +206,18 @@
     }
 }
 
+/* Two attempts of a call are never at one node. */
+static Attempt *
+attempt_at(Call *call, Addr peer)
+{
+    for (size_t i = 0; i < Call_ATTEMPTS; i++) {
+        if (call->attempts[i].id.counter && call->attempts[i].node == peer) {
+            return &call->attempts[i];
+        }
+    }
+    return NULL;
+}
+
 /* PEER's connection was given up: settle what was in flight over it. */
 static void
 on_silence(void *context, Addr peer, Instant now)
@@ -180,14 +226,10 @@
     Call *next;
 
     for (Call *call = hub->first; call; call = next) {
+        Attempt *attempt = attempt_at(call, peer);
         next = call->next;
-        if (call->attempt.counter && call->node == peer) {
-            if (call->pieces.next) {
-                Call_GiveUpUnknown(call, now);
-            }
-            else {
-                Call_Decide(call, Rty_UNKNOWN, now);
-            }
+        if (attempt) {
+            lose_attempt(attempt, now);
         }
     }
 }
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -1,35 +1,84 @@
 #include "request/callstate.h"
 #include "request/depth.h"
 
+Attempt *
+Call_Flying(Call *call)
+{
+    Attempt *first = &call->attempts[0];
+
+    return first->id.counter ? first : Call_Other(first);
+}
+
+Attempt *
+Call_Other(Attempt *attempt)
+{
+    Attempt *attempts = attempt->call->attempts;
+    Attempt *other = attempt == attempts ? attempts + 1 : attempts;
+
+    return other->id.counter ? other : NULL;
+}
+
 void
-Call_EndAttempt(Call *call, PlcEnd end, Instant now)
+Call_EndAttempt(Attempt *attempt, PlcEnd end, Instant now)
 {
-    if (call->attempt.counter) {
-        Net_Release(call->hub->net, call->node);
-        Plc_OnEnd(&call->service->placement, call->node, end,
-                  now - call->attempt_at, now);
-        Hsh_Drop(&call->hub->by_attempt, &call->link);
-        call->attempt.counter = 0;
-        call->fencing = false;
+    CallHub *hub = attempt->call->hub;
+
+    if (attempt->id.counter) {
+        Hdg_OnAnswer(&attempt->call->hedge);
+        Net_Release(hub->net, attempt->node);
+        Plc_OnEnd(&attempt->call->service->placement, attempt->node, end,
+                  now - attempt->at, now);
+        Hsh_Drop(&hub->by_attempt, &attempt->link);
+        attempt->id.counter = 0;
+        attempt->fencing = false;
     }
 }
+
+static void
+send_cancel(const Attempt *attempt, Instant now)
+{
+    Pack pack;
+
+    Callmsg_PackId(&pack, Wire_CANCEL, attempt->id);
+    Net_Send(attempt->call->hub->net, attempt->node, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
+void
+Call_CancelAttempt(Attempt *attempt, PlcEnd end, Instant now)
+{
+    send_cancel(attempt, now);
+    Call_EndAttempt(attempt, end, now);
+}
+
 void
-Call_CountCrossing(Call *call, size_t bytes, Instant now)
+Call_CancelAttempts(Call *call, Instant now)
 {
-    if (call->crosses) {
-        Cnt_Add(call->hub->counters, Cnt_LINK_BYTES, bytes);
-        Lnk_OnBytes(&call->hub->link, (uint32_t)bytes, now);
+    for (Attempt *attempt; (attempt = Call_Flying(call));) {
+        Call_CancelAttempt(attempt, Plc_CANCELLED, now);
     }
 }
 
-/* True when the request, or a part of it, may reach NODE. */
+void
+Call_CountCrossing(const Attempt *attempt, size_t bytes, Instant now)
+{
+    CallHub *hub = attempt->call->hub;
+
+    if (attempt->crosses) {
+        Cnt_Add(hub->counters, Cnt_LINK_BYTES, bytes);
+        Lnk_OnBytes(&hub->link, (uint32_t)bytes, now);
+    }
+}
+
+/* True when the request, or a part of it, may reach its node. */
 static bool
-send_attempt(Call *call, const KeyPlace *place, Instant now)
+send_attempt(const Attempt *attempt, Instant now)
 {
+    const Call *call = attempt->call;
     CallHub *hub = call->hub;
     CallMsg msg = {
-        .id = place->attempt,
-        .incarnation = place->incarnation,
+        .id = attempt->id,
+        .incarnation = attempt->incarnation,
         .interactive = call->route->interactive,
         .idempotent = call->route->idempotent,
         .keyed = call->keyed != NULL,
@@ -49,8 +98,8 @@
     Callmsg_PackCall(&pack, &msg);
     StrBuf_Finish(&depth);
     Cnt_Add(hub->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
-    Call_CountCrossing(call, Pack_View(&pack).len, now);
-    sent = Net_Send(hub->net, place->node, Pack_View(&pack), now);
+    Call_CountCrossing(attempt, Pack_View(&pack).len, now);
+    sent = Net_Send(hub->net, attempt->node, Pack_View(&pack), now);
     Pack_Finish(&pack);
     return sent;
 }
@@ -59,21 +108,25 @@
 Call_StartAttempt(Call *call, const KeyPlace *place, Instant now)
 {
     CallHub *hub = call->hub;
+    Attempt *attempt = &call->attempts[call->attempts[0].id.counter != 0];
     bool sent;
 
-    call->attempt = place->attempt;
-    call->node = place->node;
-    call->incarnation = place->incarnation;
-    call->attempt_at = now;
-    call->pieces = (Pcs){0};
-    Hsh_Add(&hub->by_attempt, &call->link, AttemptId_Hash(call->attempt));
-    Rty_OnAttempt(&call->retry, call->node);
+    *attempt = (Attempt){
+        .call = call,
+        .id = place->attempt,
+        .node = place->node,
+        .incarnation = place->incarnation,
+        .at = now,
+        .crosses = place->crosses,
+    };
+    Hsh_Add(&hub->by_attempt, &attempt->link, AttemptId_Hash(attempt->id));
+    Rty_OnAttempt(&call->retry, attempt->node);
     Cnt_Add(hub->counters, Cnt_ATTEMPTS, 1);
-    Plc_OnStart(&call->service->placement, call->node, now);
-    sent = send_attempt(call, place, now);
-    Net_Hold(hub->net, call->node);
+    Plc_OnStart(&call->service->placement, attempt->node, now);
+    sent = send_attempt(attempt, now);
+    Net_Hold(hub->net, attempt->node);
     if (!sent) {
-        Call_Decide(call, Rty_NOT_RUN, now);
+        Call_Decide(attempt, Rty_NOT_RUN, now);
     }
 }
 
@@ -100,12 +153,12 @@
     }
     switch (verdict) {
     case Plc_CHOSEN:
-        call->crosses =
-            row->place.region != call->hub->services->placement.region;
         *place = (KeyPlace){
             .attempt = {call->hub->incarnation, ++call->hub->counter},
             .node = row->place.node,
             .incarnation = row->place.incarnation,
+            .crosses =
+                row->place.region != call->hub->services->placement.region,
         };
         return true;
     case Plc_SHED:
@@ -132,30 +185,34 @@
 }
 
 void
-Call_SendId(Call *call, WireKind kind, Instant now)
+Call_Hedge(Call *call, Instant now)
 {
-    Pack pack;
+    const Attempt *first = Call_Flying(call);
+    KeyPlace place;
 
-    Callmsg_PackId(&pack, kind, call->attempt);
-    Net_Send(call->hub->net, call->node, Pack_View(&pack), now);
-    Pack_Finish(&pack);
+    if (first && call->retry.attempts < call->retry.attempts_max &&
+        Call_ChoosePlace(call, &place, now) && place.node != first->node) {
+        Cnt_Add(call->hub->counters, Cnt_HEDGES, 1);
+        Call_StartAttempt(call, &place, now);
+    }
 }
 
 void
-Call_SendFence(Call *call, Instant now)
+Call_SendFence(Attempt *attempt, Instant now)
 {
+    const Call *call = attempt->call;
     FenceMsg msg = {
-        .id = call->attempt,
-        .incarnation = call->incarnation,
+        .id = attempt->id,
+        .incarnation = attempt->incarnation,
         .keyed = call->keyed != NULL,
         .stop = call->late,
     };
     Pack pack;
 
     Cnt_Add(call->hub->counters, Cnt_FENCES, 1);
-    call->fencing = true;
+    attempt->fencing = true;
     Callmsg_PackFence(&pack, &msg);
-    Net_Send(call->hub->net, call->node, Pack_View(&pack), now);
+    Net_Send(call->hub->net, attempt->node, Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
 
@@ -191,9 +248,12 @@
 Call_GiveUpUnknown(Call *call, Instant now)
 {
     CallWhy why = now >= call->deadline ? Call_WHY_LATE : Call_WHY_NONE;
-    bool cut = call->pieces.next > 0;
+    bool cut = false;
 
-    Call_EndAttempt(call, Plc_SILENT, now);
+    for (Attempt *attempt; (attempt = Call_Flying(call));) {
+        cut |= attempt->pieces.next > 0;
+        Call_EndAttempt(attempt, Plc_SILENT, now);
+    }
     if (call->keyed) {
         Key_Cancel(call->keyed, now);
         call->keyed = NULL;
@@ -201,22 +261,43 @@
     Call_End(call, cut ? Call_CUT : Call_UNKNOWN, why);
 }
 
-/* An attempt ended without a good answer: what follows. */
 void
-Call_Decide(Call *call, RtyOutcome outcome, Instant now)
+Call_GiveUpLate(Call *call, Instant now)
 {
+    Attempt *first = Call_Flying(call);
+    Attempt *hedge = Call_Other(first);
+
+    send_cancel(first, now);
+    if (hedge) {
+        send_cancel(hedge, now);
+    }
+    Call_GiveUpUnknown(call, now);
+}
+
+/* ATTEMPT ended without a good answer: what follows. */
+void
+Call_Decide(Attempt *attempt, RtyOutcome outcome, Instant now)
+{
+    Call *call = attempt->call;
+    PlcEnd end = outcome == Rty_NOT_RUN ? Plc_REFUSED : Plc_SILENT;
+
+    if (Call_Other(attempt)) {
+        /* It may still answer. */
+        call->doubt |= outcome == Rty_UNKNOWN;
+        Call_EndAttempt(attempt, end, now);
+        return;
+    }
     switch (Rty_Decide(&call->retry, &call->service->retries, outcome, now)) {
     case Rty_AGAIN:
         call->doubt |= outcome == Rty_UNKNOWN;
-        Call_EndAttempt(
-            call, outcome == Rty_NOT_RUN ? Plc_REFUSED : Plc_SILENT, now);
+        Call_EndAttempt(attempt, end, now);
         try_again(call, now);
         break;
     case Rty_FENCE:
-        Call_SendFence(call, now);
+        Call_SendFence(attempt, now);
         break;
     case Rty_GIVE_NOT_RUN:
-        Call_EndAttempt(call, Plc_REFUSED, now);
+        Call_EndAttempt(attempt, Plc_REFUSED, now);
         Call_GiveUpNotRun(
             call, now >= call->deadline ? Call_WHY_LATE : Call_WHY_FULL, now);
         break;
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -5,13 +5,29 @@
 #define CALLSTATE_H
 
 #include "request/call.h"
+#include "request/hedge.h"
 #include "request/pieces.h"
 
 /* After the deadline, for what settles a call that may have run. */
 #define SETTLE_GRACE Span_MS(100)
 
+/* One try to run a call at one backend server. */
+typedef struct {
+    HshLink link; /* first: found by id while it is in flight */
+    Call *call;
+    AttemptId id; /* counter 0: not in flight */
+    Addr node;
+    uint64_t incarnation; /* of node */
+    Instant at;
+    bool crosses; /* it is at the other region */
+    bool fencing;
+    Pcs pieces;
+} Attempt;
+
+/* A second one, the hedge, may be in flight until one begins to answer. */
+enum { Call_ATTEMPTS = 2 };
+
 struct Call {
-    HshLink link; /* first: found by attempt while one is in flight */
     CallHub *hub;
     Call *next;
     Call *previous;
@@ -22,14 +38,9 @@
     Service *service;
     Rty retry;
     Instant deadline;
-    bool failed;       /* answered by an error of the backend server's own */
-    bool crosses;      /* the attempt is at the other region */
-    AttemptId attempt; /* the one in flight; counter 0: none */
-    Addr node;
-    uint64_t incarnation; /* of node */
-    Instant attempt_at;
-    Pcs pieces;
-    bool fencing;
+    Attempt attempts[Call_ATTEMPTS];
+    Hdg hedge;
+    bool failed;     /* answered by an error of the backend server's own */
     bool late;       /* its deadline passed, its attempt is being settled */
     Keyed *keyed;    /* NULL: no key */
     KeyPlace place;  /* of the next attempt, while its claim is decided */
@@ -49,23 +60,36 @@
  * afterwards. */
 void Call_MakeAttempt(Call *call, Instant now);
 
-/* BYTES of the call crossed to the other region, or came from there. */
-void Call_CountCrossing(Call *call, size_t bytes, Instant now);
+/* Send a second attempt elsewhere, when there is somewhere. */
+void Call_Hedge(Call *call, Instant now);
+
+/* The one that answers, else any in flight; NULL when there is none. */
+Attempt *Call_Flying(Call *call);
+
+/* The other one, when it is in flight, too; else NULL. */
+Attempt *Call_Other(Attempt *attempt);
+
+/* BYTES crossed to the other region, or came from there. */
+void Call_CountCrossing(const Attempt *attempt, size_t bytes, Instant now);
+
+/* ATTEMPT, if it is in flight, ended as END. */
+void Call_EndAttempt(Attempt *attempt, PlcEnd end, Instant now);
 
-/* The attempt in flight, if any, ended as END. */
-void Call_EndAttempt(Call *call, PlcEnd end, Instant now);
+/* The same; its node cancels it, too. */
+void Call_CancelAttempt(Attempt *attempt, PlcEnd end, Instant now);
+void Call_CancelAttempts(Call *call, Instant now);
 
-/* An attempt ended without a good answer: carry out what follows.  CALL may
+/* ATTEMPT ended without a good answer: carry out what follows.  Its call may
  * be gone afterwards. */
-void Call_Decide(Call *call, RtyOutcome outcome, Instant now);
+void Call_Decide(Attempt *attempt, RtyOutcome outcome, Instant now);
 
 /* End the call: its attempt may have run, or did not.  CALL is gone. */
 void Call_GiveUpUnknown(Call *call, Instant now);
+void Call_GiveUpLate(Call *call, Instant now);
 void Call_GiveUpNotRun(Call *call, CallWhy why, Instant now);
 
-/* Tell the attempt's node to cancel it, or ask what became of it. */
-void Call_SendId(Call *call, WireKind kind, Instant now);
-void Call_SendFence(Call *call, Instant now);
+/* Ask the attempt's node what became of it. */
+void Call_SendFence(Attempt *attempt, Instant now);
 
 /* Take what nodes say of attempts. */
 void Call_Listen(CallHub *hub);
--- a/src/request/keyed.h
+++ b/src/request/keyed.h
@@ -16,6 +16,7 @@
     AttemptId attempt;
     Addr node;
     uint64_t incarnation;
+    bool crosses; /* the node is in the other region */
 } KeyPlace;
 
 typedef struct {
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -69,6 +69,9 @@
         read_u32(&o, Str_LIT("domain_price_us"), RATE_MAX, 2000);
     limits->retry_permille =
         read_u32(&o, Str_LIT("retry_permille"), PERMILLE, 100);
+    limits->hedge_permille =
+        read_u32(&o, Str_LIT("hedge_permille"), PERMILLE, 0);
+    limits->hedge_after = read_ms(&o, Str_LIT("hedge_after_ms"), 0, 0);
     limits->attempts_max =
         (uint32_t)Jsn_GetInt(&o, Str_LIT("attempts_max"), 1, 8, 3);
     limits->queue_max = read_u32(&o, Str_LIT("queue_max"), QUEUE_MAX, 32);
--- /dev/null
+++ b/tests/integration/test_hedges.c
@@ -0,0 +1,223 @@
+/* Reads while one backend server is frozen or slow: a second attempt answers
+ * them, within its budget; nothing that may not run twice is hedged.
+ */
+#include <signal.h>
+#include <stdio.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+static Str build;
+
+enum {
+    VMS = 4,
+    BACKENDS = 2,
+    INGRESS = 0,
+    BAD = 1, /* frozen or slow */
+    SERVICE_MS = 20,
+    HEDGE_AFTER_MS = 80,
+    TICK_MS = 10,  /* of a node */
+    SLACK_MS = 20, /* of the caller's own way to its node and back */
+    BLOCK = 4096,  /* the letters of a body start again */
+    BURST = 10     /* hedges of one service and node without any call */
+};
+
+typedef enum { ONE_FROZEN, ONE_SLOW, ONE_LATE, BOTH_SLOW } Trouble;
+
+typedef enum {
+    IN_TIME, /* every answer */
+    WHOLE,   /* every answer, though two attempts begin to answer */
+    LIMITED, /* the budget has less hedges than are wanted */
+    NEVER    /* a hedge */
+} Expected;
+
+typedef struct {
+    const char *name;
+    Trouble trouble;
+    Expected expected;
+    int permille; /* budget of hedges */
+    int calls;
+    Str method;
+    Str path;
+    Str headers;
+    size_t size; /* of the answer; 0: any */
+} HedgeCase;
+
+#define GET Str_LIT("GET")
+#define READ Str_LIT("/visor/x")
+#define NONE Str_LIT("")
+
+static const HedgeCase cases[] = {
+    {"frozen", ONE_FROZEN, IN_TIME, 1000, 8, GET, READ, NONE, 0},
+    {"slow", ONE_SLOW, IN_TIME, 1000, 20, GET, READ, NONE, 0},
+    {"slow, large answers", ONE_SLOW, WHOLE, 1000, 20, GET, READ,
+     Str_LIT("X-Fake-Size: 300000"), 300000},
+    {"both answer", ONE_LATE, WHOLE, 1000, 12, GET, READ,
+     Str_LIT("X-Fake-Size: 30000000"), 30000000},
+    {"budget", BOTH_SLOW, LIMITED, 10, 30, GET, READ, NONE, 0},
+    {"no budget", ONE_SLOW, NEVER, 0, 10, GET, READ, NONE, 0},
+    {"below the root", ONE_SLOW, NEVER, 1000, 10, GET, READ,
+     Str_LIT("X-Lycheeridge-Depth: 1"), 0},
+    {"not idempotent", ONE_SLOW, NEVER, 1000, 10, Str_LIT("POST"),
+     Str_LIT("/notes/x"), NONE, 0},
+};
+
+enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
+
+static void
+start_fleet(Fleet *fleet, const HedgeCase *c)
+{
+    StrBuf json = {0};
+
+    StrBuf_AppendFmt(
+        &json,
+        "{\"name\":\"ordinary\",\"limits\":{\"hedge_permille\":%d,"
+        "\"hedge_after_ms\":%d},\"routes\":["
+        "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+        "\"interactive\":true,\"idempotent\":true},"
+        "{\"service\":\"visor\",\"route\":\"note\",\"path\":\"/notes/\"}]}",
+        c->permille, HEDGE_AFTER_MS);
+    Fleet_Init(fleet, build, 69, VMS, 3);
+    Fleet_SetPreset(fleet, StrBuf_View(&json));
+    StrBuf_Finish(&json);
+    for (int vm = 0; vm < VMS; vm++) {
+        Fleet_StartNode(fleet, vm);
+    }
+    for (int vm = 0; vm < BACKENDS; vm++) {
+        Fleet_StartBackend(fleet, vm, Str_LIT("visor"),
+                           Str_LIT("--service-us 20000"));
+    }
+    ck_assert(Fleet_WaitFor(fleet, INGRESS, READ, Span_S(10)));
+    Fleet_Sleep(Span_MS(700));
+}
+
+static void
+strike(Fleet *fleet, Trouble trouble)
+{
+    switch (trouble) {
+    case ONE_FROZEN:
+        kill(fleet->vms[BAD].backend, SIGSTOP);
+        break;
+    case ONE_LATE:
+        ck_assert(Fleet_Knob(fleet, BAD, Str_LIT("slow=6")));
+        break;
+    case BOTH_SLOW:
+        ck_assert(Fleet_Knob(fleet, 0, Str_LIT("slow=10")));
+        ck_assert(Fleet_Knob(fleet, BAD, Str_LIT("slow=10")));
+        break;
+    default:
+        ck_assert(Fleet_Knob(fleet, BAD, Str_LIT("slow=30")));
+        break;
+    }
+}
+
+static bool
+is_in_time(const FleetAnswer *answer)
+{
+    return answer->took <=
+           Span_MS(HEDGE_AFTER_MS + SERVICE_MS + TICK_MS + SLACK_MS);
+}
+
+/* The fake backend server's body of SIZE, with nothing in between. */
+static bool
+is_body(const StrBuf *body, size_t size)
+{
+    for (size_t i = 0; i < body->len; i++) {
+        if (body->ptr[i] != (char)('a' + i % BLOCK % 26)) {
+            return false;
+        }
+    }
+    return body->len == size;
+}
+
+/* Call NUMBER, with a key that only counts its effects. */
+static bool
+call_once(Fleet *fleet, const HedgeCase *c, int number, Span *longest)
+{
+    StrBuf key = {0};
+    FleetRequest request = {
+        .method = c->method, .path = c->path, .headers = c->headers};
+    FleetAnswer answer;
+    bool in_time;
+
+    StrBuf_AppendFmt(&key, "call-%d", number);
+    request.key = StrBuf_View(&key);
+    Fleet_Send(fleet, INGRESS, &request, &answer);
+    ck_assert_int_eq(answer.status, 200);
+    ck_assert(answer.whole);
+    ck_assert(c->size == 0 || is_body(&answer.body, c->size));
+    in_time = is_in_time(&answer);
+    *longest = answer.took > *longest ? answer.took : *longest;
+    Fleet_FinishAnswer(&answer);
+    StrBuf_Finish(&key);
+    return in_time;
+}
+
+/* Without a hedge every call ran once. */
+static void
+check_effects(Fleet *fleet, const HedgeCase *c)
+{
+    StrBuf key = {0};
+
+    Fleet_Sleep(Span_MS(700)); /* what still runs shows its effect */
+    for (int i = 0; i < c->calls; i++) {
+        StrBuf_Clear(&key);
+        StrBuf_AppendFmt(&key, "call-%d", i);
+        ck_assert_int_eq(Fleet_CountEffects(fleet, StrBuf_View(&key)), 1);
+    }
+    StrBuf_Finish(&key);
+}
+
+static void
+check_hedges(Fleet *fleet, const HedgeCase *c, int hedges, int late)
+{
+    if (c->expected == NEVER) {
+        ck_assert_int_eq(hedges, 0);
+        ck_assert_int_ge(late, 1);
+        check_effects(fleet, c);
+        return;
+    }
+    ck_assert_int_ge(hedges, 1);
+    if (c->expected == LIMITED) {
+        ck_assert_int_lt(hedges, c->calls);
+        ck_assert_int_le(hedges, BURST + c->calls * c->permille / 1000 + 1);
+    }
+    else if (c->expected == IN_TIME) {
+        ck_assert_int_eq(late, 0);
+        /* What hedges overtake does not stay the first choice. */
+        ck_assert_int_lt(hedges, c->calls);
+    }
+}
+
+START_TEST(answers_from_another)
+{
+    const HedgeCase *c = &cases[_i];
+    Fleet fleet;
+    int late = 0;
+    Span longest = 0;
+    int hedges;
+
+    start_fleet(&fleet, c);
+    strike(&fleet, c->trouble);
+    for (int i = 0; i < c->calls; i++) {
+        late += !call_once(&fleet, c, i, &longest);
+    }
+    hedges = (int)Fleet_Counter(&fleet, INGRESS,
+                                Str_LIT("lycheeridge_hedges_total"));
+    printf("%s: %d calls, %d hedges, %d not in time, longest %d ms\n", c->name,
+           c->calls, hedges, late, (int)(longest / 1000));
+    fflush(stdout);
+    check_hedges(&fleet, c, hedges, late);
+    kill(fleet.vms[BAD].backend, SIGCONT);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{answers_from_another, CASE_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("hedges", tests, 1, 40);
+}
