--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -82,7 +82,7 @@
         .interactive = call->route->interactive,
         .idempotent = call->route->idempotent,
         .keyed = call->keyed != NULL,
-        .crosses = call->crosses,
+        .crosses = attempt->crosses,
         .left = call->deadline - now,
         .fingerprint = call->digest,
         .request_id = call->request.request_id,
