--- a/tests/integration/test_operators.c
+++ b/tests/integration/test_operators.c
@@ -350,7 +350,7 @@
 {
     const ConnCase *c = &conn_cases[_i];
     Fleet fleet;
-    int fds[ROW_OPEN_MAX];
+    int fds[ROW_OPEN_MAX] = {0};
     StrBuf answer = {0};
     int fd;
 
