Run an idempotent call elsewhere when its backend server answers an error

The retry decider had the rule; calls did not ask it. Ruled out: faster ejection, which each node still learns by failing calls.

--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -1,5 +1,8 @@
 #include "request/callstate.h"
 
+/* From here on a status tells of an error of the backend server's own. */
+enum { FAILED_STATUS = 500 };
+
 static Attempt *
 find_attempt(const CallHub *hub, AttemptId id)
 {
@@ -35,7 +38,7 @@
 pass_on(Call *call, const PieceMsg *msg)
 {
     if (msg->sequence == 0) {
-        call->failed = msg->status >= 500;
+        call->failed = msg->status >= FAILED_STATUS;
         call->sink.head(call->sink.context, msg->status, &msg->fields);
     }
     if (msg->bytes.len) {
@@ -77,7 +80,11 @@
     PcsVerdict verdict =
         Pcs_OnPiece(&attempt->pieces, msg->sequence, msg->last);
 
-    if (attempt->pieces.next == 1) {
+    if (msg->sequence == 0 && verdict != Pcs_IGNORE) {
+        if (msg->status >= FAILED_STATUS &&
+            Call_FailOver(attempt, msg->last, now)) {
+            return;
+        }
         on_first_piece(attempt, now);
     }
     switch (verdict) {
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -217,13 +217,55 @@
     Pack_Finish(&pack);
 }
 
-/* The attempt did not run, and another may follow. */
 static void
-try_again(Call *call, Instant now)
+count_retry(const Call *call)
 {
     Cnt_Add(call->hub->counters, Cnt_RETRIES, 1);
     Tml_Record(call->hub->timeline, Tml_RETRY, "request=%.*s attempts=%u",
                Str_ARG(call->request.request_id), call->retry.attempts);
+}
+
+static void
+end_failed(Attempt *attempt, bool whole, Instant now)
+{
+    attempt->call->doubt = true; /* it ran: never "not run" from here on */
+    if (whole) {
+        Call_EndAttempt(attempt, Plc_FAILED, now);
+    }
+    else {
+        Call_CancelAttempt(attempt, Plc_FAILED, now);
+    }
+}
+
+bool
+Call_FailOver(Attempt *attempt, bool whole, Instant now)
+{
+    Call *call = attempt->call;
+    KeyPlace place;
+
+    if (!call->route->idempotent || call->keyed) {
+        return false;
+    }
+    if (Call_Other(attempt)) {
+        end_failed(attempt, whole, now);
+        return true;
+    }
+    if (!Call_ChoosePlace(call, &place, now) || place.node == attempt->node ||
+        Rty_Decide(&call->retry, &call->service->retries, Rty_FAILED, now) !=
+            Rty_AGAIN) {
+        return false;
+    }
+    count_retry(call);
+    end_failed(attempt, whole, now);
+    Call_StartAttempt(call, &place, now);
+    return true;
+}
+
+/* The attempt did not run, and another may follow. */
+static void
+try_again(Call *call, Instant now)
+{
+    count_retry(call);
     if (call->keyed) {
         Key_OnRefused(call->keyed, true, now);
     }
--- /dev/null
+++ b/tests/integration/test_fail_over.c
@@ -0,0 +1,122 @@
+/* A backend server that answers with an error of its own: an idempotent call
+ * is run elsewhere, within the budget of retries; any other is not.
+ */
+#include <stdio.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+static Str build;
+
+enum { VMS = 3, CALLS = 20, SERVERS = 2 };
+
+typedef struct {
+    const char *name;
+    Str method;
+    Str key;
+    bool fails[SERVERS]; /* beside VM 1 and VM 2 */
+    int permille;        /* of retries */
+    bool errors;         /* callers see some */
+    bool answers;        /* and some good answers */
+} FailCase;
+
+static const FailCase cases[] = {
+    {"read", Str_LIT("GET"), {0}, {true, false}, 1000, false, true},
+    {"read, both fail", Str_LIT("GET"), {0}, {true, true}, 1000, true, false},
+    {"read, no budget", Str_LIT("GET"), {0}, {true, false}, 0, true, true},
+    {"booking", Str_LIT("POST"), {0}, {true, false}, 1000, true, true},
+    {"keyed booking",
+     Str_LIT("POST"),
+     Str_LIT("k"),
+     {true, false},
+     1000,
+     true,
+     true},
+};
+
+enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
+
+static void
+start_fleet(Fleet *fleet, const FailCase *c)
+{
+    StrBuf preset = {0};
+
+    Fleet_Init(fleet, build, 70, VMS, VMS);
+    StrBuf_AppendFmt(
+        &preset,
+        "{\"name\":\"ordinary\",\"limits\":{\"retry_permille\":%d},"
+        "\"routes\":[{\"service\":\"visor\",\"route\":\"read\","
+        "\"method\":\"GET\",\"path\":\"/visor/\",\"idempotent\":true},"
+        "{\"service\":\"visor\",\"route\":\"book\",\"path\":\"/visor/\","
+        "\"key_header\":\"Idempotency-Key\"}]}",
+        c->permille);
+    Fleet_SetPreset(fleet, StrBuf_View(&preset));
+    StrBuf_Finish(&preset);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    for (int i = 0; i < SERVERS; i++) {
+        Fleet_StartBackend(fleet, i + 1, Str_LIT("visor"), (Str){0});
+    }
+    ck_assert(Fleet_WaitFor(fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+    Fleet_Sleep(Span_S(1));
+    for (int i = 0; i < SERVERS; i++) {
+        ck_assert(
+            Fleet_Knob(fleet, i + 1,
+                       c->fails[i] ? Str_LIT("fail=1") : Str_LIT("fail=0")));
+    }
+}
+
+/* Each call has a key of its own, if any. */
+static long
+call(Fleet *fleet, const FailCase *c, int number)
+{
+    StrBuf key = {0};
+    FleetAnswer answer = {0};
+    long status;
+
+    if (c->key.len) {
+        StrBuf_AppendFmt(&key, "%.*s%d", Str_ARG(c->key), number);
+    }
+    Fleet_Call(fleet, 0, c->method, Str_LIT("/visor/a"), StrBuf_View(&key),
+               Str_LIT(""), &answer);
+    status = answer.status;
+    /* It ran, whatever came of it. */
+    ck_assert(Str_Equal(StrBuf_View(&answer.outcome), Str_LIT("ran")));
+    Fleet_FinishAnswer(&answer);
+    StrBuf_Finish(&key);
+    return status;
+}
+
+START_TEST(runs_elsewhere_what_may_run_again)
+{
+    const FailCase *c = &cases[_i];
+    Fleet fleet;
+    int errors = 0;
+    int answers = 0;
+
+    start_fleet(&fleet, c);
+    for (int i = 0; i < CALLS; i++) {
+        long status = call(&fleet, c, i);
+        errors += status == 500;
+        answers += status == 200;
+    }
+    printf("%s: %d calls, %d errors, %d answers\n", c->name, CALLS, errors,
+           answers);
+    fflush(stdout);
+    ck_assert_int_eq(errors + answers, CALLS);
+    ck_assert_int_eq(errors > 0, c->errors);
+    ck_assert_int_eq(answers > 0, c->answers);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {
+        {runs_elsewhere_what_may_run_again, CASE_COUNT}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("fail over", tests, 1, 60);
+}
