Tell how long the 300 changes of a test took

It ran into its limit of 60 s in two runs at a load of 8; alone the whole row takes 3 s. The cause is not known: the figure shall tell a stall from slow disks.

--- a/tests/integration/test_changes.c
+++ b/tests/integration/test_changes.c
@@ -2,6 +2,7 @@
  * killed, a node away for long.  Versions never go back. */
 #include <signal.h>
 #include <stdio.h>
+#include <time.h>
 
 #include "operators.h"
 #include "support/suite.h"
@@ -182,7 +183,10 @@
 make_changes(Fleet *fleet, int count)
 {
     CfgVersion base = Ops_Newest(fleet, 0);
+    struct timespec before;
+    struct timespec after;
 
+    clock_gettime(CLOCK_MONOTONIC, &before);
     for (int i = 0; i < count; i++) {
         char id[32];
         OpsChange change = {0, id, "put", "ordinary", base, false};
@@ -193,6 +197,9 @@
         base = Ops_Version(answer.body);
         Ops_Finish(&answer);
     }
+    clock_gettime(CLOCK_MONOTONIC, &after);
+    printf("%d changes in %ld s\n", count, after.tv_sec - before.tv_sec);
+    fflush(stdout);
 }
 
 static const int absentees[] = {2, 4}; /* a control replica; a plain node */
