--- a/src/process/net.c
+++ b/src/process/net.c
@@ -40,13 +40,10 @@
 }
 
 /* Counter of the processor time that handling KIND takes, Cnt_COUNT when it
- * is a call's or its handler counts for itself. */
+ * is a call's. */
 static CntId
 cpu_counter(WireKind kind)
 {
-    if (kind == Wire_RECORD || kind == Wire_TABLE || kind == Wire_EXCHANGE) {
-        return Cnt_COUNT;
-    }
     if (kind == Wire_PING || kind == Wire_PONG) {
         return Cnt_MEASURE_CPU_US;
     }
