--- a/tests/integration/test_fail_over.c
+++ b/tests/integration/test_fail_over.c
@@ -14,22 +14,22 @@
     const char *name;
     Str method;
     Str key;
-    bool fails[SERVERS]; /* beside VM 1 and VM 2 */
     int permille;        /* of retries */
+    bool fails[SERVERS]; /* beside VM 1 and VM 2 */
     bool errors;         /* callers see some */
     bool answers;        /* and some good answers */
 } FailCase;
 
 static const FailCase cases[] = {
-    {"read", Str_LIT("GET"), {0}, {true, false}, 1000, false, true},
-    {"read, both fail", Str_LIT("GET"), {0}, {true, true}, 1000, true, false},
-    {"read, no budget", Str_LIT("GET"), {0}, {true, false}, 0, true, true},
-    {"booking", Str_LIT("POST"), {0}, {true, false}, 1000, true, true},
+    {"read", Str_LIT("GET"), {0}, 1000, {true, false}, false, true},
+    {"read, both fail", Str_LIT("GET"), {0}, 1000, {true, true}, true, false},
+    {"read, no budget", Str_LIT("GET"), {0}, 0, {true, false}, true, true},
+    {"booking", Str_LIT("POST"), {0}, 1000, {true, false}, true, true},
     {"keyed booking",
      Str_LIT("POST"),
      Str_LIT("k"),
-     {true, false},
      1000,
+     {true, false},
      true,
      true},
 };
