Let a stream of operators keep its descriptor while it is referred to

Cause: the front for operators kept a reference to each connection's stream, but evhttp closed the descriptor. Its number went to the next socket, often one of ZeroMQ's, whose events libevent then mixed up with the dead stream's: the node saw its messages only when something else woke it. Seen as 300 changes that took 43 s to over 60 s (test_changes, a time limit) and versions in force after 1.1 s in place of 0.1 s. Ruled out: the disk (100 synced writes in 9 ms), the machine's load (0.3), addresses shared with another fleet.

Now the stream closes its descriptor itself, with the last reference. Twelve changes: 0 s in six of six; test_operators 13 of 13; no close of a closed descriptor in a trace of test_whole_path.

--- a/src/process/opconns.c
+++ b/src/process/opconns.c
@@ -61,7 +61,10 @@
 on_connection(struct event_base *base, void *context)
 {
     OpConns *conns = context;
-    struct bufferevent *stream = bufferevent_socket_new(base, -1, 0);
+    /* Its descriptor lives as long as the reference here: closed by evhttp,
+     * its number would be another's while the stream still stands for it. */
+    struct bufferevent *stream =
+        bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 
     drop_closed(conns);
     if (conns->count == 2 * conns->max) {
