--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -199,6 +199,21 @@
     return status;
 }
 
+void
+Fleet_LoseFolder(Fleet *fleet, int vm)
+{
+    StrBuf command = {0};
+
+    Fleet_Kill(&fleet->vms[vm].node, SIGKILL);
+    StrBuf_AppendFmt(&command, "rm -rf %.*s/data%d", Str_ARG(fleet->folder),
+                     vm);
+    if (system(StrBuf_CStr(&command)) != 0) {
+        perror("fleet");
+        exit(1);
+    }
+    StrBuf_Finish(&command);
+}
+
 void
 Fleet_Finish(Fleet *fleet)
 {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -143,6 +143,9 @@
 /* Kill with NUMBER and wait for the end; returns the exit status. */
 int Fleet_Kill(pid_t *process, int number);
 
+/* Kill VM's node, and lose its data folder. */
+void Fleet_LoseFolder(Fleet *fleet, int vm);
+
 /* One call through VM's node; KEY may be empty. */
 void Fleet_Call(Fleet *fleet, int vm, Str method, Str path, Str key, Str body,
                 FleetAnswer *answer);
--- a/tests/integration/test_replicas.c
+++ b/tests/integration/test_replicas.c
@@ -74,18 +74,6 @@
     StrBuf_AppendFmt(path, "%.*s/data%d/%s", Str_ARG(fleet->folder), vm, name);
 }
 
-static void
-lose_folder(Fleet *fleet, int vm)
-{
-    StrBuf command = {0};
-
-    Fleet_Kill(&fleet->vms[vm].node, SIGKILL);
-    StrBuf_AppendFmt(&command, "rm -rf %.*s/data%d", Str_ARG(fleet->folder),
-                     vm);
-    ck_assert_int_eq(system(StrBuf_CStr(&command)), 0);
-    StrBuf_Finish(&command);
-}
-
 /* Until three vote, of which WANTED were there from the beginning. */
 static bool
 wait_for_voters(Fleet *fleet, int wanted)
@@ -128,10 +116,10 @@
         snprintf(names[i], sizeof names[i], "p%d", i);
         newest = put(&fleet, 3, names[i]);
     }
-    lose_folder(&fleet, first);
+    Fleet_LoseFolder(&fleet, first);
     Fleet_StartNode(&fleet, first);
     ck_assert(wait_for_voters(&fleet, 2));
-    lose_folder(&fleet, second);
+    Fleet_LoseFolder(&fleet, second);
     Ops_Observe(&fleet, &watch);
     for (int i = CHANGES / 2; i < CHANGES; i++) {
         snprintf(names[i], sizeof names[i], "p%d", i);
@@ -157,8 +145,8 @@
 
     start_fleet(&fleet, &watch, 27, false);
     put(&fleet, 3, "p");
-    lose_folder(&fleet, 0);
-    lose_folder(&fleet, 1);
+    Fleet_LoseFolder(&fleet, 0);
+    Fleet_LoseFolder(&fleet, 1);
     Fleet_StartNode(&fleet, 0);
     Fleet_StartNode(&fleet, 1);
     Fleet_Sleep(Span_S(4));
@@ -356,7 +344,7 @@
                      0);
     ck_assert_int_eq(runs_role(&fleet, hurt), c->voter);
     if (!c->voter) { /* the way back: an empty folder */
-        lose_folder(&fleet, hurt);
+        Fleet_LoseFolder(&fleet, hurt);
         Fleet_StartNode(&fleet, hurt);
         ck_assert(wait_for_voters(&fleet, 2));
     }
--- a/tests/integration/test_two_failures.c
+++ b/tests/integration/test_two_failures.c
@@ -157,15 +157,9 @@
 }
 
 static void
-lose_folder(Fleet *fleet, int vm)
+restart_empty(Fleet *fleet, int vm)
 {
-    StrBuf command = {0};
-
-    Fleet_Kill(&fleet->vms[vm].node, SIGKILL);
-    StrBuf_AppendFmt(&command, "rm -rf %.*s/data%d", Str_ARG(fleet->folder),
-                     vm);
-    ck_assert_int_eq(system(StrBuf_CStr(&command)), 0);
-    StrBuf_Finish(&command);
+    Fleet_LoseFolder(fleet, vm);
     Fleet_StartNode(fleet, vm);
 }
 
@@ -251,7 +245,7 @@
         stop_as_planned(fleet, vm);
         break;
     case LOSE:
-        lose_folder(fleet, vm);
+        restart_empty(fleet, vm);
         break;
     case STOP:
         kill(fleet->vms[vm].node, SIGSTOP);
