Tell a node's version in force to control replicas only

Cause: the configuration version in force was part of a member's row, and every change of a row goes to every node: one change of configuration told 680 rows to 680 nodes.

Now a change of version alone is told to replicas. Ruled out: rows to nodes later, which costs the same bytes.

Tables over the decider, seen failing with table rows picked by every change (3), the short answer by every change (2), versions told to nodes (4) or to nobody (3), and without completing the leader's rows (3). Not seen failing: that a plain node answers from the leader's rows.

--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -4,8 +4,10 @@
     CHANGED_FIELDS = 15,
     VERSION_ASK_FIELDS = 4,
     VERSION_FIELDS = 5,
-    PRESETS_FIELDS = 8,
-    ITEM_FIELDS = 3
+    PRESETS_ASK_FIELDS = 3,
+    PRESETS_FIELDS = 9,
+    ITEM_FIELDS = 3,
+    NODE_FIELDS = 5
 };
 
 static void
@@ -136,9 +138,10 @@
 void
 Configmsg_PackPresetsAsk(Pack *pack, const PresetsAskMsg *msg)
 {
-    Wire_Begin(pack, Wire_PRESETS_ASK, 2);
+    Wire_Begin(pack, Wire_PRESETS_ASK, PRESETS_ASK_FIELDS);
     Pack_U64(pack, msg->ask);
     Pack_Str(pack, msg->name);
+    Pack_Bool(pack, msg->versions);
 }
 
 bool
@@ -146,9 +149,24 @@
 {
     msg->ask = Unpack_U64(in);
     msg->name = take_bounded(in, Cfg_NAME_MAX);
+    msg->versions = Unpack_Bool(in);
     return Unpack_Ok(in, err);
 }
 
+static void
+put_nodes(Pack *pack, const Nvs *nodes)
+{
+    Pack_Array(pack, nodes->count);
+    for (uint32_t i = 0; i < nodes->count; i++) {
+        const NvsRow *row = &nodes->rows[i];
+        Pack_Array(pack, NODE_FIELDS);
+        Pack_U64(pack, row->node);
+        Pack_U64(pack, row->domain);
+        put_version(pack, row->version);
+        Pack_Bool(pack, row->here);
+    }
+}
+
 void
 Configmsg_PackPresets(Pack *pack, const PresetsMsg *msg)
 {
@@ -165,6 +183,7 @@
         Pack_Str(pack, msg->items[i].name);
         put_version(pack, msg->items[i].changed);
     }
+    put_nodes(pack, &msg->nodes);
 }
 
 static bool
@@ -178,6 +197,35 @@
     return Unpack_Ok(&in, NULL);
 }
 
+static bool
+take_node(Unpack *list, NvsRow *row)
+{
+    Unpack in;
+
+    Unpack_Array(list, NODE_FIELDS, &in);
+    row->node = Unpack_U64(&in);
+    row->domain = (uint16_t)Unpack_Bounded(&in, UINT16_MAX);
+    row->version = take_version(&in);
+    row->here = Unpack_Bool(&in);
+    return Unpack_Ok(&in, NULL);
+}
+
+static void
+take_nodes(Unpack *in, Nvs *nodes)
+{
+    Unpack list;
+    uint32_t count = Unpack_Array(in, Mbr_ROWS_MAX, &list);
+
+    Nvs_Resize(nodes, count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (!take_node(&list, &nodes->rows[i])) {
+            nodes->count = i;
+            Unpack_Fail(in);
+            break;
+        }
+    }
+}
+
 bool
 Configmsg_ReadPresets(Unpack *in, PresetsMsg *msg, Err *err)
 {
@@ -190,6 +238,7 @@
     msg->version = take_version(in);
     msg->in_force = take_bounded(in, Cfg_NAME_MAX);
     msg->json = take_bounded(in, Cfg_JSON_MAX);
+    msg->nodes = (Nvs){0};
     count = Unpack_Array(in, Cfg_PRESETS_MAX, &list);
     msg->count = count;
     for (uint32_t i = 0; i < count; i++) {
@@ -198,5 +247,12 @@
             break;
         }
     }
+    take_nodes(in, &msg->nodes);
     return Unpack_Ok(in, err);
 }
+
+void
+Configmsg_FinishPresets(PresetsMsg *msg)
+{
+    Nvs_Finish(&msg->nodes);
+}
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -5,6 +5,7 @@
 #define CONFIGMSG_H
 
 #include "connection/wire.h"
+#include "process/nodeversions.h"
 #include "value/addr.h"
 #include "version/config.h"
 
@@ -51,10 +52,12 @@
 void Configmsg_PackVersion(Pack *pack, const VersionMsg *msg);
 bool Configmsg_ReadVersion(Unpack *in, VersionMsg *msg, Err *err);
 
-/* Wire_PRESETS_ASK: NAME also asks for that preset itself. */
+/* Wire_PRESETS_ASK: NAME also asks for that preset itself, VERSIONS for the
+ * version at each node. */
 typedef struct {
     uint64_t ask;
     Str name;
+    bool versions;
 } PresetsAskMsg;
 
 typedef struct {
@@ -71,12 +74,16 @@
     Str in_force;
     PresetsItem items[Cfg_PRESETS_MAX];
     uint32_t count;
-    Str json; /* of the preset asked for; empty: none of that name */
+    Str json;  /* of the preset asked for; empty: none of that name */
+    Nvs nodes; /* empty unless asked for */
 } PresetsMsg;
 
 void Configmsg_PackPresetsAsk(Pack *pack, const PresetsAskMsg *msg);
 bool Configmsg_ReadPresetsAsk(Unpack *in, PresetsAskMsg *msg, Err *err);
 void Configmsg_PackPresets(Pack *pack, const PresetsMsg *msg);
+
+/* MSG is to be finished, also when it was refused. */
 bool Configmsg_ReadPresets(Unpack *in, PresetsMsg *msg, Err *err);
+void Configmsg_FinishPresets(PresetsMsg *msg);
 
 #endif
--- a/src/connection/membermsg.c
+++ b/src/connection/membermsg.c
@@ -121,7 +121,9 @@
 static bool
 is_chosen(const Choice *choice, const MbrRow *row)
 {
-    return choice->whole ? stands(choice, row) : row->change > choice->since;
+    uint64_t change = choice->direct ? row->change : row->acted;
+
+    return choice->whole ? stands(choice, row) : change > choice->since;
 }
 
 static uint32_t
--- a/src/connection/membermsg.h
+++ b/src/connection/membermsg.h
@@ -40,9 +40,10 @@
 } MembermsgHead;
 
 /* Wire_TABLE (to a node) or Wire_EXCHANGE (to another replica, of what this
- * one hears directly): the rows of MBR changed after SINCE, or all.  The
- * digest leaves out TO.  A table that is not COMPLETE, as after a start, makes
- * no row gone by lacking it, and has no digest. */
+ * one hears directly): the rows of MBR changed after SINCE, or all; for a
+ * node only by changes that nodes act on.  The digest leaves out TO.  A table
+ * that is not COMPLETE, as after a start, makes no row gone by lacking it, and
+ * has no digest. */
 void Membermsg_PackTable(Pack *pack, WireKind kind, const Mbr *mbr,
                          uint64_t table, uint64_t since, Addr to,
                          bool complete);
--- a/src/process/changes.c
+++ b/src/process/changes.c
@@ -74,7 +74,10 @@
 static void
 send_presets_ask(ChgAsk *ask, Instant now)
 {
-    PresetsAskMsg msg = {.ask = ask->number};
+    PresetsAskMsg msg = {
+        .ask = ask->number,
+        .versions = ask->kind == ASK_VERSIONS,
+    };
     Pack pack;
 
     if (ask->kind == ASK_PRESET) {
@@ -127,22 +130,34 @@
 }
 
 static void
-answer_versions(ChgAsk *ask, CfgVersion version, bool current)
+answer_versions(ChgAsk *ask, const Nvs *nodes, CfgVersion version,
+                bool current)
 {
-    Changes *changes = ask->changes;
+    const Changes *changes = ask->changes;
     const Preset *preset = &(*changes->in_force)->preset;
 
-    end_ask(ask, (OprAnswer){200, Cha_Versions(changes->settings,
-                                               changes->membership, version,
-                                               current,
+    end_ask(ask, (OprAnswer){200, Cha_Versions(changes->settings, nodes,
+                                               version, current,
                                                StrBuf_View(&preset->name))});
 }
 
+/* No leader tells: the versions are as old as this node's own table. */
+static void
+answer_own_versions(ChgAsk *ask)
+{
+    const Changes *changes = ask->changes;
+    Nvs nodes = {0};
+
+    Nvs_Fill(&nodes, changes->membership);
+    answer_versions(ask, &nodes, changes->follow->newest, false);
+    Nvs_Finish(&nodes);
+}
+
 static void
 give_up(ChgAsk *ask)
 {
     if (ask->kind == ASK_VERSIONS) {
-        answer_versions(ask, ask->changes->follow->newest, false);
+        answer_own_versions(ask);
     }
     else if (ask->out) {
         end_ask(ask,
@@ -206,7 +221,7 @@
 }
 
 static void
-take_presets(ChgAsk *ask, const PresetsMsg *msg, Instant now)
+take_presets(ChgAsk *ask, PresetsMsg *msg, Instant now)
 {
     switch (ask->kind) {
     case ASK_PRESETS:
@@ -216,7 +231,8 @@
         end_ask(ask, Cha_Preset(msg, StrBuf_View(&ask->name)));
         break;
     case ASK_VERSIONS:
-        answer_versions(ask, msg->version, true);
+        Nvs_Complete(&msg->nodes, ask->changes->membership);
+        answer_versions(ask, &msg->nodes, msg->version, true);
         break;
     case ASK_CHANGE:
         if (!ask->leads) {
@@ -226,28 +242,36 @@
     }
 }
 
+static void
+take_message(Changes *changes, Addr from, PresetsMsg *msg, Instant now)
+{
+    ChgAsk *ask = find_ask(changes, msg->ask);
+
+    if (!ask || from != ask->target) {
+        return;
+    }
+    if (msg->current) {
+        take_presets(ask, msg, now);
+    }
+    else {
+        turn_to(ask, msg->leader, now);
+    }
+}
+
 static void
 on_presets(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
     Changes *changes = context;
     PresetsMsg msg;
     Err err = {0};
-    ChgAsk *ask;
 
-    if (!Configmsg_ReadPresets(in, &msg, &err)) {
-        Cnt_Add(changes->counters, Cnt_MALFORMED, 1);
-        return;
-    }
-    ask = find_ask(changes, msg.ask);
-    if (!ask || origin->peer != ask->target) {
-        return;
-    }
-    if (msg.current) {
-        take_presets(ask, &msg, now);
+    if (Configmsg_ReadPresets(in, &msg, &err)) {
+        take_message(changes, origin->peer, &msg, now);
     }
     else {
-        turn_to(ask, msg.leader, now);
+        Cnt_Add(changes->counters, Cnt_MALFORMED, 1);
     }
+    Configmsg_FinishPresets(&msg);
 }
 
 static void
--- a/src/process/chganswer.c
+++ b/src/process/chganswer.c
@@ -104,29 +104,26 @@
 }
 
 json_t *
-Cha_Versions(const Settings *settings, const Mbr *membership,
-             CfgVersion version, bool current, Str preset)
+Cha_Versions(const Settings *settings, const Nvs *nodes, CfgVersion version,
+             bool current, Str preset)
 {
-    json_t *nodes = json_array();
+    json_t *list = json_array();
     json_t *missing = json_array();
 
-    for (size_t i = 0; i < membership->count; i++) {
-        const MbrRow *row = &membership->rows[i];
-        const MbrRecord *record = &row->record;
-        CfgVersion there = {record->version_term, record->version_index};
-        bool here = !row->gone && !record->leaving;
+    for (uint32_t i = 0; i < nodes->count; i++) {
+        const NvsRow *row = &nodes->rows[i];
         json_array_append_new(
-            nodes,
-            json_pack("{s:o, s:o, s:o, s:b}", "node", Opj_Addr(record->node),
-                      "region", json_region(settings, record->domain),
-                      "version", Opj_Version(there), "here", here));
-        if (here && Cfg_CompareVersions(there, version) < 0) {
-            json_array_append_new(missing, Opj_Addr(record->node));
+            list,
+            json_pack("{s:o, s:o, s:o, s:b}", "node", Opj_Addr(row->node),
+                      "region", json_region(settings, row->domain), "version",
+                      Opj_Version(row->version), "here", row->here));
+        if (row->here && Cfg_CompareVersions(row->version, version) < 0) {
+            json_array_append_new(missing, Opj_Addr(row->node));
         }
     }
     return json_pack("{s:o, s:b, s:o, s:o, s:o}", "version",
                      Opj_Version(version), "current", current, "preset",
-                     Opj_Str(preset), "nodes", nodes, "missing", missing);
+                     Opj_Str(preset), "nodes", list, "missing", missing);
 }
 
 static json_t *
--- a/src/process/chganswer.h
+++ b/src/process/chganswer.h
@@ -4,7 +4,6 @@
 
 #include "connection/configmsg.h"
 #include "process/control.h"
-#include "process/membership.h"
 #include "process/operate.h"
 
 /* {"outcome": OUTCOME, "detail": DETAIL} */
@@ -19,8 +18,8 @@
 /* One preset, or 404. */
 OprAnswer Cha_Preset(const PresetsMsg *msg, Str name);
 
-/* The version in force at each node of MEMBERSHIP; VERSION is the newest. */
-json_t *Cha_Versions(const Settings *settings, const Mbr *membership,
+/* The version in force at each of NODES; VERSION is the newest. */
+json_t *Cha_Versions(const Settings *settings, const Nvs *nodes,
                      CfgVersion version, bool current, Str preset);
 
 /* The control replicas as the one at this node sees them. */
--- a/src/process/cli_status.c
+++ b/src/process/cli_status.c
@@ -27,14 +27,44 @@
     return json_integer_value(json_object_get(object, key));
 }
 
+static const json_t *
+find_node(const json_t *versions, Str name)
+{
+    const json_t *nodes = json_object_get(versions, "nodes");
+    size_t index;
+    const json_t *node;
+
+    json_array_foreach(nodes, index, node)
+    {
+        if (Str_Equal(Cli_Text(node, "node"), name)) {
+            return node;
+        }
+    }
+    return NULL;
+}
+
+/* As the leader has it; "-" for a node that it does not tell of. */
+static void
+append_version(StrBuf *text, const json_t *versions, Str node)
+{
+    const json_t *row = find_node(versions, node);
+    CfgVersion version = Cli_Version(row, "version");
+
+    if (row) {
+        StrBuf_AppendFmt(text, "%" PRIu64 ".%" PRIu64, version.term,
+                         version.index);
+    }
+    else {
+        StrBuf_Append(text, Str_LIT("-"));
+    }
+}
+
 static void
-print_member(const json_t *member)
+print_member(const json_t *member, const json_t *versions)
 {
-    CfgVersion version = Cli_Version(member, "version");
     StrBuf text = {0};
 
-    StrBuf_AppendFmt(&text, "%" PRIu64 ".%" PRIu64, version.term,
-                     version.index);
+    append_version(&text, versions, Cli_Text(member, "node"));
     printf("%-21.*s %-14.*s %-12.*s %5" JSON_INTEGER_FORMAT
            " %7" JSON_INTEGER_FORMAT " %6" JSON_INTEGER_FORMAT " %9.*s %s%s\n",
            Str_ARG(Cli_Text(member, "node")),
@@ -113,7 +143,7 @@
            "service", "slots", "running", "queued", "version", "state");
     json_array_foreach(members, index, member)
     {
-        print_member(member);
+        print_member(member, versions);
     }
     print_versions(versions);
 }
@@ -176,22 +206,6 @@
     Loop_Run(&cli->loop);
 }
 
-static const json_t *
-find_node(const json_t *versions, Str name)
-{
-    const json_t *nodes = json_object_get(versions, "nodes");
-    size_t index;
-    const json_t *node;
-
-    json_array_foreach(nodes, index, node)
-    {
-        if (Str_Equal(Cli_Text(node, "node"), name)) {
-            return node;
-        }
-    }
-    return NULL;
-}
-
 /* Name on OUT the nodes that were here BEFORE, are silent now and lack
  * VERSION; their number. */
 static int
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -344,7 +344,7 @@
 void
 Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
          Timeline *timeline, const Settings *settings, Rng *rng,
-         Str preset_name, Str preset_json)
+         const Mbr *membership, Str preset_name, Str preset_json)
 {
     *control = (Control){
         .settings = settings,
@@ -353,6 +353,7 @@
         .counters = counters,
         .timeline = timeline,
         .rng = rng,
+        .membership = membership,
     };
     if (!settings->control) {
         return;
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -12,6 +12,7 @@
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include "process/membership.h"
 #include "process/net.h"
 #include "version/config.h"
 #include "version/disk.h"
@@ -51,6 +52,7 @@
     Counters *counters;
     Timeline *timeline;
     Rng *rng;
+    const Mbr *membership;
     StrBuf preset_name; /* of the settings' file */
     StrBuf preset_json;
     bool open; /* the role runs: its folder was read */
@@ -74,7 +76,7 @@
  * PRESET_JSON are those of the settings' file, copied. */
 void Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
               Timeline *timeline, const Settings *settings, Rng *rng,
-              Str preset_name, Str preset_json);
+              const Mbr *membership, Str preset_name, Str preset_json);
 void Ctl_Finish(Control *control);
 
 /* This replica's folder was made at the fleet's first start: it has been
--- a/src/process/control_serve.c
+++ b/src/process/control_serve.c
@@ -172,8 +172,12 @@
     msg.leader = Ctl_Leader(control);
     if (Ctl_IsCurrent(control, now)) {
         fill_presets(control, ask.name, &msg);
+        if (ask.versions) {
+            Nvs_Fill(&msg.nodes, control->membership);
+        }
     }
     Configmsg_PackPresets(&pack, &msg);
+    Configmsg_FinishPresets(&msg);
     answer(control, origin, &pack, now);
 }
 
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -218,7 +218,8 @@
     uint64_t own = own_table(members, now);
     Pack pack;
 
-    if (seen == Membermsg_NO_ROWS || (table == own && seen == mbr->change)) {
+    if (seen == Membermsg_NO_ROWS ||
+        (table == own && Mbr_IsUnchanged(mbr, seen))) {
         answer_later(members, origin, now);
         return;
     }
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -80,7 +80,7 @@
     return a->sequence > b->sequence;
 }
 
-/* The parts that others act on; load rides on answers. */
+/* The parts that nodes act on; load rides on answers. */
 static bool
 says_the_same(const MbrRecord *a, const MbrRecord *b)
 {
@@ -89,15 +89,28 @@
            a->leaving == b->leaving && a->present == b->present &&
            a->operators == b->operators && a->load.slots == b->load.slots &&
            a->load.draining == b->load.draining &&
-           a->version_term == b->version_term &&
-           a->version_index == b->version_index &&
            Str_Equal(StrBuf_View(&a->service), StrBuf_View(&b->service));
 }
 
+static bool
+has_same_version(const MbrRecord *a, const MbrRecord *b)
+{
+    return a->version_term == b->version_term &&
+           a->version_index == b->version_index;
+}
+
 static void
-tell(Mbr *mbr, MbrChange change, MbrRow *row, Instant now)
+tell_replicas(Mbr *mbr, MbrRow *row)
 {
     row->change = ++mbr->change;
+}
+
+static void
+tell(Mbr *mbr, MbrChange change, MbrRow *row, Instant now)
+{
+    tell_replicas(mbr, row);
+    row->acted = row->change;
+    mbr->acted = row->change;
     if (mbr->settings.listener) {
         mbr->settings.listener(mbr->settings.context, change, &row->record,
                                now);
@@ -120,12 +133,17 @@
     bool came = row->gone && !gone;
     bool changed =
         came || (gone && !row->gone) || !says_the_same(&row->record, record);
+    bool same_version = has_same_version(&row->record, record);
 
     Mbr_RecordCopy(&row->record, record);
     row->heard_at = now;
-    if (!changed) {
+    if (!changed && same_version) {
         return false;
     }
+    if (!changed) {
+        tell_replicas(mbr, row);
+        return true;
+    }
     row->gone = gone;
     tell(mbr, gone ? Mbr_GONE : came ? Mbr_CAME : Mbr_CHANGED, row, now);
     return true;
@@ -162,7 +180,7 @@
     row->said = record->sequence;
     changed = take(mbr, row, record, now);
     if (first && !changed) {
-        row->change = ++mbr->change; /* for other replicas */
+        tell_replicas(mbr, row);
     }
     return changed;
 }
@@ -399,7 +417,7 @@
         if (row->direct_at && now - row->direct_at >= expiry &&
             row->record.node != mbr->settings.self) {
             row->direct_at = 0;
-            row->change = ++mbr->change; /* for other replicas */
+            tell_replicas(mbr, row);
         }
         if (now - row->heard_at >= expiry && may_expire(mbr, row, now) &&
             !is_held_out_of_sight(mbr, row)) {
@@ -413,3 +431,9 @@
 {
     return since < mbr->forgotten || since > mbr->change || since == 0;
 }
+
+bool
+Mbr_IsUnchanged(const Mbr *mbr, uint64_t since)
+{
+    return since >= mbr->acted && since <= mbr->change;
+}
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -4,12 +4,14 @@
  * Each node sends its own record to a control replica of its region, and
  * renewals of it from then on.  A replica keeps a numbered table and answers
  * with the rows that changed since the number the node last saw.  A renewal,
- * and a change of load, is no change.  Replicas tell each other which rows
- * they hear from directly, as changes, with a digest of all; a row that no
- * replica hears of any more is gone.  A replica that cannot be heard while
- * others hear it keeps the rows it told of.  Only replicas let rows expire:
- * everybody else goes by their tables, so that a node cut off from them keeps
- * what it knows.
+ * and a change of load, is no change.  A change of only the configuration
+ * version, or of who hears a node, is one for replicas, not for nodes: at the
+ * target a version would change every row at every node.  Replicas tell each
+ * other which rows they hear from directly, as changes, with a digest of all;
+ * a row that no replica hears of any more is gone.  A replica that cannot be
+ * heard while others hear it keeps the rows it told of.  Only replicas let
+ * rows expire: everybody else goes by their tables, so that a node cut off
+ * from them keeps what it knows.
  */
 #ifndef MEMBERSHIP_H
 #define MEMBERSHIP_H
@@ -46,6 +48,7 @@
     uint64_t said;     /* sequence of the last whole record, directly */
     uint8_t via;       /* bit set of replicas that hear it directly */
     uint64_t change;   /* table number of its last change */
+    uint64_t acted;    /* of its last change that nodes act on */
     bool gone;         /* kept for a while so that deltas can tell */
     bool listed;       /* while a whole table is read: it is in there */
 } MbrRow;
@@ -73,6 +76,7 @@
     size_t count;
     size_t cap;
     uint64_t change;          /* table number */
+    uint64_t acted;           /* highest of the rows' */
     uint64_t forgotten;       /* highest number of a row no longer kept */
     Instant replica_heard_at; /* any other replica */
     Instant node_heard_at;    /* any other node, directly */
@@ -86,7 +90,7 @@
 void Mbr_Finish(Mbr *mbr);
 
 /* A record from its node itself (or this node's own); true when that is a
- * change to be told. */
+ * change to be told, be it to replicas only. */
 bool Mbr_OnRecord(Mbr *mbr, const MbrRecord *record, Instant now);
 
 /* Nothing changed since the whole record of sequence SAID. */
@@ -139,6 +143,9 @@
 /* True when rows changed after SINCE may be missing: a whole table is due. */
 bool Mbr_NeedsWhole(const Mbr *mbr, uint64_t since);
 
+/* True when nodes have nothing to act on after SINCE. */
+bool Mbr_IsUnchanged(const Mbr *mbr, uint64_t since);
+
 const MbrRow *Mbr_Find(const Mbr *mbr, Addr node);
 
 #endif
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -284,7 +284,7 @@
              &node->in_force->preset.limits);
     use_preset(node);
     Ctl_Init(&node->control, &node->loop, &node->net, &node->counters,
-             &node->timeline, settings, &node->rng,
+             &node->timeline, settings, &node->rng, &node->members.membership,
              StrBuf_View(&node->in_force->preset.name),
              StrBuf_View(&node->preset_json));
     Fol_Init(&node->follow, &node->loop, &node->net, &node->counters,
--- /dev/null
+++ b/src/process/nodeversions.c
@@ -0,0 +1,65 @@
+#include "process/nodeversions.h"
+
+#include "value/mem.h"
+
+void
+Nvs_Resize(Nvs *nvs, uint32_t count)
+{
+    nvs->rows = Mem_Resize(nvs->rows, count ? count : 1, sizeof *nvs->rows);
+    nvs->count = count;
+}
+
+void
+Nvs_Finish(Nvs *nvs)
+{
+    Mem_Free(nvs->rows);
+    *nvs = (Nvs){0};
+}
+
+static NvsRow
+make_row(const MbrRow *row)
+{
+    const MbrRecord *record = &row->record;
+
+    return (NvsRow){
+        .node = record->node,
+        .domain = record->domain,
+        .version = {record->version_term, record->version_index},
+        .here = !row->gone && !record->leaving,
+    };
+}
+
+void
+Nvs_Fill(Nvs *nvs, const Mbr *mbr)
+{
+    Nvs_Resize(nvs, (uint32_t)mbr->count);
+    for (size_t i = 0; i < mbr->count; i++) {
+        nvs->rows[i] = make_row(&mbr->rows[i]);
+    }
+}
+
+static bool
+has_node(const Nvs *nvs, uint32_t count, Addr node)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (nvs->rows[i].node == node) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+Nvs_Complete(Nvs *nvs, const Mbr *mbr)
+{
+    uint32_t told = nvs->count;
+    uint32_t count = told;
+
+    Nvs_Resize(nvs, told + (uint32_t)mbr->count);
+    for (size_t i = 0; i < mbr->count; i++) {
+        if (!has_node(nvs, told, mbr->rows[i].record.node)) {
+            nvs->rows[count++] = make_row(&mbr->rows[i]);
+        }
+    }
+    nvs->count = count;
+}
--- a/src/process/show.c
+++ b/src/process/show.c
@@ -13,19 +13,18 @@
                : json_null();
 }
 
+/* Its version is in /v1/versions: this node's table may have an old one. */
 static json_t *
 json_member(const Settings *settings, const MbrRow *row, Instant now)
 {
     const MbrRecord *record = &row->record;
     json_t *member = json_pack(
-        "{s:o, s:o, s:o, s:o, s:o, s:b, s:b, s:b, s:b, s:b}", "node",
+        "{s:o, s:o, s:o, s:o, s:b, s:b, s:b, s:b, s:b}", "node",
         Opj_Addr(record->node), "operators", Opj_Addr(record->operators),
         "failure_domain", json_domain(settings, record->domain), "service",
-        Opj_Str(StrBuf_View(&record->service)), "version",
-        Opj_Version((CfgVersion){record->version_term, record->version_index}),
-        "control", record->control, "gone", row->gone, "leaving",
-        record->leaving, "backend", record->present, "draining",
-        record->load.draining);
+        Opj_Str(StrBuf_View(&record->service)), "control", record->control,
+        "gone", row->gone, "leaving", record->leaving, "backend",
+        record->present, "draining", record->load.draining);
 
     json_object_set_new(member, "slots", json_integer(record->load.slots));
     json_object_set_new(member, "running", json_integer(record->load.running));
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -289,7 +289,7 @@
 static void
 pack_presets_ask(Pack *pack)
 {
-    PresetsAskMsg msg = {6, Str_LIT("peak")};
+    PresetsAskMsg msg = {6, Str_LIT("peak"), true};
 
     Configmsg_PackPresetsAsk(pack, &msg);
 }
@@ -309,6 +309,7 @@
 static void
 pack_presets(Pack *pack)
 {
+    NvsRow nodes[] = {{77, 2, version, true}, {78, 3, {0}, false}};
     PresetsMsg msg = {
         .ask = 6,
         .current = true,
@@ -318,6 +319,7 @@
         .items = {{Str_LIT("ordinary"), version}, {Str_LIT("peak"), version}},
         .count = 2,
         .json = Str_LIT("{}"),
+        .nodes = {nodes, 2},
     };
 
     Configmsg_PackPresets(pack, &msg);
@@ -336,6 +338,7 @@
         Sample_Touch(msg.in_force);
         Sample_Touch(msg.json);
     }
+    Configmsg_FinishPresets(&msg);
     return good;
 }
 
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -1,6 +1,7 @@
 /* Tables of events over the membership decider. */
 #include "connection/membermsg.h"
 #include "process/membership.h"
+#include "process/nodeversions.h"
 #include "support/suite.h"
 
 enum { SELF = 1, EXPIRY = 1000, STEPS_MAX = 8 };
@@ -20,7 +21,8 @@
     ROW_GONE,
     WHOLE, /* a whole table with this node alone */
     EXPIRE,
-    RENEW, /* nothing changed since its record */
+    RENEW,   /* nothing changed since its record */
+    VERSION, /* a record with another configuration version */
 } Event;
 
 typedef struct {
@@ -50,6 +52,14 @@
      0,
      0,
      true},
+    {"another version is none that nodes act on",
+     true,
+     3,
+     {{RECORD, 2, 10}, {VERSION, 2, 20}},
+     1,
+     0,
+     0,
+     true},
     {"draining is one",
      true,
      3,
@@ -216,6 +226,7 @@
     record->load.running = step->event == LOAD ? 5 : 0;
     record->load.draining = step->event == DRAIN;
     record->leaving = step->event == LEAVE;
+    record->version_index = step->event == VERSION ? 2 : 1;
 }
 
 static void
@@ -735,6 +746,175 @@
 }
 END_TEST
 
+/* What a node and a replica are told that saw all up to node 2's first
+ * record, when STEPS came after it. */
+typedef struct {
+    const char *name;
+    Step steps[3];
+    bool quiet;        /* a renewal of the node gets the short answer */
+    int table;         /* rows to the node */
+    int exchange;      /* and to the replica */
+    uint64_t there;    /* node 2's version at the node, then */
+    uint64_t replicas; /* and at the replica */
+} ToldCase;
+
+static const ToldCase tolds[] = {
+    {"nothing", {{DONE, 0, 0}}, true, 0, 0, 1, 1},
+    {"another load", {{LOAD, 2, 20}}, true, 0, 0, 1, 1},
+    {"another version", {{VERSION, 2, 20}}, true, 0, 1, 1, 2},
+    {"two versions", {{VERSION, 2, 20}, {RECORD, 2, 30}}, true, 0, 1, 1, 1},
+    {"draining", {{DRAIN, 2, 20}}, false, 1, 1, 1, 1},
+    {"a version, then a restart",
+     {{VERSION, 2, 20}, {RESTART, 2, 30}},
+     false,
+     1,
+     1,
+     1,
+     1},
+    {"draining, then its end with another version",
+     {{DRAIN, 2, 20}, {VERSION, 2, 30}},
+     false,
+     1,
+     1,
+     2,
+     2},
+    {"a version, then another node",
+     {{VERSION, 2, 20}, {RECORD, 3, 30}},
+     false,
+     1,
+     2,
+     1,
+     2},
+};
+
+enum { TOLD_COUNT = sizeof tolds / sizeof tolds[0], TOLD_MAX = 16 };
+
+/* Rows of a message of KIND, which TO takes as one that saw SINCE. */
+static int
+hand_over(const Mbr *mbr, WireKind kind, uint64_t since, Mbr *to)
+{
+    MembermsgSink sink = {to, kind == Wire_EXCHANGE ? 0 : -1};
+    MembermsgHead head;
+    Pack pack;
+    Unpack in;
+    Unpack rows;
+    uint32_t count;
+    WireKind read;
+    Err err = {0};
+
+    Membermsg_PackTable(&pack, kind, mbr, 5, since, SELF, true);
+    ck_assert(Wire_Open(&in, Pack_View(&pack), &read, &err));
+    Unpack_U64(&in);
+    Unpack_U64(&in);
+    ck_assert(Unpack_Bool(&in) == (since == 0));
+    Unpack_U64(&in);
+    Unpack_U64(&in);
+    count = Unpack_Array(&in, TOLD_MAX, &rows);
+    Unpack_Finish(&in);
+    ck_assert(Wire_Open(&in, Pack_View(&pack), &read, &err));
+    ck_assert(Membermsg_ReadTable(&in, &sink, &head, 50, &err));
+    ck_assert(Membermsg_IsEqual(&sink, &head));
+    ck_assert(head.number == mbr->change);
+    Unpack_Finish(&in);
+    Pack_Finish(&pack);
+    return (int)count;
+}
+
+START_TEST(a_version_is_told_to_replicas_only)
+{
+    const ToldCase *c = &tolds[_i];
+    const MbrSettings settings = {
+        .self = 101, .replica = true, .replicas = 1, .expiry = EXPIRY};
+    const MbrSettings other = {.self = SELF, .expiry = EXPIRY};
+    const Step first = {RECORD, 2, 10};
+    Mbr mbr;
+    Mbr node;
+    Mbr replica;
+    uint64_t since;
+    int rows;
+
+    Mbr_Init(&mbr, &settings);
+    Mbr_Init(&node, &other);
+    Mbr_Init(&replica, &other);
+    do_step(&mbr, &first, 1);
+    since = mbr.change;
+    hand_over(&mbr, Wire_TABLE, 0, &node);
+    hand_over(&mbr, Wire_EXCHANGE, 0, &replica);
+    for (int i = 0; i < 3 && c->steps[i].event; i++) {
+        do_step(&mbr, &c->steps[i], (uint64_t)i + 2);
+    }
+    ck_assert_msg(Mbr_IsUnchanged(&mbr, since) == c->quiet, "%s: quiet",
+                  c->name);
+    ck_assert(!Mbr_IsUnchanged(&mbr, mbr.change + 1));
+    rows = hand_over(&mbr, Wire_TABLE, since, &node);
+    ck_assert_msg(rows == c->table, "%s: %d in a table", c->name, rows);
+    rows = hand_over(&mbr, Wire_EXCHANGE, since, &replica);
+    ck_assert_msg(rows == c->exchange, "%s: %d in an exchange", c->name, rows);
+    ck_assert_msg(Mbr_Find(&node, 2)->record.version_index == c->there,
+                  "%s: version at the node", c->name);
+    ck_assert_msg(Mbr_Find(&replica, 2)->record.version_index == c->replicas,
+                  "%s: version at the replica", c->name);
+    Mbr_Finish(&mbr);
+    Mbr_Finish(&node);
+    Mbr_Finish(&replica);
+}
+END_TEST
+
+/* The leader's rows, completed by the node's own table of nodes 2 and 3. */
+typedef struct {
+    const char *name;
+    NvsRow told[2];
+    uint32_t told_count;
+    Addr nodes[4];    /* afterwards, in order */
+    uint64_t version; /* of node 2, whose own row has 1 */
+} CompleteCase;
+
+static const CompleteCase completes[] = {
+    {"all are told",
+     {{3, 0, {0, 2}, true}, {2, 0, {0, 2}, true}},
+     2,
+     {3, 2},
+     2},
+    {"one is not told", {{3, 0, {0, 2}, true}}, 1, {3, 2}, 1},
+    {"none is told", {{0}}, 0, {2, 3}, 1},
+    {"one more is told",
+     {{4, 0, {0, 2}, true}, {2, 0, {0, 2}, true}},
+     2,
+     {4, 2, 3},
+     2},
+};
+
+enum { COMPLETE_COUNT = sizeof completes / sizeof completes[0] };
+
+START_TEST(own_rows_complete_the_leaders)
+{
+    const CompleteCase *c = &completes[_i];
+    const MbrSettings settings = {.self = SELF, .expiry = EXPIRY};
+    const Step steps[] = {{RECORD, 2, 10}, {RECORD, 3, 10}};
+    Nvs nvs = {0};
+    Mbr mbr;
+
+    Mbr_Init(&mbr, &settings);
+    do_step(&mbr, &steps[0], 1);
+    do_step(&mbr, &steps[1], 1);
+    Nvs_Resize(&nvs, c->told_count);
+    for (uint32_t i = 0; i < c->told_count; i++) {
+        nvs.rows[i] = c->told[i];
+    }
+    Nvs_Complete(&nvs, &mbr);
+    for (uint32_t i = 0; i < nvs.count; i++) {
+        ck_assert_msg(nvs.rows[i].node == c->nodes[i], "%s: row %u", c->name,
+                      i);
+        ck_assert_msg(nvs.rows[i].node != 2 ||
+                          nvs.rows[i].version.index == c->version,
+                      "%s: version", c->name);
+    }
+    ck_assert_msg(c->nodes[nvs.count] == Addr_NONE, "%s: count", c->name);
+    Nvs_Finish(&nvs);
+    Mbr_Finish(&mbr);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -744,7 +924,9 @@
         {renewals_keep_rows, RENEWAL_COUNT},
         {replicas_agree, WORLD_COUNT},
         {keeps_rows_out_of_sight, SIGHT_COUNT},
-        {a_table_tells_who_is_gone_when_complete, START_COUNT}};
+        {a_table_tells_who_is_gone_when_complete, START_COUNT},
+        {a_version_is_told_to_replicas_only, TOLD_COUNT},
+        {own_rows_complete_the_leaders, COMPLETE_COUNT}};
 
-    return Suite_Run("membership", tests, 6, 10);
+    return Suite_Run("membership", tests, 8, 10);
 }
--- a/tools/fleet_main.c
+++ b/tools/fleet_main.c
@@ -33,6 +33,7 @@
     int lose; /* so many, the last ones, fall silent at lose_at */
     Instant begin_at;
     Span lose_at;
+    Span change_at; /* all get another version; 0: never */
     Instant end_at;
     LoopTimer start;
     LoopTimer tell;
@@ -126,6 +127,16 @@
     }
 }
 
+static void
+change_version(Fleet *fleet, Instant now)
+{
+    fleet->change_at = 0;
+    for (int i = 0; i < fleet->started; i++) {
+        Mbs_SetVersion(&fleet->nodes[i].members,
+                       (CfgVersion){.term = 1, .index = 2}, now);
+    }
+}
+
 static void
 tell(const Fleet *fleet, Instant now)
 {
@@ -153,6 +164,9 @@
         tell(fleet, now);
         lose_nodes(fleet);
     }
+    if (fleet->change_at && now - fleet->begin_at >= fleet->change_at) {
+        change_version(fleet, now);
+    }
     tell(fleet, now);
     if (now >= fleet->end_at) {
         Loop_Stop(&fleet->loop);
@@ -213,8 +227,10 @@
     struct arg_int *seconds = arg_int1(NULL, "seconds", "N", "until the end");
     struct arg_int *lose = arg_int0(NULL, "lose", "N", "fall silent at once");
     struct arg_int *at = arg_int0(NULL, "lose-at", "S", "after so long");
+    struct arg_int *change =
+        arg_int0(NULL, "change-at", "S", "get another version at once");
     struct arg_end *end = arg_end(8);
-    void *table[] = {settings, nodes, seconds, lose, at, end};
+    void *table[] = {settings, nodes, seconds, lose, at, change, end};
     static Fleet fleet;
 
     if (arg_parse(argc, argv, table)) {
@@ -225,6 +241,7 @@
     fleet.count = nodes->ival[0];
     fleet.lose = lose->count ? lose->ival[0] : 0;
     fleet.lose_at = at->count ? Span_S(at->ival[0]) : 0;
+    fleet.change_at = change->count ? Span_S(change->ival[0]) : 0;
     if (!read_template(&fleet, Str_FromC(settings->filename[0]))) {
         return 2;
     }
