--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 ALL_CFLAGS = -std=c11 -D_GNU_SOURCE -Isrc -Itools -Itests -Wall -Wextra \
 	-Wshadow -Wstrict-prototypes -Werror $(CFLAGS) $(EXTRA_CFLAGS) \
 	$(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
-LIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm
+LIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm
 TEST_LIBS = $(shell pkg-config --libs check libcurl 2>/dev/null)
 
 LIB_SOURCES = $(filter-out src/process/main.c src/process/cli_main.c, \
--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -1,15 +1,17 @@
 #include "connection/backend.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
-#include "connection/evtext.h"
+#include "connection/httpread.h"
 #include "value/mem.h"
 
-enum { HEADER_BYTES_MAX = 64 * 1024, OK = 200, PART_BYTES = 4096 };
+enum { HEADER_BYTES_MAX = 64 * 1024, OK = 200, MISDIRECTED = 421 };
 
 /* Idle connections that are older are not used again: the backend server may
  * be closing them. */
@@ -19,49 +21,38 @@
 #define GRACE Span_MS(500)
 
 struct BckConnection {
-    struct evhttp_connection *http;
+    BckPool *pool;
+    struct bufferevent *stream;
+    Hrd reader;
     Addr addr;
-    bool used; /* an exchange ended well over it */
+    bool used;    /* an exchange ended well over it */
+    bool reached; /* it was made */
     Instant idle_since;
+    Span idle_max;
+    BckExchange *exchange; /* NULL: idle, or to be closed */
     BckConnection *next;
 };
 
 struct BckExchange {
     BckPool *pool;
     BckConnection *connection;
-    struct evhttp_request *request;
-    struct evbuffer_cb_entry *tap; /* on what comes in; NULL: none */
     BckRequest from;
-    enum evhttp_cmd_type method;
     struct event *repeater; /* NULL: not to be repeated */
-    struct event *pauser;   /* evhttp reads on after a callback: pause later */
+    struct event *bound;    /* of the whole exchange */
     bool paused;
     BckSink sink;
-    bool starting; /* inside Bck_Start */
-    bool ended;    /* while starting */
-    bool reached;  /* the request may have reached the backend server */
-    bool answered; /* the answer's head came */
+    bool answered;  /* the answer's head came */
+    bool foreign;   /* what is read now answers another request */
+    bool interim;   /* it is an answer before the answer */
+    bool rejected;  /* it says that the request did not run */
+    bool keep_open; /* as the answer says */
 };
 
-static BckConnection *
-open_connection(BckPool *pool)
-{
-    BckConnection *connection = Mem_Alloc(1, sizeof *connection);
-    StrBuf ip = {0};
-
-    Addr_PrintIp(pool->addr, &ip);
-    connection->addr = pool->addr;
-    connection->http = evhttp_connection_base_new(
-        pool->base, NULL, StrBuf_CStr(&ip), Addr_Port(pool->addr));
-    evhttp_connection_set_max_headers_size(connection->http, HEADER_BYTES_MAX);
-    StrBuf_Finish(&ip);
-    return connection;
-}
-
 static void
 close_connection(BckConnection *connection)
 {
-    evhttp_connection_free(connection->http);
+    bufferevent_free(connection->stream);
+    Hrd_Finish(&connection->reader);
     Mem_Free(connection);
 }
 
@@ -84,345 +75,475 @@
     close_all(&((BckPool *)context)->retired);
 }
 
-/* evhttp still uses a connection while it reports its failure. */
+/* A connection is closed from the loop: its reader may be on the stack. */
 static void
 retire(BckPool *pool, BckConnection *connection)
 {
+    connection->exchange = NULL;
+    bufferevent_disable(connection->stream, EV_READ | EV_WRITE);
     connection->next = pool->retired;
     pool->retired = connection;
     event_active(pool->closer, EV_TIMEOUT, 0);
 }
 
-/* Still open at the other end, and nothing came that nobody asked for. */
-static bool
-is_open(const BckConnection *connection)
+static void
+drop_idle(BckConnection *connection)
 {
-    struct bufferevent *stream =
-        evhttp_connection_get_bufferevent(connection->http);
-    int fd = stream ? bufferevent_getfd(stream) : -1;
-    char byte;
+    BckConnection **at = &connection->pool->idle;
 
-    return fd >= 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+    while (*at && *at != connection) {
+        at = &(*at)->next;
+    }
+    if (*at) {
+        *at = connection->next;
+        retire(connection->pool, connection);
+    }
 }
 
-static BckConnection *
-take_connection(BckPool *pool, Instant now)
+static void
+drop_all_idle(BckPool *pool)
 {
-    BckConnection *connection;
+    while (pool->idle) {
+        drop_idle(pool->idle);
+    }
+}
 
-    while ((connection = pool->idle)) {
-        pool->idle = connection->next;
-        if (connection->addr == pool->addr &&
-            now - connection->idle_since < IDLE_MAX && is_open(connection)) {
-            return connection;
-        }
-        close_connection(connection);
+static void
+free_exchange(BckExchange *exchange)
+{
+    if (exchange->repeater) {
+        event_free(exchange->repeater);
     }
-    return open_connection(pool);
+    event_free(exchange->bound);
+    Mem_Free(exchange);
 }
 
-/* A length beside chunks counts for nothing (RFC 9112, section 6.3). */
+/* The exchange is over; its connection stays open, or is closed. */
 static void
-drop_length(FieldList *fields)
+end_exchange(BckExchange *exchange, BckEnd end, bool keep)
 {
-    size_t kept = 0;
+    BckPool *pool = exchange->pool;
+    BckConnection *connection = exchange->connection;
+    BckSink sink = exchange->sink;
+
+    if (keep) {
+        connection->exchange = NULL;
+        connection->used = true;
+        connection->idle_since = pool->clock();
+        connection->next = pool->idle;
+        pool->idle = connection;
+        bufferevent_enable(connection->stream, EV_READ);
+    }
+    else {
+        retire(pool, connection);
+    }
+    free_exchange(exchange);
+    sink.end(sink.context, end);
+}
 
-    for (size_t i = 0; i < fields->count; i++) {
-        if (!Str_EqualNoCase(fields->items[i].name,
-                             Str_LIT("Content-Length"))) {
-            fields->items[kept++] = fields->items[i];
+/* Whole seconds of "timeout=N"; 0 when there is none. */
+static Span
+keep_alive_of(const FieldList *fields)
+{
+    static const Str name = Str_LIT("timeout=");
+    Str text = Field_Get(fields, Str_LIT("Keep-Alive"));
+    uint64_t seconds = 0;
+
+    for (size_t i = 0; i + name.len < text.len; i++) {
+        Str rest = Str_Slice(text, i, text.len);
+        if (Str_StartsWith(rest, name)) {
+            rest = Str_Slice(rest, name.len, rest.len);
+            rest = Str_Slice(rest, 0, Str_Find(rest, ','));
+            return Str_ToU64(Str_Trim(rest), &seconds) && seconds < 3600
+                       ? Span_S((Span)seconds)
+                       : 0;
         }
     }
-    fields->count = kept;
+    return 0;
 }
 
-static struct evbuffer *
-input_of(const BckExchange *exchange)
+static bool
+says(const FieldList *fields, Str name)
 {
-    return bufferevent_get_input(
-        evhttp_connection_get_bufferevent(exchange->connection->http));
+    return name.len && Field_Get(fields, name).len > 0;
 }
 
-/* evhttp hands a chunk over when all of it came.  Take the part that is here
- * already, so that a large chunk is not kept in memory as a whole. */
+/* Fields that go on with the answer; a length beside chunks counts for
+ * nothing (RFC 9112, section 6.3). */
 static void
-take_part(struct evbuffer *input, const struct evbuffer_cb_info *info,
-          void *context)
+forward_fields(const HrdHead *head, FieldList *fields)
 {
-    BckExchange *exchange = context;
-    struct evhttp_request *request = exchange->request;
-    size_t len = evbuffer_get_length(input);
-
-    if (info->n_added == 0 || request->ntoread <= PART_BYTES ||
-        len < PART_BYTES || (ev_int64_t)len >= request->ntoread) {
-        return;
+    Str connection = Field_Get(&head->fields, Str_LIT("Connection"));
+
+    fields->count = 0;
+    for (size_t i = 0; i < head->fields.count; i++) {
+        const Field *field = &head->fields.items[i];
+        bool length =
+            Str_EqualNoCase(field->name, Str_LIT("Content-Length"));
+        if (!Field_IsHopByHop(field->name, connection) &&
+            !(length && head->chunked)) {
+            Field_Add(fields, field->name, field->value);
+        }
     }
-    request->ntoread -= (ev_int64_t)len;
-    exchange->sink.bytes(exchange->sink.context, Evt_View(input));
-    evbuffer_drain(input, len);
 }
 
-static void
-stop_tapping(BckExchange *exchange)
+static bool
+is_foreign(const BckExchange *exchange, const HrdHead *head)
 {
-    if (exchange->tap) {
-        evbuffer_remove_cb_entry(input_of(exchange), exchange->tap);
-        exchange->tap = NULL;
-    }
+    Str name = exchange->pool->names.request_id;
+    Str echoed = name.len ? Field_Get(&head->fields, name) : (Str){0};
+
+    return echoed.len && exchange->from.request_id.len &&
+           !Str_Equal(echoed, exchange->from.request_id);
 }
 
 static void
-stop_repeater(BckExchange *exchange)
+take_head(BckExchange *exchange, const HrdHead *head)
 {
+    BckPool *pool = exchange->pool;
+    const FieldList *all = &head->fields;
+    Span idle = keep_alive_of(all);
+    FieldList fields;
+
+    exchange->answered = true;
+    exchange->keep_open = head->keep_alive;
+    if (idle) {
+        /* Half of it: the other side counts from an earlier moment. */
+        exchange->connection->idle_max = idle / 2;
+    }
     if (exchange->repeater) {
         event_free(exchange->repeater);
         exchange->repeater = NULL;
     }
+    if (pool->load && says(all, pool->names.load)) {
+        pool->load(pool->load_context, Field_Get(all, pool->names.load),
+                   pool->clock());
+    }
+    exchange->rejected =
+        says(all, pool->names.not_run) ||
+        (head->status == MISDIRECTED && pool->names.expect.len);
+    if (!exchange->rejected) {
+        forward_fields(head, &fields);
+        exchange->sink.head(exchange->sink.context, head->status, &fields);
+    }
 }
 
-static int
-on_head(struct evhttp_request *request, void *context)
+static bool
+on_head(void *context, const HrdHead *head)
 {
-    BckExchange *exchange = context;
-    int status = evhttp_request_get_response_code(request);
-    struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
-    FieldList fields;
+    BckConnection *connection = context;
+    BckExchange *exchange = connection->exchange;
 
-    exchange->reached = true;
-    if (status < OK) {
-        return 0; /* interim: the answer's own head follows */
+    if (!exchange) {
+        return false;
     }
-    if (!Evt_ReadFields(headers, &fields)) {
-        return -1;
+    exchange->interim = head->status < OK;
+    exchange->foreign = !exchange->interim && is_foreign(exchange, head);
+    if (!exchange->interim && !exchange->foreign) {
+        take_head(exchange, head);
     }
-    if (evhttp_find_header(headers, "Transfer-Encoding")) {
-        drop_length(&fields);
-        exchange->tap =
-            evbuffer_add_cb(input_of(exchange), take_part, exchange);
-    }
-    exchange->answered = true;
-    stop_repeater(exchange);
-    exchange->sink.head(exchange->sink.context, (uint16_t)status, &fields);
-    return 0;
+    return connection->exchange == exchange;
 }
 
-static void
-on_bytes(struct evhttp_request *request, void *context)
+static bool
+on_bytes(void *context, Str bytes)
 {
-    BckExchange *exchange = context;
-    struct evbuffer *input = evhttp_request_get_input_buffer(request);
-    Str bytes = Evt_View(input);
+    BckConnection *connection = context;
+    BckExchange *exchange = connection->exchange;
 
-    if (bytes.len) {
+    if (!exchange) {
+        return false;
+    }
+    if (!exchange->foreign && !exchange->rejected && bytes.len) {
         exchange->sink.bytes(exchange->sink.context, bytes);
     }
+    return connection->exchange == exchange;
 }
 
-static void
-free_exchange(BckExchange *exchange)
+/* A message ended; false when another one is to be read. */
+static bool
+take_end(BckExchange *exchange)
 {
-    stop_repeater(exchange);
-    event_free(exchange->pauser);
-    Mem_Free(exchange);
+    struct bufferevent *stream = exchange->connection->stream;
+    bool clean = evbuffer_get_length(bufferevent_get_input(stream)) == 0 &&
+                 evbuffer_get_length(bufferevent_get_output(stream)) == 0;
+
+    if (exchange->interim || exchange->foreign) {
+        exchange->interim = false;
+        exchange->foreign = false;
+        return false;
+    }
+    end_exchange(exchange, exchange->rejected ? Bck_REJECTED : Bck_WHOLE,
+                 exchange->keep_open && clean);
+    return true;
 }
 
 static void
-keep_connection(BckPool *pool, BckConnection *connection)
+fail(BckConnection *connection)
 {
-    connection->used = true;
-    connection->idle_since = pool->clock();
-    connection->next = pool->idle;
-    pool->idle = connection;
+    BckExchange *exchange = connection->exchange;
+
+    if (exchange) {
+        end_exchange(exchange, connection->reached ? Bck_CUT : Bck_UNREACHED,
+                     false);
+    }
+    else {
+        drop_idle(connection);
+    }
 }
 
 static void
-on_end(struct evhttp_request *request, void *context)
+on_read(struct bufferevent *stream, void *context)
 {
-    BckExchange *exchange = context;
-    BckPool *pool = exchange->pool;
-    BckSink sink = exchange->sink;
-    bool whole = request && exchange->answered;
-    BckEnd end = exchange->reached ? Bck_CUT : Bck_UNREACHED;
-
-    if (exchange->starting) {
-        exchange->ended = true;
-        return;
-    }
-    stop_tapping(exchange);
-    if (whole) {
-        keep_connection(pool, exchange->connection);
-        end = Bck_WHOLE;
-    }
-    else {
-        retire(pool, exchange->connection);
+    BckConnection *connection = context;
+    struct evbuffer *input = bufferevent_get_input(stream);
+
+    while (evbuffer_get_length(input) > 0) {
+        BckExchange *exchange = connection->exchange;
+        HrdState state;
+        if (!exchange) {
+            drop_idle(connection); /* nobody asked for anything */
+            return;
+        }
+        state = Hrd_Feed(&connection->reader, input);
+        if (connection->exchange != exchange) {
+            return; /* it was cancelled meanwhile */
+        }
+        if (state == Hrd_BAD) {
+            fail(connection);
+            return;
+        }
+        if (state == Hrd_MORE || take_end(exchange)) {
+            return;
+        }
     }
-    free_exchange(exchange);
-    sink.end(sink.context, end);
 }
 
-/* Called for every failure but one to connect. */
 static void
-on_error(enum evhttp_request_error error, void *context)
+on_event(struct bufferevent *stream, short what, void *context)
 {
-    BckExchange *exchange = context;
+    BckConnection *connection = context;
+    BckExchange *exchange = connection->exchange;
 
-    exchange->reached = true;
-    if (error == EVREQ_HTTP_TIMEOUT) {
-        /* Other connections may have gone silent with this one. */
-        close_all(&exchange->pool->idle);
+    if (what & BEV_EVENT_CONNECTED) {
+        connection->reached = true;
+        return;
     }
+    if (what & BEV_EVENT_EOF && exchange) {
+        on_read(stream, connection);
+        if (connection->exchange != exchange) {
+            return;
+        }
+        if (exchange->answered && !exchange->foreign &&
+            Hrd_Close(&connection->reader) == Hrd_END) {
+            exchange->keep_open = false;
+            take_end(exchange);
+            return;
+        }
+    }
+    fail(connection);
 }
 
-void
-Bck_PoolInit(BckPool *pool, struct event_base *base, BckClock clock)
+static BckConnection *
+open_connection(BckPool *pool)
 {
-    *pool = (BckPool){.base = base, .clock = clock};
-    pool->closer = event_new(base, -1, 0, close_retired, pool);
+    BckConnection *connection = Mem_Alloc(1, sizeof *connection);
+    HrdSink sink = {connection, on_head, on_bytes};
+    struct sockaddr_in name = {.sin_family = AF_INET,
+                               .sin_port = htons(Addr_Port(pool->addr))};
+    StrBuf ip = {0};
+    int on = 1;
+
+    Addr_PrintIp(pool->addr, &ip);
+    inet_pton(AF_INET, StrBuf_CStr(&ip), &name.sin_addr);
+    StrBuf_Finish(&ip);
+    connection->pool = pool;
+    connection->addr = pool->addr;
+    connection->idle_max = IDLE_MAX;
+    Hrd_Init(&connection->reader, Hrd_ANSWERS, &sink, HEADER_BYTES_MAX);
+    connection->stream =
+        bufferevent_socket_new(pool->base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(connection->stream, on_read, NULL, on_event, connection);
+    bufferevent_socket_connect(connection->stream, (struct sockaddr *)&name,
+                               sizeof name);
+    setsockopt(bufferevent_getfd(connection->stream), IPPROTO_TCP, TCP_NODELAY,
+               &on, sizeof on);
+    bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
+    return connection;
 }
 
-void
-Bck_PoolFinish(BckPool *pool)
+/* Still open at the other end, and nothing came that nobody asked for. */
+static bool
+is_open(const BckConnection *connection)
 {
-    close_all(&pool->idle);
-    close_all(&pool->retired);
-    event_free(pool->closer);
+    char byte;
+
+    return recv(bufferevent_getfd(connection->stream), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
-void
-Bck_SetAddr(BckPool *pool, Addr addr)
+static BckConnection *
+take_connection(BckPool *pool, Instant now)
 {
-    if (pool->addr != addr) {
-        pool->addr = addr;
-        close_all(&pool->idle);
+    BckConnection *connection;
+
+    while ((connection = pool->idle)) {
+        if (connection->addr == pool->addr &&
+            now - connection->idle_since < connection->idle_max &&
+            is_open(connection)) {
+            pool->idle = connection->next;
+            return connection;
+        }
+        drop_idle(connection);
     }
+    return open_connection(pool);
 }
 
-static struct evhttp_request *
-build_request(BckExchange *exchange, const BckRequest *from)
+static void
+write_request(const BckExchange *exchange)
 {
-    struct evhttp_request *request = evhttp_request_new(on_end, exchange);
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
-    StrBuf number = {0};
-
-    evhttp_request_set_header_cb(request, on_head);
-    evhttp_request_set_chunked_cb(request, on_bytes);
-    evhttp_request_set_error_cb(request, on_error);
+    const BckRequest *from = &exchange->from;
+    const BckNames *names = &exchange->pool->names;
+    Str instance = StrBuf_View(&exchange->pool->instance);
+    struct evbuffer *out =
+        bufferevent_get_output(exchange->connection->stream);
+    long long left_ms = from->left > 0 ? from->left / 1000 : 0;
+
+    evbuffer_add_printf(out, "%.*s %.*s HTTP/1.1\r\n", Str_ARG(from->method),
+                        Str_ARG(from->target));
     for (size_t i = 0; i < from->fields.count; i++) {
         const Field *field = &from->fields.items[i];
         if (!Str_EqualNoCase(field->name, Str_LIT("Content-Length"))) {
-            Evt_AddField(headers, field->name, field->value);
+            evbuffer_add_printf(out, "%.*s: %.*s\r\n", Str_ARG(field->name),
+                                Str_ARG(field->value));
         }
     }
-    StrBuf_AppendFmt(&number, "%lld", (long long)(from->left / 1000));
-    Evt_AddField(headers, Str_LIT("X-Lycheeridge-Deadline-Ms"),
-                 StrBuf_View(&number));
-    StrBuf_Finish(&number);
-    evbuffer_add(evhttp_request_get_output_buffer(request), from->body.ptr,
-                 from->body.len);
-    return request;
+    if (names->deadline.len) {
+        evbuffer_add_printf(out, "%.*s: %lld\r\n", Str_ARG(names->deadline),
+                            left_ms);
+    }
+    if (names->expect.len && instance.len) {
+        evbuffer_add_printf(out, "%.*s: %.*s\r\n", Str_ARG(names->expect),
+                            Str_ARG(instance));
+    }
+    if (from->body.len || (!Str_Equal(from->method, Str_LIT("GET")) &&
+                           !Str_Equal(from->method, Str_LIT("HEAD")))) {
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n", from->body.len);
+    }
+    evbuffer_add(out, "\r\n", 2);
+    evbuffer_add(out, from->body.ptr, from->body.len);
 }
 
 static void
-do_pause(evutil_socket_t fd, short what, void *context)
+send_over(BckExchange *exchange, BckConnection *connection)
+{
+    exchange->connection = connection;
+    connection->exchange = exchange;
+    connection->reader.no_body =
+        Str_Equal(exchange->from.method, Str_LIT("HEAD"));
+    write_request(exchange);
+}
+
+static void
+on_repeat(evutil_socket_t fd, short what, void *context)
 {
     BckExchange *exchange = context;
+    BckPool *pool = exchange->pool;
 
     (void)fd;
     (void)what;
-    if (exchange->paused) {
-        bufferevent_disable(
-            evhttp_connection_get_bufferevent(exchange->connection->http),
-            EV_READ);
-    }
+    event_free(exchange->repeater);
+    exchange->repeater = NULL;
+    retire(pool, exchange->connection);
+    drop_all_idle(pool);
+    send_over(exchange, open_connection(pool));
 }
 
-static BckExchange *
-add_exchange(BckPool *pool, const BckRequest *request, const BckSink *sink)
+static void
+on_bound(evutil_socket_t fd, short what, void *context)
 {
-    BckExchange *exchange = Mem_Alloc(1, sizeof *exchange);
+    BckExchange *exchange = context;
 
-    exchange->pool = pool;
-    exchange->from = *request;
-    exchange->sink = *sink;
-    exchange->pauser = event_new(pool->base, -1, 0, do_pause, exchange);
-    return exchange;
+    (void)fd;
+    (void)what;
+    if (!exchange->answered) {
+        /* Other connections may have gone silent with this one. */
+        drop_all_idle(exchange->pool);
+    }
+    end_exchange(exchange, Bck_CUT, false);
 }
 
-/* Send the request over the exchange's connection. */
-static bool
-make_request(BckExchange *exchange)
+static struct event *
+start_timer(BckExchange *exchange, Span wait, event_callback_fn call)
 {
-    struct evhttp_connection *http = exchange->connection->http;
-    Span wait = exchange->from.left + GRACE;
-    struct timeval bound = {wait / 1000000, wait % 1000000};
-    StrBuf target = {0};
-    bool made;
+    struct timeval after = {wait / 1000000, wait % 1000000};
+    struct event *timer = evtimer_new(exchange->pool->base, call, exchange);
 
-    exchange->starting = true;
-    exchange->request = build_request(exchange, &exchange->from);
-    evhttp_connection_set_timeout_tv(http, &bound);
-    StrBuf_Set(&target, exchange->from.target);
-    made = evhttp_make_request(http, exchange->request, exchange->method,
-                               StrBuf_CStr(&target)) == 0;
-    StrBuf_Finish(&target);
-    exchange->starting = false;
-    return made && !exchange->ended;
+    evtimer_add(timer, &after);
+    return timer;
 }
 
-static void
-on_repeat(evutil_socket_t fd, short what, void *context)
+void
+Bck_PoolInit(BckPool *pool, struct event_base *base, BckClock clock,
+             const BckNames *names)
 {
-    BckExchange *exchange = context;
-    BckPool *pool = exchange->pool;
-    BckSink sink = exchange->sink;
+    *pool = (BckPool){.base = base, .clock = clock, .names = *names};
+    pool->closer = event_new(base, -1, 0, close_retired, pool);
+}
 
-    (void)fd;
-    (void)what;
-    stop_repeater(exchange);
-    stop_tapping(exchange);
-    evhttp_cancel_request(exchange->request);
-    retire(pool, exchange->connection);
+void
+Bck_PoolFinish(BckPool *pool)
+{
     close_all(&pool->idle);
-    exchange->connection = open_connection(pool);
-    if (!make_request(exchange)) {
-        retire(pool, exchange->connection);
-        free_exchange(exchange);
-        sink.end(sink.context, Bck_CUT);
+    close_all(&pool->retired);
+    StrBuf_Finish(&pool->instance);
+    event_free(pool->closer);
+}
+
+void
+Bck_SetAddr(BckPool *pool, Addr addr, Str instance)
+{
+    if (pool->addr != addr ||
+        !Str_Equal(StrBuf_View(&pool->instance), instance)) {
+        pool->addr = addr;
+        StrBuf_Set(&pool->instance, instance);
+        drop_all_idle(pool);
     }
 }
 
-static void
-start_repeater(BckExchange *exchange)
+void
+Bck_OnLoad(BckPool *pool, void (*load)(void *context, Str text, Instant now),
+           void *context)
 {
-    Span wait = exchange->from.repeat_after;
-    struct timeval after = {wait / 1000000, wait % 1000000};
+    pool->load = load;
+    pool->load_context = context;
+}
 
-    if (wait && exchange->connection->used) {
-        exchange->repeater =
-            evtimer_new(exchange->pool->base, on_repeat, exchange);
-        evtimer_add(exchange->repeater, &after);
-    }
+/* No answer of the backend server is awaited for ever. */
+static Span
+bound_of(const BckRequest *request)
+{
+    return (request->left > 0 ? request->left : 0) + GRACE;
 }
 
 BckExchange *
 Bck_Start(BckPool *pool, const BckRequest *request, const BckSink *sink)
 {
-    enum evhttp_cmd_type method;
     BckExchange *exchange;
 
-    if (!Evt_ParseMethod(request->method, &method) ||
-        pool->addr == Addr_NONE) {
+    if (pool->addr == Addr_NONE) {
         return NULL;
     }
-    exchange = add_exchange(pool, request, sink);
-    exchange->method = method;
-    exchange->connection = take_connection(pool, pool->clock());
-    if (!make_request(exchange)) {
-        retire(pool, exchange->connection);
-        free_exchange(exchange);
-        return NULL;
+    exchange = Mem_Alloc(1, sizeof *exchange);
+    exchange->pool = pool;
+    exchange->from = *request;
+    exchange->sink = *sink;
+    exchange->bound = start_timer(exchange, bound_of(request), on_bound);
+    send_over(exchange, take_connection(pool, pool->clock()));
+    if (request->repeat_after && exchange->connection->used) {
+        exchange->repeater =
+            start_timer(exchange, request->repeat_after, on_repeat);
     }
-    start_repeater(exchange);
     return exchange;
 }
 
@@ -431,12 +552,10 @@
 {
     BckPool *pool = exchange->pool;
 
-    stop_tapping(exchange);
-    evhttp_cancel_request(exchange->request);
     retire(pool, exchange->connection);
     if (!exchange->answered) {
         /* Other connections may have gone silent with this one. */
-        close_all(&pool->idle);
+        drop_all_idle(pool);
     }
     free_exchange(exchange);
 }
@@ -445,7 +564,7 @@
 Bck_Pause(BckExchange *exchange)
 {
     exchange->paused = true;
-    event_active(exchange->pauser, EV_TIMEOUT, 0);
+    bufferevent_disable(exchange->connection->stream, EV_READ);
 }
 
 void
@@ -453,8 +572,6 @@
 {
     if (exchange->paused) {
         exchange->paused = false;
-        bufferevent_enable(
-            evhttp_connection_get_bufferevent(exchange->connection->http),
-            EV_READ);
+        bufferevent_enable(exchange->connection->stream, EV_READ);
     }
 }
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -47,6 +47,7 @@
     Refusal_SUSPECT,
     Refusal_INCARNATION,
     Refusal_CUT,     /* ran, but its answer was cut short: not a proof */
+    Refusal_TURNED_AWAY, /* by the backend server: it did not run */
     Refusal_EXPIRED, /* came too late to be told from a duplicate: no proof */
     Refusal_KINDS
 } Refusal;
--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -4,7 +4,7 @@
     CHANGED_FIELDS = 15,
     VERSION_ASK_FIELDS = 4,
     VERSION_FIELDS = 5,
-    PRESETS_ASK_FIELDS = 3,
+    PRESETS_ASK_FIELDS = 4,
     PRESETS_FIELDS = 9,
     ITEM_FIELDS = 3,
     NODE_FIELDS = 5
@@ -141,6 +141,7 @@
     Wire_Begin(pack, Wire_PRESETS_ASK, PRESETS_ASK_FIELDS);
     Pack_U64(pack, msg->ask);
     Pack_Str(pack, msg->name);
+    Pack_Bool(pack, msg->in_force);
     Pack_Bool(pack, msg->versions);
 }
 
@@ -149,6 +150,7 @@
 {
     msg->ask = Unpack_U64(in);
     msg->name = take_bounded(in, Cfg_NAME_MAX);
+    msg->in_force = Unpack_Bool(in);
     msg->versions = Unpack_Bool(in);
     return Unpack_Ok(in, err);
 }
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -52,11 +52,12 @@
 void Configmsg_PackVersion(Pack *pack, const VersionMsg *msg);
 bool Configmsg_ReadVersion(Unpack *in, VersionMsg *msg, Err *err);
 
-/* Wire_PRESETS_ASK: NAME also asks for that preset itself, VERSIONS for the
- * version at each node. */
+/* Wire_PRESETS_ASK: NAME also asks for that preset itself, IN_FORCE for the
+ * one in force, VERSIONS for the version at each node. */
 typedef struct {
     uint64_t ask;
     Str name;
+    bool in_force;
     bool versions;
 } PresetsAskMsg;
 
--- a/src/connection/httprule.c
+++ b/src/connection/httprule.c
@@ -1,19 +1,11 @@
 #include "connection/httprule.h"
 
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
-#include <sys/queue.h>
-
-#include "connection/evtext.h"
-
 enum { REQUEST_ID_BYTES_MAX = 128 };
 
 typedef struct {
     int hosts;
     int lengths;
     int encodings;
-    size_t count;
-    size_t bytes;
     bool same_length; /* every Content-Length has the same value */
     bool chunked;
     bool clean; /* no control character in a value */
@@ -34,8 +26,6 @@
 static void
 note(Facts *facts, Str name, Str value, Str *length)
 {
-    facts->count++;
-    facts->bytes += name.len + value.len + 4;
     facts->clean &= is_clean(value) && is_clean(name);
     if (Str_EqualNoCase(name, Str_LIT("Host"))) {
         facts->hosts++;
@@ -52,15 +42,13 @@
 }
 
 static Facts
-collect(const struct evhttp_request *request)
+collect(const FieldList *fields)
 {
     Facts facts = {.same_length = true, .clean = true};
-    const struct evkeyval *item;
     Str length = {0};
 
-    TAILQ_FOREACH(item, request->input_headers, next)
-    {
-        note(&facts, Str_FromC(item->key), Str_FromC(item->value), &length);
+    for (size_t i = 0; i < fields->count; i++) {
+        note(&facts, fields->items[i].name, fields->items[i].value, &length);
     }
     return facts;
 }
@@ -71,18 +59,31 @@
     return (HtrVerdict){400, Str_FromC(text)};
 }
 
-HtrVerdict
-Htr_Check(struct evhttp_request *request, size_t header_bytes_max)
+static bool
+is_method_known(Str method)
 {
-    Facts facts = collect(request);
+    static const Str known[] = {Str_LIT("GET"),    Str_LIT("POST"),
+                                Str_LIT("HEAD"),   Str_LIT("PUT"),
+                                Str_LIT("DELETE"), Str_LIT("OPTIONS"),
+                                Str_LIT("PATCH")};
 
-    if (facts.bytes > header_bytes_max || facts.count > Field_MAX) {
-        return (HtrVerdict){431, Str_LIT("header fields too large\n")};
+    for (size_t i = 0; i < sizeof known / sizeof known[0]; i++) {
+        if (Str_Equal(known[i], method)) {
+            return true;
+        }
     }
-    if (Evt_MethodName(request->type).len == 0) {
+    return false;
+}
+
+HtrVerdict
+Htr_Check(const CstRequest *request)
+{
+    Facts facts = collect(&request->fields);
+
+    if (!is_method_known(request->method)) {
         return (HtrVerdict){501, Str_LIT("method not implemented\n")};
     }
-    if (facts.hosts > 1 || (facts.hosts == 0 && request->minor >= 1)) {
+    if (facts.hosts > 1 || (facts.hosts == 0 && !request->http_1_0)) {
         return bad("one Host field is needed\n");
     }
     if (facts.encodings && (facts.lengths || facts.encodings > 1)) {
@@ -100,25 +101,30 @@
     return (HtrVerdict){0};
 }
 
-void
-Htr_Target(struct evhttp_request *request, StrBuf *target)
+Str
+Htr_Target(Str target)
 {
-    const struct evhttp_uri *uri = request->uri_elems;
-    Str text = Str_FromC(request->uri);
-    Str path;
-    Str query;
-
-    if (Str_StartsWith(text, Str_LIT("/")) || !uri ||
-        !evhttp_uri_get_scheme(uri)) {
-        StrBuf_Set(target, text);
-        return;
+    static const Str mark = Str_LIT("://");
+
+    if (Str_StartsWith(target, Str_LIT("/"))) {
+        return target;
     }
-    path = Str_FromC(evhttp_uri_get_path(uri));
-    query = Str_FromC(evhttp_uri_get_query(uri));
-    StrBuf_Set(target, path.len ? path : Str_LIT("/"));
-    if (query.len) {
-        StrBuf_AppendFmt(target, "?%.*s", Str_ARG(query));
+    for (size_t i = 0; i + mark.len <= target.len; i++) {
+        if (Str_Equal(Str_Slice(target, i, mark.len), mark)) {
+            Str rest = Str_Slice(target, i + mark.len, target.len);
+            Str path = Str_Slice(rest, Str_Find(rest, '/'), rest.len);
+            return path.len ? path : Str_LIT("/");
+        }
     }
+    return target;
+}
+
+Str
+Htr_Host(const FieldList *fields)
+{
+    Str host = Field_Get(fields, Str_LIT("Host"));
+
+    return Str_Slice(host, 0, Str_Find(host, ':'));
 }
 
 bool
--- a/src/connection/logmsg.c
+++ b/src/connection/logmsg.c
@@ -1,6 +1,6 @@
 #include "connection/logmsg.h"
 
-enum { MESSAGE_FIELDS = 12, ENTRY_FIELDS = 4, HELLO_FIELDS = 4 };
+enum { MESSAGE_FIELDS = 12, ENTRY_FIELDS = 4, HELLO_FIELDS = 5 };
 
 void
 Logmsg_Pack(Pack *pack, const RlogMessage *message)
@@ -86,14 +86,27 @@
     Pack_U64(pack, hello->addr);
     Pack_Bool(pack, hello->blank);
     Pack_Bool(pack, hello->answer);
+    Pack_Array(pack, hello->known_count);
+    for (uint32_t i = 0; i < hello->known_count; i++) {
+        Pack_U64(pack, hello->known[i]);
+    }
 }
 
 bool
 Logmsg_ReadHello(Unpack *in, HelloMsg *hello, Err *err)
 {
+    Unpack known;
+
     hello->identity = Unpack_U64(in);
     hello->addr = Unpack_U64(in);
     hello->blank = Unpack_Bool(in);
     hello->answer = Unpack_Bool(in);
+    hello->known_count = Unpack_Array(in, Logmsg_KNOWN_MAX, &known);
+    for (uint32_t i = 0; i < hello->known_count; i++) {
+        hello->known[i] = Unpack_U64(&known);
+    }
+    if (!Unpack_Ok(&known, NULL)) {
+        Unpack_Fail(in);
+    }
     return Unpack_Ok(in, err);
 }
--- a/src/connection/logmsg.h
+++ b/src/connection/logmsg.h
@@ -6,8 +6,9 @@
 #include "version/rlog.h"
 
 enum {
-    Logmsg_DATA_MAX = 64 * 1024,      /* bytes of one entry */
-    Logmsg_SNAPSHOT_MAX = 1024 * 1024 /* bytes of a snapshot */
+    Logmsg_KNOWN_MAX = 8,
+    Logmsg_DATA_MAX = 520 * 1024,         /* bytes of one entry */
+    Logmsg_SNAPSHOT_MAX = 9 * 1024 * 1024 /* bytes of a snapshot */
 };
 
 /* Wire_LOG.  What was read points into the message's bytes. */
@@ -20,6 +21,8 @@
     Addr addr;
     bool blank;  /* it holds nothing of any history */
     bool answer; /* to a hello: not to be answered */
+    Addr known[Logmsg_KNOWN_MAX]; /* other replicas it has heard of */
+    uint32_t known_count;
 } HelloMsg;
 
 void Logmsg_PackHello(Pack *pack, const HelloMsg *hello);
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -73,6 +73,12 @@
     tell(adm, &(AdmEvent){.kind = Adm_DID_LEAVE});
 }
 
+bool
+Adm_IsLeaving(const Adm *adm)
+{
+    return adm->present && adm->draining;
+}
+
 void
 Adm_OnTurnedAway(Adm *adm, Instant now)
 {
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -84,6 +84,9 @@
 /* The node stops: no attempt is taken from now on. */
 void Adm_Leave(Adm *adm);
 
+/* The backend server, or the node, leaves: what waits will not start. */
+bool Adm_IsLeaving(const Adm *adm);
+
 /* Decide; Adm_RUN and Adm_QUEUE are counted at once. */
 AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now);
 
--- a/src/process/announce.h
+++ b/src/process/announce.h
@@ -2,6 +2,9 @@
  *
  * A backend server posts {"service", "port", "slots", "draining"} to
  * /v1/announce every second or so; without a word for the expiry it is gone.
+ * One that tells its starts apart posts {"service", "address", "slots",
+ * "state", "sequence", "born"} to /v1/backends/announce?id=ID instead, and
+ * /v1/backends/leave?id=ID before it goes; other members are left alone.
  */
 #ifndef ANNOUNCE_H
 #define ANNOUNCE_H
@@ -9,6 +12,7 @@
 #include "connection/backend.h"
 #include "process/admission.h"
 #include "process/operate.h"
+#include "process/presence.h"
 
 typedef void (*AnnListener)(void *context, Instant now);
 
@@ -20,6 +24,7 @@
     bool present;
     bool draining;
     StrBuf service;
+    Prs presence;
     Instant heard_at;
     AnnListener changed; /* told of each change but a renewal */
     void *context;
@@ -30,7 +35,7 @@
               void *context);
 void Ann_Finish(Ann *ann);
 
-/* Serve /v1/announce. */
+/* Serve /v1/announce and /v1/backends/. */
 void Ann_Serve(Ann *ann, Opr *opr);
 
 void Ann_Expire(Ann *ann, Instant now);
--- a/src/process/changes.c
+++ b/src/process/changes.c
@@ -5,6 +5,7 @@
 
 #include "connection/configmsg.h"
 #include "process/chganswer.h"
+#include "process/chgask.h"
 #include "value/json.h"
 #include "value/mem.h"
 
@@ -14,29 +15,8 @@
 #define WAIT Span_MS(6000)          /* for an outcome */
 #define WAIT_VERSIONS Span_MS(1000) /* for the leader's version */
 
-typedef enum { ASK_PRESETS, ASK_PRESET, ASK_VERSIONS, ASK_CHANGE } AskKind;
-
-/* One operators' request that waits for the leader. */
-struct ChgAsk {
-    ChgAsk *next;
-    Changes *changes;
-    struct evhttp_request *request;
-    AskKind kind;
-    uint64_t number;
-    StrBuf name;
-    StrBuf id; /* of a change, as what follows */
-    StrBuf json;
-    CfgVerb verb;
-    CfgVersion base;
-    Addr target;  /* asked last */
-    bool leads;   /* and said that it leads */
-    uint32_t out; /* changes sent and not answered */
-    Instant again_at;
-    Instant deadline;
-};
-
-static void
-end_ask(ChgAsk *ask, OprAnswer answer)
+void
+Chg_End(ChgAsk *ask, OprAnswer answer)
 {
     ChgAsk **at = &ask->changes->first;
 
@@ -76,11 +56,12 @@
 {
     PresetsAskMsg msg = {
         .ask = ask->number,
-        .versions = ask->kind == ASK_VERSIONS,
+        .in_force = ask->kind == Chg_ASK_ROUTING,
+        .versions = ask->kind == Chg_ASK_VERSIONS,
     };
     Pack pack;
 
-    if (ask->kind == ASK_PRESET) {
+    if (ask->kind == Chg_ASK_PRESET) {
         msg.name = StrBuf_View(&ask->name);
     }
     ask->leads = false;
@@ -109,22 +90,33 @@
     send_message(ask->changes, ask->target, &pack, now);
 }
 
+static Addr
+next_replica(Changes *changes)
+{
+    const Settings *settings = changes->settings;
+    Addr replica = Addr_NONE;
+
+    for (size_t i = 0; i < settings->replica_count && !replica; i++) {
+        replica = settings->replicas[changes->next];
+        changes->next = changes->next + 1 < settings->replica_count
+                            ? changes->next + 1
+                            : 0;
+    }
+    return replica;
+}
+
 /* Ask the leader as last told, else the next replica of the list. */
-static void
-look_for_leader(ChgAsk *ask, Instant now)
+void
+Chg_LookForLeader(ChgAsk *ask, Instant now)
 {
     Changes *changes = ask->changes;
-    const Settings *settings = changes->settings;
     Addr known = changes->follow->leader;
 
     if (known && known != ask->target) {
         ask->target = known;
     }
     else {
-        ask->target = settings->replicas[changes->next];
-        changes->next = changes->next + 1 < settings->replica_count
-                            ? changes->next + 1
-                            : 0;
+        ask->target = next_replica(changes);
     }
     send_presets_ask(ask, now);
 }
@@ -136,7 +128,7 @@
     const Changes *changes = ask->changes;
     const Preset *preset = &(*changes->in_force)->preset;
 
-    end_ask(ask, (OprAnswer){200, Cha_Versions(changes->settings, nodes,
+    Chg_End(ask, (OprAnswer){200, Cha_Versions(changes->settings, nodes,
                                                version, current,
                                                StrBuf_View(&preset->name))});
 }
@@ -156,18 +148,18 @@
 static void
 give_up(ChgAsk *ask)
 {
-    if (ask->kind == ASK_VERSIONS) {
+    if (ask->kind == Chg_ASK_VERSIONS) {
         answer_own_versions(ask);
     }
     else if (ask->out) {
-        end_ask(ask,
+        Chg_End(ask,
                 (OprAnswer){504, Cha_Outcome(Str_LIT("unknown"),
                                              Str_LIT("no outcome came back: "
                                                      "send it again with the "
                                                      "same id"))});
     }
     else {
-        end_ask(ask, (OprAnswer){503, Cha_Outcome(Str_LIT("unreachable"),
+        Chg_End(ask, (OprAnswer){503, Cha_Outcome(Str_LIT("unreachable"),
                                                   Str_LIT("no leader of the "
                                                           "control replicas "
                                                           "answers"))});
@@ -187,14 +179,14 @@
             give_up(ask);
         }
         else if (now >= ask->again_at) {
-            look_for_leader(ask, now);
+            Chg_LookForLeader(ask, now);
         }
     }
     Cnt_AddNs(changes->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
-static ChgAsk *
-start_ask(Changes *changes, struct evhttp_request *request, AskKind kind,
+ChgAsk *
+Chg_Start(Changes *changes, struct evhttp_request *request, ChgKind kind,
           Instant now)
 {
     ChgAsk *ask = Mem_Alloc(1, sizeof *ask);
@@ -203,7 +195,7 @@
     ask->request = request;
     ask->kind = kind;
     ask->number = ++changes->counter;
-    ask->deadline = now + (kind == ASK_VERSIONS ? WAIT_VERSIONS : WAIT);
+    ask->deadline = now + (kind == Chg_ASK_VERSIONS ? WAIT_VERSIONS : WAIT);
     ask->next = changes->first;
     changes->first = ask;
     return ask;
@@ -224,17 +216,20 @@
 take_presets(ChgAsk *ask, PresetsMsg *msg, Instant now)
 {
     switch (ask->kind) {
-    case ASK_PRESETS:
-        end_ask(ask, (OprAnswer){200, Cha_Presets(msg)});
+    case Chg_ASK_PRESETS:
+        Chg_End(ask, (OprAnswer){200, Cha_Presets(msg)});
+        break;
+    case Chg_ASK_PRESET:
+        Chg_End(ask, Cha_Preset(msg, StrBuf_View(&ask->name)));
         break;
-    case ASK_PRESET:
-        end_ask(ask, Cha_Preset(msg, StrBuf_View(&ask->name)));
+    case Chg_ASK_ROUTING:
+        Chg_End(ask, Chg_RoutingOf(msg));
         break;
-    case ASK_VERSIONS:
+    case Chg_ASK_VERSIONS:
         Nvs_Complete(&msg->nodes, ask->changes->membership);
         answer_versions(ask, &msg->nodes, msg->version, true);
         break;
-    case ASK_CHANGE:
+    case Chg_ASK_CHANGE:
         if (!ask->leads) {
             send_change(ask, now);
         }
@@ -292,7 +287,9 @@
         return;
     }
     if (msg.decided) {
-        end_ask(ask, Cha_Change(&msg));
+        Chg_End(ask, ask->verb == Cfg_ROUTE || ask->verb == Cfg_ROUTE_PATCH
+                         ? Chg_RevisionOf(&msg)
+                         : Cha_Change(&msg));
         return;
     }
     ask->out -= ask->out > 0;
@@ -305,7 +302,7 @@
              Instant now)
 {
     (void)body;
-    look_for_leader(start_ask(context, request, ASK_PRESETS, now), now);
+    Chg_LookForLeader(Chg_Start(context, request, Chg_ASK_PRESETS, now), now);
     return (OprAnswer){0};
 }
 
@@ -314,7 +311,7 @@
               Instant now)
 {
     (void)body;
-    look_for_leader(start_ask(context, request, ASK_VERSIONS, now), now);
+    Chg_LookForLeader(Chg_Start(context, request, Chg_ASK_VERSIONS, now), now);
     return (OprAnswer){0};
 }
 
@@ -345,9 +342,9 @@
         return (OprAnswer){400, Opr_Error(Str_LIT("malformed"),
                                           Str_LIT("name: 1 to 64 bytes"))};
     }
-    ask = start_ask(context, request, ASK_PRESET, now);
+    ask = Chg_Start(context, request, Chg_ASK_PRESET, now);
     ask->name = name;
-    look_for_leader(ask, now);
+    Chg_LookForLeader(ask, now);
     return (OprAnswer){0};
 }
 
@@ -426,7 +423,8 @@
     Jsn_GetStr(&o, Str_LIT("name"), true, &ask->name);
     Jsn_GetStr(&o, Str_LIT("verb"), true, &verb);
     read_base(&o, &ask->base, findings);
-    if (!Cfg_ParseVerb(StrBuf_View(&verb), &ask->verb)) {
+    if (!Cfg_ParseVerb(StrBuf_View(&verb), &ask->verb) ||
+        ask->verb > Cfg_USE) {
         Jsn_Find(&o, Str_LIT("verb"), Str_LIT("no such verb"),
                  Str_LIT("put or use"));
     }
@@ -443,18 +441,18 @@
 static OprAnswer
 on_change(void *context, struct evhttp_request *request, Str body, Instant now)
 {
-    ChgAsk *ask = start_ask(context, request, ASK_CHANGE, now);
+    ChgAsk *ask = Chg_Start(context, request, Chg_ASK_CHANGE, now);
     FindingList findings;
     StrBuf text = {0};
 
     Fnd_Init(&findings);
     Fnd_SetFile(&findings, Str_LIT("change"));
     if (read_change(ask, body, &findings)) {
-        look_for_leader(ask, now);
+        Chg_LookForLeader(ask, now);
     }
     else {
         Fnd_Print(&findings, &text);
-        end_ask(ask, (OprAnswer){400, Cha_Outcome(Str_LIT("refused"),
+        Chg_End(ask, (OprAnswer){400, Cha_Outcome(Str_LIT("refused"),
                                                   StrBuf_View(&text))});
     }
     Fnd_Finish(&findings);
@@ -498,4 +496,5 @@
     Opr_On(opr, Str_LIT("/v1/change"), true, on_change, changes);
     Opr_On(opr, Str_LIT("/v1/versions"), true, show_versions, changes);
     Opr_On(opr, Str_LIT("/v1/replicas"), true, show_replicas, changes);
+    Chg_ServeRouting(changes, opr);
 }
--- /dev/null
+++ b/src/process/chgrouting.c
@@ -0,0 +1,108 @@
+#include <inttypes.h>
+
+#include "process/chganswer.h"
+#include "process/chgask.h"
+#include "value/hash.h"
+#include "version/routing.h"
+
+OprAnswer
+Chg_RoutingOf(const PresetsMsg *msg)
+{
+    json_t *routing = Rtg_Get(msg->json);
+
+    if (!routing) {
+        return (OprAnswer){503, Opr_Error(Str_LIT("no_routing"),
+                                          Str_LIT("none was accepted yet"))};
+    }
+    return (OprAnswer){200, routing};
+}
+
+OprAnswer
+Chg_RevisionOf(const ChangedMsg *msg)
+{
+    OprAnswer answer = Cha_Change(msg);
+
+    if (msg->result.outcome == Cfg_CONFLICT) {
+        answer.status = 412; /* If-Match names another revision */
+    }
+    return answer;
+}
+
+/* The same change sent again has the same id, at whichever node. */
+static void
+make_id(ChgAsk *ask)
+{
+    uint64_t parts[] = {ask->verb, ask->base.index,
+                        Str_Hash(StrBuf_View(&ask->json)), ask->json.len};
+
+    StrBuf_AppendFmt(&ask->id, "routing-%" PRIu64 "-%016" PRIx64 "%016" PRIx64,
+                     ask->base.index, parts[2],
+                     Str_Hash(Str_From((const char *)parts, sizeof parts)));
+}
+
+/* The revision that the change builds on: a number, quoted or not. */
+static bool
+read_base(struct evhttp_request *request, uint64_t *revision)
+{
+    Str text = Str_Trim(Str_FromC(evhttp_find_header(
+        evhttp_request_get_input_headers(request), "If-Match")));
+
+    if (text.len >= 2 && text.ptr[0] == '"') {
+        text = Str_Slice(text, 1, text.len - 2);
+    }
+    return Str_ToU64(text, revision);
+}
+
+static OprAnswer
+on_revision(Changes *changes, struct evhttp_request *request, Str body,
+            CfgVerb verb, Instant now)
+{
+    uint64_t base;
+    ChgAsk *ask;
+
+    if (!read_base(request, &base)) {
+        return (OprAnswer){400,
+                           Cha_Outcome(Str_LIT("refused"),
+                                       Str_LIT("If-Match: the revision that "
+                                               "this one builds on"))};
+    }
+    if (body.len > Cfg_JSON_MAX) {
+        return (OprAnswer){413, Cha_Outcome(Str_LIT("refused"),
+                                            Str_LIT("over 524288 bytes"))};
+    }
+    ask = Chg_Start(changes, request, Chg_ASK_CHANGE, now);
+    ask->verb = verb;
+    ask->base.index = base;
+    StrBuf_Set(&ask->json, body);
+    make_id(ask);
+    Chg_LookForLeader(ask, now);
+    return (OprAnswer){0};
+}
+
+static OprAnswer
+on_put(void *context, struct evhttp_request *request, Str body, Instant now)
+{
+    return on_revision(context, request, body, Cfg_ROUTE, now);
+}
+
+static OprAnswer
+on_patch(void *context, struct evhttp_request *request, Str body, Instant now)
+{
+    return on_revision(context, request, body, Cfg_ROUTE_PATCH, now);
+}
+
+static OprAnswer
+on_read(void *context, struct evhttp_request *request, Str body, Instant now)
+{
+    (void)body;
+    Chg_LookForLeader(Chg_Start(context, request, Chg_ASK_ROUTING, now), now);
+    return (OprAnswer){0};
+}
+
+void
+Chg_ServeRouting(Changes *changes, Opr *opr)
+{
+    Opr_On(opr, Str_LIT("/v1/routing/put"), true, on_put, changes);
+    Opr_On(opr, Str_LIT("/v1/routing/patch"), true, on_patch, changes);
+    Opr_On(opr, Str_LIT("/v1/routing/read"), true, on_read, changes);
+}
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -223,7 +223,10 @@
 {
     RlogSettings settings = {control->disk.identity,
                              control->settings->address, ELECTION, HEARTBEAT,
-                             LOG_MAX};
+                             LOG_MAX,
+                             control->settings->seed_count
+                                 ? control->settings->voters_max
+                                 : 0};
     RlogOut out = {
         .context = control,
         .send = on_send,
@@ -344,7 +347,7 @@
 void
 Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
          Timeline *timeline, const Settings *settings, Rng *rng,
-         const Mbr *membership, Str preset_name, Str preset_json)
+         const Mbr *membership, Rps *known, Str preset_name, Str preset_json)
 {
     *control = (Control){
         .settings = settings,
@@ -354,6 +357,7 @@
         .timeline = timeline,
         .rng = rng,
         .membership = membership,
+        .known = known,
     };
     if (!settings->control) {
         return;
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -14,6 +14,7 @@
 
 #include "process/membership.h"
 #include "process/net.h"
+#include "process/replicaset.h"
 #include "version/config.h"
 #include "version/disk.h"
 #include "version/rlog.h"
@@ -53,6 +54,7 @@
     Timeline *timeline;
     Rng *rng;
     const Mbr *membership;
+    Rps *known;
     StrBuf preset_name; /* of the settings' file */
     StrBuf preset_json;
     bool open; /* the role runs: its folder was read */
@@ -63,7 +65,7 @@
     RlogReplicas replicas;
     uint64_t genesis_term;   /* in which the file's preset was proposed */
     const NetOrigin *origin; /* of the message that is handled */
-    CtlHello hellos[Rlog_VOTERS_MAX]; /* by control replica */
+    CtlHello hellos[Set_REPLICAS_MAX]; /* by control replica */
     CtlWaiter waiters[Ctl_WAITERS_MAX];
     CtlWatcher *watchers;
     size_t watcher_count;
@@ -76,7 +78,8 @@
  * PRESET_JSON are those of the settings' file, copied. */
 void Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
               Timeline *timeline, const Settings *settings, Rng *rng,
-              const Mbr *membership, Str preset_name, Str preset_json);
+              const Mbr *membership, Rps *known, Str preset_name,
+              Str preset_json);
 void Ctl_Finish(Control *control);
 
 /* This replica's folder was made at the fleet's first start: it has been
--- a/src/process/control_hello.c
+++ b/src/process/control_hello.c
@@ -7,6 +7,20 @@
 
 static const Str genesis_id = Str_LIT("genesis");
 
+/* With seeds, replicas tell each other of all others. */
+static void
+name_known(const Control *control, HelloMsg *hello)
+{
+    const Settings *settings = control->settings;
+
+    for (size_t i = 0; settings->seed_count && i < settings->replica_count;
+         i++) {
+        if (settings->replicas[i]) {
+            hello->known[hello->known_count++] = settings->replicas[i];
+        }
+    }
+}
+
 static void
 send_hello(Control *control, Addr to, const NetOrigin *origin, Instant now)
 {
@@ -18,6 +32,7 @@
     };
     Pack pack;
 
+    name_known(control, &hello);
     Logmsg_PackHello(&pack, &hello);
     Ctl_Count(control, &pack);
     if (origin) {
@@ -40,12 +55,22 @@
     }
     control->hello_at = now + (blank ? HELLO_BLANK : HELLO);
     for (size_t i = 0; i < settings->replica_count; i++) {
-        if (settings->replicas[i] != settings->address) {
+        if (settings->replicas[i] &&
+            settings->replicas[i] != settings->address) {
             send_hello(control, settings->replicas[i], NULL, now);
         }
     }
 }
 
+static void
+take_known(Control *control, const HelloMsg *hello)
+{
+    Rps_Add(control->known, hello->addr);
+    for (uint32_t i = 0; i < hello->known_count; i++) {
+        Rps_Add(control->known, hello->known[i]);
+    }
+}
+
 static void
 on_hello(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -58,6 +83,7 @@
         Cnt_Add(control->counters, Cnt_MALFORMED, 1);
         return;
     }
+    take_known(control, &hello);
     for (size_t i = 0; i < settings->replica_count; i++) {
         if (settings->replicas[i] == hello.addr) {
             control->hellos[i] = (CtlHello){hello.identity, hello.blank, now};
@@ -74,26 +100,73 @@
     return hello->heard_at && now - hello->heard_at < HELLO_EXPIRY;
 }
 
+/* The replicas that begin the history: the list, or the seeds. */
+static size_t
+count_founders(const Settings *settings)
+{
+    return settings->seed_count ? settings->seed_count
+                                : settings->replica_count;
+}
+
+static Addr
+founder_at(const Settings *settings, size_t number)
+{
+    return settings->seed_count ? settings->seeds[number]
+                                : settings->replicas[number];
+}
+
+/* The first of the list; of seeds, whose order may differ by VM, the one of
+ * the lowest address, and only where the settings say that it may. */
+static bool
+may_found(const Settings *settings)
+{
+    Addr least = settings->address;
+
+    if (!settings->seed_count) {
+        return settings->replicas[0] == settings->address;
+    }
+    for (size_t i = 0; i < settings->seed_count; i++) {
+        least = settings->seeds[i] < least ? settings->seeds[i] : least;
+    }
+    return settings->found && least == settings->address &&
+           Rps_Find(&(Rps){.settings = (Settings *)settings}, least) <
+               settings->seed_count;
+}
+
+static bool
+fill_founder(const Control *control, Addr addr, RlogReplica *founder,
+             Instant now)
+{
+    size_t place = Rps_Find(control->known, addr);
+    const CtlHello *hello;
+
+    if (addr == control->settings->address) {
+        *founder = (RlogReplica){control->disk.identity, addr, true, true};
+        return true;
+    }
+    if (place == Set_REPLICAS_MAX) {
+        return false;
+    }
+    hello = &control->hellos[place];
+    *founder = (RlogReplica){hello->identity, addr, true, true};
+    return is_heard(hello, now) && hello->blank;
+}
+
 /* Begin the history, when all are here and none holds anything. */
 static void
 found(Control *control, Instant now)
 {
     const Settings *settings = control->settings;
-    RlogReplicas voters = {.count = (uint32_t)settings->replica_count};
+    RlogReplicas voters = {.count = (uint32_t)count_founders(settings)};
 
-    if (settings->replicas[0] != settings->address ||
-        !Rlog_IsBlank(&control->rlog)) {
+    if (!may_found(settings) || !Rlog_IsBlank(&control->rlog)) {
         return;
     }
-    voters.items[0] =
-        (RlogReplica){control->disk.identity, settings->address, true, true};
-    for (size_t i = 1; i < settings->replica_count; i++) {
-        const CtlHello *hello = &control->hellos[i];
-        if (!is_heard(hello, now) || !hello->blank) {
+    for (uint32_t i = 0; i < voters.count; i++) {
+        if (!fill_founder(control, founder_at(settings, i), &voters.items[i],
+                          now)) {
             return;
         }
-        voters.items[i] =
-            (RlogReplica){hello->identity, settings->replicas[i], true, true};
     }
     Rlog_Found(&control->rlog, &voters, now);
 }
@@ -129,7 +202,8 @@
 {
     const Settings *settings = control->settings;
 
-    for (uint32_t i = 0; i < control->replicas.count; i++) {
+    for (uint32_t i = 0; !settings->seed_count && i < control->replicas.count;
+         i++) {
         Addr addr = control->replicas.items[i].addr;
         if (!is_listed(settings, addr)) {
             Rlog_OnUnlisted(&control->rlog, addr,
--- a/src/process/control_serve.c
+++ b/src/process/control_serve.c
@@ -66,13 +66,20 @@
 is_sound(Control *control, const ChangeMsg *msg, const NetOrigin *origin,
          Instant now)
 {
+    const CfgChange *change = &msg->change;
     FindingList findings;
     StrBuf text = {0};
+    StrBuf json = {0};
     bool sound;
 
     Fnd_Init(&findings);
     Fnd_SetFile(&findings, Str_LIT("change"));
-    sound = Cfg_Check(&msg->change, &findings);
+    sound = Cfg_Check(change, &findings);
+    /* On another base it loses, sound or not. */
+    if (sound && Cfg_IsRevision(change) &&
+        change->base.index == control->cfg.revision) {
+        sound = Cfg_Revise(&control->cfg, change, &json, &findings);
+    }
     if (!sound) {
         ChangedMsg refusal = {.ask = msg->ask,
                               .decided = true,
@@ -84,6 +91,7 @@
     }
     Fnd_Finish(&findings);
     StrBuf_Finish(&text);
+    StrBuf_Finish(&json);
     return sound;
 }
 
@@ -121,24 +129,26 @@
         answer_change(control, origin, &changed, now);
         return;
     }
-    if (!is_sound(control, &msg, origin, now)) {
-        return;
-    }
     if (Cfg_Recall(&control->cfg, &msg.change, &changed.result)) {
         changed.decided = true;
         changed.detail = Cfg_WhyText(changed.result.why);
         answer_change(control, origin, &changed, now);
         return;
     }
+    if (!is_sound(control, &msg, origin, now)) {
+        return;
+    }
     propose(control, &msg, waiter, origin, now);
 }
 
 static void
-fill_presets(const Control *control, Str name, PresetsMsg *msg)
+fill_presets(const Control *control, const PresetsAskMsg *ask,
+             PresetsMsg *msg)
 {
     const Cfg *cfg = &control->cfg;
     const CfgPreset *in_force = Cfg_InForce(cfg);
-    const CfgPreset *named = Cfg_Find(cfg, name);
+    const CfgPreset *named =
+        ask->in_force ? in_force : Cfg_Find(cfg, ask->name);
 
     msg->current = true;
     msg->version = cfg->version;
@@ -171,7 +181,7 @@
     msg.ask = ask.ask;
     msg.leader = Ctl_Leader(control);
     if (Ctl_IsCurrent(control, now)) {
-        fill_presets(control, ask.name, &msg);
+        fill_presets(control, &ask, &msg);
         if (ask.versions) {
             Nvs_Fill(&msg.nodes, control->membership);
         }
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -1,68 +1,103 @@
 #include "process/edge.h"
 
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <linux/filter.h>
 #include <sys/socket.h>
 
-/* evhttp ends a connection whose header section is over this many times the
- * bound, without a look at it. */
-enum { HEADER_SLACK = 4 };
+#include "connection/httprule.h"
+
+static bool
+is_repeatable(void *context, const CstRequest *request)
+{
+    const Edge *edge = context;
+
+    return Call_IsRepeatable(edge->exchanges.hub, Htr_Host(&request->fields),
+                             request->method, Htr_Target(request->target));
+}
+
+static void
+on_request(void *context, CstRequest *request, Instant now)
+{
+    Xch_Start(&((Edge *)context)->exchanges, request, now);
+}
+
+static void
+on_taken(void *context, CstRequest *request, uint32_t bytes)
+{
+    (void)context;
+    Xch_OnTaken(request, bytes, Loop_Now());
+}
+
+static void
+on_gone(void *context, CstRequest *request)
+{
+    (void)context;
+    Xch_OnGone(request, Loop_Now());
+}
 
 static void
-on_request(struct evhttp_request *request, void *context)
+on_refused(void *context, uint16_t status)
 {
-    Edge *edge = context;
+    const Edge *edge = context;
 
-    Xch_Start(&edge->exchanges, Clr_OnRequest(&edge->callers, request),
-              request, Loop_Now());
+    Lgr_Log(edge->exchanges.hub->logger, Lgr_DEBUG,
+            Str_LIT("request_not_read"), "status=%u", status);
+}
+
+/* The settings' bounds hold where the preset has none. */
+static CstLimits
+limits_of(const Settings *settings, const PstCallers *callers)
+{
+    return (CstLimits){
+        .head_bytes_max = callers->header_bytes_max
+                              ? callers->header_bytes_max
+                              : settings->header_bytes_max,
+        .body_bytes_max = callers->body_bytes_max ? callers->body_bytes_max
+                                                  : settings->body_bytes_max,
+        .head_wait =
+            callers->header_wait ? callers->header_wait : settings->header_wait,
+        .idle_wait =
+            callers->idle_wait ? callers->idle_wait : settings->callers_idle,
+    };
+}
+
+void
+Edge_SetPreset(Edge *edge, const Preset *preset)
+{
+    CstLimits limits = limits_of(edge->settings, &preset->callers);
+
+    Cst_SetLimits(&edge->callers, &limits);
 }
 
 bool
 Edge_Init(Edge *edge, Loop *loop, const Settings *settings, CallHub *hub,
           Err *err)
 {
-    StrBuf ip = {0};
+    CstFront front = {edge,     is_repeatable, on_request,
+                      on_taken, on_gone,       on_refused};
+    PstCallers none = {0};
+    CstLimits limits = limits_of(settings, &none);
 
-    *edge = (Edge){.http = evhttp_new(loop->base)};
-    Clr_Init(&edge->callers, loop->base);
+    *edge = (Edge){.settings = settings};
     edge->exchanges.hub = hub;
-    edge->exchanges.header_bytes_max = settings->header_bytes_max;
-    evhttp_set_gencb(edge->http, on_request, edge);
-    evhttp_set_allowed_methods(edge->http, UINT16_MAX);
-    evhttp_set_flags(edge->http, EVHTTP_SERVER_LINGERING_CLOSE);
-    evhttp_set_max_headers_size(
-        edge->http, (ev_ssize_t)settings->header_bytes_max * HEADER_SLACK);
-    evhttp_set_max_body_size(edge->http, settings->body_bytes_max);
-    Addr_PrintIp(settings->callers, &ip);
-    edge->socket = evhttp_bind_socket_with_handle(
-        edge->http, StrBuf_CStr(&ip), Addr_Port(settings->callers));
-    if (!edge->socket) {
-        Err_SET(err, Err_IO, "cannot listen for callers on %s:%u",
-                StrBuf_CStr(&ip), Addr_Port(settings->callers));
-        evhttp_free(edge->http);
+    edge->exchanges.names = &settings->names;
+    if (!Cst_Listen(&edge->callers, loop->base, Loop_Now, settings->callers,
+                    &front, err)) {
+        return false;
     }
-    else {
-        evconnlistener_disable(evhttp_bound_socket_get_listener(edge->socket));
-    }
-    StrBuf_Finish(&ip);
-    return edge->socket != NULL;
+    Cst_SetLimits(&edge->callers, &limits);
+    return true;
 }
 
 void
 Edge_Open(Edge *edge)
 {
-    if (!edge->open && edge->socket) {
-        edge->open = true;
-        evconnlistener_enable(evhttp_bound_socket_get_listener(edge->socket));
-    }
+    Cst_Open(&edge->callers);
 }
 
 void
 Edge_Finish(Edge *edge)
 {
-    Clr_Finish(&edge->callers);
-    evhttp_free(edge->http);
+    Cst_Finish(&edge->callers);
     Xch_ListFinish(&edge->exchanges);
 }
 
@@ -80,23 +115,28 @@
 void
 Edge_Refuse(Edge *edge)
 {
-    edge->exchanges.closing = true;
-    drop_new_connections(evhttp_bound_socket_get_fd(edge->socket));
+    edge->callers.closing = true;
+    if (edge->callers.listener) {
+        drop_new_connections(evconnlistener_get_fd(edge->callers.listener));
+    }
 }
 
 void
 Edge_StopListening(Edge *edge)
 {
-    if (edge->socket) {
-        evhttp_del_accept_socket(edge->http, edge->socket);
-        edge->socket = NULL;
-    }
+    Cst_StopListening(&edge->callers);
 }
 
 void
 Edge_CloseIdle(Edge *edge)
 {
-    Clr_CloseIdle(&edge->callers);
+    Cst_CloseIdle(&edge->callers);
+}
+
+void
+Edge_Tick(Edge *edge, Instant now)
+{
+    Cst_Tick(&edge->callers, now);
 }
 
 size_t
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -1,21 +1,17 @@
-/* Edge: the HTTP front towards callers, by evhttp: its address, its
- * connections (connection/caller.h) and their requests (request/exchange.h).
+/* Edge: the HTTP front towards callers: its address, its connections
+ * (connection/stream.h) and their requests (request/exchange.h).
  */
 #ifndef EDGE_H
 #define EDGE_H
 
-#include <event2/http.h>
-
-#include "connection/caller.h"
+#include "connection/stream.h"
 #include "process/loop.h"
 #include "process/settings.h"
 #include "request/exchange.h"
 
 typedef struct {
-    struct evhttp *http;
-    struct evhttp_bound_socket *socket; /* NULL: no longer listening */
-    bool open;
-    CallerList callers;
+    const Settings *settings;
+    CstList callers;
     ExchangeList exchanges;
 } Edge;
 
@@ -27,6 +23,9 @@
 /* Take callers' connections. */
 void Edge_Open(Edge *edge);
 
+/* PRESET is in force: the bounds on what callers send. */
+void Edge_SetPreset(Edge *edge, const Preset *preset);
+
 /* The node stops, step by step: each answer from now on is the last of its
  * connection, and nobody connects any more ... */
 void Edge_Refuse(Edge *edge);
@@ -37,6 +36,9 @@
 /* ... and connections without a request are closed. */
 void Edge_CloseIdle(Edge *edge);
 
+/* Times that ran out. */
+void Edge_Tick(Edge *edge, Instant now);
+
 /* Requests and answers that are still under way. */
 size_t Edge_Busy(const Edge *edge);
 
--- a/src/process/follow.c
+++ b/src/process/follow.c
@@ -38,11 +38,14 @@
 take_turn(Follow *follow)
 {
     const Settings *settings = follow->settings;
-    Addr replica = settings->replicas[follow->next];
+    Addr replica = Addr_NONE;
 
-    follow->next++;
-    if (follow->next == settings->replica_count) {
-        follow->next = 0;
+    for (size_t i = 0; i < settings->replica_count && !replica; i++) {
+        replica = settings->replicas[follow->next];
+        follow->next++;
+        if (follow->next == settings->replica_count) {
+            follow->next = 0;
+        }
     }
     return replica;
 }
--- a/src/process/holder.c
+++ b/src/process/holder.c
@@ -351,7 +351,8 @@
         .timeline = timeline,
         .incarnation = incarnation,
     };
-    if (!settings->control) {
+    /* Holders are counted by a fixed list. */
+    if (!settings->control || settings->seed_count) {
         return;
     }
     holder->fresh = !has_file(holder);
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -71,7 +71,8 @@
     Fnd_Print(&findings, &text);
     fprintf(stderr, "%.*s", Str_ARG(text));
     good = findings.count == 0;
-    if (good && Set_IsOpenToOthers(file)) {
+    if (good && (settings->operator_key.len || settings->curve_secret.len) &&
+        Set_IsOpenToOthers(file)) {
         fprintf(stderr,
                 "%.*s: warning: holds keys, and others may read it; "
                 "chmod 600\n",
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -382,6 +382,24 @@
     }
 }
 
+/* A place that is no replica's is told nothing, like this node's own. */
+static void
+set_self(Members *members, size_t number)
+{
+    Addr addr = members->settings->replicas[number];
+
+    members->replicas.replicas[number].self =
+        addr == members->settings->address || addr == Addr_NONE;
+}
+
+void
+Mbs_OnReplicaMoved(Members *members, size_t number)
+{
+    Mso_Forget(&members->replicas, number);
+    Mbr_ForgetVia(&members->membership, (unsigned)number);
+    set_self(members, number);
+}
+
 static void
 init_replicas(Members *members)
 {
@@ -392,8 +410,7 @@
     Mso_Init(&members->replicas, settings->replica_count, settings->heartbeat,
              settings->control, spread);
     for (size_t i = 0; i < settings->replica_count; i++) {
-        members->replicas.replicas[i].self =
-            settings->replicas[i] == settings->address;
+        set_self(members, i);
     }
 }
 
--- a/src/process/members.h
+++ b/src/process/members.h
@@ -47,6 +47,9 @@
 /* Send this node's record now: something in it changed. */
 void Mbs_SendRecord(Members *members, Instant now);
 
+/* Place NUMBER among the control replicas is another's now. */
+void Mbs_OnReplicaMoved(Members *members, size_t number);
+
 /* VERSION is confirmed and in force at this node. */
 void Mbs_SetVersion(Members *members, CfgVersion version, Instant now);
 
--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -320,6 +320,14 @@
     }
 }
 
+void
+Mbr_ForgetVia(Mbr *mbr, unsigned via)
+{
+    for (size_t i = 0; i < mbr->count; i++) {
+        mbr->rows[i].via &= (uint8_t) ~(1u << via);
+    }
+}
+
 void
 Mbr_OnHeld(Mbr *mbr, unsigned via, const MbrRecord *record, bool held,
            Instant now)
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -136,6 +136,9 @@
                 Instant now);
 void Mbr_EndExchange(Mbr *mbr, unsigned via, Instant now);
 
+/* Number VIA is another control replica's from now on. */
+void Mbr_ForgetVia(Mbr *mbr, unsigned via);
+
 /* Let records expire that were not renewed (on a replica), and forget rows
  * that are gone for long. */
 void Mbr_Expire(Mbr *mbr, Instant now);
--- a/src/process/membersource.c
+++ b/src/process/membersource.c
@@ -146,6 +146,15 @@
     return mso->control || replica == mso->source;
 }
 
+void
+Mso_Forget(Mso *mso, size_t replica)
+{
+    mso->replicas[replica] = (MsoReplica){0};
+    if (mso->source == replica) {
+        mso->source = Mso_NONE;
+    }
+}
+
 void
 Mso_OnSaid(Mso *mso, size_t replica, uint64_t said)
 {
--- a/src/process/membersource.h
+++ b/src/process/membersource.h
@@ -55,6 +55,9 @@
 /* Rows of REPLICA are wanted. */
 bool Mso_Wants(const Mso *mso, size_t replica);
 
+/* REPLICA's number is another's now. */
+void Mso_Forget(Mso *mso, size_t replica);
+
 /* The whole record of sequence SAID went to REPLICA. */
 void Mso_OnSaid(Mso *mso, size_t replica, uint64_t said);
 
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -443,6 +443,9 @@
     Peer *peer = find_peer(net, addr);
     bool sent;
 
+    if (addr == Addr_NONE) {
+        return false;
+    }
     if (!peer) {
         peer = add_peer(net, addr);
     }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -38,6 +38,9 @@
 {
     Node *node = context;
 
+    if (record->control) {
+        Rps_SetLive(&node->replicas, record->node, change != Mbr_GONE);
+    }
     Svc_OnMember(&node->services, change, record, now);
     if (change == Mbr_CAME) {
         Sps_OnMember(&node->suspects, record, now);
@@ -92,6 +95,11 @@
     case Stp_LEAVE:
         Adm_Leave(&node->admission);
         Mbs_Leave(&node->members, now);
+        if (node->stop.refused) {
+            Edge_Refuse(&node->edge);
+        }
+        break;
+    case Stp_REFUSE:
         Edge_Refuse(&node->edge);
         break;
     case Stp_STOP_LISTENING:
@@ -120,9 +128,28 @@
     if ((node->confirmed_at && now - node->confirmed_at >= beats) ||
         now - node->started_at >= OPEN_ANYWAY) {
         Edge_Open(&node->edge);
+        node->open = true;
     }
 }
 
+/* Whether callers are to come here. */
+static bool
+is_ready(void *context)
+{
+    const Node *node = context;
+
+    return node->open && node->calls.confirmed && !node->stop.since;
+}
+
+static void
+on_replica_moved(void *context, size_t number)
+{
+    Node *node = context;
+
+    Mbs_OnReplicaMoved(&node->members, number);
+    node->control.hellos[number] = (CtlHello){0};
+}
+
 static void
 on_tick(void *context, Instant now)
 {
@@ -135,6 +162,7 @@
     open_when_ready(node, now);
     take_stop_step(node, now);
     Msr_OnTick(&node->measure, now);
+    Edge_Tick(&node->edge, now);
 }
 
 static bool
@@ -203,6 +231,7 @@
         Inf_Release(node->in_force);
         node->in_force = Inf_New(&preset, version);
         use_preset(node);
+        Edge_SetPreset(&node->edge, &node->in_force->preset);
         node->calls.confirmed = true;
         Mbs_SetVersion(&node->members, version, now);
         Tml_Record(&node->timeline, Tml_IN_FORCE,
@@ -234,6 +263,12 @@
         Edge_Finish(&node->edge);
         return false;
     }
+    if (!Rdy_Init(&node->ready, &node->loop, settings->ready, is_ready, node,
+                  err)) {
+        Opr_Finish(&node->opr);
+        Edge_Finish(&node->edge);
+        return false;
+    }
     Ann_Serve(&node->ann, &node->opr);
     Chg_Serve(&node->changes, &node->opr);
     node->show = (Show){
@@ -248,17 +283,31 @@
     return true;
 }
 
+static BckNames
+backend_names(const SetNames *names)
+{
+    return (BckNames){
+        .request_id = StrBuf_View(&names->request_id),
+        .deadline = StrBuf_View(&names->deadline),
+        .expect = StrBuf_View(&names->expect),
+        .not_run = StrBuf_View(&names->not_run),
+        .load = StrBuf_View(&names->load),
+    };
+}
+
 static void
 init_parts(Node *node)
 {
     Settings *settings = node->settings;
     AdmSettings admission = {0};
+    const BckNames names = backend_names(&settings->names);
 
+    Rps_Init(&node->replicas, settings, on_replica_moved, node);
     Adm_Init(&node->admission, &admission);
     if (node->recorder.file) {
         Adm_Observe(&node->admission, Rec_OnAdmission, &node->recorder);
     }
-    Bck_PoolInit(&node->pool, node->loop.base, Loop_Now);
+    Bck_PoolInit(&node->pool, node->loop.base, Loop_Now, &names);
     Ann_Init(&node->ann, settings, &node->logger, &node->admission,
              &node->pool, on_announced, node);
     Svc_Init(&node->services, settings->address, settings->region,
@@ -285,7 +334,7 @@
     use_preset(node);
     Ctl_Init(&node->control, &node->loop, &node->net, &node->counters,
              &node->timeline, settings, &node->rng, &node->members.membership,
-             StrBuf_View(&node->in_force->preset.name),
+             &node->replicas, StrBuf_View(&node->in_force->preset.name),
              StrBuf_View(&node->preset_json));
     Fol_Init(&node->follow, &node->loop, &node->net, &node->counters,
              &node->timeline, settings, &node->members.membership, on_version,
@@ -346,7 +395,8 @@
         return false;
     }
     Stp_Init(&node->stop, &(StpSettings){settings->stop_bound,
-                                         settings->heartbeat * SETTLE_BEATS});
+                                         settings->heartbeat * SETTLE_BEATS,
+                                         settings->stop_notice});
     node->started_at = Loop_Now();
     LoopTimer_Init(&node->tick, &node->loop, TICK, on_tick, node);
     Tml_Record(&node->timeline, Tml_STARTED, "incarnation=%llu",
@@ -359,6 +409,7 @@
 {
     LoopTimer_Finish(&node->tick);
     Chg_Finish(&node->changes); /* answers while there is a front */
+    Rdy_Finish(&node->ready);
     Opr_Finish(&node->opr);
     Edge_Finish(&node->edge);
     finish_parts(node);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -15,6 +15,8 @@
 #include "process/measure.h"
 #include "process/members.h"
 #include "process/operate.h"
+#include "process/ready.h"
+#include "process/replicaset.h"
 #include "process/recorder.h"
 #include "process/show.h"
 #include "process/stop.h"
@@ -37,6 +39,7 @@
     Ann ann;
     Services services;
     Measure measure;
+    Rps replicas;
     Members members;
     CallHub calls;
     Suspects suspects;
@@ -47,10 +50,12 @@
     Changes changes;
     Edge edge;
     Opr opr;
+    Ready ready;
     Show show;
     Stp stop;
     Recorder recorder; /* of admission */
     Recorder ledger_recorder;
+    bool open; /* callers were let in */
     Instant started_at;
     Instant confirmed_at; /* of the first version in force; 0: none */
     LoopTimer tick;
--- a/src/process/operate.c
+++ b/src/process/operate.c
@@ -150,7 +150,8 @@
                     Str_LIT("too many operators' connections are open"));
         return;
     }
-    if (path->needs_key && !has_key(opr, request)) {
+    if (path->needs_key && !opr->settings->operators_open &&
+        !has_key(opr, request)) {
         deny(opr, request, now);
         return;
     }
--- /dev/null
+++ b/src/process/presence.h
@@ -0,0 +1,39 @@
+/* Prs, the decider of what an announcement says of the backend server beside
+ * a node: of which start of it, and whether it still counts.
+ *
+ * A later start has a later birth.  Within one start the sequence rises; what
+ * comes late is acknowledged and changes nothing, but for a word of leaving,
+ * which is never taken back.
+ */
+#ifndef PRESENCE_H
+#define PRESENCE_H
+
+#include "value/str.h"
+
+typedef struct {
+    Str id;
+    int64_t born;      /* milliseconds since 1970; 0: not said */
+    uint64_t sequence; /* of this start's announcements */
+    bool draining;
+} PrsWord;
+
+typedef enum {
+    Prs_TAKE,
+    Prs_FRESH, /* the same, and it is another start */
+    Prs_LATE   /* an earlier start, or overtaken */
+} PrsVerdict;
+
+typedef struct {
+    StrBuf id; /* empty: nobody announced itself yet */
+    int64_t born;
+    uint64_t sequence;
+    bool draining; /* it said so: no work from then on */
+} Prs;
+
+void Prs_Finish(Prs *prs);
+PrsVerdict Prs_OnWord(Prs *prs, const PrsWord *word);
+
+/* ID leaves; false when that is not who is here. */
+bool Prs_OnLeave(Prs *prs, Str id);
+
+#endif
--- /dev/null
+++ b/src/process/replicaset.c
@@ -0,0 +1,67 @@
+#include "process/replicaset.h"
+
+void
+Rps_Init(Rps *set, Settings *settings, RpsListener moved, void *context)
+{
+    *set = (Rps){.settings = settings, .moved = moved, .context = context};
+}
+
+size_t
+Rps_Find(const Rps *set, Addr addr)
+{
+    const Settings *settings = set->settings;
+
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        if (settings->replicas[i] == addr) {
+            return i;
+        }
+    }
+    return Set_REPLICAS_MAX;
+}
+
+/* An unused place, else that of one which is not here. */
+static size_t
+find_place(const Rps *set)
+{
+    const Settings *settings = set->settings;
+    size_t found = Rps_Find(set, Addr_NONE);
+
+    for (size_t i = 0; i < settings->replica_count && found == Set_REPLICAS_MAX;
+         i++) {
+        if (!set->live[i] && settings->replicas[i] != settings->address) {
+            found = i;
+        }
+    }
+    return found;
+}
+
+void
+Rps_Add(Rps *set, Addr addr)
+{
+    size_t place;
+
+    if (set->settings->seed_count == 0 || addr == Addr_NONE ||
+        Rps_Find(set, addr) < Set_REPLICAS_MAX) {
+        return;
+    }
+    place = find_place(set);
+    if (place < Set_REPLICAS_MAX) {
+        set->settings->replicas[place] = addr;
+        set->live[place] = false;
+        set->moved(set->context, place);
+    }
+}
+
+void
+Rps_SetLive(Rps *set, Addr addr, bool live)
+{
+    size_t place;
+
+    if (live) {
+        Rps_Add(set, addr);
+    }
+    place = Rps_Find(set, addr);
+    if (place < Set_REPLICAS_MAX) {
+        set->live[place] = live;
+    }
+}
--- /dev/null
+++ b/src/process/replicaset.h
@@ -0,0 +1,34 @@
+/* Rps: which control replicas a process knows of.
+ *
+ * With a fixed list in the settings, that list.  With seeds, it begins with
+ * these, which may be few, stale or gone, and takes in every replica that is
+ * heard of.  Places keep their number while they are used; the place of one
+ * that is not heard of any more is given to the next that needs one.
+ */
+#ifndef REPLICASET_H
+#define REPLICASET_H
+
+#include "process/settings.h"
+
+/* Place NUMBER is another replica's from now on. */
+typedef void (*RpsListener)(void *context, size_t number);
+
+typedef struct {
+    Settings *settings;
+    bool live[Set_REPLICAS_MAX]; /* among the members now */
+    RpsListener moved;
+    void *context;
+} Rps;
+
+void Rps_Init(Rps *set, Settings *settings, RpsListener moved, void *context);
+
+/* Heard of ADDR, which carries a control replica. */
+void Rps_Add(Rps *set, Addr addr);
+
+/* ADDR is among the members, or no longer. */
+void Rps_SetLive(Rps *set, Addr addr, bool live);
+
+/* Its place; Set_REPLICAS_MAX when it has none. */
+size_t Rps_Find(const Rps *set, Addr addr);
+
+#endif
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -5,6 +5,8 @@
 
 #include "process/setcheck.h"
 #include "process/setkeys.h"
+#include "process/setnames.h"
+#include "process/setseeds.h"
 #include "value/json.h"
 #include "value/mem.h"
 
@@ -32,6 +34,8 @@
     }
     Mem_Free(settings->domains);
     Mem_Free(settings->replicas);
+    Mem_Free(settings->seeds);
+    Set_FinishNames(&settings->names);
     Mem_Free(settings->routes);
     StrBuf_Finish(&settings->name);
     StrBuf_Finish(&settings->data_folder);
@@ -163,9 +167,18 @@
 static void
 read_replicas(Settings *settings, JsnObject *o)
 {
-    json_t *array = Jsn_GetArray(o, Str_LIT("control_replicas"), true);
+    json_t *array = Jsn_GetArray(o, Str_LIT("control_replicas"),
+                                 settings->seed_count == 0);
     size_t count = json_array_size(array);
 
+    if (settings->seed_count) {
+        if (array) {
+            Jsn_Find(o, Str_LIT("control_replicas"),
+                     Str_LIT("beside control_seeds"), Str_LIT("one of both"));
+        }
+        return;
+    }
+
     if (array && (count < 1 || count > 7 || count % 2 == 0)) {
         Jsn_Find(o, Str_LIT("control_replicas"), Str_LIT("wrong number"),
                  Str_LIT("1, 3, 5 or 7 addresses"));
@@ -213,6 +226,10 @@
     settings->backend_expiry =
         read_ms(o, Str_LIT("backend_expiry_ms"), 50, 2500);
     settings->stop_bound = read_ms(o, Str_LIT("stop_bound_ms"), 0, 30000);
+    settings->stop_notice = read_ms(o, Str_LIT("stop_notice_ms"), 0, 0);
+    settings->header_wait = read_ms(o, Str_LIT("header_wait_ms"), 100, 10000);
+    settings->callers_idle =
+        read_ms(o, Str_LIT("callers_idle_ms"), 100, MINUTE_MS);
     settings->operators_idle =
         read_ms(o, Str_LIT("operators_idle_ms"), 100, MINUTE_MS);
     settings->ramp = read_ms(o, Str_LIT("ramp_ms"), 0, 0);
@@ -249,12 +266,19 @@
     settings->operators = read_addr(o, Str_LIT("operators"), true);
     read_domains(settings, o);
     find_domain(settings, o);
+    settings->ready = read_addr(o, Str_LIT("ready"), false);
+    settings->backend = read_addr(o, Str_LIT("backend"), false);
+    Set_ReadNames(&settings->names, o);
+    Set_ReadSeeds(settings, o);
     read_replicas(settings, o);
     read_routes(settings, o);
     read_text(o, Str_LIT("data_folder"), settings->control,
               &settings->data_folder);
     read_text(o, Str_LIT("preset"), true, &settings->preset);
-    Jsn_GetStr(o, Str_LIT("operator_key"), true, &settings->operator_key);
+    settings->operators_open =
+        Jsn_GetBool(o, Str_LIT("operators_open"), false);
+    Jsn_GetStr(o, Str_LIT("operator_key"), !settings->operators_open,
+               &settings->operator_key);
     Set_ReadKeys(settings, o);
     read_text(o, Str_LIT("record"), false, &settings->record);
     read_log_level(settings, o);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -16,7 +16,7 @@
     uint16_t region_number; /* of the first failure domain in that region */
 } SetDomain;
 
-enum { Set_KEYS_MAX = 8 };
+enum { Set_KEYS_MAX = 8, Set_REPLICAS_MAX = 8 };
 
 /* While a fleet goes from no CURVE keys to keys: how this node listens.  It
  * connects either way. */
@@ -26,6 +26,19 @@
     Set_CURVE_KEYED
 } SetCurveChange;
 
+/* Header fields as callers and backend servers know them; an empty name is not
+ * used. */
+typedef struct {
+    StrBuf request_id; /* of a caller's attempt, echoed by every answer */
+    StrBuf deadline;   /* milliseconds that are left */
+    StrBuf outcome;    /* in an answer: ran, not-run or unknown */
+    StrBuf expect;     /* the instance that alone may run the request */
+    StrBuf not_run;    /* in a backend server's answer: it did not run */
+    StrBuf load;       /* in a backend server's answer: its own load */
+    StrBuf origin;     /* the service of the VM where the request began */
+    StrBuf origin_value;
+} SetNames;
+
 /* Connections to node TO go to VIA, as through a proxy. */
 typedef struct {
     Addr to;
@@ -41,8 +54,16 @@
     uint16_t region;
     SetDomain *domains; /* the fleet's, the same list on every node */
     size_t domain_count;
-    Addr *replicas; /* control replicas, the same list on every node */
+    Addr ready;      /* HTTP, answers whether callers are taken; or none */
+    Addr backend;    /* that alone may be announced here; or none: any port */
+    SetNames names;
+    Addr *replicas; /* control replicas, the same list on every node; with
+                       seeds: those known, Addr_NONE where none is */
     size_t replica_count;
+    Addr *seeds; /* control replicas to begin with, perhaps not there now */
+    size_t seed_count;
+    bool found;           /* with seeds: they may begin the fleet's history */
+    uint32_t voters_max;  /* with seeds: control replicas that vote */
     SetRoute *routes;
     size_t route_count;
     bool control;        /* carries the control replica role */
@@ -50,6 +71,7 @@
     StrBuf record;       /* file for a trace of decisions; empty: none */
     StrBuf preset;       /* file, in force until the fleet agreed on one */
     StrBuf operator_key; /* needed for operators' requests */
+    bool operators_open; /* without it */
     StrBuf curve_public; /* Z85; this node's; empty: no CURVE */
     StrBuf curve_secret;
     StrBuf curve_allowed[Set_KEYS_MAX]; /* public keys let in */
@@ -62,7 +84,10 @@
     Span silence;        /* a used connection is given up after this */
     Span backend_expiry; /* a backend server that no longer announces */
     Span stop_bound;     /* for a graceful stop */
+    Span stop_notice;    /* callers are still taken after its begin */
     Span ramp;           /* of a cold backend server */
+    Span header_wait;    /* for the head of a caller's request */
+    Span callers_idle;   /* a caller's connection without a request */
     Span operators_idle; /* an operators' connection without a word */
     uint32_t operators_connections_max;
     uint32_t header_bytes_max;
--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -44,14 +44,19 @@
     }
     if (!stop->left) {
         stop->left = true;
+        stop->refused = stop->settings.notice == 0;
         return Stp_LEAVE;
     }
     if (age >= stop->settings.bound) {
         stop->bounded = !is_idle(load);
         return Stp_END;
     }
+    if (!stop->refused) {
+        stop->refused = age >= stop->settings.notice;
+        return stop->refused ? Stp_REFUSE : Stp_NOTHING;
+    }
     if (!stop->deaf) {
-        stop->deaf = age >= ACCEPT;
+        stop->deaf = age >= stop->settings.notice + ACCEPT;
         return stop->deaf ? Stp_STOP_LISTENING : Stp_NOTHING;
     }
     if (!is_settled(stop, load, now)) {
--- a/src/process/stop.h
+++ b/src/process/stop.h
@@ -18,6 +18,7 @@
 typedef enum {
     Stp_NOTHING,
     Stp_LEAVE,          /* tell the members, refuse attempts */
+    Stp_REFUSE,         /* callers' connections end with their answers */
     Stp_STOP_LISTENING, /* callers who connected are known by now */
     Stp_CLOSE_IDLE,     /* close callers' connections without a request */
     Stp_END
@@ -34,12 +35,15 @@
 typedef struct {
     Span bound;  /* from the signal to the end, at most */
     Span settle; /* all nodes know within this that one leaves */
+    Span notice; /* callers know within this; 0: they find out by themselves,
+                    and Stp_LEAVE is Stp_REFUSE, too */
 } StpSettings;
 
 typedef struct {
     StpSettings settings;
     Instant since; /* of the signal; 0: none yet */
     bool left;
+    bool refused;
     bool deaf;    /* no longer listens */
     bool bounded; /* it ended at its bound, with work under way */
 } Stp;
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -2,6 +2,7 @@
 
 #include "request/callstate.h"
 #include "request/depth.h"
+#include "request/split.h"
 #include "value/mem.h"
 
 enum { KEY_BYTES_MAX = 1024 };
@@ -141,12 +142,34 @@
     }
 }
 
+bool
+Call_IsRepeatable(const CallHub *hub, Str host, Str method, Str target)
+{
+    const PstRoute *route = Pst_FindRoute(&hub->in_force->preset, host, method,
+                                          path_of(target));
+
+    return route && route->idempotent;
+}
+
+/* When the call must be answered: the route's deadline bounds the caller's.
+ */
+static Instant
+deadline_of(const CallRequest *request, const PstRoute *route, Instant now)
+{
+    bool own = request->deadline &&
+               (!route->host.len || request->deadline < route->deadline);
+
+    return now + (own ? request->deadline : route->deadline);
+}
+
 Call *
 Call_Start(CallHub *hub, const CallRequest *request, const CallSink *sink,
            Instant now)
 {
-    const PstRoute *route = Pst_FindRoute(
-        &hub->in_force->preset, request->method, path_of(request->target));
+    const PstRoute *route =
+        Pst_FindRoute(&hub->in_force->preset, request->host, request->method,
+                      path_of(request->target));
+    uint32_t attempts_max = hub->in_force->preset.limits.attempts_max;
     Call *call;
     size_t before;
 
@@ -171,16 +194,15 @@
     call->sink = *sink;
     call->in_force = Inf_Hold(hub->in_force);
     call->route = route;
-    call->service = Svc_Get(hub->services, StrBuf_View(&route->service));
-    call->deadline =
-        now + (request->deadline ? request->deadline : route->deadline);
+    call->service = Svc_Get(hub->services, Spl_Choose(route));
+    call->deadline = deadline_of(request, route, now);
+    if (route->attempts_max) {
+        attempts_max = route->attempts_max;
+    }
     Rty_OnCall(&call->service->retries);
     /* Retries are made at one level of a call tree. */
     Rty_Init(&call->retry, route->idempotent,
-             Dep_Read(&request->fields)
-                 ? 1
-                 : hub->in_force->preset.limits.attempts_max,
-             call->deadline);
+             Dep_Read(&request->fields) ? 1 : attempts_max, call->deadline);
     init_hedge(call, now);
     call->digest = digest_of(request, StrBuf_View(&call->service->name));
     start_call(call, now);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -45,6 +45,7 @@
 /* What the caller asks.  The strings stay valid until the sink's end. */
 typedef struct {
     Str request_id;
+    Str host; /* empty: not stated */
     Str method;
     Str target;
     FieldList fields;
@@ -92,6 +93,9 @@
 Call *Call_Start(CallHub *hub, const CallRequest *request,
                  const CallSink *sink, Instant now);
 
+/* Whether a request of that kind may run more than once, as far as known. */
+bool Call_IsRepeatable(const CallHub *hub, Str host, Str method, Str target);
+
 /* The caller took BYTES more of the answer's body. */
 void Call_OnTaken(Call *call, uint32_t bytes, Instant now);
 
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -1,10 +1,7 @@
 #include "request/exchange.h"
 
-#include <event2/buffer.h>
-#include <event2/http_struct.h>
 #include <inttypes.h>
 
-#include "connection/evtext.h"
 #include "connection/httprule.h"
 #include "process/loop.h"
 #include "value/mem.h"
@@ -15,19 +12,12 @@
     ExchangeList *list;
     Exchange *next;
     Exchange *previous;
-    Caller *caller;
-    struct evhttp_request *request;
+    CstRequest *request;
     Call *call;
     StrBuf request_id;
-    StrBuf target;
-    bool started;    /* the answer's head went out */
-    uint32_t handed; /* bytes given to evhttp and not taken yet */
+    bool started; /* the answer's head went out */
 };
 
-static const Str outcome_field = Str_LIT("X-Lycheeridge-Outcome");
-static const Str id_field = Str_LIT("X-Request-Id");
-static const Str deadline_field = Str_LIT("X-Lycheeridge-Deadline-Ms");
-
 static void
 free_exchange(Exchange *exchange)
 {
@@ -42,7 +32,6 @@
     }
     exchange->list->count--;
     StrBuf_Finish(&exchange->request_id);
-    StrBuf_Finish(&exchange->target);
     Mem_Free(exchange);
 }
 
@@ -54,102 +43,81 @@
     }
 }
 
-static struct evkeyvalq *
-out_headers(Exchange *exchange)
+void
+Xch_OnGone(CstRequest *request, Instant now)
 {
-    return evhttp_request_get_output_headers(exchange->request);
+    Exchange *exchange = request->owner;
+
+    if (exchange) {
+        if (exchange->call) {
+            Call_Cancel(exchange->call, now);
+        }
+        free_exchange(exchange);
+    }
 }
 
-static void
-on_gone(void *context)
+void
+Xch_OnTaken(CstRequest *request, uint32_t bytes, Instant now)
 {
-    Exchange *exchange = context;
+    const Exchange *exchange = request->owner;
 
-    if (exchange->call) {
-        Call_Cancel(exchange->call, Loop_Now());
+    if (exchange && exchange->call) {
+        Call_OnTaken(exchange->call, bytes, now);
     }
-    free_exchange(exchange);
 }
 
-static bool
-is_ours(Str name)
+static Str
+name_of(const StrBuf *name)
 {
-    return Str_EqualNoCase(name, id_field) ||
-           Str_EqualNoCase(name, outcome_field);
+    return StrBuf_View(name);
 }
 
-/* Header fields of every answer. */
-static void
-add_own_fields(Exchange *exchange, Str outcome)
+static bool
+is_ours(const Exchange *exchange, Str name)
 {
-    Evt_AddField(out_headers(exchange), outcome_field, outcome);
-    Evt_AddField(out_headers(exchange), id_field,
-                 StrBuf_View(&exchange->request_id));
-    if (exchange->list->closing) {
-        Evt_AddField(out_headers(exchange), Str_LIT("Connection"),
-                     Str_LIT("close"));
-    }
+    const SetNames *names = exchange->list->names;
+
+    return Str_EqualNoCase(name, name_of(&names->request_id)) ||
+           Str_EqualNoCase(name, name_of(&names->outcome));
 }
 
-/* A caller of HTTP/1.0 knows no chunks: without a length, the end of the
- * connection ends the answer. */
+/* Header fields of every answer. */
 static void
-end_by_close(Exchange *exchange)
+add_own_fields(const Exchange *exchange, Str outcome, FieldList *fields)
 {
-    struct evkeyvalq *input = exchange->request->input_headers;
+    const SetNames *names = exchange->list->names;
 
-    if (exchange->request->minor == 0 &&
-        !evhttp_find_header(out_headers(exchange), "Content-Length")) {
-        while (evhttp_remove_header(input, "Connection") == 0) {
-        }
+    if (names->outcome.len) {
+        Field_Add(fields, name_of(&names->outcome), outcome);
     }
+    Field_Add(fields, name_of(&names->request_id),
+              StrBuf_View(&exchange->request_id));
 }
 
 static void
-on_head(void *context, uint16_t status, const FieldList *fields)
+on_head(void *context, uint16_t status, const FieldList *from)
 {
     Exchange *exchange = context;
+    FieldList fields = {.count = 0};
 
-    for (size_t i = 0; i < fields->count; i++) {
-        if (!is_ours(fields->items[i].name)) {
-            Evt_AddField(out_headers(exchange), fields->items[i].name,
-                         fields->items[i].value);
+    add_own_fields(exchange, Str_LIT("ran"), &fields);
+    for (size_t i = 0; i < from->count; i++) {
+        if (!is_ours(exchange, from->items[i].name)) {
+            Field_Add(&fields, from->items[i].name, from->items[i].value);
         }
     }
-    add_own_fields(exchange, Str_LIT("ran"));
-    end_by_close(exchange);
     exchange->started = true;
-    evhttp_send_reply_start(exchange->request, status, NULL);
-}
-
-static void
-on_taken(struct evhttp_connection *connection, void *context)
-{
-    Exchange *exchange = context;
-    uint32_t bytes = exchange->handed;
-
-    (void)connection;
-    exchange->handed = 0;
-    if (exchange->call && bytes) {
-        Call_OnTaken(exchange->call, bytes, Loop_Now());
-    }
+    Cst_SendHead(exchange->request, status, &fields);
 }
 
 static void
 on_bytes(void *context, Str bytes)
 {
-    Exchange *exchange = context;
-    struct evbuffer *buffer = evbuffer_new();
-
-    exchange->handed += (uint32_t)bytes.len;
-    evbuffer_add(buffer, bytes.ptr, bytes.len);
-    evhttp_send_reply_chunk_with_cb(exchange->request, buffer, on_taken,
-                                    exchange);
-    evbuffer_free(buffer);
+    Cst_SendBytes(((Exchange *)context)->request, bytes);
 }
 
 typedef struct {
-    int status;
+    uint16_t status;
     Str outcome;
     Str text;
 } EndText;
@@ -199,18 +167,14 @@
 static void
 send_text(Exchange *exchange, const EndText *end)
 {
-    struct evbuffer *body = evbuffer_new();
+    FieldList fields = {.count = 0};
 
-    add_own_fields(exchange, end->outcome);
-    Evt_AddField(out_headers(exchange), Str_LIT("Content-Type"),
-                 Str_LIT("text/plain"));
+    add_own_fields(exchange, end->outcome, &fields);
+    Field_Add(&fields, Str_LIT("Content-Type"), Str_LIT("text/plain"));
     if (end->status == 503) {
-        Evt_AddField(out_headers(exchange), Str_LIT("Retry-After"),
-                     Str_LIT("1"));
+        Field_Add(&fields, Str_LIT("Retry-After"), Str_LIT("1"));
     }
-    evbuffer_add(body, end->text.ptr, end->text.len);
-    evhttp_send_reply(exchange->request, end->status, NULL, body);
-    evbuffer_free(body);
+    Cst_Answer(exchange->request, end->status, &fields, end->text);
 }
 
 static void
@@ -220,15 +184,15 @@
     EndText end = end_text(outcome, why);
 
     exchange->call = NULL;
-    Clr_Unwatch(exchange->caller);
+    exchange->request->owner = NULL;
     if (!exchange->started) {
         send_text(exchange, &end);
     }
     else if (outcome == Call_ANSWERED) {
-        evhttp_send_reply_end(exchange->request);
+        Cst_End(exchange->request);
     }
     else {
-        Clr_Cut(exchange->caller);
+        Cst_Cut(exchange->request);
     }
     free_exchange(exchange);
 }
@@ -246,9 +210,8 @@
 }
 
 static bool
-read_deadline(const FieldList *fields, Span *deadline)
+read_deadline(Str text, Span *deadline)
 {
-    Str text = Field_Get(fields, deadline_field);
     uint64_t ms = 0;
 
     *deadline = 0;
@@ -264,27 +227,39 @@
 
 /* The fields that go on to the backend server. */
 static void
-forward_fields(FieldList *to, const FieldList *from)
+forward_fields(const Exchange *exchange, FieldList *to)
 {
+    const SetNames *names = exchange->list->names;
+    const FieldList *from = &exchange->request->fields;
+    Str connection = Field_Get(from, Str_LIT("Connection"));
+
     to->count = 0;
     for (size_t i = 0; i < from->count; i++) {
         Str name = from->items[i].name;
-        if (!Str_EqualNoCase(name, deadline_field) &&
-            !Str_EqualNoCase(name, id_field)) {
+        if (!Field_IsHopByHop(name, connection) &&
+            !Str_EqualNoCase(name, Str_LIT("Expect")) &&
+            !Str_EqualNoCase(name, name_of(&names->deadline)) &&
+            !Str_EqualNoCase(name, name_of(&names->expect)) &&
+            !Str_EqualNoCase(name, name_of(&names->origin)) &&
+            !Str_EqualNoCase(name, name_of(&names->request_id))) {
             Field_Add(to, name, from->items[i].value);
         }
     }
+    Field_Add(to, name_of(&names->request_id),
+              StrBuf_View(&exchange->request_id));
+    if (names->origin.len && names->origin_value.len) {
+        Field_Add(to, name_of(&names->origin), name_of(&names->origin_value));
+    }
 }
 
 static Exchange *
-add_exchange(ExchangeList *list, Caller *caller,
-             struct evhttp_request *request)
+add_exchange(ExchangeList *list, CstRequest *request)
 {
     Exchange *exchange = Mem_Alloc(1, sizeof *exchange);
 
     exchange->list = list;
-    exchange->caller = caller;
     exchange->request = request;
+    request->owner = exchange;
     exchange->next = list->first;
     if (list->first) {
         list->first->previous = exchange;
@@ -295,37 +270,35 @@
 }
 
 static void
-refuse(Exchange *exchange, int status, Str text)
+refuse(Exchange *exchange, uint16_t status, Str text)
 {
     EndText end = {status, Str_LIT("not-run"), text};
 
     /* What follows on this connection may not be a request. */
-    Evt_AddField(out_headers(exchange), Str_LIT("Connection"),
-                 Str_LIT("close"));
+    exchange->request->last = true;
+    exchange->request->owner = NULL;
     send_text(exchange, &end);
     free_exchange(exchange);
 }
 
 static void
-start_call(Exchange *exchange, const FieldList *fields, Span deadline,
-           Instant now)
+start_call(Exchange *exchange, Span deadline, Instant now)
 {
     static const CallSink callbacks = {NULL, on_head, on_bytes, on_end};
-    struct evhttp_request *http = exchange->request;
+    const CstRequest *http = exchange->request;
     CallSink sink = callbacks;
     CallRequest request = {
         .request_id = StrBuf_View(&exchange->request_id),
-        .method = Evt_MethodName(evhttp_request_get_command(http)),
-        .target = StrBuf_View(&exchange->target),
-        .body = Evt_View(evhttp_request_get_input_buffer(http)),
+        .host = Htr_Host(&http->fields),
+        .method = http->method,
+        .target = Htr_Target(http->target),
+        .body = StrBuf_View(&http->body),
         .deadline = deadline,
     };
     Call *call;
 
-    forward_fields(&request.fields, fields);
-    Field_Add(&request.fields, id_field, request.request_id);
+    forward_fields(exchange, &request.fields);
     sink.context = exchange;
-    Clr_Watch(exchange->caller, on_gone, exchange);
     call = Call_Start(exchange->list->hub, &request, &sink, now);
     if (call) {
         exchange->call = call;
@@ -333,25 +306,23 @@
 }
 
 void
-Xch_Start(ExchangeList *list, Caller *caller, struct evhttp_request *request,
-          Instant now)
+Xch_Start(ExchangeList *list, CstRequest *request, Instant now)
 {
-    Exchange *exchange = add_exchange(list, caller, request);
-    HtrVerdict verdict = Htr_Check(request, list->header_bytes_max);
-    FieldList fields;
+    Exchange *exchange = add_exchange(list, request);
+    HtrVerdict verdict = Htr_Check(request);
     Span deadline;
 
-    choose_id(exchange, Str_FromC(evhttp_find_header(request->input_headers,
-                                                     "X-Request-Id")));
+    choose_id(exchange,
+              Field_Get(&request->fields, name_of(&list->names->request_id)));
     if (verdict.status) {
         refuse(exchange, verdict.status, verdict.text);
-        return;
     }
-    if (!Evt_ReadFields(request->input_headers, &fields) ||
-        !read_deadline(&fields, &deadline)) {
+    else if (!read_deadline(Field_Get(&request->fields,
+                                      name_of(&list->names->deadline)),
+                            &deadline)) {
         refuse(exchange, 400, Str_LIT("deadline: 1 to 3600000 ms\n"));
-        return;
     }
-    Htr_Target(request, &exchange->target);
-    start_call(exchange, &fields, deadline, now);
+    else {
+        start_call(exchange, deadline, now);
+    }
 }
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -6,7 +6,7 @@
 #ifndef EXCHANGE_H
 #define EXCHANGE_H
 
-#include "connection/caller.h"
+#include "connection/stream.h"
 #include "request/call.h"
 
 typedef struct Exchange Exchange;
@@ -14,17 +14,21 @@
 /* What all exchanges of one front share. */
 typedef struct {
     CallHub *hub;
+    const SetNames *names;
     Exchange *first;
     size_t count;
     uint64_t counter; /* of request ids */
-    size_t header_bytes_max;
-    bool closing; /* the node stops: each answer ends its connection */
 } ExchangeList;
 
 void Xch_ListFinish(ExchangeList *list);
 
 /* Take REQUEST on; its answer follows, at once or later. */
-void Xch_Start(ExchangeList *list, Caller *caller,
-               struct evhttp_request *request, Instant now);
+void Xch_Start(ExchangeList *list, CstRequest *request, Instant now);
+
+/* REQUEST's caller is gone. */
+void Xch_OnGone(CstRequest *request, Instant now);
+
+/* REQUEST's caller took BYTES of the answer. */
+void Xch_OnTaken(CstRequest *request, uint32_t bytes, Instant now);
 
 #endif
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -55,6 +55,7 @@
     hub->alone -= run->alone;
     StrBuf_Finish(&run->method);
     StrBuf_Finish(&run->target);
+    StrBuf_Finish(&run->request_id);
     StrBuf_Finish(&run->body);
     StrBuf_Finish(&run->text);
     StrBuf_Finish(&run->head_text);
@@ -151,7 +152,7 @@
 
     Adm_OnEnd(hub->admission, now - run->started_at, failed, now);
     Crs_OnEnd(run, end, now);
-    if (end == Bck_UNREACHED ||
+    if (end == Bck_UNREACHED || end == Bck_REJECTED ||
         (end == Bck_WHOLE && run->status == TURNED_AWAY)) {
         Adm_OnTurnedAway(hub->admission, now);
     }
@@ -167,6 +168,9 @@
         run->exchange = NULL;
         Crs_OnCut(run);
         return;
+    case Bck_REJECTED:
+        Run_Refuse(run, Refusal_TURNED_AWAY, now);
+        break;
     case Bck_UNREACHED:
         Run_Refuse(run, Refusal_ABSENT, now);
         break;
@@ -195,6 +199,7 @@
     BckRequest request = {
         .method = StrBuf_View(&run->method),
         .target = StrBuf_View(&run->target),
+        .request_id = StrBuf_View(&run->request_id),
         .fields = run->fields,
         .body = StrBuf_View(&run->body),
         .left = run->deadline - now,
@@ -229,6 +234,7 @@
     run->deadline = now + msg->left;
     StrBuf_Set(&run->method, msg->method);
     StrBuf_Set(&run->target, msg->target);
+    StrBuf_Set(&run->request_id, msg->request_id);
     StrBuf_Set(&run->body, msg->body);
     Run_CopyFields(&run->fields, &run->text, &msg->fields);
     return run;
@@ -518,7 +524,11 @@
 
     for (Run *run = hub->first; run; run = next) {
         next = run->next;
-        if (Run_IsWaiting(run) && now >= run->deadline) {
+        if (Run_IsWaiting(run) && Adm_IsLeaving(hub->admission)) {
+            Run_Refuse(run, Refusal_DRAINING, now);
+            Run_LeaveQueue(run);
+        }
+        else if (Run_IsWaiting(run) && now >= run->deadline) {
             Run_Refuse(run, Refusal_LATE, now);
             Run_LeaveQueue(run);
         }
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -26,6 +26,7 @@
     BckExchange *exchange; /* NULL while it waits */
     StrBuf method;
     StrBuf target;
+    StrBuf request_id;
     StrBuf body;
     StrBuf text; /* names and values of fields */
     FieldList fields;
--- a/src/value/json.c
+++ b/src/value/json.c
@@ -62,6 +62,12 @@
     StrBuf_Finish(&object->place);
 }
 
+void
+Jsn_LeaveOpen(JsnObject *object)
+{
+    StrBuf_Finish(&object->place);
+}
+
 void
 Jsn_Place(const JsnObject *object, Str key, StrBuf *out)
 {
--- a/src/value/json.h
+++ b/src/value/json.h
@@ -31,6 +31,9 @@
 /* Reports unknown fields. */
 void Jsn_Leave(JsnObject *object);
 
+/* Leave it without a look at fields that nobody read. */
+void Jsn_LeaveOpen(JsnObject *object);
+
 /* Append a finding about field KEY. */
 void Jsn_Find(JsnObject *object, Str key, Str cause, Str expected);
 
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -2,14 +2,17 @@
 
 #include "value/mem.h"
 #include "version/preset.h"
+#include "version/routing.h"
 
-static const Str verb_names[Cfg_VERBS] = {Str_LIT("put"), Str_LIT("use")};
+static const Str verb_names[Cfg_VERBS] = {
+    Str_LIT("put"), Str_LIT("use"), Str_LIT("route"), Str_LIT("route-patch")};
 
 static const Str why_texts[Cfg_WHYS] = {
     Str_LIT(""),
     Str_LIT("there is no preset of that name"),
     Str_LIT("there are as many presets as may be"),
     Str_LIT("the id was used for a change of other content"),
+    Str_LIT("the routing would not be sound"),
 };
 
 int
@@ -83,7 +86,7 @@
 
     if (change->json.len > Cfg_JSON_MAX) {
         Fnd_Add(findings, Str_LIT("/preset"), Str_LIT("too large"),
-                Str_LIT("32768 bytes at most"));
+                Str_LIT("524288 bytes at most"));
         return;
     }
     if (!Pst_Parse(&preset, change->json, findings)) {
@@ -103,6 +106,13 @@
     size_t before = findings->count;
 
     check_name(change->id, Str_LIT("/id"), findings);
+    if (Cfg_IsRevision(change)) {
+        if (change->json.len > Cfg_JSON_MAX) {
+            Fnd_Add(findings, Str_LIT("/"), Str_LIT("too large"),
+                    Str_LIT("524288 bytes at most"));
+        }
+        return findings->count == before;
+    }
     check_name(change->preset, Str_LIT("/name"), findings);
     if (change->verb == Cfg_PUT) {
         check_preset(change, findings);
@@ -127,6 +137,37 @@
     return cfg->in_force < 0 ? NULL : &cfg->presets[cfg->in_force];
 }
 
+bool
+Cfg_IsRevision(const CfgChange *change)
+{
+    return change->verb == Cfg_ROUTE || change->verb == Cfg_ROUTE_PATCH;
+}
+
+bool
+Cfg_Revise(const Cfg *cfg, const CfgChange *change, StrBuf *json,
+           FindingList *findings)
+{
+    const CfgPreset *in_force = Cfg_InForce(cfg);
+    Preset preset;
+
+    if (!in_force) {
+        Fnd_Add(findings, Str_LIT("/"), Str_LIT("no preset is in force"),
+                Str_LIT("one to revise"));
+        return false;
+    }
+    if (!Rtg_Revise(StrBuf_View(&in_force->json), change->json,
+                    change->verb == Cfg_ROUTE_PATCH, json, findings) ||
+        !Pst_Parse(&preset, StrBuf_View(json), findings)) {
+        return false;
+    }
+    Pst_Finish(&preset);
+    if (json->len > Cfg_JSON_MAX) {
+        Fnd_Add(findings, Str_LIT("/"), Str_LIT("too large"),
+                Str_LIT("524288 bytes at most"));
+    }
+    return json->len <= Cfg_JSON_MAX;
+}
+
 /* Without the base: who sends a change again may have read a newer one. */
 static uint64_t
 hash_content(const CfgChange *change)
@@ -216,8 +257,16 @@
 {
     const CfgRecord *first = record_at(cfg, 0);
 
+    bool revision = first->verb == Cfg_ROUTE || first->verb == Cfg_ROUTE_PATCH;
+
     /* A refused change would be refused again. */
-    if (first->outcome != Cfg_REFUSED &&
+    if (revision) {
+        if (first->outcome != Cfg_REFUSED &&
+            first->base.index > cfg->forgotten_revision) {
+            cfg->forgotten_revision = first->base.index;
+        }
+    }
+    else if (first->outcome != Cfg_REFUSED &&
         Cfg_CompareVersions(first->base, cfg->forgotten) > 0) {
         cfg->forgotten = first->base;
     }
@@ -242,6 +291,25 @@
     to->changed = version;
 }
 
+static CfgWhy
+carry_out_revision(Cfg *cfg, const CfgChange *change, CfgVersion version)
+{
+    FindingList findings;
+    StrBuf json = {0};
+    CfgWhy why = Cfg_WHY_ROUTING;
+
+    Fnd_Init(&findings);
+    if (Cfg_Revise(cfg, change, &json, &findings)) {
+        CfgPreset *in_force = &cfg->presets[cfg->in_force];
+        StrBuf_Set(&in_force->json, StrBuf_View(&json));
+        in_force->changed = version;
+        why = Cfg_WHY_NONE;
+    }
+    Fnd_Finish(&findings);
+    StrBuf_Finish(&json);
+    return why;
+}
+
 /* Carry the change out; the reason when it can't be. */
 static CfgWhy
 carry_out(Cfg *cfg, const CfgChange *change, CfgVersion version)
@@ -268,17 +336,27 @@
     return Cfg_WHY_NONE;
 }
 
+static bool
+is_on_base(const Cfg *cfg, const CfgChange *change)
+{
+    return Cfg_IsRevision(change)
+               ? change->base.index == cfg->revision
+               : Cfg_CompareVersions(change->base, cfg->version) == 0;
+}
+
 static void
 decide(Cfg *cfg, const CfgChange *change, CfgVersion version,
        CfgRecord *record)
 {
     record->version = cfg->version;
-    if (Cfg_CompareVersions(change->base, cfg->version) != 0) {
+    if (!is_on_base(cfg, change)) {
         record->outcome = Cfg_CONFLICT;
         record->winner = find_winner(cfg, change->base);
         return;
     }
-    record->why = carry_out(cfg, change, version);
+    record->why = Cfg_IsRevision(change)
+                      ? carry_out_revision(cfg, change, version)
+                      : carry_out(cfg, change, version);
     if (record->why) {
         record->outcome = Cfg_REFUSED;
         return;
@@ -286,6 +364,19 @@
     record->outcome = Cfg_ACCEPTED;
     record->version = version;
     cfg->version = version;
+    cfg->revision = Rtg_Revision(StrBuf_View(&Cfg_InForce(cfg)->json));
+}
+
+/* It may have had an outcome that is no longer kept. */
+static bool
+is_forgotten(const Cfg *cfg, const CfgChange *change)
+{
+    if (Cfg_IsRevision(change)) {
+        return cfg->forgotten_revision > 0 &&
+               change->base.index <= cfg->forgotten_revision;
+    }
+    return cfg->forgotten.term > 0 &&
+           Cfg_CompareVersions(change->base, cfg->forgotten) <= 0;
 }
 
 bool
@@ -303,8 +394,7 @@
         tell(cfg, record, true, result);
         return true;
     }
-    if (cfg->forgotten.term > 0 &&
-        Cfg_CompareVersions(change->base, cfg->forgotten) <= 0) {
+    if (is_forgotten(cfg, change)) {
         *result =
             (CfgResult){.outcome = Cfg_FORGOTTEN, .version = cfg->version};
         return true;
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -18,7 +18,7 @@
 
 enum {
     Cfg_PRESETS_MAX = 16,
-    Cfg_JSON_MAX = 32 * 1024, /* bytes of one preset */
+    Cfg_JSON_MAX = 512 * 1024, /* bytes of one preset, or of a change */
     Cfg_NAME_MAX = 64,        /* bytes of a change's id or a preset's name */
     Cfg_RECORDS_MAX = 1024
 };
@@ -28,7 +28,15 @@
     uint64_t index;
 } CfgVersion;
 
-typedef enum { Cfg_PUT, Cfg_USE, Cfg_VERBS } CfgVerb;
+/* Cfg_ROUTE and Cfg_ROUTE_PATCH revise the routing of the preset in force (see
+ * routing.h): their base is {0, revision}, their preset has no name. */
+typedef enum {
+    Cfg_PUT,
+    Cfg_USE,
+    Cfg_ROUTE,
+    Cfg_ROUTE_PATCH,
+    Cfg_VERBS
+} CfgVerb;
 
 typedef struct {
     CfgVerb verb;
@@ -51,6 +59,7 @@
     Cfg_WHY_NO_PRESET, /* none of that name */
     Cfg_WHY_FULL,      /* Cfg_PRESETS_MAX are there */
     Cfg_WHY_ID_USED,   /* by a change of other content */
+    Cfg_WHY_ROUTING,   /* the routing would not be sound */
     Cfg_WHYS
 } CfgWhy;
 
@@ -92,7 +101,9 @@
     uint32_t preset_count;
     int32_t in_force; /* number in presets; -1: nothing agreed on yet */
     CfgVersion version;
+    uint64_t revision;    /* of the routing in force; 0: none */
     CfgVersion forgotten; /* highest base of what was dropped */
+    uint64_t forgotten_revision; /* the same of revisions */
     CfgRecord *records;   /* a ring */
     uint32_t record_count;
     uint32_t record_first;
@@ -107,6 +118,14 @@
  * Pst_Parse.  False with findings. */
 bool Cfg_Check(const CfgChange *change, FindingList *findings);
 
+/* Whether CHANGE revises the routing. */
+bool Cfg_IsRevision(const CfgChange *change);
+
+/* The preset in force as CHANGE, a revision on it, would make it, checked as a
+ * whole; false with findings. */
+bool Cfg_Revise(const Cfg *cfg, const CfgChange *change, StrBuf *json,
+                FindingList *findings);
+
 /* Decide the committed CHANGE, which gets VERSION if it is accepted.  The
  * first preset put becomes the one in force. */
 void Cfg_Apply(Cfg *cfg, const CfgChange *change, CfgVersion version,
--- a/src/version/configpack.c
+++ b/src/version/configpack.c
@@ -1,7 +1,7 @@
 #include "value/mem.h"
 #include "version/config.h"
 
-enum { STATE_FIELDS = 7, PRESET_FIELDS = 4, RECORD_FIELDS = 12 };
+enum { STATE_FIELDS = 9, PRESET_FIELDS = 4, RECORD_FIELDS = 12 };
 
 void
 Cfg_PackChange(Pack *pack, const CfgChange *change)
@@ -85,6 +85,8 @@
     Pack_Init(&pack, STATE_FIELDS);
     put_version(&pack, cfg->version);
     put_version(&pack, cfg->forgotten);
+    Pack_U64(&pack, cfg->revision);
+    Pack_U64(&pack, cfg->forgotten_revision);
     Pack_I64(&pack, cfg->in_force);
     Pack_Array(&pack, cfg->preset_count);
     for (uint32_t i = 0; i < cfg->preset_count; i++) {
@@ -138,6 +140,8 @@
 
     cfg->version = take_version(in);
     cfg->forgotten = take_version(in);
+    cfg->revision = Unpack_U64(in);
+    cfg->forgotten_revision = Unpack_U64(in);
     in_force = Unpack_I64(in);
     count = Unpack_Array(in, Cfg_PRESETS_MAX, &list);
     for (uint32_t i = 0; i < count; i++) {
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -2,6 +2,7 @@
 
 #include "value/json.h"
 #include "value/mem.h"
+#include "version/routing.h"
 
 enum {
     RATE_MAX = 1000000000,
@@ -18,9 +19,15 @@
     *preset = (Preset){0};
 }
 
-static void
-finish_route(PstRoute *route)
+void
+Pst_FinishRoute(PstRoute *route)
 {
+    for (size_t i = 0; i < route->part_count; i++) {
+        StrBuf_Finish(&route->parts[i].service);
+    }
+    Mem_Free(route->parts);
+    Mem_Free(route->turn);
+    StrBuf_Finish(&route->host);
     StrBuf_Finish(&route->service);
     StrBuf_Finish(&route->route);
     StrBuf_Finish(&route->method);
@@ -32,9 +39,14 @@
 Pst_Finish(Preset *preset)
 {
     for (size_t i = 0; i < preset->route_count; i++) {
-        finish_route(&preset->routes[i]);
+        Pst_FinishRoute(&preset->routes[i]);
     }
     Mem_Free(preset->routes);
+    for (size_t i = 0; i < preset->service_count; i++) {
+        StrBuf_Finish(&preset->services[i].name);
+        StrBuf_Finish(&preset->services[i].health_path);
+    }
+    Mem_Free(preset->services);
     StrBuf_Finish(&preset->name);
     *preset = (Preset){0};
 }
@@ -197,6 +209,7 @@
     read_limits(&preset->limits, Jsn_Get(&o, Str_LIT("limits")), findings);
     read_routes(preset, Jsn_GetArray(&o, Str_LIT("routes"), true), findings);
     check_routes(preset, findings);
+    Rtg_Read(preset, Jsn_Get(&o, Str_LIT("routing")), findings);
     Jsn_Leave(&o);
     json_decref(root);
     if (findings->count > before) {
@@ -207,22 +220,35 @@
 }
 
 static bool
-route_matches(const PstRoute *route, Str method, Str path)
+route_matches(const PstRoute *route, Str host, Str method, Str path)
 {
     Str wanted = StrBuf_View(&route->method);
+    Str at = StrBuf_View(&route->host);
 
-    return (wanted.len == 0 || Str_Equal(wanted, method)) &&
+    return (at.len == 0 || Str_EqualNoCase(at, host)) &&
+           (wanted.len == 0 || Str_Equal(wanted, method)) &&
            Str_StartsWith(path, StrBuf_View(&route->path));
 }
 
+const PstService *
+Pst_FindService(const Preset *preset, Str name)
+{
+    for (size_t i = 0; i < preset->service_count; i++) {
+        if (Str_Equal(StrBuf_View(&preset->services[i].name), name)) {
+            return &preset->services[i];
+        }
+    }
+    return NULL;
+}
+
 const PstRoute *
-Pst_FindRoute(const Preset *preset, Str method, Str path)
+Pst_FindRoute(const Preset *preset, Str host, Str method, Str path)
 {
     const PstRoute *best = NULL;
 
     for (size_t i = 0; i < preset->route_count; i++) {
         const PstRoute *route = &preset->routes[i];
-        if (route_matches(route, method, path) &&
+        if (route_matches(route, host, method, path) &&
             (!best || route->path.len > best->path.len ||
              (route->path.len == best->path.len &&
               route->method.len > best->method.len))) {
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -10,18 +10,45 @@
 #include "value/instant.h"
 #include "value/str.h"
 
-/* How calls of one route are treated. */
+/* A service that gets a share of a route's calls. */
 typedef struct {
     StrBuf service;
+    double weight; /* by those of the other parts */
+} PstPart;
+
+/* How calls of one route are treated. */
+typedef struct {
+    StrBuf service;    /* of the first part, when there are any */
+    PstPart *parts;    /* none: all calls go to the service */
+    size_t part_count;
+    uint32_t *turn;    /* calls split so far, counted by who splits */
     StrBuf route;      /* name, unique within the service */
+    StrBuf host;       /* empty: any */
     StrBuf method;     /* empty: any */
     StrBuf path;       /* path prefix that selects the route */
     StrBuf key_header; /* names the caller's idempotency key; empty: none */
     bool interactive;  /* someone waits: shed last, keeps to its region */
     bool idempotent;   /* may run again without harm */
-    Span deadline;     /* when the caller states none */
+    Span deadline;     /* the longest, and when the caller states none */
+    Span objective;    /* an answer within it is worth most; 0: none stated */
+    uint32_t priority; /* 0: most urgent */
+    uint32_t attempts_max; /* backend servers of one call; 0: the limits' */
 } PstRoute;
 
+/* Bounds on what callers send; 0: the settings'. */
+typedef struct {
+    uint32_t header_bytes_max;
+    uint32_t body_bytes_max;
+    Span header_wait; /* from a request's first byte to the end of its head */
+    Span idle_wait;   /* between two requests of a connection */
+} PstCallers;
+
+typedef struct {
+    StrBuf name;
+    StrBuf health_path;
+    uint32_t connections_max; /* to one backend server; 0: not stated */
+} PstService;
+
 typedef struct {
     uint32_t measure_bytes_per_s; /* all measuring messages of one node */
     uint32_t measure_cpu_permille;
@@ -44,6 +71,11 @@
     PstLimits limits;
     PstRoute *routes;
     size_t route_count;
+    /* Of the routing that operators sent, see routing.h. */
+    uint64_t revision; /* 0: none was sent */
+    PstService *services;
+    size_t service_count;
+    PstCallers callers;
 } Preset;
 
 void Pst_Init(Preset *preset);
@@ -54,6 +86,12 @@
 bool Pst_Parse(Preset *preset, Str json, FindingList *findings);
 
 /* The route of a request, the longest path prefix first; NULL when none. */
-const PstRoute *Pst_FindRoute(const Preset *preset, Str method, Str path);
+const PstRoute *Pst_FindRoute(const Preset *preset, Str host, Str method,
+                              Str path);
+
+/* NULL when the routing names none such. */
+const PstService *Pst_FindService(const Preset *preset, Str name);
+
+void Pst_FinishRoute(PstRoute *route);
 
 #endif
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -117,6 +117,8 @@
     Span election;    /* timeout, at least; drawn up to twice of it */
     Span heartbeat;   /* between appends of a leader */
     uint32_t log_max; /* entries kept before a snapshot is taken */
+    uint32_t voters_max; /* a learner votes only in the place of a voter that
+                            is silent beyond these; 0: no bound */
 } RlogSettings;
 
 typedef enum {
--- a/src/version/rlog_replicas.c
+++ b/src/version/rlog_replicas.c
@@ -295,6 +295,91 @@
     return false;
 }
 
+/* Not heard for so many election timeouts: another may take its place. */
+enum { LOST_TIMEOUTS = 2, FORGET_TIMEOUTS = 10 };
+
+static bool
+is_lost(Rlog *rlog, const RlogReplica *replica, uint32_t timeouts, Instant now)
+{
+    const RlogProgress *progress = Rlog_FindProgress(rlog, replica->identity);
+    Instant since = rlog->led_at;
+
+    if (!progress) {
+        return false; /* this one */
+    }
+    if (progress->acked > since) {
+        since = progress->acked;
+    }
+    return now - since >= rlog->settings.election * timeouts;
+}
+
+/* The voter whose place LEARNER may take: another one of its address before
+ * all others. */
+static uint32_t
+find_lost_voter(Rlog *rlog, const RlogReplica *learner, Instant now)
+{
+    const RlogReplicas *replicas = &rlog->replicas;
+    uint32_t found = replicas->count;
+
+    for (uint32_t i = 0; i < replicas->count; i++) {
+        const RlogReplica *replica = &replicas->items[i];
+        if (!replica->voter) {
+            continue;
+        }
+        if (replica->addr == learner->addr &&
+            is_silent(rlog, replica->identity, now)) {
+            return i;
+        }
+        if (is_lost(rlog, replica, LOST_TIMEOUTS, now)) {
+            found = i;
+        }
+    }
+    return found;
+}
+
+/* A learner that has caught up becomes a voter where there is a place; else
+ * the place of a lost voter is made free first, so that there are never more
+ * voters than wanted. */
+static bool
+place_learner(Rlog *rlog, RlogReplicas *next, uint32_t at, Instant now)
+{
+    uint32_t lost;
+
+    if (!has_caught_up(rlog, next->items[at].identity, now)) {
+        return false;
+    }
+    if (count_voters(next) < rlog->settings.voters_max) {
+        next->items[at].voter = true;
+        propose_replicas(rlog, next, now);
+        return true;
+    }
+    lost = find_lost_voter(rlog, &next->items[at], now);
+    if (lost == next->count) {
+        return false;
+    }
+    remove_at(next, lost);
+    propose_replicas(rlog, next, now);
+    return true;
+}
+
+static void
+tick_bounded(Rlog *rlog, RlogReplicas *next, Instant now)
+{
+    for (uint32_t i = 0; i < next->count; i++) {
+        if (!next->items[i].voter && place_learner(rlog, next, i, now)) {
+            return;
+        }
+    }
+    for (uint32_t i = 0; i < next->count; i++) {
+        if (!next->items[i].voter &&
+            is_lost(rlog, &next->items[i], FORGET_TIMEOUTS, now)) {
+            remove_at(next, i);
+            propose_replicas(rlog, next, now);
+            return;
+        }
+    }
+}
+
 void
 Rlog_TickReplicas(Rlog *rlog, Instant now)
 {
@@ -303,6 +388,10 @@
     if (!may_change(rlog, now)) {
         return;
     }
+    if (rlog->settings.voters_max) {
+        tick_bounded(rlog, &next, now);
+        return;
+    }
     for (uint32_t i = 0; i < next.count; i++) {
         RlogReplica *replica = &next.items[i];
         if (replica->voter && is_replaced(rlog, replica, now)) {
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -178,7 +178,7 @@
 static void
 pack_hello(Pack *pack)
 {
-    HelloMsg msg = {UINT64_MAX, 77, true, false};
+    HelloMsg msg = {UINT64_MAX, 77, true, false, {78, UINT64_MAX}, 2};
 
     Logmsg_PackHello(pack, &msg);
 }
@@ -289,7 +289,7 @@
 static void
 pack_presets_ask(Pack *pack)
 {
-    PresetsAskMsg msg = {6, Str_LIT("peak"), true};
+    PresetsAskMsg msg = {6, Str_LIT("peak"), true, true};
 
     Configmsg_PackPresetsAsk(pack, &msg);
 }
--- a/tests/unit/test_preset.c
+++ b/tests/unit/test_preset.c
@@ -121,7 +121,7 @@
 
     Fnd_Init(&findings);
     ck_assert(Pst_Parse(&preset, routed, &findings));
-    route = Pst_FindRoute(&preset, c->method, c->path);
+    route = Pst_FindRoute(&preset, (Str){0}, c->method, c->path);
     ck_assert(c->route.len
                   ? route && Str_Equal(StrBuf_View(&route->route), c->route)
                   : !route);
--- a/src/connection/caller.c
+++ b/tools/caller.c
@@ -1,4 +1,4 @@
-#include "connection/caller.h"
+#include "caller.h"
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -26,7 +26,7 @@
 
 #include <event2/http.h>
 
-#include "connection/caller.h"
+#include "caller.h"
 #include "fake_knobs.h"
 #include "process/loop.h"
 #include "request/field.h"
