Ask for the pace before a start, and wait at the ingress for a quick one

Cause: a quarter of the backend servers takes seven times as long for half a second at a time, and work that starts then is lost for its objective. Ruled out: placement on older reports alone (they are older than the change). Change: the node beside a backend server asks it for its pace when the last word is over 20 ms old, and turns work back while it is slow; the ingress asks elsewhere in its region, waits while the objective allows, and only then goes to another region or insists. What was turned back before it reached a backend server counts neither as an attempt nor against the budget.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -220,8 +220,9 @@
                    pool->clock());
     }
     exchange->rejected =
-        says(all, pool->names.not_run) ||
-        (head->status == MISDIRECTED && pool->names.expect.len);
+        !exchange->from.plain &&
+        (says(all, pool->names.not_run) ||
+         (head->status == MISDIRECTED && pool->names.expect.len));
     if (!exchange->rejected) {
         forward_fields(head, &fields);
         exchange->sink.head(exchange->sink.context, head->status, &fields);
@@ -418,11 +419,11 @@
                                 Str_ARG(field->value));
         }
     }
-    if (names->deadline.len) {
+    if (names->deadline.len && !from->plain) {
         evbuffer_add_printf(out, "%.*s: %lld\r\n", Str_ARG(names->deadline),
                             left_ms);
     }
-    if (names->expect.len && instance.len) {
+    if (names->expect.len && instance.len && !from->plain) {
         evbuffer_add_printf(out, "%.*s: %.*s\r\n", Str_ARG(names->expect),
                             Str_ARG(instance));
     }
@@ -523,7 +524,8 @@
 static Span
 bound_of(const BckRequest *request)
 {
-    return (request->left > 0 ? request->left : 0) + GRACE;
+    return (request->left > 0 ? request->left : 0) +
+           (request->plain ? 0 : GRACE);
 }
 
 BckExchange *
--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -20,6 +20,7 @@
     Str request_id; /* empty: answers are not told apart by it */
     FieldList fields;
     Str body;
+    bool plain;        /* no request of a caller: without a deadline */
     Span left;         /* until the deadline */
     Span repeat_after; /* 0: never; see Bck_Start */
 } BckRequest;
--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -1,9 +1,9 @@
 #include "connection/callmsg.h"
 
 enum {
-    LOAD_FIELDS = 6,
+    LOAD_FIELDS = 7,
     ID_FIELDS = 2,
-    CALL_FIELDS = ID_FIELDS + 12,
+    CALL_FIELDS = ID_FIELDS + 15,
     PIECE_FIELDS = ID_FIELDS + 6,
     REFUSED_FIELDS = ID_FIELDS + 2,
     CREDIT_FIELDS = ID_FIELDS + 1,
@@ -38,6 +38,7 @@
     Pack_U64(pack, load->service_us);
     Pack_U64(pack, load->error_permille);
     Pack_Bool(pack, load->draining);
+    Pack_U64(pack, load->pace);
 }
 
 static void
@@ -49,6 +50,7 @@
     load->service_us = (uint32_t)Unpack_Bounded(inner, UINT32_MAX);
     load->error_permille = (uint32_t)Unpack_Bounded(inner, 1000);
     load->draining = Unpack_Bool(inner);
+    load->pace = (uint32_t)Unpack_Bounded(inner, UINT32_MAX);
     if (!Unpack_Ok(inner, NULL)) {
         Unpack_Fail(in);
     }
@@ -124,7 +126,10 @@
     Pack_Bool(pack, msg->idempotent);
     Pack_Bool(pack, msg->keyed);
     Pack_Bool(pack, msg->crosses);
+    Pack_Bool(pack, msg->insists);
+    Pack_U64(pack, msg->priority);
     Pack_I64(pack, msg->left);
+    Pack_I64(pack, msg->slack);
     Pack_U64(pack, msg->fingerprint);
     Pack_Str(pack, msg->request_id);
     Pack_Str(pack, msg->method);
@@ -142,7 +147,10 @@
     msg->idempotent = Unpack_Bool(in);
     msg->keyed = Unpack_Bool(in);
     msg->crosses = Unpack_Bool(in);
+    msg->insists = Unpack_Bool(in);
+    msg->priority = (uint32_t)Unpack_Bounded(in, UINT32_MAX);
     msg->left = Unpack_I64(in);
+    msg->slack = Unpack_I64(in);
     msg->fingerprint = Unpack_U64(in);
     msg->request_id = Unpack_Str(in);
     msg->method = Unpack_Str(in);
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -18,7 +18,10 @@
     bool idempotent;
     bool keyed;           /* its outcome may be asked for long after its end */
     bool crosses;         /* it comes from another region */
+    bool insists;         /* run it also while work takes long there */
+    uint32_t priority;    /* 0: most urgent */
     Span left;            /* until the deadline */
+    Span slack;           /* it may wait for a slot so long */
     uint64_t fingerprint; /* of the request, for suspects */
     Str request_id;
     Str method;
@@ -47,6 +50,7 @@
     Refusal_SUSPECT,
     Refusal_INCARNATION,
     Refusal_CUT,     /* ran, but its answer was cut short: not a proof */
+    Refusal_SLOW, /* work takes long there at this moment */
     Refusal_TURNED_AWAY, /* by the backend server: it did not run */
     Refusal_EXPIRED, /* came too late to be told from a duplicate: no proof */
     Refusal_KINDS
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -13,6 +13,14 @@
 #define TRIAL_PAUSE Span_S(5)
 #define TRIAL_TIME Span_S(1)
 
+/* The pace changes many times a second: an older word is asked for anew, a
+ * much older one counts for nothing. */
+#define SAID_FRESH Span_MS(20)
+#define SAID_OLD Span_MS(250)
+
+/* Percent of the usual time from which work had better go elsewhere. */
+enum { SLOW_PACE = 200 };
+
 static void
 tell(const Adm *adm, const AdmEvent *event)
 {
@@ -111,6 +119,26 @@
     return adm->refuse_until > 0;
 }
 
+void
+Adm_OnSaid(Adm *adm, const LoadWord *word, Instant now)
+{
+    adm->pace = word->pace;
+    adm->said_at = now;
+    tell(adm, &(AdmEvent){Adm_DID_SAID, now, {word->pace}, 0});
+}
+
+bool
+Adm_IsStale(const Adm *adm, Instant now)
+{
+    return !adm->said_at || now - adm->said_at >= SAID_FRESH;
+}
+
+bool
+Adm_IsSlow(const Adm *adm, Instant now)
+{
+    return adm->pace >= SLOW_PACE && now - adm->said_at < SAID_OLD;
+}
+
 static uint32_t
 open_slots(const Adm *adm, Instant now)
 {
@@ -154,7 +182,7 @@
 }
 
 static AdmVerdict
-decide(Adm *adm, AdmClass cls, Span left, Instant now)
+decide(Adm *adm, AdmClass cls, Span left, bool insists, Instant now)
 {
     if (!adm->present) {
         return Adm_REFUSE_ABSENT;
@@ -168,6 +196,9 @@
     if (seems_to_leave(adm, now)) {
         return Adm_REFUSE_DRAINING;
     }
+    if (!insists && Adm_IsSlow(adm, now)) {
+        return Adm_REFUSE_SLOW;
+    }
     if (adm->running < open_slots(adm, now) && waiting(adm) == 0) {
         adm->running++;
         return Adm_RUN;
@@ -183,11 +214,11 @@
 }
 
 AdmVerdict
-Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now)
+Adm_Ask(Adm *adm, AdmClass cls, Span left, bool insists, Instant now)
 {
-    AdmVerdict verdict = decide(adm, cls, left, now);
+    AdmVerdict verdict = decide(adm, cls, left, insists, now);
 
-    tell(adm, &(AdmEvent){Adm_DID_ASK, now, {cls, left}, verdict});
+    tell(adm, &(AdmEvent){Adm_DID_ASK, now, {cls, left, insists}, verdict});
     return verdict;
 }
 
@@ -293,6 +324,7 @@
         .service_us = (uint32_t)adm->service_us,
         .error_permille = (uint32_t)(adm->error * 1000),
         .draining = adm->draining || adm->leaving || adm->refuse_until > now,
+        .pace = adm->said_at && now - adm->said_at < SAID_OLD ? adm->pace : 0,
     };
 }
 
@@ -327,7 +359,7 @@
         break;
     case Adm_DID_ASK:
         return Adm_Ask(adm, args[0] ? Adm_PATIENT : Adm_INTERACTIVE, args[1],
-                       event->at);
+                       args[2] != 0, event->at);
     case Adm_DID_TURNED_AWAY:
         Adm_OnTurnedAway(adm, event->at);
         break;
@@ -342,6 +374,9 @@
         break;
     case Adm_DID_NEXT:
         return replay_next(adm, event->at);
+    case Adm_DID_SAID:
+        Adm_OnSaid(adm, &(LoadWord){.pace = (uint32_t)args[0]}, event->at);
+        break;
     case Adm_EVENTS:
         break;
     }
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -16,7 +16,8 @@
     Adm_REFUSE_FULL,     /* queue at its bound for the class */
     Adm_REFUSE_LATE,     /* would not start before its deadline */
     Adm_REFUSE_DRAINING, /* the backend server is leaving */
-    Adm_REFUSE_ABSENT    /* no backend server is announced */
+    Adm_REFUSE_ABSENT,   /* no backend server is announced */
+    Adm_REFUSE_SLOW      /* work takes long there at this moment */
 } AdmVerdict;
 
 typedef enum { Adm_INTERACTIVE = 0, Adm_PATIENT = 1, Adm_CLASSES } AdmClass;
@@ -34,12 +35,13 @@
     Adm_DID_ANNOUNCE,     /* slots, draining */
     Adm_DID_GONE,
     Adm_DID_LEAVE,
-    Adm_DID_ASK, /* class, time left; outcome: the verdict */
+    Adm_DID_ASK, /* class, time left, insists; outcome: the verdict */
     Adm_DID_TURNED_AWAY,
     Adm_DID_TAKEN,
     Adm_DID_END,        /* time it took, failed */
     Adm_DID_LEAVE_LINE, /* class */
     Adm_DID_NEXT,       /* outcome: the class */
+    Adm_DID_SAID,       /* pace */
     Adm_EVENTS
 } AdmEventKind;
 
@@ -72,6 +74,8 @@
     double service_us; /* smoothed time of one request */
     Instant timed_at;  /* last request that counted for it */
     double error;      /* smoothed share of failed requests */
+    uint32_t pace;     /* as the backend server said last; 0: never */
+    Instant said_at;
 } Adm;
 
 void Adm_Init(Adm *adm, const AdmSettings *settings);
@@ -88,7 +92,17 @@
 bool Adm_IsLeaving(const Adm *adm);
 
 /* Decide; Adm_RUN and Adm_QUEUE are counted at once. */
-AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, Instant now);
+AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, bool insists,
+                   Instant now);
+
+/* The backend server said how long work takes there now. */
+void Adm_OnSaid(Adm *adm, const LoadWord *word, Instant now);
+
+/* What it said is too old to go by. */
+bool Adm_IsStale(const Adm *adm, Instant now);
+
+/* It said lately that work takes long. */
+bool Adm_IsSlow(const Adm *adm, Instant now);
 
 /* The backend server turned an attempt away (503, or no connection), or took
  * one.  One that turns everything away gets no work but a trial now and
@@ -96,7 +110,7 @@
 void Adm_OnTurnedAway(Adm *adm, Instant now);
 void Adm_OnTaken(Adm *adm);
 
-/* A running attempt ended after TOOK. */
+/* A running attempt ended after TOOK, in terms of the usual pace. */
 void Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now);
 
 /* A waiting attempt left the queue without running. */
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 
 #include "process/node.h"
+#include "process/reload.h"
 
 enum { EXIT_GOOD = 0, EXIT_FAILED = 1, EXIT_USAGE = 2, EXIT_SETTINGS = 3 };
 
@@ -20,13 +21,23 @@
     Node_Stop(node, Loop_Now());
 }
 
+static void
+on_hangup(evutil_socket_t number, short what, void *context)
+{
+    (void)number;
+    (void)what;
+    Rld_Now(context, Loop_Now());
+}
+
 static int
-serve(Settings *settings)
+serve(Settings *settings, Str file)
 {
     static Node node;
+    Reload reload;
     Err err = {0};
     struct event *terminate;
     struct event *interrupt;
+    struct event *hangup;
 
     if (!Node_Init(&node, settings, &err)) {
         fprintf(stderr, "lycheeridged: %.*s\n", Str_ARG(Err_Text(&err)));
@@ -36,7 +47,12 @@
     interrupt = evsignal_new(node.loop.base, SIGINT, on_signal, &node);
     event_add(terminate, NULL);
     event_add(interrupt, NULL);
+    Rld_Init(&reload, &node, file);
+    hangup = evsignal_new(node.loop.base, SIGHUP, on_hangup, &reload);
+    event_add(hangup, NULL);
     Node_Run(&node);
+    event_free(hangup);
+    Rld_Finish(&reload);
     event_free(terminate);
     event_free(interrupt);
     Node_Finish(&node);
@@ -95,7 +111,7 @@
         if (check_only) {
             printf("%.*s: good\n", Str_ARG(file));
         }
-        status = check_only ? EXIT_GOOD : serve(&settings);
+        status = check_only ? EXIT_GOOD : serve(&settings, file);
     }
     Set_Finish(&settings);
     return status;
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -59,6 +59,23 @@
     Ann_OnLost(&node->ann, now);
 }
 
+/* An answer of the backend server told its load. */
+static void
+on_load(void *context, Str text, Instant now)
+{
+    Node *node = context;
+    LoadWord word;
+
+    if (Load_Parse(text, &word)) {
+        Adm_OnSaid(&node->admission, &word, now);
+    }
+    else {
+        Cnt_Add(&node->counters, Cnt_MALFORMED, 1);
+        Lgr_Log(&node->logger, Lgr_DEBUG, Str_LIT("load_not_readable"), "%.*s",
+                Str_ARG(text));
+    }
+}
+
 static void
 on_announced(void *context, Instant now)
 {
@@ -68,6 +85,8 @@
                    : ann->draining ? Tml_BACKEND_DRAINS
                                    : Tml_BACKEND_CAME;
 
+    Run_SetPreset(&node->runs, &node->in_force->preset,
+                  StrBuf_View(&ann->service));
     Tml_Record(&node->timeline, kind, "service=%.*s", Str_ARG(ann->service));
     Mbs_SendRecord(&node->members, now);
 }
@@ -211,7 +230,8 @@
     Msr_SetLimits(&node->measure, limits, Loop_Now());
     Lnk_SetRate(&node->calls.link, limits->link_bytes_per_s, Loop_Now());
     Adm_SetSettings(&node->admission, &admission);
-    Run_SetLimits(&node->runs, limits);
+    Run_SetPreset(&node->runs, &node->in_force->preset,
+                  StrBuf_View(&node->ann.service));
     Hld_SetLimits(&node->holder, limits);
     Sps_SetLimits(&node->suspects, limits, true);
 }
@@ -308,6 +328,7 @@
         Adm_Observe(&node->admission, Rec_OnAdmission, &node->recorder);
     }
     Bck_PoolInit(&node->pool, node->loop.base, Loop_Now, &names);
+    Bck_OnLoad(&node->pool, on_load, node);
     Ann_Init(&node->ann, settings, &node->logger, &node->admission,
              &node->pool, on_announced, node);
     Svc_Init(&node->services, settings->address, settings->region,
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -288,6 +288,33 @@
     row->trying = row->trying && row->mine;
 }
 
+bool
+Plc_HasHome(const Plc *plc)
+{
+    for (size_t i = 0; i < plc->count; i++) {
+        const PlcRow *row = &plc->rows[i];
+        if (row->place.region == plc->settings.region && row->load.slots &&
+            !row->load.draining) {
+            return true;
+        }
+    }
+    return false;
+}
+
+Span
+Plc_UsualService(const Plc *plc)
+{
+    Span least = 0;
+
+    for (size_t i = 0; i < plc->count; i++) {
+        Span service = plc->rows[i].load.service_us;
+        if (service && (!least || service < least)) {
+            least = service;
+        }
+    }
+    return least;
+}
+
 PlcVerdict
 Plc_Choose(Plc *plc, const PlcAsk *ask, Instant now, const PlcRow **row)
 {
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -101,6 +101,7 @@
 typedef struct {
     bool interactive;
     bool home_only;     /* the link is not for this call now */
+    bool avoid_slow;    /* none where work takes long, as said lately */
     Span left;          /* until the deadline */
     const Addr *tried;  /* nodes not to be chosen again for this call */
     size_t tried_count; /* of them */
@@ -126,6 +127,13 @@
 /* Bring the decayed sums of ROW up to NOW. */
 void Plc_Weigh(PlcRow *row, Instant now);
 
+/* Some backend server of this node's region takes work, now or later. */
+bool Plc_HasHome(const Plc *plc);
+
+/* The least time that work takes at a backend server, as far as reported; 0:
+ * not known. */
+Span Plc_UsualService(const Plc *plc);
+
 /* Choose for one attempt; *ROW is valid until the next change. */
 PlcVerdict Plc_Choose(Plc *plc, const PlcAsk *ask, Instant now,
                       const PlcRow **row);
--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -13,6 +13,12 @@
 /* One attempt in LOOK_ONE_IN looks at a row that gets none. */
 enum { REMOTE_SAMPLE = 2, SAMPLE_ALL_MAX = 2, LOOK_ONE_IN = 200 };
 
+/* Work that takes so many percent of the usual time had better go elsewhere,
+ * for as long as the word of it holds; an older one fades. */
+enum { SLOW_PACE = 200 };
+#define PACE_HOLDS Span_MS(100)
+#define PACE_FADES_US 250000.0
+
 static bool
 was_tried(const PlcAsk *ask, Addr node)
 {
@@ -47,10 +53,30 @@
            row->load.queued + row->since >= bound;
 }
 
+static bool
+is_slow(const PlcRow *row, Instant now)
+{
+    return row->load.pace >= SLOW_PACE && now - row->load_at < PACE_HOLDS;
+}
+
+/* How much longer than usual work takes there, as far as known. */
+static double
+pace_of(const PlcRow *row, Instant now)
+{
+    double keep = exp(-(double)(now - row->load_at) / PACE_FADES_US);
+
+    if (!row->load.pace) {
+        return 1;
+    }
+    return 1 + ((double)row->load.pace / Load_USUAL - 1) * keep;
+}
+
 static bool
 is_candidate(const Plc *plc, const PlcRow *row, const PlcAsk *ask, Instant now)
 {
-    return is_here(row, ask) && !row->on_trial && !is_full(plc, row, ask, now);
+    return is_here(row, ask) && !row->on_trial &&
+           !(ask->avoid_slow && is_slow(row, now)) &&
+           !is_full(plc, row, ask, now);
 }
 
 static double
@@ -135,7 +161,7 @@
 
     Plc_Weigh(row, now);
     failing = row->failures / (row->outcomes + FAILURE_PRIOR);
-    return service * (1 + wait(load)) * slowness_of(row, service + way) + way +
+    return service * pace_of(row, now) * (1 + wait(load)) * slowness_of(row, service + way) + way +
            failing * FAILURE_US;
 }
 
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -5,7 +5,10 @@
 #include "request/split.h"
 #include "value/mem.h"
 
-enum { KEY_BYTES_MAX = 1024 };
+enum {
+    KEY_BYTES_MAX = 1024,
+    USUAL_TENTHS = 13 /* of the usual service time, for its spread */
+};
 
 static void
 link_call(CallHub *hub, Call *call)
@@ -162,6 +165,20 @@
     return now + (own ? request->deadline : route->deadline);
 }
 
+/* Until when a start at the usual pace still makes the objective.  A claim
+ * for a key is made for one place, and does not wait. */
+static Instant
+slack_of(const Call *call, Instant now)
+{
+    Span usual = Plc_UsualService(&call->service->placement);
+    Span objective = call->route->objective;
+
+    if (!objective || call->route->key_header.len) {
+        return 0;
+    }
+    return now + objective - usual * USUAL_TENTHS / 10;
+}
+
 Call *
 Call_Start(CallHub *hub, const CallRequest *request, const CallSink *sink,
            Instant now)
@@ -204,6 +221,7 @@
     Rty_Init(&call->retry, route->idempotent,
              Dep_Read(&request->fields) ? 1 : attempts_max, call->deadline);
     init_hedge(call, now);
+    call->slack_until = slack_of(call, now);
     call->digest = digest_of(request, StrBuf_View(&call->service->name));
     start_call(call, now);
     return hub->count > before ? call : NULL;
@@ -262,7 +280,10 @@
     Key_HubTick(&hub->keys, now);
     for (Call *call = hub->first; call; call = next) {
         next = call->next;
-        if (now >= call->deadline) {
+        if (call->park_until) {
+            Call_TickParked(call, now);
+        }
+        else if (now >= call->deadline) {
             on_late(call, now);
         }
         else if (Hdg_Decide(&call->hedge, &call->service->hedges, now)) {
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -137,6 +137,16 @@
     return reason != Refusal_CUT && reason != Refusal_EXPIRED;
 }
 
+/* Nothing reached the backend server, and another one may take it, or this
+ * one later. */
+static bool
+may_pass(Refusal reason)
+{
+    return reason == Refusal_FULL || reason == Refusal_SLOW ||
+           reason == Refusal_DRAINING || reason == Refusal_ABSENT ||
+           reason == Refusal_INCARNATION || reason == Refusal_LATE;
+}
+
 static void
 on_refused(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -170,6 +180,10 @@
         Call_EndAttempt(attempt, Plc_REFUSED, now);
         Call_GiveUpNotRun(call, Call_WHY_SUSPECT, now);
     }
+    else if (may_pass(msg.reason) && !call->keyed &&
+             call->route->objective) {
+        Call_OnTurnedBack(attempt, now);
+    }
     else {
         Call_Decide(attempt, Rty_NOT_RUN, now);
     }
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -1,6 +1,12 @@
 #include "request/callstate.h"
 #include "request/depth.h"
 
+/* Between two rounds of asking who takes a call now. */
+#define PARK Span_MS(30)
+
+/* So much slack before the end of it, other regions are asked as well. */
+#define AWAY_SLACK Span_MS(40)
+
 Attempt *
 Call_Flying(Call *call)
 {
@@ -81,6 +87,9 @@
         .incarnation = attempt->incarnation,
         .interactive = call->route->interactive,
         .idempotent = call->route->idempotent,
+        .insists = call->insists || now >= call->slack_until,
+        .priority = call->route->priority,
+        .slack = call->slack_until > now ? call->slack_until - now : 0,
         .keyed = call->keyed != NULL,
         .crosses = attempt->crosses,
         .left = call->deadline - now,
@@ -131,16 +140,43 @@
     }
 }
 
+/* While there is time to wait for one at home, another region is not worth
+ * its link. */
+static bool
+stays_home(const Call *call, Instant now)
+{
+    return call->slack_until - now > AWAY_SLACK &&
+           Plc_HasHome(&call->service->placement);
+}
+
+/* Those that had the call, and those that turned it back. */
+static size_t
+list_tried(const Call *call, Addr *tried)
+{
+    size_t count = 0;
+
+    for (uint32_t i = 0; i < call->retry.attempts && i < Rty_TRIED_MAX; i++) {
+        tried[count++] = call->retry.tried[i];
+    }
+    for (uint32_t i = 0; i < call->refused_count; i++) {
+        tried[count++] = call->refused[i];
+    }
+    return count;
+}
+
 bool
 Call_ChoosePlace(Call *call, KeyPlace *place, Instant now)
 {
+    Addr tried[2 * Rty_TRIED_MAX];
     PlcAsk ask = {
         .interactive = call->route->interactive,
         .home_only = !Lnk_Ask(&call->hub->link, call->route->interactive,
-                              (uint32_t)call->request.body.len, now),
+                              (uint32_t)call->request.body.len, now) ||
+                     stays_home(call, now),
+        .avoid_slow = now < call->slack_until,
         .left = call->deadline - now,
-        .tried = call->retry.tried,
-        .tried_count = call->retry.attempts,
+        .tried = tried,
+        .tried_count = list_tried(call, tried),
     };
     const PlcRow *row;
 
@@ -172,16 +208,68 @@
     return false;
 }
 
+/* Everybody that could take it now was asked: wait a little, while that may
+ * help; the last word is with whoever takes it in spite of being slow. */
+static void
+park(Call *call, Instant now)
+{
+    bool insisted = call->insists;
+
+    if (now < call->slack_until) {
+        call->park_until = now + PARK;
+        if (call->park_until > call->slack_until) {
+            call->park_until = call->slack_until;
+        }
+        return;
+    }
+    call->insists = true;
+    if (!insisted && call->refused_count) {
+        call->refused_count = 0;
+        Call_MakeAttempt(call, now);
+        return;
+    }
+    Call_End(call, Call_NOT_RUN, call->why);
+}
+
 void
 Call_MakeAttempt(Call *call, Instant now)
 {
     KeyPlace place;
 
+    call->park_until = 0;
     if (Call_ChoosePlace(call, &place, now)) {
         Call_StartAttempt(call, &place, now);
     }
     else {
-        Call_End(call, Call_NOT_RUN, call->why);
+        park(call, now);
+    }
+}
+
+void
+Call_TickParked(Call *call, Instant now)
+{
+    if (now >= call->deadline) {
+        Call_End(call, Call_NOT_RUN, Call_WHY_LATE);
+    }
+    else if (now >= call->park_until) {
+        call->refused_count = 0;
+        Call_MakeAttempt(call, now);
+    }
+}
+
+void
+Call_OnTurnedBack(Attempt *attempt, Instant now)
+{
+    Call *call = attempt->call;
+    bool other = Call_Other(attempt) != NULL;
+
+    if (call->refused_count < Rty_TRIED_MAX) {
+        call->refused[call->refused_count++] = attempt->node;
+    }
+    Rty_OnTurnedBack(&call->retry, attempt->node);
+    Call_EndAttempt(attempt, Plc_REFUSED, now);
+    if (!other) {
+        Call_MakeAttempt(call, now);
     }
 }
 
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -47,6 +47,13 @@
     CallWhy why;     /* no attempt can be made */
     bool doubt;      /* an attempt of it may have run */
     uint64_t digest; /* of the request, within its service */
+    /* Waiting for a backend server that is quick and has room. */
+    Instant slack_until; /* until then it is worth the wait */
+    Instant park_until;  /* the next try; 0: it does not wait */
+    bool insists;        /* the slack is over: whoever takes it */
+    Addr refused[Rty_TRIED_MAX]; /* asked since, and nothing reached their
+                                    backend server */
+    uint32_t refused_count;
 };
 
 /* Choose a node and an id for the next attempt; false, with the reason in the
@@ -60,6 +67,14 @@
  * afterwards. */
 void Call_MakeAttempt(Call *call, Instant now);
 
+/* ATTEMPT was refused before anything reached its backend server, for a
+ * reason that may pass: ask elsewhere, or wait.  Its call may be gone
+ * afterwards. */
+void Call_OnTurnedBack(Attempt *attempt, Instant now);
+
+/* Try again when it is time; CALL may be gone afterwards. */
+void Call_TickParked(Call *call, Instant now);
+
 /* Send a second attempt elsewhere, when there is somewhere. */
 void Call_Hedge(Call *call, Instant now);
 
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -56,6 +56,17 @@
     retry->attempts++;
 }
 
+void
+Rty_OnTurnedBack(Rty *retry, Addr node)
+{
+    for (uint32_t i = 0; i < retry->attempts && i < Rty_TRIED_MAX; i++) {
+        if (retry->tried[i] == node) {
+            retry->tried[i] = retry->tried[--retry->attempts];
+            return;
+        }
+    }
+}
+
 static RtyVerdict
 give_up(RtyOutcome outcome)
 {
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -57,6 +57,9 @@
 /* An attempt is made at NODE. */
 void Rty_OnAttempt(Rty *retry, Addr node);
 
+/* The attempt at NODE never reached its backend server: it does not count. */
+void Rty_OnTurnedBack(Rty *retry, Addr node);
+
 /* What follows an attempt that ended without a good answer. */
 RtyVerdict Rty_Decide(const Rty *retry, RtyBudget *budget, RtyOutcome outcome,
                       Instant now);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -4,10 +4,14 @@
 #include "request/crash.h"
 
 #include "value/mem.h"
+#include "version/preset.h"
 
 #define LEDGER_BRIEF Span_S(10)
 #define STALL_GRACE Span_S(10)
 
+/* The backend server's word is awaited so long. */
+#define ASK_WAIT Span_MS(50)
+
 enum {
     LEDGER_ANSWERS = 8 * 1024 * 1024,
     LEDGER_ENTRIES = 131072,
@@ -51,6 +55,7 @@
         hub->last = run->previous;
     }
     hub->count--;
+    hub->asking -= run->asks;
     Hsh_Drop(&hub->by_id, &run->link);
     hub->alone -= run->alone;
     StrBuf_Finish(&run->method);
@@ -139,7 +144,14 @@
 bool
 Run_IsWaiting(const Run *run)
 {
-    return !run->exchange && !run->cut;
+    return !run->exchange && !run->cut && !run->asks;
+}
+
+/* What the run would have taken at the usual pace. */
+static Span
+usual_time(const Run *run, Span took)
+{
+    return run->pace ? took * Load_USUAL / run->pace : took;
 }
 
 static void
@@ -150,7 +162,8 @@
     Instant now = Loop_Now();
     bool failed = end != Bck_WHOLE || run->status >= 500;
 
-    Adm_OnEnd(hub->admission, now - run->started_at, failed, now);
+    Adm_OnEnd(hub->admission, usual_time(run, now - run->started_at), failed,
+              now);
     Crs_OnEnd(run, end, now);
     if (end == Bck_UNREACHED || end == Bck_REJECTED ||
         (end == Bck_WHOLE && run->status == TURNED_AWAY)) {
@@ -208,6 +221,7 @@
     BckSink sink = {run, Ans_OnHead, Ans_OnBytes, on_end};
 
     run->started_at = now;
+    run->pace = Adm_Report(hub->admission, now).pace;
     run->exchange = Bck_Start(hub->pool, &request, &sink);
     if (run->exchange) {
         Cnt_Add(hub->counters, Cnt_RUNS, 1);
@@ -232,6 +246,9 @@
     run->fingerprint = msg->fingerprint;
     run->cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
     run->deadline = now + msg->left;
+    run->wait_until = now + msg->slack;
+    run->priority = msg->priority;
+    run->insists = msg->insists;
     StrBuf_Set(&run->method, msg->method);
     StrBuf_Set(&run->target, msg->target);
     StrBuf_Set(&run->request_id, msg->request_id);
@@ -250,6 +267,8 @@
         return Refusal_DRAINING;
     case Adm_REFUSE_ABSENT:
         return Refusal_ABSENT;
+    case Adm_REFUSE_SLOW:
+        return Refusal_SLOW;
     default:
         return Refusal_FULL;
     }
@@ -284,13 +303,75 @@
     return false;
 }
 
+static AdmVerdict
+ask_admission(Run *run, Instant now)
+{
+    return Adm_Ask(run->hub->admission, run->cls, run->deadline - now,
+                   run->insists, now);
+}
+
+/* Start it, let it wait, or refuse it; RUN may be gone afterwards. */
+static void
+decide(Run *run, Instant now)
+{
+    AdmVerdict verdict = ask_admission(run, now);
+
+    if (verdict == Adm_RUN) {
+        Run_StartExchange(run, now);
+    }
+    else if (verdict != Adm_QUEUE) {
+        Run_Refuse(run, refusal_of(verdict), now);
+        Run_Free(run);
+    }
+}
+
+static void
+stop_asking(Run *run)
+{
+    run->hub->asking -= run->asks;
+    run->asks = false;
+}
+
+/* The backend server said how it is, or does not say. */
+static void
+on_pulse(void *context, Instant now)
+{
+    RunHub *hub = context;
+    Run *next;
+
+    for (Run *run = hub->first; run && hub->asking; run = next) {
+        next = run->next;
+        if (run->asks) {
+            stop_asking(run);
+            decide(run, now);
+        }
+    }
+    Run_HubTick(hub, now);
+}
+
+/* True when RUN waits for the backend server's word. */
+static bool
+asks_first(Run *run, Instant now)
+{
+    RunHub *hub = run->hub;
+
+    if (run->insists || !hub->admission->present ||
+        !Adm_IsStale(hub->admission, now) || !Pls_Ask(&hub->pulse, now)) {
+        return false;
+    }
+    run->asks = true;
+    run->asked_at = now;
+    hub->asking++;
+    return true;
+}
+
 static void
 on_call(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
     RunHub *hub = context;
     CallMsg msg;
     Err err = {0};
-    AdmVerdict verdict;
+    Run *run;
 
     hub->asked_at = now;
     if (!Callmsg_ReadCall(in, &msg, &err)) {
@@ -302,18 +383,9 @@
         Crs_Hold(hub, origin, &msg, now)) {
         return;
     }
-    verdict = Adm_Ask(hub->admission,
-                      msg.interactive ? Adm_INTERACTIVE : Adm_PATIENT,
-                      msg.left, now);
-    if (verdict == Adm_RUN) {
-        Run_StartExchange(Run_Add(hub, origin, &msg, now), now);
-    }
-    else if (verdict == Adm_QUEUE) {
-        Run_Add(hub, origin, &msg, now);
-    }
-    else {
-        Led_OnRefused(&hub->ledger, msg.id, now);
-        Run_RefuseId(hub, origin, &msg, refusal_of(verdict), now);
+    run = Run_Add(hub, origin, &msg, now);
+    if (!asks_first(run, now)) {
+        decide(run, now);
     }
 }
 
@@ -331,7 +403,10 @@
 void
 Run_LeaveQueue(Run *run)
 {
-    if (run->alone) {
+    if (run->asks) {
+        stop_asking(run);
+    }
+    else if (run->alone) {
         Adm_OnHeldLeave(run->hub->admission);
     }
     else {
@@ -345,7 +420,8 @@
 cancel_run(Run *run, Instant now)
 {
     Bck_Cancel(run->exchange);
-    Adm_OnEnd(run->hub->admission, now - run->started_at, true, now);
+    Adm_OnEnd(run->hub->admission, usual_time(run, now - run->started_at),
+              true, now);
     Run_Lose(run, now);
     Run_Free(run);
 }
@@ -444,6 +520,7 @@
         .incarnation = incarnation,
     };
     Led_Init(&hub->ledger, &ledger, incarnation);
+    Pls_Init(&hub->pulse, pool, on_pulse, hub);
     Net_On(net, Wire_CALL, on_call, hub);
     Net_On(net, Wire_CANCEL, on_cancel, hub);
     Net_On(net, Wire_CREDIT, on_credit, hub);
@@ -453,6 +530,7 @@
 void
 Run_HubFinish(RunHub *hub)
 {
+    Pls_Finish(&hub->pulse);
     while (hub->first) {
         if (hub->first->exchange) {
             Bck_Cancel(hub->first->exchange);
@@ -481,7 +559,7 @@
     if (!run || run->sequence > 0) {
         return Fenced_LOST;
     }
-    if (Run_IsWaiting(run) && stop) {
+    if ((Run_IsWaiting(run) || run->asks) && stop) {
         Led_OnRefused(&hub->ledger, id, now);
         Run_LeaveQueue(run);
         return Fenced_NEVER;
@@ -492,20 +570,27 @@
 }
 
 void
-Run_SetLimits(RunHub *hub, const PstLimits *limits)
+Run_SetPreset(RunHub *hub, const Preset *preset, Str service)
 {
-    Led_SetRetention(&hub->ledger, limits->key_retention);
+    const PstService *own = Pst_FindService(preset, service);
+
+    Led_SetRetention(&hub->ledger, preset->limits.key_retention);
+    Pls_SetPath(&hub->pulse, own ? StrBuf_View(&own->health_path) : (Str){0});
 }
 
+/* The most urgent of a class; of these, the one that came first. */
 static Run *
 first_waiting(RunHub *hub, AdmClass cls)
 {
+    Run *first = NULL;
+
     for (Run *run = hub->first; run; run = run->next) {
-        if (Run_IsWaiting(run) && !run->alone && run->cls == cls) {
-            return run;
+        if (Run_IsWaiting(run) && !run->alone && run->cls == cls &&
+            (!first || run->priority < first->priority)) {
+            first = run;
         }
     }
-    return NULL;
+    return first;
 }
 
 /* A suspect keeps all others waiting. */
@@ -532,6 +617,15 @@
             Run_Refuse(run, Refusal_LATE, now);
             Run_LeaveQueue(run);
         }
+        else if (Run_IsWaiting(run) && !run->insists && !run->alone &&
+                 now >= run->wait_until) {
+            Run_Refuse(run, Refusal_FULL, now);
+            Run_LeaveQueue(run);
+        }
+        else if (run->asks && now - run->asked_at >= ASK_WAIT) {
+            stop_asking(run);
+            decide(run, now);
+        }
         else if (run->exchange && now >= run->deadline + grace_of(run)) {
             cancel_run(run, now);
         }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -11,6 +11,7 @@
 #include "connection/backend.h"
 #include "connection/callmsg.h"
 #include "connection/knock.h"
+#include "connection/pulse.h"
 #include "process/admission.h"
 #include "process/counters.h"
 #include "process/ledger.h"
@@ -37,6 +38,8 @@
     Run *first; /* oldest first */
     Run *last;
     size_t count;
+    size_t asking;      /* that wait for the backend server's word */
+    Pulse pulse;
     Knock knock;        /* after an exchange was cut */
     Instant told_by;    /* what was cut is settled then at the latest */
     uint32_t alone;     /* suspects that wait or run */
@@ -60,8 +63,8 @@
 FencedState Run_TakeOver(RunHub *hub, const NetOrigin *origin, AttemptId id,
                          bool stop, Instant now);
 
-/* Limits of the preset now in force. */
-void Run_SetLimits(RunHub *hub, const PstLimits *limits);
+/* PRESET is in force; the backend server is one of SERVICE. */
+void Run_SetPreset(RunHub *hub, const Preset *preset, Str service);
 
 /* Start what may start now; drop what waited past its deadline. */
 void Run_HubTick(RunHub *hub, Instant now);
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -14,6 +14,12 @@
     NetOrigin origin;
     AttemptId id;
     AdmClass cls;
+    uint32_t priority;
+    bool insists;
+    bool asks;        /* not decided: the backend server's word is awaited */
+    Instant asked_at;
+    Instant wait_until; /* for a slot */
+    uint32_t pace;    /* when it started; 0: not known */
     bool idempotent;
     bool keyed;
     bool crosses;  /* its answer goes to another region */
--- a/src/value/load.h
+++ b/src/value/load.h
@@ -2,8 +2,7 @@
 #ifndef LOAD_H
 #define LOAD_H
 
-#include <stdbool.h>
-#include <stdint.h>
+#include "value/str.h"
 
 typedef struct {
     uint32_t slots;          /* requests the backend server runs at once */
@@ -12,6 +11,22 @@
     uint32_t service_us;     /* smoothed time of one request, microseconds */
     uint32_t error_permille; /* smoothed share of failed requests */
     bool draining;           /* takes no new work */
+    uint32_t pace; /* time that work takes now, percent of the usual; 0: not
+                      told */
 } LoadReport;
 
+enum { Load_USUAL = 100 };
+
+/* What a backend server says of itself. */
+typedef struct {
+    uint32_t running;
+    uint32_t waiting;
+    uint32_t slots;
+    uint32_t pace; /* as in LoadReport */
+} LoadWord;
+
+/* Read "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,PACE"; false when
+ * TEXT is anything else. */
+bool Load_Parse(Str text, LoadWord *word);
+
 #endif
--- a/tests/support/rlogworld.h
+++ b/tests/support/rlogworld.h
@@ -59,6 +59,7 @@
     StrBuf longest; /* what was ever committed */
     uint64_t leaders[World_TERMS];
     int broken; /* times a check failed */
+    uint32_t voters_max; /* as in RlogSettings; 0: no bound */
 };
 
 /* COUNT replicas, all up, the first of which has founded the log. */
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -55,11 +55,11 @@
 
 #define IDLE                                                                  \
     {                                                                         \
-        SLOTS, 0, 0, 5000, 0, false                                           \
+        SLOTS, 0, 0, 5000, 0, false, 0                                           \
     }
 #define BUSY                                                                  \
     {                                                                         \
-        SLOTS, SLOTS, 8, 5000, 0, false                                       \
+        SLOTS, SLOTS, 8, 5000, 0, false, 0                                       \
     }
 #define NEARLY                                                                \
     {                                                                         \
@@ -67,31 +67,31 @@
     }
 #define BOASTS                                                                \
     {                                                                         \
-        4 * SLOTS, 24, 0, 6500, 0, false                                      \
+        4 * SLOTS, 24, 0, 6500, 0, false, 0                                      \
     }
 #define LARGE                                                                 \
     {                                                                         \
-        4 * SLOTS, 24, 0, 5000, 0, false                                      \
+        4 * SLOTS, 24, 0, 5000, 0, false, 0                                      \
     }
 #define CROWDED                                                               \
     {                                                                         \
-        SLOTS, SLOTS, 31, 20000, 0, false                                     \
+        SLOTS, SLOTS, 31, 20000, 0, false, 0                                     \
     }
 #define FULL                                                                  \
     {                                                                         \
-        SLOTS, SLOTS, 32, 5000, 0, false                                      \
+        SLOTS, SLOTS, 32, 5000, 0, false, 0                                      \
     }
 #define PATIENT_FULL                                                          \
     {                                                                         \
-        SLOTS, SLOTS, 16, 5000, 0, false                                      \
+        SLOTS, SLOTS, 16, 5000, 0, false, 0                                      \
     }
 #define DRAINING                                                              \
     {                                                                         \
-        SLOTS, 0, 0, 5000, 0, true                                            \
+        SLOTS, 0, 0, 5000, 0, true, 0                                            \
     }
 #define ABSENT                                                                \
     {                                                                         \
-        0, 0, 0, 0, 0, false                                                  \
+        0, 0, 0, 0, 0, false, 0                                                  \
     }
 
 static const ChoiceCase choices[] = {
@@ -175,7 +175,7 @@
     int count;
 } Open;
 
-static const LoadReport moderate = {SLOTS, 4, 0, 5000, 0, false};
+static const LoadReport moderate = {SLOTS, 4, 0, 5000, 0, false, 0};
 
 static void
 end_due(World *world, Open *open, Instant now)
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -83,7 +83,7 @@
 START_TEST(takes_its_steps)
 {
     const StopCase *c = &cases[_i];
-    const StpSettings settings = {BOUND, SETTLE};
+    const StpSettings settings = {BOUND, SETTLE, 0};
     Stp stop;
 
     Stp_Init(&stop, &settings);
