Wait for a quick backend server until the last start, and keep a reserve of slots

Cause: insisting on a slow one when the objective's slack is over takes a slot for seven times the usual; backend servers that are over four fifths full take longer. Ruled out: a shorter wait.

--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -21,6 +21,9 @@
 /* Percent of the usual time from which work had better go elsewhere. */
 enum { SLOW_PACE = 200 };
 
+/* One slot in so many, of more than so many, is the reserve. */
+enum { RESERVE_PART = 5, RESERVE_FROM = 3 };
+
 static void
 tell(const Adm *adm, const AdmEvent *event)
 {
@@ -155,6 +158,18 @@
     return 1 + (uint32_t)((slots - 1) * (uint64_t)age / (uint64_t)ramp);
 }
 
+/* Most servers take longer when they are nearly full: the last slots are for
+ * work that cannot wait. */
+static uint32_t
+usual_slots(const Adm *adm, Instant now)
+{
+    uint32_t slots = open_slots(adm, now);
+
+    return adm->pace && slots > RESERVE_FROM
+               ? slots - (slots + RESERVE_PART - 1) / RESERVE_PART
+               : slots;
+}
+
 static uint32_t
 waiting(const Adm *adm)
 {
@@ -199,7 +214,8 @@
     if (!insists && Adm_IsSlow(adm, now)) {
         return Adm_REFUSE_SLOW;
     }
-    if (adm->running < open_slots(adm, now) && waiting(adm) == 0) {
+    if (insists ? adm->running < open_slots(adm, now)
+                : adm->running < usual_slots(adm, now) && waiting(adm) == 0) {
         adm->running++;
         return Adm_RUN;
     }
@@ -261,7 +277,8 @@
 bool
 Adm_Next(Adm *adm, Instant now, AdmClass *cls)
 {
-    if (!adm->present || adm->running >= open_slots(adm, now)) {
+    if (!adm->present || adm->running >= usual_slots(adm, now) ||
+        Adm_IsSlow(adm, now)) {
         return false;
     }
     if (adm->queued[Adm_INTERACTIVE]) {
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -165,18 +165,19 @@
     return now + (own ? request->deadline : route->deadline);
 }
 
-/* Until when a start at the usual pace still makes the objective.  A claim
- * for a key is made for one place, and does not wait. */
-static Instant
-slack_of(const Call *call, Instant now)
+/* Until when a start at the usual pace still makes the objective, and the
+ * deadline.  A claim for a key is made for one place, and does not wait. */
+static void
+init_slack(Call *call, Instant now)
 {
-    Span usual = Plc_UsualService(&call->service->placement);
+    Span usual = Plc_UsualService(&call->service->placement) * USUAL_TENTHS /
+                 10;
     Span objective = call->route->objective;
 
-    if (!objective || call->route->key_header.len) {
-        return 0;
+    if (objective && !call->route->key_header.len) {
+        call->slack_until = now + objective - usual;
+        call->last_start = call->deadline - usual;
     }
-    return now + objective - usual * USUAL_TENTHS / 10;
 }
 
 Call *
@@ -221,7 +222,7 @@
     Rty_Init(&call->retry, route->idempotent,
              Dep_Read(&request->fields) ? 1 : attempts_max, call->deadline);
     init_hedge(call, now);
-    call->slack_until = slack_of(call, now);
+    init_slack(call, now);
     call->digest = digest_of(request, StrBuf_View(&call->service->name));
     start_call(call, now);
     return hub->count > before ? call : NULL;
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -76,6 +76,14 @@
     }
 }
 
+/* How long it may wait for a slot there: while the objective can be made, and
+ * from then on for a moment only. */
+static Span
+wait_at_node(const Call *call, Instant now)
+{
+    return call->slack_until > now + PARK ? call->slack_until - now : PARK;
+}
+
 /* True when the request, or a part of it, may reach its node. */
 static bool
 send_attempt(const Attempt *attempt, Instant now)
@@ -87,9 +95,9 @@
         .incarnation = attempt->incarnation,
         .interactive = call->route->interactive,
         .idempotent = call->route->idempotent,
-        .insists = call->insists || now >= call->slack_until,
+        .insists = call->insists || now >= call->last_start,
         .priority = call->route->priority,
-        .slack = call->slack_until > now ? call->slack_until - now : 0,
+        .slack = wait_at_node(call, now),
         .keyed = call->keyed != NULL,
         .crosses = attempt->crosses,
         .left = call->deadline - now,
@@ -173,7 +181,7 @@
         .home_only = !Lnk_Ask(&call->hub->link, call->route->interactive,
                               (uint32_t)call->request.body.len, now) ||
                      stays_home(call, now),
-        .avoid_slow = now < call->slack_until,
+        .avoid_slow = now < call->last_start,
         .left = call->deadline - now,
         .tried = tried,
         .tried_count = list_tried(call, tried),
@@ -215,10 +223,10 @@
 {
     bool insisted = call->insists;
 
-    if (now < call->slack_until) {
+    if (now < call->last_start) {
         call->park_until = now + PARK;
-        if (call->park_until > call->slack_until) {
-            call->park_until = call->slack_until;
+        if (call->park_until > call->last_start) {
+            call->park_until = call->last_start;
         }
         return;
     }
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -48,9 +48,10 @@
     bool doubt;      /* an attempt of it may have run */
     uint64_t digest; /* of the request, within its service */
     /* Waiting for a backend server that is quick and has room. */
-    Instant slack_until; /* until then it is worth the wait */
+    Instant slack_until; /* a start until then makes the objective */
+    Instant last_start;  /* a start until then makes the deadline */
     Instant park_until;  /* the next try; 0: it does not wait */
-    bool insists;        /* the slack is over: whoever takes it */
+    bool insists;        /* no time is left to wait: whoever takes it */
     Addr refused[Rty_TRIED_MAX]; /* asked since, and nothing reached their
                                     backend server */
     uint32_t refused_count;
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -122,9 +122,37 @@
     refuse(hub, origin, msg->id, msg->crosses, reason, now);
 }
 
+static Str
+name_of(Refusal reason)
+{
+    static const Str names[Refusal_KINDS] = {
+        [Refusal_FULL] = Str_LIT("full"),
+        [Refusal_LATE] = Str_LIT("late"),
+        [Refusal_DRAINING] = Str_LIT("draining"),
+        [Refusal_ABSENT] = Str_LIT("absent"),
+        [Refusal_FENCED] = Str_LIT("fenced"),
+        [Refusal_SUSPECT] = Str_LIT("suspect"),
+        [Refusal_INCARNATION] = Str_LIT("incarnation"),
+        [Refusal_CUT] = Str_LIT("cut"),
+        [Refusal_SLOW] = Str_LIT("slow"),
+        [Refusal_TURNED_AWAY] = Str_LIT("turned_away"),
+        [Refusal_EXPIRED] = Str_LIT("expired"),
+    };
+
+    return names[reason];
+}
+
 void
 Run_Refuse(Run *run, Refusal reason, Instant now)
 {
+    const Adm *adm = run->hub->admission;
+
+    Lgr_Log(run->hub->logger, Lgr_DEBUG, Str_LIT("run_refused"),
+            "request=%.*s reason=%.*s running=%u queued=%u pace=%u "
+            "pace_age_us=%lld",
+            Str_ARG(run->request_id), Str_ARG(name_of(reason)), adm->running,
+            adm->queued[Adm_INTERACTIVE], adm->pace,
+            (long long)(now - adm->said_at));
     Led_OnRefused(&run->hub->ledger, run->id, now);
     if (!run->detached) {
         refuse(run->hub, &run->origin, run->id, run->crosses, reason, now);
@@ -162,6 +190,11 @@
     Instant now = Loop_Now();
     bool failed = end != Bck_WHOLE || run->status >= 500;
 
+    Lgr_Log(hub->logger, Lgr_DEBUG, Str_LIT("run_ended"),
+            "request=%.*s end=%d status=%u took_us=%lld pace=%u running=%u",
+            Str_ARG(run->request_id), (int)end, run->status,
+            (long long)(now - run->started_at), run->pace,
+            hub->admission->running);
     Adm_OnEnd(hub->admission, usual_time(run, now - run->started_at), failed,
               now);
     Crs_OnEnd(run, end, now);
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -55,43 +55,43 @@
 
 #define IDLE                                                                  \
     {                                                                         \
-        SLOTS, 0, 0, 5000, 0, false, 0                                           \
+        SLOTS, 0, 0, 5000, 0, false, 0                                        \
     }
 #define BUSY                                                                  \
     {                                                                         \
-        SLOTS, SLOTS, 8, 5000, 0, false, 0                                       \
+        SLOTS, SLOTS, 8, 5000, 0, false, 0                                    \
     }
 #define NEARLY                                                                \
     {                                                                         \
-        SLOTS, SLOTS - 1, 0, 5000, 0, false                                   \
+        SLOTS, SLOTS - 1, 0, 5000, 0, false, 0                                \
     }
 #define BOASTS                                                                \
     {                                                                         \
-        4 * SLOTS, 24, 0, 6500, 0, false, 0                                      \
+        4 * SLOTS, 24, 0, 6500, 0, false, 0                                   \
     }
 #define LARGE                                                                 \
     {                                                                         \
-        4 * SLOTS, 24, 0, 5000, 0, false, 0                                      \
+        4 * SLOTS, 24, 0, 5000, 0, false, 0                                   \
     }
 #define CROWDED                                                               \
     {                                                                         \
-        SLOTS, SLOTS, 31, 20000, 0, false, 0                                     \
+        SLOTS, SLOTS, 31, 20000, 0, false, 0                                  \
     }
 #define FULL                                                                  \
     {                                                                         \
-        SLOTS, SLOTS, 32, 5000, 0, false, 0                                      \
+        SLOTS, SLOTS, 32, 5000, 0, false, 0                                   \
     }
 #define PATIENT_FULL                                                          \
     {                                                                         \
-        SLOTS, SLOTS, 16, 5000, 0, false, 0                                      \
+        SLOTS, SLOTS, 16, 5000, 0, false, 0                                   \
     }
 #define DRAINING                                                              \
     {                                                                         \
-        SLOTS, 0, 0, 5000, 0, true, 0                                            \
+        SLOTS, 0, 0, 5000, 0, true, 0                                         \
     }
 #define ABSENT                                                                \
     {                                                                         \
-        0, 0, 0, 0, 0, false, 0                                                  \
+        0, 0, 0, 0, 0, false, 0                                               \
     }
 
 static const ChoiceCase choices[] = {
