Learn usual times by route and which calls come from inside runs

Cause: work was started that could not end in time, and calls from inside runs waited behind new ones while their parents held slots. Ruled out: names and header fields (they are the same for both kinds of callers) and addresses.

--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -3,7 +3,7 @@
 enum {
     LOAD_FIELDS = 7,
     ID_FIELDS = 2,
-    CALL_FIELDS = ID_FIELDS + 15,
+    CALL_FIELDS = ID_FIELDS + 17,
     PIECE_FIELDS = ID_FIELDS + 6,
     REFUSED_FIELDS = ID_FIELDS + 2,
     CREDIT_FIELDS = ID_FIELDS + 1,
@@ -127,6 +127,8 @@
     Pack_Bool(pack, msg->keyed);
     Pack_Bool(pack, msg->crosses);
     Pack_Bool(pack, msg->insists);
+    Pack_Bool(pack, msg->nested);
+    Pack_Bool(pack, msg->late);
     Pack_U64(pack, msg->priority);
     Pack_I64(pack, msg->left);
     Pack_I64(pack, msg->slack);
@@ -148,6 +150,8 @@
     msg->keyed = Unpack_Bool(in);
     msg->crosses = Unpack_Bool(in);
     msg->insists = Unpack_Bool(in);
+    msg->nested = Unpack_Bool(in);
+    msg->late = Unpack_Bool(in);
     msg->priority = (uint32_t)Unpack_Bounded(in, UINT32_MAX);
     msg->left = Unpack_I64(in);
     msg->slack = Unpack_I64(in);
--- a/src/connection/stream.c
+++ b/src/connection/stream.c
@@ -278,6 +278,12 @@
     }
 }
 
+bool
+Cst_Blocks(const CstRequest *request)
+{
+    return request->next != NULL;
+}
+
 void
 Cst_Cut(CstRequest *request)
 {
--- a/src/connection/stream.h
+++ b/src/connection/stream.h
@@ -99,6 +99,9 @@
 void Cst_SendBytes(CstRequest *request, Str bytes);
 void Cst_End(CstRequest *request);
 
+/* Others that came behind it wait for its answer. */
+bool Cst_Blocks(const CstRequest *request);
+
 /* The answer stops here, and its caller must see that it is not whole. */
 void Cst_Cut(CstRequest *request);
 
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -196,48 +196,84 @@
     return slots ? (Span)(adm->service_us * (ahead + 1) / slots) : 0;
 }
 
+/* Whether it starts at once. */
+static bool
+may_start(const Adm *adm, const AdmAsk *ask, Instant now)
+{
+    if (ask->insists || ask->nested) {
+        return adm->running < open_slots(adm, now);
+    }
+    return adm->running < usual_slots(adm, now) && waiting(adm) == 0;
+}
+
 static AdmVerdict
-decide(Adm *adm, AdmClass cls, Span left, bool insists, Instant now)
+decide(Adm *adm, const AdmAsk *ask, Instant now)
 {
+    Span wait = expected_wait(adm, ask->cls, now);
+
     if (!adm->present) {
         return Adm_REFUSE_ABSENT;
     }
     if (adm->draining || adm->leaving) {
         return Adm_REFUSE_DRAINING;
     }
-    if (left <= 0) {
+    if (ask->left <= 0) {
         return Adm_REFUSE_LATE;
     }
     if (seems_to_leave(adm, now)) {
         return Adm_REFUSE_DRAINING;
     }
-    if (!insists && Adm_IsSlow(adm, now)) {
+    if (!ask->insists && Adm_IsSlow(adm, now)) {
         return Adm_REFUSE_SLOW;
     }
-    if (insists ? adm->running < open_slots(adm, now)
-                : adm->running < usual_slots(adm, now) && waiting(adm) == 0) {
+    if (may_start(adm, ask, now)) {
         adm->running++;
         return Adm_RUN;
     }
-    if (is_full(adm, cls)) {
+    if (ask->late || is_full(adm, ask->cls) ||
+        (ask->slack && wait >= ask->slack)) {
         return Adm_REFUSE_FULL;
     }
-    if (expected_wait(adm, cls, now) >= left) {
+    if (wait >= ask->left) {
         return Adm_REFUSE_LATE;
     }
-    adm->queued[cls]++;
+    adm->queued[ask->cls]++;
     return Adm_QUEUE;
 }
 
+/* The slack with flags in its last bits, for traces. */
+enum { FLAG_INSISTS = 1, FLAG_LATE = 2, FLAG_NESTED = 4, FLAGS = 8 };
+
 AdmVerdict
-Adm_Ask(Adm *adm, AdmClass cls, Span left, bool insists, Instant now)
+Adm_Ask(Adm *adm, const AdmAsk *ask, Instant now)
 {
-    AdmVerdict verdict = decide(adm, cls, left, insists, now);
+    AdmVerdict verdict = decide(adm, ask, now);
+    int64_t flags = (ask->insists ? FLAG_INSISTS : 0) |
+                    (ask->late ? FLAG_LATE : 0) |
+                    (ask->nested ? FLAG_NESTED : 0);
 
-    tell(adm, &(AdmEvent){Adm_DID_ASK, now, {cls, left, insists}, verdict});
+    tell(adm, &(AdmEvent){Adm_DID_ASK,
+                          now,
+                          {ask->cls, ask->left, ask->slack * FLAGS + flags},
+                          verdict});
     return verdict;
 }
 
+static int64_t
+replay_ask(Adm *adm, const AdmEvent *event)
+{
+    AdmAsk ask = {
+        .cls = event->args[0] ? Adm_PATIENT : Adm_INTERACTIVE,
+        .left = event->args[1],
+        .slack = event->args[2] / FLAGS,
+        .insists = event->args[2] & FLAG_INSISTS,
+        .nested = event->args[2] & FLAG_NESTED,
+        .late = event->args[2] & FLAG_LATE,
+    };
+
+    return Adm_Ask(adm, &ask, event->at);
+}
+
 /* Few requests in a while, trials above all, count for more each. */
 static void
 take_time(Adm *adm, Span took, Instant now)
@@ -375,8 +411,7 @@
         Adm_Leave(adm);
         break;
     case Adm_DID_ASK:
-        return Adm_Ask(adm, args[0] ? Adm_PATIENT : Adm_INTERACTIVE, args[1],
-                       args[2] != 0, event->at);
+        return replay_ask(adm, event);
     case Adm_DID_TURNED_AWAY:
         Adm_OnTurnedAway(adm, event->at);
         break;
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -22,6 +22,16 @@
 
 typedef enum { Adm_INTERACTIVE = 0, Adm_PATIENT = 1, Adm_CLASSES } AdmClass;
 
+/* One attempt that asks to run. */
+typedef struct {
+    AdmClass cls;
+    Span left;    /* until its deadline */
+    Span slack;   /* it may wait for a slot so long; 0: until its deadline */
+    bool insists; /* also while work takes long, and with the last slots */
+    bool nested;  /* it comes from inside a run: with the last slots, too */
+    bool late;    /* it misses its objective: only where nobody waits */
+} AdmAsk;
+
 typedef struct {
     uint32_t slots;
     uint32_t queue_max; /* waiting, both classes */
@@ -35,7 +45,8 @@
     Adm_DID_ANNOUNCE,     /* slots, draining */
     Adm_DID_GONE,
     Adm_DID_LEAVE,
-    Adm_DID_ASK, /* class, time left, insists; outcome: the verdict */
+    Adm_DID_ASK, /* class, time left, slack with what it asks for; outcome:
+                    the verdict */
     Adm_DID_TURNED_AWAY,
     Adm_DID_TAKEN,
     Adm_DID_END,        /* time it took, failed */
@@ -92,8 +103,7 @@
 bool Adm_IsLeaving(const Adm *adm);
 
 /* Decide; Adm_RUN and Adm_QUEUE are counted at once. */
-AdmVerdict Adm_Ask(Adm *adm, AdmClass cls, Span left, bool insists,
-                   Instant now);
+AdmVerdict Adm_Ask(Adm *adm, const AdmAsk *ask, Instant now);
 
 /* The backend server said how long work takes there now. */
 void Adm_OnSaid(Adm *adm, const LoadWord *word, Instant now);
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -315,6 +315,12 @@
     };
 }
 
+static bool
+is_inside(void *context, Instant deadline)
+{
+    return Run_EndsNoSooner(context, deadline);
+}
+
 static void
 init_parts(Node *node)
 {
@@ -348,6 +354,8 @@
         Led_Observe(&node->runs.ledger, Rec_OnLedger, &node->ledger_recorder);
     }
     Run_OnLost(&node->runs, on_backend_lost, node);
+    node->calls.inside_context = &node->runs;
+    node->calls.inside = is_inside;
     Fnc_Serve(&node->runs);
     Hld_Init(&node->holder, &node->loop, &node->net, &node->counters,
              &node->timeline, settings, node->incarnation,
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -288,31 +288,43 @@
     row->trying = row->trying && row->mine;
 }
 
+/* Room that was not there is there again after about so long. */
+#define FULL_HOLDS Span_MS(25)
+
+void
+Plc_OnFull(Plc *plc, Addr node, Instant now)
+{
+    PlcRow *row = find_row(plc, node);
+
+    if (row) {
+        row->full_until = now + FULL_HOLDS;
+    }
+}
+
 bool
-Plc_HasHome(const Plc *plc)
+Plc_HasSlowHome(const Plc *plc, Instant now)
 {
     for (size_t i = 0; i < plc->count; i++) {
         const PlcRow *row = &plc->rows[i];
-        if (row->place.region == plc->settings.region && row->load.slots &&
-            !row->load.draining) {
+        if (row->place.region == plc->settings.region &&
+            Pol_IsSlow(row, now)) {
             return true;
         }
     }
     return false;
 }
 
-Span
-Plc_UsualService(const Plc *plc)
+bool
+Plc_HasHome(const Plc *plc)
 {
-    Span least = 0;
-
     for (size_t i = 0; i < plc->count; i++) {
-        Span service = plc->rows[i].load.service_us;
-        if (service && (!least || service < least)) {
-            least = service;
+        const PlcRow *row = &plc->rows[i];
+        if (row->place.region == plc->settings.region && row->load.slots &&
+            !row->load.draining) {
+            return true;
         }
     }
-    return least;
+    return false;
 }
 
 PlcVerdict
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -74,6 +74,7 @@
     bool trying;        /* the attempt in flight is a trial */
     Instant started_at; /* last attempt */
     Instant probed_at;  /* last probe */
+    Instant full_until; /* it turned an attempt back: none before this */
 } PlcRow;
 
 typedef struct {
@@ -122,6 +123,8 @@
 /* A load report that rode on an answer or came by probe. */
 void Plc_OnReport(Plc *plc, Addr node, const LoadReport *load, Instant now);
 void Plc_OnStart(Plc *plc, Addr node, Instant now);
+/* NODE turned an attempt back for want of room. */
+void Plc_OnFull(Plc *plc, Addr node, Instant now);
 void Plc_OnEnd(Plc *plc, Addr node, PlcEnd end, Span took, Instant now);
 
 /* Bring the decayed sums of ROW up to NOW. */
@@ -130,9 +133,8 @@
 /* Some backend server of this node's region takes work, now or later. */
 bool Plc_HasHome(const Plc *plc);
 
-/* The least time that work takes at a backend server, as far as reported; 0:
- * not known. */
-Span Plc_UsualService(const Plc *plc);
+/* One of them is only slow at this moment. */
+bool Plc_HasSlowHome(const Plc *plc, Instant now);
 
 /* Choose for one attempt; *ROW is valid until the next change. */
 PlcVerdict Plc_Choose(Plc *plc, const PlcAsk *ask, Instant now,
--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -53,8 +53,8 @@
            row->load.queued + row->since >= bound;
 }
 
-static bool
-is_slow(const PlcRow *row, Instant now)
+bool
+Pol_IsSlow(const PlcRow *row, Instant now)
 {
     return row->load.pace >= SLOW_PACE && now - row->load_at < PACE_HOLDS;
 }
@@ -74,8 +74,8 @@
 static bool
 is_candidate(const Plc *plc, const PlcRow *row, const PlcAsk *ask, Instant now)
 {
-    return is_here(row, ask) && !row->on_trial &&
-           !(ask->avoid_slow && is_slow(row, now)) &&
+    return is_here(row, ask) && !row->on_trial && now >= row->full_until &&
+           !(ask->avoid_slow && Pol_IsSlow(row, now)) &&
            !is_full(plc, row, ask, now);
 }
 
--- a/src/process/policy.h
+++ b/src/process/policy.h
@@ -19,4 +19,7 @@
  * that is so only because every candidate's queue is full. */
 PlcRow *Pol_Choose(Plc *plc, const PlcAsk *ask, Instant now, bool *full);
 
+/* It said lately that work takes long there. */
+bool Pol_IsSlow(const PlcRow *row, Instant now);
+
 #endif
--- a/src/process/recorder.c
+++ b/src/process/recorder.c
@@ -47,6 +47,7 @@
         [Adm_DID_END] = Str_LIT("end"),
         [Adm_DID_LEAVE_LINE] = Str_LIT("leave_line"),
         [Adm_DID_NEXT] = Str_LIT("next"),
+        [Adm_DID_SAID] = Str_LIT("said"),
     };
 
     return kind < Adm_EVENTS ? names[kind] : (Str){0};
--- a/src/process/services.c
+++ b/src/process/services.c
@@ -2,7 +2,6 @@
 
 #include "value/mem.h"
 
-#define RETRY_BURST 10.0
 #define SAMPLE 4
 #define ROWS_MAX 16 /* backend servers of one service known to a node */
 
@@ -40,13 +39,16 @@
     services->placement.region_price = limits->link_price_us;
     services->placement.queue_max = limits->queue_max;
     services->placement.patient_queue_max = limits->patient_queue_max;
+    services->retry_burst = limits->retry_burst;
     services->retry_permille = limits->retry_permille;
     services->hedge_permille = limits->hedge_permille;
     for (size_t i = 0; i < services->count; i++) {
         Service *service = services->items[i];
         Plc_SetSettings(&service->placement, &services->placement);
-        Rty_BudgetSet(&service->retries, limits->retry_permille, RETRY_BURST);
-        Rty_BudgetSet(&service->hedges, limits->hedge_permille, RETRY_BURST);
+        Rty_BudgetSet(&service->retries, limits->retry_permille,
+                      limits->retry_burst);
+        Rty_BudgetSet(&service->hedges, limits->hedge_permille,
+                      limits->retry_burst);
     }
 }
 
@@ -69,8 +71,10 @@
     services->items[services->count++] = service;
     StrBuf_Set(&service->name, name);
     Plc_Init(&service->placement, &services->placement, services->rng);
-    Rty_BudgetInit(&service->retries, services->retry_permille, RETRY_BURST);
-    Rty_BudgetInit(&service->hedges, services->hedge_permille, RETRY_BURST);
+    Rty_BudgetInit(&service->retries, services->retry_permille,
+                   services->retry_burst);
+    Rty_BudgetInit(&service->hedges, services->hedge_permille,
+                   services->retry_burst);
     return service;
 }
 
--- a/src/process/services.h
+++ b/src/process/services.h
@@ -17,6 +17,7 @@
 typedef struct {
     PlcSettings placement; /* for each service */
     uint32_t retry_permille;
+    uint32_t retry_burst;
     uint32_t hedge_permille;
     Rng *rng;
     Service **items;
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -5,10 +5,7 @@
 #include "request/split.h"
 #include "value/mem.h"
 
-enum {
-    KEY_BYTES_MAX = 1024,
-    USUAL_TENTHS = 13 /* of the usual service time, for its spread */
-};
+enum { KEY_BYTES_MAX = 1024 };
 
 static void
 link_call(CallHub *hub, Call *call)
@@ -46,6 +43,33 @@
     Mem_Free(call);
 }
 
+static void
+log_end(const Call *call, CallOutcome outcome, CallWhy why)
+{
+    static const char *const outcomes[] = {"answered", "not_run", "unknown",
+                                           "cut", "ran"};
+    static const char *const whys[] = {
+        "-",        "no_route", "nobody",  "full",   "late",
+        "key",      "mismatch", "suspect", "version"};
+    Instant now = Loop_Now();
+
+    Lgr_Log(call->hub->logger,
+            outcome == Call_ANSWERED ? Lgr_DEBUG : Lgr_INFO,
+            Str_LIT("call_ended"),
+            "request=%.*s route=%.*s service=%.*s outcome=%s why=%s "
+            "attempts=%u asked=%u took_us=%lld sent_us=%lld left_us=%lld "
+            "slack_us=%lld version=%llu.%llu",
+            Str_ARG(call->request.request_id),
+            Str_ARG(call->route->route), Str_ARG(call->service->name),
+            outcomes[outcome], whys[why], call->retry.attempts, call->asked,
+            (long long)(now - call->began_at),
+            call->sent_at ? (long long)(call->sent_at - call->began_at) : -1LL,
+            (long long)(call->deadline - now),
+            (long long)(call->slack_until - now),
+            (unsigned long long)call->in_force->version.term,
+            (unsigned long long)call->in_force->version.index);
+}
+
 void
 Call_End(Call *call, CallOutcome outcome, CallWhy why)
 {
@@ -56,6 +80,7 @@
     };
     CallSink sink = call->sink;
 
+    log_end(call, outcome, why);
     if (outcome == Call_NOT_RUN && call->doubt) {
         outcome = Call_UNKNOWN; /* an earlier attempt may have run */
     }
@@ -170,13 +195,16 @@
 static void
 init_slack(Call *call, Instant now)
 {
-    Span usual = Plc_UsualService(&call->service->placement) * USUAL_TENTHS /
-                 10;
+    const Usual *usual = &call->hub->usual;
+    Str route = StrBuf_View(&call->route->route);
     Span objective = call->route->objective;
 
     if (objective && !call->route->key_header.len) {
-        call->slack_until = now + objective - usual;
-        call->last_start = call->deadline - usual;
+        call->slack_until = now + objective - Usl_Get(usual, route, false);
+        call->last_start = call->deadline - Usl_Get(usual, route, true);
+        if (call->nested) {
+            call->slack_until = call->last_start;
+        }
     }
 }
 
@@ -210,6 +238,7 @@
     }
     call->request = *request;
     call->sink = *sink;
+    call->began_at = now;
     call->in_force = Inf_Hold(hub->in_force);
     call->route = route;
     call->service = Svc_Get(hub->services, Spl_Choose(route));
@@ -222,6 +251,11 @@
     Rty_Init(&call->retry, route->idempotent,
              Dep_Read(&request->fields) ? 1 : attempts_max, call->deadline);
     init_hedge(call, now);
+    if (hub->inside) {
+        Nst_OnCall(&hub->nesting, StrBuf_View(&route->route),
+                   hub->inside(hub->inside_context, call->deadline));
+    }
+    call->nested = Nst_IsNested(&hub->nesting, StrBuf_View(&route->route));
     init_slack(call, now);
     call->digest = digest_of(request, StrBuf_View(&call->service->name));
     start_call(call, now);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -20,6 +20,8 @@
 #include "process/timeline.h"
 #include "request/field.h"
 #include "request/keyed.h"
+#include "request/nesting.h"
+#include "request/usual.h"
 #include "version/inforce.h"
 
 typedef enum {
@@ -61,6 +63,8 @@
     void (*bytes)(void *context, Str bytes);
     /* The last word; the Call is gone afterwards. */
     void (*end)(void *context, CallOutcome outcome, CallWhy why);
+    /* Answers to others that are ready wait for this one; NULL: never. */
+    bool (*blocks)(void *context);
 } CallSink;
 
 typedef struct Call Call;
@@ -78,6 +82,11 @@
     uint64_t counter;     /* of attempts */
     KeyHub keys;
     Lnk link; /* bytes across regions */
+    Usual usual;
+    Nst nesting;
+    void *inside_context; /* whether a run that ends no sooner than DEADLINE
+                             is under way beside this node */
+    bool (*inside)(void *context, Instant deadline); /* NULL: not known */
     Hsh by_attempt;
     Call *first;
     size_t count;
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -102,6 +102,10 @@
             end_keyed(call, msg, now);
         }
         pass_on(call, msg);
+        if (!call->failed) {
+            Usl_OnTime(&call->hub->usual, StrBuf_View(&call->route->route),
+                       now - attempt->at);
+        }
         Call_EndAttempt(attempt, call->failed ? Plc_FAILED : Plc_ANSWERED,
                         now);
         Call_End(call, Call_ANSWERED, Call_WHY_NONE);
@@ -182,6 +186,10 @@
     }
     else if (may_pass(msg.reason) && !call->keyed &&
              call->route->objective) {
+        if (msg.reason == Refusal_FULL || msg.reason == Refusal_LATE) {
+            Plc_OnFull(&call->service->placement, origin->peer, now);
+        }
+        call->met_slow |= msg.reason == Refusal_SLOW && !attempt->crosses;
         Call_OnTurnedBack(attempt, now);
     }
     else {
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -4,6 +4,10 @@
 /* Between two rounds of asking who takes a call now. */
 #define PARK Span_MS(30)
 
+/* The same for a call that is late for its objective. */
+#define PARK_LATE Span_MS(60)
+#define PARK_LATE_MAX Span_MS(250)
+
 /* So much slack before the end of it, other regions are asked as well. */
 #define AWAY_SLACK Span_MS(40)
 
@@ -76,12 +80,15 @@
     }
 }
 
-/* How long it may wait for a slot there: while the objective can be made, and
- * from then on for a moment only. */
+/* How long it may wait for a slot there: while the objective can be made; one
+ * that is late does not wait there. */
 static Span
 wait_at_node(const Call *call, Instant now)
 {
-    return call->slack_until > now + PARK ? call->slack_until - now : PARK;
+    if (!call->last_start) {
+        return 0; /* no objective: until its deadline */
+    }
+    return call->slack_until > now ? call->slack_until - now : 1;
 }
 
 /* True when the request, or a part of it, may reach its node. */
@@ -96,6 +103,8 @@
         .interactive = call->route->interactive,
         .idempotent = call->route->idempotent,
         .insists = call->insists || now >= call->last_start,
+        .nested = call->nested,
+        .late = call->last_start && now >= call->slack_until,
         .priority = call->route->priority,
         .slack = wait_at_node(call, now),
         .keyed = call->keyed != NULL,
@@ -137,6 +146,9 @@
         .at = now,
         .crosses = place->crosses,
     };
+    call->sent_at = now;
+    call->asked++;
+    call->went_away |= place->crosses;
     Hsh_Add(&hub->by_attempt, &attempt->link, AttemptId_Hash(attempt->id));
     Rty_OnAttempt(&call->retry, attempt->node);
     Cnt_Add(hub->counters, Cnt_ATTEMPTS, 1);
@@ -153,8 +165,14 @@
 static bool
 stays_home(const Call *call, Instant now)
 {
-    return call->slack_until - now > AWAY_SLACK &&
-           Plc_HasHome(&call->service->placement);
+    const Plc *plc = &call->service->placement;
+
+    if (!call->last_start || !Plc_HasHome(plc)) {
+        return false;
+    }
+    return call->went_away || now >= call->slack_until ||
+           (call->slack_until - now > AWAY_SLACK &&
+            (call->met_slow || Plc_HasSlowHome(plc, now)));
 }
 
 /* Those that had the call, and those that turned it back. */
@@ -216,6 +234,20 @@
     return false;
 }
 
+/* One that is late asks ever less often, and leaves the room to others. */
+static Span
+park_time(Call *call, Instant now)
+{
+    if (now < call->slack_until) {
+        return PARK;
+    }
+    call->park = call->park ? call->park * 2 : PARK_LATE;
+    if (call->park > PARK_LATE_MAX) {
+        call->park = PARK_LATE_MAX;
+    }
+    return call->park;
+}
+
 /* Everybody that could take it now was asked: wait a little, while that may
  * help; the last word is with whoever takes it in spite of being slow. */
 static void
@@ -223,8 +255,13 @@
 {
     bool insisted = call->insists;
 
+    if (now >= call->slack_until && call->sink.blocks &&
+        call->sink.blocks(call->sink.context)) {
+        Call_End(call, Call_NOT_RUN, Call_WHY_FULL);
+        return;
+    }
     if (now < call->last_start) {
-        call->park_until = now + PARK;
+        call->park_until = now + park_time(call, now);
         if (call->park_until > call->last_start) {
             call->park_until = call->last_start;
         }
@@ -261,6 +298,7 @@
     }
     else if (now >= call->park_until) {
         call->refused_count = 0;
+        call->met_slow = false;
         Call_MakeAttempt(call, now);
     }
 }
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -37,6 +37,8 @@
     const PstRoute *route;
     Service *service;
     Rty retry;
+    Instant began_at;
+    Instant sent_at; /* its last attempt; 0: none */
     Instant deadline;
     Attempt attempts[Call_ATTEMPTS];
     Hdg hedge;
@@ -51,10 +53,15 @@
     Instant slack_until; /* a start until then makes the objective */
     Instant last_start;  /* a start until then makes the deadline */
     Instant park_until;  /* the next try; 0: it does not wait */
+    bool nested;         /* it comes from inside a run */
     bool insists;        /* no time is left to wait: whoever takes it */
     Addr refused[Rty_TRIED_MAX]; /* asked since, and nothing reached their
                                     backend server */
     uint32_t refused_count;
+    uint32_t asked; /* attempts sent, also those turned back */
+    bool met_slow;       /* one of this region turned it back as slow */
+    bool went_away;      /* another region was asked */
+    Span park;           /* between two tries once it is late */
 };
 
 /* Choose a node and an id for the next attempt; false, with the reason in the
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -197,6 +197,12 @@
     free_exchange(exchange);
 }
 
+static bool
+blocks(void *context)
+{
+    return Cst_Blocks(((Exchange *)context)->request);
+}
+
 static void
 choose_id(Exchange *exchange, Str given)
 {
@@ -284,7 +290,8 @@
 static void
 start_call(Exchange *exchange, Span deadline, Instant now)
 {
-    static const CallSink callbacks = {NULL, on_head, on_bytes, on_end};
+    static const CallSink callbacks = {NULL, on_head, on_bytes, on_end,
+                                       blocks};
     const CstRequest *http = exchange->request;
     CallSink sink = callbacks;
     CallRequest request = {
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -9,6 +9,9 @@
 #define LEDGER_BRIEF Span_S(10)
 #define STALL_GRACE Span_S(10)
 
+/* Deadlines are told in whole milliseconds, and on the way. */
+#define CLOCK_SLACK Span_MS(5)
+
 /* The backend server's word is awaited so long. */
 #define ASK_WAIT Span_MS(50)
 
@@ -282,6 +285,9 @@
     run->wait_until = now + msg->slack;
     run->priority = msg->priority;
     run->insists = msg->insists;
+    run->nested = msg->nested;
+    run->late = msg->late;
+    run->slack = msg->slack;
     StrBuf_Set(&run->method, msg->method);
     StrBuf_Set(&run->target, msg->target);
     StrBuf_Set(&run->request_id, msg->request_id);
@@ -339,8 +345,16 @@
 static AdmVerdict
 ask_admission(Run *run, Instant now)
 {
-    return Adm_Ask(run->hub->admission, run->cls, run->deadline - now,
-                   run->insists, now);
+    AdmAsk ask = {
+        .cls = run->cls,
+        .left = run->deadline - now,
+        .slack = run->slack,
+        .insists = run->insists,
+        .nested = run->nested,
+        .late = run->late,
+    };
+
+    return Adm_Ask(run->hub->admission, &ask, now);
 }
 
 /* Start it, let it wait, or refuse it; RUN may be gone afterwards. */
@@ -583,6 +597,17 @@
     hub->lost_context = context;
 }
 
+bool
+Run_EndsNoSooner(const RunHub *hub, Instant deadline)
+{
+    for (const Run *run = hub->first; run; run = run->next) {
+        if (run->exchange && run->deadline + CLOCK_SLACK >= deadline) {
+            return true;
+        }
+    }
+    return false;
+}
+
 FencedState
 Run_TakeOver(RunHub *hub, const NetOrigin *origin, AttemptId id, bool stop,
              Instant now)
@@ -611,7 +636,19 @@
     Pls_SetPath(&hub->pulse, own ? StrBuf_View(&own->health_path) : (Str){0});
 }
 
-/* The most urgent of a class; of these, the one that came first. */
+/* The most urgent first; of these, the one that can wait least. */
+static bool
+goes_before(const Run *a, const Run *b)
+{
+    if (a->nested != b->nested) {
+        return a->nested;
+    }
+    if (a->priority != b->priority) {
+        return a->priority < b->priority;
+    }
+    return a->wait_until < b->wait_until;
+}
+
 static Run *
 first_waiting(RunHub *hub, AdmClass cls)
 {
@@ -619,7 +656,7 @@
 
     for (Run *run = hub->first; run; run = run->next) {
         if (Run_IsWaiting(run) && !run->alone && run->cls == cls &&
-            (!first || run->priority < first->priority)) {
+            (!first || goes_before(run, first))) {
             first = run;
         }
     }
@@ -650,7 +687,7 @@
             Run_Refuse(run, Refusal_LATE, now);
             Run_LeaveQueue(run);
         }
-        else if (Run_IsWaiting(run) && !run->insists && !run->alone &&
+        else if (Run_IsWaiting(run) && run->slack && !run->alone &&
                  now >= run->wait_until) {
             Run_Refuse(run, Refusal_FULL, now);
             Run_LeaveQueue(run);
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -66,6 +66,9 @@
 /* PRESET is in force; the backend server is one of SERVICE. */
 void Run_SetPreset(RunHub *hub, const Preset *preset, Str service);
 
+/* A run that ends no sooner than DEADLINE is under way. */
+bool Run_EndsNoSooner(const RunHub *hub, Instant deadline);
+
 /* Start what may start now; drop what waited past its deadline. */
 void Run_HubTick(RunHub *hub, Instant now);
 
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -16,6 +16,9 @@
     AdmClass cls;
     uint32_t priority;
     bool insists;
+    bool nested;
+    bool late;
+    Span slack;
     bool asks;        /* not decided: the backend server's word is awaited */
     Instant asked_at;
     Instant wait_until; /* for a slot */
--- a/tests/unit/test_turned_away.c
+++ b/tests/unit/test_turned_away.c
@@ -75,7 +75,8 @@
             /* Who reads the report must know when a trial is due. */
             ck_assert(Adm_Report(&adm, now).draining ==
                       (c->steps[i].event != RUNS));
-            verdict = Adm_Ask(&adm, Adm_PATIENT, Span_S(1), false, now);
+            verdict = Adm_Ask(
+                &adm, &(AdmAsk){.cls = Adm_PATIENT, .left = Span_S(1)}, now);
             ck_assert_msg((verdict == Adm_RUN) == (c->steps[i].event == RUNS),
                           "%s: step %d", c->name, i);
             if (verdict != Adm_RUN) {
--- a/tools/bench_server.c
+++ b/tools/bench_server.c
@@ -118,7 +118,8 @@
     AdmClass cls = call->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
 
     start_queued(world, server, now);
-    switch (Adm_Ask(&server->admission, cls, call->deadline - now, false, now)) {
+    switch (Adm_Ask(&server->admission,
+                    &(AdmAsk){.cls = cls, .left = call->deadline - now}, now)) {
     case Adm_RUN:
         start(world, number, now);
         break;
