Refuse at once what cannot end in time, and take lasting slowness as usual

Cause: calls with less time left than their route ever takes were started (at their last start they insisted), and held slots for nothing. Change: such a call is refused at once; slowness counts against what the backend server showed over the last seconds, so that insisting is not needed.

--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -1,9 +1,9 @@
 #include "connection/callmsg.h"
 
 enum {
-    LOAD_FIELDS = 7,
+    LOAD_FIELDS = 8,
     ID_FIELDS = 2,
-    CALL_FIELDS = ID_FIELDS + 17,
+    CALL_FIELDS = ID_FIELDS + 16,
     PIECE_FIELDS = ID_FIELDS + 6,
     REFUSED_FIELDS = ID_FIELDS + 2,
     CREDIT_FIELDS = ID_FIELDS + 1,
@@ -39,6 +39,7 @@
     Pack_U64(pack, load->error_permille);
     Pack_Bool(pack, load->draining);
     Pack_U64(pack, load->pace);
+    Pack_Bool(pack, load->slow);
 }
 
 static void
@@ -51,6 +52,7 @@
     load->error_permille = (uint32_t)Unpack_Bounded(inner, 1000);
     load->draining = Unpack_Bool(inner);
     load->pace = (uint32_t)Unpack_Bounded(inner, UINT32_MAX);
+    load->slow = Unpack_Bool(inner);
     if (!Unpack_Ok(inner, NULL)) {
         Unpack_Fail(in);
     }
@@ -126,7 +128,6 @@
     Pack_Bool(pack, msg->idempotent);
     Pack_Bool(pack, msg->keyed);
     Pack_Bool(pack, msg->crosses);
-    Pack_Bool(pack, msg->insists);
     Pack_Bool(pack, msg->nested);
     Pack_Bool(pack, msg->late);
     Pack_U64(pack, msg->priority);
@@ -149,7 +150,6 @@
     msg->idempotent = Unpack_Bool(in);
     msg->keyed = Unpack_Bool(in);
     msg->crosses = Unpack_Bool(in);
-    msg->insists = Unpack_Bool(in);
     msg->nested = Unpack_Bool(in);
     msg->late = Unpack_Bool(in);
     msg->priority = (uint32_t)Unpack_Bounded(in, UINT32_MAX);
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -18,7 +18,6 @@
     bool idempotent;
     bool keyed;           /* its outcome may be asked for long after its end */
     bool crosses;         /* it comes from another region */
-    bool insists;         /* run it also while work takes long there */
     bool nested;          /* it comes from inside a run */
     bool late;            /* it misses its objective anyway */
     uint32_t priority;    /* 0: most urgent */
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -21,6 +21,10 @@
 /* Percent of the usual time from which work had better go elsewhere. */
 enum { SLOW_PACE = 200 };
 
+/* And so many times what it was in the last seconds. */
+#define SLOW_FACTOR 1.3
+#define PACE_MEAN_US 2000000.0
+
 /* One slot in so many, of more than so many, is the reserve. */
 enum { RESERVE_PART = 5, RESERVE_FROM = 3 };
 
@@ -125,6 +129,12 @@
 void
 Adm_OnSaid(Adm *adm, const LoadWord *word, Instant now)
 {
+    double keep = exp(-(double)(now - adm->said_at) / PACE_MEAN_US);
+
+    adm->pace_mean =
+        adm->pace_mean > 0
+            ? adm->pace_mean * keep + word->pace * (1 - keep)
+            : word->pace < SLOW_PACE ? word->pace : Load_USUAL;
     adm->pace = word->pace;
     adm->said_at = now;
     tell(adm, &(AdmEvent){Adm_DID_SAID, now, {word->pace}, 0});
@@ -139,7 +149,9 @@
 bool
 Adm_IsSlow(const Adm *adm, Instant now)
 {
-    return adm->pace >= SLOW_PACE && now - adm->said_at < SAID_OLD;
+    /* Where it is slow nearly always, waiting does not help. */
+    return adm->pace >= SLOW_PACE && now - adm->said_at < SAID_OLD &&
+           adm->pace > adm->pace_mean * SLOW_FACTOR;
 }
 
 static uint32_t
@@ -200,7 +212,7 @@
 static bool
 may_start(const Adm *adm, const AdmAsk *ask, Instant now)
 {
-    if (ask->insists || ask->nested) {
+    if (ask->nested) {
         return adm->running < open_slots(adm, now);
     }
     return adm->running < usual_slots(adm, now) && waiting(adm) == 0;
@@ -223,7 +235,7 @@
     if (seems_to_leave(adm, now)) {
         return Adm_REFUSE_DRAINING;
     }
-    if (!ask->insists && Adm_IsSlow(adm, now)) {
+    if (Adm_IsSlow(adm, now)) {
         return Adm_REFUSE_SLOW;
     }
     if (may_start(adm, ask, now)) {
@@ -242,15 +254,14 @@
 }
 
 /* The slack with flags in its last bits, for traces. */
-enum { FLAG_INSISTS = 1, FLAG_LATE = 2, FLAG_NESTED = 4, FLAGS = 8 };
+enum { FLAG_NESTED = 1, FLAG_LATE = 2, FLAGS = 4 };
 
 AdmVerdict
 Adm_Ask(Adm *adm, const AdmAsk *ask, Instant now)
 {
     AdmVerdict verdict = decide(adm, ask, now);
-    int64_t flags = (ask->insists ? FLAG_INSISTS : 0) |
-                    (ask->late ? FLAG_LATE : 0) |
-                    (ask->nested ? FLAG_NESTED : 0);
+    int64_t flags =
+        (ask->nested ? FLAG_NESTED : 0) | (ask->late ? FLAG_LATE : 0);
 
     tell(adm, &(AdmEvent){Adm_DID_ASK,
                           now,
@@ -266,7 +277,6 @@
         .cls = event->args[0] ? Adm_PATIENT : Adm_INTERACTIVE,
         .left = event->args[1],
         .slack = event->args[2] / FLAGS,
-        .insists = event->args[2] & FLAG_INSISTS,
         .nested = event->args[2] & FLAG_NESTED,
         .late = event->args[2] & FLAG_LATE,
     };
@@ -378,6 +388,7 @@
         .error_permille = (uint32_t)(adm->error * 1000),
         .draining = adm->draining || adm->leaving || adm->refuse_until > now,
         .pace = adm->said_at && now - adm->said_at < SAID_OLD ? adm->pace : 0,
+        .slow = Adm_IsSlow(adm, now),
     };
 }
 
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -27,7 +27,6 @@
     AdmClass cls;
     Span left;    /* until its deadline */
     Span slack;   /* it may wait for a slot so long; 0: until its deadline */
-    bool insists; /* also while work takes long, and with the last slots */
     bool nested;  /* it comes from inside a run: with the last slots, too */
     bool late;    /* it misses its objective: only where nobody waits */
 } AdmAsk;
@@ -87,6 +86,7 @@
     double error;      /* smoothed share of failed requests */
     uint32_t pace;     /* as the backend server said last; 0: never */
     Instant said_at;
+    double pace_mean; /* of the last seconds */
 } Adm;
 
 void Adm_Init(Adm *adm, const AdmSettings *settings);
--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -13,9 +13,7 @@
 /* One attempt in LOOK_ONE_IN looks at a row that gets none. */
 enum { REMOTE_SAMPLE = 2, SAMPLE_ALL_MAX = 2, LOOK_ONE_IN = 200 };
 
-/* Work that takes so many percent of the usual time had better go elsewhere,
- * for as long as the word of it holds; an older one fades. */
-enum { SLOW_PACE = 200 };
+/* A word of slowness holds so long; an older one fades. */
 #define PACE_HOLDS Span_MS(100)
 #define PACE_FADES_US 250000.0
 
@@ -56,7 +54,7 @@
 bool
 Pol_IsSlow(const PlcRow *row, Instant now)
 {
-    return row->load.pace >= SLOW_PACE && now - row->load_at < PACE_HOLDS;
+    return row->load.slow && now - row->load_at < PACE_HOLDS;
 }
 
 /* How much longer than usual work takes there, as far as known. */
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -165,6 +165,9 @@
     else if (key.len) {
         Ccl_Start(call, key, now);
     }
+    else if (call->hopeless) {
+        Call_End(call, Call_NOT_RUN, Call_WHY_LATE);
+    }
     else {
         Call_MakeAttempt(call, now);
     }
@@ -200,11 +203,13 @@
     Span objective = call->route->objective;
 
     if (objective && !call->route->key_header.len) {
-        call->slack_until = now + objective - Usl_Get(usual, route, false);
-        call->last_start = call->deadline - Usl_Get(usual, route, true);
+        call->slack_until = now + objective - Usl_Get(usual, route, Usl_MOST);
+        call->last_start = call->deadline - Usl_Get(usual, route, Usl_NEARLY_ALL);
         if (call->nested) {
             call->slack_until = call->last_start;
         }
+        call->hopeless =
+            call->deadline - Usl_Get(usual, route, Usl_FEW) <= now;
     }
 }
 
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -102,7 +102,6 @@
         .incarnation = attempt->incarnation,
         .interactive = call->route->interactive,
         .idempotent = call->route->idempotent,
-        .insists = call->insists || now >= call->last_start,
         .nested = call->nested,
         .late = call->last_start && now >= call->slack_until,
         .priority = call->route->priority,
@@ -199,7 +198,7 @@
         .home_only = !Lnk_Ask(&call->hub->link, call->route->interactive,
                               (uint32_t)call->request.body.len, now) ||
                      stays_home(call, now),
-        .avoid_slow = now < call->last_start,
+        .avoid_slow = call->last_start > 0,
         .left = call->deadline - now,
         .tried = tried,
         .tried_count = list_tried(call, tried),
@@ -249,12 +248,10 @@
 }
 
 /* Everybody that could take it now was asked: wait a little, while that may
- * help; the last word is with whoever takes it in spite of being slow. */
+ * help. */
 static void
 park(Call *call, Instant now)
 {
-    bool insisted = call->insists;
-
     if (now >= call->slack_until && call->sink.blocks &&
         call->sink.blocks(call->sink.context)) {
         Call_End(call, Call_NOT_RUN, Call_WHY_FULL);
@@ -267,12 +264,6 @@
         }
         return;
     }
-    call->insists = true;
-    if (!insisted && call->refused_count) {
-        call->refused_count = 0;
-        Call_MakeAttempt(call, now);
-        return;
-    }
     Call_End(call, Call_NOT_RUN, call->why);
 }
 
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -54,7 +54,7 @@
     Instant last_start;  /* a start until then makes the deadline */
     Instant park_until;  /* the next try; 0: it does not wait */
     bool nested;         /* it comes from inside a run */
-    bool insists;        /* no time is left to wait: whoever takes it */
+    bool hopeless;       /* it could not end in time wherever it ran */
     Addr refused[Rty_TRIED_MAX]; /* asked since, and nothing reached their
                                     backend server */
     uint32_t refused_count;
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -284,7 +284,6 @@
     run->deadline = now + msg->left;
     run->wait_until = now + msg->slack;
     run->priority = msg->priority;
-    run->insists = msg->insists;
     run->nested = msg->nested;
     run->late = msg->late;
     run->slack = msg->slack;
@@ -349,7 +348,6 @@
         .cls = run->cls,
         .left = run->deadline - now,
         .slack = run->slack,
-        .insists = run->insists,
         .nested = run->nested,
         .late = run->late,
     };
@@ -402,7 +400,7 @@
 {
     RunHub *hub = run->hub;
 
-    if (run->insists || !hub->admission->present ||
+    if (!hub->admission->present ||
         !Adm_IsStale(hub->admission, now) || !Pls_Ask(&hub->pulse, now)) {
         return false;
     }
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -15,7 +15,6 @@
     AttemptId id;
     AdmClass cls;
     uint32_t priority;
-    bool insists;
     bool nested;
     bool late;
     Span slack;
--- a/src/request/usual.c
+++ b/src/request/usual.c
@@ -1,8 +1,6 @@
 #include "request/usual.h"
 
 #define SMOOTHING 0.05
-#define MOST 1.0
-#define NEARLY_ALL 2.0
 
 void
 Usl_OnTime(Usual *usual, Str route, Span took)
@@ -20,10 +18,12 @@
 }
 
 Span
-Usl_Get(const Usual *usual, Str route, bool wide)
+Usl_Get(const Usual *usual, Str route, UslShare share)
 {
+    static const double deviations[] = {
+        [Usl_FEW] = -1.0, [Usl_MOST] = 1.0, [Usl_NEARLY_ALL] = 2.0};
     const UslTime *time = &usual->places[Str_Hash(route) % Usl_PLACES];
+    double us = time->mean_us + time->deviation_us * deviations[share];
 
-    return (Span)(time->mean_us +
-                  time->deviation_us * (wide ? NEARLY_ALL : MOST));
+    return us > 0 ? (Span)us : 0;
 }
--- a/src/request/usual.h
+++ b/src/request/usual.h
@@ -25,7 +25,13 @@
 /* A call of ROUTE took TOOK. */
 void Usl_OnTime(Usual *usual, Str route, Span took);
 
-/* What most calls of ROUTE stay within; WIDE: nearly all.  0: not known. */
-Span Usl_Get(const Usual *usual, Str route, bool wide);
+/* Of 0: not known. */
+typedef enum {
+    Usl_FEW,       /* few calls of the route take less */
+    Usl_MOST,      /* most stay within it */
+    Usl_NEARLY_ALL /* nearly all do */
+} UslShare;
+
+Span Usl_Get(const Usual *usual, Str route, UslShare share);
 
 #endif
--- a/src/value/load.h
+++ b/src/value/load.h
@@ -13,6 +13,7 @@
     bool draining;           /* takes no new work */
     uint32_t pace; /* time that work takes now, percent of the usual; 0: not
                       told */
+    bool slow;     /* longer than it mostly does: work is turned back */
 } LoadReport;
 
 enum { Load_USUAL = 100 };
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -3,7 +3,7 @@
 #include "connection/callmsg.h"
 #include "connection/membermsg.h"
 
-static const LoadReport load = {9, 3, 1, 5000, 7, false, 0};
+static const LoadReport load = {9, 3, 1, 5000, 7, false, 0, false};
 static const AttemptId attempt = {UINT64_C(1796381848187260), 42};
 
 /* In this file and not in a library, which the sanitizer does not see. */
--- a/tests/unit/test_measure.c
+++ b/tests/unit/test_measure.c
@@ -32,7 +32,7 @@
 static void
 fill(Plc *plc, const ProbeCase *c)
 {
-    const LoadReport load = {9, 0, 0, 5000, 0, false, 0};
+    const LoadReport load = {9, 0, 0, 5000, 0, false, 0, false};
 
     for (Addr i = 1; i <= 4; i++) {
         PlcPlace place = {.node = i, .incarnation = 1, .region = c->region};
@@ -43,7 +43,7 @@
 START_TEST(keeps_the_measuring_budget)
 {
     const ProbeCase *c = &probes[_i];
-    const LoadReport load = {9, 0, 0, 5000, 0, false, 0};
+    const LoadReport load = {9, 0, 0, 5000, 0, false, 0, false};
     PlcSettings settings = {.sample = 3};
     double seconds = (double)LENGTH / 1e6;
     int sent = 0;
@@ -132,8 +132,8 @@
 START_TEST(keeps_home)
 {
     const HomeCase *c = &homes[_i];
-    const LoadReport idle = {9, 0, 0, 5000, 0, false, 0};
-    const LoadReport full = {9, 9, 40, 5000, 0, false, 0};
+    const LoadReport idle = {9, 0, 0, 5000, 0, false, 0, false};
+    const LoadReport full = {9, 9, 40, 5000, 0, false, 0, false};
     PlcSettings settings = {.sample = 3, .queue_max = 32};
     PlcAsk ask = {.interactive = true, .home_only = c->home_only};
     const PlcRow *row;
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -55,43 +55,43 @@
 
 #define IDLE                                                                  \
     {                                                                         \
-        SLOTS, 0, 0, 5000, 0, false, 0                                        \
+        SLOTS, 0, 0, 5000, 0, false, 0, false                                 \
     }
 #define BUSY                                                                  \
     {                                                                         \
-        SLOTS, SLOTS, 8, 5000, 0, false, 0                                    \
+        SLOTS, SLOTS, 8, 5000, 0, false, 0, false                             \
     }
 #define NEARLY                                                                \
     {                                                                         \
-        SLOTS, SLOTS - 1, 0, 5000, 0, false, 0                                \
+        SLOTS, SLOTS - 1, 0, 5000, 0, false, 0, false                         \
     }
 #define BOASTS                                                                \
     {                                                                         \
-        4 * SLOTS, 24, 0, 6500, 0, false, 0                                   \
+        4 * SLOTS, 24, 0, 6500, 0, false, 0, false                            \
     }
 #define LARGE                                                                 \
     {                                                                         \
-        4 * SLOTS, 24, 0, 5000, 0, false, 0                                   \
+        4 * SLOTS, 24, 0, 5000, 0, false, 0, false                            \
     }
 #define CROWDED                                                               \
     {                                                                         \
-        SLOTS, SLOTS, 31, 20000, 0, false, 0                                  \
+        SLOTS, SLOTS, 31, 20000, 0, false, 0, false                           \
     }
 #define FULL                                                                  \
     {                                                                         \
-        SLOTS, SLOTS, 32, 5000, 0, false, 0                                   \
+        SLOTS, SLOTS, 32, 5000, 0, false, 0, false                            \
     }
 #define PATIENT_FULL                                                          \
     {                                                                         \
-        SLOTS, SLOTS, 16, 5000, 0, false, 0                                   \
+        SLOTS, SLOTS, 16, 5000, 0, false, 0, false                            \
     }
 #define DRAINING                                                              \
     {                                                                         \
-        SLOTS, 0, 0, 5000, 0, true, 0                                         \
+        SLOTS, 0, 0, 5000, 0, true, 0, false                                  \
     }
 #define ABSENT                                                                \
     {                                                                         \
-        0, 0, 0, 0, 0, false, 0                                               \
+        0, 0, 0, 0, 0, false, 0, false                                        \
     }
 
 static const ChoiceCase choices[] = {
@@ -175,7 +175,7 @@
     int count;
 } Open;
 
-static const LoadReport moderate = {SLOTS, 4, 0, 5000, 0, false, 0};
+static const LoadReport moderate = {SLOTS, 4, 0, 5000, 0, false, 0, false};
 
 static void
 end_due(World *world, Open *open, Instant now)
