Answer the callers' edges as before on the new front

Cause: the front by http_parser ended connections without the outcome field, spoke HTTP/1.1 to callers of 1.0, took no unknown method, expectation or half close as before, and bounded a whole answer by its deadline although its taker may be slow.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -215,6 +215,10 @@
         event_free(exchange->repeater);
         exchange->repeater = NULL;
     }
+    if (!exchange->from.plain) {
+        /* Who takes the answer bounds it from here on. */
+        evtimer_del(exchange->bound);
+    }
     if (pool->load && says(all, pool->names.load)) {
         pool->load(pool->load_context, Field_Get(all, pool->names.load),
                    pool->clock());
--- a/src/connection/stream.c
+++ b/src/connection/stream.c
@@ -13,7 +13,14 @@
     HEAD_BYTES_MAX = 16384,
     BODY_BYTES_MAX = 64 * 1024 * 1024,
     NO_CONTENT = 204,
-    NOT_MODIFIED = 304
+    NOT_MODIFIED = 304,
+    BAD_REQUEST = 400,
+    REQUEST_TIMEOUT = 408,
+    BODY_TOO_LARGE = 413,
+    EXPECTATION_FAILED = 417,
+    HEAD_TOO_LARGE = 431,
+    NOT_IMPLEMENTED = 501,
+    METHOD_BYTES_MAX = 32
 };
 
 #define HEAD_WAIT Span_S(3)
@@ -34,6 +41,8 @@
     Instant since; /* first byte of a head, or the end of the last answer */
     bool in_head;
     bool deaf;    /* nothing more is read: the connection ends */
+    bool word;    /* what is read begins with a word, as methods do */
+    uint16_t refusal; /* of what was read last, once all before is answered */
     bool flushes; /* it ends when what was written went out */
     bool inside;  /* a callback of the reader is on the stack */
     bool dead;    /* to be freed when it has returned */
@@ -151,6 +160,18 @@
            Str_EqualNoCase(name, Str_LIT("Transfer-Encoding"));
 }
 
+static void
+put_fields(struct evbuffer *out, const FieldList *fields)
+{
+    for (size_t i = 0; i < fields->count; i++) {
+        const Field *field = &fields->items[i];
+        if (!is_framing(field->name)) {
+            evbuffer_add_printf(out, "%.*s: %.*s\r\n", Str_ARG(field->name),
+                                Str_ARG(field->value));
+        }
+    }
+}
+
 void
 Cst_SendHead(CstRequest *request, uint16_t status, const FieldList *fields)
 {
@@ -168,14 +189,10 @@
                                         !request->bodiless) ||
                       (stream->list->closing && !request->next &&
                        !stream->reading);
-    evbuffer_add_printf(out, "HTTP/1.1 %u %.*s\r\n", status, Str_ARG(reason));
-    for (size_t i = 0; i < fields->count; i++) {
-        const Field *field = &fields->items[i];
-        if (!is_framing(field->name)) {
-            evbuffer_add_printf(out, "%.*s: %.*s\r\n", Str_ARG(field->name),
-                                Str_ARG(field->value));
-        }
-    }
+    evbuffer_add_printf(out, "HTTP/1.%c %u %.*s\r\n",
+                        request->http_1_0 ? '0' : '1', status,
+                        Str_ARG(reason));
+    put_fields(out, fields);
     if (request->chunked) {
         evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
     }
@@ -215,6 +232,34 @@
     list->front.request(list->front.context, request, now_of(list));
 }
 
+/* What was read last is refused, and the connection ends with that. */
+static void
+send_refusal(Cst *stream)
+{
+    CstList *list = stream->list;
+    struct evbuffer *out = bufferevent_get_output(stream->stream);
+    Str reason = reason_of(stream->refusal);
+    FieldList fields = {.count = 0};
+
+    list->front.refuse(list->front.context, stream->refusal, &fields);
+    evbuffer_add_printf(out, "HTTP/1.1 %u %.*s\r\n", stream->refusal,
+                        Str_ARG(reason));
+    put_fields(out, &fields);
+    evbuffer_add_printf(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
+    end_after_flush(stream);
+}
+
+/* Refuse what is read now, in its turn. */
+static void
+refuse(Cst *stream, uint16_t status)
+{
+    stream->refusal = status;
+    stream->deaf = true;
+    if (!stream->first) {
+        send_refusal(stream);
+    }
+}
+
 /* The first answer went out whole: the next one's turn. */
 static void
 drop_first(Cst *stream)
@@ -230,6 +275,9 @@
         tell_gone(stream); /* what came behind counts as not read */
         end_after_flush(stream);
     }
+    else if (!stream->first && stream->refusal) {
+        send_refusal(stream);
+    }
 }
 
 /* Answers that wait for their turn; then requests that did. */
@@ -309,30 +357,24 @@
     Cst_End(request);
 }
 
-/* What was read is no request that can be answered in its turn: say so, when
- * nothing else waits, and end the connection. */
-static void
-refuse(Cst *stream, uint16_t status)
+/* False when the caller expects what is not known here. */
+static bool
+meet_expectation(Cst *stream, const CstRequest *request)
 {
-    CstList *list = stream->list;
-    Str reason = reason_of(status);
+    Str expected = Field_Get(&request->fields, Str_LIT("Expect"));
 
-    if (list->front.refused) {
-        list->front.refused(list->front.context, status);
+    if (expected.len == 0) {
+        return true;
+    }
+    if (!Str_EqualNoCase(expected, Str_LIT("100-continue"))) {
+        stream->refusal = EXPECTATION_FAILED;
+        return false;
     }
     if (!stream->first) {
         evbuffer_add_printf(bufferevent_get_output(stream->stream),
-                            "HTTP/1.1 %u %.*s\r\nContent-Length: 0\r\n"
-                            "Connection: close\r\n\r\n",
-                            status, Str_ARG(reason));
-        end_after_flush(stream);
-        return;
-    }
-    stream->deaf = true;
-    for (CstRequest *request = stream->first; request;
-         request = request->next) {
-        request->last = !request->next;
+                            "HTTP/1.1 100 Continue\r\n\r\n");
     }
+    return true;
 }
 
 static bool
@@ -367,13 +409,7 @@
     }
     stream->reading = request;
     stream->in_head = false;
-    if (Str_EqualNoCase(Field_Get(&request->fields, Str_LIT("Expect")),
-                        Str_LIT("100-continue")) &&
-        !stream->first) {
-        evbuffer_add_printf(bufferevent_get_output(stream->stream),
-                            "HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    return true;
+    return meet_expectation(stream, request);
 }
 
 static bool
@@ -415,13 +451,33 @@
 static uint16_t
 refusal_of(const Cst *stream)
 {
+    enum http_errno error = HTTP_PARSER_ERRNO(&stream->reader.parser);
+
+    if (stream->refusal) {
+        return stream->refusal;
+    }
     if (stream->reader.too_long) {
-        return 431;
+        return HEAD_TOO_LARGE;
     }
-    return stream->reading &&
-                   stream->reader.parser.http_errno == HPE_CB_body
-               ? 413
-               : 400;
+    if (error == HPE_INVALID_METHOD && stream->word) {
+        return NOT_IMPLEMENTED;
+    }
+    return stream->reading && error == HPE_CB_body ? BODY_TOO_LARGE
+                                                   : BAD_REQUEST;
+}
+
+/* INPUT begins with capital letters and a blank. */
+static bool
+begins_with_word(struct evbuffer *input)
+{
+    char bytes[METHOD_BYTES_MAX];
+    ev_ssize_t len = evbuffer_copyout(input, bytes, sizeof bytes);
+    ev_ssize_t at = 0;
+
+    while (at < len && bytes[at] >= 'A' && bytes[at] <= 'Z') {
+        at++;
+    }
+    return at > 0 && at < len && bytes[at] == ' ';
 }
 
 static void
@@ -433,6 +489,7 @@
            evbuffer_get_length(input) > 0) {
         if (!stream->reader.begun) {
             stream->in_head = true;
+            stream->word = begins_with_word(input);
             stream->since = now_of(stream->list);
         }
         switch (Hrd_Feed(&stream->reader, input)) {
@@ -504,7 +561,12 @@
 static void
 on_event(struct bufferevent *from, short what, void *context)
 {
+    const Cst *stream = context;
+
     (void)from;
+    if (what & BEV_EVENT_EOF && stream->deaf && stream->first) {
+        return; /* the caller had announced that it sends no more */
+    }
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
         free_stream(context);
     }
@@ -639,7 +701,7 @@
     }
     else if (stream->in_head && stream->reader.begun) {
         if (age >= limits->head_wait && !stream->first) {
-            refuse(stream, 408);
+            refuse(stream, REQUEST_TIMEOUT);
         }
     }
     else if (is_idle(stream) && age >= limits->idle_wait) {
--- a/src/connection/stream.h
+++ b/src/connection/stream.h
@@ -54,8 +54,8 @@
     void (*taken)(void *context, CstRequest *request, uint32_t bytes);
     /* The caller is gone, and the request after this. */
     void (*gone)(void *context, CstRequest *request);
-    /* A request that was refused while it was read. */
-    void (*refused)(void *context, uint16_t status);
+    /* A request is refused with STATUS while it is read: fields to add. */
+    void (*refuse)(void *context, uint16_t status, FieldList *fields);
 } CstFront;
 
 typedef struct {
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -35,12 +35,16 @@
 }
 
 static void
-on_refused(void *context, uint16_t status)
+on_refuse(void *context, uint16_t status, FieldList *fields)
 {
     const Edge *edge = context;
+    Str outcome = StrBuf_View(&edge->settings->names.outcome);
 
-    Lgr_Log(edge->exchanges.hub->logger, Lgr_DEBUG,
-            Str_LIT("request_not_read"), "status=%u", status);
+    Lgr_Log(edge->exchanges.hub->logger, Lgr_INFO, Str_LIT("request_not_read"),
+            "status=%u", status);
+    if (outcome.len) {
+        Field_Add(fields, outcome, Str_LIT("not-run"));
+    }
 }
 
 /* The settings' bounds hold where the preset has none. */
@@ -73,7 +77,7 @@
           Err *err)
 {
     CstFront front = {edge,     is_repeatable, on_request,
-                      on_taken, on_gone,       on_refused};
+                      on_taken, on_gone,       on_refuse};
     PstCallers none = {0};
     CstLimits limits = limits_of(settings, &none);
 
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -304,6 +304,10 @@
     };
     Call *call;
 
+    if (!Str_StartsWith(http->target, Str_LIT("/"))) {
+        /* The caller takes this node for a proxy: no more than one. */
+        exchange->request->last = true;
+    }
     forward_fields(exchange, &request.fields);
     sink.context = exchange;
     call = Call_Start(exchange->list->hub, &request, &sink, now);
