Leave a control replica that is silent or has lost its leader soon

Ruled out: the leader (the change was in force elsewhere within 0.1 s). Change: the turn is a decider of its own (process/turn.h, a table of cases); an unanswered question, or an answer of a replica that does not hear its leader, leads to the next one after 250 ms, in any region.

--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -3,7 +3,7 @@
 enum {
     CHANGED_FIELDS = 15,
     VERSION_ASK_FIELDS = 4,
-    VERSION_FIELDS = 5,
+    VERSION_FIELDS = 6,
     PRESETS_ASK_FIELDS = 4,
     PRESETS_FIELDS = 9,
     ITEM_FIELDS = 3,
@@ -120,6 +120,7 @@
 {
     Wire_Begin(pack, Wire_VERSION, VERSION_FIELDS);
     Pack_Bool(pack, msg->current);
+    Pack_Bool(pack, msg->linked);
     Pack_U64(pack, msg->leader);
     put_version(pack, msg->version);
     Pack_Str(pack, msg->json);
@@ -129,6 +130,7 @@
 Configmsg_ReadVersion(Unpack *in, VersionMsg *msg, Err *err)
 {
     msg->current = Unpack_Bool(in);
+    msg->linked = Unpack_Bool(in);
     msg->leader = Unpack_U64(in);
     msg->version = take_version(in);
     msg->json = take_bounded(in, Cfg_JSON_MAX);
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -42,6 +42,7 @@
 /* Wire_VERSION, as an answer or on the replica's own account. */
 typedef struct {
     bool current; /* the leader, under its lease: nothing newer exists */
+    bool linked;  /* in touch with the leader: a newer one will be told */
     Addr leader;
     CfgVersion version; /* {0, 0}: nothing is known there */
     Str json;           /* empty unless wanted and newer */
--- a/src/process/control_serve.c
+++ b/src/process/control_serve.c
@@ -246,6 +246,8 @@
     }
     keep_watcher(control, ask.node, origin, now);
     msg.current = Ctl_IsCurrent(control, now);
+    msg.linked = msg.current ||
+                 (control->open && Rlog_IsLinked(&control->rlog, now));
     msg.leader = Ctl_Leader(control);
     msg.version = known_version(control);
     if (ask.wanted && in_force &&
@@ -260,6 +262,7 @@
 Ctl_TellVersion(Control *control, Instant now)
 {
     VersionMsg msg = {
+        .linked = true,
         .leader = Ctl_Leader(control),
         .version = known_version(control),
     };
--- a/src/process/follow.c
+++ b/src/process/follow.c
@@ -3,11 +3,8 @@
 #include "connection/configmsg.h"
 
 #define TICK Span_MS(100)
-#define ASK_EVERY Span_MS(1000)
 #define FETCH_AGAIN Span_MS(300)
 
-enum { UNANSWERED_MAX = 3 }; /* then replicas of other regions are asked */
-
 static void
 ask(Follow *follow, Addr replica, Instant now)
 {
@@ -23,7 +20,7 @@
     Cnt_Add(follow->counters, Cnt_CONTROL_BYTES, Pack_View(&pack).len);
     Net_Send(follow->net, replica, Pack_View(&pack), now);
     Pack_Finish(&pack);
-    follow->unanswered++;
+    Trn_OnAsk(&follow->turn, now);
 }
 
 static bool
@@ -54,7 +51,7 @@
 static Addr
 choose(Follow *follow)
 {
-    bool any = follow->unanswered >= UNANSWERED_MAX;
+    bool any = Trn_GoesAnywhere(&follow->turn);
 
     for (size_t i = 0; i < follow->settings->replica_count; i++) {
         Addr replica = take_turn(follow);
@@ -68,10 +65,9 @@
 static void
 ask_when_due(Follow *follow, Instant now)
 {
-    if (follow->settled && now < follow->ask_at) {
+    if (!Trn_IsDue(&follow->turn, follow->settled, now)) {
         return;
     }
-    follow->ask_at = now + ASK_EVERY;
     if (!follow->settled && follow->leader) {
         ask(follow, follow->leader, now);
         follow->leader = Addr_NONE; /* until it is told again */
@@ -135,7 +131,7 @@
                    Str_LIT("message_refused"), &err);
         return;
     }
-    follow->unanswered = 0;
+    Trn_OnAnswer(&follow->turn, msg.linked);
     if (msg.leader) {
         follow->leader = msg.leader;
     }
--- a/src/process/follow.h
+++ b/src/process/follow.h
@@ -11,6 +11,7 @@
 
 #include "process/membership.h"
 #include "process/net.h"
+#include "process/turn.h"
 #include "version/config.h"
 
 /* Put JSON in force; false when it cannot be read here. */
@@ -30,8 +31,7 @@
     bool settled;       /* confirmed since the start */
     Addr leader;        /* as told; Addr_NONE: not known */
     size_t next;        /* control replica to ask */
-    uint32_t unanswered;
-    Instant ask_at;
+    Trn turn;
     CfgVersion fetched; /* asked for after a replica's word */
     Instant fetched_at;
     LoopTimer tick;
--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -351,6 +351,13 @@
            Rlog_HasLease(rlog, now);
 }
 
+bool
+Rlog_IsLinked(const Rlog *rlog, Instant now)
+{
+    return rlog->leader != 0 &&
+           now - rlog->heard_at < rlog->settings.election;
+}
+
 bool
 Rlog_IsSettled(const Rlog *rlog)
 {
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -206,6 +206,9 @@
  * it has committed is all that was ever accepted. */
 bool Rlog_IsCurrent(const Rlog *rlog, Instant now);
 
+/* A leader was heard within its lease. */
+bool Rlog_IsLinked(const Rlog *rlog, Instant now);
+
 /* Heard, since its start, from a leader, and holds all that this leader had
  * committed then. */
 bool Rlog_IsSettled(const Rlog *rlog);
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -269,7 +269,7 @@
 static void
 pack_version(Pack *pack)
 {
-    VersionMsg msg = {true, 77, version, Str_LIT("{}")};
+    VersionMsg msg = {true, true, 77, version, Str_LIT("{}")};
 
     Configmsg_PackVersion(pack, &msg);
 }
--- /dev/null
+++ b/tests/unit/test_turn.c
@@ -0,0 +1,83 @@
+/* Whom a node asks for the version in force, and when, after what it was
+ * answered.  Each row is a series of moments. */
+#include "process/turn.h"
+#include "support/suite.h"
+
+#define START Span_S(100)
+
+typedef enum { ASK, GOOD_ANSWER, UNLINKED_ANSWER, NOTHING } Event;
+
+/* At AT after the start EVENT happens; then these hold. */
+typedef struct {
+    Span at;
+    Event event;
+    bool due;
+    bool anywhere;
+} Step;
+
+enum { STEPS = 6 };
+
+typedef struct {
+    const char *name;
+    bool settled;
+    Step steps[STEPS];
+    int count;
+} TurnCase;
+
+static const TurnCase cases[] = {
+    {"answered", true,
+     {{0, ASK, false, true},
+      {Span_MS(20), GOOD_ANSWER, false, false},
+      {Span_MS(900), NOTHING, false, false},
+      {Span_MS(1000), NOTHING, true, false}},
+     4},
+    {"never answered: another one soon, anywhere", true,
+     {{0, ASK, false, true},
+      {Span_MS(200), NOTHING, false, true},
+      {Span_MS(250), NOTHING, true, true},
+      {Span_MS(250), ASK, false, true},
+      {Span_MS(500), NOTHING, true, true}},
+     5},
+    {"answered by one that lost its leader", true,
+     {{0, ASK, false, true},
+      {Span_MS(20), UNLINKED_ANSWER, false, true},
+      {Span_MS(250), NOTHING, true, true},
+      {Span_MS(250), ASK, false, true},
+      {Span_MS(300), GOOD_ANSWER, false, false},
+      {Span_MS(1249), NOTHING, false, false}},
+     6},
+    {"not settled: at every look", false,
+     {{0, ASK, true, true}, {Span_MS(1), NOTHING, true, true}},
+     2},
+};
+
+START_TEST(asks_in_time)
+{
+    const TurnCase *c = &cases[_i];
+    Trn turn = {0};
+
+    ck_assert(Trn_IsDue(&turn, c->settled, START));
+    for (int i = 0; i < c->count; i++) {
+        const Step *step = &c->steps[i];
+        Instant now = START + step->at;
+        if (step->event == ASK) {
+            Trn_OnAsk(&turn, now);
+        }
+        else if (step->event != NOTHING) {
+            Trn_OnAnswer(&turn, step->event == GOOD_ANSWER);
+        }
+        ck_assert_msg(Trn_IsDue(&turn, c->settled, now) == step->due,
+                      "%s, step %d: due", c->name, i);
+        ck_assert_msg(Trn_GoesAnywhere(&turn) == step->anywhere,
+                      "%s, step %d: anywhere", c->name, i);
+    }
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {{asks_in_time, sizeof cases / sizeof cases[0]}};
+
+    return Suite_Run("turn", tests, 1, 10);
+}
