--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -114,7 +114,7 @@
 typedef struct {
     uint64_t identity;
     Addr addr;
-    Span election;    /* timeout, at least; drawn up to twice of it */
+    Span election;    /* timeout, at least; drawn up to half more */
     Span heartbeat;   /* between appends of a leader */
     uint32_t log_max; /* entries kept before a snapshot is taken */
     uint32_t voters_max; /* a learner votes only in the place of a voter that
@@ -135,6 +135,7 @@
     uint64_t match; /* known to be the same up to here */
     Instant acked;  /* send time of the latest append it answered; 0: none */
     Instant snapshot_at;
+    Instant here_at; /* last sign that it runs, other than an answer; 0: none */
 } RlogProgress;
 
 typedef struct {
--- a/src/version/rlog_replicas.c
+++ b/src/version/rlog_replicas.c
@@ -159,7 +159,8 @@
         }
         kept[count] =
             old ? *old
-                : (RlogProgress){identity, Rlog_LastIndex(rlog) + 1, 0, 0, 0};
+                : (RlogProgress){.identity = identity,
+                                 .next = Rlog_LastIndex(rlog) + 1};
         count++;
     }
     for (uint32_t i = 0; i < count; i++) {
@@ -230,7 +231,11 @@
 Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant now)
 {
     RlogReplicas next = rlog->replicas;
+    RlogProgress *progress = Rlog_FindProgress(rlog, identity);
 
+    if (progress) {
+        progress->here_at = now;
+    }
     if (!may_change(rlog, now) || Rlog_FindReplica(&next, identity)) {
         return;
     }
@@ -241,6 +246,10 @@
     next.items[next.count++] =
         (RlogReplica){.identity = identity, .addr = addr};
     propose_replicas(rlog, &next, now);
+    progress = Rlog_FindProgress(rlog, identity);
+    if (progress) {
+        progress->here_at = now;
+    }
 }
 
 static bool
@@ -310,6 +319,9 @@
     if (progress->acked > since) {
         since = progress->acked;
     }
+    if (progress->here_at > since) {
+        since = progress->here_at;
+    }
     return now - since >= rlog->settings.election * timeouts;
 }
 
--- a/src/version/rlog_vote.c
+++ b/src/version/rlog_vote.c
@@ -5,7 +5,8 @@
 {
     Span least = rlog->settings.election;
 
-    rlog->election_at = now + least + Rng_Below(rlog->rng, (uint32_t)least);
+    rlog->election_at =
+        now + least + Rng_Below(rlog->rng, (uint32_t)least / 2);
 }
 
 /* Take a higher TERM over; false when it could not be stored. */
