--- a/tests/support/rlogworld.c
+++ b/tests/support/rlogworld.c
@@ -342,6 +342,18 @@
     Rlog_Found(&world->replicas[0].rlog, &voters, world->now);
 }
 
+void
+World_AddSpare(World *world)
+{
+    WorldReplica *replica = &world->replicas[world->count];
+
+    replica->world = world;
+    replica->number = world->count;
+    replica->identity = ++world->identities;
+    replica->addr = 1000 + (Addr)world->count;
+    world->count++;
+}
+
 void
 World_Finish(World *world)
 {
--- a/tests/support/rlogworld.h
+++ b/tests/support/rlogworld.h
@@ -75,6 +75,9 @@
 void World_Kill(World *world, int number);
 void World_Start(World *world, int number);
 
+/* One more replica, at an address of its own: blank, and not started. */
+void World_AddSpare(World *world);
+
 /* Kill it and take its disk: it starts with a new identity. */
 void World_LoseDisk(World *world, int number);
 
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -162,6 +162,7 @@
     {"examples/benromdhane/node.json", parse_settings},
     {"examples/salinera/ordinary.json", parse_preset},
     {"examples/benromdhane/peak.json", parse_preset},
+    {"tests/data/routed.json", parse_preset},
 };
 
 START_TEST(parsers_bear_mutations)
--- /dev/null
+++ b/tests/unit/test_revisions.c
@@ -0,0 +1,154 @@
+/* Revisions of the routing at the configuration decider: on their base, again,
+ * raced, unsound, and after a save. */
+#include "support/suite.h"
+#include "version/config.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define ROUTING(revision, path)                                               \
+    "{\"revision\":" revision ",\"routes\":[{\"name\":\"a\",\"host\":\"h\","  \
+    "\"path\":\"" path "\",\"kind\":\"idempotent\",\"service\":\"s\"}],"      \
+    "\"services\":[{\"name\":\"s\"}]}"
+
+typedef struct {
+    const char *id; /* NULL: the end */
+    CfgVerb verb;
+    uint64_t base;
+    const char *json;
+    bool restart; /* the state is saved and loaded before */
+    CfgOutcome outcome;
+    bool again;
+    uint64_t revision; /* in force afterwards */
+} Step;
+
+enum { STEPS_MAX = 6 };
+
+typedef struct {
+    const char *name;
+    Step steps[STEPS_MAX];
+} RevisionsCase;
+
+static const RevisionsCase cases[] = {
+    {"one after the other",
+     {{"a", Cfg_ROUTE, 0, ROUTING("2", "/x/"), false, Cfg_ACCEPTED, false, 2},
+      {"b", Cfg_ROUTE, 2, ROUTING("7", "/y/"), true, Cfg_ACCEPTED, false, 7},
+      {"c", Cfg_ROUTE_PATCH, 7,
+       "{\"revision\":9,\"remove\":{\"routes\":[\"a\"]}}", false, Cfg_ACCEPTED,
+       false, 9}}},
+    {"again, also after the next and a restart",
+     {{"a", Cfg_ROUTE, 0, ROUTING("2", "/x/"), false, Cfg_ACCEPTED, false, 2},
+      {"a", Cfg_ROUTE, 0, ROUTING("2", "/x/"), false, Cfg_ACCEPTED, true, 2},
+      {"b", Cfg_ROUTE, 2, ROUTING("3", "/y/"), false, Cfg_ACCEPTED, false, 3},
+      {"a", Cfg_ROUTE, 0, ROUTING("2", "/x/"), true, Cfg_ACCEPTED, true, 3}}},
+    {"of two on one base, one",
+     {{"a", Cfg_ROUTE, 0, ROUTING("2", "/x/"), false, Cfg_ACCEPTED, false, 2},
+      {"b", Cfg_ROUTE, 2, ROUTING("3", "/y/"), false, Cfg_ACCEPTED, false, 3},
+      {"c", Cfg_ROUTE, 2, ROUTING("3", "/z/"), false, Cfg_CONFLICT, false, 3},
+      {"c", Cfg_ROUTE, 2, ROUTING("3", "/z/"), true, Cfg_CONFLICT, true, 3}}},
+    {"not above the one in force",
+     {{"a", Cfg_ROUTE, 0, ROUTING("2", "/x/"), false, Cfg_ACCEPTED, false, 2},
+      {"b", Cfg_ROUTE, 2, ROUTING("2", "/y/"), false, Cfg_REFUSED, false, 2},
+      {"c", Cfg_ROUTE, 2, ROUTING("4", "/y/"), false, Cfg_ACCEPTED, false,
+       4}}},
+    {"a patch of nothing",
+     {{"a", Cfg_ROUTE_PATCH, 0, "{\"revision\":9}", false, Cfg_REFUSED, false,
+       0}}},
+};
+
+static void
+put_first(Cfg *cfg)
+{
+    const CfgChange first = {
+        .verb = Cfg_PUT,
+        .id = Str_LIT("genesis"),
+        .preset = Str_LIT("p"),
+        .json = Str_LIT("{\"name\":\"p\",\"limits\":{},\"routes\":[]}"),
+    };
+    CfgResult result;
+
+    Cfg_Apply(cfg, &first, (CfgVersion){1, 1}, &result);
+    ck_assert_int_eq(result.outcome, Cfg_ACCEPTED);
+}
+
+static void
+restart(Cfg *cfg)
+{
+    StrBuf state = {0};
+
+    Cfg_Save(cfg, &state);
+    Cfg_Finish(cfg);
+    Cfg_Init(cfg);
+    ck_assert(Cfg_Load(cfg, StrBuf_View(&state), NULL));
+    StrBuf_Finish(&state);
+}
+
+START_TEST(are_decided_once)
+{
+    const RevisionsCase *c = &cases[_i];
+    Cfg cfg;
+
+    Cfg_Init(&cfg);
+    put_first(&cfg);
+    for (int i = 0; i < STEPS_MAX && c->steps[i].id; i++) {
+        const Step *step = &c->steps[i];
+        CfgChange change = {.verb = step->verb,
+                            .id = Str_FromC(step->id),
+                            .base = {0, step->base},
+                            .json = Str_FromC(step->json)};
+        CfgResult result;
+        if (step->restart) {
+            restart(&cfg);
+        }
+        Cfg_Apply(&cfg, &change, (CfgVersion){1, (uint64_t)i + 2}, &result);
+        ck_assert_msg(result.outcome == step->outcome &&
+                          result.again == step->again,
+                      "%s, step %d: outcome %d, again %d", c->name, i,
+                      (int)result.outcome, result.again);
+        ck_assert_uint_eq(cfg.revision, step->revision);
+    }
+    Cfg_Finish(&cfg);
+}
+END_TEST
+
+/* Outcomes that are no longer kept: the change is not refused, nor run. */
+START_TEST(forgotten_ones_are_told_so)
+{
+    CfgChange change = {.verb = Cfg_ROUTE_PATCH, .id = Str_LIT("x")};
+    CfgResult result;
+    Cfg cfg;
+
+    Cfg_Init(&cfg);
+    put_first(&cfg);
+    for (uint64_t i = 0; i < Cfg_RECORDS_MAX + 10; i++) {
+        StrBuf id = {0};
+        StrBuf json = {0};
+        StrBuf_AppendFmt(&id, "id-%llu", (unsigned long long)i);
+        StrBuf_AppendFmt(&json,
+                         "{\"revision\":%llu,\"routes\":[],\"services\":[]}",
+                         (unsigned long long)i + 1);
+        change = (CfgChange){.verb = Cfg_ROUTE,
+                             .id = StrBuf_View(&id),
+                             .base = {0, i},
+                             .json = StrBuf_View(&json)};
+        Cfg_Apply(&cfg, &change, (CfgVersion){1, i + 2}, &result);
+        ck_assert_int_eq(result.outcome, Cfg_ACCEPTED);
+        StrBuf_Finish(&id);
+        StrBuf_Finish(&json);
+    }
+    change = (CfgChange){.verb = Cfg_ROUTE,
+                         .id = Str_LIT("id-1"),
+                         .base = {0, 1},
+                         .json = Str_LIT("{}")};
+    Cfg_Apply(&cfg, &change, (CfgVersion){1, 9999}, &result);
+    ck_assert_int_eq(result.outcome, Cfg_FORGOTTEN);
+    Cfg_Finish(&cfg);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {{are_decided_once, ROWS(cases)},
+                               {forgotten_ones_are_told_so, 1}};
+
+    return Suite_Run("revisions", tests, 2, 30);
+}
