--- a/tests/unit/test_seats.c
+++ b/tests/unit/test_seats.c
@@ -34,6 +34,8 @@
      {{KILL, 4}, {START_SPARE, 5}, {RUN, 8}}, 3, 5, 5},
     {"the new VM first",
      {{START_SPARE, 5}, {RUN, 4}, {KILL, 4}, {RUN, 8}}, 4, 5, 5},
+    {"a disk is lost long after the election",
+     {{RUN, 60}, {LOSE_DISK, 1}, {START_AGAIN, 1}, {RUN, 5}}, 4, 5, 5},
     {"a spare one waits", {{START_SPARE, 5}, {RUN, 8}}, 2, 5, 5},
     {"one is down for a while, and nobody is in its place",
      {{KILL, 3}, {RUN, 8}}, 2, 5, 4},
@@ -68,6 +70,8 @@
 {
     World_Init(world, FOUNDERS, 11);
     world->voters_max = VOTERS;
+    /* Answers from another region come after the leader looked again. */
+    world->delay_max = Span_MS(60);
     for (int i = 0; i < FOUNDERS; i++) {
         world->replicas[i].rlog.settings.voters_max = VOTERS;
     }
