--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -178,8 +178,7 @@
     fields->count = 0;
     for (size_t i = 0; i < head->fields.count; i++) {
         const Field *field = &head->fields.items[i];
-        bool length =
-            Str_EqualNoCase(field->name, Str_LIT("Content-Length"));
+        bool length = Str_EqualNoCase(field->name, Str_LIT("Content-Length"));
         if (!Field_IsHopByHop(field->name, connection) &&
             !(length && head->chunked)) {
             Field_Add(fields, field->name, field->value);
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -50,8 +50,8 @@
     Refusal_FENCED,
     Refusal_SUSPECT,
     Refusal_INCARNATION,
-    Refusal_CUT,     /* ran, but its answer was cut short: not a proof */
-    Refusal_SLOW, /* work takes long there at this moment */
+    Refusal_CUT,         /* ran, but its answer was cut short: not a proof */
+    Refusal_SLOW,        /* work takes long there at this moment */
     Refusal_TURNED_AWAY, /* by the backend server: it did not run */
     Refusal_EXPIRED, /* came too late to be told from a duplicate: no proof */
     Refusal_KINDS
--- a/src/connection/httpread.c
+++ b/src/connection/httpread.c
@@ -186,8 +186,8 @@
         size_t part = len < PART_BYTES ? len : PART_BYTES;
         const char *bytes =
             (const char *)evbuffer_pullup(input, (ev_ssize_t)part);
-        size_t read = http_parser_execute(&reader->parser, &callbacks, bytes,
-                                          part);
+        size_t read =
+            http_parser_execute(&reader->parser, &callbacks, bytes, part);
         evbuffer_drain(input, read);
         if (state_of(reader) != Hrd_MORE) {
             break;
--- a/src/connection/httprule.c
+++ b/src/connection/httprule.c
@@ -62,10 +62,9 @@
 static bool
 is_method_known(Str method)
 {
-    static const Str known[] = {Str_LIT("GET"),    Str_LIT("POST"),
-                                Str_LIT("HEAD"),   Str_LIT("PUT"),
-                                Str_LIT("DELETE"), Str_LIT("OPTIONS"),
-                                Str_LIT("PATCH")};
+    static const Str known[] = {
+        Str_LIT("GET"),    Str_LIT("POST"),    Str_LIT("HEAD"), Str_LIT("PUT"),
+        Str_LIT("DELETE"), Str_LIT("OPTIONS"), Str_LIT("PATCH")};
 
     for (size_t i = 0; i < sizeof known / sizeof known[0]; i++) {
         if (Str_Equal(known[i], method)) {
--- a/src/connection/logmsg.h
+++ b/src/connection/logmsg.h
@@ -19,8 +19,8 @@
 typedef struct {
     uint64_t identity;
     Addr addr;
-    bool blank;  /* it holds nothing of any history */
-    bool answer; /* to a hello: not to be answered */
+    bool blank;                   /* it holds nothing of any history */
+    bool answer;                  /* to a hello: not to be answered */
     Addr known[Logmsg_KNOWN_MAX]; /* other replicas it has heard of */
     uint32_t known_count;
 } HelloMsg;
--- a/src/connection/pulse.c
+++ b/src/connection/pulse.c
@@ -7,8 +7,8 @@
 #define MUTE Span_S(2)
 
 void
-Pls_Init(Pulse *pulse, BckPool *pool,
-         void (*done)(void *context, Instant now), void *context)
+Pls_Init(Pulse *pulse, BckPool *pool, void (*done)(void *context, Instant now),
+         void *context)
 {
     *pulse = (Pulse){.pool = pool, .context = context, .done = done};
 }
--- a/src/connection/pulse.h
+++ b/src/connection/pulse.h
@@ -11,9 +11,9 @@
 
 typedef struct {
     BckPool *pool;
-    StrBuf path; /* empty: nothing is asked */
+    StrBuf path;           /* empty: nothing is asked */
     BckExchange *exchange; /* NULL: no question is open */
-    bool told;   /* the answer brought the load */
+    bool told;             /* the answer brought the load */
     Instant mute_until;
     void *context;
     void (*done)(void *context, Instant now); /* with the load or without */
--- a/src/connection/stream.c
+++ b/src/connection/stream.c
@@ -40,12 +40,12 @@
     size_t count;
     Instant since; /* first byte of a head, or the end of the last answer */
     bool in_head;
-    bool deaf;    /* nothing more is read: the connection ends */
-    bool word;    /* what is read begins with a word, as methods do */
+    bool deaf;        /* nothing more is read: the connection ends */
+    bool word;        /* what is read begins with a word, as methods do */
     uint16_t refusal; /* of what was read last, once all before is answered */
-    bool flushes; /* it ends when what was written went out */
-    bool inside;  /* a callback of the reader is on the stack */
-    bool dead;    /* to be freed when it has returned */
+    bool flushes;     /* it ends when what was written went out */
+    bool inside;      /* a callback of the reader is on the stack */
+    bool dead;        /* to be freed when it has returned */
 };
 
 static Instant
@@ -185,10 +185,10 @@
                         status == NO_CONTENT || status == NOT_MODIFIED;
     request->chunked = !has_length && !request->bodiless && !request->http_1_0;
     /* What was sent behind must not be lost by the close. */
-    request->closes = request->last || (!has_length && !request->chunked &&
-                                        !request->bodiless) ||
-                      (stream->list->closing && !request->next &&
-                       !stream->reading);
+    request->closes =
+        request->last ||
+        (!has_length && !request->chunked && !request->bodiless) ||
+        (stream->list->closing && !request->next && !stream->reading);
     evbuffer_add_printf(out, "HTTP/1.%c %u %.*s\r\n",
                         request->http_1_0 ? '0' : '1', status,
                         Str_ARG(reason));
@@ -402,8 +402,7 @@
     for (size_t i = 0; i < head->fields.count; i++) {
         const Field *from = &head->fields.items[i];
         Str name = Str_Slice(whole, offset, from->name.len);
-        Str value =
-            Str_Slice(whole, offset + from->name.len, from->value.len);
+        Str value = Str_Slice(whole, offset + from->name.len, from->value.len);
         offset += from->name.len + from->value.len;
         Field_Add(&request->fields, name, value);
     }
--- a/src/connection/stream.h
+++ b/src/connection/stream.h
@@ -30,15 +30,15 @@
     Str target;
     FieldList fields;
     StrBuf body;
-    bool last;   /* the caller sends no other */
+    bool last; /* the caller sends no other */
     bool http_1_0;
     bool handed; /* to the front */
     bool headed; /* the answer's head was given */
     bool chunked;
     bool bodiless;
     bool ended;
-    bool closes;    /* its answer ends the connection */
-    uint32_t given; /* bytes of the answer's body, not taken yet */
+    bool closes;          /* its answer ends the connection */
+    uint32_t given;       /* bytes of the answer's body, not taken yet */
     struct evbuffer *out; /* of the answer, while others are first */
     void *owner;          /* the front's own */
     Instant at;           /* when it was read */
@@ -73,14 +73,13 @@
     CstLimits limits;
     Cst *first;
     size_t count;
-    size_t busy; /* requests handed over or waiting, not answered yet */
+    size_t busy;  /* requests handed over or waiting, not answered yet */
     bool closing; /* the next answer of each connection is its last */
 };
 
 /* Listen at ADDR; connections are accepted from Cst_Open on. */
-bool Cst_Listen(CstList *list, struct event_base *base,
-                Instant (*clock)(void), Addr addr, const CstFront *front,
-                Err *err);
+bool Cst_Listen(CstList *list, struct event_base *base, Instant (*clock)(void),
+                Addr addr, const CstFront *front, Err *err);
 void Cst_Finish(CstList *list);
 void Cst_Open(CstList *list);
 void Cst_StopListening(CstList *list);
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -131,10 +131,10 @@
 {
     double keep = exp(-(double)(now - adm->said_at) / PACE_MEAN_US);
 
-    adm->pace_mean =
-        adm->pace_mean > 0
-            ? adm->pace_mean * keep + word->pace * (1 - keep)
-            : word->pace < SLOW_PACE ? word->pace : Load_USUAL;
+    adm->pace_mean = adm->pace_mean > 0
+                         ? adm->pace_mean * keep + word->pace * (1 - keep)
+                     : word->pace < SLOW_PACE ? word->pace
+                                              : Load_USUAL;
     adm->pace = word->pace;
     adm->said_at = now;
     tell(adm, &(AdmEvent){Adm_DID_SAID, now, {word->pace}, 0});
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -25,10 +25,10 @@
 /* One attempt that asks to run. */
 typedef struct {
     AdmClass cls;
-    Span left;    /* until its deadline */
-    Span slack;   /* it may wait for a slot so long; 0: until its deadline */
-    bool nested;  /* it comes from inside a run: with the last slots, too */
-    bool late;    /* it misses its objective: only where nobody waits */
+    Span left;   /* until its deadline */
+    Span slack;  /* it may wait for a slot so long; 0: until its deadline */
+    bool nested; /* it comes from inside a run: with the last slots, too */
+    bool late;   /* it misses its objective: only where nobody waits */
 } AdmAsk;
 
 typedef struct {
--- a/src/process/announce.c
+++ b/src/process/announce.c
@@ -46,9 +46,9 @@
 static void
 take(Ann *ann, const Announcement *from, Instant now)
 {
-    Addr addr = from->addr ? from->addr
-                           : Addr_WithPort(ann->settings->operators,
-                                           from->port);
+    Addr addr = from->addr
+                    ? from->addr
+                    : Addr_WithPort(ann->settings->operators, from->port);
     bool changed =
         !ann->present || ann->draining != from->draining ||
         !Str_Equal(StrBuf_View(&ann->service), StrBuf_View(&from->service));
@@ -121,8 +121,9 @@
     Jsn_GetStr(o, Str_LIT("address"), true, &text);
     if (!Addr_Parse(StrBuf_View(&text), &to->addr) ||
         (ann->settings->backend && to->addr != ann->settings->backend)) {
-        Jsn_Find(o, Str_LIT("address"), Str_LIT("not of this VM's backend "
-                                                "server"),
+        Jsn_Find(o, Str_LIT("address"),
+                 Str_LIT("not of this VM's backend "
+                         "server"),
                  Str_LIT("its IPv4 number and port"));
     }
     StrBuf_Finish(&text);
@@ -147,10 +148,9 @@
     parse_addr(ann, &o, to);
     parse_state(&o, to);
     to->slots = (uint32_t)Jsn_GetInt(&o, Str_LIT("slots"), 1, SLOTS_MAX, 0);
-    to->word.born =
-        Jsn_GetInt(&o, Str_LIT("born"), 0, INT64_MAX, 0);
-    to->word.sequence = (uint64_t)Jsn_GetInt(&o, Str_LIT("sequence"), 0,
-                                             INT64_MAX, 0);
+    to->word.born = Jsn_GetInt(&o, Str_LIT("born"), 0, INT64_MAX, 0);
+    to->word.sequence =
+        (uint64_t)Jsn_GetInt(&o, Str_LIT("sequence"), 0, INT64_MAX, 0);
     to->word.draining = to->draining;
     if (to->slots == 0) {
         Jsn_Find(&o, Str_LIT("slots"), Str_LIT("missing"),
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -221,12 +221,13 @@
 static void
 init_rlog(Control *control, Instant now)
 {
-    RlogSettings settings = {control->disk.identity,
-                             control->settings->address, ELECTION, HEARTBEAT,
-                             LOG_MAX,
-                             control->settings->seed_count
-                                 ? control->settings->voters_max
-                                 : 0};
+    RlogSettings settings = {
+        control->disk.identity,
+        control->settings->address,
+        ELECTION,
+        HEARTBEAT,
+        LOG_MAX,
+        control->settings->seed_count ? control->settings->voters_max : 0};
     RlogOut out = {
         .context = control,
         .send = on_send,
--- a/src/process/control_serve.c
+++ b/src/process/control_serve.c
@@ -142,8 +142,7 @@
 }
 
 static void
-fill_presets(const Control *control, const PresetsAskMsg *ask,
-             PresetsMsg *msg)
+fill_presets(const Control *control, const PresetsAskMsg *ask, PresetsMsg *msg)
 {
     const Cfg *cfg = &control->cfg;
     const CfgPreset *in_force = Cfg_InForce(cfg);
@@ -246,8 +245,8 @@
     }
     keep_watcher(control, ask.node, origin, now);
     msg.current = Ctl_IsCurrent(control, now);
-    msg.linked = msg.current ||
-                 (control->open && Rlog_IsLinked(&control->rlog, now));
+    msg.linked =
+        msg.current || (control->open && Rlog_IsLinked(&control->rlog, now));
     msg.leader = Ctl_Leader(control);
     msg.version = known_version(control);
     if (ask.wanted && in_force &&
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -57,8 +57,8 @@
                               : settings->header_bytes_max,
         .body_bytes_max = callers->body_bytes_max ? callers->body_bytes_max
                                                   : settings->body_bytes_max,
-        .head_wait =
-            callers->header_wait ? callers->header_wait : settings->header_wait,
+        .head_wait = callers->header_wait ? callers->header_wait
+                                          : settings->header_wait,
         .idle_wait =
             callers->idle_wait ? callers->idle_wait : settings->callers_idle,
     };
--- a/src/process/policy.c
+++ b/src/process/policy.c
@@ -159,8 +159,9 @@
 
     Plc_Weigh(row, now);
     failing = row->failures / (row->outcomes + FAILURE_PRIOR);
-    return service * pace_of(row, now) * (1 + wait(load)) * slowness_of(row, service + way) + way +
-           failing * FAILURE_US;
+    return service * pace_of(row, now) * (1 + wait(load)) *
+               slowness_of(row, service + way) +
+           way + failing * FAILURE_US;
 }
 
 static PlcRow *
--- a/src/process/reload.c
+++ b/src/process/reload.c
@@ -17,7 +17,8 @@
     if (stat(StrBuf_CStr(&reload->file), &info)) {
         return false;
     }
-    changed_ns = (int64_t)info.st_mtim.tv_sec * NS_PER_S + info.st_mtim.tv_nsec;
+    changed_ns =
+        (int64_t)info.st_mtim.tv_sec * NS_PER_S + info.st_mtim.tv_nsec;
     differs =
         changed_ns != reload->changed_ns || info.st_size != reload->bytes;
     reload->changed_ns = changed_ns;
@@ -40,8 +41,8 @@
     size_t seeds = 0;
 
     for (size_t i = 0; i < fresh->seed_count; i++) {
-        seeds += Rps_Find(&node->replicas, fresh->seeds[i]) ==
-                 Set_REPLICAS_MAX;
+        seeds +=
+            Rps_Find(&node->replicas, fresh->seeds[i]) == Set_REPLICAS_MAX;
         Rps_Add(&node->replicas, fresh->seeds[i]);
     }
     settings->log_level = fresh->log_level;
--- a/src/process/replicaset.c
+++ b/src/process/replicaset.c
@@ -26,8 +26,8 @@
     const Settings *settings = set->settings;
     size_t found = Rps_Find(set, Addr_NONE);
 
-    for (size_t i = 0; i < settings->replica_count && found == Set_REPLICAS_MAX;
-         i++) {
+    for (size_t i = 0;
+         i < settings->replica_count && found == Set_REPLICAS_MAX; i++) {
         if (!set->live[i] && settings->replicas[i] != settings->address) {
             found = i;
         }
--- a/src/process/setnames.c
+++ b/src/process/setnames.c
@@ -19,8 +19,8 @@
               object->findings);
     read_name(&o, Str_LIT("request_id"), Str_LIT("X-Request-Id"),
               &names->request_id);
-    read_name(&o, Str_LIT("deadline_ms"),
-              Str_LIT("X-Lycheeridge-Deadline-Ms"), &names->deadline);
+    read_name(&o, Str_LIT("deadline_ms"), Str_LIT("X-Lycheeridge-Deadline-Ms"),
+              &names->deadline);
     read_name(&o, Str_LIT("outcome"), Str_LIT("X-Lycheeridge-Outcome"),
               &names->outcome);
     read_name(&o, Str_LIT("expect_instance"), (Str){0}, &names->expect);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -54,16 +54,16 @@
     uint16_t region;
     SetDomain *domains; /* the fleet's, the same list on every node */
     size_t domain_count;
-    Addr ready;      /* HTTP, answers whether callers are taken; or none */
-    Addr backend;    /* that alone may be announced here; or none: any port */
+    Addr ready;   /* HTTP, answers whether callers are taken; or none */
+    Addr backend; /* that alone may be announced here; or none: any port */
     SetNames names;
     Addr *replicas; /* control replicas, the same list on every node; with
                        seeds: those known, Addr_NONE where none is */
     size_t replica_count;
     Addr *seeds; /* control replicas to begin with, perhaps not there now */
     size_t seed_count;
-    bool found;           /* with seeds: they may begin the fleet's history */
-    uint32_t voters_max;  /* with seeds: control replicas that vote */
+    bool found;          /* with seeds: they may begin the fleet's history */
+    uint32_t voters_max; /* with seeds: control replicas that vote */
     SetRoute *routes;
     size_t route_count;
     bool control;        /* carries the control replica role */
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -48,20 +48,19 @@
 {
     static const char *const outcomes[] = {"answered", "not_run", "unknown",
                                            "cut", "ran"};
-    static const char *const whys[] = {
-        "-",        "no_route", "nobody",  "full",   "late",
-        "key",      "mismatch", "suspect", "version"};
+    static const char *const whys[] = {"-",        "no_route", "nobody",
+                                       "full",     "late",     "key",
+                                       "mismatch", "suspect",  "version"};
     Instant now = Loop_Now();
 
-    Lgr_Log(call->hub->logger,
-            outcome == Call_ANSWERED ? Lgr_DEBUG : Lgr_INFO,
+    Lgr_Log(call->hub->logger, outcome == Call_ANSWERED ? Lgr_DEBUG : Lgr_INFO,
             Str_LIT("call_ended"),
             "request=%.*s route=%.*s service=%.*s outcome=%s why=%s "
             "attempts=%u asked=%u took_us=%lld sent_us=%lld left_us=%lld "
             "slack_us=%lld version=%llu.%llu",
-            Str_ARG(call->request.request_id),
-            Str_ARG(call->route->route), Str_ARG(call->service->name),
-            outcomes[outcome], whys[why], call->retry.attempts, call->asked,
+            Str_ARG(call->request.request_id), Str_ARG(call->route->route),
+            Str_ARG(call->service->name), outcomes[outcome], whys[why],
+            call->retry.attempts, call->asked,
             (long long)(now - call->began_at),
             call->sent_at ? (long long)(call->sent_at - call->began_at) : -1LL,
             (long long)(call->deadline - now),
@@ -176,8 +175,8 @@
 bool
 Call_IsRepeatable(const CallHub *hub, Str host, Str method, Str target)
 {
-    const PstRoute *route = Pst_FindRoute(&hub->in_force->preset, host, method,
-                                          path_of(target));
+    const PstRoute *route =
+        Pst_FindRoute(&hub->in_force->preset, host, method, path_of(target));
 
     return route && route->idempotent;
 }
@@ -204,7 +203,8 @@
 
     if (objective && !call->route->key_header.len) {
         call->slack_until = now + objective - Usl_Get(usual, route, Usl_MOST);
-        call->last_start = call->deadline - Usl_Get(usual, route, Usl_NEARLY_ALL);
+        call->last_start =
+            call->deadline - Usl_Get(usual, route, Usl_NEARLY_ALL);
         if (call->nested) {
             call->slack_until = call->last_start;
         }
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -184,8 +184,7 @@
         Call_EndAttempt(attempt, Plc_REFUSED, now);
         Call_GiveUpNotRun(call, Call_WHY_SUSPECT, now);
     }
-    else if (may_pass(msg.reason) && !call->keyed &&
-             call->route->objective) {
+    else if (may_pass(msg.reason) && !call->keyed && call->route->objective) {
         if (msg.reason == Refusal_FULL || msg.reason == Refusal_LATE) {
             Plc_OnFull(&call->service->placement, origin->peer, now);
         }
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -50,18 +50,18 @@
     bool doubt;      /* an attempt of it may have run */
     uint64_t digest; /* of the request, within its service */
     /* Waiting for a backend server that is quick and has room. */
-    Instant slack_until; /* a start until then makes the objective */
-    Instant last_start;  /* a start until then makes the deadline */
-    Instant park_until;  /* the next try; 0: it does not wait */
-    bool nested;         /* it comes from inside a run */
-    bool hopeless;       /* it could not end in time wherever it ran */
+    Instant slack_until;         /* a start until then makes the objective */
+    Instant last_start;          /* a start until then makes the deadline */
+    Instant park_until;          /* the next try; 0: it does not wait */
+    bool nested;                 /* it comes from inside a run */
+    bool hopeless;               /* it could not end in time wherever it ran */
     Addr refused[Rty_TRIED_MAX]; /* asked since, and nothing reached their
                                     backend server */
     uint32_t refused_count;
     uint32_t asked; /* attempts sent, also those turned back */
-    bool met_slow;       /* one of this region turned it back as slow */
-    bool went_away;      /* another region was asked */
-    Span park;           /* between two tries once it is late */
+    bool met_slow;  /* one of this region turned it back as slow */
+    bool went_away; /* another region was asked */
+    Span park;      /* between two tries once it is late */
 };
 
 /* Choose a node and an id for the next attempt; false, with the reason in the
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -328,9 +328,9 @@
     if (verdict.status) {
         refuse(exchange, verdict.status, verdict.text);
     }
-    else if (!read_deadline(Field_Get(&request->fields,
-                                      name_of(&list->names->deadline)),
-                            &deadline)) {
+    else if (!read_deadline(
+                 Field_Get(&request->fields, name_of(&list->names->deadline)),
+                 &deadline)) {
         refuse(exchange, 400, Str_LIT("deadline: 1 to 3600000 ms\n"));
     }
     else {
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -400,8 +400,8 @@
 {
     RunHub *hub = run->hub;
 
-    if (!hub->admission->present ||
-        !Adm_IsStale(hub->admission, now) || !Pls_Ask(&hub->pulse, now)) {
+    if (!hub->admission->present || !Adm_IsStale(hub->admission, now) ||
+        !Pls_Ask(&hub->pulse, now)) {
         return false;
     }
     run->asks = true;
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -38,7 +38,7 @@
     Run *first; /* oldest first */
     Run *last;
     size_t count;
-    size_t asking;      /* that wait for the backend server's word */
+    size_t asking; /* that wait for the backend server's word */
     Pulse pulse;
     Knock knock;        /* after an exchange was cut */
     Instant told_by;    /* what was cut is settled then at the latest */
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -18,10 +18,10 @@
     bool nested;
     bool late;
     Span slack;
-    bool asks;        /* not decided: the backend server's word is awaited */
+    bool asks; /* not decided: the backend server's word is awaited */
     Instant asked_at;
     Instant wait_until; /* for a slot */
-    uint32_t pace;    /* when it started; 0: not known */
+    uint32_t pace;      /* when it started; 0: not known */
     bool idempotent;
     bool keyed;
     bool crosses;  /* its answer goes to another region */
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -267,7 +267,7 @@
         }
     }
     else if (first->outcome != Cfg_REFUSED &&
-        Cfg_CompareVersions(first->base, cfg->forgotten) > 0) {
+             Cfg_CompareVersions(first->base, cfg->forgotten) > 0) {
         cfg->forgotten = first->base;
     }
     cfg->record_first = (cfg->record_first + 1) % Cfg_RECORDS_MAX;
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -19,7 +19,7 @@
 enum {
     Cfg_PRESETS_MAX = 16,
     Cfg_JSON_MAX = 512 * 1024, /* bytes of one preset, or of a change */
-    Cfg_NAME_MAX = 64,        /* bytes of a change's id or a preset's name */
+    Cfg_NAME_MAX = 64,         /* bytes of a change's id or a preset's name */
     Cfg_RECORDS_MAX = 1024
 };
 
@@ -101,10 +101,10 @@
     uint32_t preset_count;
     int32_t in_force; /* number in presets; -1: nothing agreed on yet */
     CfgVersion version;
-    uint64_t revision;    /* of the routing in force; 0: none */
-    CfgVersion forgotten; /* highest base of what was dropped */
+    uint64_t revision;           /* of the routing in force; 0: none */
+    CfgVersion forgotten;        /* highest base of what was dropped */
     uint64_t forgotten_revision; /* the same of revisions */
-    CfgRecord *records;   /* a ring */
+    CfgRecord *records;          /* a ring */
     uint32_t record_count;
     uint32_t record_first;
 } Cfg;
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -18,8 +18,8 @@
 
 /* How calls of one route are treated. */
 typedef struct {
-    StrBuf service;    /* of the first part, when there are any */
-    PstPart *parts;    /* none: all calls go to the service */
+    StrBuf service; /* of the first part, when there are any */
+    PstPart *parts; /* none: all calls go to the service */
     size_t part_count;
     uint32_t *turn;    /* calls split so far, counted by who splits */
     StrBuf route;      /* name, unique within the service */
--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -354,8 +354,7 @@
 bool
 Rlog_IsLinked(const Rlog *rlog, Instant now)
 {
-    return rlog->leader != 0 &&
-           now - rlog->heard_at < rlog->settings.election;
+    return rlog->leader != 0 && now - rlog->heard_at < rlog->settings.election;
 }
 
 bool
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -114,9 +114,9 @@
 typedef struct {
     uint64_t identity;
     Addr addr;
-    Span election;    /* timeout, at least; drawn up to half more */
-    Span heartbeat;   /* between appends of a leader */
-    uint32_t log_max; /* entries kept before a snapshot is taken */
+    Span election;       /* timeout, at least; drawn up to half more */
+    Span heartbeat;      /* between appends of a leader */
+    uint32_t log_max;    /* entries kept before a snapshot is taken */
     uint32_t voters_max; /* a learner votes only in the place of a voter that
                             is silent beyond these; 0: no bound */
 } RlogSettings;
@@ -135,7 +135,8 @@
     uint64_t match; /* known to be the same up to here */
     Instant acked;  /* send time of the latest append it answered; 0: none */
     Instant snapshot_at;
-    Instant here_at; /* last sign that it runs, other than an answer; 0: none */
+    Instant
+        here_at; /* last sign that it runs, other than an answer; 0: none */
 } RlogProgress;
 
 typedef struct {
--- a/src/version/rlog_replicas.c
+++ b/src/version/rlog_replicas.c
@@ -157,10 +157,9 @@
         if (identity == rlog->settings.identity) {
             continue;
         }
-        kept[count] =
-            old ? *old
-                : (RlogProgress){.identity = identity,
-                                 .next = Rlog_LastIndex(rlog) + 1};
+        kept[count] = old ? *old
+                          : (RlogProgress){.identity = identity,
+                                           .next = Rlog_LastIndex(rlog) + 1};
         count++;
     }
     for (uint32_t i = 0; i < count; i++) {
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -72,8 +72,7 @@
     StrBuf kind = {0};
 
     Jsn_GetStr(o, Str_LIT("kind"), true, &kind);
-    route->idempotent =
-        Str_Equal(StrBuf_View(&kind), Str_LIT("idempotent"));
+    route->idempotent = Str_Equal(StrBuf_View(&kind), Str_LIT("idempotent"));
     if (kind.len && !route->idempotent &&
         !Str_Equal(StrBuf_View(&kind), Str_LIT("non_idempotent"))) {
         Jsn_Find(o, Str_LIT("kind"), Str_LIT("no such kind"),
@@ -105,12 +104,12 @@
     }
     route->deadline = Span_MS(Jsn_GetInt(&o, Str_LIT("deadline_ms"), 1,
                                          TEN_MINUTES_MS, TEN_MINUTES_MS));
-    route->objective = Span_MS(
-        Jsn_GetInt(&o, Str_LIT("objective_ms"), 0, TEN_MINUTES_MS, 0));
-    route->priority = (uint32_t)Jsn_GetInt(&o, Str_LIT("priority"), 0,
-                                           PRIORITY_MAX, 0);
-    route->attempts_max = (uint32_t)Jsn_GetInt(&o, Str_LIT("attempts_max"), 1,
-                                               ATTEMPTS_MAX, 1);
+    route->objective =
+        Span_MS(Jsn_GetInt(&o, Str_LIT("objective_ms"), 0, TEN_MINUTES_MS, 0));
+    route->priority =
+        (uint32_t)Jsn_GetInt(&o, Str_LIT("priority"), 0, PRIORITY_MAX, 0);
+    route->attempts_max =
+        (uint32_t)Jsn_GetInt(&o, Str_LIT("attempts_max"), 1, ATTEMPTS_MAX, 1);
     route->interactive = true;
     Jsn_LeaveOpen(&o);
 }
@@ -124,8 +123,8 @@
     Jsn_Enter(&o, value, place, findings);
     Jsn_GetStr(&o, Str_LIT("name"), true, &service->name);
     Jsn_GetStr(&o, Str_LIT("health_path"), false, &service->health_path);
-    service->connections_max = (uint32_t)Jsn_GetInt(
-        &o, Str_LIT("connections_max"), 0, INT32_MAX, 0);
+    service->connections_max =
+        (uint32_t)Jsn_GetInt(&o, Str_LIT("connections_max"), 0, INT32_MAX, 0);
     Jsn_LeaveOpen(&o);
 }
 
@@ -138,12 +137,12 @@
         return;
     }
     Jsn_Enter(&o, value, Str_LIT("/limits"), findings);
-    callers->header_bytes_max = (uint32_t)Jsn_GetInt(
-        &o, Str_LIT("header_bytes_max"), 0, BYTES_MAX, 0);
-    callers->body_bytes_max = (uint32_t)Jsn_GetInt(
-        &o, Str_LIT("body_bytes_max"), 0, BYTES_MAX, 0);
-    callers->header_wait = Span_MS(
-        Jsn_GetInt(&o, Str_LIT("header_ms"), 0, TEN_MINUTES_MS, 0));
+    callers->header_bytes_max =
+        (uint32_t)Jsn_GetInt(&o, Str_LIT("header_bytes_max"), 0, BYTES_MAX, 0);
+    callers->body_bytes_max =
+        (uint32_t)Jsn_GetInt(&o, Str_LIT("body_bytes_max"), 0, BYTES_MAX, 0);
+    callers->header_wait =
+        Span_MS(Jsn_GetInt(&o, Str_LIT("header_ms"), 0, TEN_MINUTES_MS, 0));
     callers->idle_wait =
         Span_MS(Jsn_GetInt(&o, Str_LIT("idle_ms"), 0, TEN_MINUTES_MS, 0));
     Jsn_LeaveOpen(&o);
@@ -155,8 +154,8 @@
     size_t before = preset->route_count;
     size_t count = json_array_size(array);
 
-    preset->routes = Mem_Resize(preset->routes, before + count,
-                                sizeof *preset->routes);
+    preset->routes =
+        Mem_Resize(preset->routes, before + count, sizeof *preset->routes);
     for (size_t i = 0; i < count; i++) {
         StrBuf place = {0};
         PstRoute *route = &preset->routes[before + i];
@@ -228,8 +227,9 @@
         Str name = name_of(item);
         if (name.len == 0 || name.len > NAME_BYTES_MAX ||
             json_object_getn(seen, name.ptr, name.len)) {
-            Fnd_Add(findings, place, Str_LIT("a name that is no name, or "
-                                             "stands twice"),
+            Fnd_Add(findings, place,
+                    Str_LIT("a name that is no name, or "
+                            "stands twice"),
                     Str_LIT("names of 1 to 256 bytes that differ"));
             break;
         }
@@ -249,8 +249,8 @@
         return;
     }
     Jsn_Enter(&o, routing, Str_LIT("/routing"), findings);
-    preset->revision = (uint64_t)Jsn_GetInt(&o, Str_LIT("revision"), 1,
-                                            INT64_MAX, 0);
+    preset->revision =
+        (uint64_t)Jsn_GetInt(&o, Str_LIT("revision"), 1, INT64_MAX, 0);
     if (o.object && !preset->revision) {
         Jsn_Find(&o, Str_LIT("revision"), Str_LIT("missing"),
                  Str_LIT("a number above that of the one in force"));
@@ -413,8 +413,7 @@
 {
     json_t *preset = load(preset_json);
     json_t *routing = Jsn_Load(sent, findings);
-    bool good =
-        preset && routing && revise(preset, routing, patch, findings);
+    bool good = preset && routing && revise(preset, routing, patch, findings);
     char *text = good ? json_dumps(preset, JSON_COMPACT) : NULL;
 
     if (text) {
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -7,7 +7,8 @@
  * It is a part of the preset in force: to revise it makes a new version of
  * that preset.  A revision is sent whole, or as changes to named items:
  *
- *     {"revision": 9, "upsert": {"routes": [...]}, "remove": {"routes": [...]}}
+ *     {"revision": 9, "upsert": {"routes": [...]}, "remove": {"routes":
+ * [...]}}
  *
  * Members that this program does not know are kept and given back.
  */
--- /dev/null
+++ b/tests/integration/test_platform.c
@@ -0,0 +1,332 @@
+/* A node with header fields of another platform's names: requests sent behind
+ * one another, what is added to a request, routing over HTTP, readiness, and
+ * settings that are read again.  All names come from the settings.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+#define HOST "Host: barns\r\n"
+#define SLOW "X-Fake-Time-Us: 300000\r\n"
+
+enum { SUBNET = 73, CALLERS = 8000, OPERATORS = 8100, READY = 8200 };
+
+static Str build;
+
+static void
+start_fleet(Fleet *fleet)
+{
+    StrBuf extra = {0};
+
+    Fleet_Init(fleet, build, SUBNET, 1, 1);
+    StrBuf_AppendFmt(&extra,
+                     "\"ready\":\"%.*s:%d\",\"operators_open\":true,"
+                     "\"stop_notice_ms\":300,\"header_fields\":{"
+                     "\"request_id\":\"Lot-Id\",\"deadline_ms\":\"Wait-Ms\","
+                     "\"outcome\":\"\",\"origin_service\":\"From-Service\","
+                     "\"origin_value\":\"visor\"}",
+                     Str_ARG(fleet->vms[0].ip), READY);
+    Fleet_SetExtra(fleet, StrBuf_View(&extra));
+    StrBuf_Finish(&extra);
+    Fleet_StartNode(fleet, 0);
+    Fleet_StartBackend(fleet, 0, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+}
+
+static bool
+contains(Str text, Str part)
+{
+    return part.len == 0 ||
+           memmem(text.ptr, text.len, part.ptr, part.len) != NULL;
+}
+
+/* Send REQUEST to PORT, and read until WAIT passes without a word. */
+static void
+ask(Fleet *fleet, int port, Str request, Span wait, StrBuf *answer)
+{
+    int fd = Fleet_RawOpen(fleet, 0, port);
+
+    StrBuf_Clear(answer);
+    ck_assert_int_ge(fd, 0);
+    Fleet_RawSend(fd, request);
+    Fleet_RawRead(fd, wait, answer);
+    Fleet_RawClose(fd);
+}
+
+typedef struct {
+    const char *name;
+    Str request;
+    Span wait;       /* for the first word, and between two */
+    Str expected[3]; /* in this order */
+    Str absent;
+} CallerCase;
+
+static const CallerCase callers[] = {
+    {"three behind one another run together",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST SLOW "Lot-Id: one\r\n\r\n"
+             "GET /visor/a HTTP/1.1\r\n" HOST SLOW "Lot-Id: two\r\n\r\n"
+             "GET /visor/a HTTP/1.1\r\n" HOST SLOW "Lot-Id: three\r\n\r\n"),
+     Span_MS(550),
+     {Str_LIT("Lot-Id: one\r\n"), Str_LIT("Lot-Id: two\r\n"),
+      Str_LIT("Lot-Id: three\r\n")},
+     {0}},
+    {"a quick one waits for its turn",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST SLOW "Lot-Id: one\r\n\r\n"
+             "GET /visor/a HTTP/1.1\r\n" HOST "Lot-Id: two\r\n\r\n"),
+     Span_MS(550),
+     {Str_LIT("Lot-Id: one\r\n"), Str_LIT("Lot-Id: two\r\n")},
+     {0}},
+    {"none after one that is refused as it is read",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST SLOW "Lot-Id: one\r\n\r\n"
+             "BREW /visor/a HTTP/1.1\r\n" HOST "\r\n"
+             "GET /visor/a HTTP/1.1\r\n" HOST "Lot-Id: two\r\n\r\n"),
+     Span_MS(550),
+     {Str_LIT("Lot-Id: one\r\n"), Str_LIT("HTTP/1.1 501 ")},
+     Str_LIT("Lot-Id: two\r\n")},
+    {"the id comes back",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "Lot-Id: lot-7\r\n\r\n"),
+     Span_MS(400),
+     {Str_LIT("HTTP/1.1 200 OK\r\n"), Str_LIT("Lot-Id: lot-7\r\n")},
+     Str_LIT("Outcome")},
+    {"a false origin is replaced",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "From-Service: despachos\r\n"
+             "X-Fake-Show: From-Service\r\n\r\n"),
+     Span_MS(400),
+     {Str_LIT("From-Service=visor\n")},
+     Str_LIT("despachos")},
+    {"what is left goes on",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "Wait-Ms: 950\r\n"
+             "X-Fake-Show: Wait-Ms\r\n\r\n"),
+     Span_MS(400),
+     {Str_LIT("Wait-Ms=9")},
+     {0}},
+    {"bad time to wait",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST "Wait-Ms: -1\r\n\r\n"),
+     Span_MS(400),
+     {Str_LIT("HTTP/1.1 400 ")},
+     Str_LIT("answer to")},
+    {"a body in chunks",
+     Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST "X-Fake-Echo: 1\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n4\r\nbarn\r\n0\r\n\r\n"),
+     Span_MS(400),
+     {Str_LIT("barn")},
+     {0}},
+};
+
+START_TEST(callers_are_served)
+{
+    const CallerCase *c = &callers[_i];
+    Fleet fleet;
+    StrBuf answer = {0};
+    Str rest;
+
+    start_fleet(&fleet);
+    ask(&fleet, CALLERS, c->request, c->wait, &answer);
+    rest = StrBuf_View(&answer);
+    for (int i = 0; i < 3 && c->expected[i].len; i++) {
+        const char *at = rest.ptr
+                             ? memmem(rest.ptr, rest.len, c->expected[i].ptr,
+                                      c->expected[i].len)
+                             : NULL;
+        ck_assert_msg(at != NULL, "%s: no \"%.*s\" in its place in %.*s",
+                      c->name, Str_ARG(c->expected[i]), Str_ARG(answer));
+        rest = Str_Slice(rest, (size_t)(at - rest.ptr) + c->expected[i].len,
+                         rest.len);
+    }
+    ck_assert_msg(!c->absent.len || !contains(StrBuf_View(&answer), c->absent),
+                  "%s: %.*s", c->name, Str_ARG(answer));
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+#define ROUTING(revision)                                                     \
+    "{\"revision\":" revision ",\"routes\":[{\"name\":\"a\","                 \
+    "\"host\":\"barns\",\"path\":\"/routed/\",\"kind\":\"idempotent\","       \
+    "\"service\":\"visor\",\"priority\":1}],"                                 \
+    "\"services\":[{\"name\":\"visor\",\"note\":\"kept\"}]}"
+
+typedef struct {
+    const char *path;
+    const char *base; /* NULL: no If-Match */
+    const char *body;
+    Str status;
+    Str fragment;
+} OperatorStep;
+
+/* One after the other at one node. */
+static const OperatorStep steps[] = {
+    {"/v1/routing/read", NULL, "", Str_LIT(" 503 "), {0}},
+    {"/v1/routing/put", NULL, ROUTING("2"), Str_LIT(" 400 "), {0}},
+    {"/v1/routing/put", "0", "{\"revision\":2,\"rou", Str_LIT(" 400 "), {0}},
+    {"/v1/routing/put", "0", ROUTING("2"), Str_LIT(" 200 "),
+     Str_LIT("accepted")},
+    {"/v1/routing/put", "0", ROUTING("2"), Str_LIT(" 200 "),
+     Str_LIT("\"again\":true")},
+    {"/v1/routing/put", "0", ROUTING("3"), Str_LIT(" 412 "), {0}},
+    {"/v1/routing/put", "2", ROUTING("1"), Str_LIT(" 400 "),
+     Str_LIT("not above")},
+    {"/v1/routing/patch", "2",
+     "{\"revision\":4,\"upsert\":{\"routes\":[{\"name\":\"b\"}]}}",
+     Str_LIT(" 400 "), Str_LIT("missing")},
+    {"/v1/routing/patch", "2", "{\"revision\":4}", Str_LIT(" 200 "), {0}},
+    {"/v1/routing/read", NULL, "", Str_LIT(" 200 "),
+     Str_LIT("\"note\":\"kept\"")},
+    {"/v1/routing/read", NULL, "", Str_LIT(" 200 "),
+     Str_LIT("\"revision\":4")},
+};
+
+static void
+put_operators_request(const OperatorStep *step, StrBuf *out)
+{
+    StrBuf_Clear(out);
+    StrBuf_AppendFmt(out, "POST %s HTTP/1.1\r\n" HOST, step->path);
+    if (step->base) {
+        StrBuf_AppendFmt(out, "If-Match: %s\r\n", step->base);
+    }
+    StrBuf_AppendFmt(out, "Content-Length: %zu\r\n\r\n%s", strlen(step->body),
+                     step->body);
+}
+
+START_TEST(operators_send_routing)
+{
+    Fleet fleet;
+    StrBuf request = {0};
+    StrBuf answer = {0};
+
+    start_fleet(&fleet);
+    for (int i = 0; i < ROWS(steps); i++) {
+        const OperatorStep *step = &steps[i];
+        put_operators_request(step, &request);
+        ask(&fleet, OPERATORS, StrBuf_View(&request), Span_MS(300), &answer);
+        ck_assert_msg(contains(StrBuf_View(&answer), step->status) &&
+                          contains(StrBuf_View(&answer), step->fragment),
+                      "step %d: %.*s", i, Str_ARG(answer));
+    }
+    ask(&fleet, CALLERS,
+        Str_LIT("GET /routed/a HTTP/1.1\r\n" HOST "Lot-Id: one\r\n\r\n"),
+        Span_MS(400), &answer);
+    ck_assert_msg(contains(StrBuf_View(&answer), Str_LIT("Lot-Id: one\r\n")),
+                  "%.*s", Str_ARG(answer));
+    ask(&fleet, CALLERS,
+        Str_LIT("GET /routed/a HTTP/1.1\r\nHost: other\r\n\r\n"), Span_MS(400),
+        &answer);
+    ck_assert(contains(StrBuf_View(&answer), Str_LIT(" 404 ")));
+    StrBuf_Finish(&request);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+static bool
+is_ready(Fleet *fleet)
+{
+    StrBuf answer = {0};
+    bool ready;
+
+    ask(fleet, READY, Str_LIT("GET /v1/ready HTTP/1.1\r\n" HOST "\r\n"),
+        Span_MS(100), &answer);
+    ready = contains(StrBuf_View(&answer), Str_LIT(" 200 "));
+    StrBuf_Finish(&answer);
+    return ready;
+}
+
+/* A stop is told first; callers are taken for a while, and nothing is cut. */
+START_TEST(stops_with_notice)
+{
+    Fleet fleet;
+    StrBuf answer = {0};
+    int fd;
+    int status = 0;
+
+    start_fleet(&fleet);
+    ck_assert(is_ready(&fleet));
+    fd = Fleet_RawOpen(&fleet, 0, CALLERS);
+    Fleet_RawSend(fd, Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST SLOW
+                              "Lot-Id: one\r\n\r\n"));
+    Fleet_Sleep(Span_MS(100));
+    kill(fleet.vms[0].node, SIGTERM);
+    Fleet_Sleep(Span_MS(50));
+    ck_assert(!is_ready(&fleet));
+    Fleet_RawRead(fd, Span_MS(600), &answer);
+    ck_assert_msg(contains(StrBuf_View(&answer), Str_LIT("Lot-Id: one\r\n")),
+                  "%.*s", Str_ARG(answer));
+    Fleet_RawClose(fd);
+    ck_assert_int_eq(waitpid(fleet.vms[0].node, &status, 0),
+                     fleet.vms[0].node);
+    fleet.vms[0].node = 0;
+    ck_assert_int_eq(status, 0);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    bool signal; /* else the file alone changes */
+    const char *edit;
+    const char *line; /* in the log */
+} ReloadCase;
+
+static const ReloadCase reloads[] = {
+    {"signal", true, NULL, "settings_read"},
+    {"changed file", false, "s/vm0/vm00/", "settings_read"},
+    {"unsound file", true, "s/name/nam/", "settings_refused"},
+};
+
+/* True when LINE stands in the node's log within five seconds. */
+static bool
+is_logged(const Fleet *fleet, const char *line)
+{
+    StrBuf command = {0};
+    bool found = false;
+
+    StrBuf_AppendFmt(&command, "grep -q %s %.*s/node0.json.log", line,
+                     Str_ARG(fleet->folder));
+    for (int i = 0; i < 50 && !found; i++) {
+        found = system(StrBuf_CStr(&command)) == 0;
+        Fleet_Sleep(Span_MS(100));
+    }
+    StrBuf_Finish(&command);
+    return found;
+}
+
+START_TEST(reads_settings_again)
+{
+    const ReloadCase *c = &reloads[_i];
+    Fleet fleet;
+    StrBuf command = {0};
+
+    start_fleet(&fleet);
+    if (c->edit) {
+        StrBuf_AppendFmt(&command, "sed -i %s %.*s/node0.json", c->edit,
+                         Str_ARG(fleet.folder));
+        ck_assert_int_eq(system(StrBuf_CStr(&command)), 0);
+    }
+    if (c->signal) {
+        kill(fleet.vms[0].node, SIGHUP);
+    }
+    ck_assert_msg(is_logged(&fleet, c->line), "%s", c->name);
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/ready"), Span_S(2)));
+    StrBuf_Finish(&command);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{callers_are_served, ROWS(callers)},
+                               {operators_send_routing, 1},
+                               {stops_with_notice, 1},
+                               {reads_settings_again, ROWS(reloads)}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("platform", tests, 4, 60);
+}
--- a/tests/support/rlogworld.c
+++ b/tests/support/rlogworld.c
@@ -277,8 +277,9 @@
 World_Start(World *world, int number)
 {
     WorldReplica *replica = &world->replicas[number];
-    RlogSettings settings = {replica->identity, replica->addr, ELECTION,
-                             HEARTBEAT, LOG_MAX, world->voters_max};
+    RlogSettings settings = {replica->identity, replica->addr,
+                             ELECTION,          HEARTBEAT,
+                             LOG_MAX,           world->voters_max};
     RlogOut out = {
         replica,       on_send,           on_store_vote, on_store_entries,
         on_truncate,   on_store_snapshot, on_commit,     on_save_state,
--- a/tests/support/rlogworld.h
+++ b/tests/support/rlogworld.h
@@ -58,7 +58,7 @@
     WorldMessage *queue;
     StrBuf longest; /* what was ever committed */
     uint64_t leaders[World_TERMS];
-    int broken; /* times a check failed */
+    int broken;          /* times a check failed */
     uint32_t voters_max; /* as in RlogSettings; 0: no bound */
 };
 
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -12,9 +12,9 @@
 
 typedef struct {
     const char *name;
-    uint32_t pace;       /* said just now; 0: never */
+    uint32_t pace;        /* said just now; 0: never */
     uint32_t pace_before; /* said for five seconds before; 0: nothing */
-    Span age;            /* of the last word */
+    Span age;             /* of the last word */
     uint32_t running;
     uint32_t queued;
     AdmAsk ask;
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -44,8 +44,8 @@
      7, 1},
     {"path without a slash",
      "{\"revision\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
-     "\"path\":\"a/\",\"kind\":\"idempotent\",\"service\":\"visor\"}],"
-     SERVICES "}",
+     "\"path\":\"a/"
+     "\",\"kind\":\"idempotent\",\"service\":\"visor\"}]," SERVICES "}",
      false, "not a path", 0, 0},
     {"no such kind",
      "{\"revision\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
@@ -145,8 +145,7 @@
                           Str_FromC(c->path));
     ck_assert((route != NULL) == (c->route != NULL));
     if (route) {
-        ck_assert(
-            Str_Equal(StrBuf_View(&route->route), Str_FromC(c->route)));
+        ck_assert(Str_Equal(StrBuf_View(&route->route), Str_FromC(c->route)));
     }
     Pst_Finish(&preset);
     Fnd_Finish(&findings);
@@ -164,8 +163,7 @@
     load_preset(&json);
     routing = Rtg_Get(StrBuf_View(&json));
     book = json_array_get(json_object_get(routing, "routes"), 1);
-    ck_assert_str_eq(json_string_value(json_object_get(book, "note")),
-                     "kept");
+    ck_assert_str_eq(json_string_value(json_object_get(book, "note")), "kept");
     json_decref(routing);
     StrBuf_Finish(&json);
 }
--- a/tests/unit/test_seats.c
+++ b/tests/unit/test_seats.c
@@ -25,26 +25,47 @@
 } SeatCase;
 
 static const SeatCase cases[] = {
-    {"a disk is lost",
-     {{LOSE_DISK, 1}, {START_AGAIN, 1}, {RUN, 5}}, 3, 5, 5},
+    {"a disk is lost", {{LOSE_DISK, 1}, {START_AGAIN, 1}, {RUN, 5}}, 3, 5, 5},
     {"two disks are lost at once",
-     {{LOSE_DISK, 1}, {LOSE_DISK, 2}, {START_AGAIN, 1}, {START_AGAIN, 2},
+     {{LOSE_DISK, 1},
+      {LOSE_DISK, 2},
+      {START_AGAIN, 1},
+      {START_AGAIN, 2},
       {RUN, 8}},
-     5, 5, 5},
+     5,
+     5,
+     5},
     {"a VM is replaced at another address",
-     {{KILL, 4}, {START_SPARE, 5}, {RUN, 8}}, 3, 5, 5},
+     {{KILL, 4}, {START_SPARE, 5}, {RUN, 8}},
+     3,
+     5,
+     5},
     {"the new VM first",
-     {{START_SPARE, 5}, {RUN, 4}, {KILL, 4}, {RUN, 8}}, 4, 5, 5},
+     {{START_SPARE, 5}, {RUN, 4}, {KILL, 4}, {RUN, 8}},
+     4,
+     5,
+     5},
     {"a disk is lost long after the election",
-     {{RUN, 60}, {LOSE_DISK, 1}, {START_AGAIN, 1}, {RUN, 5}}, 4, 5, 5},
+     {{RUN, 60}, {LOSE_DISK, 1}, {START_AGAIN, 1}, {RUN, 5}},
+     4,
+     5,
+     5},
     {"a spare one waits", {{START_SPARE, 5}, {RUN, 8}}, 2, 5, 5},
     {"a spare one says hello, and does not catch up",
-     {{RUN, 30}, {DEAFEN, 5}, {START_SPARE, 5}, {RUN, 30}}, 4, 5, 5},
+     {{RUN, 30}, {DEAFEN, 5}, {START_SPARE, 5}, {RUN, 30}},
+     4,
+     5,
+     5},
     {"one is down for a while, and nobody is in its place",
-     {{KILL, 3}, {RUN, 8}}, 2, 5, 4},
+     {{KILL, 3}, {RUN, 8}},
+     2,
+     5,
+     4},
     {"replaced, and back again",
      {{KILL, 3}, {START_SPARE, 5}, {RUN, 8}, {START_AGAIN, 3}, {RUN, 5}},
-     5, 5, 5},
+     5,
+     5,
+     5},
 };
 
 static void
@@ -114,10 +135,10 @@
     ck_assert_msg(voters == c->voters && here == c->here,
                   "%s: %u voters, %u here", c->name, voters, here);
     /* They do not come and go: a few entries of replicas for each step. */
-    ck_assert_msg(Rlog_LastIndex(&world.replicas[leader].rlog) < 16,
-                  "%s: %llu entries", c->name,
-                  (unsigned long long)Rlog_LastIndex(
-                      &world.replicas[leader].rlog));
+    ck_assert_msg(
+        Rlog_LastIndex(&world.replicas[leader].rlog) < 16, "%s: %llu entries",
+        c->name,
+        (unsigned long long)Rlog_LastIndex(&world.replicas[leader].rlog));
     ck_assert_int_eq(world.broken, 0);
     World_Finish(&world);
 }
--- a/tools/bench_server.c
+++ b/tools/bench_server.c
@@ -119,7 +119,8 @@
 
     start_queued(world, server, now);
     switch (Adm_Ask(&server->admission,
-                    &(AdmAsk){.cls = cls, .left = call->deadline - now}, now)) {
+                    &(AdmAsk){.cls = cls, .left = call->deadline - now},
+                    now)) {
     case Adm_RUN:
         start(world, number, now);
         break;
