--- a/tests/unit/test_turn.c
+++ b/tests/unit/test_turn.c
@@ -19,40 +19,40 @@
 
 typedef struct {
     const char *name;
-    bool settled;
     Step steps[STEPS];
     int count;
+    bool settled;
 } TurnCase;
 
 static const TurnCase cases[] = {
     {"answered",
-     true,
      {{0, ASK, false, true},
       {Span_MS(20), GOOD_ANSWER, false, false},
       {Span_MS(900), NOTHING, false, false},
       {Span_MS(1000), NOTHING, true, false}},
-     4},
+     4,
+     true},
     {"never answered: another one soon, anywhere",
-     true,
      {{0, ASK, false, true},
       {Span_MS(200), NOTHING, false, true},
       {Span_MS(250), NOTHING, true, true},
       {Span_MS(250), ASK, false, true},
       {Span_MS(500), NOTHING, true, true}},
-     5},
+     5,
+     true},
     {"answered by one that lost its leader",
-     true,
      {{0, ASK, false, true},
       {Span_MS(20), UNLINKED_ANSWER, false, true},
       {Span_MS(250), NOTHING, true, true},
       {Span_MS(250), ASK, false, true},
       {Span_MS(300), GOOD_ANSWER, false, false},
       {Span_MS(1249), NOTHING, false, false}},
-     6},
+     6,
+     true},
     {"not settled: at every look",
-     false,
      {{0, ASK, true, true}, {Span_MS(1), NOTHING, true, true}},
-     2},
+     2,
+     false},
 };
 
 START_TEST(asks_in_time)
