--- a/src/process/control.c
+++ b/src/process/control.c
@@ -7,8 +7,8 @@
 #include "value/mem.h"
 
 #define TICK Span_MS(20)
-#define ELECTION Span_MS(600)
-#define HEARTBEAT Span_MS(150)
+#define ELECTION Span_MS(350)
+#define HEARTBEAT Span_MS(110)
 #define OPEN_AGAIN Span_S(5)
 
 enum { LOG_MAX = 128 };
--- a/src/process/control_hello.c
+++ b/src/process/control_hello.c
@@ -1,9 +1,11 @@
 #include "connection/logmsg.h"
 #include "process/control.h"
 
-#define HELLO Span_MS(500)
+#define HELLO Span_MS(2000)
+#define HELLO_NEW Span_MS(500) /* for a while after the start */
 #define HELLO_BLANK Span_MS(100) /* while the fleet's history may begin */
-#define HELLO_EXPIRY Span_MS(2000)
+#define HELLO_EXPIRY Span_MS(7000)
+#define NEW_TIME Span_S(10)
 
 static const Str genesis_id = Str_LIT("genesis");
 
@@ -53,7 +55,12 @@
     if (now < control->hello_at) {
         return;
     }
-    control->hello_at = now + (blank ? HELLO_BLANK : HELLO);
+    if (!control->new_until) {
+        control->new_until = now + NEW_TIME;
+    }
+    control->hello_at =
+        now + (blank ? HELLO_BLANK
+                     : now < control->new_until ? HELLO_NEW : HELLO);
     for (size_t i = 0; i < settings->replica_count; i++) {
         if (settings->replicas[i] &&
             settings->replicas[i] != settings->address) {
@@ -180,7 +187,7 @@
         const CtlHello *hello = &control->hellos[i];
         if (is_heard(hello, now)) {
             Rlog_OnReplica(&control->rlog, hello->identity,
-                           settings->replicas[i], now);
+                           settings->replicas[i], hello->heard_at, now);
         }
     }
 }
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -195,9 +195,10 @@
  * is committed when the commit callback gets the same term and index. */
 uint64_t Rlog_Propose(Rlog *rlog, Str data, Instant now);
 
-/* A leader heard of IDENTITY at ADDR: it joins as a learner unless it is
- * there already. */
-void Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant now);
+/* A leader heard of IDENTITY at ADDR, the last time HEARD_AT: it joins as a
+ * learner unless it is there already. */
+void Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant heard_at,
+                    Instant now);
 
 /* A leader heard that only LISTED addresses are to carry replicas and ADDR is
  * none of them: a replica there that is silent is removed, once more vote
--- a/src/version/rlog_replicas.c
+++ b/src/version/rlog_replicas.c
@@ -227,13 +227,14 @@
 }
 
 void
-Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant now)
+Rlog_OnReplica(Rlog *rlog, uint64_t identity, Addr addr, Instant heard_at,
+               Instant now)
 {
     RlogReplicas next = rlog->replicas;
     RlogProgress *progress = Rlog_FindProgress(rlog, identity);
 
     if (progress) {
-        progress->here_at = now;
+        progress->here_at = heard_at;
     }
     if (!may_change(rlog, now) || Rlog_FindReplica(&next, identity)) {
         return;
@@ -247,7 +248,7 @@
     propose_replicas(rlog, &next, now);
     progress = Rlog_FindProgress(rlog, identity);
     if (progress) {
-        progress->here_at = now;
+        progress->here_at = heard_at;
     }
 }
 
--- a/tests/support/rlogworld.c
+++ b/tests/support/rlogworld.c
@@ -443,7 +443,7 @@
         WorldReplica *other = &world->replicas[i];
         if (other->up && !other->cut) {
             Rlog_OnReplica(&leader->rlog, other->identity, other->addr,
-                           world->now);
+                           world->now, world->now);
         }
     }
 }
