--- a/src/process/net.c
+++ b/src/process/net.c
@@ -7,7 +7,11 @@
 #include "connection/logmsg.h"
 #include "value/mem.h"
 
-enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 1000 };
+enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 400 };
+
+/* A VM that is not up yet answers nothing; the system would ask it again only
+ * after a second. */
+enum { CONNECT_TIMEOUT_MS = 200 };
 
 /* For what is still to be sent when the node ends. */
 enum { FINISH_LINGER_MS = 300 };
@@ -36,6 +40,7 @@
     set_int(socket, ZMQ_RCVHWM, SEND_QUEUE);
     set_int(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
     set_int(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+    set_int(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
     zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max, sizeof max);
 }
 
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -38,6 +38,8 @@
     {"usual", USUAL, USUAL, 0, 0, 0, PLAIN, Adm_RUN},
     {"never told", 0, 0, 0, 0, 0, PLAIN, Adm_RUN},
     {"slow", SLOW, USUAL, 0, 0, 0, PLAIN, Adm_REFUSE_SLOW},
+    {"twice the usual, as after a start", 2 * USUAL, USUAL, 0, 0, 0, PLAIN,
+     Adm_RUN},
     {"slow, nested", SLOW, USUAL, 0, 0, 0, NESTED, Adm_REFUSE_SLOW},
     {"slow for long: that is its pace", SLOW, SLOW, 0, 0, 0, PLAIN, Adm_RUN},
     {"an old word", SLOW, USUAL, Span_MS(300), 0, 0, PLAIN, Adm_RUN},
