--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -18,8 +18,8 @@
 #define SAID_FRESH Span_MS(20)
 #define SAID_OLD Span_MS(250)
 
-/* Percent of the usual time from which work had better go elsewhere: above what
- * a start costs. */
+/* Percent of the usual time from which work had better go elsewhere: above
+ * what a start costs. */
 enum { SLOW_PACE = 300 };
 
 /* And so many times what it was in the last seconds. */
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -71,7 +71,7 @@
     size_t watcher_count;
     Instant hello_at;
     Instant new_until; /* it says hello more often */
-    Instant open_at; /* of the next try to read the folder */
+    Instant open_at;   /* of the next try to read the folder */
     LoopTimer tick;
 } Control;
 
--- a/src/process/control_hello.c
+++ b/src/process/control_hello.c
@@ -2,7 +2,7 @@
 #include "process/control.h"
 
 #define HELLO Span_MS(2000)
-#define HELLO_NEW Span_MS(500) /* for a while after the start */
+#define HELLO_NEW Span_MS(500)   /* for a while after the start */
 #define HELLO_BLANK Span_MS(100) /* while the fleet's history may begin */
 #define HELLO_EXPIRY Span_MS(7000)
 #define NEW_TIME Span_S(10)
@@ -58,9 +58,9 @@
     if (!control->new_until) {
         control->new_until = now + NEW_TIME;
     }
-    control->hello_at =
-        now + (blank ? HELLO_BLANK
-                     : now < control->new_until ? HELLO_NEW : HELLO);
+    control->hello_at = now + (blank                      ? HELLO_BLANK
+                               : now < control->new_until ? HELLO_NEW
+                                                          : HELLO);
     for (size_t i = 0; i < settings->replica_count; i++) {
         if (settings->replicas[i] &&
             settings->replicas[i] != settings->address) {
--- a/tests/integration/test_hedges.c
+++ b/tests/integration/test_hedges.c
@@ -13,7 +13,7 @@
     VMS = 4,
     BACKENDS = 2,
     INGRESS = 0,
-    BAD = 1, /* frozen or slow */
+    WARM_CALLS = 6,
     SERVICE_MS = 20,
     HEDGE_AFTER_MS = 80,
     TICK_MS = 10,  /* of a node */
@@ -91,22 +91,36 @@
     Fleet_Sleep(Span_MS(700));
 }
 
+/* The backend server that calls go to now: which one is a matter of
+ * microseconds, and calls must meet the one that gets into trouble. */
+static int
+find_preferred(Fleet *fleet)
+{
+    uint64_t before = Fleet_BackendCount(fleet, 1, Str_LIT("served"));
+
+    for (int i = 0; i < WARM_CALLS; i++) {
+        ck_assert(Fleet_WaitFor(fleet, INGRESS, READ, Span_S(10)));
+    }
+    return Fleet_BackendCount(fleet, 1, Str_LIT("served")) - before >
+           WARM_CALLS / 2;
+}
+
 static void
-strike(Fleet *fleet, Trouble trouble)
+strike(Fleet *fleet, Trouble trouble, int bad)
 {
     switch (trouble) {
     case ONE_FROZEN:
-        kill(fleet->vms[BAD].backend, SIGSTOP);
+        kill(fleet->vms[bad].backend, SIGSTOP);
         break;
     case ONE_LATE:
-        ck_assert(Fleet_Knob(fleet, BAD, Str_LIT("slow=6")));
+        ck_assert(Fleet_Knob(fleet, bad, Str_LIT("slow=6")));
         break;
     case BOTH_SLOW:
         ck_assert(Fleet_Knob(fleet, 0, Str_LIT("slow=10")));
-        ck_assert(Fleet_Knob(fleet, BAD, Str_LIT("slow=10")));
+        ck_assert(Fleet_Knob(fleet, 1, Str_LIT("slow=10")));
         break;
     default:
-        ck_assert(Fleet_Knob(fleet, BAD, Str_LIT("slow=30")));
+        ck_assert(Fleet_Knob(fleet, bad, Str_LIT("slow=30")));
         break;
     }
 }
@@ -193,12 +207,14 @@
 {
     const HedgeCase *c = &cases[_i];
     Fleet fleet;
+    int bad;
     int late = 0;
     Span longest = 0;
     int hedges;
 
     start_fleet(&fleet, c);
-    strike(&fleet, c->trouble);
+    bad = find_preferred(&fleet);
+    strike(&fleet, c->trouble, bad);
     for (int i = 0; i < c->calls; i++) {
         late += !call_once(&fleet, c, i, &longest);
     }
@@ -208,7 +224,7 @@
            c->calls, hedges, late, (int)(longest / 1000));
     fflush(stdout);
     check_hedges(&fleet, c, hedges, late);
-    kill(fleet.vms[BAD].backend, SIGCONT);
+    kill(fleet.vms[bad].backend, SIGCONT);
     Fleet_Finish(&fleet);
 }
 END_TEST
--- a/tests/integration/test_measure_budget.c
+++ b/tests/integration/test_measure_budget.c
@@ -160,7 +160,8 @@
                       .pause = Span_MS(1)};
 
     Fleet_StartLoad(fleet, &load);
-    ck_assert_int_gt(make_calls(fleet, VMS, CALLS / 2), 0);
+    /* Refusals come so fast that callers press harder: few get through. */
+    ck_assert_int_gt(make_calls(fleet, VMS, CALLS), 0);
     ck_assert_int_gt(Fleet_StopLoad(fleet, &load).ran, 0);
     ck_assert_uint_gt(
         count_all(fleet, Str_LIT("lycheeridge_refused_total")) +
