--- a/tests/support/suite.c
+++ b/tests/support/suite.c
@@ -2,6 +2,30 @@
 
 #include <stdlib.h>
 
+/* "NAME" or "NAME:ROW" from the environment: run only that. */
+static bool
+is_wanted(const SuiteTest *test, int *first, int *end)
+{
+    const char *only = getenv("SUITE_ONLY");
+    Str wanted = only ? Str_FromC(only) : (Str){0};
+    size_t colon = Str_Find(wanted, ':');
+    uint64_t row;
+
+    *first = 0;
+    *end = test->count;
+    if (!wanted.len) {
+        return true;
+    }
+    if (!Str_Equal(Str_Slice(wanted, 0, colon), Str_FromC(test->test->name))) {
+        return false;
+    }
+    if (Str_ToU64(Str_Slice(wanted, colon + 1, wanted.len), &row)) {
+        *first = (int)row;
+        *end = (int)row + 1;
+    }
+    return true;
+}
+
 Str
 Suite_Build(int argc, char **argv)
 {
@@ -20,10 +44,15 @@
     suite_add_tcase(suite, tcase);
     tcase_set_timeout(tcase, seconds);
     for (size_t i = 0; i < count; i++) {
-        tcase_add_loop_test(tcase, tests[i].test, 0, tests[i].count);
+        int first;
+        int end;
+        if (is_wanted(&tests[i], &first, &end)) {
+            tcase_add_loop_test(tcase, tests[i].test, first, end);
+        }
     }
     srunner_run_all(runner, CK_NORMAL);
-    failed = srunner_ntests_failed(runner);
+    /* Nothing run is no success: SUITE_ONLY names no test. */
+    failed = srunner_ntests_failed(runner) + !srunner_ntests_run(runner);
     srunner_free(runner);
     return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/support/suite.h
+++ b/tests/support/suite.h
@@ -15,7 +15,8 @@
 /* Folder of the built programs: the first argument, or "build". */
 Str Suite_Build(int argc, char **argv);
 
-/* Run all tests, each given SECONDS; the exit status of main. */
+/* Run all tests, each given SECONDS; the exit status of main.  With
+ * SUITE_ONLY=NAME or NAME:ROW in the environment, only that one. */
 int Suite_Run(const char *name, const SuiteTest *tests, size_t count,
               double seconds);
 
