Try the next key at once when ZeroMQ gives a connection up

Cause: between none and keys, a node that wants another key ends the handshake, and ZeroMQ ends the connection with it: each later send fails at once. Every call placed there was counted as an attempt, took from the budget of retries, and was told "not run" when that was used up, until the watch over connections opened the next one. Ruled out: scarce processor time alone (it fails at a load under 1, too); the budget's size. Now: a send that fails opens the connection with the next key and shows it with a ping; the call goes elsewhere, as one that was turned back.

--- a/src/process/net.c
+++ b/src/process/net.c
@@ -442,6 +442,22 @@
     net->silence_context = context;
 }
 
+/* The other side wants another key, and ZeroMQ has given the connection up:
+ * a ping shows whether the next one is right. */
+static void
+try_next_key(Net *net, Peer *peer, Instant now)
+{
+    Pack ping;
+
+    close_peer(peer);
+    open_peer(net, peer);
+    Callmsg_PackPing(&ping);
+    if (send_message(net, peer->socket, Pack_View(&ping))) {
+        Peer_OnSent(peer, now);
+    }
+    Pack_Finish(&ping);
+}
+
 bool
 Net_Send(Net *net, Addr addr, Str message, Instant now)
 {
@@ -458,6 +474,9 @@
     if (sent) {
         Peer_OnSent(peer, now);
     }
+    else if (Key_AreChanging(&net->keys) && peer->holds == 0) {
+        try_next_key(net, peer, now);
+    }
     look_again(peer->socket, peer->event);
     return sent;
 }
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -154,9 +154,16 @@
     Plc_OnStart(&call->service->placement, attempt->node, now);
     sent = send_attempt(attempt, now);
     Net_Hold(hub->net, attempt->node);
-    if (!sent) {
+    if (sent) {
+        return;
+    }
+    if (call->keyed) {
         Call_Decide(attempt, Rty_NOT_RUN, now);
+        return;
     }
+    /* Another one can take it: nothing that a budget of retries is for. */
+    Plc_OnFull(&call->service->placement, attempt->node, now);
+    Call_OnTurnedBack(attempt, now);
 }
 
 /* While there is time to wait for one at home, another region is not worth
