Let a backend server say that it did not run what it turns away

Cause of "1 wrong" in test_two_failures row 2: the fake backend server that drains answers 503 before its announcement is heard; without a word on it the node passes that on as the answer to a call that ran (key, outcome and status of such calls are printed now: "ran 503" in all of them). Ruled out: the parted regions (test_not_run turns away fails without them), a lost effect. The field has a name of the product's own by default now, and the fake uses it when it leaves.

--- a/src/process/setnames.c
+++ b/src/process/setnames.c
@@ -24,7 +24,8 @@
     read_name(&o, Str_LIT("outcome"), Str_LIT("X-Lycheeridge-Outcome"),
               &names->outcome);
     read_name(&o, Str_LIT("expect_instance"), (Str){0}, &names->expect);
-    read_name(&o, Str_LIT("not_run"), (Str){0}, &names->not_run);
+    read_name(&o, Str_LIT("not_run"), Str_LIT("X-Lycheeridge-Not-Run"),
+              &names->not_run);
     read_name(&o, Str_LIT("load"), (Str){0}, &names->load);
     read_name(&o, Str_LIT("origin_service"), (Str){0}, &names->origin);
     read_name(&o, Str_LIT("origin_value"), (Str){0}, &names->origin_value);
--- a/tests/integration/fleet_load.c
+++ b/tests/integration/fleet_load.c
@@ -72,6 +72,14 @@
     }
 }
 
+/* What callers were told against what is on file. */
+static void
+count_wrong(Str line, FleetTotals *totals)
+{
+    totals->wrong++;
+    fprintf(stderr, "wrong: %.*s\n", Str_ARG(line));
+}
+
 static void
 count_call(Fleet *fleet, Str line, FleetTotals *totals)
 {
@@ -85,11 +93,15 @@
     totals->doubled += effects > 1;
     if (Str_Equal(outcome, Str_LIT("ran"))) {
         totals->ran++;
-        totals->wrong += effects == 0;
+        if (effects == 0) {
+            count_wrong(line, totals);
+        }
     }
     else if (Str_Equal(outcome, Str_LIT("not-run"))) {
         totals->not_run++;
-        totals->wrong += effects > 0;
+        if (effects > 0) {
+            count_wrong(line, totals);
+        }
     }
     else if (Str_Equal(outcome, Str_LIT("unknown"))) {
         totals->unknown++;
--- a/tests/integration/test_not_run.c
+++ b/tests/integration/test_not_run.c
@@ -28,7 +28,8 @@
     FREEZE_TO_SERVING, /* connections there are, for good */
     FREEZE_FROM_SERVING,
     CUT_TO_SERVING, /* all connections, until the end of the flood */
-    DRAIN
+    DRAIN,
+    TURN_AWAY /* all work, stating that it did not run */
 } Failure;
 
 typedef struct {
@@ -39,6 +40,7 @@
     Span spacing; /* between two calls */
     int not_run;  /* at least */
     int answers;  /* at least */
+    int errors;   /* at most, of a backend server's own */
 } FloodCase;
 
 #define DEADLINE_300 Str_LIT("X-Lycheeridge-Deadline-Ms: 300\r\n")
@@ -46,25 +48,29 @@
 
 /* Both backend servers run 80 calls a second. */
 static const FloodCase cases[] = {
-    {"overload", NOTHING, false, DEADLINE_300, Span_MS(3), 10, 20},
-    {"overload, keyed", NOTHING, true, DEADLINE_300, Span_MS(3), 10, 20},
+    {"overload", NOTHING, false, DEADLINE_300, Span_MS(3), 10, 20, CALLS},
+    {"overload, keyed", NOTHING, true, DEADLINE_300, Span_MS(3), 10, 20,
+     CALLS},
     {"backend server killed", KILL_BACKEND, false, DEADLINE_300, Span_MS(15),
-     0, 40},
+     0, 40, CALLS},
     {"serving node killed", KILL_SERVING, false, DEADLINE_300, Span_MS(15), 0,
-     40},
+     40, CALLS},
     {"serving node killed, keyed", KILL_SERVING, true, DEADLINE_1500,
-     Span_MS(15), 0, 40},
+     Span_MS(15), 0, 40, CALLS},
     {"serving node stopped for a second", STOP_SERVING, false, DEADLINE_300,
-     Span_MS(15), 0, 40},
+     Span_MS(15), 0, 40, CALLS},
     {"serving node stopped, keyed", STOP_SERVING, true, DEADLINE_1500,
-     Span_MS(15), 0, 40},
-    {"ingress killed", KILL_INGRESS, false, DEADLINE_300, Span_MS(15), 0, 40},
+     Span_MS(15), 0, 40, CALLS},
+    {"ingress killed", KILL_INGRESS, false, DEADLINE_300, Span_MS(15), 0, 40,
+     CALLS},
     {"connections frozen on the way out", FREEZE_TO_SERVING, false,
-     DEADLINE_1500, Span_MS(20), 0, 100},
+     DEADLINE_1500, Span_MS(20), 0, 100, CALLS},
     {"connections frozen on the way back", FREEZE_FROM_SERVING, false,
-     DEADLINE_1500, Span_MS(20), 0, 100},
-    {"cut off", CUT_TO_SERVING, false, DEADLINE_1500, Span_MS(15), 0, 40},
-    {"drained", DRAIN, false, DEADLINE_1500, Span_MS(20), 0, 60},
+     DEADLINE_1500, Span_MS(20), 0, 100, CALLS},
+    {"cut off", CUT_TO_SERVING, false, DEADLINE_1500, Span_MS(15), 0, 40,
+     CALLS},
+    {"drained", DRAIN, false, DEADLINE_1500, Span_MS(20), 0, 60, 0},
+    {"turns away", TURN_AWAY, false, DEADLINE_1500, Span_MS(20), 0, 60, 0},
 };
 
 enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
@@ -136,6 +142,10 @@
     case DRAIN:
         ck_assert(Fleet_Knob(fleet, SERVING, Str_LIT("draining=1")));
         break;
+    case TURN_AWAY:
+        ck_assert(
+            Fleet_Knob(fleet, SERVING, Str_LIT("silent_drain=1&states=1")));
+        break;
     default:
         break;
     }
@@ -215,6 +225,7 @@
     }
     ck_assert_int_ge(counts[Told_NOT_RUN], c->not_run);
     ck_assert_int_ge(counts[Told_ANSWER], c->answers);
+    ck_assert_int_le(counts[Told_ERROR], c->errors);
     StrBuf_Finish(&key);
     StrBuf_Finish(&answer);
     Fleet_Finish(&fleet);
--- a/tools/fake_knobs.c
+++ b/tools/fake_knobs.c
@@ -16,7 +16,7 @@
     KNOB(slots),   KNOB(service_us), KNOB(exponential), KNOB(slow),
     KNOB(cold_us), KNOB(cold_slow),  KNOB(draining),    KNOB(silent_drain),
     KNOB(shed),    KNOB(fail),       KNOB(lie),         KNOB(quiet),
-    KNOB(boast),
+    KNOB(boast),   KNOB(states),
 };
 
 bool
--- a/tools/fake_knobs.h
+++ b/tools/fake_knobs.h
@@ -17,9 +17,10 @@
     int64_t slow;         /* slow: factor on the time */
     int64_t cold_us;      /* cold_us: as long after the start ... */
     int64_t cold_slow;    /* cold_slow: ... this factor counts too */
-    int64_t draining;     /* draining: announced so, refused with 503 */
+    int64_t draining;     /* draining: announced so, refused as not run */
     int64_t silent_drain; /* silent_drain: refuses, announces nothing */
     int64_t shed;         /* shed: 503 when no slot is free, no queue */
+    int64_t states;       /* states: of each refusal that nothing ran */
     int64_t fail;         /* fail: 500 at once, always */
     int64_t boast;        /* boast: announces so many times its slots */
     int64_t lie;          /* lie: the load endpoint shows no load */
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -198,6 +198,22 @@
     evhttp_send_error(request, status, NULL);
 }
 
+/* It leaves or is full, and has not looked at the request. */
+static void
+turn_away(Fake *fake, struct evhttp_request *request)
+{
+    fake->counts.shed++;
+    if (fake->knobs.draining || fake->knobs.states) {
+        /* evhttp_send_error drops header fields. */
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "X-Lycheeridge-Not-Run", "1");
+        evhttp_send_reply(request, 503, NULL, NULL);
+    }
+    else {
+        refuse(request, 503);
+    }
+}
+
 static void
 crash_if_asked(const FakeWork *work, Str when)
 {
@@ -411,8 +427,7 @@
     }
     if (fake->knobs.draining || fake->knobs.silent_drain ||
         (fake->knobs.shed && fake->running >= fake->knobs.slots)) {
-        fake->counts.shed++;
-        refuse(request, 503);
+        turn_away(fake, request);
         return;
     }
     add_work(fake, request, now);
