--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -29,6 +29,9 @@
 /* One slot in so many, of more than so many, is the reserve. */
 enum { RESERVE_PART = 5, RESERVE_FROM = 3 };
 
+/* Starts from one on the last slots to the next, while these are looked at. */
+enum { LOOK_EVERY = 3 };
+
 static void
 tell(const Adm *adm, const AdmEvent *event)
 {
@@ -171,16 +174,38 @@
     return 1 + (uint32_t)((slots - 1) * (uint64_t)age / (uint64_t)ramp);
 }
 
-/* Most servers take longer when they are nearly full: the last slots are for
- * work that cannot wait. */
+static uint32_t
+without_reserve(uint32_t slots)
+{
+    return slots > RESERVE_FROM
+               ? slots - (slots + RESERVE_PART - 1) / RESERVE_PART
+               : slots;
+}
+
+/* Where work takes longer when the backend server is nearly full, the last
+ * slots are for what cannot wait; a start on them now and then shows it. */
 static uint32_t
 usual_slots(const Adm *adm, Instant now)
 {
     uint32_t slots = open_slots(adm, now);
+    uint32_t usual = without_reserve(slots);
 
-    return adm->pace && slots > RESERVE_FROM
-               ? slots - (slots + RESERVE_PART - 1) / RESERVE_PART
-               : slots;
+    if (!Kne_IsSlower(&adm->knee)) {
+        return slots;
+    }
+    return usual < slots && adm->starts >= LOOK_EVERY &&
+                   Kne_WantsLook(&adm->knee)
+               ? usual + 1
+               : usual;
+}
+
+static void
+count_start(Adm *adm)
+{
+    adm->running++;
+    adm->starts = adm->running > without_reserve(adm->settings.slots)
+                      ? 0
+                      : adm->starts + 1;
 }
 
 static uint32_t
@@ -240,7 +265,7 @@
         return Adm_REFUSE_SLOW;
     }
     if (may_start(adm, ask, now)) {
-        adm->running++;
+        count_start(adm);
         return Adm_RUN;
     }
     if (ask->late || is_full(adm, ask->cls) ||
@@ -299,17 +324,35 @@
     adm->timed_at = now;
 }
 
+static void
+take_level(Adm *adm, const AdmEnd *end, Instant now)
+{
+    uint32_t usual = without_reserve(adm->settings.slots);
+
+    if (end->level) {
+        Kne_OnTime(&adm->knee, end->kind, end->level > usual, end->took, now);
+    }
+}
+
+/* Level and kind in one, for traces. */
+enum { LEVELS = 65536 };
+
 void
-Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now)
+Adm_OnEnd(Adm *adm, const AdmEnd *end, Instant now)
 {
     if (adm->running) {
         adm->running--;
     }
-    if (!failed) {
-        take_time(adm, took, now);
+    if (!end->failed) {
+        take_time(adm, end->took, now);
+        take_level(adm, end, now);
     }
-    adm->error += SMOOTHING * ((failed ? 1.0 : 0.0) - adm->error);
-    tell(adm, &(AdmEvent){Adm_DID_END, now, {took, failed}, 0});
+    adm->error += SMOOTHING * ((end->failed ? 1.0 : 0.0) - adm->error);
+    tell(adm, &(AdmEvent){Adm_DID_END,
+                          now,
+                          {end->took, end->failed,
+                           (int64_t)end->kind * LEVELS + end->level},
+                          0});
 }
 
 void
@@ -338,7 +381,7 @@
         return false;
     }
     adm->queued[*cls]--;
-    adm->running++;
+    count_start(adm);
     tell(adm, &(AdmEvent){.kind = Adm_DID_NEXT, .at = now, .outcome = *cls});
     return true;
 }
@@ -393,6 +436,19 @@
     };
 }
 
+static void
+replay_end(Adm *adm, const AdmEvent *event)
+{
+    AdmEnd end = {
+        .took = event->args[0],
+        .failed = event->args[1] != 0,
+        .level = (uint32_t)(event->args[2] % LEVELS),
+        .kind = (uint32_t)(event->args[2] / LEVELS),
+    };
+
+    Adm_OnEnd(adm, &end, event->at);
+}
+
 static int64_t
 replay_next(Adm *adm, Instant now)
 {
@@ -431,7 +487,7 @@
         Adm_OnTaken(adm);
         break;
     case Adm_DID_END:
-        Adm_OnEnd(adm, args[0], args[1] != 0, event->at);
+        replay_end(adm, event);
         break;
     case Adm_DID_LEAVE_LINE:
         Adm_OnLeave(adm, args[0] ? Adm_PATIENT : Adm_INTERACTIVE);
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -7,6 +7,7 @@
 #ifndef ADMISSION_H
 #define ADMISSION_H
 
+#include "process/knee.h"
 #include "value/instant.h"
 #include "value/load.h"
 
@@ -31,6 +32,15 @@
     bool late;   /* it misses its objective: only where nobody waits */
 } AdmAsk;
 
+/* How a running attempt ended. */
+typedef struct {
+    Span took; /* in terms of the usual pace */
+    bool failed;
+    uint32_t level; /* attempts that ran when it started, itself too; 0: its
+                       time tells nothing of that */
+    uint32_t kind;  /* of work, for comparing times */
+} AdmEnd;
+
 typedef struct {
     uint32_t slots;
     uint32_t queue_max; /* waiting, both classes */
@@ -48,7 +58,7 @@
                     the verdict */
     Adm_DID_TURNED_AWAY,
     Adm_DID_TAKEN,
-    Adm_DID_END,        /* time it took, failed */
+    Adm_DID_END,        /* time it took, failed, level and kind */
     Adm_DID_LEAVE_LINE, /* class */
     Adm_DID_NEXT,       /* outcome: the class */
     Adm_DID_SAID,       /* pace */
@@ -87,6 +97,8 @@
     uint32_t pace;     /* as the backend server said last; 0: never */
     Instant said_at;
     double pace_mean; /* of the last seconds */
+    Kne knee;
+    uint32_t starts; /* since the last one on the last slots */
 } Adm;
 
 void Adm_Init(Adm *adm, const AdmSettings *settings);
@@ -120,8 +132,7 @@
 void Adm_OnTurnedAway(Adm *adm, Instant now);
 void Adm_OnTaken(Adm *adm);
 
-/* A running attempt ended after TOOK, in terms of the usual pace. */
-void Adm_OnEnd(Adm *adm, Span took, bool failed, Instant now);
+void Adm_OnEnd(Adm *adm, const AdmEnd *end, Instant now);
 
 /* A waiting attempt left the queue without running. */
 void Adm_OnLeave(Adm *adm, AdmClass cls);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -21,7 +21,8 @@
     LEDGER_ORIGINS = 4096,
     TURNED_AWAY = 503, /* status of HTTP */
     USUAL_FACTOR = 8,  /* times the usual service time */
-    REPEAT_PART = 4    /* part of the time until the deadline */
+    REPEAT_PART = 4,   /* part of the time until the deadline */
+    STEADY_PACE = 250  /* percent of the usual: not slow */
 };
 
 static void
@@ -185,6 +186,26 @@
     return run->pace ? took * Load_USUAL / run->pace : took;
 }
 
+/* Work of one priority, or from inside runs, is alike enough. */
+static uint32_t
+kind_of(const Run *run)
+{
+    return run->nested ? 0 : run->priority + 1;
+}
+
+static void
+end_at_admission(const Run *run, bool failed, Instant now)
+{
+    AdmEnd end = {
+        .took = usual_time(run, now - run->started_at),
+        .failed = failed,
+        .level = run->pace && run->pace <= STEADY_PACE ? run->level : 0,
+        .kind = kind_of(run),
+    };
+
+    Adm_OnEnd(run->hub->admission, &end, now);
+}
+
 static void
 on_end(void *context, BckEnd end)
 {
@@ -198,8 +219,7 @@
             Str_ARG(run->request_id), (int)end, run->status,
             (long long)(now - run->started_at), run->pace,
             hub->admission->running);
-    Adm_OnEnd(hub->admission, usual_time(run, now - run->started_at), failed,
-              now);
+    end_at_admission(run, failed, now);
     Crs_OnEnd(run, end, now);
     if (end == Bck_UNREACHED || end == Bck_REJECTED ||
         (end == Bck_WHOLE && run->status == TURNED_AWAY)) {
@@ -257,13 +277,14 @@
     BckSink sink = {run, Ans_OnHead, Ans_OnBytes, on_end};
 
     run->started_at = now;
+    run->level = hub->admission->running;
     run->pace = Adm_Report(hub->admission, now).pace;
     run->exchange = Bck_Start(hub->pool, &request, &sink);
     if (run->exchange) {
         Cnt_Add(hub->counters, Cnt_RUNS, 1);
         return;
     }
-    Adm_OnEnd(hub->admission, 0, true, now);
+    end_at_admission(run, true, now);
     Run_Refuse(run, Refusal_ABSENT, now);
     Run_Free(run);
 }
@@ -465,8 +486,7 @@
 cancel_run(Run *run, Instant now)
 {
     Bck_Cancel(run->exchange);
-    Adm_OnEnd(run->hub->admission, usual_time(run, now - run->started_at),
-              true, now);
+    end_at_admission(run, true, now);
     Run_Lose(run, now);
     Run_Free(run);
 }
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -22,6 +22,7 @@
     Instant asked_at;
     Instant wait_until; /* for a slot */
     uint32_t pace;      /* when it started; 0: not known */
+    uint32_t level;     /* attempts that ran then, itself too */
     bool idempotent;
     bool keyed;
     bool crosses;  /* its answer goes to another region */
--- a/tools/bench_server.c
+++ b/tools/bench_server.c
@@ -143,7 +143,9 @@
 
     drop(world, &server->running, number);
     server->busy--;
-    Adm_OnEnd(&server->admission, now - attempt->started_at, failed, now);
+    Adm_OnEnd(&server->admission,
+              &(AdmEnd){.took = now - attempt->started_at, .failed = failed},
+              now);
     answer(world, number, failed ? Bnw_ERROR : Bnw_GOOD, now);
     if (server->inside.first) {
         uint32_t next = server->inside.first;
