Elect at once after a start of all; confirm reads by a round, not a lease

Ruled out: starting the processes (within 0.39 s), announcements of backend servers (all known 50 ms after their node's start), distribution (70 ms). Now no lease is given. Questions wait for a round of appends that a quorum answers; who starts again votes at once and tries early.

--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -4,7 +4,7 @@
     CHANGED_FIELDS = 15,
     VERSION_ASK_FIELDS = 4,
     VERSION_FIELDS = 6,
-    PRESETS_ASK_FIELDS = 4,
+    PRESETS_ASK_FIELDS = 6,
     PRESETS_FIELDS = 9,
     ITEM_FIELDS = 3,
     NODE_FIELDS = 5
@@ -145,6 +145,7 @@
     Pack_Str(pack, msg->name);
     Pack_Bool(pack, msg->in_force);
     Pack_Bool(pack, msg->versions);
+    put_version(pack, msg->have);
 }
 
 bool
@@ -154,6 +155,7 @@
     msg->name = take_bounded(in, Cfg_NAME_MAX);
     msg->in_force = Unpack_Bool(in);
     msg->versions = Unpack_Bool(in);
+    msg->have = take_version(in);
     return Unpack_Ok(in, err);
 }
 
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -41,7 +41,7 @@
 
 /* Wire_VERSION, as an answer or on the replica's own account. */
 typedef struct {
-    bool current; /* the leader, under its lease: nothing newer exists */
+    bool current; /* nothing newer existed when it was asked */
     bool linked;  /* in touch with the leader: a newer one will be told */
     Addr leader;
     CfgVersion version; /* {0, 0}: nothing is known there */
@@ -60,6 +60,7 @@
     Str name;
     bool in_force;
     bool versions;
+    CfgVersion have; /* whose presets the asker has: none is sent again */
 } PresetsAskMsg;
 
 typedef struct {
@@ -76,7 +77,8 @@
     Str in_force;
     PresetsItem items[Cfg_PRESETS_MAX];
     uint32_t count;
-    Str json;  /* of the preset asked for; empty: none of that name */
+    Str json;  /* of the preset asked for; empty: none of that name, or the
+                  asker has it */
     Nvs nodes; /* empty unless asked for */
 } PresetsMsg;
 
--- a/src/process/changes.c
+++ b/src/process/changes.c
@@ -54,6 +54,7 @@
 static void
 send_presets_ask(ChgAsk *ask, Instant now)
 {
+    const Control *control = ask->changes->control;
     PresetsAskMsg msg = {
         .ask = ask->number,
         .in_force = ask->kind == Chg_ASK_ROUTING,
@@ -64,6 +65,9 @@
     if (ask->kind == Chg_ASK_PRESET) {
         msg.name = StrBuf_View(&ask->name);
     }
+    if (msg.in_force && control->open) {
+        msg.have = control->cfg.version;
+    }
     ask->leads = false;
     ask->again_at = now + FIND_AGAIN;
     Configmsg_PackPresetsAsk(&pack, &msg);
@@ -212,6 +216,19 @@
     }
 }
 
+/* The leader sends no preset that this replica has. */
+static void
+use_own_preset(const Control *control, PresetsMsg *msg)
+{
+    const CfgPreset *in_force =
+        control->open ? Cfg_InForce(&control->cfg) : NULL;
+
+    if (msg->json.len == 0 && in_force &&
+        Cfg_CompareVersions(control->cfg.version, msg->version) >= 0) {
+        msg->json = StrBuf_View(&in_force->json);
+    }
+}
+
 static void
 take_presets(ChgAsk *ask, PresetsMsg *msg, Instant now)
 {
@@ -223,6 +240,7 @@
         Chg_End(ask, Cha_Preset(msg, StrBuf_View(&ask->name)));
         break;
     case Chg_ASK_ROUTING:
+        use_own_preset(ask->changes->control, msg);
         Chg_End(ask, Chg_RoutingOf(msg));
         break;
     case Chg_ASK_VERSIONS:
@@ -363,7 +381,7 @@
     }
     return (OprAnswer){
         200,
-        Cha_Replicas(changes->control, Ctl_IsCurrent(changes->control, now))};
+        Cha_Replicas(changes->control, Ctl_IsLeading(changes->control, now))};
 }
 
 static void
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -302,6 +302,7 @@
     Rlog_OnTick(&control->rlog, now);
     Ctl_TickHello(control, now);
     Ctl_TellVersion(control, now);
+    Ctl_AnswerReads(control, now);
     if (control->rlog.failed) {
         control->open_at = now + OPEN_AGAIN;
         close_role(control);
@@ -343,6 +344,7 @@
     Rlog_OnMessage(&control->rlog, &message, now);
     control->origin = NULL;
     Ctl_TellVersion(control, now);
+    Ctl_AnswerReads(control, now);
 }
 
 void
@@ -370,6 +372,7 @@
     Net_On(net, Wire_LOG, on_log, control);
     Ctl_ServeHello(control);
     Ctl_Serve(control);
+    Ctl_ServeReads(control);
     LoopTimer_Init(&control->tick, loop, TICK, on_tick, control);
 }
 
@@ -419,7 +422,7 @@
 }
 
 bool
-Ctl_IsCurrent(const Control *control, Instant now)
+Ctl_IsLeading(const Control *control, Instant now)
 {
-    return control->open && Rlog_IsCurrent(&control->rlog, now);
+    return control->open && Rlog_IsLeading(&control->rlog, now);
 }
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -7,11 +7,12 @@
  * identity and waits until the leader takes it in as a learner.
  *
  * A replica that knows of nothing newer tells a node so; only the leader
- * under its lease tells it as current.
+ * tells it as current, once a quorum has answered it since it was asked.
  */
 #ifndef CONTROL_H
 #define CONTROL_H
 
+#include "connection/configmsg.h"
 #include "process/membership.h"
 #include "process/net.h"
 #include "process/replicaset.h"
@@ -21,6 +22,7 @@
 
 enum {
     Ctl_WAITERS_MAX = 64,   /* changes proposed and not committed yet */
+    Ctl_READERS_MAX = 64,   /* questions about presets not answered yet */
     Ctl_WATCHERS_MAX = 2048 /* nodes told of a new version */
 };
 
@@ -39,11 +41,22 @@
     uint64_t index; /* 0: free */
 } CtlWaiter;
 
+/* Who asked about presets, and waits until this leader is known to be
+ * current. */
+typedef struct {
+    NetOrigin origin;
+    PresetsAskMsg ask; /* its name is the one below */
+    char name[Cfg_NAME_MAX];
+    Instant since; /* 0: free */
+} CtlReader;
+
 /* A node that asked for the version lately. */
 typedef struct {
     Addr node;
     NetOrigin origin;
     Instant asked_at;
+    Instant unsure_since; /* it has none, and waits likewise; 0: no */
+    bool wanted;          /* the preset itself */
 } CtlWatcher;
 
 typedef struct {
@@ -67,8 +80,10 @@
     const NetOrigin *origin; /* of the message that is handled */
     CtlHello hellos[Set_REPLICAS_MAX]; /* by control replica */
     CtlWaiter waiters[Ctl_WAITERS_MAX];
+    CtlReader readers[Ctl_READERS_MAX];
     CtlWatcher *watchers;
     size_t watcher_count;
+    bool asked; /* some of these two wait */
     Instant hello_at;
     Instant new_until; /* it says hello more often */
     Instant open_at;   /* of the next try to read the folder */
@@ -93,10 +108,10 @@
 /* The leader's address as far as this replica knows. */
 Addr Ctl_Leader(const Control *control);
 
-/* The leader under its lease. */
-bool Ctl_IsCurrent(const Control *control, Instant now);
+/* The leader, in touch with a quorum. */
+bool Ctl_IsLeading(const Control *control, Instant now);
 
-/* Serve nodes: changes, versions, presets (control_serve.c). */
+/* Serve nodes: changes (control_serve.c). */
 void Ctl_Serve(Control *control);
 
 /* Exchange identities with the other control replicas: the beginning of the
@@ -111,6 +126,19 @@
 /* Tell the nodes that watch of a newer version. */
 void Ctl_TellVersion(Control *control, Instant now);
 
+/* Questions that only a current leader answers (control_read.c). */
+void Ctl_ServeReads(Control *control);
+
+/* Answer those that wait, when it is known whether this leader is current. */
+void Ctl_AnswerReads(Control *control, Instant now);
+
+/* Send PACK, a message of control, to ORIGIN; it is finished. */
+void Ctl_Answer(Control *control, const NetOrigin *origin, Pack *pack,
+                Instant now);
+
+/* Count and log a message that could not be READ; true when it was not. */
+bool Ctl_IsMalformed(Control *control, bool read, const Err *err);
+
 /* Count a message of control. */
 void Ctl_Count(Control *control, const Pack *pack);
 
--- a/src/process/control_hello.c
+++ b/src/process/control_hello.c
@@ -248,7 +248,7 @@
 {
     send_hellos(control, now);
     found(control, now);
-    if (Ctl_IsCurrent(control, now)) {
+    if (Ctl_IsLeading(control, now)) {
         introduce(control, now);
         drop_unlisted(control, now);
         propose_genesis(control, now);
--- /dev/null
+++ b/src/process/control_read.c
@@ -0,0 +1,263 @@
+#include <string.h>
+
+#include "connection/configmsg.h"
+#include "process/control.h"
+
+#define WATCH_EXPIRY Span_S(5)
+
+/* Who waits longer is told that this replica does not know. */
+#define READ_EXPIRY Span_MS(500)
+
+static void
+fill_presets(const Control *control, const PresetsAskMsg *ask, PresetsMsg *msg)
+{
+    const Cfg *cfg = &control->cfg;
+    const CfgPreset *in_force = Cfg_InForce(cfg);
+    const CfgPreset *named =
+        ask->in_force ? in_force : Cfg_Find(cfg, ask->name);
+
+    msg->current = true;
+    msg->version = cfg->version;
+    if (in_force) {
+        msg->in_force = StrBuf_View(&in_force->name);
+    }
+    if (named && Cfg_CompareVersions(ask->have, cfg->version) != 0) {
+        msg->json = StrBuf_View(&named->json);
+    }
+    msg->count = cfg->preset_count;
+    for (uint32_t i = 0; i < cfg->preset_count; i++) {
+        msg->items[i].name = StrBuf_View(&cfg->presets[i].name);
+        msg->items[i].changed = cfg->presets[i].changed;
+    }
+}
+
+static void
+answer_presets(Control *control, const NetOrigin *origin,
+               const PresetsAskMsg *ask, bool current, Instant now)
+{
+    PresetsMsg msg = {.ask = ask->ask, .leader = Ctl_Leader(control)};
+    Pack pack;
+
+    if (current) {
+        fill_presets(control, ask, &msg);
+        if (ask->versions) {
+            Nvs_Fill(&msg.nodes, control->membership);
+        }
+    }
+    Configmsg_PackPresets(&pack, &msg);
+    Configmsg_FinishPresets(&msg);
+    Ctl_Answer(control, origin, &pack, now);
+}
+
+static CtlReader *
+find_free_reader(Control *control)
+{
+    for (size_t i = 0; i < Ctl_READERS_MAX; i++) {
+        if (!control->readers[i].since) {
+            return &control->readers[i];
+        }
+    }
+    return NULL;
+}
+
+/* False when no more can wait. */
+static bool
+keep_reader(Control *control, const NetOrigin *origin,
+            const PresetsAskMsg *ask, Instant now)
+{
+    CtlReader *reader = find_free_reader(control);
+
+    if (!reader || ask->name.len > Cfg_NAME_MAX) {
+        return false;
+    }
+    *reader = (CtlReader){.origin = *origin, .ask = *ask, .since = now};
+    if (ask->name.len) {
+        memcpy(reader->name, ask->name.ptr, ask->name.len);
+    }
+    reader->ask.name = Str_From(reader->name, ask->name.len);
+    control->asked = true;
+    return true;
+}
+
+static void
+on_presets_ask(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Control *control = context;
+    PresetsAskMsg ask;
+    Err err = {0};
+
+    if (Ctl_IsMalformed(control, Configmsg_ReadPresetsAsk(in, &ask, &err),
+                        &err)) {
+        return;
+    }
+    if (!Ctl_IsLeading(control, now) ||
+        !keep_reader(control, origin, &ask, now)) {
+        answer_presets(control, origin, &ask, false, now);
+        return;
+    }
+    Rlog_AskCurrent(&control->rlog, now);
+    Ctl_AnswerReads(control, now);
+}
+
+/* A replica that has not caught up since its start knows of nothing. */
+static CfgVersion
+known_version(const Control *control)
+{
+    return control->open && Rlog_IsSettled(&control->rlog)
+               ? control->cfg.version
+               : (CfgVersion){0};
+}
+
+static CtlWatcher *
+find_watcher(Control *control, Addr node, Instant now)
+{
+    CtlWatcher *free = NULL;
+
+    for (size_t i = 0; i < control->watcher_count; i++) {
+        CtlWatcher *watcher = &control->watchers[i];
+        if (watcher->node == node) {
+            return watcher;
+        }
+        if (now - watcher->asked_at >= WATCH_EXPIRY) {
+            free = watcher;
+        }
+    }
+    if (!free && control->watcher_count < Ctl_WATCHERS_MAX) {
+        free = &control->watchers[control->watcher_count++];
+    }
+    return free;
+}
+
+static CtlWatcher *
+keep_watcher(Control *control, const VersionAskMsg *ask,
+             const NetOrigin *origin, Instant now)
+{
+    CtlWatcher *watcher = find_watcher(control, ask->node, now);
+
+    if (watcher) {
+        *watcher = (CtlWatcher){.node = ask->node,
+                                .origin = *origin,
+                                .asked_at = now,
+                                .wanted = ask->wanted};
+    }
+    return watcher;
+}
+
+static void
+answer_version(Control *control, const NetOrigin *origin, CfgVersion have,
+               bool wanted, bool current, Instant now)
+{
+    const CfgPreset *in_force = Cfg_InForce(&control->cfg);
+    VersionMsg msg = {
+        .current = current,
+        .linked = control->open && Rlog_IsLinked(&control->rlog, now),
+        .leader = Ctl_Leader(control),
+        .version = known_version(control),
+    };
+    Pack pack;
+
+    if (wanted && in_force && Cfg_CompareVersions(msg.version, have) > 0) {
+        msg.json = StrBuf_View(&in_force->json);
+    }
+    Configmsg_PackVersion(&pack, &msg);
+    Ctl_Answer(control, origin, &pack, now);
+}
+
+/* A node that has none yet must know that it gets the newest. */
+static void
+on_version_ask(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    Control *control = context;
+    VersionAskMsg ask;
+    Err err = {0};
+    CtlWatcher *watcher;
+
+    if (Ctl_IsMalformed(control, Configmsg_ReadVersionAsk(in, &ask, &err),
+                        &err)) {
+        return;
+    }
+    watcher = keep_watcher(control, &ask, origin, now);
+    if (!watcher || ask.have.term || !Ctl_IsLeading(control, now)) {
+        answer_version(control, origin, ask.have, ask.have.term && ask.wanted,
+                       false, now);
+        return;
+    }
+    watcher->unsure_since = now;
+    control->asked = true;
+    Rlog_AskCurrent(&control->rlog, now);
+    Ctl_AnswerReads(control, now);
+}
+
+void
+Ctl_TellVersion(Control *control, Instant now)
+{
+    VersionMsg msg = {
+        .linked = true,
+        .leader = Ctl_Leader(control),
+        .version = known_version(control),
+    };
+    Pack pack;
+
+    if (Cfg_CompareVersions(msg.version, control->told) <= 0) {
+        return;
+    }
+    control->told = msg.version;
+    Configmsg_PackVersion(&pack, &msg);
+    for (size_t i = 0; i < control->watcher_count; i++) {
+        const CtlWatcher *watcher = &control->watchers[i];
+        if (now - watcher->asked_at < WATCH_EXPIRY) {
+            Ctl_Count(control, &pack);
+            Net_Answer(control->net, &watcher->origin, Pack_View(&pack), now);
+        }
+    }
+    Pack_Finish(&pack);
+}
+
+/* Whether a question asked at SINCE can be answered now; *CURRENT: as it was
+ * asked. */
+static bool
+is_decided(const Control *control, Instant since, Instant now, bool *current)
+{
+    *current = control->open && Rlog_IsCurrent(&control->rlog, since);
+    return *current || !Ctl_IsLeading(control, now) ||
+           now - since >= READ_EXPIRY;
+}
+
+void
+Ctl_AnswerReads(Control *control, Instant now)
+{
+    bool current;
+    bool waits = false;
+
+    if (!control->asked) {
+        return;
+    }
+    for (size_t i = 0; i < Ctl_READERS_MAX; i++) {
+        CtlReader *reader = &control->readers[i];
+        if (reader->since &&
+            is_decided(control, reader->since, now, &current)) {
+            reader->since = 0;
+            answer_presets(control, &reader->origin, &reader->ask, current,
+                           now);
+        }
+        waits = waits || reader->since;
+    }
+    for (size_t i = 0; i < control->watcher_count; i++) {
+        CtlWatcher *watcher = &control->watchers[i];
+        if (watcher->unsure_since &&
+            is_decided(control, watcher->unsure_since, now, &current)) {
+            watcher->unsure_since = 0;
+            answer_version(control, &watcher->origin, (CfgVersion){0},
+                           watcher->wanted, current, now);
+        }
+        waits = waits || watcher->unsure_since;
+    }
+    control->asked = waits;
+}
+
+void
+Ctl_ServeReads(Control *control)
+{
+    Net_On(control->net, Wire_PRESETS_ASK, on_presets_ask, control);
+    Net_On(control->net, Wire_VERSION_ASK, on_version_ask, control);
+}
--- a/src/process/follow.c
+++ b/src/process/follow.c
@@ -5,6 +5,9 @@
 #define TICK Span_MS(100)
 #define FETCH_AGAIN Span_MS(300)
 
+/* Between two questions of one that has no version yet. */
+#define ASK_GAP Span_MS(5)
+
 static void
 ask(Follow *follow, Addr replica, Instant now)
 {
@@ -116,6 +119,18 @@
     }
 }
 
+/* Only the leader settles what is in force; those told of it ask at once. */
+static void
+ask_leader(Follow *follow, Addr from, Instant now)
+{
+    Addr leader = follow->leader;
+
+    if (leader && leader != from && now - follow->turn.asked_at >= ASK_GAP) {
+        follow->leader = Addr_NONE; /* until it is told again */
+        ask(follow, leader, now);
+    }
+}
+
 static void
 on_version(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -136,6 +151,7 @@
         follow->leader = msg.leader;
     }
     if (!follow->settled && !msg.current) {
+        ask_leader(follow, origin->peer, now);
         return;
     }
     take(follow, origin->peer, &msg, now);
--- a/src/process/follow.h
+++ b/src/process/follow.h
@@ -2,8 +2,8 @@
  *
  * It asks the control replicas of its region in turn; each of them tells it
  * of a newer version as soon as it has one.  Versions are taken only upward.
- * After its start the node trusts none until the leader, under its lease, has
- * told the newest: a replica that lags or is cut off can't bring back an
+ * After its start the node trusts none until the leader has told the
+ * newest: a replica that lags or is cut off can't bring back an
  * older one.
  */
 #ifndef FOLLOW_H
--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -11,10 +11,9 @@
         .settings = *settings,
         .out = *out,
         .rng = rng,
-        .started_at = now,
-        .heard_at = now - settings->election,
     };
     Rlog_DelayElection(rlog, now);
+    rlog->election_at = now + (rlog->election_at - now) / 2;
 }
 
 static void
@@ -220,8 +219,6 @@
 {
     rlog->term = term;
     rlog->voted_for = voted_for;
-    /* It may have given a leader its lease just before the start. */
-    rlog->heard_at = rlog->started_at;
 }
 
 bool
@@ -337,24 +334,37 @@
 uint64_t
 Rlog_Propose(Rlog *rlog, Str data, Instant now)
 {
-    if (!Rlog_IsCurrent(rlog, now)) {
+    if (!Rlog_IsLeading(rlog, now)) {
         return 0;
     }
     return Rlog_AppendOwn(rlog, Rlog_CHANGE, data, now);
 }
 
-bool
-Rlog_IsCurrent(const Rlog *rlog, Instant now)
+static bool
+leads(const Rlog *rlog)
 {
     return rlog->role == Rlog_LEADER && !rlog->failed &&
-           Rlog_TermAt(rlog, rlog->commit) == rlog->term &&
-           Rlog_HasLease(rlog, now);
+           Rlog_TermAt(rlog, rlog->commit) == rlog->term;
+}
+
+bool
+Rlog_IsLeading(const Rlog *rlog, Instant now)
+{
+    return leads(rlog) && Rlog_HasQuorum(rlog, now);
+}
+
+bool
+Rlog_IsCurrent(const Rlog *rlog, Instant since)
+{
+    return leads(rlog) && Rlog_QuorumAcked(rlog) >= since;
 }
 
 bool
 Rlog_IsLinked(const Rlog *rlog, Instant now)
 {
-    return rlog->leader != 0 && now - rlog->heard_at < rlog->settings.election;
+    return Rlog_IsLeading(rlog, now) ||
+           (rlog->leader != 0 &&
+            now - rlog->heard_at < rlog->settings.election);
 }
 
 bool
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -5,11 +5,12 @@
  * callback that stores returns only when the bytes are synced, so nothing is
  * acknowledged before; when one fails, the replica stops taking part.
  *
- * A leader holds a lease from a quorum: each append carries its send time,
- * which the answer echoes, and a replica that heard from a leader refuses
- * votes for the election timeout.  The lease is shorter than that, by
- * Rlog_LEASE_PERMILLE; clocks of two machines may drift apart by the rest.
- * Without the lease a leader neither accepts nor serves as current.
+ * A leader is current as of a moment once a quorum has answered an append
+ * that it sent at that moment or later: each append carries its send time,
+ * which the answer echoes.  No promise rests on the clocks of two machines,
+ * so a replica that starts again may vote at once.  A leader that no quorum
+ * answers for the election timeout steps down, and a replica that heard from
+ * a leader refuses votes as long, so that a living leader is not disturbed.
  *
  * Replicas are named by identity.  A new identity joins as a learner, becomes
  * a voter once it has the leader's commit, and then those older identities at
@@ -17,8 +18,8 @@
  *
  * Source: D. Ongaro and J. Ousterhout, "In search of an understandable
  * consensus algorithm", USENIX ATC 2014; D. Ongaro, "Consensus: bridging
- * theory and practice", 2014, for pre-vote, check-quorum, learners and
- * single-server membership changes.
+ * theory and practice", 2014, for pre-vote, check-quorum, reads, learners
+ * and single-server membership changes.
  */
 #ifndef RLOG_H
 #define RLOG_H
@@ -32,8 +33,7 @@
     Rlog_VOTERS_MAX = 7,
     Rlog_REPLICAS_MAX = 16, /* with learners and those to be removed */
     Rlog_BATCH_MAX = 64,
-    Rlog_BATCH_BYTES = 256 * 1024, /* of a batch's data, one entry apart */
-    Rlog_LEASE_PERMILLE = 800      /* of the election timeout */
+    Rlog_BATCH_BYTES = 256 * 1024 /* of a batch's data, one entry apart */
 };
 
 /* A replica's identity is made when its data folder is: a folder that was
@@ -78,7 +78,7 @@
     uint64_t last_term;  /* of the sender's log, or before the entries */
     uint64_t last_index; /* of an answer: what matches, or may match */
     uint64_t commit;
-    uint64_t round; /* send time of an append, echoed: renews the lease */
+    uint64_t round; /* send time of an append, echoed */
     RlogEntry entries[Rlog_BATCH_MAX];
     uint32_t entry_count;
     Str snapshot; /* of Rlog_SNAPSHOT: one whole piece, last_* its place */
@@ -147,12 +147,13 @@
     bool failed; /* a store failed: takes no part any more */
     uint64_t term;
     uint64_t voted_for;
-    uint64_t leader; /* identity; 0: not known */
-    Instant started_at;
-    Instant heard_at; /* from a leader, or the start if it may have before */
+    uint64_t leader;  /* identity; 0: not known */
+    Instant heard_at; /* from a leader; 0: not since the start */
     Instant election_at;
+    uint32_t tries; /* elections tried since the start */
     Instant beat_at;
-    Instant led_at; /* when this one became leader */
+    Instant sent_at; /* last appends to all */
+    Instant led_at;  /* when this one became leader */
 
     RlogEntry *entries; /* after the snapshot; their data is owned */
     size_t entry_count;
@@ -191,8 +192,8 @@
 void Rlog_OnMessage(Rlog *rlog, const RlogMessage *message, Instant now);
 void Rlog_OnTick(Rlog *rlog, Instant now);
 
-/* Propose a change; its index, or 0 when this is no leader with a lease.  It
- * is committed when the commit callback gets the same term and index. */
+/* Propose a change; its index, or 0 when this one does not lead.  It is
+ * committed when the commit callback gets the same term and index. */
 uint64_t Rlog_Propose(Rlog *rlog, Str data, Instant now);
 
 /* A leader heard of IDENTITY at ADDR, the last time HEARD_AT: it joins as a
@@ -205,11 +206,17 @@
  * than are listed. */
 void Rlog_OnUnlisted(Rlog *rlog, Addr addr, uint32_t listed, Instant now);
 
-/* A leader whose lease holds and whose own term has a committed entry: what
- * it has committed is all that was ever accepted. */
-bool Rlog_IsCurrent(const Rlog *rlog, Instant now);
+/* A leader that a quorum answered lately, and whose own term has a committed
+ * entry.  Another one may have been elected since. */
+bool Rlog_IsLeading(const Rlog *rlog, Instant now);
 
-/* A leader was heard within its lease. */
+/* Whether this leader is current is to be known soon. */
+void Rlog_AskCurrent(Rlog *rlog, Instant now);
+
+/* A leader that holds, committed, all that was ever accepted before SINCE. */
+bool Rlog_IsCurrent(const Rlog *rlog, Instant since);
+
+/* In touch with a leader, or leading. */
 bool Rlog_IsLinked(const Rlog *rlog, Instant now);
 
 /* Heard, since its start, from a leader, and holds all that this leader had
--- a/src/version/rlog_append.c
+++ b/src/version/rlog_append.c
@@ -1,5 +1,12 @@
 #include "version/rlog_impl.h"
 
+/* Many who ask at once are answered by one round. */
+#define ROUNDS_APART Span_MS(5)
+
+/* Of the election timeout: a leader that no quorum answers takes no change
+ * any more, a little before others may elect the next one. */
+enum { QUORUM_PERMILLE = 800 };
+
 typedef uint64_t (*ProgressValue)(const RlogProgress *progress);
 
 /* The highest value that a quorum of voters has reached, this replica with
@@ -41,20 +48,19 @@
     return progress->match;
 }
 
-/* When the appends were sent that a quorum has answered; 0: never. */
-static Instant
-quorum_acked(const Rlog *rlog, Instant now)
+Instant
+Rlog_QuorumAcked(const Rlog *rlog)
 {
-    return (Instant)quorum_value(rlog, (uint64_t)now, acked_of);
+    return (Instant)quorum_value(rlog, Instant_NEVER, acked_of);
 }
 
 bool
-Rlog_HasLease(const Rlog *rlog, Instant now)
+Rlog_HasQuorum(const Rlog *rlog, Instant now)
 {
-    Span lease = rlog->settings.election / 1000 * Rlog_LEASE_PERMILLE;
-    Instant acked = quorum_acked(rlog, now);
+    Instant acked = Rlog_QuorumAcked(rlog);
 
-    return acked > 0 && now - acked < lease;
+    return acked > 0 &&
+           now - acked < rlog->settings.election / 1000 * QUORUM_PERMILLE;
 }
 
 static uint32_t
@@ -128,6 +134,7 @@
 send_all(Rlog *rlog, Instant now)
 {
     rlog->beat_at = now + rlog->settings.heartbeat;
+    rlog->sent_at = now;
     for (uint32_t i = 0; i < rlog->progress_count; i++) {
         send_append(rlog, &rlog->progress[i], now);
     }
@@ -183,7 +190,7 @@
 void
 Rlog_TickLeader(Rlog *rlog, Instant now)
 {
-    Instant acked = quorum_acked(rlog, now);
+    Instant acked = Rlog_QuorumAcked(rlog);
     Instant since = acked > rlog->led_at ? acked : rlog->led_at;
 
     if (now - since >= rlog->settings.election) {
@@ -196,6 +203,22 @@
     Rlog_TickReplicas(rlog, now);
 }
 
+void
+Rlog_AskCurrent(Rlog *rlog, Instant now)
+{
+    Instant due = rlog->sent_at + ROUNDS_APART;
+
+    if (rlog->role != Rlog_LEADER) {
+        return;
+    }
+    if (now >= due) {
+        send_all(rlog, now);
+    }
+    else if (rlog->beat_at > due) {
+        rlog->beat_at = due;
+    }
+}
+
 static void
 answer(Rlog *rlog, const RlogMessage *to, bool granted, uint64_t index)
 {
--- a/src/version/rlog_impl.h
+++ b/src/version/rlog_impl.h
@@ -30,7 +30,10 @@
 void Rlog_OnAppended(Rlog *rlog, const RlogMessage *message, Instant now);
 uint64_t Rlog_AppendOwn(Rlog *rlog, RlogKind kind, Str data, Instant now);
 void Rlog_TickLeader(Rlog *rlog, Instant now);
-bool Rlog_HasLease(const Rlog *rlog, Instant now);
+bool Rlog_HasQuorum(const Rlog *rlog, Instant now);
+
+/* When the latest appends were sent that a quorum has answered; 0: never. */
+Instant Rlog_QuorumAcked(const Rlog *rlog);
 
 /* rlog_replicas.c: who votes */
 bool Rlog_IsVoter(const Rlog *rlog, uint64_t identity);
--- a/src/version/rlog_replicas.c
+++ b/src/version/rlog_replicas.c
@@ -192,7 +192,7 @@
 static bool
 may_change(const Rlog *rlog, Instant now)
 {
-    return Rlog_IsCurrent(rlog, now) && rlog->replicas_index <= rlog->commit;
+    return Rlog_IsLeading(rlog, now) && rlog->replicas_index <= rlog->commit;
 }
 
 static void
--- a/src/version/rlog_vote.c
+++ b/src/version/rlog_vote.c
@@ -1,10 +1,18 @@
 #include "version/rlog_impl.h"
 
+/* Where no leader was heard since the start there may be none: the first
+ * tries follow one another so many times sooner, then half as many.  A living
+ * leader is not disturbed by a trial. */
+enum { SOONER = 4, SOONER_TRIES = 2 };
+
 void
 Rlog_DelayElection(Rlog *rlog, Instant now)
 {
     Span least = rlog->settings.election;
 
+    if (!rlog->heard_at && rlog->tries < SOONER_TRIES) {
+        least = least / SOONER << rlog->tries;
+    }
     rlog->election_at =
         now + least + Rng_Below(rlog->rng, (uint32_t)least / 2);
 }
@@ -105,6 +113,7 @@
     rlog->role = Rlog_TRIAL;
     rlog->leader = 0;
     rlog->vote_count = 0;
+    rlog->tries++;
     count_vote(rlog, rlog->settings.identity);
     Rlog_DelayElection(rlog, now);
     if (is_elected(rlog)) {
@@ -139,14 +148,14 @@
     return message->last_index >= Rlog_LastIndex(rlog);
 }
 
-/* While a leader may hold a lease that this replica gave, or holds one. */
+/* In touch with a leader, or a quorum: no other leader is needed. */
 static bool
 is_bound(const Rlog *rlog, Instant now)
 {
     if (rlog->role == Rlog_LEADER) {
-        return Rlog_HasLease(rlog, now);
+        return Rlog_HasQuorum(rlog, now);
     }
-    return now - rlog->heard_at < rlog->settings.election;
+    return rlog->heard_at && now - rlog->heard_at < rlog->settings.election;
 }
 
 static bool
