Let any replica answer as current, and nodes in as soon as they know the version

Now a replica that is asked what is newest asks the leader what is committed, many questions in one, and answers when it has that; a node asks the replicas that it knows, and none older than the confirmed version is taken. A node tells of its backend server before it knows the version.

--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -2,9 +2,9 @@
 
 enum {
     CHANGED_FIELDS = 15,
-    VERSION_ASK_FIELDS = 4,
+    VERSION_ASK_FIELDS = 5,
     VERSION_FIELDS = 6,
-    PRESETS_ASK_FIELDS = 6,
+    PRESETS_ASK_FIELDS = 5,
     PRESETS_FIELDS = 9,
     ITEM_FIELDS = 3,
     NODE_FIELDS = 5
@@ -104,6 +104,7 @@
     Pack_U64(pack, msg->node);
     put_version(pack, msg->have);
     Pack_Bool(pack, msg->wanted);
+    Pack_Bool(pack, msg->confirm);
 }
 
 bool
@@ -112,6 +113,7 @@
     msg->node = Unpack_U64(in);
     msg->have = take_version(in);
     msg->wanted = Unpack_Bool(in);
+    msg->confirm = Unpack_Bool(in);
     return Unpack_Ok(in, err);
 }
 
@@ -145,7 +147,7 @@
     Pack_Str(pack, msg->name);
     Pack_Bool(pack, msg->in_force);
     Pack_Bool(pack, msg->versions);
-    put_version(pack, msg->have);
+    Pack_Bool(pack, msg->leader);
 }
 
 bool
@@ -155,7 +157,7 @@
     msg->name = take_bounded(in, Cfg_NAME_MAX);
     msg->in_force = Unpack_Bool(in);
     msg->versions = Unpack_Bool(in);
-    msg->have = take_version(in);
+    msg->leader = Unpack_Bool(in);
     return Unpack_Ok(in, err);
 }
 
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -32,11 +32,12 @@
 bool Configmsg_ReadChanged(Unpack *in, ChangedMsg *msg, Err *err);
 
 /* Wire_VERSION_ASK: a node tells what it has; WANTED asks for the preset
- * itself when there is a newer one. */
+ * itself when there is a newer one, CONFIRM for an answer that is current. */
 typedef struct {
     Addr node;
     CfgVersion have;
     bool wanted;
+    bool confirm;
 } VersionAskMsg;
 
 /* Wire_VERSION, as an answer or on the replica's own account. */
@@ -60,7 +61,7 @@
     Str name;
     bool in_force;
     bool versions;
-    CfgVersion have; /* whose presets the asker has: none is sent again */
+    bool leader; /* nobody else is to answer */
 } PresetsAskMsg;
 
 typedef struct {
@@ -77,8 +78,7 @@
     Str in_force;
     PresetsItem items[Cfg_PRESETS_MAX];
     uint32_t count;
-    Str json;  /* of the preset asked for; empty: none of that name, or the
-                  asker has it */
+    Str json;  /* of the preset asked for; empty: none of that name */
     Nvs nodes; /* empty unless asked for */
 } PresetsMsg;
 
--- a/src/process/changes.c
+++ b/src/process/changes.c
@@ -51,23 +51,26 @@
     Pack_Finish(pack);
 }
 
+static bool
+needs_leader(const ChgAsk *ask)
+{
+    return ask->kind == Chg_ASK_CHANGE || ask->kind == Chg_ASK_VERSIONS;
+}
+
 static void
 send_presets_ask(ChgAsk *ask, Instant now)
 {
-    const Control *control = ask->changes->control;
     PresetsAskMsg msg = {
         .ask = ask->number,
         .in_force = ask->kind == Chg_ASK_ROUTING,
         .versions = ask->kind == Chg_ASK_VERSIONS,
+        .leader = needs_leader(ask),
     };
     Pack pack;
 
     if (ask->kind == Chg_ASK_PRESET) {
         msg.name = StrBuf_View(&ask->name);
     }
-    if (msg.in_force && control->open) {
-        msg.have = control->cfg.version;
-    }
     ask->leads = false;
     ask->again_at = now + FIND_AGAIN;
     Configmsg_PackPresetsAsk(&pack, &msg);
@@ -109,14 +112,18 @@
     return replica;
 }
 
-/* Ask the leader as last told, else the next replica of the list. */
+/* Ask the replica on this VM first where any can answer, then the leader as
+ * last told, else the next replica of the list. */
 void
 Chg_LookForLeader(ChgAsk *ask, Instant now)
 {
     Changes *changes = ask->changes;
     Addr known = changes->follow->leader;
 
-    if (known && known != ask->target) {
+    if (!needs_leader(ask) && !ask->target && changes->control->open) {
+        ask->target = changes->settings->address;
+    }
+    else if (known && known != ask->target) {
         ask->target = known;
     }
     else {
@@ -216,19 +223,6 @@
     }
 }
 
-/* The leader sends no preset that this replica has. */
-static void
-use_own_preset(const Control *control, PresetsMsg *msg)
-{
-    const CfgPreset *in_force =
-        control->open ? Cfg_InForce(&control->cfg) : NULL;
-
-    if (msg->json.len == 0 && in_force &&
-        Cfg_CompareVersions(control->cfg.version, msg->version) >= 0) {
-        msg->json = StrBuf_View(&in_force->json);
-    }
-}
-
 static void
 take_presets(ChgAsk *ask, PresetsMsg *msg, Instant now)
 {
@@ -240,7 +234,6 @@
         Chg_End(ask, Cha_Preset(msg, StrBuf_View(&ask->name)));
         break;
     case Chg_ASK_ROUTING:
-        use_own_preset(ask->changes->control, msg);
         Chg_End(ask, Chg_RoutingOf(msg));
         break;
     case Chg_ASK_VERSIONS:
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -6,8 +6,8 @@
  * preset of its settings' file.  A replica whose folder was lost has a new
  * identity and waits until the leader takes it in as a learner.
  *
- * A replica that knows of nothing newer tells a node so; only the leader
- * tells it as current, once a quorum has answered it since it was asked.
+ * A replica answers as current once it is known to hold all that was accepted
+ * before the question; else it says that it does not know.
  */
 #ifndef CONTROL_H
 #define CONTROL_H
@@ -41,7 +41,7 @@
     uint64_t index; /* 0: free */
 } CtlWaiter;
 
-/* Who asked about presets, and waits until this leader is known to be
+/* Who asked about presets, and waits until this replica is known to be
  * current. */
 typedef struct {
     NetOrigin origin;
@@ -56,7 +56,6 @@
     NetOrigin origin;
     Instant asked_at;
     Instant unsure_since; /* it has none, and waits likewise; 0: no */
-    bool wanted;          /* the preset itself */
 } CtlWatcher;
 
 typedef struct {
@@ -126,10 +125,10 @@
 /* Tell the nodes that watch of a newer version. */
 void Ctl_TellVersion(Control *control, Instant now);
 
-/* Questions that only a current leader answers (control_read.c). */
+/* Questions that only a current replica answers (control_read.c). */
 void Ctl_ServeReads(Control *control);
 
-/* Answer those that wait, when it is known whether this leader is current. */
+/* Answer those that wait, when it is known whether this one is current. */
 void Ctl_AnswerReads(Control *control, Instant now);
 
 /* Send PACK, a message of control, to ORIGIN; it is finished. */
--- a/src/process/control_read.c
+++ b/src/process/control_read.c
@@ -21,7 +21,7 @@
     if (in_force) {
         msg->in_force = StrBuf_View(&in_force->name);
     }
-    if (named && Cfg_CompareVersions(ask->have, cfg->version) != 0) {
+    if (named) {
         msg->json = StrBuf_View(&named->json);
     }
     msg->count = cfg->preset_count;
@@ -90,7 +90,7 @@
                         &err)) {
         return;
     }
-    if (!Ctl_IsLeading(control, now) ||
+    if (!control->open || (ask.leader && !Ctl_IsLeading(control, now)) ||
         !keep_reader(control, origin, &ask, now)) {
         answer_presets(control, origin, &ask, false, now);
         return;
@@ -135,10 +135,8 @@
     CtlWatcher *watcher = find_watcher(control, ask->node, now);
 
     if (watcher) {
-        *watcher = (CtlWatcher){.node = ask->node,
-                                .origin = *origin,
-                                .asked_at = now,
-                                .wanted = ask->wanted};
+        *watcher = (CtlWatcher){
+            .node = ask->node, .origin = *origin, .asked_at = now};
     }
     return watcher;
 }
@@ -163,7 +161,6 @@
     Ctl_Answer(control, origin, &pack, now);
 }
 
-/* A node that has none yet must know that it gets the newest. */
 static void
 on_version_ask(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -177,9 +174,8 @@
         return;
     }
     watcher = keep_watcher(control, &ask, origin, now);
-    if (!watcher || ask.have.term || !Ctl_IsLeading(control, now)) {
-        answer_version(control, origin, ask.have, ask.have.term && ask.wanted,
-                       false, now);
+    if (!watcher || !ask.confirm || !control->open) {
+        answer_version(control, origin, ask.have, ask.wanted, false, now);
         return;
     }
     watcher->unsure_since = now;
@@ -219,8 +215,7 @@
 is_decided(const Control *control, Instant since, Instant now, bool *current)
 {
     *current = control->open && Rlog_IsCurrent(&control->rlog, since);
-    return *current || !Ctl_IsLeading(control, now) ||
-           now - since >= READ_EXPIRY;
+    return *current || !control->open || now - since >= READ_EXPIRY;
 }
 
 void
@@ -247,12 +242,15 @@
         if (watcher->unsure_since &&
             is_decided(control, watcher->unsure_since, now, &current)) {
             watcher->unsure_since = 0;
-            answer_version(control, &watcher->origin, (CfgVersion){0},
-                           watcher->wanted, current, now);
+            answer_version(control, &watcher->origin, (CfgVersion){0}, false,
+                           current, now);
         }
         waits = waits || watcher->unsure_since;
     }
     control->asked = waits;
+    if (waits) {
+        Rlog_AskCurrent(&control->rlog, now);
+    }
 }
 
 void
--- a/src/process/follow.c
+++ b/src/process/follow.c
@@ -5,16 +5,14 @@
 #define TICK Span_MS(100)
 #define FETCH_AGAIN Span_MS(300)
 
-/* Between two questions of one that has no version yet. */
-#define ASK_GAP Span_MS(5)
-
 static void
-ask(Follow *follow, Addr replica, Instant now)
+ask(Follow *follow, Addr replica, bool confirm, Instant now)
 {
     VersionAskMsg msg = {
         .node = follow->settings->address,
         .have = follow->version,
-        .wanted = true,
+        .wanted = !confirm,
+        .confirm = confirm,
     };
     Pack pack;
 
@@ -68,15 +66,8 @@
 static void
 ask_when_due(Follow *follow, Instant now)
 {
-    if (!Trn_IsDue(&follow->turn, follow->settled, now)) {
-        return;
-    }
-    if (!follow->settled && follow->leader) {
-        ask(follow, follow->leader, now);
-        follow->leader = Addr_NONE; /* until it is told again */
-    }
-    else {
-        ask(follow, choose(follow), now);
+    if (Trn_IsDue(&follow->turn, follow->settled, now)) {
+        ask(follow, choose(follow), !follow->settled, now);
     }
 }
 
@@ -99,7 +90,7 @@
     }
     follow->fetched = version;
     follow->fetched_at = now;
-    ask(follow, replica, now);
+    ask(follow, replica, false, now);
 }
 
 static void
@@ -119,15 +110,13 @@
     }
 }
 
-/* Only the leader settles what is in force; those told of it ask at once. */
+/* Nothing newer existed when the node asked: never take an older one. */
 static void
-ask_leader(Follow *follow, Addr from, Instant now)
+confirm(Follow *follow, CfgVersion version)
 {
-    Addr leader = follow->leader;
-
-    if (leader && leader != from && now - follow->turn.asked_at >= ASK_GAP) {
-        follow->leader = Addr_NONE; /* until it is told again */
-        ask(follow, leader, now);
+    follow->confirmed = true;
+    if (Cfg_CompareVersions(version, follow->floor) > 0) {
+        follow->floor = version;
     }
 }
 
@@ -150,15 +139,15 @@
     if (msg.leader) {
         follow->leader = msg.leader;
     }
-    if (!follow->settled && !msg.current) {
-        ask_leader(follow, origin->peer, now);
-        return;
+    if (msg.current) {
+        confirm(follow, msg.version);
     }
-    take(follow, origin->peer, &msg, now);
-    if (msg.version.term > 0 &&
-        Cfg_CompareVersions(follow->version, msg.version) >= 0) {
-        follow->settled = true;
+    if (follow->confirmed &&
+        Cfg_CompareVersions(msg.version, follow->floor) >= 0) {
+        take(follow, origin->peer, &msg, now);
     }
+    follow->settled = follow->confirmed && follow->version.term > 0 &&
+                      Cfg_CompareVersions(follow->version, follow->floor) >= 0;
 }
 
 void
--- a/src/process/follow.h
+++ b/src/process/follow.h
@@ -2,9 +2,9 @@
  *
  * It asks the control replicas of its region in turn; each of them tells it
  * of a newer version as soon as it has one.  Versions are taken only upward.
- * After its start the node trusts none until the leader has told the
- * newest: a replica that lags or is cut off can't bring back an
- * older one.
+ * After its start the node takes none until a replica has confirmed which one
+ * is the newest, and none older than that: a replica that lags or is cut off
+ * can't bring back an older one.
  */
 #ifndef FOLLOW_H
 #define FOLLOW_H
@@ -28,7 +28,9 @@
     void *context;
     CfgVersion version; /* in force here */
     CfgVersion newest;  /* heard of */
-    bool settled;       /* confirmed since the start */
+    CfgVersion floor;   /* the newest one that was confirmed, */
+    bool confirmed;     /* if any was since the start */
+    bool settled;       /* it is in force here */
     Addr leader;        /* as told; Addr_NONE: not known */
     size_t next;        /* control replica to ask */
     Trn turn;
--- a/src/process/members.c
+++ b/src/process/members.c
@@ -24,8 +24,7 @@
     MbrRecord *own = &members->own;
 
     own->sequence++;
-    /* Without a confirmed version no call may come here. */
-    own->present = members->ann->present && own->version_term > 0;
+    own->present = members->ann->present;
     StrBuf_Set(&own->service, StrBuf_View(&members->ann->service));
     own->load = Adm_Report(members->admission, now);
     if (Mbr_OnRecord(&members->membership, own, now) || own->leaving) {
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -7,7 +7,7 @@
 #include "connection/logmsg.h"
 #include "value/mem.h"
 
-enum { SEND_QUEUE = 4096, RECONNECT_MS = 50, RECONNECT_MAX_MS = 400 };
+enum { SEND_QUEUE = 4096, RECONNECT_MS = 25, RECONNECT_MAX_MS = 100 };
 
 /* A VM that is not up yet answers nothing; the system would ask it again only
  * after a second. */
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -137,24 +137,46 @@
     }
 }
 
+/* After how long each thing was there that it waited for; -1: not yet. */
+static long long
+ms_since_start(const Node *node, Instant at)
+{
+    return at ? (at - node->started_at) / 1000 : -1;
+}
+
+static void
+tell_open(Node *node, Instant now)
+{
+    Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("callers_let_in"),
+            "after_ms=%lld version_after_ms=%lld backends_after_ms=%lld "
+            "registers=%d",
+            ms_since_start(node, now),
+            ms_since_start(node, node->confirmed_at),
+            ms_since_start(node, node->served_at), Hld_IsReady(&node->holder));
+}
+
 static void
 open_when_ready(Node *node, Instant now)
 {
     Span beats = node->settings->heartbeat * OPEN_BEATS;
     bool settled;
 
+    if (node->open) {
+        return;
+    }
     if (!node->confirmed_at && node->calls.confirmed) {
         node->confirmed_at = now;
     }
-    if (!node->served_at && node->confirmed_at &&
-        Svc_KnowsAny(&node->services)) {
+    if (!node->served_at && Svc_KnowsAny(&node->services)) {
         node->served_at = now;
     }
-    settled = (node->served_at && now - node->served_at >= OPEN_SETTLE) ||
-              (node->confirmed_at && now - node->confirmed_at >= beats);
+    settled = node->confirmed_at &&
+              ((node->served_at && now - node->served_at >= OPEN_SETTLE) ||
+               now - node->confirmed_at >= beats);
     /* Who restarts nodes in turn waits for this one: its registers count. */
     if ((settled && Hld_IsReady(&node->holder)) ||
         now - node->started_at >= OPEN_ANYWAY) {
+        tell_open(node, now);
         Edge_Open(&node->edge);
         node->open = true;
     }
--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -308,6 +308,12 @@
     case Rlog_SNAPSHOT:
         Rlog_OnSnapshot(rlog, message, now);
         break;
+    case Rlog_READ:
+        Rlog_OnRead(rlog, message, now);
+        break;
+    case Rlog_READ_DONE:
+        Rlog_OnReadDone(rlog, message, now);
+        break;
     case Rlog_MESSAGE_KINDS:
         break;
     }
@@ -356,7 +362,11 @@
 bool
 Rlog_IsCurrent(const Rlog *rlog, Instant since)
 {
-    return leads(rlog) && Rlog_QuorumAcked(rlog) >= since;
+    if (leads(rlog) && Rlog_QuorumAcked(rlog) >= since) {
+        return true;
+    }
+    return !rlog->failed && rlog->read_done >= since &&
+           rlog->commit >= rlog->read_index;
 }
 
 bool
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -7,8 +7,10 @@
  *
  * A leader is current as of a moment once a quorum has answered an append
  * that it sent at that moment or later: each append carries its send time,
- * which the answer echoes.  No promise rests on the clocks of two machines,
- * so a replica that starts again may vote at once.  A leader that no quorum
+ * which the answer echoes.  Another replica is current once it has committed
+ * what a leader had that was current as of the replica's question.  No promise
+ * rests on the clocks of two machines, so a replica that starts again may vote
+ * at once.  A leader that no quorum
  * answers for the election timeout steps down, and a replica that heard from
  * a leader refuses votes as long, so that a living leader is not disturbed.
  *
@@ -65,6 +67,8 @@
     Rlog_APPEND,
     Rlog_APPENDED,
     Rlog_SNAPSHOT, /* answered by Rlog_APPENDED */
+    Rlog_READ,     /* to the leader: what is committed now */
+    Rlog_READ_DONE,
     Rlog_MESSAGE_KINDS
 } RlogMessageKind;
 
@@ -78,7 +82,7 @@
     uint64_t last_term;  /* of the sender's log, or before the entries */
     uint64_t last_index; /* of an answer: what matches, or may match */
     uint64_t commit;
-    uint64_t round; /* send time of an append, echoed */
+    uint64_t round; /* send time of an append or a read, echoed */
     RlogEntry entries[Rlog_BATCH_MAX];
     uint32_t entry_count;
     Str snapshot; /* of Rlog_SNAPSHOT: one whole piece, last_* its place */
@@ -137,6 +141,8 @@
     Instant snapshot_at;
     Instant
         here_at; /* last sign that it runs, other than an answer; 0: none */
+    Instant read_at;     /* its question came then; 0: none waits */
+    uint64_t read_round; /* echoed */
 } RlogProgress;
 
 typedef struct {
@@ -164,6 +170,12 @@
     uint64_t commit;
     uint64_t settled; /* first commit told by a leader; 0: none */
 
+    Instant read_sent; /* the last question to a leader */
+    Instant
+        read_done; /* the last one that was answered, by when it was sent */
+    uint64_t read_index; /* committed at the leader then */
+    bool read_more;      /* another question waits for the answer */
+
     RlogReplicas replicas; /* the latest in the log, committed or not */
     uint64_t replicas_index;
     RlogReplicas snapshot_replicas;
@@ -210,10 +222,10 @@
  * entry.  Another one may have been elected since. */
 bool Rlog_IsLeading(const Rlog *rlog, Instant now);
 
-/* Whether this leader is current is to be known soon. */
+/* Whether this replica is current is to be known soon. */
 void Rlog_AskCurrent(Rlog *rlog, Instant now);
 
-/* A leader that holds, committed, all that was ever accepted before SINCE. */
+/* It holds, committed, all that was ever accepted before SINCE. */
 bool Rlog_IsCurrent(const Rlog *rlog, Instant since);
 
 /* In touch with a leader, or leading. */
--- a/src/version/rlog_append.c
+++ b/src/version/rlog_append.c
@@ -204,13 +204,10 @@
 }
 
 void
-Rlog_AskCurrent(Rlog *rlog, Instant now)
+Rlog_AskRound(Rlog *rlog, Instant now)
 {
     Instant due = rlog->sent_at + ROUNDS_APART;
 
-    if (rlog->role != Rlog_LEADER) {
-        return;
-    }
     if (now >= due) {
         send_all(rlog, now);
     }
@@ -395,4 +392,5 @@
     else if (from->next <= Rlog_LastIndex(rlog)) {
         send_append(rlog, from, now);
     }
+    Rlog_AnswerReads(rlog);
 }
--- a/src/version/rlog_impl.h
+++ b/src/version/rlog_impl.h
@@ -35,6 +35,14 @@
 /* When the latest appends were sent that a quorum has answered; 0: never. */
 Instant Rlog_QuorumAcked(const Rlog *rlog);
 
+/* The leader appends to all soon. */
+void Rlog_AskRound(Rlog *rlog, Instant now);
+
+/* rlog_read.c: what another replica needs to be current */
+void Rlog_OnRead(Rlog *rlog, const RlogMessage *message, Instant now);
+void Rlog_OnReadDone(Rlog *rlog, const RlogMessage *message, Instant now);
+void Rlog_AnswerReads(Rlog *rlog);
+
 /* rlog_replicas.c: who votes */
 bool Rlog_IsVoter(const Rlog *rlog, uint64_t identity);
 uint32_t Rlog_Quorum(const RlogReplicas *replicas);
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -253,7 +253,7 @@
 static void
 pack_version_ask(Pack *pack)
 {
-    VersionAskMsg msg = {77, version, true};
+    VersionAskMsg msg = {77, version, true, true};
 
     Configmsg_PackVersionAsk(pack, &msg);
 }
@@ -289,7 +289,7 @@
 static void
 pack_presets_ask(Pack *pack)
 {
-    PresetsAskMsg msg = {6, Str_LIT("peak"), true, true, {7, 9}};
+    PresetsAskMsg msg = {6, Str_LIT("peak"), true, true, true};
 
     Configmsg_PackPresetsAsk(pack, &msg);
 }
