End an idle connection only when its answers went out

An idle connection is shut down for writing first, and closed when its caller has read on; so a request that crosses it does not destroy the answer before.

--- a/src/connection/stream.c
+++ b/src/connection/stream.c
@@ -677,12 +677,9 @@
 void
 Cst_CloseIdle(CstList *list)
 {
-    Cst *next;
-
-    for (Cst *stream = list->first; stream; stream = next) {
-        next = stream->next;
+    for (Cst *stream = list->first; stream; stream = stream->next) {
         if (is_idle(stream)) {
-            free_stream(stream);
+            end_after_flush(stream);
         }
     }
 }
@@ -704,7 +701,7 @@
         }
     }
     else if (is_idle(stream) && age >= limits->idle_wait) {
-        free_stream(stream);
+        end_after_flush(stream);
     }
 }
 
--- a/src/connection/stream.h
+++ b/src/connection/stream.h
@@ -85,7 +85,7 @@
 void Cst_StopListening(CstList *list);
 void Cst_SetLimits(CstList *list, const CstLimits *limits);
 
-/* Close connections that carry no request. */
+/* End connections that carry no request, once their answers went out. */
 void Cst_CloseIdle(CstList *list);
 
 /* Times that ran out. */
