Say which request is blamed, held, cleared and known as suspect, and by whom

Now suspect_blamed, suspect_held, suspect_ran_alone, suspects_learned, suspects_told and backend_knocked do, call_ended has the fingerprint, and two gauges say how many requests a node suspects and stops.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -329,6 +329,7 @@
         .members = &node->members,
         .calls = &node->calls,
         .runs = &node->runs,
+        .suspects = &node->suspects,
     };
     Shw_Serve(&node->show, &node->opr);
     return true;
--- a/src/process/show.c
+++ b/src/process/show.c
@@ -169,6 +169,12 @@
     Cnt_PrintGauge(out, Str_LIT("runs_in_flight"),
                    Str_LIT("Attempts waiting or running at this node"),
                    show->runs->count);
+    Cnt_PrintGauge(out, Str_LIT("suspects"),
+                   Str_LIT("Requests blamed for a loss of a backend server"),
+                   show->suspects->sus.count);
+    Cnt_PrintGauge(out, Str_LIT("suspects_stopped"),
+                   Str_LIT("Of these, refused until their release"),
+                   Sus_CountStopped(&show->suspects->sus));
     Cnt_PrintGauge(out, Str_LIT("members"), Str_LIT("Nodes known"),
                    count_members(&show->members->membership));
     Cnt_PrintGauge(out, Str_LIT("node_connections"),
--- a/src/process/show.h
+++ b/src/process/show.h
@@ -23,6 +23,7 @@
     const Members *members;
     const CallHub *calls;
     const RunHub *runs;
+    const Suspects *suspects;
 } Show;
 
 void Shw_Serve(Show *show, Opr *opr);
--- a/src/process/suspect.c
+++ b/src/process/suspect.c
@@ -50,6 +50,28 @@
     return is_stopped(sus, &sus->entries[i]) ? Sus_STOPPED : Sus_ALONE;
 }
 
+bool
+Sus_Find(const Sus *sus, uint64_t fingerprint, SusEntry *entry)
+{
+    size_t i = find(sus, fingerprint);
+
+    if (i < sus->count) {
+        *entry = sus->entries[i];
+    }
+    return i < sus->count;
+}
+
+size_t
+Sus_CountStopped(const Sus *sus)
+{
+    size_t stopped = 0;
+
+    for (size_t i = 0; i < sus->count; i++) {
+        stopped += is_stopped(sus, &sus->entries[i]);
+    }
+    return stopped;
+}
+
 static void
 drop(Sus *sus, size_t i)
 {
--- a/src/process/suspect.h
+++ b/src/process/suspect.h
@@ -48,6 +48,12 @@
 
 SusVerdict Sus_Ask(const Sus *sus, uint64_t fingerprint, Instant now);
 
+/* What is known of FINGERPRINT; false: nothing. */
+bool Sus_Find(const Sus *sus, uint64_t fingerprint, SusEntry *entry);
+
+/* Entries that are refused until their release. */
+size_t Sus_CountStopped(const Sus *sus);
+
 /* Backend server lost in crash CRASH (not 0) while FINGERPRINT ran, AGE ago.
  * When there is no room, the one blamed least and longest ago goes. */
 void Sus_OnCrash(Sus *sus, uint64_t fingerprint, uint64_t crash, Span age,
--- a/src/process/suspects.c
+++ b/src/process/suspects.c
@@ -26,6 +26,12 @@
     return Sus_Ask(&suspects->sus, fingerprint, now);
 }
 
+bool
+Sps_Find(const Suspects *suspects, uint64_t fingerprint, SusEntry *entry)
+{
+    return Sus_Find(&suspects->sus, fingerprint, entry);
+}
+
 static void
 send_rows(Suspects *suspects, Addr node, const Pack *pack, Instant now)
 {
@@ -152,6 +158,15 @@
     Pack_Finish(&pack);
 }
 
+static void
+log_learned(const Suspects *suspects, uint32_t rows, size_t known_before)
+{
+    Lgr_Log(suspects->timeline->logger, Lgr_INFO, Str_LIT("suspects_learned"),
+            "rows=%u known_before=%zu known=%zu stopped=%zu", rows,
+            known_before, suspects->sus.count,
+            Sus_CountStopped(&suspects->sus));
+}
+
 static void
 on_suspects(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -160,6 +175,7 @@
     Unpack rows;
     uint64_t number;
     uint32_t count = Suspectmsg_Open(in, &number, &rows);
+    size_t known = suspects->sus.count;
     Err err = {0};
 
     for (uint32_t i = 0; i < count && Suspectmsg_TakeRow(&rows, &row); i++) {
@@ -173,6 +189,7 @@
                    Str_LIT("message_refused"), &err);
         return;
     }
+    log_learned(suspects, count, known);
     confirm(suspects, origin, number, now);
 }
 
--- a/src/process/suspects.h
+++ b/src/process/suspects.h
@@ -37,6 +37,9 @@
 SusVerdict Sps_Ask(const Suspects *suspects, uint64_t fingerprint,
                    Instant now);
 
+/* What is known of FINGERPRINT; false: nothing. */
+bool Sps_Find(const Suspects *suspects, uint64_t fingerprint, SusEntry *entry);
+
 /* The backend server beside this node was lost while these ran. */
 void Sps_OnCrash(Suspects *suspects, const uint64_t *fingerprints,
                  size_t count, Instant now);
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -57,7 +57,7 @@
             Str_LIT("call_ended"),
             "request=%.*s route=%.*s service=%.*s outcome=%s why=%s "
             "attempts=%u asked=%u took_us=%lld sent_us=%lld left_us=%lld "
-            "slack_us=%lld version=%llu.%llu",
+            "slack_us=%lld version=%llu.%llu fingerprint=%016llx",
             Str_ARG(call->request.request_id), Str_ARG(call->route->route),
             Str_ARG(call->service->name), outcomes[outcome], whys[why],
             call->retry.attempts, call->asked,
@@ -66,7 +66,8 @@
             (long long)(call->deadline - now),
             (long long)(call->slack_until - now),
             (unsigned long long)call->in_force->version.term,
-            (unsigned long long)call->in_force->version.index);
+            (unsigned long long)call->in_force->version.index,
+            (unsigned long long)call->digest);
 }
 
 void
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -1,5 +1,7 @@
 #include "request/crash.h"
 
+#include <inttypes.h>
+
 /* For the others to learn of a crash before anybody may repeat it. */
 #define TELL_TIME Span_MS(150)
 
@@ -8,6 +10,21 @@
     OTHERS_SHARE = 4 /* time left to others, for one of a suspect's */
 };
 
+static void
+log_held(const RunHub *hub, const CallMsg *msg, SusVerdict verdict,
+         Instant now)
+{
+    SusEntry entry = {0};
+
+    Sps_Find(hub->suspects, msg->fingerprint, &entry);
+    Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("suspect_held"),
+            "request=%.*s fingerprint=%016" PRIx64
+            " verdict=%s losses=%u age_us=%lld",
+            Str_ARG(msg->request_id), msg->fingerprint,
+            verdict == Sus_STOPPED ? "stopped" : "alone", entry.count,
+            (long long)(now - entry.at));
+}
+
 bool
 Crs_Hold(RunHub *hub, const NetOrigin *origin, const CallMsg *msg, Instant now)
 {
@@ -18,6 +35,7 @@
     if (verdict == Sus_CLEAR) {
         return false;
     }
+    log_held(hub, msg, verdict, now);
     if (verdict == Sus_STOPPED) {
         reason = Refusal_SUSPECT;
         Cnt_Add(hub->counters, Cnt_SUSPECTS, 1);
@@ -42,6 +60,9 @@
         return;
     }
     hub->alone_from = now + OTHERS_SHARE * (now - run->started_at);
+    Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("suspect_ran_alone"),
+            "request=%.*s fingerprint=%016" PRIx64 " end=%d status=%u",
+            Str_ARG(run->request_id), run->fingerprint, (int)end, run->status);
     if (end == Bck_WHOLE) {
         Sps_OnDone(hub->suspects, run->fingerprint);
     }
@@ -77,6 +98,15 @@
     }
 }
 
+static void
+log_blamed(const Run *run, Instant now)
+{
+    Lgr_Log(run->hub->logger, Lgr_INFO, Str_LIT("suspect_blamed"),
+            "request=%.*s fingerprint=%016" PRIx64 " alone=%d ran_us=%lld",
+            Str_ARG(run->request_id), run->fingerprint, run->alone,
+            (long long)(now - run->started_at));
+}
+
 static void
 blame_cut(RunHub *hub, Instant now)
 {
@@ -87,6 +117,7 @@
          run = run->next) {
         if (run->cut) {
             ran[count++] = run->fingerprint;
+            log_blamed(run, now);
         }
     }
     Cnt_Add(hub->counters, Cnt_CRASHES, 1);
@@ -97,9 +128,16 @@
 static void
 on_knocked(void *context, KnkResult result)
 {
+    static const char *const results[] = {
+        [Knk_OPENED] = "opened",
+        [Knk_REFUSED] = "refused",
+        [Knk_SILENT] = "silent",
+    };
     RunHub *hub = context;
     Instant now = Loop_Now();
 
+    Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("backend_knocked"),
+            "after a cut: %s", results[result]);
     if (result == Knk_REFUSED) {
         blame_cut(hub, now);
         hub->lost(hub->lost_context, now);
@@ -138,6 +176,8 @@
 {
     if (hub->told_by && !hub->knock.event &&
         (Sps_IsTold(hub->suspects) || now >= hub->told_by)) {
+        Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("suspects_told"),
+                "unconfirmed=%zu", hub->suspects->untold);
         hub->told_by = 0;
         settle_cut(hub, now);
     }
