--- /dev/null
+++ b/tests/integration/test_stopped_runs_again.c
@@ -0,0 +1,322 @@
+/* A request that was stopped, since it crashes each backend server that runs
+ * it, runs again after something that is no reason for it: a change, a
+ * restart, another service of its route, copies of it.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <sys/wait.h>
+
+#include "fleet_keyed.h"
+#include "operators.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+enum {
+    SUBNET = 33,
+    VMS = 7,
+    REPLICAS = 3, /* control replicas, without backend servers */
+    TIMES = 6,    /* that it is sent */
+    COPIES = 8,
+    LOSSES_MAX = 2, /* the brief's bound */
+    REVISION = 5    /* of the routing in force at the start */
+};
+
+#define SETTLE Span_S(2)
+#define ANSWER_WAIT Span_S(6)
+#define CRASH Str_LIT("X-Fake-Crash: before\r\n")
+
+static Str build;
+
+/* One route; WHERE names its services. */
+#define PRESET(where)                                                         \
+    Str_LIT(                                                                  \
+        "{\"name\":\"ordinary\","                                             \
+        "\"limits\":{\"suspect_release_ms\":120000},\"routes\":[],"           \
+        "\"routing\":{\"revision\":5,\"services\":[{\"name\":\"visor\"},"     \
+        "{\"name\":\"despachos\"}],\"routes\":[{\"name\":\"note\","           \
+        "\"host\":\"x\",\"path\":\"/notes/\",\"kind\":\"non_idempotent\","    \
+        "\"deadline_ms\":3000,\"objective_ms\":1000,\"priority\":1,"          \
+        "\"attempts_max\":2," where "}]}}")
+
+#define ONE_SERVICE "\"service\":\"visor\""
+#define OTHER_SERVICE "\"service\":\"despachos\""
+#define SPLIT                                                                 \
+    "\"split\":[{\"service\":\"visor\",\"weight\":1},"                        \
+    "{\"service\":\"despachos\",\"weight\":1}]"
+
+typedef enum {
+    NOTHING,
+    CHANGE,      /* of a preset that is not in force */
+    MOVE,        /* its route leads to the other service */
+    RESTART_ONE, /* the node beside one of its backend servers, killed */
+    RESTART_ALL, /* all nodes, killed at once */
+    LOSE_FOLDER, /* the same, and a control replica loses its folder */
+    ANSWER_ERROR /* it is sent once more, and answered 500 */
+} Between;
+
+typedef struct {
+    const char *name;
+    Str preset;
+    Between between;
+    int others; /* of the backend servers, the last so many are despachos' */
+} Case;
+
+static const Case cases[] = {
+    {"nothing happens", PRESET(ONE_SERVICE), NOTHING, 0},
+    {"another preset is changed", PRESET(ONE_SERVICE), CHANGE, 0},
+    {"its route is moved", PRESET(ONE_SERVICE), MOVE, 2},
+    {"a node of the service is restarted", PRESET(ONE_SERVICE), RESTART_ONE,
+     0},
+    {"all nodes are restarted", PRESET(ONE_SERVICE), RESTART_ALL, 0},
+    {"all nodes are restarted, one replica without its folder",
+     PRESET(ONE_SERVICE), LOSE_FOLDER, 0},
+    {"its route is split", PRESET(SPLIT), NOTHING, 2},
+    {"it is answered an error once", PRESET(ONE_SERVICE), ANSWER_ERROR, 0},
+};
+
+static Told
+post(Fleet *fleet, int vm, Str path, Str headers)
+{
+    StrBuf answer = {0};
+    Told told = Fleet_Post(fleet, vm, path, (Str){0}, headers, Str_LIT("bad"),
+                           ANSWER_WAIT, &answer);
+
+    StrBuf_Finish(&answer);
+    return told;
+}
+
+static void
+wait_until_served(Fleet *fleet, int vm)
+{
+    for (int i = 0; i < 100; i++) {
+        if (post(fleet, vm, Str_LIT("/notes/ready"), (Str){0}) ==
+            Told_ANSWER) {
+            return;
+        }
+        Fleet_Sleep(Span_MS(100));
+    }
+    ck_abort_msg("vm %d serves nobody", vm);
+}
+
+static void
+wait_until_all_serve(Fleet *fleet)
+{
+    for (int i = 0; i < VMS; i++) {
+        wait_until_served(fleet, i);
+    }
+}
+
+static void
+start_backend(Fleet *fleet, int vm, int others, Str options)
+{
+    Fleet_StartBackend(
+        fleet, vm,
+        vm >= VMS - others ? Str_LIT("despachos") : Str_LIT("visor"), options);
+}
+
+static void
+start_fleet(Fleet *fleet, Str preset, int others, Str options)
+{
+    Fleet_Init(fleet, build, SUBNET, VMS, REPLICAS);
+    Fleet_SetPreset(fleet, preset);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    for (int i = REPLICAS; i < VMS; i++) {
+        start_backend(fleet, i, others, options);
+    }
+    wait_until_all_serve(fleet);
+    Fleet_Sleep(SETTLE);
+}
+
+/* Backend servers that ended by themselves since the last look; they are
+ * started again. */
+static int
+count_losses(Fleet *fleet, int others, Str options)
+{
+    int losses = 0;
+
+    for (int i = REPLICAS; i < VMS; i++) {
+        pid_t *backend = &fleet->vms[i].backend;
+        if (*backend > 0 && waitpid(*backend, NULL, WNOHANG) == *backend) {
+            *backend = 0;
+            losses++;
+            start_backend(fleet, i, others, options);
+        }
+    }
+    return losses;
+}
+
+static void
+change_other(Fleet *fleet, int round)
+{
+    char id[16];
+    OpsChange change = {.id = id, .verb = "put", .name = "peak"};
+
+    snprintf(id, sizeof id, "peak-%d", round);
+    ck_assert(Ops_MustChange(fleet, &change, Span_S(5)));
+}
+
+/* Forth and back. */
+static void
+move_route(Fleet *fleet, int round)
+{
+    StrBuf text = {0};
+    StrBuf body = {0};
+    int fd = Fleet_RawOpen(fleet, 0, 8100);
+
+    StrBuf_AppendFmt(
+        &body,
+        "{\"revision\":%d,\"upsert\":{\"routes\":[{\"name\":\"note\","
+        "\"host\":\"x\",\"path\":\"/notes/\",\"kind\":\"non_idempotent\","
+        "\"deadline_ms\":3000,\"objective_ms\":1000,\"priority\":1,"
+        "\"attempts_max\":2,%s}]}}",
+        REVISION + round + 1, round % 2 ? ONE_SERVICE : OTHER_SERVICE);
+    StrBuf_AppendFmt(&text,
+                     "POST /v1/routing/patch HTTP/1.1\r\nHost: x\r\n"
+                     "Connection: close\r\nIf-Match: %d\r\n"
+                     "Authorization: Bearer test-key\r\n"
+                     "Content-Length: %zu\r\n\r\n%.*s",
+                     REVISION + round, body.len, Str_ARG(body));
+    Fleet_RawSend(fd, StrBuf_View(&text));
+    StrBuf_Clear(&text);
+    Fleet_RawRead(fd, Span_S(5), &text);
+    ck_assert_msg(Str_StartsWith(StrBuf_View(&text), Str_LIT("HTTP/1.1 200")),
+                  "%.*s", Str_ARG(text));
+    Fleet_RawClose(fd);
+    StrBuf_Finish(&text);
+    StrBuf_Finish(&body);
+}
+
+static void
+restart_all(Fleet *fleet, bool lose_folder)
+{
+    for (int i = 0; i < VMS; i++) {
+        if (lose_folder && i == 0) {
+            Fleet_LoseFolder(fleet, i);
+        }
+        else {
+            Fleet_Kill(&fleet->vms[i].node, SIGKILL);
+        }
+    }
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+}
+
+static void
+disturb(Fleet *fleet, Between between, int round)
+{
+    int vm = REPLICAS + round % (VMS - REPLICAS);
+
+    switch (between) {
+    case NOTHING:
+        break;
+    case CHANGE:
+        change_other(fleet, round);
+        break;
+    case MOVE:
+        move_route(fleet, round);
+        break;
+    case RESTART_ONE:
+        Fleet_Kill(&fleet->vms[vm].node, SIGKILL);
+        Fleet_StartNode(fleet, vm);
+        break;
+    case RESTART_ALL:
+        restart_all(fleet, false);
+        break;
+    case LOSE_FOLDER:
+        restart_all(fleet, round == 1);
+        break;
+    case ANSWER_ERROR:
+        post(fleet, round % REPLICAS, Str_LIT("/notes/bad"),
+             Str_LIT("X-Fake-Status: 500\r\n"));
+        break;
+    }
+}
+
+START_TEST(stopped_request_runs_again_after)
+{
+    const Case *c = &cases[_i];
+    Fleet fleet;
+    Told told = Told_NOTHING;
+    int losses = 0;
+
+    start_fleet(&fleet, c->preset, c->others, (Str){0});
+    for (int round = 0; round < TIMES; round++) {
+        told = post(&fleet, round % REPLICAS, Str_LIT("/notes/bad"), CRASH);
+        Fleet_Sleep(Span_MS(200));
+        losses += count_losses(&fleet, c->others, (Str){0});
+        ck_assert_msg(!(told & (Told_ANSWER | Told_NOTHING)),
+                      "%s: time %d was told %d", c->name, round, told);
+        disturb(&fleet, c->between, round);
+        wait_until_all_serve(&fleet);
+        Fleet_Sleep(SETTLE);
+    }
+    printf("%s: sent %d times, %d losses\n", c->name, TIMES, losses);
+    fflush(stdout);
+    ck_assert_int_ge(losses, 1);
+    ck_assert_int_le(losses, LOSSES_MAX);
+    ck_assert_int_eq(told, Told_NOT_RUN);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+/* Each backend server's one slot is taken, at the first one for less long. */
+static void
+fill_slots(Fleet *fleet, int *fds)
+{
+    for (int i = 0; i < VMS - REPLICAS; i++) {
+        Str time = i ? Str_LIT("X-Fake-Time-Us: 900000\r\n")
+                     : Str_LIT("X-Fake-Time-Us: 300000\r\n");
+        fds[i] = Fleet_StartPost(fleet, REPLICAS + i, Str_LIT("/notes/ok"),
+                                 (Str){0}, time, Str_LIT("x"));
+        Fleet_Sleep(Span_MS(30));
+    }
+}
+
+START_TEST(copies_that_wait_run_after_the_verdict)
+{
+    static const Str one_slot = Str_LIT("--slots 1");
+    Fleet fleet;
+    StrBuf answer = {0};
+    int work[VMS - REPLICAS];
+    int copies[COPIES];
+    int losses = 0;
+
+    start_fleet(&fleet, cases[0].preset, 0, one_slot);
+    fill_slots(&fleet, work);
+    for (int i = 0; i < COPIES; i++) {
+        copies[i] = Fleet_StartPost(&fleet, i % VMS, Str_LIT("/notes/bad"),
+                                    (Str){0}, CRASH, Str_LIT("bad"));
+    }
+    for (int i = 0; i < VMS - REPLICAS; i++) {
+        ck_assert_int_eq(Fleet_FinishPost(work[i], ANSWER_WAIT, &answer),
+                         Told_ANSWER);
+    }
+    for (int i = 0; i < COPIES; i++) {
+        Told told = Fleet_FinishPost(copies[i], ANSWER_WAIT, &answer);
+        ck_assert_msg(!(told & (Told_ANSWER | Told_NOTHING)),
+                      "copy %d was told %d", i, told);
+    }
+    Fleet_Sleep(Span_MS(500));
+    losses = count_losses(&fleet, 0, one_slot);
+    printf("%d copies at once, %d losses\n", COPIES, losses);
+    fflush(stdout);
+    ck_assert_int_ge(losses, 1);
+    ck_assert_int_le(losses, LOSSES_MAX);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{stopped_request_runs_again_after, ROWS(cases)},
+                               {copies_that_wait_run_after_the_verdict, 1}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("stopped runs again", tests, 2, 90);
+}
