Keep what is known of suspect requests when another version comes into force

What callers saw: a request that crashes backend servers was stopped after two, and crashed more after each change of a preset or of routing. Cause: use_preset forgot every suspect at each version in force, also when the version changed a preset that is not in force, or a route. Class: knowledge that guards callers ended because something with a shorter life (a version) was renewed. Change: a version sets limits only. What is said of a crash only grows (blamed, cleared, final, released by operators), so that processes agree in any order; operators release a request by name (lycheeridge suspects release), no longer by any change of preset. The decider's row 'released by the operators' asks for that in place of Sus_Clear, which is gone: as strict, and followed by a row that it can be blamed again. Also: a clearing is told to the nodes that were told of the blame.

--- a/src/connection/suspectmsg.h
+++ b/src/connection/suspectmsg.h
@@ -1,25 +1,34 @@
-/* Suspectmsg: blame of requests, among the nodes of one service. */
+/* Suspectmsg: blame of requests, as processes tell each other of it. */
 #ifndef SUSPECTMSG_H
 #define SUSPECTMSG_H
 
 #include "connection/wire.h"
 #include "process/suspect.h"
 
+/* What a process knows, in short: it rides on messages that go anyway. */
 typedef struct {
-    uint64_t fingerprint;
-    uint64_t crash;
-    Span age;
-} SuspectRow;
+    SusDigest digest;
+    bool knows; /* it was told all that the fleet knew since its start */
+} SuspectWord;
+
+void Suspectmsg_PutWord(Pack *pack, const SuspectWord *word);
+void Suspectmsg_TakeWord(Unpack *in, SuspectWord *word);
+
+/* Wire_SUSPECTS: rows, and what else the sender knows. */
+typedef struct {
+    uint64_t number; /* echoed by Wire_SUSPECTS_TOLD; 0: not to be */
+    bool wants;      /* rows that the sender lacks are to be sent back */
+    SuspectWord word;
+} SuspectsHead;
 
 enum { Suspectmsg_ROWS_MAX = Sus_ENTRIES_MAX * Sus_CRASHES_MAX };
 
-/* NUMBER is echoed by Wire_SUSPECTS_TOLD. */
-void Suspectmsg_Begin(Pack *pack, uint64_t number, uint32_t rows);
-void Suspectmsg_PutRow(Pack *pack, const SuspectRow *row);
+void Suspectmsg_Begin(Pack *pack, const SuspectsHead *head, uint32_t rows);
+void Suspectmsg_PutRow(Pack *pack, const SusRow *row);
 
 /* Enter the rows: their number, to be read one by one from ROWS. */
-uint32_t Suspectmsg_Open(Unpack *in, uint64_t *number, Unpack *rows);
-bool Suspectmsg_TakeRow(Unpack *rows, SuspectRow *row);
+uint32_t Suspectmsg_Open(Unpack *in, SuspectsHead *head, Unpack *rows);
+bool Suspectmsg_TakeRow(Unpack *rows, SusRow *row);
 
 void Suspectmsg_PackTold(Pack *pack, uint64_t number);
 bool Suspectmsg_ReadTold(Unpack *in, uint64_t *number, Err *err);
--- a/src/process/cli.h
+++ b/src/process/cli.h
@@ -60,9 +60,13 @@
 /* Send COUNT requests at once and wait for their answers. */
 void Cli_AskAll(Cli *cli, CliAsk *asks, size_t count);
 
-/* GET PATH from the nodes in order until one answers; ASK holds its answer,
- * status 0 when none did. */
-void Cli_AskAny(Cli *cli, Str path, CliAsk *ask);
+/* GET PATH, or POST BODY to it, from the nodes in order until one answers;
+ * ASK holds its answer, status 0 when none did. */
+void Cli_AskAny(Cli *cli, Str path, Str body, CliAsk *ask);
+
+/* Cli_AskAny, and print what came: as JSON where that is wanted. */
+CliStatus Cli_Show(Cli *cli, Str path, Str body,
+                   void (*print)(const json_t *answer));
 
 /* What follows from an answer that is not 200, told on standard error. */
 CliStatus Cli_Explain(const CliAsk *ask);
@@ -74,6 +78,8 @@
 CliStatus Cli_ShowPreset(Cli *cli, Str name);
 CliStatus Cli_PutPreset(Cli *cli, Str file);
 CliStatus Cli_UsePreset(Cli *cli, Str name);
+CliStatus Cli_ListSuspects(Cli *cli);
+CliStatus Cli_ReleaseSuspect(Cli *cli, Str fingerprint);
 CliStatus Cli_CheckPreset(const Cli *cli, Str file);
 CliStatus Cli_NewKeys(const Cli *cli);
 
--- a/src/process/cli_ask.c
+++ b/src/process/cli_ask.c
@@ -121,12 +121,13 @@
 }
 
 void
-Cli_AskAny(Cli *cli, Str path, CliAsk *ask)
+Cli_AskAny(Cli *cli, Str path, Str body, CliAsk *ask)
 {
     Cli_AskInit(ask, cli->nodes[0], path);
     for (size_t i = 0; i < cli->node_count; i++) {
         CliAsk next;
         Cli_AskInit(&next, cli->nodes[i], path);
+        StrBuf_Set(&next.body, body);
         Cli_AskAll(cli, &next, 1);
         /* What one node said goes before the silence of the next. */
         if (next.status || !ask->status) {
@@ -175,3 +176,23 @@
     StrBuf_Finish(&node);
     return status;
 }
+
+CliStatus
+Cli_Show(Cli *cli, Str path, Str body, void (*print)(const json_t *answer))
+{
+    CliAsk ask;
+    CliStatus status = Cli_GOOD;
+
+    Cli_AskAny(cli, path, body, &ask);
+    if (ask.status != 200) {
+        status = Cli_Explain(&ask);
+    }
+    else if (cli->json) {
+        Cli_PrintJson(ask.answer);
+    }
+    else {
+        print(ask.answer);
+    }
+    Cli_AskFinish(&ask);
+    return status;
+}
--- a/src/process/cli_preset.c
+++ b/src/process/cli_preset.c
@@ -6,26 +6,6 @@
 #include "process/settings.h"
 #include "version/preset.h"
 
-static CliStatus
-show_answer(Cli *cli, Str path, void (*print)(const json_t *answer))
-{
-    CliAsk ask;
-    CliStatus status = Cli_GOOD;
-
-    Cli_AskAny(cli, path, &ask);
-    if (ask.status != 200) {
-        status = Cli_Explain(&ask);
-    }
-    else if (cli->json) {
-        Cli_PrintJson(ask.answer);
-    }
-    else {
-        print(ask.answer);
-    }
-    Cli_AskFinish(&ask);
-    return status;
-}
-
 static void
 print_list(const json_t *answer)
 {
@@ -54,7 +34,7 @@
 CliStatus
 Cli_ListPresets(Cli *cli)
 {
-    return show_answer(cli, Str_LIT("/v1/presets"), print_list);
+    return Cli_Show(cli, Str_LIT("/v1/presets"), (Str){0}, print_list);
 }
 
 /* Names are sent as they are: anything that a URI would change is refused. */
@@ -85,7 +65,7 @@
         return Cli_USAGE;
     }
     StrBuf_AppendFmt(&path, "/v1/presets/show?name=%.*s", Str_ARG(name));
-    status = show_answer(cli, StrBuf_View(&path), print_preset);
+    status = Cli_Show(cli, StrBuf_View(&path), (Str){0}, print_preset);
     StrBuf_Finish(&path);
     return status;
 }
@@ -100,7 +80,7 @@
 
     Cli_AskAny(cli,
                cli->has_base ? Str_LIT("/v1/status") : Str_LIT("/v1/presets"),
-               &ask);
+               (Str){0}, &ask);
     if (ask.status != 200) {
         status = Cli_Explain(&ask);
     }
@@ -201,7 +181,7 @@
         return status;
     }
     make_id(cli);
-    Cli_AskAny(cli, Str_LIT("/v1/versions"), &before);
+    Cli_AskAny(cli, Str_LIT("/v1/versions"), (Str){0}, &before);
     change = json_pack("{s:s%, s:{s:I, s:I}, s:s, s:s%}", "id", cli->id.ptr,
                        cli->id.len, "base", "term", (json_int_t)cli->base.term,
                        "index", (json_int_t)cli->base.index, "verb", verb,
--- a/src/process/cli_status.c
+++ b/src/process/cli_status.c
@@ -176,8 +176,8 @@
     CliAsk versions;
     CliStatus result;
 
-    Cli_AskAny(cli, Str_LIT("/v1/status"), &status);
-    Cli_AskAny(cli, Str_LIT("/v1/versions"), &versions);
+    Cli_AskAny(cli, Str_LIT("/v1/status"), (Str){0}, &status);
+    Cli_AskAny(cli, Str_LIT("/v1/versions"), (Str){0}, &versions);
     result = show(cli, &status, &versions);
     if (result == Cli_GOOD && cli->wait) {
         result = Cli_WaitInForce(cli, Cli_Version(versions.answer, "version"),
@@ -265,7 +265,7 @@
 
     for (;;) {
         CliAsk ask;
-        Cli_AskAny(cli, Str_LIT("/v1/versions"), &ask);
+        Cli_AskAny(cli, Str_LIT("/v1/versions"), (Str){0}, &ask);
         if (is_everywhere(&ask, version, before)) {
             print_gone(stderr, ask.answer);
             Cli_AskFinish(&ask);
--- a/src/process/cli_timeline.c
+++ b/src/process/cli_timeline.c
@@ -197,7 +197,7 @@
     CliAsk ask;
     CliStatus status = Cli_GOOD;
 
-    Cli_AskAny(cli, Str_LIT("/v1/status"), &ask);
+    Cli_AskAny(cli, Str_LIT("/v1/status"), (Str){0}, &ask);
     if (ask.status == 200) {
         show(cli, json_object_get(ask.answer, "members"));
     }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -1,6 +1,7 @@
 #include "process/node.h"
 
 #include "process/incarnation.h"
+#include "process/suspectops.h"
 
 #include "request/fence.h"
 
@@ -264,7 +265,7 @@
     Run_SetPreset(&node->runs, &node->in_force->preset,
                   StrBuf_View(&node->ann.service));
     Hld_SetLimits(&node->holder, limits);
-    Sps_SetLimits(&node->suspects, limits, true);
+    Sps_SetLimits(&node->suspects, limits);
 }
 
 /* A confirmed version comes into force; calls under way keep theirs. */
@@ -332,6 +333,7 @@
         .suspects = &node->suspects,
     };
     Shw_Serve(&node->show, &node->opr);
+    Sop_Serve(&node->suspects, &node->opr);
     return true;
 }
 
--- a/src/process/show.c
+++ b/src/process/show.c
@@ -171,7 +171,7 @@
                    show->runs->count);
     Cnt_PrintGauge(out, Str_LIT("suspects"),
                    Str_LIT("Requests blamed for a loss of a backend server"),
-                   show->suspects->sus.count);
+                   Sus_CountBlamed(&show->suspects->sus));
     Cnt_PrintGauge(out, Str_LIT("suspects_stopped"),
                    Str_LIT("Of these, refused until their release"),
                    Sus_CountStopped(&show->suspects->sus));
--- a/src/process/suspect.h
+++ b/src/process/suspect.h
@@ -1,13 +1,16 @@
 /* Sus, the suspect request decider: which request crashes the backend servers
  * that run it, and when to stop running it.
  *
- * A request is named by its fingerprint, a hash of its service, method,
- * target and body.  A crash blames every request that ran at that moment.  A
- * blamed request runs alone: it ends, and is cleared, or it crashes a second
- * backend server and is stopped.  Blame goes after the release time.
+ * A request is named by its fingerprint, a hash of what stays the same each
+ * time it is sent.  A crash blames every request that ran at that moment.  A
+ * blamed request runs alone, and at one node only: it ends well, and is
+ * cleared, or it crashes another backend server and is stopped.
  *
- * Each crash has an id, so that knowledge of it may come twice and from
- * anywhere.
+ * What is known here guards all backend servers of the fleet.  It ends by its
+ * release time, by a good end alone, or by operators who name it, and by
+ * nothing else.  Each crash has an id, and what is said of it only ever grows
+ * (SusState), so that processes that tell each other, in any order and any
+ * number of times, come to know the same; a digest tells whether they do.
  */
 #ifndef SUSPECT_H
 #define SUSPECT_H
@@ -15,6 +18,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "value/addr.h"
 #include "value/instant.h"
 
 typedef enum {
@@ -23,13 +27,36 @@
     Sus_STOPPED /* refuse it until its release */
 } SusVerdict;
 
-enum { Sus_ENTRIES_MAX = 1024, Sus_CRASHES_MAX = 2 };
+/* What is said of one crash and one request; the greater word counts. */
+typedef enum {
+    Sus_BLAMED,
+    Sus_CLEARED, /* it ran alone to a good end since */
+    Sus_FINAL,   /* one of those for which it was stopped */
+    Sus_RELEASED /* the operators released it */
+} SusState;
+
+enum { Sus_ENTRIES_MAX = 1024, Sus_CRASHES_MAX = 4, Sus_LOSSES_MAX = 2 };
+
+/* Which crash of which request, as one process tells another. */
+typedef struct {
+    uint64_t fingerprint;
+    uint64_t crash; /* its id, not 0 */
+    Addr node;      /* beside the backend server that was lost */
+    Span age;       /* since the crash */
+    SusState state;
+} SusRow;
+
+typedef struct {
+    uint64_t id;
+    Addr node;
+    SusState state;
+} SusCrash;
 
 typedef struct {
     uint64_t fingerprint;
-    uint64_t crashes[Sus_CRASHES_MAX]; /* their ids */
-    uint32_t count;                    /* of them */
-    Instant at;                        /* of the last one */
+    SusCrash crashes[Sus_CRASHES_MAX];
+    uint32_t count; /* of them */
+    Instant at;     /* of the last one */
 } SusEntry;
 
 typedef struct {
@@ -37,6 +64,13 @@
     Span release;
 } SusSettings;
 
+/* Of all that counts against a request; two processes that know the same have
+ * the same. */
+typedef struct {
+    uint32_t count;
+    uint64_t hash;
+} SusDigest;
+
 typedef struct {
     SusSettings settings;
     SusEntry entries[Sus_ENTRIES_MAX];
@@ -44,28 +78,44 @@
 } Sus;
 
 void Sus_Init(Sus *sus, const SusSettings *settings);
+
+/* Limits of the preset in force; what is known stays. */
 void Sus_SetSettings(Sus *sus, const SusSettings *settings);
 
 SusVerdict Sus_Ask(const Sus *sus, uint64_t fingerprint, Instant now);
 
-/* What is known of FINGERPRINT; false: nothing. */
-bool Sus_Find(const Sus *sus, uint64_t fingerprint, SusEntry *entry);
+/* Of two nodes with a backend server that may run FINGERPRINT, whether it is
+ * run alone at A rather than at B: where it crashed one it is run last. */
+bool Sus_GoesBefore(const Sus *sus, uint64_t fingerprint, Addr a, Addr b);
+
+/* What is known of FINGERPRINT; NULL: nothing. */
+const SusEntry *Sus_Find(const Sus *sus, uint64_t fingerprint);
+
+/* Crashes that count against it. */
+uint32_t Sus_CountLosses(const SusEntry *entry);
 
-/* Entries that are refused until their release. */
+/* Requests that are blamed or stopped, and of these the stopped. */
+size_t Sus_CountBlamed(const Sus *sus);
 size_t Sus_CountStopped(const Sus *sus);
 
-/* Backend server lost in crash CRASH (not 0) while FINGERPRINT ran, AGE ago.
- * When there is no room, the one blamed least and longest ago goes. */
-void Sus_OnCrash(Sus *sus, uint64_t fingerprint, uint64_t crash, Span age,
-                 Instant now);
+/* A row of this process's own, or told by another; true when it is news.
+ * When there is no room, what counts least and is oldest goes. */
+bool Sus_OnRow(Sus *sus, const SusRow *row, Instant now);
 
-/* It ran alone to its end. */
-void Sus_OnDone(Sus *sus, uint64_t fingerprint);
+/* It ran alone to a good end: true when that clears it. */
+bool Sus_OnDone(Sus *sus, uint64_t fingerprint);
 
-/* Drop what is released; returns how many of these had been stopped. */
-size_t Sus_Expire(Sus *sus, Instant now);
+/* The operators release FINGERPRINT; false when it was not blamed. */
+bool Sus_Release(Sus *sus, uint64_t fingerprint);
+
+/* The row of ENTRY's crash NUMBER, to be told to others. */
+SusRow Sus_Row(const SusEntry *entry, uint32_t number, Instant now);
 
-/* The operators released every request by a change of preset. */
-void Sus_Clear(Sus *sus);
+SusDigest Sus_Digest(const Sus *sus);
+bool Sus_IsEqual(SusDigest a, SusDigest b);
+
+/* Drop what is released by its time; returns how many of these had been
+ * stopped. */
+size_t Sus_Expire(Sus *sus, Instant now);
 
 #endif
--- /dev/null
+++ b/src/process/suspectops.c
@@ -0,0 +1,147 @@
+#include "process/suspectops.h"
+
+#include <inttypes.h>
+
+#include "process/opjson.h"
+#include "value/json.h"
+
+enum { FINGERPRINT_DIGITS = 16, US_PER_MS = 1000 };
+
+static json_t *
+json_fingerprint(uint64_t fingerprint)
+{
+    StrBuf text = {0};
+    json_t *value;
+
+    StrBuf_AppendFmt(&text, "%016" PRIx64, fingerprint);
+    value = Opj_Str(StrBuf_View(&text));
+    StrBuf_Finish(&text);
+    return value;
+}
+
+static json_t *
+json_crash(const SusCrash *crash)
+{
+    static const Str states[] = {
+        [Sus_BLAMED] = Str_LIT("blamed"),
+        [Sus_CLEARED] = Str_LIT("cleared"),
+        [Sus_FINAL] = Str_LIT("final"),
+        [Sus_RELEASED] = Str_LIT("released"),
+    };
+
+    return json_pack("{s:o, s:o}", "beside", Opj_Addr(crash->node), "state",
+                     Opj_Str(states[crash->state]));
+}
+
+static json_t *
+json_entry(const Sus *sus, const SusEntry *entry, Instant now)
+{
+    static const Str verdicts[] = {
+        [Sus_CLEAR] = Str_LIT("clear"),
+        [Sus_ALONE] = Str_LIT("alone"),
+        [Sus_STOPPED] = Str_LIT("stopped"),
+    };
+    json_t *crashes = json_array();
+    Span age = now - entry->at;
+
+    for (uint32_t i = 0; i < entry->count; i++) {
+        json_array_append_new(crashes, json_crash(&entry->crashes[i]));
+    }
+    return json_pack("{s:o, s:o, s:o, s:I, s:I}", "fingerprint",
+                     json_fingerprint(entry->fingerprint), "verdict",
+                     Opj_Str(verdicts[Sus_Ask(sus, entry->fingerprint, now)]),
+                     "crashes", crashes, "age_ms",
+                     (json_int_t)(age / US_PER_MS), "released_in_ms",
+                     (json_int_t)((sus->settings.release - age) / US_PER_MS));
+}
+
+static OprAnswer
+on_list(void *context, struct evhttp_request *request, Str body, Instant now)
+{
+    const Sus *sus = &((Suspects *)context)->sus;
+    json_t *list = json_array();
+
+    (void)request;
+    (void)body;
+    for (size_t i = 0; i < sus->count; i++) {
+        json_array_append_new(list, json_entry(sus, &sus->entries[i], now));
+    }
+    return (OprAnswer){200, json_pack("{s:o}", "suspects", list)};
+}
+
+/* 16 hexadecimal digits. */
+static bool
+read_fingerprint(Str text, uint64_t *value)
+{
+    static const Str digits = Str_LIT("0123456789abcdef");
+
+    *value = 0;
+    for (size_t i = 0; i < text.len; i++) {
+        size_t digit = Str_Find(digits, text.ptr[i]);
+        if (digit == digits.len) {
+            return false;
+        }
+        *value = *value << 4 | digit;
+    }
+    return text.len == FINGERPRINT_DIGITS;
+}
+
+static bool
+parse(Str body, uint64_t *fingerprint, FindingList *findings)
+{
+    json_t *root = Jsn_Load(body, findings);
+    StrBuf text = {0};
+    JsnObject o;
+
+    if (!root) {
+        return false;
+    }
+    Jsn_Enter(&o, root, (Str){0}, findings);
+    Jsn_GetStr(&o, Str_LIT("fingerprint"), true, &text);
+    if (!read_fingerprint(StrBuf_View(&text), fingerprint)) {
+        Jsn_Find(&o, Str_LIT("fingerprint"), Str_LIT("not a fingerprint"),
+                 Str_LIT("16 digits as the list has them"));
+    }
+    Jsn_Leave(&o);
+    StrBuf_Finish(&text);
+    json_decref(root);
+    return findings->count == 0;
+}
+
+static OprAnswer
+on_release(void *context, struct evhttp_request *request, Str body,
+           Instant now)
+{
+    Suspects *suspects = context;
+    uint64_t fingerprint = 0;
+    FindingList findings;
+    StrBuf text = {0};
+    OprAnswer answer = {200, NULL};
+
+    (void)request;
+    Fnd_Init(&findings);
+    Fnd_SetFile(&findings, Str_LIT("release"));
+    if (!parse(body, &fingerprint, &findings)) {
+        Fnd_Print(&findings, &text);
+        answer = (OprAnswer){
+            400, Opr_Error(Str_LIT("malformed"), StrBuf_View(&text))};
+    }
+    else if (Sps_Release(suspects, fingerprint, now)) {
+        answer.body =
+            json_pack("{s:o}", "released", json_fingerprint(fingerprint));
+    }
+    else {
+        answer = (OprAnswer){404, Opr_Error(Str_LIT("not_blamed"),
+                                            Str_LIT("no such suspect here"))};
+    }
+    StrBuf_Finish(&text);
+    Fnd_Finish(&findings);
+    return answer;
+}
+
+void
+Sop_Serve(Suspects *suspects, Opr *opr)
+{
+    Opr_On(opr, Str_LIT("/v1/suspects"), true, on_list, suspects);
+    Opr_On(opr, Str_LIT("/v1/suspects/release"), true, on_release, suspects);
+}
--- a/src/process/suspects.c
+++ b/src/process/suspects.c
@@ -1,5 +1,7 @@
 #include "process/suspects.h"
 
+#include <inttypes.h>
+
 #include "connection/suspectmsg.h"
 
 static SusSettings
@@ -9,15 +11,11 @@
 }
 
 void
-Sps_SetLimits(Suspects *suspects, const PstLimits *limits, bool changed)
+Sps_SetLimits(Suspects *suspects, const PstLimits *limits)
 {
     SusSettings settings = settings_of(limits);
 
     Sus_SetSettings(&suspects->sus, &settings);
-    if (changed && suspects->sus.count) {
-        Sus_Clear(&suspects->sus);
-        Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED, "preset changed");
-    }
 }
 
 SusVerdict
@@ -26,12 +24,6 @@
     return Sus_Ask(&suspects->sus, fingerprint, now);
 }
 
-bool
-Sps_Find(const Suspects *suspects, uint64_t fingerprint, SusEntry *entry)
-{
-    return Sus_Find(&suspects->sus, fingerprint, entry);
-}
-
 static void
 send_rows(Suspects *suspects, Addr node, const Pack *pack, Instant now)
 {
@@ -50,19 +42,21 @@
                      StrBuf_View(&own->service));
 }
 
-static void
+/* How many nodes were told. */
+static size_t
 tell_others(Suspects *suspects, const Pack *pack, Instant now)
 {
     const Mbr *mbr = &suspects->members->membership;
+    size_t told = 0;
 
-    suspects->untold = 0;
     for (size_t i = 0; i < mbr->count; i++) {
         const MbrRow *row = &mbr->rows[i];
         if (!row->gone && serves_the_same(suspects, &row->record)) {
             send_rows(suspects, row->record.node, pack, now);
-            suspects->untold++;
+            told++;
         }
     }
+    return told;
 }
 
 static uint64_t
@@ -75,31 +69,51 @@
     return id ? id : 1;
 }
 
-static void
-blame(Suspects *suspects, const SuspectRow *row, Instant now)
+/* True when it is news. */
+static bool
+take_row(Suspects *suspects, const SusRow *row, Instant now)
 {
     SusVerdict before = Sps_Ask(suspects, row->fingerprint, now);
+    bool news = Sus_OnRow(&suspects->sus, row, now);
 
-    Sus_OnCrash(&suspects->sus, row->fingerprint, row->crash, row->age, now);
     if (before != Sus_STOPPED &&
         Sps_Ask(suspects, row->fingerprint, now) == Sus_STOPPED) {
         Tml_Record(suspects->timeline, Tml_SUSPECT_STOPPED,
-                   "fingerprint=%016llx",
-                   (unsigned long long)row->fingerprint);
+                   "fingerprint=%016" PRIx64, row->fingerprint);
     }
+    return news;
 }
 
 void
 Sps_OnCrash(Suspects *suspects, const uint64_t *fingerprints, size_t count,
             Instant now)
 {
-    SuspectRow row = {.crash = crash_id(suspects)};
+    SusRow row = {.crash = crash_id(suspects),
+                  .node = suspects->members->own.node};
+    SuspectsHead head = {.number = suspects->crashes};
     Pack pack;
 
-    Suspectmsg_Begin(&pack, suspects->crashes, (uint32_t)count);
+    Suspectmsg_Begin(&pack, &head, (uint32_t)count);
     for (size_t i = 0; i < count; i++) {
         row.fingerprint = fingerprints[i];
-        blame(suspects, &row, now);
+        take_row(suspects, &row, now);
+        Suspectmsg_PutRow(&pack, &row);
+    }
+    suspects->untold = tell_others(suspects, &pack, now);
+    Pack_Finish(&pack);
+}
+
+/* All crashes of ENTRY, to who may run it as well. */
+static void
+tell_entry(Suspects *suspects, uint64_t fingerprint, Instant now)
+{
+    const SusEntry *entry = Sus_Find(&suspects->sus, fingerprint);
+    SuspectsHead head = {0};
+    Pack pack;
+
+    Suspectmsg_Begin(&pack, &head, entry->count);
+    for (uint32_t i = 0; i < entry->count; i++) {
+        SusRow row = Sus_Row(entry, i, now);
         Suspectmsg_PutRow(&pack, &row);
     }
     tell_others(suspects, &pack, now);
@@ -107,9 +121,23 @@
 }
 
 void
-Sps_OnDone(Suspects *suspects, uint64_t fingerprint)
+Sps_OnDone(Suspects *suspects, uint64_t fingerprint, Instant now)
+{
+    if (Sus_OnDone(&suspects->sus, fingerprint)) {
+        tell_entry(suspects, fingerprint, now);
+    }
+}
+
+bool
+Sps_Release(Suspects *suspects, uint64_t fingerprint, Instant now)
 {
-    Sus_OnDone(&suspects->sus, fingerprint);
+    if (!Sus_Release(&suspects->sus, fingerprint)) {
+        return false;
+    }
+    Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED,
+               "fingerprint=%016" PRIx64 " by operators", fingerprint);
+    tell_entry(suspects, fingerprint, now);
+    return true;
 }
 
 static uint32_t
@@ -127,17 +155,17 @@
 Sps_OnMember(Suspects *suspects, const MbrRecord *record, Instant now)
 {
     const Sus *sus = &suspects->sus;
+    SuspectsHead head = {0};
     Pack pack;
 
     if (sus->count == 0 || !serves_the_same(suspects, record)) {
         return;
     }
-    Suspectmsg_Begin(&pack, 0, count_rows(sus));
+    Suspectmsg_Begin(&pack, &head, count_rows(sus));
     for (size_t i = 0; i < sus->count; i++) {
         const SusEntry *entry = &sus->entries[i];
         for (uint32_t k = 0; k < entry->count; k++) {
-            SuspectRow row = {entry->fingerprint, entry->crashes[k],
-                              now - entry->at};
+            SusRow row = Sus_Row(entry, k, now);
             Suspectmsg_PutRow(&pack, &row);
         }
     }
@@ -159,29 +187,26 @@
 }
 
 static void
-log_learned(const Suspects *suspects, uint32_t rows, size_t known_before)
+log_learned(const Suspects *suspects, uint32_t rows, uint32_t news)
 {
     Lgr_Log(suspects->timeline->logger, Lgr_INFO, Str_LIT("suspects_learned"),
-            "rows=%u known_before=%zu known=%zu stopped=%zu", rows,
-            known_before, suspects->sus.count,
-            Sus_CountStopped(&suspects->sus));
+            "rows=%u news=%u blamed=%zu stopped=%zu", rows, news,
+            Sus_CountBlamed(&suspects->sus), Sus_CountStopped(&suspects->sus));
 }
 
 static void
 on_suspects(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
     Suspects *suspects = context;
-    SuspectRow row;
+    SuspectsHead head;
+    SusRow row;
     Unpack rows;
-    uint64_t number;
-    uint32_t count = Suspectmsg_Open(in, &number, &rows);
-    size_t known = suspects->sus.count;
+    uint32_t count = Suspectmsg_Open(in, &head, &rows);
+    uint32_t news = 0;
     Err err = {0};
 
     for (uint32_t i = 0; i < count && Suspectmsg_TakeRow(&rows, &row); i++) {
-        if (row.crash && row.age < suspects->sus.settings.release) {
-            blame(suspects, &row, now);
-        }
+        news += row.crash && take_row(suspects, &row, now);
     }
     if (!Unpack_Ok(&rows, &err) || !Unpack_Ok(in, &err)) {
         Cnt_Add(suspects->counters, Cnt_MALFORMED, 1);
@@ -189,8 +214,10 @@
                    Str_LIT("message_refused"), &err);
         return;
     }
-    log_learned(suspects, count, known);
-    confirm(suspects, origin, number, now);
+    log_learned(suspects, count, news);
+    if (head.number) {
+        confirm(suspects, origin, head.number, now);
+    }
 }
 
 static void
@@ -219,7 +246,7 @@
 Sps_Init(Suspects *suspects, Net *net, Counters *counters, Timeline *timeline,
          const Members *members)
 {
-    SusSettings settings = {Sus_CRASHES_MAX, 0};
+    SusSettings settings = {Sus_LOSSES_MAX, 0};
 
     suspects->net = net;
     suspects->counters = counters;
@@ -238,7 +265,7 @@
     size_t released = Sus_Expire(&suspects->sus, now);
 
     if (released) {
-        Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED, "count=%zu",
-                   released);
+        Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED,
+                   "count=%zu by time", released);
     }
 }
--- a/src/process/suspects.h
+++ b/src/process/suspects.h
@@ -30,16 +30,13 @@
 void Sps_Init(Suspects *suspects, Net *net, Counters *counters,
               Timeline *timeline, const Members *members);
 
-/* Limits of the preset now in force; CHANGED: it was not before, and every
- * request is released. */
-void Sps_SetLimits(Suspects *suspects, const PstLimits *limits, bool changed);
+/* Limits of the preset now in force.  What is known stays: it is no part of
+ * a version. */
+void Sps_SetLimits(Suspects *suspects, const PstLimits *limits);
 
 SusVerdict Sps_Ask(const Suspects *suspects, uint64_t fingerprint,
                    Instant now);
 
-/* What is known of FINGERPRINT; false: nothing. */
-bool Sps_Find(const Suspects *suspects, uint64_t fingerprint, SusEntry *entry);
-
 /* The backend server beside this node was lost while these ran. */
 void Sps_OnCrash(Suspects *suspects, const uint64_t *fingerprints,
                  size_t count, Instant now);
@@ -47,7 +44,11 @@
 /* Every node that was told of the last crash knows of it. */
 bool Sps_IsTold(const Suspects *suspects);
 
-void Sps_OnDone(Suspects *suspects, uint64_t fingerprint);
+/* It ran alone to a good end. */
+void Sps_OnDone(Suspects *suspects, uint64_t fingerprint, Instant now);
+
+/* Operators release FINGERPRINT, everywhere; false when it is not blamed. */
+bool Sps_Release(Suspects *suspects, uint64_t fingerprint, Instant now);
 
 /* A node came: tell it what is known, if it serves the same service. */
 void Sps_OnMember(Suspects *suspects, const MbrRecord *record, Instant now);
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -14,15 +14,14 @@
 log_held(const RunHub *hub, const CallMsg *msg, SusVerdict verdict,
          Instant now)
 {
-    SusEntry entry = {0};
+    const SusEntry *entry = Sus_Find(&hub->suspects->sus, msg->fingerprint);
 
-    Sps_Find(hub->suspects, msg->fingerprint, &entry);
     Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("suspect_held"),
             "request=%.*s fingerprint=%016" PRIx64
             " verdict=%s losses=%u age_us=%lld",
             Str_ARG(msg->request_id), msg->fingerprint,
-            verdict == Sus_STOPPED ? "stopped" : "alone", entry.count,
-            (long long)(now - entry.at));
+            verdict == Sus_STOPPED ? "stopped" : "alone",
+            Sus_CountLosses(entry), (long long)(now - entry->at));
 }
 
 bool
@@ -64,7 +63,7 @@
             "request=%.*s fingerprint=%016" PRIx64 " end=%d status=%u",
             Str_ARG(run->request_id), run->fingerprint, (int)end, run->status);
     if (end == Bck_WHOLE) {
-        Sps_OnDone(hub->suspects, run->fingerprint);
+        Sps_OnDone(hub->suspects, run->fingerprint, now);
     }
 }
 
--- a/tests/integration/test_commands.c
+++ b/tests/integration/test_commands.c
@@ -70,6 +70,10 @@
     {"$T preset use peak --base 0.0 --json", 6, Str_LIT("\"winner\"")},
     {"$T preset use peak --wait 5", 0, Str_LIT("accepted")},
     {"$T preset list", 0, Str_LIT("peak ")},
+    {"$T suspects", 0, Str_LIT("0 suspect requests")},
+    {"$T suspects --json", 0, Str_LIT("\"suspects\": []")},
+    {"$T suspects release visor", 2, Str_LIT("no fingerprint")},
+    {"$T suspects release 107dcf9bb6a7a62b", 5, Str_LIT("no such suspect")},
     {"$T timeline --limit 5", 0, Str_LIT("preset=peak")},
     {"$T timeline --json --limit 1", 0, Str_LIT("\"unreached\": []")},
 };
--- a/tests/unit/test_suspect_decider.c
+++ b/tests/unit/test_suspect_decider.c
@@ -2,9 +2,19 @@
 #include "process/suspect.h"
 #include "support/suite.h"
 
-enum { STEPS_MAX = 8 };
+enum { STEPS_MAX = 10 };
 
-typedef enum { ASK, CRASH, OLD_CRASH, DONE, WAIT, CLEAR, STRICT, END } Verb;
+typedef enum {
+    ASK,
+    CRASH,
+    OLD_CRASH,
+    DONE,
+    WAIT,
+    RELEASE,
+    STRICT,
+    SAME_LIMITS, /* as each version in force says them */
+    END
+} Verb;
 
 typedef struct {
     Verb verb;
@@ -63,9 +73,34 @@
     {"released by the operators",
      {{CRASH, 1, 7, 0},
       {CRASH, 1, 8, 0},
-      {CLEAR, 0, 0, 0},
+      {RELEASE, 1, 0, 0},
       {ASK, 1, 0, Sus_CLEAR},
       {END, 0, 0, 0}}},
+    {"released by the operators, it may be blamed again",
+     {{CRASH, 1, 7, 0},
+      {CRASH, 1, 8, 0},
+      {RELEASE, 1, 0, 0},
+      {CRASH, 1, 8, 0},
+      {ASK, 1, 0, Sus_CLEAR},
+      {CRASH, 1, 9, 0},
+      {ASK, 1, 0, Sus_ALONE},
+      {END, 0, 0, 0}}},
+    {"a crash for which it was cleared counts no more",
+     {{CRASH, 1, 7, 0},
+      {DONE, 1, 0, 0},
+      {CRASH, 1, 7, 0},
+      {ASK, 1, 0, Sus_CLEAR},
+      {CRASH, 1, 8, 0},
+      {ASK, 1, 0, Sus_ALONE},
+      {END, 0, 0, 0}}},
+    {"limits of a new version release nothing",
+     {{CRASH, 1, 7, 0},
+      {SAME_LIMITS, 0, 0, 0},
+      {ASK, 1, 0, Sus_ALONE},
+      {CRASH, 1, 8, 0},
+      {SAME_LIMITS, 0, 0, 0},
+      {ASK, 1, 0, Sus_STOPPED},
+      {END, 0, 0, 0}}},
     {"one loss at most, when the preset says so",
      {{STRICT, 0, 0, 0},
       {CRASH, 1, 7, 0},
@@ -75,6 +110,15 @@
 
 static const SusSettings settings = {2, Span_S(10)};
 
+static void
+crash(Sus *sus, const Step *step, Span age, Instant now)
+{
+    SusRow row = {
+        .fingerprint = step->fingerprint, .crash = step->crash, .age = age};
+
+    Sus_OnRow(sus, &row, now);
+}
+
 static void
 play(Sus *sus, const Step *step, Instant *now)
 {
@@ -82,10 +126,10 @@
 
     switch (step->verb) {
     case CRASH:
-        Sus_OnCrash(sus, step->fingerprint, step->crash, 0, *now);
+        crash(sus, step, 0, *now);
         break;
     case OLD_CRASH:
-        Sus_OnCrash(sus, step->fingerprint, step->crash, Span_S(4), *now);
+        crash(sus, step, Span_S(4), *now);
         break;
     case DONE:
         Sus_OnDone(sus, step->fingerprint);
@@ -93,8 +137,11 @@
     case WAIT:
         *now += settings.release;
         break;
-    case CLEAR:
-        Sus_Clear(sus);
+    case RELEASE:
+        Sus_Release(sus, step->fingerprint);
+        break;
+    case SAME_LIMITS:
+        Sus_SetSettings(sus, &settings);
         break;
     case STRICT:
         strict.losses_max = 1;
@@ -130,10 +177,11 @@
     Instant now = Span_S(100);
 
     Sus_Init(&sus, &settings);
-    Sus_OnCrash(&sus, 1, 7, 0, now);
-    Sus_OnCrash(&sus, 1, 8, 0, now);
+    crash(&sus, &(Step){.fingerprint = 1, .crash = 7}, 0, now);
+    crash(&sus, &(Step){.fingerprint = 1, .crash = 8}, 0, now);
     for (uint64_t i = 0; i < 2 * Sus_ENTRIES_MAX; i++) {
-        Sus_OnCrash(&sus, 100 + i, 9 + i, 0, now + (Instant)i);
+        crash(&sus, &(Step){.fingerprint = 100 + i, .crash = 9 + i}, 0,
+              now + (Instant)i);
     }
     ck_assert_int_eq(sus.count, Sus_ENTRIES_MAX);
     ck_assert_int_eq(Sus_Ask(&sus, 1, now), Sus_STOPPED);
@@ -141,12 +189,111 @@
 }
 END_TEST
 
+/* Two processes that are told the same, each in its own order. */
+typedef struct {
+    const char *name;
+    SusRow rows[4];
+    int count;
+    SusVerdict wanted; /* of request 1 */
+} Gossip;
+
+static const Gossip gossips[] = {
+    {"two crashes", {{1, 7, 10, 0, 0}, {1, 8, 11, 0, 0}}, 2, Sus_STOPPED},
+    {"blamed and cleared",
+     {{1, 7, 10, 0, Sus_BLAMED}, {1, 7, 10, 0, Sus_CLEARED}},
+     2,
+     Sus_CLEAR},
+    {"cleared of one, stopped for two elsewhere",
+     {{1, 7, 10, 0, Sus_BLAMED},
+      {1, 7, 10, 0, Sus_CLEARED},
+      {1, 7, 10, 0, Sus_FINAL},
+      {1, 8, 11, 0, Sus_FINAL}},
+     4,
+     Sus_STOPPED},
+    {"stopped, and released by operators",
+     {{1, 7, 10, 0, Sus_FINAL},
+      {1, 8, 11, 0, Sus_FINAL},
+      {1, 7, 10, 0, Sus_RELEASED},
+      {1, 8, 11, 0, Sus_RELEASED}},
+     4,
+     Sus_CLEAR},
+};
+
+/* What one knows besides is told to the other, as processes do whose digests
+ * differ. */
+static void
+tell_all(const Sus *from, Sus *to, Instant now)
+{
+    for (size_t i = 0; i < from->count; i++) {
+        for (uint32_t k = 0; k < from->entries[i].count; k++) {
+            SusRow row = Sus_Row(&from->entries[i], k, now);
+            Sus_OnRow(to, &row, now);
+        }
+    }
+}
+
+START_TEST(same_words_in_any_order)
+{
+    static Sus one;
+    static Sus other;
+    const Gossip *g = &gossips[_i];
+    Instant now = Span_S(100);
+
+    Sus_Init(&one, &settings);
+    Sus_Init(&other, &settings);
+    for (int i = 0; i < g->count; i++) {
+        Sus_OnRow(&one, &g->rows[i], now);
+        Sus_OnRow(&other, &g->rows[g->count - 1 - i], now);
+    }
+    tell_all(&one, &other, now);
+    tell_all(&other, &one, now);
+    ck_assert_msg(Sus_IsEqual(Sus_Digest(&one), Sus_Digest(&other)),
+                  "%s: they know different things", g->name);
+    ck_assert_msg(Sus_Ask(&one, 1, now) == g->wanted, "%s: got %d", g->name,
+                  Sus_Ask(&one, 1, now));
+    ck_assert_int_eq(Sus_Ask(&other, 1, now), g->wanted);
+}
+END_TEST
+
+START_TEST(runs_alone_at_one_node_only)
+{
+    static Sus sus;
+    enum { NODES = 5, REQUESTS = 200 };
+    int turns[NODES + 1] = {0};
+    Instant now = Span_S(100);
+
+    Sus_Init(&sus, &settings);
+    for (uint64_t request = 1; request <= REQUESTS; request++) {
+        Addr first = 1;
+        for (Addr node = 2; node <= NODES; node++) {
+            if (Sus_GoesBefore(&sus, request, node, first)) {
+                first = node;
+            }
+        }
+        turns[first]++;
+        crash(&sus, &(Step){.fingerprint = request, .crash = request}, 0, now);
+        /* Where it crashed a backend server, it comes last. */
+        Sus_OnRow(&sus, &(SusRow){request, REQUESTS + request, first, 0, 0},
+                  now);
+        for (Addr node = 1; node <= NODES; node++) {
+            ck_assert(node == first ||
+                      Sus_GoesBefore(&sus, request, node, first));
+        }
+    }
+    for (Addr node = 1; node <= NODES; node++) {
+        ck_assert_int_ge(turns[node], REQUESTS / NODES / 2);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {
         {follows_script, sizeof scripts / sizeof scripts[0]},
-        {keeps_the_stopped_when_full, 1}};
+        {keeps_the_stopped_when_full, 1},
+        {same_words_in_any_order, sizeof gossips / sizeof gossips[0]},
+        {runs_alone_at_one_node_only, 1}};
 
-    return Suite_Run("suspect decider", tests, 2, 10);
+    return Suite_Run("suspect decider", tests, 4, 10);
 }
