Know a suspect request by what stays the same, whichever service gets it

What callers saw: on a split route the same request ended two backend servers of each service. Cause: its fingerprint held the service that one call was sent to, and only the nodes of that service were told. Change: the fingerprint is that of the route's host, method, target and body. Nodes are told whose services share a route with the own one. The digest of keyed calls changes with it: the same key and request stay the same where the route leads elsewhere. Weighed: the caller's Host field in it; callers of the own interface name any node there, so repeats through another node would differ (test_at_most_once).

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -265,7 +265,7 @@
     Run_SetPreset(&node->runs, &node->in_force->preset,
                   StrBuf_View(&node->ann.service));
     Hld_SetLimits(&node->holder, limits);
-    Sps_SetLimits(&node->suspects, limits);
+    Sps_SetPreset(&node->suspects, &node->in_force->preset);
 }
 
 /* A confirmed version comes into force; calls under way keep theirs. */
--- a/src/process/suspects.c
+++ b/src/process/suspects.c
@@ -4,17 +4,13 @@
 
 #include "connection/suspectmsg.h"
 
-static SusSettings
-settings_of(const PstLimits *limits)
-{
-    return (SusSettings){limits->suspect_losses_max, limits->suspect_release};
-}
-
 void
-Sps_SetLimits(Suspects *suspects, const PstLimits *limits)
+Sps_SetPreset(Suspects *suspects, const Preset *preset)
 {
-    SusSettings settings = settings_of(limits);
+    SusSettings settings = {preset->limits.suspect_losses_max,
+                            preset->limits.suspect_release};
 
+    suspects->preset = preset;
     Sus_SetSettings(&suspects->sus, &settings);
 }
 
@@ -32,14 +28,17 @@
     Net_Send(suspects->net, node, Pack_View(pack), now);
 }
 
+/* Another node, that may get the same requests. */
 static bool
 serves_the_same(const Suspects *suspects, const MbrRecord *record)
 {
     const MbrRecord *own = &suspects->members->own;
+    Str theirs = StrBuf_View(&record->service);
+    Str ours = StrBuf_View(&own->service);
 
-    return record->node != own->node && record->service.len &&
-           Str_Equal(StrBuf_View(&record->service),
-                     StrBuf_View(&own->service));
+    return record->node != own->node && theirs.len &&
+           (Str_Equal(theirs, ours) ||
+            Pst_ShareRoute(suspects->preset, theirs, ours));
 }
 
 /* How many nodes were told. */
--- a/src/process/suspects.h
+++ b/src/process/suspects.h
@@ -23,16 +23,17 @@
     Counters *counters;
     Timeline *timeline;
     const Members *members;
-    uint64_t crashes; /* counted up, for their ids */
-    size_t untold;    /* nodes that did not confirm the last one yet */
+    const Preset *preset; /* in force */
+    uint64_t crashes;     /* counted up, for their ids */
+    size_t untold;        /* nodes that did not confirm the last one yet */
 } Suspects;
 
 void Sps_Init(Suspects *suspects, Net *net, Counters *counters,
               Timeline *timeline, const Members *members);
 
-/* Limits of the preset now in force.  What is known stays: it is no part of
- * a version. */
-void Sps_SetLimits(Suspects *suspects, const PstLimits *limits);
+/* PRESET is in force, and valid until the next one is.  What is known stays:
+ * it is no part of a version. */
+void Sps_SetPreset(Suspects *suspects, const Preset *preset);
 
 SusVerdict Sps_Ask(const Suspects *suspects, uint64_t fingerprint,
                    Instant now);
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -129,11 +129,12 @@
 }
 
 /* The same key must come with the same request; a request that crashes a
- * backend server is known by it. */
+ * backend server is known by it, also where its route leads elsewhere.  Of
+ * the host only what the route asks for: callers may name any node. */
 static uint64_t
-digest_of(const CallRequest *request, Str service)
+digest_of(const CallRequest *request, Str host)
 {
-    uint64_t parts[] = {Str_Hash(service), Str_Hash(request->method),
+    uint64_t parts[] = {Str_Hash(host), Str_Hash(request->method),
                         Str_Hash(request->target), Str_Hash(request->body)};
 
     return Str_Hash(Str_From((const char *)parts, sizeof parts));
@@ -263,7 +264,7 @@
     }
     call->nested = Nst_IsNested(&hub->nesting, StrBuf_View(&route->route));
     init_slack(call, now);
-    call->digest = digest_of(request, StrBuf_View(&call->service->name));
+    call->digest = digest_of(request, StrBuf_View(&route->host));
     start_call(call, now);
     return hub->count > before ? call : NULL;
 }
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -231,6 +231,29 @@
            Str_StartsWith(path, StrBuf_View(&route->path));
 }
 
+static bool
+has_part(const PstRoute *route, Str service)
+{
+    for (size_t i = 0; i < route->part_count; i++) {
+        if (Str_Equal(StrBuf_View(&route->parts[i].service), service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+Pst_ShareRoute(const Preset *preset, Str a, Str b)
+{
+    for (size_t i = 0; i < preset->route_count; i++) {
+        if (has_part(&preset->routes[i], a) &&
+            has_part(&preset->routes[i], b)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const PstService *
 Pst_FindService(const Preset *preset, Str name)
 {
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -90,6 +90,9 @@
 const PstRoute *Pst_FindRoute(const Preset *preset, Str host, Str method,
                               Str path);
 
+/* Calls of one route may go to either service. */
+bool Pst_ShareRoute(const Preset *preset, Str a, Str b);
+
 /* NULL when the routing names none such. */
 const PstService *Pst_FindService(const Preset *preset, Str name);
 
