Let what is known of suspect requests outlive the processes that know it

What callers saw: a request that was stopped crashed backend servers again after a node of its service, or all nodes, had been killed or stopped and started. Cause: the knowledge lived in the nodes of one service and as long as each of them. A node that came back was to be told when its record came (Mbr_CAME), but a record that is back before the member expiry is a change, and one that comes before the backend server's announcement names no service: it was told nothing, for good. After a start of all nobody knew. Ruled out: telling that was not confirmed (suspects_told unconfirmed=0). Change: control replicas are told too and keep it in their data folders; the questions about the version in force, and the replicas' hellos, carry a digest of what is known, and where two differ rows go both ways; a process that starts lets nothing run before it was told. Telling by the membership's events is gone. Weighed: the replicated log (an entry for each crash, and nodes would learn by version): nothing here needs an order, since what is said only grows. test_suspect_store: 8 of 8; messages and mutations have the new decoders.

--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -2,7 +2,7 @@
 
 enum {
     CHANGED_FIELDS = 15,
-    VERSION_ASK_FIELDS = 5,
+    VERSION_ASK_FIELDS = 6,
     VERSION_FIELDS = 6,
     PRESETS_ASK_FIELDS = 5,
     PRESETS_FIELDS = 9,
@@ -105,6 +105,7 @@
     put_version(pack, msg->have);
     Pack_Bool(pack, msg->wanted);
     Pack_Bool(pack, msg->confirm);
+    Suspectmsg_PutWord(pack, &msg->suspects);
 }
 
 bool
@@ -114,6 +115,7 @@
     msg->have = take_version(in);
     msg->wanted = Unpack_Bool(in);
     msg->confirm = Unpack_Bool(in);
+    Suspectmsg_TakeWord(in, &msg->suspects);
     return Unpack_Ok(in, err);
 }
 
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -4,7 +4,7 @@
 #ifndef CONFIGMSG_H
 #define CONFIGMSG_H
 
-#include "connection/wire.h"
+#include "connection/suspectmsg.h"
 #include "process/nodeversions.h"
 #include "value/addr.h"
 #include "version/config.h"
@@ -38,6 +38,7 @@
     CfgVersion have;
     bool wanted;
     bool confirm;
+    SuspectWord suspects; /* that it knows */
 } VersionAskMsg;
 
 /* Wire_VERSION, as an answer or on the replica's own account. */
--- a/src/connection/logmsg.c
+++ b/src/connection/logmsg.c
@@ -1,6 +1,6 @@
 #include "connection/logmsg.h"
 
-enum { MESSAGE_FIELDS = 12, ENTRY_FIELDS = 4, HELLO_FIELDS = 5 };
+enum { MESSAGE_FIELDS = 12, ENTRY_FIELDS = 4, HELLO_FIELDS = 6 };
 
 void
 Logmsg_Pack(Pack *pack, const RlogMessage *message)
@@ -90,6 +90,7 @@
     for (uint32_t i = 0; i < hello->known_count; i++) {
         Pack_U64(pack, hello->known[i]);
     }
+    Suspectmsg_PutWord(pack, &hello->suspects);
 }
 
 bool
@@ -108,5 +109,6 @@
     if (!Unpack_Ok(&known, NULL)) {
         Unpack_Fail(in);
     }
+    Suspectmsg_TakeWord(in, &hello->suspects);
     return Unpack_Ok(in, err);
 }
--- a/src/connection/logmsg.h
+++ b/src/connection/logmsg.h
@@ -2,7 +2,7 @@
 #ifndef LOGMSG_H
 #define LOGMSG_H
 
-#include "connection/wire.h"
+#include "connection/suspectmsg.h"
 #include "version/rlog.h"
 
 enum {
@@ -23,6 +23,7 @@
     bool answer;                  /* to a hello: not to be answered */
     Addr known[Logmsg_KNOWN_MAX]; /* other replicas it has heard of */
     uint32_t known_count;
+    SuspectWord suspects; /* that it knows */
 } HelloMsg;
 
 void Logmsg_PackHello(Pack *pack, const HelloMsg *hello);
--- a/src/connection/suspectmsg.h
+++ b/src/connection/suspectmsg.h
@@ -16,9 +16,9 @@
 
 /* Wire_SUSPECTS: rows, and what else the sender knows. */
 typedef struct {
-    uint64_t number; /* echoed by Wire_SUSPECTS_TOLD; 0: not to be */
-    bool wants;      /* rows that the sender lacks are to be sent back */
-    SuspectWord word;
+    uint64_t number;  /* echoed by Wire_SUSPECTS_TOLD; 0: not to be */
+    bool wants;       /* rows that the sender lacks are to be sent back */
+    SuspectWord word; /* where the rows are all that the sender knows */
 } SuspectsHead;
 
 enum { Suspectmsg_ROWS_MAX = Sus_ENTRIES_MAX * Sus_CRASHES_MAX };
--- a/src/process/control.c
+++ b/src/process/control.c
@@ -350,7 +350,8 @@
 void
 Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
          Timeline *timeline, const Settings *settings, Rng *rng,
-         const Mbr *membership, Rps *known, Str preset_name, Str preset_json)
+         const Mbr *membership, Rps *known, Suspects *suspects,
+         Str preset_name, Str preset_json)
 {
     *control = (Control){
         .settings = settings,
@@ -361,6 +362,7 @@
         .rng = rng,
         .membership = membership,
         .known = known,
+        .suspects = suspects,
     };
     if (!settings->control) {
         return;
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -16,6 +16,7 @@
 #include "process/membership.h"
 #include "process/net.h"
 #include "process/replicaset.h"
+#include "process/suspects.h"
 #include "version/config.h"
 #include "version/disk.h"
 #include "version/rlog.h"
@@ -67,6 +68,7 @@
     Rng *rng;
     const Mbr *membership;
     Rps *known;
+    Suspects *suspects;
     StrBuf preset_name; /* of the settings' file */
     StrBuf preset_json;
     bool open; /* the role runs: its folder was read */
@@ -93,8 +95,8 @@
  * PRESET_JSON are those of the settings' file, copied. */
 void Ctl_Init(Control *control, Loop *loop, Net *net, Counters *counters,
               Timeline *timeline, const Settings *settings, Rng *rng,
-              const Mbr *membership, Rps *known, Str preset_name,
-              Str preset_json);
+              const Mbr *membership, Rps *known, Suspects *suspects,
+              Str preset_name, Str preset_json);
 void Ctl_Finish(Control *control);
 
 /* This replica's folder was made at the fleet's first start: it has been
--- a/src/process/control_hello.c
+++ b/src/process/control_hello.c
@@ -31,6 +31,7 @@
         .addr = control->settings->address,
         .blank = Rlog_IsBlank(&control->rlog),
         .answer = origin != NULL,
+        .suspects = Sps_Word(control->suspects),
     };
     Pack pack;
 
@@ -96,6 +97,9 @@
             control->hellos[i] = (CtlHello){hello.identity, hello.blank, now};
         }
     }
+    if (!hello.answer) {
+        Sps_OnWord(control->suspects, origin, &hello.suspects, now);
+    }
     if (!hello.answer && control->open) {
         send_hello(control, hello.addr, origin, now);
     }
--- a/src/process/follow.c
+++ b/src/process/follow.c
@@ -13,6 +13,7 @@
         .have = follow->version,
         .wanted = !confirm,
         .confirm = confirm,
+        .suspects = Sps_Word(follow->suspects),
     };
     Pack pack;
 
@@ -66,7 +67,9 @@
 static void
 ask_when_due(Follow *follow, Instant now)
 {
-    if (Trn_IsDue(&follow->turn, follow->settled, now)) {
+    bool settled = follow->settled && follow->suspects->knows;
+
+    if (Trn_IsDue(&follow->turn, settled, now)) {
         ask(follow, choose(follow), !follow->settled, now);
     }
 }
@@ -153,7 +156,7 @@
 void
 Fol_Init(Follow *follow, Loop *loop, Net *net, Counters *counters,
          Timeline *timeline, const Settings *settings, const Mbr *membership,
-         FolUse use, void *context)
+         const Suspects *suspects, FolUse use, void *context)
 {
     *follow = (Follow){
         .settings = settings,
@@ -161,6 +164,7 @@
         .counters = counters,
         .timeline = timeline,
         .membership = membership,
+        .suspects = suspects,
         .use = use,
         .context = context,
     };
--- a/src/process/follow.h
+++ b/src/process/follow.h
@@ -11,6 +11,7 @@
 
 #include "process/membership.h"
 #include "process/net.h"
+#include "process/suspects.h"
 #include "process/turn.h"
 #include "version/config.h"
 
@@ -24,6 +25,7 @@
     Counters *counters;
     Timeline *timeline;
     const Mbr *membership;
+    const Suspects *suspects; /* what is known of them rides on questions */
     FolUse use;
     void *context;
     CfgVersion version; /* in force here */
@@ -41,7 +43,8 @@
 
 void Fol_Init(Follow *follow, Loop *loop, Net *net, Counters *counters,
               Timeline *timeline, const Settings *settings,
-              const Mbr *membership, FolUse use, void *context);
+              const Mbr *membership, const Suspects *suspects, FolUse use,
+              void *context);
 void Fol_Finish(Follow *follow);
 
 #endif
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -44,9 +44,6 @@
         Rps_SetLive(&node->replicas, record->node, change != Mbr_GONE);
     }
     Svc_OnMember(&node->services, change, record, now);
-    if (change == Mbr_CAME) {
-        Sps_OnMember(&node->suspects, record, now);
-    }
     tell_member(node, change, record);
     if (change == Mbr_GONE) {
         Net_Drop(&node->net, record->node);
@@ -209,6 +206,9 @@
     Ann_Expire(&node->ann, now);
     Call_HubTick(&node->calls, now);
     Run_HubTick(&node->runs, now);
+    if (!node->suspects.knows && Ctl_IsFirstStart(&node->control)) {
+        Sps_SetKnown(&node->suspects);
+    }
     Sps_Tick(&node->suspects, now);
     open_when_ready(node, now);
     take_stop_step(node, now);
@@ -380,7 +380,7 @@
     Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
                  &node->services, settings, node->incarnation);
     Sps_Init(&node->suspects, &node->net, &node->counters, &node->timeline,
-             &node->members);
+             settings, &node->members);
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
                 &node->admission, &node->pool, &node->suspects,
                 node->incarnation);
@@ -395,13 +395,15 @@
              &node->timeline, settings, node->incarnation,
              &node->in_force->preset.limits);
     use_preset(node);
+    Sps_Load(&node->suspects, Loop_Now());
     Ctl_Init(&node->control, &node->loop, &node->net, &node->counters,
              &node->timeline, settings, &node->rng, &node->members.membership,
-             &node->replicas, StrBuf_View(&node->in_force->preset.name),
+             &node->replicas, &node->suspects,
+             StrBuf_View(&node->in_force->preset.name),
              StrBuf_View(&node->preset_json));
     Fol_Init(&node->follow, &node->loop, &node->net, &node->counters,
-             &node->timeline, settings, &node->members.membership, on_version,
-             node);
+             &node->timeline, settings, &node->members.membership,
+             &node->suspects, on_version, node);
     Chg_Init(&node->changes, &node->loop, &node->net, &node->counters,
              settings, &node->follow, &node->members.membership,
              &node->control, &node->in_force);
--- a/src/process/suspect.c
+++ b/src/process/suspect.c
@@ -115,6 +115,17 @@
     return weight_of(fingerprint, a) > weight_of(fingerprint, b);
 }
 
+uint32_t
+Sus_CountRows(const Sus *sus)
+{
+    uint32_t rows = 0;
+
+    for (size_t i = 0; i < sus->count; i++) {
+        rows += sus->entries[i].count;
+    }
+    return rows;
+}
+
 size_t
 Sus_CountBlamed(const Sus *sus)
 {
--- a/src/process/suspect.h
+++ b/src/process/suspect.h
@@ -94,6 +94,9 @@
 /* Crashes that count against it. */
 uint32_t Sus_CountLosses(const SusEntry *entry);
 
+/* All crashes of all requests. */
+uint32_t Sus_CountRows(const Sus *sus);
+
 /* Requests that are blamed or stopped, and of these the stopped. */
 size_t Sus_CountBlamed(const Sus *sus);
 size_t Sus_CountStopped(const Sus *sus);
--- a/src/process/suspects.c
+++ b/src/process/suspects.c
@@ -2,7 +2,15 @@
 
 #include <inttypes.h>
 
-#include "connection/suspectmsg.h"
+#include "process/suspectstore.h"
+
+/* Between two writes of a control replica's file, and after a failed one. */
+#define SAVE_EVERY Span_MS(100)
+#define SAVE_AGAIN Span_S(1)
+
+/* Who is told by nobody for so long after its start takes it that nobody
+ * knows: to serve goes before to wait for ever. */
+#define KNOW_ANYWAY Span_S(5)
 
 void
 Sps_SetPreset(Suspects *suspects, const Preset *preset)
@@ -20,44 +28,6 @@
     return Sus_Ask(&suspects->sus, fingerprint, now);
 }
 
-static void
-send_rows(Suspects *suspects, Addr node, const Pack *pack, Instant now)
-{
-    Cnt_Add(suspects->counters, Cnt_CONTROL_MESSAGES, 1);
-    Cnt_Add(suspects->counters, Cnt_CONTROL_BYTES, Pack_View(pack).len);
-    Net_Send(suspects->net, node, Pack_View(pack), now);
-}
-
-/* Another node, that may get the same requests. */
-static bool
-serves_the_same(const Suspects *suspects, const MbrRecord *record)
-{
-    const MbrRecord *own = &suspects->members->own;
-    Str theirs = StrBuf_View(&record->service);
-    Str ours = StrBuf_View(&own->service);
-
-    return record->node != own->node && theirs.len &&
-           (Str_Equal(theirs, ours) ||
-            Pst_ShareRoute(suspects->preset, theirs, ours));
-}
-
-/* How many nodes were told. */
-static size_t
-tell_others(Suspects *suspects, const Pack *pack, Instant now)
-{
-    const Mbr *mbr = &suspects->members->membership;
-    size_t told = 0;
-
-    for (size_t i = 0; i < mbr->count; i++) {
-        const MbrRow *row = &mbr->rows[i];
-        if (!row->gone && serves_the_same(suspects, &row->record)) {
-            send_rows(suspects, row->record.node, pack, now);
-            told++;
-        }
-    }
-    return told;
-}
-
 static uint64_t
 crash_id(Suspects *suspects)
 {
@@ -68,9 +38,8 @@
     return id ? id : 1;
 }
 
-/* True when it is news. */
-static bool
-take_row(Suspects *suspects, const SusRow *row, Instant now)
+bool
+Sps_Take(Suspects *suspects, const SusRow *row, Instant now)
 {
     SusVerdict before = Sps_Ask(suspects, row->fingerprint, now);
     bool news = Sus_OnRow(&suspects->sus, row, now);
@@ -80,6 +49,7 @@
         Tml_Record(suspects->timeline, Tml_SUSPECT_STOPPED,
                    "fingerprint=%016" PRIx64, row->fingerprint);
     }
+    suspects->unsaved |= news;
     return news;
 }
 
@@ -95,14 +65,20 @@
     Suspectmsg_Begin(&pack, &head, (uint32_t)count);
     for (size_t i = 0; i < count; i++) {
         row.fingerprint = fingerprints[i];
-        take_row(suspects, &row, now);
+        Sps_Take(suspects, &row, now);
         Suspectmsg_PutRow(&pack, &row);
     }
-    suspects->untold = tell_others(suspects, &pack, now);
+    suspects->untold = Sps_Tell(suspects, &pack, now);
     Pack_Finish(&pack);
 }
 
-/* All crashes of ENTRY, to who may run it as well. */
+bool
+Sps_IsTold(const Suspects *suspects)
+{
+    return suspects->untold == 0;
+}
+
+/* What is said of its crashes now. */
 static void
 tell_entry(Suspects *suspects, uint64_t fingerprint, Instant now)
 {
@@ -115,8 +91,9 @@
         SusRow row = Sus_Row(entry, i, now);
         Suspectmsg_PutRow(&pack, &row);
     }
-    tell_others(suspects, &pack, now);
+    Sps_Tell(suspects, &pack, now);
     Pack_Finish(&pack);
+    suspects->unsaved = true;
 }
 
 void
@@ -139,132 +116,102 @@
     return true;
 }
 
-static uint32_t
-count_rows(const Sus *sus)
+void
+Sps_SetKnown(Suspects *suspects)
 {
-    uint32_t count = 0;
-
-    for (size_t i = 0; i < sus->count; i++) {
-        count += sus->entries[i].count;
+    if (!suspects->knows) {
+        suspects->knows = true;
+        suspects->unsaved = true;
     }
-    return count;
+}
+
+static SstTime
+time_at(const Suspects *suspects, Instant now)
+{
+    return (SstTime){now, suspects->timeline->logger->clock()};
 }
 
 void
-Sps_OnMember(Suspects *suspects, const MbrRecord *record, Instant now)
+Sps_Load(Suspects *suspects, Instant now)
 {
-    const Sus *sus = &suspects->sus;
-    SuspectsHead head = {0};
-    Pack pack;
+    SstTime time = time_at(suspects, now);
+    Err err = {0};
 
-    if (sus->count == 0 || !serves_the_same(suspects, record)) {
+    if (!suspects->settings->control) {
         return;
     }
-    Suspectmsg_Begin(&pack, &head, count_rows(sus));
-    for (size_t i = 0; i < sus->count; i++) {
-        const SusEntry *entry = &sus->entries[i];
-        for (uint32_t k = 0; k < entry->count; k++) {
-            SusRow row = Sus_Row(entry, k, now);
-            Suspectmsg_PutRow(&pack, &row);
-        }
+    suspects->knows = Sst_Load(StrBuf_View(&suspects->settings->data_folder),
+                               &suspects->sus, &time, &err);
+    if (suspects->knows) {
+        Lgr_Log(suspects->timeline->logger, Lgr_INFO,
+                Str_LIT("suspects_loaded"), "blamed=%zu stopped=%zu",
+                Sus_CountBlamed(&suspects->sus),
+                Sus_CountStopped(&suspects->sus));
+    }
+    else {
+        Lgr_LogErr(suspects->timeline->logger, Lgr_INFO,
+                   Str_LIT("suspects_not_loaded"), &err);
     }
-    send_rows(suspects, record->node, &pack, now);
-    Pack_Finish(&pack);
 }
 
 static void
-confirm(Suspects *suspects, const NetOrigin *origin, uint64_t number,
-        Instant now)
+save(Suspects *suspects, Instant now)
 {
-    Pack pack;
-
-    Suspectmsg_PackTold(&pack, number);
-    Cnt_Add(suspects->counters, Cnt_CONTROL_MESSAGES, 1);
-    Cnt_Add(suspects->counters, Cnt_CONTROL_BYTES, Pack_View(&pack).len);
-    Net_Answer(suspects->net, origin, Pack_View(&pack), now);
-    Pack_Finish(&pack);
-}
+    SstTime time = time_at(suspects, now);
+    Err err = {0};
 
-static void
-log_learned(const Suspects *suspects, uint32_t rows, uint32_t news)
-{
-    Lgr_Log(suspects->timeline->logger, Lgr_INFO, Str_LIT("suspects_learned"),
-            "rows=%u news=%u blamed=%zu stopped=%zu", rows, news,
-            Sus_CountBlamed(&suspects->sus), Sus_CountStopped(&suspects->sus));
+    suspects->unsaved =
+        !Sst_Save(StrBuf_View(&suspects->settings->data_folder),
+                  &suspects->sus, &time, &err);
+    suspects->save_at = now + (suspects->unsaved ? SAVE_AGAIN : SAVE_EVERY);
+    if (suspects->unsaved) {
+        Lgr_LogErr(suspects->timeline->logger, Lgr_WARNING,
+                   Str_LIT("suspects_not_saved"), &err);
+    }
 }
 
 static void
-on_suspects(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+know_anyway(Suspects *suspects, Instant now)
 {
-    Suspects *suspects = context;
-    SuspectsHead head;
-    SusRow row;
-    Unpack rows;
-    uint32_t count = Suspectmsg_Open(in, &head, &rows);
-    uint32_t news = 0;
-    Err err = {0};
-
-    for (uint32_t i = 0; i < count && Suspectmsg_TakeRow(&rows, &row); i++) {
-        news += row.crash && take_row(suspects, &row, now);
-    }
-    if (!Unpack_Ok(&rows, &err) || !Unpack_Ok(in, &err)) {
-        Cnt_Add(suspects->counters, Cnt_MALFORMED, 1);
-        Lgr_LogErr(suspects->timeline->logger, Lgr_WARNING,
-                   Str_LIT("message_refused"), &err);
+    if (suspects->knows || now - suspects->started_at < KNOW_ANYWAY) {
         return;
     }
-    log_learned(suspects, count, news);
-    if (head.number) {
-        confirm(suspects, origin, head.number, now);
-    }
+    Lgr_Log(suspects->timeline->logger, Lgr_WARNING,
+            Str_LIT("suspects_not_told"), "nobody told what is suspect");
+    Sps_SetKnown(suspects);
 }
 
-static void
-on_told(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+void
+Sps_Tick(Suspects *suspects, Instant now)
 {
-    Suspects *suspects = context;
-    uint64_t number;
+    size_t before = suspects->sus.count;
+    size_t released = Sus_Expire(&suspects->sus, now);
 
-    (void)origin;
-    (void)now;
-    if (!Suspectmsg_ReadTold(in, &number, NULL)) {
-        Cnt_Add(suspects->counters, Cnt_MALFORMED, 1);
+    suspects->unsaved |= suspects->sus.count != before;
+    if (released) {
+        Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED,
+                   "count=%zu by time", released);
     }
-    else if (number == suspects->crashes && suspects->untold) {
-        suspects->untold--;
+    know_anyway(suspects, now);
+    /* A file means that its writer knew: none before it does. */
+    if (suspects->settings->control && suspects->unsaved && suspects->knows &&
+        now >= suspects->save_at) {
+        save(suspects, now);
     }
 }
 
-bool
-Sps_IsTold(const Suspects *suspects)
-{
-    return suspects->untold == 0;
-}
-
 void
 Sps_Init(Suspects *suspects, Net *net, Counters *counters, Timeline *timeline,
-         const Members *members)
+         const Settings *settings, const Members *members)
 {
-    SusSettings settings = {Sus_LOSSES_MAX, 0};
+    SusSettings none = {Sus_LOSSES_MAX, 0};
 
     suspects->net = net;
     suspects->counters = counters;
     suspects->timeline = timeline;
+    suspects->settings = settings;
     suspects->members = members;
-    suspects->crashes = 0;
-    suspects->untold = 0;
-    Sus_Init(&suspects->sus, &settings);
-    Net_On(net, Wire_SUSPECTS, on_suspects, suspects);
-    Net_On(net, Wire_SUSPECTS_TOLD, on_told, suspects);
-}
-
-void
-Sps_Tick(Suspects *suspects, Instant now)
-{
-    size_t released = Sus_Expire(&suspects->sus, now);
-
-    if (released) {
-        Tml_Record(suspects->timeline, Tml_SUSPECT_RELEASED,
-                   "count=%zu by time", released);
-    }
+    suspects->started_at = Loop_Now();
+    Sus_Init(&suspects->sus, &none);
+    Sps_Listen(suspects);
 }
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -31,6 +31,12 @@
     SusVerdict verdict = Sps_Ask(hub->suspects, msg->fingerprint, now);
     Refusal reason = Refusal_FULL;
 
+    if (!hub->suspects->knows) {
+        /* It may be the one that must not run. */
+        Led_OnRefused(&hub->ledger, msg->id, now);
+        Run_RefuseId(hub, origin, msg, Refusal_ABSENT, now);
+        return true;
+    }
     if (verdict == Sus_CLEAR) {
         return false;
     }
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -5,6 +5,7 @@
 
 static const AttemptId attempt = {UINT64_C(1796381848187260), 42};
 static const CfgVersion version = {2, 10};
+static const SuspectWord suspect_word = {{UINT32_MAX, UINT64_MAX}, true};
 
 static const RegBallot ballot = {3, {UINT64_C(1796381848187261), 7}};
 
@@ -178,7 +179,8 @@
 static void
 pack_hello(Pack *pack)
 {
-    HelloMsg msg = {UINT64_MAX, 77, true, false, {78, UINT64_MAX}, 2};
+    HelloMsg msg = {UINT64_MAX,       77, true,        false,
+                    {78, UINT64_MAX}, 2,  suspect_word};
 
     Logmsg_PackHello(pack, &msg);
 }
@@ -253,7 +255,7 @@
 static void
 pack_version_ask(Pack *pack)
 {
-    VersionAskMsg msg = {77, version, true, true};
+    VersionAskMsg msg = {77, version, true, true, suspect_word};
 
     Configmsg_PackVersionAsk(pack, &msg);
 }
@@ -342,6 +344,46 @@
     return good;
 }
 
+static void
+pack_suspects(Pack *pack)
+{
+    SuspectsHead head = {UINT64_MAX, true, suspect_word};
+    SusRow rows[] = {{1, UINT64_MAX, 77, Span_S(3), Sus_BLAMED},
+                     {UINT64_MAX, 8, 78, 0, Sus_RELEASED}};
+
+    Suspectmsg_Begin(pack, &head, 2);
+    Suspectmsg_PutRow(pack, &rows[0]);
+    Suspectmsg_PutRow(pack, &rows[1]);
+}
+
+static bool
+read_suspects(Unpack *in, Err *err)
+{
+    SuspectsHead head;
+    SusRow row;
+    Unpack rows;
+    uint32_t count = Suspectmsg_Open(in, &head, &rows);
+
+    while (count && Suspectmsg_TakeRow(&rows, &row)) {
+        count--;
+    }
+    return Unpack_Ok(&rows, err) && Unpack_Ok(in, err);
+}
+
+static void
+pack_told(Pack *pack)
+{
+    Suspectmsg_PackTold(pack, UINT64_MAX);
+}
+
+static bool
+read_told(Unpack *in, Err *err)
+{
+    uint64_t number;
+
+    return Suspectmsg_ReadTold(in, &number, err);
+}
+
 const Sample control_samples[] = {
     {"claim", pack_claim, read_claim},
     {"claimed", pack_claimed, read_claimed},
@@ -351,6 +393,8 @@
     {"registers", pack_registers, read_registers},
     {"log", pack_log, read_log},
     {"hello", pack_hello, read_hello},
+    {"suspects", pack_suspects, read_suspects},
+    {"suspects told", pack_told, read_told},
     {"change", pack_change, read_change},
     {"changed", pack_changed, read_changed},
     {"version ask", pack_version_ask, read_version_ask},
--- /dev/null
+++ b/tests/unit/test_suspect_store.c
@@ -0,0 +1,129 @@
+/* What a control replica keeps of suspect requests, over a restart. */
+#include <fcntl.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "process/suspectstore.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+static const SusSettings settings = {2, Span_S(10)};
+
+typedef enum { WHOLE, NO_FILE, NO_FOLDER, CUT_SHORT, BYTE_CHANGED } Spoil;
+
+typedef struct {
+    const char *name;
+    Spoil spoil;
+    Span down; /* from the save to the load */
+    bool loaded;
+    SusVerdict stopped; /* of a request stopped before */
+    SusVerdict blamed;  /* of one blamed once */
+    SusVerdict cleared;
+} StoreCase;
+
+static const StoreCase cases[] = {
+    {"at once", WHOLE, 0, true, Sus_STOPPED, Sus_ALONE, Sus_CLEAR},
+    {"some time later", WHOLE, Span_S(9), true, Sus_STOPPED, Sus_ALONE,
+     Sus_CLEAR},
+    {"released meanwhile", WHOLE, Span_S(10), true, Sus_CLEAR, Sus_CLEAR,
+     Sus_CLEAR},
+    {"the clock was set back", WHOLE, -Span_S(5), true, Sus_STOPPED, Sus_ALONE,
+     Sus_CLEAR},
+    {"no file", NO_FILE, 0, false, Sus_CLEAR, Sus_CLEAR, Sus_CLEAR},
+    {"no folder", NO_FOLDER, 0, false, Sus_CLEAR, Sus_CLEAR, Sus_CLEAR},
+    {"cut short", CUT_SHORT, 0, false, Sus_CLEAR, Sus_CLEAR, Sus_CLEAR},
+    {"a byte changed", BYTE_CHANGED, 0, false, Sus_CLEAR, Sus_CLEAR,
+     Sus_CLEAR},
+};
+
+enum { STOPPED = 1, BLAMED, CLEARED };
+
+static void
+blame(Sus *sus, uint64_t fingerprint, uint64_t crash, Instant now)
+{
+    SusRow row = {.fingerprint = fingerprint, .crash = crash, .node = 77};
+
+    Sus_OnRow(sus, &row, now);
+}
+
+static void
+spoil(Str folder, Spoil how)
+{
+    StrBuf path = {0};
+    char byte;
+    int fd;
+
+    StrBuf_AppendFmt(&path, "%.*s/suspects", Str_ARG(folder));
+    fd = open(StrBuf_CStr(&path), O_RDWR);
+    ck_assert_int_ge(fd, 0);
+    switch (how) {
+    case NO_FILE:
+        ck_assert_int_eq(unlink(StrBuf_CStr(&path)), 0);
+        break;
+    case CUT_SHORT:
+        ck_assert_int_eq(ftruncate(fd, lseek(fd, 0, SEEK_END) - 1), 0);
+        break;
+    case BYTE_CHANGED:
+        ck_assert_int_eq(pread(fd, &byte, 1, 30), 1);
+        byte ^= 1;
+        ck_assert_int_eq(pwrite(fd, &byte, 1, 30), 1);
+        break;
+    default:
+        break;
+    }
+    close(fd);
+    StrBuf_Finish(&path);
+}
+
+static void
+remove_folder(Str folder)
+{
+    StrBuf path = {0};
+
+    StrBuf_AppendFmt(&path, "%.*s/suspects", Str_ARG(folder));
+    unlink(StrBuf_CStr(&path));
+    StrBuf_Set(&path, folder);
+    rmdir(StrBuf_CStr(&path));
+    StrBuf_Finish(&path);
+}
+
+START_TEST(outlives_a_restart)
+{
+    static Sus before;
+    static Sus after;
+    const StoreCase *c = &cases[_i];
+    char name[] = "/tmp/suspects-XXXXXX";
+    Str folder = Str_FromC(mkdtemp(name));
+    SstTime saved = {Span_S(100), Span_S(5000)};
+    /* Another process, whose own clock began anew. */
+    SstTime loaded = {Span_S(2), Span_S(5000) + c->down};
+    Err err = {0};
+
+    Sus_Init(&before, &settings);
+    Sus_Init(&after, &settings);
+    blame(&before, STOPPED, 7, saved.now);
+    blame(&before, STOPPED, 8, saved.now);
+    blame(&before, BLAMED, 8, saved.now);
+    blame(&before, CLEARED, 8, saved.now);
+    Sus_OnDone(&before, CLEARED);
+    ck_assert(Sst_Save(folder, &before, &saved, &err));
+    spoil(folder, c->spoil);
+    ck_assert_msg(
+        Sst_Load(c->spoil == NO_FOLDER ? Str_LIT("/tmp/none/such") : folder,
+                 &after, &loaded, &err) == c->loaded,
+        "%s: %.*s", c->name, Str_ARG(Err_Text(&err)));
+    ck_assert_int_eq(Sus_Ask(&after, STOPPED, loaded.now), c->stopped);
+    ck_assert_int_eq(Sus_Ask(&after, BLAMED, loaded.now), c->blamed);
+    ck_assert_int_eq(Sus_Ask(&after, CLEARED, loaded.now), c->cleared);
+    remove_folder(folder);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {{outlives_a_restart, ROWS(cases)}};
+
+    return Suite_Run("suspect store", tests, 1, 10);
+}
