Judge a suspect again where it waits, and run it alone at one node only

What callers saw: of eight copies of a crashing request sent at once, those that waited behind other work ran after the verdict: 4 backend servers lost. Cause: whether a request is suspect was asked when it came, not when it started; and each node let a copy run alone, so that alone was not alone in the fleet. Class: a decision kept longer than the knowledge it was made on. Change: when more is known, what waits is judged anew; of the nodes of a service the one of greatest rendezvous weight runs a suspect, never where it crashed a backend server, and the others send it on (nothing that a budget of retries is for); an ingress node refuses a stopped request itself. Weighed: a turn asked from all nodes (a round trip and a lock for each run). Limit: copies that run already when the first crash comes end theirs too; a claim for a key is made for one node and runs alone there.

--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -54,6 +54,7 @@
     Refusal_SLOW,        /* work takes long there at this moment */
     Refusal_TURNED_AWAY, /* by the backend server: it did not run */
     Refusal_EXPIRED, /* came too late to be told from a duplicate: no proof */
+    Refusal_ELSEWHERE, /* it is suspect, and runs alone at another node */
     Refusal_KINDS
 } Refusal;
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -378,7 +378,8 @@
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
     Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
-                 &node->services, settings, node->incarnation);
+                 &node->services, &node->suspects, settings,
+                 node->incarnation);
     Sps_Init(&node->suspects, &node->net, &node->counters, &node->timeline,
              settings, &node->members);
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
--- a/src/process/suspects.c
+++ b/src/process/suspects.c
@@ -28,6 +28,41 @@
     return Sus_Ask(&suspects->sus, fingerprint, now);
 }
 
+static bool
+takes_work(const Suspects *suspects, const MbrRow *row)
+{
+    const MbrRecord *record = &row->record;
+
+    return !row->gone && record->present && !record->leaving &&
+           !record->load.draining &&
+           Str_Equal(StrBuf_View(&record->service),
+                     StrBuf_View(&suspects->members->own.service));
+}
+
+bool
+Sps_IsTurn(const Suspects *suspects, uint64_t fingerprint)
+{
+    const Mbr *mbr = &suspects->members->membership;
+    Addr self = suspects->members->own.node;
+
+    for (size_t i = 0; i < mbr->count; i++) {
+        Addr node = mbr->rows[i].record.node;
+        if (node != self && takes_work(suspects, &mbr->rows[i]) &&
+            Sus_GoesBefore(&suspects->sus, fingerprint, node, self)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+Sps_OnLearned(Suspects *suspects, void (*learned)(void *context, Instant now),
+              void *context)
+{
+    suspects->learned = learned;
+    suspects->learned_context = context;
+}
+
 static uint64_t
 crash_id(Suspects *suspects)
 {
@@ -94,6 +129,7 @@
     Sps_Tell(suspects, &pack, now);
     Pack_Finish(&pack);
     suspects->unsaved = true;
+    suspects->learned(suspects->learned_context, now);
 }
 
 void
--- a/src/process/suspects.h
+++ b/src/process/suspects.h
@@ -41,14 +41,20 @@
     uint64_t crashes; /* counted up, for their ids */
     size_t untold;    /* nodes that did not confirm the last one yet */
     size_t next;      /* entry to be told first where not all fit */
-    bool unsaved;     /* a control replica's file lacks something */
-    Instant save_at;  /* not before */
+    void *learned_context;
+    void (*learned)(void *context, Instant now);
+    bool unsaved;    /* a control replica's file lacks something */
+    Instant save_at; /* not before */
 } Suspects;
 
 void Sps_Init(Suspects *suspects, Net *net, Counters *counters,
               Timeline *timeline, const Settings *settings,
               const Members *members);
 
+/* Told when more is known than before. */
+void Sps_OnLearned(Suspects *suspects,
+                   void (*learned)(void *context, Instant now), void *context);
+
 /* PRESET is in force, and valid until the next one is.  What is known stays:
  * it is no part of a version. */
 void Sps_SetPreset(Suspects *suspects, const Preset *preset);
@@ -63,6 +69,9 @@
 SusVerdict Sps_Ask(const Suspects *suspects, uint64_t fingerprint,
                    Instant now);
 
+/* Of the nodes of this one's service, FINGERPRINT is run alone here. */
+bool Sps_IsTurn(const Suspects *suspects, uint64_t fingerprint);
+
 /* The backend server beside this node was lost while these ran. */
 void Sps_OnCrash(Suspects *suspects, const uint64_t *fingerprints,
                  size_t count, Instant now);
--- a/src/process/suspects_tell.c
+++ b/src/process/suspects_tell.c
@@ -196,6 +196,9 @@
     if (count) {
         log_learned(suspects, count, news);
     }
+    if (news) {
+        suspects->learned(suspects->learned_context, now);
+    }
     on_learned(suspects, origin, &head, now);
 }
 
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -96,8 +96,8 @@
 }
 void
 Call_HubInit(CallHub *hub, Net *net, Counters *counters, Timeline *timeline,
-             Services *services, const Settings *settings,
-             uint64_t incarnation)
+             Services *services, const Suspects *suspects,
+             const Settings *settings, uint64_t incarnation)
 {
     *hub = (CallHub){
         .net = net,
@@ -105,6 +105,7 @@
         .logger = timeline->logger,
         .timeline = timeline,
         .services = services,
+        .suspects = suspects,
         .incarnation = incarnation,
     };
     Key_HubInit(&hub->keys, net, counters, timeline, settings->replicas,
@@ -166,6 +167,10 @@
     else if (key.len) {
         Ccl_Start(call, key, now);
     }
+    else if (Sps_Ask(call->hub->suspects, call->digest, now) == Sus_STOPPED) {
+        Cnt_Add(call->hub->counters, Cnt_SUSPECTS, 1);
+        Call_End(call, Call_NOT_RUN, Call_WHY_SUSPECT);
+    }
     else if (call->hopeless) {
         Call_End(call, Call_NOT_RUN, Call_WHY_LATE);
     }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -17,6 +17,7 @@
 #include "process/linkbudget.h"
 #include "process/net.h"
 #include "process/services.h"
+#include "process/suspects.h"
 #include "process/timeline.h"
 #include "request/field.h"
 #include "request/keyed.h"
@@ -76,6 +77,7 @@
     Logger *logger;
     Timeline *timeline;
     Services *services;
+    const Suspects *suspects;
     InForce *in_force;    /* held by the node; a call holds its own */
     bool confirmed;       /* it is the one in force: calls are taken */
     uint64_t incarnation; /* of this node */
@@ -94,7 +96,8 @@
 
 void Call_HubInit(CallHub *hub, Net *net, Counters *counters,
                   Timeline *timeline, Services *services,
-                  const Settings *settings, uint64_t incarnation);
+                  const Suspects *suspects, const Settings *settings,
+                  uint64_t incarnation);
 void Call_HubFinish(CallHub *hub);
 
 /* Take a request on.  The sink may be called before this returns; NULL is
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -151,6 +151,18 @@
            reason == Refusal_INCARNATION || reason == Refusal_LATE;
 }
 
+/* It runs at one node only; which one is not known here. */
+static void
+look_elsewhere(Attempt *attempt, Instant now)
+{
+    if (attempt->call->refused_count < Rty_TRIED_MAX) {
+        Call_OnTurnedBack(attempt, now);
+    }
+    else {
+        Call_Decide(attempt, Rty_NOT_RUN, now);
+    }
+}
+
 static void
 on_refused(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -184,6 +196,9 @@
         Call_EndAttempt(attempt, Plc_REFUSED, now);
         Call_GiveUpNotRun(call, Call_WHY_SUSPECT, now);
     }
+    else if (msg.reason == Refusal_ELSEWHERE && !call->keyed) {
+        look_elsewhere(attempt, now);
+    }
     else if (may_pass(msg.reason) && !call->keyed && call->route->objective) {
         if (msg.reason == Refusal_FULL || msg.reason == Refusal_LATE) {
             Plc_OnFull(&call->service->placement, origin->peer, now);
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -10,50 +10,127 @@
     OTHERS_SHARE = 4 /* time left to others, for one of a suspect's */
 };
 
+/* Who is suspect, as the two places that hold it back name it. */
+typedef struct {
+    uint64_t fingerprint;
+    Str request_id;
+    AdmClass cls;
+    bool keyed;
+} Suspect;
+
 static void
-log_held(const RunHub *hub, const CallMsg *msg, SusVerdict verdict,
-         Instant now)
+log_held(const RunHub *hub, const Suspect *suspect, Str verdict, Instant now)
 {
-    const SusEntry *entry = Sus_Find(&hub->suspects->sus, msg->fingerprint);
+    const SusEntry *entry =
+        Sus_Find(&hub->suspects->sus, suspect->fingerprint);
 
     Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("suspect_held"),
             "request=%.*s fingerprint=%016" PRIx64
-            " verdict=%s losses=%u age_us=%lld",
-            Str_ARG(msg->request_id), msg->fingerprint,
-            verdict == Sus_STOPPED ? "stopped" : "alone",
-            Sus_CountLosses(entry), (long long)(now - entry->at));
+            " verdict=%.*s losses=%u age_us=%lld",
+            Str_ARG(suspect->request_id), suspect->fingerprint,
+            Str_ARG(verdict), Sus_CountLosses(entry),
+            (long long)(now - entry->at));
+}
+
+typedef enum { GOES_ON, HELD, REFUSED } Step;
+
+/* What becomes of SUSPECT now; REASON where it is refused.  A claim for a key
+ * was made for this node, and is not sent on to another. */
+static Step
+judge(RunHub *hub, const Suspect *suspect, Refusal *reason, Instant now)
+{
+    switch (Sps_Ask(hub->suspects, suspect->fingerprint, now)) {
+    case Sus_CLEAR:
+        return GOES_ON;
+    case Sus_STOPPED:
+        log_held(hub, suspect, Str_LIT("stopped"), now);
+        Cnt_Add(hub->counters, Cnt_SUSPECTS, 1);
+        *reason = Refusal_SUSPECT;
+        return REFUSED;
+    case Sus_ALONE:
+        break;
+    }
+    if (!suspect->keyed && !Sps_IsTurn(hub->suspects, suspect->fingerprint)) {
+        *reason = Refusal_ELSEWHERE;
+        return REFUSED;
+    }
+    if (hub->alone < ALONE_MAX && Adm_Wait(hub->admission, suspect->cls)) {
+        log_held(hub, suspect, Str_LIT("alone"), now);
+        hub->alone++;
+        return HELD;
+    }
+    *reason = Refusal_FULL;
+    return REFUSED;
 }
 
 bool
 Crs_Hold(RunHub *hub, const NetOrigin *origin, const CallMsg *msg, Instant now)
 {
-    AdmClass cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
-    SusVerdict verdict = Sps_Ask(hub->suspects, msg->fingerprint, now);
-    Refusal reason = Refusal_FULL;
+    Suspect suspect = {
+        .fingerprint = msg->fingerprint,
+        .request_id = msg->request_id,
+        .cls = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT,
+        .keyed = msg->keyed,
+    };
+    /* While it is not known what is suspect, this may be the one. */
+    Refusal reason = Refusal_ABSENT;
+    Step step =
+        hub->suspects->knows ? judge(hub, &suspect, &reason, now) : REFUSED;
 
-    if (!hub->suspects->knows) {
-        /* It may be the one that must not run. */
+    if (step == REFUSED) {
         Led_OnRefused(&hub->ledger, msg->id, now);
-        Run_RefuseId(hub, origin, msg, Refusal_ABSENT, now);
-        return true;
+        Run_RefuseId(hub, origin, msg, reason, now);
     }
-    if (verdict == Sus_CLEAR) {
-        return false;
-    }
-    log_held(hub, msg, verdict, now);
-    if (verdict == Sus_STOPPED) {
-        reason = Refusal_SUSPECT;
-        Cnt_Add(hub->counters, Cnt_SUSPECTS, 1);
-    }
-    else if (hub->alone < ALONE_MAX && Adm_Wait(hub->admission, cls)) {
+    else if (step == HELD) {
         Run_Add(hub, origin, msg, now)->alone = true;
-        hub->alone++;
         Run_HubTick(hub, now);
-        return true;
     }
-    Led_OnRefused(&hub->ledger, msg->id, now);
-    Run_RefuseId(hub, origin, msg, reason, now);
-    return true;
+    return step != GOES_ON;
+}
+
+/* RUN waits, by what was known when it came. */
+static void
+judge_again(Run *run, Instant now)
+{
+    Suspect suspect = {
+        .fingerprint = run->fingerprint,
+        .request_id = StrBuf_View(&run->request_id),
+        .cls = run->cls,
+        .keyed = run->keyed,
+    };
+    SusVerdict verdict = Sps_Ask(run->hub->suspects, run->fingerprint, now);
+    Refusal reason = Refusal_FULL;
+
+    if (verdict == (run->alone ? Sus_ALONE : Sus_CLEAR)) {
+        return; /* as it was */
+    }
+    Run_LeaveLine(run);
+    switch (judge(run->hub, &suspect, &reason, now)) {
+    case GOES_ON:
+        Run_Decide(run, now);
+        break;
+    case HELD:
+        run->alone = true;
+        break;
+    case REFUSED:
+        Run_Refuse(run, reason, now);
+        Run_Free(run);
+        break;
+    }
+}
+
+void
+Crs_OnLearned(void *context, Instant now)
+{
+    RunHub *hub = context;
+    Run *next;
+
+    for (Run *run = hub->first; run; run = next) {
+        next = run->next;
+        if (Run_IsWaiting(run) || run->asks) {
+            judge_again(run, now);
+        }
+    }
 }
 
 void
--- a/src/request/crash.h
+++ b/src/request/crash.h
@@ -1,7 +1,8 @@
 /* Crs: what the node beside a backend server does about requests that crash
  * it.  A cut exchange is followed by a knock at the backend server; when
  * nobody listens there, everything that ran is blamed.  A blamed request
- * runs alone, or not at all.
+ * runs alone, at one node of its service, or not at all; that holds also for
+ * those that wait when the blame comes.
  */
 #ifndef CRASH_H
 #define CRASH_H
@@ -12,6 +13,9 @@
 bool Crs_Hold(RunHub *hub, const NetOrigin *origin, const CallMsg *msg,
               Instant now);
 
+/* More is known of suspects than when those that wait were let in. */
+void Crs_OnLearned(void *hub, Instant now);
+
 /* RUN's exchange ended, before it is forgotten. */
 void Crs_OnEnd(Run *run, BckEnd end, Instant now);
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -141,6 +141,7 @@
         [Refusal_SLOW] = Str_LIT("slow"),
         [Refusal_TURNED_AWAY] = Str_LIT("turned_away"),
         [Refusal_EXPIRED] = Str_LIT("expired"),
+        [Refusal_ELSEWHERE] = Str_LIT("elsewhere"),
     };
 
     return names[reason];
@@ -376,9 +377,8 @@
     return Adm_Ask(run->hub->admission, &ask, now);
 }
 
-/* Start it, let it wait, or refuse it; RUN may be gone afterwards. */
-static void
-decide(Run *run, Instant now)
+void
+Run_Decide(Run *run, Instant now)
 {
     AdmVerdict verdict = ask_admission(run, now);
 
@@ -409,7 +409,7 @@
         next = run->next;
         if (run->asks) {
             stop_asking(run);
-            decide(run, now);
+            Run_Decide(run, now);
         }
     }
     Run_HubTick(hub, now);
@@ -451,7 +451,7 @@
     }
     run = Run_Add(hub, origin, &msg, now);
     if (!asks_first(run, now)) {
-        decide(run, now);
+        Run_Decide(run, now);
     }
 }
 
@@ -467,17 +467,25 @@
 }
 
 void
-Run_LeaveQueue(Run *run)
+Run_LeaveLine(Run *run)
 {
     if (run->asks) {
         stop_asking(run);
     }
     else if (run->alone) {
         Adm_OnHeldLeave(run->hub->admission);
+        run->hub->alone--;
+        run->alone = false;
     }
     else {
         Adm_OnLeave(run->hub->admission, run->cls);
     }
+}
+
+void
+Run_LeaveQueue(Run *run)
+{
+    Run_LeaveLine(run);
     Run_Free(run);
 }
 
@@ -584,6 +592,7 @@
         .suspects = suspects,
         .incarnation = incarnation,
     };
+    Sps_OnLearned(suspects, Crs_OnLearned, hub);
     Led_Init(&hub->ledger, &ledger, incarnation);
     Pls_Init(&hub->pulse, pool, on_pulse, hub);
     Net_On(net, Wire_CALL, on_call, hub);
@@ -712,7 +721,7 @@
         }
         else if (run->asks && now - run->asked_at >= ASK_WAIT) {
             stop_asking(run);
-            decide(run, now);
+            Run_Decide(run, now);
         }
         else if (run->exchange && now >= run->deadline + grace_of(run)) {
             cancel_run(run, now);
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -54,6 +54,12 @@
 /* Start it; admission counts it as running already. */
 void Run_StartExchange(Run *run, Instant now);
 
+/* Start it, let it wait, or refuse it; RUN may be gone afterwards. */
+void Run_Decide(Run *run, Instant now);
+
+/* It waits no more, and is to be decided anew. */
+void Run_LeaveLine(Run *run);
+
 /* It waits: forget it. */
 void Run_LeaveQueue(Run *run);
 
