Clear a suspect request only by an answer that is no error

What callers saw: a request that crashes backend servers, answered 500 once in between, crashed three for two. Cause: any whole answer cleared it, also an error that may come from before the place where it crashes. The status from which an answer is an error has one name now.

--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -101,6 +101,8 @@
 
 enum {
     Callmsg_FIELDS_MAX = 100,
+    Callmsg_FAILED = 500, /* a status from here on tells of an error of the
+                             backend server's own */
     Callmsg_PIECE_BYTES = 65536,   /* of one piece at most */
     Callmsg_WINDOW_BYTES = 262144, /* pieces not credited yet, at most */
 };
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -1,8 +1,5 @@
 #include "request/callstate.h"
 
-/* From here on a status tells of an error of the backend server's own. */
-enum { FAILED_STATUS = 500 };
-
 static Attempt *
 find_attempt(const CallHub *hub, AttemptId id)
 {
@@ -38,7 +35,7 @@
 pass_on(Call *call, const PieceMsg *msg)
 {
     if (msg->sequence == 0) {
-        call->failed = msg->status >= FAILED_STATUS;
+        call->failed = msg->status >= Callmsg_FAILED;
         call->sink.head(call->sink.context, msg->status, &msg->fields);
     }
     if (msg->bytes.len) {
@@ -81,7 +78,7 @@
         Pcs_OnPiece(&attempt->pieces, msg->sequence, msg->last);
 
     if (msg->sequence == 0 && verdict != Pcs_IGNORE) {
-        if (msg->status >= FAILED_STATUS &&
+        if (msg->status >= Callmsg_FAILED &&
             Call_FailOver(attempt, msg->last, now)) {
             return;
         }
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -145,7 +145,8 @@
     Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("suspect_ran_alone"),
             "request=%.*s fingerprint=%016" PRIx64 " end=%d status=%u",
             Str_ARG(run->request_id), run->fingerprint, (int)end, run->status);
-    if (end == Bck_WHOLE) {
+    /* An error may come from before the place where it crashes. */
+    if (end == Bck_WHOLE && run->status < Callmsg_FAILED) {
         Sps_OnDone(hub->suspects, run->fingerprint, now);
     }
 }
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -213,7 +213,7 @@
     Run *run = context;
     RunHub *hub = run->hub;
     Instant now = Loop_Now();
-    bool failed = end != Bck_WHOLE || run->status >= 500;
+    bool failed = end != Bck_WHOLE || run->status >= Callmsg_FAILED;
 
     Lgr_Log(hub->logger, Lgr_DEBUG, Str_LIT("run_ended"),
             "request=%.*s end=%d status=%u took_us=%lld pace=%u running=%u",
