Go on with a route's split when another version comes into force

What callers saw: with a new version for each call of a node, a part of weight 10 of 100 gets none (test_split 'a version for each call': share of the other 1.000 for 0.900 before, within 0.02 now); after a start of all, every node sends its first calls to the same part. Change: routes that select the same go on where they were; others start at a place drawn by the node.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -4,6 +4,7 @@
 #include "process/suspectops.h"
 
 #include "request/fence.h"
+#include "request/split.h"
 
 #define TICK Span_MS(10)
 
@@ -236,6 +237,7 @@
     good = Set_LoadPreset(StrBuf_View(&node->settings->preset), &preset,
                           &findings);
     if (good) {
+        Spl_GoOn(&preset, NULL, &node->rng);
         node->in_force = Inf_New(&preset, (CfgVersion){0});
     }
     else {
@@ -280,6 +282,7 @@
     Fnd_Init(&findings);
     good = Pst_Parse(&preset, json, &findings);
     if (good) {
+        Spl_GoOn(&preset, &node->in_force->preset, &node->rng);
         Inf_Release(node->in_force);
         node->in_force = Inf_New(&preset, version);
         use_preset(node);
--- a/src/process/suspectstore.c
+++ b/src/process/suspectstore.c
@@ -88,7 +88,7 @@
 {
     StrBuf bytes = {0};
     Str rest;
-    Str payload;
+    Str payload = {0};
     bool found = false;
     bool good = Frm_ReadFile(fd, file_name, &bytes, &found, err);
 
--- a/src/request/split.c
+++ b/src/request/split.c
@@ -25,3 +25,35 @@
     }
     return (Str){0};
 }
+
+static bool
+selects_same(const PstRoute *a, const PstRoute *b)
+{
+    return Str_Equal(StrBuf_View(&a->host), StrBuf_View(&b->host)) &&
+           Str_Equal(StrBuf_View(&a->path), StrBuf_View(&b->path)) &&
+           Str_Equal(StrBuf_View(&a->method), StrBuf_View(&b->method));
+}
+
+static const PstRoute *
+find_before(const Preset *before, const PstRoute *route)
+{
+    for (size_t i = 0; before && i < before->route_count; i++) {
+        if (before->routes[i].turn &&
+            selects_same(&before->routes[i], route)) {
+            return &before->routes[i];
+        }
+    }
+    return NULL;
+}
+
+void
+Spl_GoOn(const Preset *preset, const Preset *before, Rng *rng)
+{
+    for (size_t i = 0; i < preset->route_count; i++) {
+        const PstRoute *route = &preset->routes[i];
+        const PstRoute *was = find_before(before, route);
+        if (route->turn) {
+            *route->turn = was ? *was->turn : Rng_Below(rng, UINT32_MAX);
+        }
+    }
+}
--- a/tests/unit/test_split.c
+++ b/tests/unit/test_split.c
@@ -1,6 +1,7 @@
 /* Shares of a split route over stretches of calls. */
 #include "request/split.h"
 #include "support/suite.h"
+#include "value/mem.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
 
@@ -59,6 +60,81 @@
 }
 END_TEST
 
+/* Shares over all calls, whatever comes in between. */
+typedef struct {
+    const char *name;
+    double weights[2];
+    int nodes;
+    int calls_a_version; /* of one node, before the next version */
+    bool restarts;       /* instead of a version: it knows no earlier one */
+    double off;
+} VersionCase;
+
+static const VersionCase version_cases[] = {
+    {"one version", {90, 10}, 1, CALLS, false, 0.02},
+    {"a version for each call", {90, 10}, 1, 1, false, 0.02},
+    {"a version for two calls, at many nodes", {1, 1}, 13, 2, false, 0.03},
+    {"each node starts again after two calls", {1, 1}, 13, 2, true, 0.1},
+};
+
+static void
+init_split(Preset *preset, const double *weights)
+{
+    static const Str names[] = {Str_LIT("a"), Str_LIT("b")};
+    PstRoute *route = Mem_Alloc(1, sizeof *route);
+
+    Pst_Init(preset);
+    preset->routes = route;
+    preset->route_count = 1;
+    StrBuf_Set(&route->path, Str_LIT("/visor/"));
+    route->turn = Mem_Alloc(1, sizeof *route->turn);
+    route->parts = Mem_Alloc(2, sizeof *route->parts);
+    route->part_count = 2;
+    for (int i = 0; i < 2; i++) {
+        StrBuf_Set(&route->parts[i].service, names[i]);
+        route->parts[i].weight = weights[i];
+    }
+}
+
+/* Calls of one node that go to the first part. */
+static int
+play_node(const VersionCase *c, Rng *rng)
+{
+    Preset before = {0};
+    Preset preset;
+    int first = 0;
+
+    for (int call = 0; call < CALLS; call++) {
+        if (call % c->calls_a_version == 0) {
+            init_split(&preset, c->weights);
+            Spl_GoOn(&preset, call && !c->restarts ? &before : NULL, rng);
+            Pst_Finish(&before);
+            before = preset;
+        }
+        first += Str_Equal(Spl_Choose(&before.routes[0]), Str_LIT("a"));
+    }
+    Pst_Finish(&before);
+    return first;
+}
+
+START_TEST(shares_go_on_over_versions)
+{
+    const VersionCase *c = &version_cases[_i];
+    double wanted = c->weights[0] / (c->weights[0] + c->weights[1]);
+    double share = 0;
+    Rng rng;
+
+    Rng_Init(&rng, 7);
+    for (int node = 0; node < c->nodes; node++) {
+        share += (double)play_node(c, &rng) / CALLS / c->nodes;
+    }
+    Rng_Finish(&rng);
+    ck_assert_msg(share - wanted <= c->off && wanted - share <= c->off,
+                  "%s: the first part has %.3f for %.3f", c->name, share,
+                  wanted);
+}
+END_TEST
+
 START_TEST(no_weight_at_all_is_nobody)
 {
     PstPart part = {{0}, 0};
@@ -72,8 +148,10 @@
 int
 main(void)
 {
-    const SuiteTest tests[] = {{shares_follow_weights, ROWS(cases)},
-                               {no_weight_at_all_is_nobody, 1}};
+    const SuiteTest tests[] = {
+        {shares_follow_weights, ROWS(cases)},
+        {shares_go_on_over_versions, ROWS(version_cases)},
+        {no_weight_at_all_is_nobody, 1}};
 
-    return Suite_Run("split", tests, 2, 10);
+    return Suite_Run("split", tests, 3, 10);
 }
