Let retries at once add up to one sum over the nodes, and to none by restarts

Evidence: test_retry 'keeps_the_budget' with 1000 starts: 10000 retries of 10000 calls before, 2000 allowed; bursts_add_up_to_one_sum. Change: retry_burst is for a service over all nodes, each has its share by the members with a backend server, one at least; a budget begins with one.

--- a/src/process/membership.c
+++ b/src/process/membership.c
@@ -215,6 +215,17 @@
     return Mbr_RENEWED;
 }
 
+size_t
+Mbr_CountServing(const Mbr *mbr)
+{
+    size_t serving = 0;
+
+    for (size_t i = 0; i < mbr->count; i++) {
+        serving += !mbr->rows[i].gone && mbr->rows[i].record.present;
+    }
+    return serving;
+}
+
 bool
 Mbr_IsEqual(MbrDigest a, MbrDigest b)
 {
--- a/src/process/membership.h
+++ b/src/process/membership.h
@@ -109,6 +109,9 @@
 
 MbrRenewed Mbr_OnRenewal(Mbr *mbr, const MbrRenewal *renewal, Instant now);
 
+/* Nodes with a backend server beside them. */
+size_t Mbr_CountServing(const Mbr *mbr);
+
 /* Which nodes a set of rows has; two that differ differ here too. */
 typedef struct {
     uint32_t count;
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -45,6 +45,7 @@
         Rps_SetLive(&node->replicas, record->node, change != Mbr_GONE);
     }
     Svc_OnMember(&node->services, change, record, now);
+    Svc_SetNodes(&node->services, Mbr_CountServing(&node->members.membership));
     tell_member(node, change, record);
     if (change == Mbr_GONE) {
         Net_Drop(&node->net, record->node);
--- a/src/process/services.c
+++ b/src/process/services.c
@@ -32,6 +32,24 @@
     *services = (Services){0};
 }
 
+static double
+burst_share(const Services *services)
+{
+    return Rty_Share(services->retry_burst, services->nodes);
+}
+
+static void
+set_budgets(Services *services)
+{
+    for (size_t i = 0; i < services->count; i++) {
+        Service *service = services->items[i];
+        Rty_BudgetSet(&service->retries, services->retry_permille,
+                      burst_share(services));
+        Rty_BudgetSet(&service->hedges, services->hedge_permille,
+                      burst_share(services));
+    }
+}
+
 void
 Svc_SetLimits(Services *services, const PstLimits *limits)
 {
@@ -43,12 +61,17 @@
     services->retry_permille = limits->retry_permille;
     services->hedge_permille = limits->hedge_permille;
     for (size_t i = 0; i < services->count; i++) {
-        Service *service = services->items[i];
-        Plc_SetSettings(&service->placement, &services->placement);
-        Rty_BudgetSet(&service->retries, limits->retry_permille,
-                      limits->retry_burst);
-        Rty_BudgetSet(&service->hedges, limits->hedge_permille,
-                      limits->retry_burst);
+        Plc_SetSettings(&services->items[i]->placement, &services->placement);
+    }
+    set_budgets(services);
+}
+
+void
+Svc_SetNodes(Services *services, size_t nodes)
+{
+    if (services->nodes != nodes) {
+        services->nodes = nodes;
+        set_budgets(services);
     }
 }
 
@@ -72,9 +95,9 @@
     StrBuf_Set(&service->name, name);
     Plc_Init(&service->placement, &services->placement, services->rng);
     Rty_BudgetInit(&service->retries, services->retry_permille,
-                   services->retry_burst);
+                   burst_share(services));
     Rty_BudgetInit(&service->hedges, services->hedge_permille,
-                   services->retry_burst);
+                   burst_share(services));
     return service;
 }
 
--- a/src/process/services.h
+++ b/src/process/services.h
@@ -17,7 +17,8 @@
 typedef struct {
     PlcSettings placement; /* for each service */
     uint32_t retry_permille;
-    uint32_t retry_burst;
+    uint32_t retry_burst; /* over all nodes */
+    size_t nodes;         /* that share it */
     uint32_t hedge_permille;
     Rng *rng;
     Service **items;
@@ -32,6 +33,9 @@
 /* The limits of the preset now in force. */
 void Svc_SetLimits(Services *services, const PstLimits *limits);
 
+/* So many nodes take callers. */
+void Svc_SetNodes(Services *services, size_t nodes);
+
 /* The service NAME, made when it is new. */
 Service *Svc_Get(Services *services, Str name);
 
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -1,9 +1,20 @@
 #include "request/retry.h"
 
+/* Tokens of a budget that begins. */
+#define FIRST 1.0
+
+double
+Rty_Share(uint32_t burst, size_t nodes)
+{
+    double share = nodes ? (double)burst / (double)nodes : burst;
+
+    return share > 1 || burst == 0 ? share : 1;
+}
+
 void
 Rty_BudgetInit(RtyBudget *budget, uint32_t permille, double cap)
 {
-    *budget = (RtyBudget){.tokens = cap};
+    *budget = (RtyBudget){.tokens = FIRST};
     Rty_BudgetSet(budget, permille, cap);
 }
 
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -11,7 +11,9 @@
 #include "value/addr.h"
 #include "value/instant.h"
 
-/* Retries by calls: calls add, retries take.  One per service and node. */
+/* Retries by calls: calls add, retries take.  One per service and node, so
+ * that their sum over all nodes follows the calls of all; what is saved up for
+ * a burst is a share of one sum. */
 typedef struct {
     double tokens;
     double cap;
@@ -42,6 +44,11 @@
     uint32_t attempts; /* made so far */
 } Rty;
 
+/* Of BURST retries at once over NODES nodes, one node's; one at least. */
+double Rty_Share(uint32_t burst, size_t nodes);
+
+/* One token, however large the CAP: a process that starts does not know what
+ * was spent before. */
 void Rty_BudgetInit(RtyBudget *budget, uint32_t permille, double cap);
 void Rty_BudgetSet(RtyBudget *budget, uint32_t permille, double cap);
 
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -56,7 +56,7 @@
     uint32_t link_price_us;      /* added to a wait across regions */
     uint32_t domain_price_us;    /* added to a wait across failure domains */
     uint32_t retry_permille;     /* retries by calls, each service */
-    uint32_t retry_burst;        /* retries at once, each service and node */
+    uint32_t retry_burst;        /* at once, each service, over all nodes */
     uint32_t hedge_permille;     /* hedges by calls, each service; 0: none */
     Span hedge_after;            /* without an answer; 0: no hedges */
     uint32_t attempts_max;       /* attempts of one call, the first counted */
--- a/tests/unit/test_retry.c
+++ b/tests/unit/test_retry.c
@@ -51,23 +51,52 @@
 typedef struct {
     uint32_t permille;
     int calls;
-    int most; /* attempts that the budget gives over all calls */
+    int starts; /* of the node, each after as many calls */
+    int most;   /* attempts that the budget gives over all calls */
 } BudgetCase;
 
 static const BudgetCase budgets[] = {
-    {0, 10000, 0},
-    {100, 10000, 1010},
-    {20, 10000, 210},
+    {0, 10000, 1, 0},
+    {100, 10000, 1, 1010},
+    {20, 10000, 1, 210},
+    /* What was spent before a restart is not known after it. */
+    {100, 10000, 1000, 2000},
+    {0, 10000, 1000, 0},
 };
 
+typedef struct {
+    const char *name;
+    uint32_t burst;
+    size_t nodes;
+    double most; /* at once, over all nodes */
+} ShareCase;
+
+static const ShareCase shares[] = {
+    {"a small fleet", 40, 13, 40},  {"one node", 40, 1, 40},
+    {"none known yet", 40, 0, 40},  {"more nodes than that", 40, 70, 70},
+    {"the target's", 40, 680, 680}, {"none wanted", 0, 13, 0},
+};
+
+START_TEST(bursts_add_up_to_one_sum)
+{
+    const ShareCase *c = &shares[_i];
+    double sum = Rty_Share(c->burst, c->nodes) * (c->nodes ? c->nodes : 1);
+
+    ck_assert_msg(sum <= c->most + 0.001 && sum >= c->most - 0.001,
+                  "%s: %.2f for %.2f", c->name, sum, c->most);
+}
+END_TEST
+
 START_TEST(keeps_the_budget)
 {
     const BudgetCase *c = &budgets[_i];
     RtyBudget budget;
     int given = 0;
 
-    Rty_BudgetInit(&budget, c->permille, 10);
     for (int i = 0; i < c->calls; i++) {
+        if (i % (c->calls / c->starts) == 0) {
+            Rty_BudgetInit(&budget, c->permille, 10);
+        }
         Rty_OnCall(&budget);
         for (int k = 0; k < 3; k++) {
             given += Rty_BudgetTake(&budget);
@@ -157,6 +186,7 @@
     const SuiteTest tests[] = {
         {decides_retries, ROWS(retries)},
         {keeps_the_budget, ROWS(budgets)},
+        {bursts_add_up_to_one_sum, ROWS(shares)},
         {decides_hedges, ROWS(hedges)},
         {counts_the_depth, ROWS(depths)},
     };
