End bytes of a backend server that come without end

What callers saw: answers that never ended went on for as long as the caller read them, past every deadline; endless answers before the answer, answers to other requests and bodies of refusals were read at full speed until half a second after the deadline, or for ten seconds. Cause: each piece of an answer moved its call's deadline, without a last one; the bound of an exchange ended with the head, also of a refusal that nobody takes; and nothing counted what is read and passed over. Heads, blank lines, garbage, extensions and trailers without end were ended before. Change: an answer under way ends at the deadline of a route of the operators' routing, elsewhere after answer_ms; at most 1 MB and eight times what is passed on is read in vain; a refusal whose body does not end still says that nothing ran.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -11,6 +11,11 @@
 #include "connection/httpread.h"
 #include "value/mem.h"
 
+/* Bytes that are read and passed over for one exchange: answers before its own
+ * or to other requests, bodies that nobody wants.  Chunks of a byte each come
+ * with so many times their length. */
+enum { WASTE_BYTES_MAX = 1024 * 1024, WASTE_FACTOR = 8 };
+
 enum { HEADER_BYTES_MAX = 64 * 1024, OK = 200, MISDIRECTED = 421 };
 
 /* Idle connections that are older are not used again: the backend server may
@@ -45,6 +50,8 @@
     bool foreign;   /* what is read now answers another request */
     bool interim;   /* it is an answer before the answer */
     bool rejected;  /* it says that the request did not run */
+    size_t read;    /* bytes that came for it */
+    size_t passed;  /* of these, to the sink */
     bool keep_open; /* as the answer says */
 };
 
@@ -214,10 +221,6 @@
         event_free(exchange->repeater);
         exchange->repeater = NULL;
     }
-    if (!exchange->from.plain) {
-        /* Who takes the answer bounds it from here on. */
-        evtimer_del(exchange->bound);
-    }
     if (pool->load && says(all, pool->names.load)) {
         pool->load(pool->load_context, Field_Get(all, pool->names.load),
                    pool->clock());
@@ -227,6 +230,10 @@
         (says(all, pool->names.not_run) ||
          (head->status == MISDIRECTED && pool->names.expect.len));
     if (!exchange->rejected) {
+        if (!exchange->from.plain) {
+            /* Who takes the answer bounds it from here on. */
+            evtimer_del(exchange->bound);
+        }
         forward_fields(head, &fields);
         exchange->sink.head(exchange->sink.context, head->status, &fields);
     }
@@ -259,6 +266,7 @@
         return false;
     }
     if (!exchange->foreign && !exchange->rejected && bytes.len) {
+        exchange->passed += bytes.len;
         exchange->sink.bytes(exchange->sink.context, bytes);
     }
     return connection->exchange == exchange;
@@ -282,20 +290,35 @@
     return true;
 }
 
+static BckEnd
+end_of_failed(const BckExchange *exchange)
+{
+    if (exchange->rejected) {
+        return Bck_REJECTED; /* its head has said so */
+    }
+    return exchange->connection->reached ? Bck_CUT : Bck_UNREACHED;
+}
+
 static void
 fail(BckConnection *connection)
 {
     BckExchange *exchange = connection->exchange;
 
     if (exchange) {
-        end_exchange(exchange, connection->reached ? Bck_CUT : Bck_UNREACHED,
-                     false);
+        end_exchange(exchange, end_of_failed(exchange), false);
     }
     else {
         drop_idle(connection);
     }
 }
 
+static bool
+is_wasted(const BckExchange *exchange)
+{
+    return exchange->read >
+           WASTE_BYTES_MAX + exchange->passed * (1 + WASTE_FACTOR);
+}
+
 static void
 on_read(struct bufferevent *stream, void *context)
 {
@@ -305,15 +328,18 @@
     while (evbuffer_get_length(input) > 0) {
         BckExchange *exchange = connection->exchange;
         HrdState state;
+        size_t before;
         if (!exchange) {
             drop_idle(connection); /* nobody asked for anything */
             return;
         }
+        before = evbuffer_get_length(input);
         state = Hrd_Feed(&connection->reader, input);
         if (connection->exchange != exchange) {
             return; /* it was cancelled meanwhile */
         }
-        if (state == Hrd_BAD) {
+        exchange->read += before - evbuffer_get_length(input);
+        if (state == Hrd_BAD || is_wasted(exchange)) {
             fail(connection);
             return;
         }
@@ -474,7 +500,7 @@
         /* Other connections may have gone silent with this one. */
         drop_all_idle(exchange->pool);
     }
-    end_exchange(exchange, Bck_CUT, false);
+    end_exchange(exchange, exchange->rejected ? Bck_REJECTED : Bck_CUT, false);
 }
 
 static struct event *
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -70,6 +70,23 @@
     }
 }
 
+/* An answer under way goes on past the deadline, as long as it does go on,
+ * and not for ever.  Of a route of the operators' routing the deadline is the
+ * last word. */
+static Instant
+stalled_at(Call *call, Instant now)
+{
+    Instant stalled = now + Callmsg_STALL;
+
+    if (!call->answer_until) {
+        call->answer_until =
+            call->route->host.len
+                ? call->deadline
+                : now + call->in_force->preset.limits.answer_max;
+    }
+    return stalled < call->answer_until ? stalled : call->answer_until;
+}
+
 static void
 take_piece(Attempt *attempt, const PieceMsg *msg, Instant now)
 {
@@ -91,7 +108,7 @@
         lose_attempt(attempt, now);
         break;
     case Pcs_TAKE:
-        call->deadline = now + Callmsg_STALL;
+        call->deadline = stalled_at(call, now);
         pass_on(call, msg);
         break;
     case Pcs_TAKE_LAST:
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -58,10 +58,11 @@
     Addr refused[Rty_TRIED_MAX]; /* asked since, and nothing reached their
                                     backend server */
     uint32_t refused_count;
-    uint32_t asked; /* attempts sent, also those turned back */
-    bool met_slow;  /* one of this region turned it back as slow */
-    bool went_away; /* another region was asked */
-    Span park;      /* between two tries once it is late */
+    Instant answer_until; /* what has not ended then is cut */
+    uint32_t asked;       /* attempts sent, also those turned back */
+    bool met_slow;        /* one of this region turned it back as slow */
+    bool went_away;       /* another region was asked */
+    Span park;            /* between two tries once it is late */
 };
 
 /* Choose a node and an id for the next attempt; false, with the reason in the
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -90,6 +90,7 @@
     limits->queue_max = read_u32(&o, Str_LIT("queue_max"), QUEUE_MAX, 32);
     limits->patient_queue_max =
         read_u32(&o, Str_LIT("patient_queue_max"), QUEUE_MAX, 16);
+    limits->answer_max = read_ms(&o, Str_LIT("answer_ms"), 1, 600000);
     limits->key_retention =
         read_ms(&o, Str_LIT("key_retention_ms"), 1000, 600000);
     limits->suspect_losses_max =
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -62,6 +62,7 @@
     uint32_t attempts_max;       /* attempts of one call, the first counted */
     uint32_t queue_max;          /* calls waiting at one backend server */
     uint32_t patient_queue_max;  /* of these, calls that are not interactive */
+    Span answer_max;             /* from an answer's first byte to its last */
     Span key_retention;          /* how long a key's outcome is kept */
     uint32_t suspect_losses_max; /* backend servers one request may crash */
     Span suspect_release;        /* until a stopped request may run again */
--- /dev/null
+++ b/tests/integration/test_endless_answers.c
@@ -0,0 +1,239 @@
+/* A faulty backend server whose bytes, no answer or more than one, come
+ * without end: the node beside it ends that, and everything else goes on.
+ */
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "fleet_keyed.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+enum {
+    SUBNET = 34,
+    VMS = 2,
+    CALLS = 4,
+    NODE_KB_MAX = 32 * 1024 /* as in test_whole_answers */
+};
+
+#define DEADLINE Span_MS(1000)
+#define GRACE Span_MS(500) /* for the last word, and for the connection */
+
+static Str build;
+
+/* A route of the operators', whose deadline is the last word; one whose
+ * answers may be read for longer, within a bound of the preset; and one for
+ * all others. */
+static const Str preset = Str_LIT(
+    "{\"name\":\"ordinary\",\"limits\":{\"answer_ms\":1000},\"routes\":["
+    "{\"service\":\"visor\",\"route\":\"large\",\"path\":\"/large/\"},"
+    "{\"service\":\"visor\",\"route\":\"look\",\"path\":\"/visor/\","
+    "\"idempotent\":true,\"deadline_ms\":1000}],"
+    "\"routing\":{\"revision\":5,\"services\":[{\"name\":\"visor\"}],"
+    "\"routes\":[{\"name\":\"note\",\"host\":\"x\",\"path\":\"/notes/\","
+    "\"kind\":\"non_idempotent\",\"deadline_ms\":1000,"
+    "\"objective_ms\":500,\"priority\":1,\"attempts_max\":2,"
+    "\"service\":\"visor\"}]}}");
+
+typedef struct {
+    const char *kind;
+    Str path;
+    Told told;  /* what a caller may be told of a call that may run once */
+    bool early; /* long before the deadline: no more of it is needed */
+} Case;
+
+#define NOTES Str_LIT("/notes/a")
+#define LARGE Str_LIT("/large/a")
+
+static const Case cases[] = {
+    {"blank", NOTES, Told_UNKNOWN, true},
+    {"garbage", NOTES, Told_UNKNOWN, true},
+    {"head", NOTES, Told_UNKNOWN, true},
+    {"field", NOTES, Told_UNKNOWN, true},
+    {"interim", NOTES, Told_UNKNOWN, true},
+    {"foreign", NOTES, Told_UNKNOWN, true},
+    {"refusal", NOTES, Told_NOT_RUN, true},
+    {"extension", NOTES, Told_UNKNOWN, true},
+    {"trailers", NOTES, Told_UNKNOWN, true},
+    /* Begun to be passed on, an answer ends with a closed connection. */
+    {"body", NOTES, Told_NOTHING, false},
+    {"length", NOTES, Told_NOTHING, false},
+    {"chunks", NOTES, Told_NOTHING, false},
+    {"body", LARGE, Told_NOTHING, false},
+};
+
+static void
+start_fleet(Fleet *fleet)
+{
+    Fleet_Init(fleet, build, SUBNET, VMS, 1);
+    Fleet_SetPreset(fleet, preset);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    Fleet_StartBackend(fleet, 1, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+    Fleet_Sleep(Span_MS(500));
+}
+
+static int
+start_call(Fleet *fleet, const Case *c, int number)
+{
+    StrBuf headers = {0};
+    int fd;
+
+    StrBuf_AppendFmt(&headers, "X-Fake-Endless: %s\r\n", c->kind);
+    fd = Fleet_StartPost(fleet, number % VMS, c->path, (Str){0},
+                         StrBuf_View(&headers), Str_LIT("x"));
+    StrBuf_Finish(&headers);
+    return fd;
+}
+
+/* The service goes on beside it. */
+static void
+check_others(Fleet *fleet, const Case *c)
+{
+    FleetRequest request = {.method = Str_LIT("GET"),
+                            .path = Str_LIT("/visor/a"),
+                            .wait = DEADLINE};
+    FleetAnswer answer;
+
+    Fleet_Send(fleet, 0, &request, &answer);
+    ck_assert_msg(answer.status == 200, "%s: others were answered %ld",
+                  c->kind, answer.status);
+    Fleet_FinishAnswer(&answer);
+}
+
+enum { HEAD_BYTES = 512, TAIL_BYTES = 5 };
+
+/* What of an answer tells how it ended. */
+typedef struct {
+    StrBuf head;
+    StrBuf tail;
+    bool closed;
+} Ending;
+
+static Span
+now(void)
+{
+    struct timespec time;
+
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return (Span)time.tv_sec * 1000000 + time.tv_nsec / 1000;
+}
+
+/* Read until the other side closes, at most WAIT in all. */
+static void
+read_ending(int fd, Span wait, Ending *ending)
+{
+    static char bytes[65536];
+    struct timeval patience = {.tv_usec = 100000};
+    Span until = now() + wait;
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    while (now() < until && !ending->closed) {
+        ssize_t got = recv(fd, bytes, sizeof bytes, 0);
+        if (got > 0) {
+            Str part = Str_From(bytes, (size_t)got);
+            size_t room = HEAD_BYTES - ending->head.len;
+            StrBuf_Append(&ending->head, Str_Slice(part, 0, room));
+            StrBuf_Append(&ending->tail, part);
+            room = ending->tail.len;
+            StrBuf_Set(&ending->tail,
+                       Str_Slice(StrBuf_View(&ending->tail),
+                                 room > TAIL_BYTES ? room - TAIL_BYTES : 0,
+                                 TAIL_BYTES));
+        }
+        ending->closed = got == 0 || (got < 0 && errno == ECONNRESET);
+    }
+    close(fd);
+}
+
+static bool
+contains(Str text, Str part)
+{
+    return memmem(text.ptr, text.len, part.ptr, part.len) != NULL;
+}
+
+static Told
+told_by(const Ending *ending)
+{
+    Str head = StrBuf_View(&ending->head);
+
+    if (!ending->closed) {
+        return 0;
+    }
+    if (contains(head, Str_LIT("Outcome: unknown"))) {
+        return Told_UNKNOWN;
+    }
+    if (contains(head, Str_LIT("Outcome: not-run"))) {
+        return Told_NOT_RUN;
+    }
+    /* It began; a whole one in chunks ends with an empty chunk. */
+    return Str_Equal(StrBuf_View(&ending->tail), Str_LIT("0\r\n\r\n"))
+               ? Told_ANSWER
+               : Told_NOTHING;
+}
+
+static void
+check_told(const Case *c, int fd)
+{
+    Ending ending = {0};
+    Told told;
+
+    read_ending(fd, DEADLINE + GRACE, &ending);
+    told = told_by(&ending);
+    ck_assert_msg(told == c->told, "%s: told %d%s", c->kind, told,
+                  ending.closed ? "" : ", still open");
+    StrBuf_Finish(&ending.head);
+    StrBuf_Finish(&ending.tail);
+}
+
+static void
+check_cut_off(Fleet *fleet, const Case *c, const char *when)
+{
+    uint64_t cut_off = Fleet_BackendCount(fleet, 1, Str_LIT("cut_off"));
+
+    ck_assert_msg(cut_off == CALLS, "%s: %s, %d of %d are cut off", c->kind,
+                  when, (int)cut_off, CALLS);
+}
+
+START_TEST(endless_bytes_are_ended)
+{
+    const Case *c = &cases[_i];
+    int fds[CALLS];
+    Fleet fleet;
+
+    start_fleet(&fleet);
+    for (int i = 0; i < CALLS; i++) {
+        fds[i] = start_call(&fleet, c, i);
+    }
+    Fleet_Sleep(Span_MS(300));
+    check_others(&fleet, c);
+    if (c->early) {
+        check_cut_off(&fleet, c, "early");
+    }
+    for (int i = 0; i < CALLS; i++) {
+        check_told(c, fds[i]);
+    }
+    Fleet_Sleep(GRACE);
+    check_cut_off(&fleet, c, "at the end");
+    for (int i = 0; i < VMS; i++) {
+        ck_assert_uint_lt(Fleet_ResidentKb(fleet.vms[i].node), NODE_KB_MAX);
+    }
+    check_others(&fleet, c);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{endless_bytes_are_ended, ROWS(cases)}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("endless answers", tests, 1, 30);
+}
--- a/tools/fake_server.c
+++ b/tools/fake_server.c
@@ -101,13 +101,14 @@
     evbuffer_add_printf(
         out,
         "served %llu\ncancelled %llu\nlate %llu\nshed %llu\nfailed %llu\n"
-        "started %llu\noverdue %llu\n",
+        "started %llu\noverdue %llu\ncut_off %llu\n",
         (unsigned long long)counts->served,
         (unsigned long long)counts->cancelled,
         (unsigned long long)counts->late, (unsigned long long)counts->shed,
         (unsigned long long)counts->failed,
         (unsigned long long)counts->started,
-        (unsigned long long)counts->overdue);
+        (unsigned long long)counts->overdue,
+        (unsigned long long)counts->cut_off);
     evhttp_send_reply(request, 200, NULL, out);
     evbuffer_free(out);
 }
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -11,6 +11,7 @@
  *   X-Fake-Chunked  the body goes out in chunks, without Content-Length
  *   X-Fake-Show     the body is "NAME=VALUE" of that header field
  *   X-Fake-Echo     the body is the request's body
+ *   X-Fake-Endless  see fake_endless.h
  * A call tree; these go on to the levels below:
  *   X-Fake-Calls     levels below, called through the node beside it; the
  *                    body has a line "DEPTH DEADLINE-MS" of each level
@@ -42,6 +43,7 @@
     uint64_t overdue; /* started after X-Fake-Until */
     uint64_t shed;
     uint64_t failed;
+    uint64_t cut_off; /* endless answers that the other side ended */
 } FakeCounts;
 
 typedef struct {
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "connection/evtext.h"
+#include "fake_endless.h"
 #include "fake_onward.h"
 #include "value/mem.h"
 
@@ -259,6 +260,16 @@
     end_work(work);
 }
 
+static void
+answer_endlessly(FakeWork *work)
+{
+    Clr_Unwatch(work->caller);
+    if (!Edl_Start(work->fake, work->request, get(work, "X-Fake-Endless"))) {
+        refuse(work->request, 400);
+    }
+    end_work(work);
+}
+
 static void
 on_below(void *context, int status, Str body)
 {
@@ -305,7 +316,10 @@
     crash_if_asked(work, Str_LIT("before"));
     write_effect(work);
     crash_if_asked(work, Str_LIT("after"));
-    if (Onw_Levels(work->request)) {
+    if (get(work, "X-Fake-Endless").len) {
+        answer_endlessly(work);
+    }
+    else if (Onw_Levels(work->request)) {
         call_on(work, Loop_Now());
     }
     else if (is_last(work) && last.len) {
