Test odd entries of other writers: refused, and the processes go on

A report of other operators: machines that read one odd entry (very deeply nested, a number too large, a port out of range) ended again and again, or stopped following the list. No code is changed.

--- /dev/null
+++ b/tests/integration/test_odd_entries.c
@@ -0,0 +1,284 @@
+/* Another writer's odd entry among those of the backend servers, or among the
+ * operators' changes: it is refused, names no backend server to use, and the
+ * processes that read it go on, as do the entries of others.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+enum { SUBNET = 35, OPERATORS = 8100, STATUS_AT = 9 };
+
+static Str build;
+
+typedef struct {
+    const char *name;
+    Str path;
+    Str before; /* then the next so many times, then the last */
+    Str again;
+    int times;
+    Str after;
+} Case;
+
+#define OLD Str_LIT("/v1/announce")
+#define NEW Str_LIT("/v1/backends/announce?id=i-odd")
+#define PUT Str_LIT("/v1/routing/put")
+
+/* Of a good entry, but for its last member. */
+#define OLD_ENTRY "{\"service\":\"visor\",\"port\":9000,\"slots\":9,"
+#define NEW_ENTRY                                                             \
+    "{\"service\":\"visor\",\"address\":\"127.0.0.1:9000\",\"state\":"        \
+    "\"ready\",\"slots\":9,\"sequence\":4,"
+#define ROUTING "{\"revision\":1,\"routes\":[],\"services\":[],"
+
+enum { DEEP = 100000 };
+
+static const Case cases[] = {
+    {"deeply nested", OLD, {0}, Str_LIT("["), DEEP, {0}},
+    {"deeply nested, closed again", OLD, Str_LIT(OLD_ENTRY "\"x\":"),
+     Str_LIT("{\"a\":"), DEEP, Str_LIT("1}")},
+    {"deeply nested", NEW, {0}, Str_LIT("["), DEEP, {0}},
+    {"a deeply nested member", NEW, Str_LIT(NEW_ENTRY "\"x\":"), Str_LIT("["),
+     DEEP, Str_LIT("]}")},
+    {"deeply nested objects", NEW, Str_LIT(NEW_ENTRY "\"x\":"),
+     Str_LIT("{\"a\":"), DEEP, Str_LIT("1}")},
+    {"deeply nested", PUT, Str_LIT(ROUTING "\"x\":"), Str_LIT("["), DEEP,
+     Str_LIT("]}")},
+    {"a number too large",
+     OLD,
+     Str_LIT(OLD_ENTRY "\"draining\":1e999}"),
+     {0},
+     0,
+     {0}},
+    {"a number too large",
+     NEW,
+     Str_LIT(NEW_ENTRY "\"born\":1e999}"),
+     {0},
+     0,
+     {0}},
+    {"a whole number too large",
+     NEW,
+     Str_LIT(NEW_ENTRY "\"born\":99999999999999999999999}"),
+     {0},
+     0,
+     {0}},
+    {"a number of very many digits", NEW, Str_LIT(NEW_ENTRY "\"born\":"),
+     Str_LIT("9"), DEEP, Str_LIT("}")},
+    {"a member's number too large that nobody reads",
+     NEW,
+     Str_LIT(NEW_ENTRY "\"x\":-1e999}"),
+     {0},
+     0,
+     {0}},
+    {"a broken number", NEW, Str_LIT(NEW_ENTRY "\"born\":1.5}"), {0}, 0, {0}},
+    {"a number below 0", NEW, Str_LIT(NEW_ENTRY "\"born\":-1}"), {0}, 0, {0}},
+    {"a number too large",
+     PUT,
+     Str_LIT(ROUTING "\"limits\":{\"header_bytes_max\":1e999}}"),
+     {0},
+     0,
+     {0}},
+    {"a port out of range",
+     OLD,
+     Str_LIT("{\"service\":\"visor\",\"slots\":9,\"port\":70000}"),
+     {0},
+     0,
+     {0}},
+    {"a port out of range",
+     NEW,
+     Str_LIT("{\"service\":\"visor\",\"state\":\"ready\",\"slots\":9,"
+             "\"address\":\"127.0.0.1:70000\"}"),
+     {0},
+     0,
+     {0}},
+    {"port 0",
+     NEW,
+     Str_LIT("{\"service\":\"visor\",\"state\":\"ready\",\"slots\":9,"
+             "\"address\":\"127.0.0.1:0\"}"),
+     {0},
+     0,
+     {0}},
+    {"a port of very many digits", NEW,
+     Str_LIT("{\"service\":\"visor\",\"state\":\"ready\",\"slots\":9,"
+             "\"address\":\"127.0.0.1:"),
+     Str_LIT("9"), DEEP, Str_LIT("\"}")},
+    {"no address",
+     NEW,
+     Str_LIT("{\"service\":\"visor\",\"state\":\"ready\",\"slots\":9,"
+             "\"address\":\":\"}"),
+     {0},
+     0,
+     {0}},
+    {"another type",
+     NEW,
+     Str_LIT("{\"service\":[\"visor\"],\"state\":{},\"slots\":\"9\","
+             "\"address\":9000}"),
+     {0},
+     0,
+     {0}},
+    {"a very long name", NEW,
+     Str_LIT("{\"state\":\"ready\",\"slots\":9,"
+             "\"address\":\"127.0.0.1:9000\",\"service\":\""),
+     Str_LIT("v"), DEEP, Str_LIT("\"}")},
+    {"a NUL in a name",
+     NEW,
+     Str_LIT("{\"state\":\"ready\",\"slots\":9,"
+             "\"address\":\"127.0.0.1:9000\",\"service\":\"vi\\u0000sor\"}"),
+     {0},
+     0,
+     {0}},
+    {"bytes that are no text", NEW, {0}, Str_LIT("\xff\xfe\x01"), DEEP, {0}},
+};
+
+static void
+append_body(const Case *c, StrBuf *body)
+{
+    StrBuf_Append(body, c->before);
+    for (int i = 0; i < c->times; i++) {
+        StrBuf_Append(body, c->again);
+    }
+    StrBuf_Append(body, c->after);
+}
+
+/* The status that ENTRY is answered; 0: none. */
+static int
+post(Fleet *fleet, Str path, Str entry)
+{
+    StrBuf request = {0};
+    StrBuf answer = {0};
+    int fd = Fleet_RawOpen(fleet, 0, OPERATORS);
+    int status = 0;
+
+    StrBuf_AppendFmt(&request,
+                     "POST %.*s HTTP/1.1\r\nHost: n\r\nConnection: close\r\n"
+                     "Authorization: Bearer test-key\r\nIf-Match: 0\r\n"
+                     "Content-Length: %zu\r\n\r\n",
+                     Str_ARG(path), entry.len);
+    StrBuf_Append(&request, entry);
+    Fleet_RawSend(fd, StrBuf_View(&request));
+    Fleet_RawRead(fd, Span_S(2), &answer);
+    if (answer.len > STATUS_AT) {
+        sscanf(StrBuf_CStr(&answer) + STATUS_AT, "%d", &status);
+    }
+    Fleet_RawClose(fd);
+    StrBuf_Finish(&request);
+    StrBuf_Finish(&answer);
+    return status;
+}
+
+START_TEST(odd_entry_is_refused_and_others_hold)
+{
+    const Case *c = &cases[_i];
+    StrBuf entry = {0};
+    FleetRequest request = {.method = Str_LIT("GET"),
+                            .path = Str_LIT("/visor/a")};
+    FleetAnswer answer;
+    Fleet fleet;
+    int status;
+
+    Fleet_Init(&fleet, build, SUBNET, 1, 1);
+    Fleet_StartNode(&fleet, 0);
+    Fleet_StartBackend(&fleet, 0, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+    append_body(c, &entry);
+    for (int i = 0; i < 3; i++) {
+        status = post(&fleet, c->path, StrBuf_View(&entry));
+        ck_assert_msg(status == 400, "%s: answered %d", c->name, status);
+        Fleet_Send(&fleet, 0, &request, &answer);
+        ck_assert_msg(answer.status == 200, "%s: a call was answered %ld",
+                      c->name, answer.status);
+        Fleet_FinishAnswer(&answer);
+    }
+    /* The same process. */
+    ck_assert_msg(kill(fleet.vms[0].node, 0) == 0 &&
+                      Fleet_Kill(&fleet.vms[0].node, SIGKILL) == SIGKILL,
+                  "%s: the process had ended", c->name);
+    StrBuf_Finish(&entry);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+/* What one reader takes every other one must take, too: a change that is
+ * accepted comes into force, and so does the next one. */
+enum { DEPTH_FIRST = 2040, DEPTHS = 12 };
+
+static void
+append_routing(int revision, int depth, Str path, StrBuf *out)
+{
+    StrBuf_AppendFmt(out,
+                     "{\"revision\":%d,\"services\":[{\"name\":\"visor\"}],"
+                     "\"routes\":[{\"name\":\"look\",\"host\":\"x\","
+                     "\"path\":\"%.*s\",\"kind\":\"idempotent\","
+                     "\"service\":\"visor\"}],\"x\":",
+                     revision, Str_ARG(path));
+    for (int i = 0; i < depth; i++) {
+        StrBuf_Append(out, Str_LIT("["));
+    }
+    for (int i = 0; i < depth; i++) {
+        StrBuf_Append(out, Str_LIT("]"));
+    }
+    StrBuf_Append(out, Str_LIT("}"));
+}
+
+static int
+status_of(Fleet *fleet, Str path)
+{
+    StrBuf request = {0};
+    StrBuf answer = {0};
+    int fd = Fleet_RawOpen(fleet, 0, 8000);
+    int status = 0;
+
+    StrBuf_AppendFmt(&request,
+                     "GET %.*s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+                     "\r\n",
+                     Str_ARG(path));
+    Fleet_RawSend(fd, StrBuf_View(&request));
+    Fleet_RawRead(fd, Span_S(2), &answer);
+    if (answer.len > STATUS_AT) {
+        sscanf(StrBuf_CStr(&answer) + STATUS_AT, "%d", &status);
+    }
+    Fleet_RawClose(fd);
+    StrBuf_Finish(&request);
+    StrBuf_Finish(&answer);
+    return status;
+}
+
+START_TEST(accepted_nesting_comes_into_force)
+{
+    int depth = DEPTH_FIRST + _i;
+    StrBuf body = {0};
+    Fleet fleet;
+    int status;
+
+    Fleet_Init(&fleet, build, SUBNET, 1, 1);
+    Fleet_StartNode(&fleet, 0);
+    Fleet_StartBackend(&fleet, 0, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+    append_routing(1, depth, Str_LIT("/odd/"), &body);
+    status = post(&fleet, PUT, StrBuf_View(&body));
+    ck_assert_msg(status == 200 || status == 400, "depth %d: answered %d",
+                  depth, status);
+    Fleet_Sleep(Span_MS(500));
+    ck_assert_msg(status_of(&fleet, Str_LIT("/odd/a")) ==
+                      (status == 200 ? 200 : 404),
+                  "depth %d was answered %d, and is %sin force", depth, status,
+                  status == 200 ? "not " : "");
+    StrBuf_Finish(&body);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {
+        {odd_entry_is_refused_and_others_hold, ROWS(cases)},
+        {accepted_nesting_comes_into_force, DEPTHS}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("odd entries", tests, 2, 30);
+}
