Take an answer that names no request only where none does

What callers saw (a report of other operators; here with a fake): a faulty backend server wrote an earlier refusal once more on a kept connection, and the next request's caller was told 'not run' though it ran. Cause: an answer that names another request was passed over, but one that names none was taken for whichever request was under way. Class: a word taken for another's because nothing tells whose it is. Evidence: test_refused_again: where no refusal, or only the second one, names a request, 3 of 5 rows were told 'not run' and were started; 5 of 5 now. Refusals that name theirs were told apart before. Ruled out: the same id twice on a connection: an attempt that was turned away is not made at that node again, and a caller's own attempts have ids of their own. Change: over a connection whose answers name their requests, one that names none ends the exchange as unknown; a refusal that names none ends its connection, so that it can't be said again there. The fake backend server names requests in all its answers, errors too, as those of the platform do.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -32,6 +32,7 @@
     Addr addr;
     bool used;    /* an exchange ended well over it */
     bool reached; /* it was made */
+    bool names;   /* answers over it name their requests */
     Instant idle_since;
     Span idle_max;
     BckExchange *exchange; /* NULL: idle, or to be closed */
@@ -193,14 +194,20 @@
     }
 }
 
-static bool
-is_foreign(const BckExchange *exchange, const HrdHead *head)
+/* Whose answer it is, as it says itself. */
+typedef enum { OWN, ANOTHERS, UNNAMED } Whose;
+
+static Whose
+whose_is(const BckExchange *exchange, const HrdHead *head)
 {
     Str name = exchange->pool->names.request_id;
     Str echoed = name.len ? Field_Get(&head->fields, name) : (Str){0};
 
-    return echoed.len && exchange->from.request_id.len &&
-           !Str_Equal(echoed, exchange->from.request_id);
+    if (!echoed.len ||
+        (!exchange->from.request_id.len && !exchange->from.plain)) {
+        return UNNAMED;
+    }
+    return Str_Equal(echoed, exchange->from.request_id) ? OWN : ANOTHERS;
 }
 
 static void
@@ -229,6 +236,10 @@
         !exchange->from.plain &&
         (says(all, pool->names.not_run) ||
          (head->status == MISDIRECTED && pool->names.expect.len));
+    if (exchange->rejected && !exchange->connection->names) {
+        /* Said once more, it would be taken for the next one's. */
+        exchange->keep_open = false;
+    }
     if (!exchange->rejected) {
         if (!exchange->from.plain) {
             /* Who takes the answer bounds it from here on. */
@@ -244,13 +255,22 @@
 {
     BckConnection *connection = context;
     BckExchange *exchange = connection->exchange;
+    Whose whose;
 
     if (!exchange) {
         return false;
     }
     exchange->interim = head->status < OK;
-    exchange->foreign = !exchange->interim && is_foreign(exchange, head);
-    if (!exchange->interim && !exchange->foreign) {
+    if (exchange->interim) {
+        return true;
+    }
+    whose = whose_is(exchange, head);
+    if (whose == UNNAMED && connection->names && !exchange->from.plain) {
+        return false; /* it may be an earlier one's, once more */
+    }
+    connection->names |= whose == OWN;
+    exchange->foreign = whose == ANOTHERS;
+    if (!exchange->foreign) {
         take_head(exchange, head);
     }
     return connection->exchange == exchange;
--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -3,7 +3,9 @@
  *
  * A whole answer that states that the request did not run ends as
  * Bck_REJECTED, and nothing of it reaches the sink's head.  An answer that
- * names another request belongs to nobody and is passed over.
+ * names another request belongs to nobody and is passed over.  One that names
+ * none is taken only where none did before it on its connection; a refusal
+ * that names none ends its connection.
  */
 #ifndef BACKEND_H
 #define BACKEND_H
--- /dev/null
+++ b/tests/integration/test_refused_again.c
@@ -0,0 +1,113 @@
+/* A faulty backend server writes an earlier refusal once more on a kept
+ * connection, where the next request runs: its caller is not told "not run".
+ */
+#include <stdio.h>
+
+#include "fleet_keyed.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+enum { SUBNET = 36, ROUNDS = 5 };
+
+#define WAIT Span_S(4)
+
+static Str build;
+
+static const Str preset =
+    Str_LIT("{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
+            "{\"service\":\"visor\",\"route\":\"note\",\"path\":\"/notes/\"},"
+            "{\"service\":\"visor\",\"route\":\"look\",\"path\":\"/visor/\","
+            "\"idempotent\":true}]}");
+
+typedef struct {
+    const char *name;
+    Str how;
+    Str time;  /* of the next request */
+    Told told; /* what its caller may be told; "not run" only of one that was
+                  not started, since who refuses much seems to leave */
+} Case;
+
+#define QUICK Str_LIT("X-Fake-Time-Us: 1000\r\n")
+#define SLOW Str_LIT("X-Fake-Time-Us: 200000\r\n")
+
+static const Case cases[] = {
+    {"it names the earlier request", Str_LIT("X-Fake-Again: named\r\n"), QUICK,
+     Told_ANSWER},
+    {"it names the earlier request, the next one runs",
+     Str_LIT("X-Fake-Again: named\r\n"), SLOW, Told_ANSWER},
+    {"no refusal names a request", Str_LIT("X-Fake-Again: unnamed\r\n"), QUICK,
+     Told_ANSWER | Told_UNKNOWN | Told_NOT_RUN},
+    {"no refusal names a request, the next one runs",
+     Str_LIT("X-Fake-Again: unnamed\r\n"), SLOW,
+     Told_ANSWER | Told_UNKNOWN | Told_NOT_RUN},
+    {"only the second one names none", Str_LIT("X-Fake-Again: plain\r\n"),
+     SLOW, Told_ANSWER | Told_UNKNOWN | Told_NOT_RUN},
+};
+
+static Told
+post(Fleet *fleet, Str key, Str headers)
+{
+    StrBuf answer = {0};
+    Told told = Fleet_Post(fleet, 0, Str_LIT("/notes/a"), key, headers,
+                           Str_LIT("x"), WAIT, &answer);
+
+    StrBuf_Finish(&answer);
+    return told;
+}
+
+static uint64_t
+count_started(Fleet *fleet)
+{
+    return Fleet_BackendCount(fleet, 0, Str_LIT("started"));
+}
+
+START_TEST(earlier_refusal_is_not_the_next_ones)
+{
+    const Case *c = &cases[_i];
+    Fleet fleet;
+
+    Fleet_Init(&fleet, build, SUBNET, 1, 1);
+    Fleet_SetPreset(&fleet, preset);
+    Fleet_StartNode(&fleet, 0);
+    Fleet_StartBackend(&fleet, 0, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+    for (int round = 0; round < ROUNDS; round++) {
+        StrBuf key = {0};
+        Told told;
+        int effects;
+        uint64_t started;
+        StrBuf_AppendFmt(&key, "lot-%d", round);
+        /* The first one on a connection is the only one it can be for. */
+        told = post(&fleet, (Str){0}, c->how);
+        ck_assert_msg(told & (Told_NOT_RUN | Told_UNKNOWN),
+                      "%s: the refused one was told %d", c->name, told);
+        started = count_started(&fleet);
+        told = post(&fleet, StrBuf_View(&key), c->time);
+        Fleet_Sleep(Span_MS(250));
+        started = count_started(&fleet) - started;
+        effects = Fleet_CountEffects(&fleet, StrBuf_View(&key));
+        ck_assert_msg(told & c->told, "%s: told %d, %d effects", c->name, told,
+                      effects);
+        ck_assert_msg(told != Told_NOT_RUN || !started,
+                      "%s: told \"not run\", and was started", c->name);
+        ck_assert_int_le(effects, 1);
+        ck_assert(effects == 1 || told != Told_ANSWER);
+        StrBuf_Finish(&key);
+    }
+    printf("%s: %d refusals came again\n", c->name,
+           (int)Fleet_BackendCount(&fleet, 0, Str_LIT("again")));
+    fflush(stdout);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {
+        {earlier_refusal_is_not_the_next_ones, ROWS(cases)}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("refused again", tests, 1, 40);
+}
--- /dev/null
+++ b/tools/fake_again.c
@@ -0,0 +1,86 @@
+#include "fake_again.h"
+
+#include <event2/bufferevent.h>
+#include <stdio.h>
+#include <sys/socket.h>
+
+static uint16_t
+port_of(struct evhttp_connection *connection)
+{
+    char *ip;
+    uint16_t port = 0;
+
+    evhttp_connection_get_peer(connection, &ip, &port);
+    return port;
+}
+
+static FakeRefusal *
+find(Fake *fake, uint16_t port)
+{
+    for (size_t i = 0; i < Fak_REFUSALS; i++) {
+        if (fake->refusals[i].port == port) {
+            return &fake->refusals[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+send_now(struct evhttp_connection *connection, Str text)
+{
+    int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+
+    if (send(fd, text.ptr, text.len, MSG_NOSIGNAL) < 0) {
+        perror("fakeback: again");
+    }
+}
+
+static void
+print_refusal(const char *id, StrBuf *text)
+{
+    StrBuf_Clear(text);
+    StrBuf_AppendFmt(text, "HTTP/1.1 503 Service Unavailable\r\n"
+                           "X-Lycheeridge-Not-Run: 1\r\n"
+                           "Content-Length: 0\r\n");
+    if (id) {
+        StrBuf_AppendFmt(text, "X-Request-Id: %s\r\n", id);
+    }
+    StrBuf_Append(text, Str_LIT("\r\n"));
+}
+
+void
+Agn_Refuse(Fake *fake, struct evhttp_request *request, Str how)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    struct evkeyvalq *in = evhttp_request_get_input_headers(request);
+    struct evkeyvalq *out = evhttp_request_get_output_headers(request);
+    const char *id = evhttp_find_header(in, "X-Request-Id");
+    FakeRefusal *refusal = find(fake, 0);
+
+    if (refusal) {
+        refusal->port = port_of(connection);
+        print_refusal(Str_Equal(how, Str_LIT("named")) ? id : NULL,
+                      &refusal->text);
+    }
+    evhttp_add_header(out, "X-Lycheeridge-Not-Run", "1");
+    if (!Str_Equal(how, Str_LIT("unnamed"))) {
+        evhttp_add_header(out, "X-Request-Id", id);
+    }
+    fake->counts.shed++;
+    evhttp_send_reply(request, 503, NULL, NULL);
+}
+
+void
+Agn_OnRequest(Fake *fake, struct evhttp_request *request)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(request);
+    FakeRefusal *refusal = find(fake, port_of(connection));
+
+    if (refusal) {
+        refusal->port = 0;
+        fake->counts.again++;
+        send_now(connection, StrBuf_View(&refusal->text));
+    }
+}
--- a/tools/fake_server.c
+++ b/tools/fake_server.c
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "connection/evtext.h"
+#include "fake_again.h"
 #include "fake_work.h"
 
 enum { ANNOUNCE_MS = 500 };
@@ -50,6 +51,14 @@
 static void
 on_request(struct evhttp_request *request, void *context)
 {
+    Str again = Str_FromC(evhttp_find_header(
+        evhttp_request_get_input_headers(request), "X-Fake-Again"));
+
+    Agn_OnRequest(context, request);
+    if (again.len) {
+        Agn_Refuse(context, request, again);
+        return;
+    }
     Wrk_Start(context, request, Loop_Now());
 }
 
@@ -101,14 +110,15 @@
     evbuffer_add_printf(
         out,
         "served %llu\ncancelled %llu\nlate %llu\nshed %llu\nfailed %llu\n"
-        "started %llu\noverdue %llu\ncut_off %llu\n",
+        "started %llu\noverdue %llu\ncut_off %llu\nagain %llu\n",
         (unsigned long long)counts->served,
         (unsigned long long)counts->cancelled,
         (unsigned long long)counts->late, (unsigned long long)counts->shed,
         (unsigned long long)counts->failed,
         (unsigned long long)counts->started,
         (unsigned long long)counts->overdue,
-        (unsigned long long)counts->cut_off);
+        (unsigned long long)counts->cut_off,
+        (unsigned long long)counts->again);
     evhttp_send_reply(request, 200, NULL, out);
     evbuffer_free(out);
 }
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -12,6 +12,7 @@
  *   X-Fake-Show     the body is "NAME=VALUE" of that header field
  *   X-Fake-Echo     the body is the request's body
  *   X-Fake-Endless  see fake_endless.h
+ *   X-Fake-Again    see fake_again.h
  * A call tree; these go on to the levels below:
  *   X-Fake-Calls     levels below, called through the node beside it; the
  *                    body has a line "DEPTH DEADLINE-MS" of each level
@@ -43,9 +44,18 @@
     uint64_t overdue; /* started after X-Fake-Until */
     uint64_t shed;
     uint64_t failed;
+    uint64_t again;   /* refusals written once more */
     uint64_t cut_off; /* endless answers that the other side ended */
 } FakeCounts;
 
+enum { Fak_REFUSALS = 16 };
+
+/* To be written once more, see fake_again.h. */
+typedef struct {
+    uint16_t port; /* of the other end of its connection; 0: free */
+    StrBuf text;
+} FakeRefusal;
+
 typedef struct {
     Loop loop;
     FakeKnobs knobs;
@@ -60,6 +70,7 @@
     int effects; /* descriptor; -1: none */
     struct evhttp *http;
     CallerList callers;
+    FakeRefusal refusals[Fak_REFUSALS];
     FakeWork *first; /* oldest first; running or waiting */
     FakeWork *last;
     int64_t running;
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -193,10 +193,25 @@
     evbuffer_free(body);
 }
 
+/* Answers name their requests. */
+static void
+name_request(struct evhttp_request *request)
+{
+    const char *id = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "X-Request-Id");
+
+    if (id) {
+        evhttp_add_header(evhttp_request_get_output_headers(request),
+                          "X-Request-Id", id);
+    }
+}
+
 static void
 refuse(struct evhttp_request *request, int status)
 {
-    evhttp_send_error(request, status, NULL);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
+    evhttp_send_reply(request, status, NULL, NULL);
 }
 
 /* It leaves or is full, and has not looked at the request. */
@@ -205,7 +220,6 @@
 {
     fake->counts.shed++;
     if (fake->knobs.draining || fake->knobs.states) {
-        /* evhttp_send_error drops header fields. */
         evhttp_add_header(evhttp_request_get_output_headers(request),
                           "X-Lycheeridge-Not-Run", "1");
         evhttp_send_reply(request, 503, NULL, NULL);
@@ -434,6 +448,7 @@
 void
 Wrk_Start(Fake *fake, struct evhttp_request *request, Instant now)
 {
+    name_request(request);
     if (fake->knobs.fail) {
         fake->counts.failed++;
         refuse(request, 500);
