Name the request in endless answers of the fake, as all its answers do

Ruled out: load (the same five rows each time, also alone). Change: the fake names the request after the first line of an endless answer; the test's checks are unchanged.

--- a/tools/fake_endless.c
+++ b/tools/fake_endless.c
@@ -11,7 +11,8 @@
 
 typedef struct {
     Str name;
-    Str first; /* then the other again and again */
+    Str first; /* then the other again and again; after its first
+                  line, if any, the request is named */
     Str again;
 } Kind;
 
@@ -41,6 +42,7 @@
     Fake *fake;
     struct evhttp_connection *connection;
     const Kind *kind;
+    StrBuf first;
     Str left; /* of what is being written */
     struct event *event;
     char block[BLOCK_BYTES]; /* the same bytes many times over */
@@ -56,6 +58,24 @@
     }
 }
 
+/* Answers name their requests. */
+static void
+write_first(Endless *endless, const char *id)
+{
+    Str first = endless->kind->first;
+    size_t line = Str_Find(first, '\n') + 1;
+
+    if (first.len == 0 || !id) {
+        StrBuf_Set(&endless->first, first);
+    }
+    else {
+        StrBuf_Append(&endless->first, Str_Slice(first, 0, line));
+        StrBuf_AppendFmt(&endless->first, "X-Request-Id: %s\r\n", id);
+        StrBuf_Append(&endless->first, Str_Slice(first, line, first.len));
+    }
+    endless->left = StrBuf_View(&endless->first);
+}
+
 static const Kind *
 find_kind(Str name)
 {
@@ -73,6 +93,7 @@
     endless->fake->counts.cut_off++;
     event_free(endless->event);
     evhttp_connection_free(endless->connection);
+    StrBuf_Finish(&endless->first);
     Mem_Free(endless);
 }
 
@@ -111,7 +132,9 @@
     endless->fake = fake;
     endless->kind = kind;
     endless->connection = connection;
-    endless->left = endless->kind->first;
+    write_first(endless,
+                evhttp_find_header(evhttp_request_get_input_headers(request),
+                                   "X-Request-Id"));
     fill_block(endless);
     evhttp_connection_set_closecb(connection, NULL, NULL);
     bufferevent_disable(stream, EV_READ | EV_WRITE);
