Hand on the time that is left when a request is sent once more

Cause: the time left was written as it was when the exchange began, also when the request went out again over a fresh connection, up to a quarter of it later. Class: a value kept longer than it holds. Ruled out: retries at another node, which carry what is left then. Change: the exchange keeps its deadline, and writes what is left of it.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -43,6 +43,7 @@
     BckPool *pool;
     BckConnection *connection;
     BckRequest from;
+    Instant deadline;       /* of the request */
     struct event *repeater; /* NULL: not to be repeated */
     struct event *bound;    /* of the whole exchange */
     bool paused;
@@ -457,7 +458,8 @@
     Str instance = StrBuf_View(&exchange->pool->instance);
     struct evbuffer *out =
         bufferevent_get_output(exchange->connection->stream);
-    long long left_ms = from->left > 0 ? from->left / 1000 : 0;
+    Span left = exchange->deadline - exchange->pool->clock();
+    long long left_ms = left > 0 ? left / 1000 : 0;
 
     evbuffer_add_printf(out, "%.*s %.*s HTTP/1.1\r\n", Str_ARG(from->method),
                         Str_ARG(from->target));
@@ -588,6 +590,7 @@
     exchange = Mem_Alloc(1, sizeof *exchange);
     exchange->pool = pool;
     exchange->from = *request;
+    exchange->deadline = pool->clock() + request->left;
     exchange->sink = *sink;
     exchange->bound = start_timer(exchange, bound_of(request), on_bound);
     send_over(exchange, take_connection(pool, pool->clock()));
--- a/tests/integration/test_silent_connections.c
+++ b/tests/integration/test_silent_connections.c
@@ -151,6 +151,60 @@
 }
 END_TEST
 
+/* Over a fresh connection, after the one to its backend server was silent: it
+ * is handed no more time than is left by then. */
+static const Str repeat_freezes[] = {
+    Str_LIT("freeze b1 forward"),
+    Str_LIT("freeze b1 back"),
+    Str_LIT("freeze b1 both"),
+};
+
+enum {
+    REPEAT_COUNT = sizeof repeat_freezes / sizeof repeat_freezes[0],
+    SILENT_MS = 200, /* at least, before it is sent once more */
+    SLACK_MS = 100
+};
+
+/* Of "NAME=MS". */
+static uint64_t
+handed_ms(Str answer)
+{
+    size_t at = Str_Find(answer, '=');
+    Str value = Str_Slice(answer, at + 1, answer.len);
+    uint64_t ms = 0;
+
+    Str_ToU64(Str_Slice(value, 0, Str_Find(value, '\n')), &ms);
+    return ms;
+}
+
+START_TEST(repeat_has_less_time_left)
+{
+    FleetRequest request = {
+        .method = Str_LIT("GET"),
+        .path = Str_LIT("/visor/a"),
+        .headers = Str_LIT("X-Lycheeridge-Deadline-Ms: 3000\n"
+                           "X-Fake-Show: X-Lycheeridge-Deadline-Ms"),
+        .wait = Span_MS(DEADLINE_MS),
+    };
+    FleetAnswer answer;
+    Fleet fleet;
+    uint64_t took_ms;
+    uint64_t ms;
+
+    start_fleet(&fleet);
+    ck_assert(Fleet_Proxy(&fleet, repeat_freezes[_i]));
+    Fleet_Send(&fleet, 0, &request, &answer);
+    took_ms = (uint64_t)answer.took / 1000;
+    ms = handed_ms(StrBuf_View(&answer.body));
+    ck_assert_int_eq(answer.status, 200);
+    ck_assert_uint_ge(took_ms, SILENT_MS);
+    ck_assert_msg(ms && ms + took_ms <= DEADLINE_MS + SLACK_MS,
+                  "handed %d ms, answered after %d ms", (int)ms, (int)took_ms);
+    Fleet_FinishAnswer(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 /* A node's connection to the only control replica freezes: the node has to
  * stay a member, and to learn of new ones. */
 static const Str control_freezes[] = {
@@ -182,8 +236,10 @@
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {{settled_within_the_deadline, CASE_COUNT},
+                               {repeat_has_less_time_left, REPEAT_COUNT},
                                {membership_goes_on, CONTROL_COUNT}};
 
     build = Suite_Build(argc, argv);
-    return Suite_Run("silent connections", tests, 2, 60);
+    return Suite_Run("silent connections", tests,
+                     sizeof tests / sizeof tests[0], 60);
 }
