Let a node that begins have its share of retries within a second

What callers saw: soon after a start, requests beside one that crashed its backend server were told 'unknown', though they may be repeated. Cause: since a node that begins has one retry a service, and a tenth of one more for each call: too few calls come for a second one within the first seconds. Ruled out: the judging of suspects: the harmed ones were refused a retry. Change: the rest of the share comes within a second from the first call on, so that starts one after another still give little. Limit: restarts of all nodes within the window of a budget give one burst more.

--- a/src/request/call.c
+++ b/src/request/call.c
@@ -147,7 +147,7 @@
 {
     Span after = call->in_force->preset.limits.hedge_after;
 
-    Rty_OnCall(&call->service->hedges);
+    Rty_OnCall(&call->service->hedges, now);
     Hdg_Init(&call->hedge, call->route->idempotent && after > 0,
              Dep_Read(&call->request.fields), after, call->deadline, now);
 }
@@ -258,7 +258,7 @@
     if (route->attempts_max) {
         attempts_max = route->attempts_max;
     }
-    Rty_OnCall(&call->service->retries);
+    Rty_OnCall(&call->service->retries, now);
     /* Retries are made at one level of a call tree. */
     Rty_Init(&call->retry, route->idempotent,
              Dep_Read(&request->fields) ? 1 : attempts_max, call->deadline);
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -1,7 +1,8 @@
 #include "request/retry.h"
 
-/* Tokens of a budget that begins. */
+/* Tokens of a budget that begins, and until it can have all. */
 #define FIRST 1.0
+#define FILLING Span_S(1)
 
 double
 Rty_Share(uint32_t burst, size_t nodes)
@@ -14,7 +15,7 @@
 void
 Rty_BudgetInit(RtyBudget *budget, uint32_t permille, double cap)
 {
-    *budget = (RtyBudget){.tokens = FIRST};
+    *budget = (RtyBudget){.tokens = FIRST, .coming = 1};
     Rty_BudgetSet(budget, permille, cap);
 }
 
@@ -28,10 +29,25 @@
     }
 }
 
+/* The part of the cap that time brought since the last call. */
+static double
+take_coming(RtyBudget *budget, Instant now)
+{
+    Span passed = budget->called_at ? now - budget->called_at : 0;
+    double part = (double)passed / (double)FILLING;
+
+    if (part > budget->coming) {
+        part = budget->coming;
+    }
+    budget->coming -= part;
+    budget->called_at = now;
+    return budget->cap > FIRST ? part * (budget->cap - FIRST) : 0;
+}
+
 void
-Rty_OnCall(RtyBudget *budget)
+Rty_OnCall(RtyBudget *budget, Instant now)
 {
-    budget->tokens += budget->per_call;
+    budget->tokens += budget->per_call + take_coming(budget, now);
     if (budget->tokens > budget->cap) {
         budget->tokens = budget->cap;
     }
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -17,7 +17,9 @@
 typedef struct {
     double tokens;
     double cap;
-    double per_call; /* tokens that one call adds */
+    double per_call;   /* tokens that one call adds */
+    double coming;     /* part of the rest of the cap that it still gets */
+    Instant called_at; /* last call; 0: none yet */
 } RtyBudget;
 
 typedef enum {
@@ -47,13 +49,13 @@
 /* Of BURST retries at once over NODES nodes, one node's; one at least. */
 double Rty_Share(uint32_t burst, size_t nodes);
 
-/* One token, however large the CAP: a process that starts does not know what
- * was spent before. */
+/* One token of CAP, the rest within a second from the first call on: a process
+ * that starts does not know what was spent before. */
 void Rty_BudgetInit(RtyBudget *budget, uint32_t permille, double cap);
 void Rty_BudgetSet(RtyBudget *budget, uint32_t permille, double cap);
 
 /* A call arrived: the budget grows. */
-void Rty_OnCall(RtyBudget *budget);
+void Rty_OnCall(RtyBudget *budget, Instant now);
 
 /* One more attempt is wanted; false when the budget has none. */
 bool Rty_BudgetTake(RtyBudget *budget);
--- a/tools/bench_run.c
+++ b/tools/bench_run.c
@@ -139,8 +139,8 @@
         Bnq_Add(&world->queue, next, Bnw_ARRIVE, 0, 0);
     }
     world->result->calls[!call->interactive]++;
-    Rty_OnCall(&node->retries);
-    Rty_OnCall(&node->hedges);
+    Rty_OnCall(&node->retries, now);
+    Rty_OnCall(&node->hedges, now);
     Rty_Init(&call->retry, true, ATTEMPTS_MAX, call->deadline);
     Hdg_Init(&call->hedge, call->interactive && c->hedge_permille, 0,
              c->hedge_delay, call->deadline, now);
