Send a suspect to the node whose turn it is, and wait for that

What callers saw: in 2 of 44 rows of test_suspect one idempotent neighbour of a crashing request was told 'unknown' 109 ms after it was sent, 1.9 s before its deadline. Cause: it had been blamed with the other, and waited for its turn at the node where the other crashed a second backend server. Its node did not know whose turn was next, asked one after another, and while their tables still had the lost one all said 'elsewhere': 11 asked within 1 ms, then it was given up. Class: a question that only time answers, asked again at once. Evidence: call_ended outcome=not_run why=full attempts=3 asked=11 took_us=109079 left_us=1890921, suspect_held verdict=alone at the lost node. Ruled out: the budget of retries (the row failed with all of its share, too). Change: the caller's node finds by the same rule whose turn it is, asks only there, and asks again after 30 ms, 60 ms and so on while that one cannot take it or its table differs, within the deadline.

--- a/src/process/suspects.c
+++ b/src/process/suspects.c
@@ -29,30 +29,40 @@
 }
 
 static bool
-takes_work(const Suspects *suspects, const MbrRow *row)
+takes_work(const MbrRecord *record, Str service)
 {
-    const MbrRecord *record = &row->record;
-
-    return !row->gone && record->present && !record->leaving &&
-           !record->load.draining &&
-           Str_Equal(StrBuf_View(&record->service),
-                     StrBuf_View(&suspects->members->own.service));
+    return record->present && !record->leaving && !record->load.draining &&
+           Str_Equal(StrBuf_View(&record->service), service);
 }
 
-bool
-Sps_IsTurn(const Suspects *suspects, uint64_t fingerprint)
+const MbrRecord *
+Sps_FindTurn(const Suspects *suspects, Str service, uint64_t fingerprint)
 {
     const Mbr *mbr = &suspects->members->membership;
-    Addr self = suspects->members->own.node;
+    const MbrRecord *own = &suspects->members->own;
+    const MbrRecord *first = takes_work(own, service) ? own : NULL;
 
     for (size_t i = 0; i < mbr->count; i++) {
-        Addr node = mbr->rows[i].record.node;
-        if (node != self && takes_work(suspects, &mbr->rows[i]) &&
-            Sus_GoesBefore(&suspects->sus, fingerprint, node, self)) {
-            return false;
+        const MbrRecord *record = &mbr->rows[i].record;
+        if (!mbr->rows[i].gone && record->node != own->node &&
+            takes_work(record, service) &&
+            (!first || Sus_GoesBefore(&suspects->sus, fingerprint,
+                                      record->node, first->node))) {
+            first = record;
         }
     }
-    return true;
+    return first;
+}
+
+bool
+Sps_IsTurn(const Suspects *suspects, uint64_t fingerprint)
+{
+    const MbrRecord *own = &suspects->members->own;
+    const MbrRecord *first =
+        Sps_FindTurn(suspects, StrBuf_View(&own->service), fingerprint);
+
+    return !first || first->node == own->node ||
+           Sus_GoesBefore(&suspects->sus, fingerprint, own->node, first->node);
 }
 
 void
--- a/src/process/suspects.h
+++ b/src/process/suspects.h
@@ -69,6 +69,11 @@
 SusVerdict Sps_Ask(const Suspects *suspects, uint64_t fingerprint,
                    Instant now);
 
+/* Of the nodes of SERVICE that take work, the one where FINGERPRINT is run
+ * alone, as far as this one knows; NULL: there is none. */
+const MbrRecord *Sps_FindTurn(const Suspects *suspects, Str service,
+                              uint64_t fingerprint);
+
 /* Of the nodes of this one's service, FINGERPRINT is run alone here. */
 bool Sps_IsTurn(const Suspects *suspects, uint64_t fingerprint);
 
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -165,10 +165,12 @@
            reason == Refusal_INCARNATION || reason == Refusal_LATE;
 }
 
-/* It runs at one node only; which one is not known here. */
+/* It runs at one node only, and there it is taken to be another one than
+ * here. */
 static void
 look_elsewhere(Attempt *attempt, Instant now)
 {
+    attempt->call->seeks_turn = true;
     if (attempt->call->refused_count < Rty_TRIED_MAX) {
         Call_OnTurnedBack(attempt, now);
     }
@@ -213,7 +215,8 @@
     else if (msg.reason == Refusal_ELSEWHERE && !call->keyed) {
         look_elsewhere(attempt, now);
     }
-    else if (may_pass(msg.reason) && !call->keyed && call->route->objective) {
+    else if (may_pass(msg.reason) && !call->keyed &&
+             (call->route->objective || Call_FindTurn(call, now))) {
         if (msg.reason == Refusal_FULL || msg.reason == Refusal_LATE) {
             Plc_OnFull(&call->service->placement, origin->peer, now);
         }
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -8,9 +8,6 @@
 #define PARK_LATE Span_MS(60)
 #define PARK_LATE_MAX Span_MS(250)
 
-/* So much slack before the end of it, other regions are asked as well. */
-#define AWAY_SLACK Span_MS(40)
-
 Attempt *
 Call_Flying(Call *call)
 {
@@ -166,92 +163,21 @@
     Call_OnTurnedBack(attempt, now);
 }
 
-/* While there is time to wait for one at home, another region is not worth
- * its link. */
-static bool
-stays_home(const Call *call, Instant now)
-{
-    const Plc *plc = &call->service->placement;
-
-    if (!call->last_start || !Plc_HasHome(plc)) {
-        return false;
-    }
-    return call->went_away || now >= call->slack_until ||
-           (call->slack_until - now > AWAY_SLACK &&
-            (call->met_slow || Plc_HasSlowHome(plc, now)));
-}
-
-/* Those that had the call, and those that turned it back. */
-static size_t
-list_tried(const Call *call, Addr *tried)
-{
-    size_t count = 0;
-
-    for (uint32_t i = 0; i < call->retry.attempts && i < Rty_TRIED_MAX; i++) {
-        tried[count++] = call->retry.tried[i];
-    }
-    for (uint32_t i = 0; i < call->refused_count; i++) {
-        tried[count++] = call->refused[i];
-    }
-    return count;
-}
-
-bool
-Call_ChoosePlace(Call *call, KeyPlace *place, Instant now)
+/* Ask ever less often, and leave the room to others. */
+static Span
+park_longer(Call *call, Span first)
 {
-    Addr tried[2 * Rty_TRIED_MAX];
-    PlcAsk ask = {
-        .interactive = call->route->interactive,
-        .home_only = !Lnk_Ask(&call->hub->link, call->route->interactive,
-                              (uint32_t)call->request.body.len, now) ||
-                     stays_home(call, now),
-        .avoid_slow = call->last_start > 0,
-        .left = call->deadline - now,
-        .tried = tried,
-        .tried_count = list_tried(call, tried),
-    };
-    const PlcRow *row;
-
-    PlcVerdict verdict =
-        Plc_Choose(&call->service->placement, &ask, now, &row);
-
-    if (verdict == Plc_NOBODY && call->doubt) {
-        /* A node that was silent is asked again over a fresh connection. */
-        ask.tried_count = 0;
-        verdict = Plc_Choose(&call->service->placement, &ask, now, &row);
-    }
-    switch (verdict) {
-    case Plc_CHOSEN:
-        *place = (KeyPlace){
-            .attempt = {call->hub->incarnation, ++call->hub->counter},
-            .node = row->place.node,
-            .incarnation = row->place.incarnation,
-            .crosses =
-                row->place.region != call->hub->services->placement.region,
-        };
-        return true;
-    case Plc_SHED:
-        call->why = Call_WHY_FULL;
-        break;
-    case Plc_NOBODY:
-        call->why = call->retry.attempts ? Call_WHY_FULL : Call_WHY_NOBODY;
-        break;
+    call->park = call->park ? call->park * 2 : first;
+    if (call->park > PARK_LATE_MAX) {
+        call->park = PARK_LATE_MAX;
     }
-    return false;
+    return call->park;
 }
 
-/* One that is late asks ever less often, and leaves the room to others. */
 static Span
 park_time(Call *call, Instant now)
 {
-    if (now < call->slack_until) {
-        return PARK;
-    }
-    call->park = call->park ? call->park * 2 : PARK_LATE;
-    if (call->park > PARK_LATE_MAX) {
-        call->park = PARK_LATE_MAX;
-    }
-    return call->park;
+    return now < call->slack_until ? PARK : park_longer(call, PARK_LATE);
 }
 
 /* Everybody that could take it now was asked: wait a little, while that may
@@ -259,6 +185,10 @@
 static void
 park(Call *call, Instant now)
 {
+    if (call->seeks_turn) {
+        call->park_until = now + park_longer(call, PARK);
+        return;
+    }
     if (now >= call->slack_until && call->sink.blocks &&
         call->sink.blocks(call->sink.context)) {
         Call_End(call, Call_NOT_RUN, Call_WHY_FULL);
@@ -297,6 +227,7 @@
     else if (now >= call->park_until) {
         call->refused_count = 0;
         call->met_slow = false;
+        call->seeks_turn = false;
         Call_MakeAttempt(call, now);
     }
 }
--- /dev/null
+++ b/src/request/callplace.c
@@ -0,0 +1,115 @@
+/* Where the next attempt of a call goes. */
+#include "request/callstate.h"
+
+/* So much slack before the end of it, other regions are asked as well. */
+#define AWAY_SLACK Span_MS(40)
+
+/* While there is time to wait for one at home, another region is not worth
+ * its link. */
+static bool
+stays_home(const Call *call, Instant now)
+{
+    const Plc *plc = &call->service->placement;
+
+    if (!call->last_start || !Plc_HasHome(plc)) {
+        return false;
+    }
+    return call->went_away || now >= call->slack_until ||
+           (call->slack_until - now > AWAY_SLACK &&
+            (call->met_slow || Plc_HasSlowHome(plc, now)));
+}
+
+/* Those that had the call, and those that turned it back. */
+static size_t
+list_tried(const Call *call, Addr *tried)
+{
+    size_t count = 0;
+
+    for (uint32_t i = 0; i < call->retry.attempts && i < Rty_TRIED_MAX; i++) {
+        tried[count++] = call->retry.tried[i];
+    }
+    for (uint32_t i = 0; i < call->refused_count; i++) {
+        tried[count++] = call->refused[i];
+    }
+    return count;
+}
+
+const MbrRecord *
+Call_FindTurn(const Call *call, Instant now)
+{
+    const Suspects *suspects = call->hub->suspects;
+
+    if (call->keyed || Sps_Ask(suspects, call->digest, now) != Sus_ALONE) {
+        return NULL;
+    }
+    return Sps_FindTurn(suspects, StrBuf_View(&call->service->name),
+                        call->digest);
+}
+
+static void
+set_place(const Call *call, Addr node, uint64_t incarnation, uint16_t region,
+          KeyPlace *place)
+{
+    *place = (KeyPlace){
+        .attempt = {call->hub->incarnation, ++call->hub->counter},
+        .node = node,
+        .incarnation = incarnation,
+        .crosses = region != call->hub->services->placement.region,
+    };
+}
+
+static bool
+choose_turn(Call *call, const MbrRecord *turn, KeyPlace *place)
+{
+    for (uint32_t i = 0; i < call->refused_count; i++) {
+        if (call->refused[i] == turn->node) {
+            call->seeks_turn = true;
+            call->why = Call_WHY_FULL;
+            return false;
+        }
+    }
+    set_place(call, turn->node, turn->incarnation, turn->region, place);
+    return true;
+}
+
+bool
+Call_ChoosePlace(Call *call, KeyPlace *place, Instant now)
+{
+    const MbrRecord *turn = Call_FindTurn(call, now);
+    Addr tried[2 * Rty_TRIED_MAX];
+    PlcAsk ask = {
+        .interactive = call->route->interactive,
+        .home_only = !Lnk_Ask(&call->hub->link, call->route->interactive,
+                              (uint32_t)call->request.body.len, now) ||
+                     stays_home(call, now),
+        .avoid_slow = call->last_start > 0,
+        .left = call->deadline - now,
+        .tried = tried,
+        .tried_count = list_tried(call, tried),
+    };
+    const PlcRow *row;
+    PlcVerdict verdict;
+
+    if (turn) {
+        return choose_turn(call, turn, place);
+    }
+    verdict = Plc_Choose(&call->service->placement, &ask, now, &row);
+    if (verdict == Plc_NOBODY && call->doubt && !call->seeks_turn) {
+        /* A node that was silent is asked again over a fresh connection. */
+        ask.tried_count = 0;
+        verdict = Plc_Choose(&call->service->placement, &ask, now, &row);
+    }
+    switch (verdict) {
+    case Plc_CHOSEN:
+        set_place(call, row->place.node, row->place.incarnation,
+                  row->place.region, place);
+        return true;
+    case Plc_SHED:
+        call->why = Call_WHY_FULL;
+        break;
+    case Plc_NOBODY:
+        call->why = call->retry.attempts ? Call_WHY_FULL : Call_WHY_NOBODY;
+        break;
+    }
+    return false;
+}
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -60,15 +60,20 @@
     uint32_t refused_count;
     Instant answer_until; /* what has not ended then is cut */
     uint32_t asked;       /* attempts sent, also those turned back */
-    bool met_slow;        /* one of this region turned it back as slow */
-    bool went_away;       /* another region was asked */
-    Span park;            /* between two tries once it is late */
+    bool seeks_turn; /* suspect: the one node that runs it is waited for */
+    bool met_slow;   /* one of this region turned it back as slow */
+    bool went_away;  /* another region was asked */
+    Span park;       /* between two tries once it is late */
 };
 
 /* Choose a node and an id for the next attempt; false, with the reason in the
  * call, when nobody can run it now. */
 bool Call_ChoosePlace(Call *call, KeyPlace *place, Instant now);
 
+/* Where a suspect call runs alone; NULL: it is not suspect, or its key was
+ * claimed for a node, or no node can run it. */
+const MbrRecord *Call_FindTurn(const Call *call, Instant now);
+
 /* Send the attempt; CALL may be gone afterwards. */
 void Call_StartAttempt(Call *call, const KeyPlace *place, Instant now);
 
