Write log lines to standard output, within a rate, and wait for no reader

What callers saw: a node whose log lines nobody read any longer, over a pipe that was full, answered nobody. Cause: each line was written at once and whole, on the loop. Class: a wait on somebody outside who may never come. Change: a line is written only where that needs no wait, and no more than log_lines_per_s of them; what is left out is counted, in a counter too, and told by a line. Weighed: a thread that writes (against the shape), O_NONBLOCK (the open file is shared with whoever started the process). Limit: a socket as standard output takes part of a line; the rest is lost.

--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -40,7 +40,8 @@
       "Operators' requests refused over the bound of connections")            \
     X(OPERATORS_CLOSED, "operators_closed_total",                             \
       "Operators' connections closed to make room")                           \
-    X(DATA_BYTES, "data_bytes_total", "Bytes sent to other nodes for calls")
+    X(DATA_BYTES, "data_bytes_total", "Bytes sent to other nodes for calls")  \
+    X(LINES_LEFT_OUT, "log_lines_left_out_total", "Log lines not written")
 
 typedef enum {
 #define X(id, name, help) Cnt_##id,
--- a/src/process/logger.h
+++ b/src/process/logger.h
@@ -1,7 +1,13 @@
-/* Lgr: structured log lines, one JSON object each, on standard error. */
+/* Lgr: structured log lines, one JSON object each, on standard output.
+ *
+ * So many a second at most, and none that would wait for whoever reads them;
+ * those left out are counted, and told by a line as soon as one can be written
+ * again.
+ */
 #ifndef LOGGER_H
 #define LOGGER_H
 
+#include "process/counters.h"
 #include "value/err.h"
 #include "value/str.h"
 
@@ -12,8 +18,15 @@
     StrBuf node;            /* name put on each line */
     int64_t (*clock)(void); /* microseconds since 1970 */
     int fd;
+    uint32_t lines_per_s; /* at most */
+    int64_t second;       /* of the clock */
+    uint32_t lines;       /* within that second */
+    uint64_t left_out;    /* not told yet */
+    Counters *counters;   /* NULL: left out lines are told only */
 } Logger;
 
+enum { Lgr_LINES_PER_S = 1000 };
+
 void Lgr_Init(Logger *logger, LgrLevel level, Str node,
               int64_t (*clock)(void));
 void Lgr_Finish(Logger *logger);
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -449,6 +449,8 @@
     }
     Lgr_Init(&node->logger, settings->log_level, StrBuf_View(&settings->name),
              Loop_WallClock);
+    node->logger.lines_per_s = settings->log_lines_per_s;
+    node->logger.counters = &node->counters;
     Tml_Init(&node->timeline, &node->logger);
     Cnt_Init(&node->counters);
     Rng_Init(&node->rng, Loop_Entropy());
--- a/src/process/reload.c
+++ b/src/process/reload.c
@@ -47,6 +47,8 @@
     }
     settings->log_level = fresh->log_level;
     node->logger.level = fresh->log_level;
+    settings->log_lines_per_s = fresh->log_lines_per_s;
+    node->logger.lines_per_s = fresh->log_lines_per_s;
     Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("settings_read"),
             "seeds_new=%zu waits_for_start=%d", seeds,
             !is_same_start(settings, fresh));
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -282,6 +282,8 @@
     Set_ReadKeys(settings, o);
     read_text(o, Str_LIT("record"), false, &settings->record);
     read_log_level(settings, o);
+    settings->log_lines_per_s = (uint32_t)Jsn_GetInt(
+        o, Str_LIT("log_lines_per_s"), 10, 1000000, Lgr_LINES_PER_S);
     read_times(settings, o);
     settings->operators_connections_max = (uint32_t)Jsn_GetInt(
         o, Str_LIT("operators_connections_max"), 1, 4096, CONNECTIONS);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -78,6 +78,7 @@
     size_t curve_allowed_count;
     SetCurveChange curve_change;
     LgrLevel log_level;
+    uint32_t log_lines_per_s;
     Span heartbeat;      /* between records of a node */
     Span member_expiry;  /* a silent node goes after this */
     Span ping;           /* on a used connection that is silent */
--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -98,7 +98,8 @@
     StrBuf_CStr(&path);
     child = fork();
     if (child == 0 && count > 0) {
-        if (!freopen(path.ptr, "a", stderr)) {
+        if (!freopen(path.ptr, "a", stderr) ||
+            dup2(STDERR_FILENO, STDOUT_FILENO) < 0) {
             _exit(126);
         }
         execv(args[0], args);
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -129,7 +129,7 @@
 /* Resident memory of a process, in KB. */
 uint64_t Fleet_ResidentKb(pid_t process);
 
-/* Run COMMAND (words separated by spaces), its stderr appended to LOG. */
+/* Run COMMAND (words separated by spaces), its output appended to LOG. */
 pid_t Fleet_Start(Fleet *fleet, StrBuf *command, const char *log);
 
 /* The "routes" member of node VM's settings, when there is a proxy. */
--- /dev/null
+++ b/tests/integration/test_stopped_reader.c
@@ -0,0 +1,129 @@
+/* Whoever reads a node's log lines stops, or ends: the node goes on. */
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "fleet.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+enum { SUBNET = 38, PIPE_BYTES = 4096, CALLS = 50, RELOADS = 60 };
+
+static Str build;
+
+static const Str preset =
+    Str_LIT("{\"name\":\"ordinary\",\"limits\":{},\"routes\":["
+            "{\"service\":\"visor\",\"route\":\"look\",\"path\":\"/visor/\","
+            "\"idempotent\":true}]}");
+
+typedef struct {
+    const char *name;
+    Str extra; /* settings */
+    bool ends; /* the reader, rather than that it stops */
+} Case;
+
+static const Case cases[] = {
+    {"stops", Str_LIT("\"log_level\":\"info\""), false},
+    {"stops, of all lines", Str_LIT("\"log_level\":\"debug\""), false},
+    {"ends", Str_LIT("\"log_level\":\"info\""), true},
+};
+
+/* The node's log is a pipe; its end to be read from. */
+static int
+open_log(const Fleet *fleet)
+{
+    StrBuf path = {0};
+    int fd;
+
+    StrBuf_AppendFmt(&path, "%.*s/node0.json.log", Str_ARG(fleet->folder));
+    ck_assert_int_eq(mkfifo(StrBuf_CStr(&path), 0600), 0);
+    fd = open(StrBuf_CStr(&path), O_RDONLY | O_NONBLOCK);
+    ck_assert_int_ge(fd, 0);
+    ck_assert_int_eq(fcntl(fd, F_SETPIPE_SZ, PIPE_BYTES), PIPE_BYTES);
+    StrBuf_Finish(&path);
+    return fd;
+}
+
+/* Each brings a log line. */
+static void
+reload(const Fleet *fleet, int times)
+{
+    for (int i = 0; i < times; i++) {
+        ck_assert_int_eq(kill(fleet->vms[0].node, SIGHUP), 0);
+        Fleet_Sleep(Span_MS(20));
+    }
+}
+
+static void
+check_calls(Fleet *fleet, const Case *c)
+{
+    FleetRequest request = {.method = Str_LIT("GET"),
+                            .path = Str_LIT("/visor/a"),
+                            .wait = Span_S(2)};
+
+    for (int i = 0; i < CALLS; i++) {
+        FleetAnswer answer;
+        Fleet_Send(fleet, 0, &request, &answer);
+        ck_assert_msg(answer.status == 200, "%s: call %d was answered %ld",
+                      c->name, i, answer.status);
+        Fleet_FinishAnswer(&answer);
+    }
+}
+
+/* A reader that goes on learns that lines are missing. */
+static void
+check_told(const Fleet *fleet, int fd)
+{
+    char text[2 * PIPE_BYTES];
+    ssize_t len = read(fd, text, sizeof text);
+
+    ck_assert_int_gt(len, 0);
+    reload(fleet, 1);
+    len = read(fd, text, sizeof text);
+    ck_assert_int_gt(len, 0);
+    ck_assert_ptr_nonnull(
+        memmem(text, (size_t)len, "lines_left_out", strlen("lines_left_out")));
+}
+
+START_TEST(stopped_reader_stops_nothing)
+{
+    const Case *c = &cases[_i];
+    Fleet fleet;
+    int fd;
+
+    Fleet_Init(&fleet, build, SUBNET, 1, 1);
+    Fleet_SetPreset(&fleet, preset);
+    Fleet_SetExtra(&fleet, c->extra);
+    fd = open_log(&fleet);
+    Fleet_StartNode(&fleet, 0);
+    Fleet_StartBackend(&fleet, 0, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitFor(&fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
+    if (c->ends) {
+        close(fd);
+    }
+    reload(&fleet, RELOADS);
+    check_calls(&fleet, c);
+    ck_assert_uint_gt(
+        Fleet_Counter(&fleet, 0,
+                      Str_LIT("lycheeridge_log_lines_left_out_total")),
+        0);
+    if (!c->ends) {
+        check_told(&fleet, fd);
+        close(fd);
+    }
+    ck_assert_int_eq(Fleet_Kill(&fleet.vms[0].node, SIGTERM), 0);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{stopped_reader_stops_nothing, ROWS(cases)}};
+
+    build = Suite_Build(argc, argv);
+    return Suite_Run("stopped reader", tests, 1, 40);
+}
