Count how long calls and runs take, by length

The end of a call gets the present time as an argument, as each function that decides does; it read the clock for its log line before. Tests: test_latency, four rows; two rows of test_operators.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -331,6 +331,7 @@
         .settings = settings,
         .timeline = &node->timeline,
         .counters = &node->counters,
+        .latencies = &node->latencies,
         .members = &node->members,
         .calls = &node->calls,
         .runs = &node->runs,
@@ -382,13 +383,13 @@
              &node->logger, settings, &node->ann, &node->admission,
              node->incarnation, on_member, node);
     Call_HubInit(&node->calls, &node->net, &node->counters, &node->timeline,
-                 &node->services, &node->suspects, settings,
+                 &node->latencies, &node->services, &node->suspects, settings,
                  node->incarnation);
     Sps_Init(&node->suspects, &node->net, &node->counters, &node->timeline,
              settings, &node->members);
     Run_HubInit(&node->runs, &node->net, &node->counters, &node->timeline,
-                &node->admission, &node->pool, &node->suspects,
-                node->incarnation);
+                &node->latencies, &node->admission, &node->pool,
+                &node->suspects, node->incarnation);
     if (node->ledger_recorder.file) {
         Led_Observe(&node->runs.ledger, Rec_OnLedger, &node->ledger_recorder);
     }
@@ -453,6 +454,7 @@
     node->logger.counters = &node->counters;
     Tml_Init(&node->timeline, &node->logger);
     Cnt_Init(&node->counters);
+    Lat_Init(&node->latencies);
     Rng_Init(&node->rng, Loop_Entropy());
     node->incarnation = Inc_Make(Loop_WallClock(), Loop_Entropy());
     if (!load_preset(node, err) || !init_recorders(node, err) ||
@@ -491,6 +493,7 @@
     Inf_Release(node->in_force);
     StrBuf_Finish(&node->preset_json);
     Rng_Finish(&node->rng);
+    Lat_Finish(&node->latencies);
     Lgr_Finish(&node->logger);
     Loop_Finish(&node->loop);
 }
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -28,6 +28,7 @@
     Loop loop;
     Logger logger;
     Counters counters;
+    Latencies latencies;
     Rng rng;
     uint64_t incarnation;
     Timeline timeline;
--- a/src/process/show.c
+++ b/src/process/show.c
@@ -197,6 +197,7 @@
     (void)body;
     (void)now;
     Cnt_Print(show->counters, &text);
+    Lat_Print(show->latencies, &text);
     print_gauges(show, &text);
     Opr_AnswerText(request, Str_LIT("text/plain; version=0.0.4"),
                    StrBuf_View(&text));
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -44,14 +44,13 @@
 }
 
 static void
-log_end(const Call *call, CallOutcome outcome, CallWhy why)
+log_end(const Call *call, CallOutcome outcome, CallWhy why, Instant now)
 {
     static const char *const outcomes[] = {"answered", "not_run", "unknown",
                                            "cut", "ran"};
     static const char *const whys[] = {"-",        "no_route", "nobody",
                                        "full",     "late",     "key",
                                        "mismatch", "suspect",  "version"};
-    Instant now = Loop_Now();
 
     Lgr_Log(call->hub->logger, outcome == Call_ANSWERED ? Lgr_DEBUG : Lgr_INFO,
             Str_LIT("call_ended"),
@@ -71,7 +70,7 @@
 }
 
 void
-Call_End(Call *call, CallOutcome outcome, CallWhy why)
+Call_End(Call *call, CallOutcome outcome, CallWhy why, Instant now)
 {
     static const CntId ids[] = {
         [Call_ANSWERED] = Cnt_ANSWERED, [Call_NOT_RUN] = Cnt_NOT_RUN,
@@ -80,7 +79,8 @@
     };
     CallSink sink = call->sink;
 
-    log_end(call, outcome, why);
+    log_end(call, outcome, why, now);
+    Lat_Add(call->hub->latencies, Lat_CALL, now - call->began_at);
     if (outcome == Call_NOT_RUN && call->doubt) {
         outcome = Call_UNKNOWN; /* an earlier attempt may have run */
     }
@@ -96,12 +96,14 @@
 }
 void
 Call_HubInit(CallHub *hub, Net *net, Counters *counters, Timeline *timeline,
-             Services *services, const Suspects *suspects,
-             const Settings *settings, uint64_t incarnation)
+             Latencies *latencies, Services *services,
+             const Suspects *suspects, const Settings *settings,
+             uint64_t incarnation)
 {
     *hub = (CallHub){
         .net = net,
         .counters = counters,
+        .latencies = latencies,
         .logger = timeline->logger,
         .timeline = timeline,
         .services = services,
@@ -162,17 +164,17 @@
         key = Field_Get(&call->request.fields, header);
     }
     if (key.len > KEY_BYTES_MAX) {
-        Call_End(call, Call_NOT_RUN, Call_WHY_KEY);
+        Call_End(call, Call_NOT_RUN, Call_WHY_KEY, now);
     }
     else if (key.len) {
         Ccl_Start(call, key, now);
     }
     else if (Sps_Ask(call->hub->suspects, call->digest, now) == Sus_STOPPED) {
         Cnt_Add(call->hub->counters, Cnt_SUSPECTS, 1);
-        Call_End(call, Call_NOT_RUN, Call_WHY_SUSPECT);
+        Call_End(call, Call_NOT_RUN, Call_WHY_SUSPECT, now);
     }
     else if (call->hopeless) {
-        Call_End(call, Call_NOT_RUN, Call_WHY_LATE);
+        Call_End(call, Call_NOT_RUN, Call_WHY_LATE, now);
     }
     else {
         Call_MakeAttempt(call, now);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -14,6 +14,7 @@
 
 #include "connection/callmsg.h"
 #include "process/counters.h"
+#include "process/latency.h"
 #include "process/linkbudget.h"
 #include "process/net.h"
 #include "process/services.h"
@@ -74,6 +75,7 @@
 typedef struct {
     Net *net;
     Counters *counters;
+    Latencies *latencies;
     Logger *logger;
     Timeline *timeline;
     Services *services;
@@ -95,7 +97,7 @@
 } CallHub;
 
 void Call_HubInit(CallHub *hub, Net *net, Counters *counters,
-                  Timeline *timeline, Services *services,
+                  Timeline *timeline, Latencies *latencies, Services *services,
                   const Suspects *suspects, const Settings *settings,
                   uint64_t incarnation);
 void Call_HubFinish(CallHub *hub);
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -122,7 +122,7 @@
         }
         Call_EndAttempt(attempt, call->failed ? Plc_FAILED : Plc_ANSWERED,
                         now);
-        Call_End(call, Call_ANSWERED, Call_WHY_NONE);
+        Call_End(call, Call_ANSWERED, Call_WHY_NONE, now);
         break;
     }
 }
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -191,7 +191,7 @@
     }
     if (now >= call->slack_until && call->sink.blocks &&
         call->sink.blocks(call->sink.context)) {
-        Call_End(call, Call_NOT_RUN, Call_WHY_FULL);
+        Call_End(call, Call_NOT_RUN, Call_WHY_FULL, now);
         return;
     }
     if (now < call->last_start) {
@@ -201,7 +201,7 @@
         }
         return;
     }
-    Call_End(call, Call_NOT_RUN, call->why);
+    Call_End(call, Call_NOT_RUN, call->why, now);
 }
 
 void
@@ -222,7 +222,7 @@
 Call_TickParked(Call *call, Instant now)
 {
     if (now >= call->deadline) {
-        Call_End(call, Call_NOT_RUN, Call_WHY_LATE);
+        Call_End(call, Call_NOT_RUN, Call_WHY_LATE, now);
     }
     else if (now >= call->park_until) {
         call->refused_count = 0;
@@ -345,7 +345,7 @@
         Key_OnRefused(call->keyed, false, now);
     }
     else {
-        Call_End(call, Call_NOT_RUN, call->why);
+        Call_End(call, Call_NOT_RUN, call->why, now);
     }
 }
 
@@ -364,7 +364,7 @@
         Key_Cancel(call->keyed, now);
         call->keyed = NULL;
     }
-    Call_End(call, cut ? Call_CUT : Call_UNKNOWN, why);
+    Call_End(call, cut ? Call_CUT : Call_UNKNOWN, why, now);
 }
 
 void
--- a/src/request/callclaim.c
+++ b/src/request/callclaim.c
@@ -25,13 +25,12 @@
 {
     Call *call = context;
 
-    (void)now;
     call->keyed = NULL;
     call->sink.head(call->sink.context, answer->status, &answer->fields);
     if (answer->bytes.len) {
         call->sink.bytes(call->sink.context, answer->bytes);
     }
-    Call_End(call, Call_ANSWERED, Call_WHY_NONE);
+    Call_End(call, Call_ANSWERED, Call_WHY_NONE, now);
 }
 
 static void
@@ -39,20 +38,20 @@
 {
     Call *call = context;
 
-    (void)now;
     call->keyed = NULL;
     switch (step) {
     case Clm_TELL_NOT_RUN:
-        Call_End(call, Call_NOT_RUN, call->why ? call->why : Call_WHY_FULL);
+        Call_End(call, Call_NOT_RUN, call->why ? call->why : Call_WHY_FULL,
+                 now);
         break;
     case Clm_TELL_MISMATCH:
-        Call_End(call, Call_NOT_RUN, Call_WHY_MISMATCH);
+        Call_End(call, Call_NOT_RUN, Call_WHY_MISMATCH, now);
         break;
     case Clm_TELL_RAN:
-        Call_End(call, Call_RAN, Call_WHY_NONE);
+        Call_End(call, Call_RAN, Call_WHY_NONE, now);
         break;
     default:
-        Call_End(call, Call_UNKNOWN, Call_WHY_NONE);
+        Call_End(call, Call_UNKNOWN, Call_WHY_NONE, now);
         break;
     }
 }
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -129,7 +129,7 @@
 void Call_Listen(CallHub *hub);
 
 /* Tell the sink; CALL is gone. */
-void Call_End(Call *call, CallOutcome outcome, CallWhy why);
+void Call_End(Call *call, CallOutcome outcome, CallWhy why, Instant now);
 
 /* Ccl: claim the call's KEY before its first attempt. */
 void Ccl_Start(Call *call, Str key, Instant now);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -204,6 +204,7 @@
         .kind = kind_of(run),
     };
 
+    Lat_Add(run->hub->latencies, Lat_RUN, now - run->started_at);
     Adm_OnEnd(run->hub->admission, &end, now);
 }
 
@@ -570,8 +571,8 @@
 
 void
 Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
-            Adm *admission, BckPool *pool, Suspects *suspects,
-            uint64_t incarnation)
+            Latencies *latencies, Adm *admission, BckPool *pool,
+            Suspects *suspects, uint64_t incarnation)
 {
     LedSettings ledger = {
         .brief = LEDGER_BRIEF,
@@ -585,6 +586,7 @@
     *hub = (RunHub){
         .net = net,
         .counters = counters,
+        .latencies = latencies,
         .logger = timeline->logger,
         .timeline = timeline,
         .admission = admission,
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -14,6 +14,7 @@
 #include "connection/pulse.h"
 #include "process/admission.h"
 #include "process/counters.h"
+#include "process/latency.h"
 #include "process/ledger.h"
 #include "process/net.h"
 #include "process/ride.h"
@@ -26,6 +27,7 @@
 typedef struct {
     Net *net;
     Counters *counters;
+    Latencies *latencies;
     Logger *logger;
     Timeline *timeline;
     Adm *admission;
@@ -50,8 +52,8 @@
 } RunHub;
 
 void Run_HubInit(RunHub *hub, Net *net, Counters *counters, Timeline *timeline,
-                 Adm *admission, BckPool *pool, Suspects *suspects,
-                 uint64_t incarnation);
+                 Latencies *latencies, Adm *admission, BckPool *pool,
+                 Suspects *suspects, uint64_t incarnation);
 
 /* Told when the backend server was found gone. */
 void Run_OnLost(RunHub *hub, void (*lost)(void *context, Instant now),
--- a/tests/integration/test_operators.c
+++ b/tests/integration/test_operators.c
@@ -24,6 +24,10 @@
      false},
     {GET("/metrics", ""), Str_LIT("200"),
      Str_LIT("# TYPE lycheeridge_members gauge"), false},
+    {GET("/metrics", ""), Str_LIT("200"),
+     Str_LIT("# TYPE lycheeridge_call_seconds histogram"), false},
+    {GET("/metrics", ""), Str_LIT("200"),
+     Str_LIT("# TYPE lycheeridge_run_seconds histogram"), false},
     /* access */
     {GET("/v1/status", ""), Str_LIT("401"), Str_LIT("denied"), true},
     {GET("/v1/status", "Authorization: Bearer test-kez\r\n"),
--- /dev/null
+++ b/tests/unit/test_latency.c
@@ -0,0 +1,68 @@
+/* Histograms of times: each in its bucket, printed as a sum over those below.
+ */
+#include <string.h>
+
+#include "process/latency.h"
+#include "support/suite.h"
+
+typedef struct {
+    LatKind kind;
+    Span took[4];
+    int count;
+    const char *lines[5]; /* among what is printed */
+} Case;
+
+static const Case cases[] = {
+    {Lat_CALL,
+     {0},
+     0,
+     {"# TYPE lycheeridge_call_seconds histogram\n",
+      "lycheeridge_call_seconds_bucket{le=\"0.001\"} 0\n",
+      "lycheeridge_call_seconds_bucket{le=\"+Inf\"} 0\n",
+      "lycheeridge_call_seconds_count 0\n"}},
+    {Lat_CALL,
+     {0, 999, 1000, 1999},
+     4,
+     {"lycheeridge_call_seconds_bucket{le=\"0.001\"} 2\n",
+      "lycheeridge_call_seconds_bucket{le=\"0.002\"} 4\n",
+      "lycheeridge_call_seconds_sum 0.003998\n",
+      "lycheeridge_run_seconds_count 0\n"}},
+    {Lat_RUN,
+     {Span_MS(500), Span_S(60), Span_S(3600)},
+     3,
+     {"lycheeridge_run_seconds_bucket{le=\"0.512\"} 1\n",
+      "lycheeridge_run_seconds_bucket{le=\"32.768\"} 1\n",
+      "lycheeridge_run_seconds_bucket{le=\"65.536\"} 2\n",
+      "lycheeridge_run_seconds_bucket{le=\"+Inf\"} 3\n"}},
+    /* A clock that went back. */
+    {Lat_RUN, {-5}, 1, {"lycheeridge_run_seconds_bucket{le=\"0.001\"} 1\n"}},
+};
+
+START_TEST(counts_by_length)
+{
+    const Case *c = &cases[_i];
+    Latencies latencies;
+    StrBuf text = {0};
+
+    Lat_Init(&latencies);
+    for (int i = 0; i < c->count; i++) {
+        Lat_Add(&latencies, c->kind, c->took[i]);
+    }
+    Lat_Print(&latencies, &text);
+    for (int i = 0; i < 5 && c->lines[i]; i++) {
+        ck_assert_msg(strstr(StrBuf_CStr(&text), c->lines[i]) != NULL,
+                      "no %s in\n%s", c->lines[i], StrBuf_CStr(&text));
+    }
+    StrBuf_Finish(&text);
+    Lat_Finish(&latencies);
+}
+END_TEST
+
+int
+main(void)
+{
+    const SuiteTest tests[] = {
+        {counts_by_length, sizeof cases / sizeof cases[0]}};
+
+    return Suite_Run("latency", tests, 1, 10);
+}
