Leave a log line for a request that goes nowhere

A request that no route matches, or that comes before the version in force is known, was counted only; operators could not tell which request it was. Test: test_platform refusals_leave_a_line; without the line it fails.

--- a/src/request/call.c
+++ b/src/request/call.c
@@ -222,6 +222,25 @@
     }
 }
 
+/* REQUEST goes nowhere, for a reason of this node's own. */
+static void
+refuse(CallHub *hub, const CallRequest *request, const CallSink *sink,
+       CallWhy why)
+{
+    CfgVersion version = hub->in_force->version;
+
+    Lgr_Log(hub->logger, Lgr_INFO, Str_LIT("call_refused"),
+            "request=%.*s why=%s method=%.*s host=%.*s path=%.*s "
+            "version=%llu.%llu",
+            Str_ARG(request->request_id),
+            why == Call_WHY_NO_ROUTE ? "no_route" : "version",
+            Str_ARG(request->method), Str_ARG(request->host),
+            Str_ARG(path_of(request->target)),
+            (unsigned long long)version.term,
+            (unsigned long long)version.index);
+    sink->end(sink->context, Call_NOT_RUN, why);
+}
+
 Call *
 Call_Start(CallHub *hub, const CallRequest *request, const CallSink *sink,
            Instant now)
@@ -236,12 +255,12 @@
     Cnt_Add(hub->counters, Cnt_CALLS, 1);
     if (!hub->confirmed) {
         Cnt_Add(hub->counters, Cnt_NOT_RUN, 1);
-        sink->end(sink->context, Call_NOT_RUN, Call_WHY_VERSION);
+        refuse(hub, request, sink, Call_WHY_VERSION);
         return NULL;
     }
     if (!route) {
         Cnt_Add(hub->counters, Cnt_NO_ROUTE, 1);
-        sink->end(sink->context, Call_NOT_RUN, Call_WHY_NO_ROUTE);
+        refuse(hub, request, sink, Call_WHY_NO_ROUTE);
         return NULL;
     }
     before = hub->count;
--- a/tests/integration/test_platform.c
+++ b/tests/integration/test_platform.c
@@ -340,14 +340,45 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    Str request;
+    Str status;
+    const char *line;
+} RefusedCase;
+
+static const RefusedCase refused[] = {
+    {"no such path",
+     Str_LIT("GET /nowhere?secret HTTP/1.1\r\n" HOST "Lot-Id: lot-7\r\n\r\n"),
+     Str_LIT("HTTP/1.1 404 "),
+     "'call_refused.*request=lot-7 why=no_route .* path=/nowhere version='"},
+};
+
+START_TEST(refusals_leave_a_line)
+{
+    const RefusedCase *c = &refused[_i];
+    Fleet fleet;
+    StrBuf answer = {0};
+
+    start_fleet(&fleet);
+    ask(&fleet, CALLERS, c->request, Span_MS(400), &answer);
+    ck_assert_msg(Str_StartsWith(StrBuf_View(&answer), c->status), "%s: %.*s",
+                  c->name, Str_ARG(answer));
+    ck_assert_msg(is_logged(&fleet, c->line), "%s: no line", c->name);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {{callers_are_served, ROWS(callers)},
                                {operators_send_routing, 1},
                                {stops_with_notice, ROWS(stops)},
-                               {reads_settings_again, ROWS(reloads)}};
+                               {reads_settings_again, ROWS(reloads)},
+                               {refusals_leave_a_line, ROWS(refused)}};
 
     build = Suite_Build(argc, argv);
-    return Suite_Run("platform", tests, 4, 60);
+    return Suite_Run("platform", tests, ROWS(tests), 60);
 }
