Let twenty retries at once add up to one sum by default

Cause: lets a node have its share within a second, and the default of 60 over two nodes is 30 for each; before each node had ten.

--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -81,7 +81,7 @@
         read_u32(&o, Str_LIT("domain_price_us"), RATE_MAX, 2000);
     limits->retry_permille =
         read_u32(&o, Str_LIT("retry_permille"), PERMILLE, 100);
-    limits->retry_burst = read_u32(&o, Str_LIT("retry_burst"), PERMILLE, 60);
+    limits->retry_burst = read_u32(&o, Str_LIT("retry_burst"), PERMILLE, 20);
     limits->hedge_permille =
         read_u32(&o, Str_LIT("hedge_permille"), PERMILLE, 0);
     limits->hedge_after = read_ms(&o, Str_LIT("hedge_after_ms"), 0, 0);
