--- a/tests/integration/test_stopped_runs_again.c
+++ b/tests/integration/test_stopped_runs_again.c
@@ -24,6 +24,8 @@
 
 #define SETTLE Span_S(2)
 #define ANSWER_WAIT Span_S(6)
+#define GONE Span_MS(2700) /* over the default member expiry */
+#define FROZEN Span_MS(1500)
 #define CRASH Str_LIT("X-Fake-Crash: before\r\n")
 
 static Str build;
@@ -52,6 +54,8 @@
     RESTART_ONE, /* the node beside one of its backend servers, killed */
     RESTART_ALL, /* all nodes, killed at once */
     LOSE_FOLDER, /* the same, and a control replica loses its folder */
+    JOIN,        /* a node of the service that was not there before */
+    FREEZE,      /* the node beside one of its backend servers, for a time */
     ANSWER_ERROR /* it is sent once more, and answered 500 */
 } Between;
 
@@ -72,6 +76,8 @@
     {"all nodes are restarted, one replica without its folder",
      PRESET(ONE_SERVICE), LOSE_FOLDER, 0},
     {"its route is split", PRESET(SPLIT), NOTHING, 2},
+    {"a node joins", PRESET(ONE_SERVICE), JOIN, 0},
+    {"a node of the service is frozen", PRESET(ONE_SERVICE), FREEZE, 0},
     {"it is answered an error once", PRESET(ONE_SERVICE), ANSWER_ERROR, 0},
 };
 
@@ -205,6 +211,26 @@
     }
 }
 
+/* Its folder too: it comes back as another one at the same address. */
+static void
+replace_node(Fleet *fleet, int vm, int others)
+{
+    Fleet_Kill(&fleet->vms[vm].backend, SIGKILL);
+    Fleet_LoseFolder(fleet, vm);
+    Fleet_Sleep(GONE);
+    Fleet_StartNode(fleet, vm);
+    start_backend(fleet, vm, others, (Str){0});
+}
+
+static void
+freeze_node(Fleet *fleet, int vm)
+{
+    ck_assert_int_eq(kill(fleet->vms[vm].node, SIGSTOP), 0);
+    post(fleet, 0, Str_LIT("/notes/bad"), CRASH);
+    Fleet_Sleep(FROZEN);
+    ck_assert_int_eq(kill(fleet->vms[vm].node, SIGCONT), 0);
+}
+
 static void
 disturb(Fleet *fleet, Between between, int round)
 {
@@ -229,6 +255,12 @@
     case LOSE_FOLDER:
         restart_all(fleet, round == 1);
         break;
+    case JOIN:
+        replace_node(fleet, vm, 0);
+        break;
+    case FREEZE:
+        freeze_node(fleet, vm);
+        break;
     case ANSWER_ERROR:
         post(fleet, round % REPLICAS, Str_LIT("/notes/bad"),
              Str_LIT("X-Fake-Status: 500\r\n"));
