--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -109,6 +109,39 @@
     return child;
 }
 
+static void
+append_replicas(const Fleet *fleet, StrBuf *out)
+{
+    StrBuf_AppendFmt(out, "\"control_replicas\":[");
+    for (int i = 0; i < fleet->control; i++) {
+        StrBuf_AppendFmt(out, "%s\"%.*s:7400\"", i ? "," : "",
+                         Str_ARG(fleet->vms[i].ip));
+    }
+    StrBuf_Append(out, Str_LIT("]"));
+}
+
+static void
+append_seeds(const Fleet *fleet, const FleetVm *vm, StrBuf *out)
+{
+    StrBuf_AppendFmt(out, "\"control_seeds\":[");
+    for (size_t i = 0; i < fleet->seeds.len; i++) {
+        StrBuf_AppendFmt(out, "%s\"%.*s:1\"", i ? "," : "",
+                         Str_ARG(fleet->vms[fleet->seeds.ptr[i] - '0'].ip));
+    }
+    StrBuf_AppendFmt(out,
+                     "],\"control_port\":7400,\"control\":%s,"
+                     "\"begin_history\":%s",
+                     vm->number < fleet->control ? "true" : "false",
+                     fleet->begins ? "true" : "false");
+}
+
+void
+Fleet_UseSeeds(Fleet *fleet, Str vms, bool begins)
+{
+    fleet->seeds = vms;
+    fleet->begins = begins;
+}
+
 static void
 append_settings(Fleet *fleet, const FleetVm *vm, StrBuf *out)
 {
@@ -124,12 +157,13 @@
                          i ? "," : "", domains[i],
                          i < 2 ? "norte" : "litoral");
     }
-    StrBuf_AppendFmt(out, "],\"control_replicas\":[");
-    for (int i = 0; i < fleet->control; i++) {
-        StrBuf_AppendFmt(out, "%s\"%.*s:7400\"", i ? "," : "",
-                         Str_ARG(fleet->vms[i].ip));
+    StrBuf_Append(out, Str_LIT("],"));
+    if (fleet->seeds.len) {
+        append_seeds(fleet, vm, out);
+    }
+    else {
+        append_replicas(fleet, out);
     }
-    StrBuf_Append(out, Str_LIT("]"));
     Fleet_AppendRoutes(fleet, vm->number, out);
     StrBuf_AppendFmt(out, ",\"data_folder\":\"%.*s/data%d\",",
                      Str_ARG(fleet->folder), vm->number);
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -31,6 +31,8 @@
     int control; /* the first so many VMs are control replicas */
     FleetVm vms[Fleet_VMS_MAX];
     int count;
+    Str seeds;   /* numbers of VMs, a digit each; empty: a list of replicas */
+    bool begins; /* with seeds: its history begins with this start */
     StrBuf preset; /* file */
     StrBuf extra;  /* members of every node's settings */
     Span expiry;   /* of members; set before any node starts */
@@ -110,6 +112,10 @@
 /* Give the proxy one command; false when it refuses. */
 bool Fleet_Proxy(Fleet *fleet, Str command);
 
+/* Nodes that start from now on find the control replicas through seeds: VMS
+ * are their numbers, a digit each.  BEGINS: the fleet's history begins. */
+void Fleet_UseSeeds(Fleet *fleet, Str vms, bool begins);
+
 /* Let nothing pass to and from node VM, silently; and all pass again. */
 void Fleet_Isolate(Fleet *fleet, int vm);
 void Fleet_Heal(Fleet *fleet);
