--- a/tests/unit/test_latency.c
+++ b/tests/unit/test_latency.c
@@ -6,36 +6,36 @@
 #include "support/suite.h"
 
 typedef struct {
-    LatKind kind;
     Span took[4];
-    int count;
     const char *lines[5]; /* among what is printed */
+    LatKind kind;
+    int count; /* of times */
 } Case;
 
 static const Case cases[] = {
-    {Lat_CALL,
-     {0},
-     0,
+    {{0},
      {"# TYPE lycheeridge_call_seconds histogram\n",
       "lycheeridge_call_seconds_bucket{le=\"0.001\"} 0\n",
       "lycheeridge_call_seconds_bucket{le=\"+Inf\"} 0\n",
-      "lycheeridge_call_seconds_count 0\n"}},
-    {Lat_CALL,
-     {0, 999, 1000, 1999},
-     4,
+      "lycheeridge_call_seconds_count 0\n"},
+     Lat_CALL,
+     0},
+    {{0, 999, 1000, 1999},
      {"lycheeridge_call_seconds_bucket{le=\"0.001\"} 2\n",
       "lycheeridge_call_seconds_bucket{le=\"0.002\"} 4\n",
       "lycheeridge_call_seconds_sum 0.003998\n",
-      "lycheeridge_run_seconds_count 0\n"}},
-    {Lat_RUN,
-     {Span_MS(500), Span_S(60), Span_S(3600)},
-     3,
+      "lycheeridge_run_seconds_count 0\n"},
+     Lat_CALL,
+     4},
+    {{Span_MS(500), Span_S(60), Span_S(3600)},
      {"lycheeridge_run_seconds_bucket{le=\"0.512\"} 1\n",
       "lycheeridge_run_seconds_bucket{le=\"32.768\"} 1\n",
       "lycheeridge_run_seconds_bucket{le=\"65.536\"} 2\n",
-      "lycheeridge_run_seconds_bucket{le=\"+Inf\"} 3\n"}},
+      "lycheeridge_run_seconds_bucket{le=\"+Inf\"} 3\n"},
+     Lat_RUN,
+     3},
     /* A clock that went back. */
-    {Lat_RUN, {-5}, 1, {"lycheeridge_run_seconds_bucket{le=\"0.001\"} 1\n"}},
+    {{-5}, {"lycheeridge_run_seconds_bucket{le=\"0.001\"} 1\n"}, Lat_RUN, 1},
 };
 
 START_TEST(counts_by_length)
