Join what the logs of all processes say of one request

lycheeridge explain ID FILE...: the lines that name it, those of its fingerprint, and what its nodes said meanwhile of no request, by time.

--- a/src/process/cli.h
+++ b/src/process/cli.h
@@ -26,7 +26,7 @@
     Cli_MISSING = 9      /* accepted, but not in force everywhere in time */
 } CliStatus;
 
-enum { Cli_NODES_MAX = 16, Cli_WORDS_MAX = 3 };
+enum { Cli_NODES_MAX = 16, Cli_WORDS_MAX = 64 };
 
 typedef struct {
     Loop loop;
@@ -83,6 +83,11 @@
 CliStatus Cli_CheckPreset(const Cli *cli, Str file);
 CliStatus Cli_NewKeys(const Cli *cli);
 
+/* What the log files named by the words say of one request, in the order of
+ * their times: the lines that name it (marked), those of its fingerprint, and
+ * what its nodes said meanwhile of no request. */
+CliStatus Cli_ExplainRequest(Cli *cli);
+
 /* Wait until VERSION or a later one is in force everywhere, at most
  * cli->wait; names on standard error who lacks it.  BEFORE is an answer of
  * /v1/versions, or NULL: a node that was here then and has gone silent since
--- a/src/process/cli_main.c
+++ b/src/process/cli_main.c
@@ -36,6 +36,7 @@
     bool local;        /* asks no node */
     CliStatus (*plain)(Cli *cli);
     CliStatus (*with_operand)(Cli *cli, Str operand);
+    size_t operands; /* needed; where that is over one, there may be more */
 } Command;
 
 static CliStatus
@@ -57,70 +58,88 @@
      Str_LIT("nodes, backend servers, load, versions in force"),
      false,
      Cli_ShowStatus,
-     NULL},
+     NULL,
+     0},
     {{Str_LIT("timeline")},
      1,
      {0},
      Str_LIT("events of all processes in one order"),
      false,
      Cli_ShowTimeline,
-     NULL},
+     NULL,
+     0},
     {{Str_LIT("preset"), Str_LIT("list")},
      2,
      {0},
      Str_LIT("the fleet's presets, and which is in force"),
      false,
      Cli_ListPresets,
-     NULL},
+     NULL,
+     0},
     {{Str_LIT("preset"), Str_LIT("show")},
      2,
      Str_LIT("NAME"),
      Str_LIT("one preset"),
      false,
      NULL,
-     Cli_ShowPreset},
+     Cli_ShowPreset,
+     1},
     {{Str_LIT("preset"), Str_LIT("put")},
      2,
      Str_LIT("FILE"),
      Str_LIT("add a preset, or replace the one of that name"),
      false,
      NULL,
-     Cli_PutPreset},
+     Cli_PutPreset,
+     1},
     {{Str_LIT("preset"), Str_LIT("use")},
      2,
      Str_LIT("NAME"),
      Str_LIT("put a preset in force"),
      false,
      NULL,
-     Cli_UsePreset},
+     Cli_UsePreset,
+     1},
     {{Str_LIT("suspects")},
      1,
      {0},
      Str_LIT("requests blamed for losses of backend servers"),
      false,
      Cli_ListSuspects,
-     NULL},
+     NULL,
+     0},
     {{Str_LIT("suspects"), Str_LIT("release")},
      2,
      Str_LIT("FINGERPRINT"),
      Str_LIT("let a stopped request run again, everywhere"),
      false,
      NULL,
-     Cli_ReleaseSuspect},
+     Cli_ReleaseSuspect,
+     1},
     {{Str_LIT("check")},
      1,
      Str_LIT("FILE"),
      Str_LIT("check a preset's file; asks no node"),
      true,
      NULL,
-     check_preset},
+     check_preset,
+     1},
     {{Str_LIT("keys"), Str_LIT("new")},
      2,
      {0},
      Str_LIT("a new pair of CURVE keys; asks no node"),
      true,
      new_keys,
-     NULL},
+     NULL,
+     0},
+    {{Str_LIT("explain")},
+     1,
+     Str_LIT("ID FILE..."),
+     Str_LIT("what log files say of one request; asks no node"),
+     true,
+     Cli_ExplainRequest,
+     NULL,
+     2},
 };
 
 enum { COMMANDS = sizeof commands / sizeof commands[0] };
@@ -192,14 +211,23 @@
 {
     for (size_t i = 0; i < COMMANDS; i++) {
         const Command *c = &commands[i];
-        size_t wanted = c->words_used + (c->operand.len ? 1 : 0);
-        if (starts_with_words(cli, c) && cli->word_count == wanted) {
+        size_t wanted = c->words_used + c->operands;
+        if (!starts_with_words(cli, c)) {
+            continue;
+        }
+        if (cli->word_count == wanted ||
+            (c->operands > 1 && cli->word_count > wanted)) {
             return c;
         }
-        if (starts_with_words(cli, c) && cli->word_count < wanted) {
+        if (cli->word_count < wanted) {
             complain_operand(c);
             return NULL;
         }
+        if (c->operand.len) {
+            fprintf(stderr, "lycheeridge: excess word %.*s; try --help\n",
+                    Str_ARG(cli->words[wanted]));
+            return NULL;
+        }
     }
     fprintf(stderr, "lycheeridge: no such command; try --help\n");
     return NULL;
--- a/tests/integration/test_commands.c
+++ b/tests/integration/test_commands.c
@@ -20,6 +20,10 @@
     Str fragment; /* in what it prints */
 } CommandCase;
 
+#define EXPLAIN(id)                                                           \
+    "$B/lycheeridge explain " id " tests/data/explain-others.jsonl "          \
+    "tests/data/explain-vm1.jsonl"
+
 static const CommandCase cases[] = {
     /* the daemon */
     {"$B/lycheeridged --help", 0, Str_LIT("Exit statuses")},
@@ -56,6 +60,21 @@
     {"$T --key-file $F/none status", 2, Str_LIT("cannot open")},
     {"LYCHEERIDGE_KEY=wrong $T status", 4, Str_LIT("key is needed")},
     {"$B/lycheeridge -n 127.0.0.1:1 status", 8, Str_LIT("no answer")},
+    {"$B/lycheeridge explain", 2, Str_LIT("explain: expected ID FILE...")},
+    {"$B/lycheeridge explain lot-7", 2, Str_LIT("expected ID FILE...")},
+    {EXPLAIN("lot-7"), 0,
+     Str_LIT("  1796460000.000700 vm3 backend_lost ran=1\n"
+             "> 1796460000.001000 vm1 retry request=lot-7 attempts=1\n"
+             "  1796460000.002000 vm1 member_gone 127.0.0.3:7400\n"
+             "> 1796460000.300000 vm1 call_ended request=lot-7 ")},
+    {EXPLAIN("lot-7"), 0,
+     Str_LIT("  1796460005.000000 vm4 suspect_stopped fingerprint=107d")},
+    {EXPLAIN("lot-7") " | wc -l", 0, Str_LIT("6\n")},
+    {EXPLAIN("lot-77") " | grep -c '^>'", 0, Str_LIT("1\n")},
+    {EXPLAIN("lot-7") " --json | tail -n 1", 0,
+     Str_LIT("\"event\":\"suspect_stopped\"")},
+    {EXPLAIN("lot-8"), 3, Str_LIT("no line names request lot-8")},
+    {"$B/lycheeridge explain lot-7 $F/none", 3, Str_LIT("cannot open")},
     /* the tool, with a fleet */
     {"$T status --wait 20", 0, Str_LIT("in force on every node")},
     {"$T status --json", 0, Str_LIT("\"missing\": []")},
