Hand on the time of a first send as it was asked for

Of: the time left was taken from the clock at each send, so that a deadline of whole milliseconds lost one at each level of a call tree. Only a repeat needs the clock. test_silent_connections repeat_has_less_time_left passes as before.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -458,8 +458,7 @@
     Str instance = StrBuf_View(&exchange->pool->instance);
     struct evbuffer *out =
         bufferevent_get_output(exchange->connection->stream);
-    Span left = exchange->deadline - exchange->pool->clock();
-    long long left_ms = left > 0 ? left / 1000 : 0;
+    long long left_ms = from->left > 0 ? from->left / 1000 : 0;
 
     evbuffer_add_printf(out, "%.*s %.*s HTTP/1.1\r\n", Str_ARG(from->method),
                         Str_ARG(from->target));
@@ -508,6 +507,7 @@
     exchange->repeater = NULL;
     retire(pool, exchange->connection);
     drop_all_idle(pool);
+    exchange->from.left = exchange->deadline - pool->clock();
     send_over(exchange, open_connection(pool));
 }
 
