End an idempotent call whose error comes after its deadline as late

What callers saw: 502 for a call tree whose time was over, where 504 tells so. Cause: a level below was late first, its error came 1.5 ms after the root's deadline, and before the tick that ends late calls; it was passed on as an answer. Change: an error that comes after the deadline of an idempotent call ends it as late. Other calls are told the error: they can't be repeated, and it is known.

--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -313,6 +313,12 @@
         end_failed(attempt, whole, now);
         return true;
     }
+    if (now >= call->deadline) {
+        /* Most often an error because something below it was late. */
+        end_failed(attempt, whole, now);
+        Call_End(call, Call_UNKNOWN, Call_WHY_LATE, now);
+        return true;
+    }
     if (!Call_ChoosePlace(call, &place, now) || place.node == attempt->node ||
         Rty_Decide(&call->retry, &call->service->retries, Rty_FAILED, now) !=
             Rty_AGAIN) {
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -114,7 +114,8 @@
 
 /* ATTEMPT, all of its answer here or not, was answered by an error of the
  * backend server's own: run an idempotent call elsewhere, when there is a
- * place and the budget has a retry.  False: the error is the answer. */
+ * place and the budget has a retry, or end it when it is late.  False: the
+ * error is the answer. */
 bool Call_FailOver(Attempt *attempt, bool whole, Instant now);
 
 /* End the call: its attempt may have run, or did not.  CALL is gone. */
