--- a/tests/integration/test_seeds.c
+++ b/tests/integration/test_seeds.c
@@ -154,7 +154,7 @@
     ck_assert_msg(Ops_WaitForLeader(&fleet, SETTLE) >= 0, "%s: no leader",
                   c->name);
     for (int i = 0; i < CHANGES; i++) {
-        char id[16];
+        char id[32];
         snprintf(id, sizeof id, "change-%d", i);
         version = change(&fleet, i % REPLICAS, id);
     }
--- a/tests/integration/test_stopped_runs_again.c
+++ b/tests/integration/test_stopped_runs_again.c
@@ -157,7 +157,7 @@
 static void
 change_other(Fleet *fleet, int round)
 {
-    char id[16];
+    char id[32];
     OpsChange change = {.id = id, .verb = "put", .name = "peak"};
 
     snprintf(id, sizeof id, "peak-%d", round);
