Start no call in the second half of a planned stop

Cause: a stopping node took what came on kept connections until its time limit and cut it then, and calls that it had placed could wait in the queue of another node until then.

Now no call starts in the second half of the time limit (Stp_MayStartCalls). What comes later, or waits for a target, is told not run; an attempt that may be queued at another node is fenced, and dropped if it has not started. Calls made by a request that runs beside the node go on, and so do calls with a key. An answer that has begun is no longer ended by the reply to a fence.

Ruled out: a deadline cut to the time limit, since an answer of the node's own in place of the backend server's is no better for the caller.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -221,6 +221,9 @@
     Node *node = context;
 
     Ann_Expire(&node->announcements, now);
+    if (!Stp_MayStartCalls(&node->stop, now)) {
+        Call_StopStarting(&node->dispatcher, now);
+    }
     Call_DispatcherTick(&node->dispatcher, now);
     Run_Tick(&node->runner, now);
     Svc_Tick(&node->services, now);
--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -4,6 +4,9 @@
  * backlog of the listening socket. */
 #define ACCEPT_DELAY Span_MS(50)
 
+/* The part of the time limit, one in so many, in which calls may start. */
+enum { START_TIME_DIVISOR = 2 };
+
 void
 Stp_Init(GracefulStop *stop, const StopSettings *settings)
 {
@@ -74,3 +77,11 @@
     }
     return is_idle(activity) ? Stp_EXIT : Stp_WAIT;
 }
+
+bool
+Stp_MayStartCalls(const GracefulStop *stop, Instant now)
+{
+    return !stop->signaled_at ||
+           now - stop->signaled_at <
+               stop->settings.time_limit / START_TIME_DIVISOR;
+}
--- a/src/process/stop.h
+++ b/src/process/stop.h
@@ -5,7 +5,8 @@
  * and closes each caller's connection after its answer.  Then the node stops
  * listening, closes connections without a request, and exits once no work is
  * left and no other node has sent an attempt for the propagation time; or at
- * its time limit, with work left.
+ * its time limit, with work left.  In the second half of that time no call is
+ * started any more, so that the calls under way have it to end.
  *
  * The node (process/node.h) reports signals with Stp_OnSignal, calls
  * Stp_NextStep at each tick with its current activity, and carries out the
@@ -64,4 +65,8 @@
 StopAction Stp_NextStep(GracefulStop *stop, const StopActivity *activity,
                         Instant now);
 
+/* Whether calls of this node's callers may still start at a backend server:
+ * false in the second half of a stop's time limit. */
+bool Stp_MayStartCalls(const GracefulStop *stop, Instant now);
+
 #endif
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -48,9 +48,9 @@
 {
     static const char *const outcomes[] = {"answered", "not_run", "unknown",
                                            "cut", "ran"};
-    static const char *const reasons[] = {"-",        "no_route", "nobody",
-                                          "full",     "late",     "key",
-                                          "mismatch", "suspect",  "version"};
+    static const char *const reasons[] = {
+        "-",   "no_route", "nobody",  "full",    "late",
+        "key", "mismatch", "suspect", "version", "stopping"};
 
     Lgr_Log(
         call->dispatcher->logger,
@@ -169,7 +169,10 @@
     if (header.len) {
         key = Field_Get(&call->request.fields, header);
     }
-    if (key.len > KEY_BYTES_MAX) {
+    if (Call_IsTooLate(call)) {
+        Call_End(call, Call_NOT_RUN, Call_REASON_STOPPING, now);
+    }
+    else if (key.len > KEY_BYTES_MAX) {
         Call_End(call, Call_NOT_RUN, Call_REASON_KEY_TOO_LONG, now);
     }
     else if (key.len) {
@@ -358,6 +361,41 @@
     }
 }
 
+/* Ends CALL if it waits for a target.  If its attempt may wait in a queue,
+ * asks the node to drop it: the answer of a running one still comes.  A call
+ * with a key goes on, since its repeat will find it. */
+static void
+stop_waiting_call(Call *call, Instant now)
+{
+    Attempt *attempt = Call_ActiveAttempt(call);
+
+    if (call->nested || call->claim_session) {
+        return;
+    }
+    if (call->retry_at) {
+        Call_End(call, Call_NOT_RUN, Call_REASON_STOPPING, now);
+    }
+    else if (attempt && !Call_OtherAttempt(attempt) &&
+             !attempt->pieces.next_sequence && !attempt->fence_sent) {
+        Call_SendFence(attempt, now);
+    }
+}
+
+void
+Call_StopStarting(CallDispatcher *dispatcher, Instant now)
+{
+    Call *next;
+
+    if (dispatcher->stops_starting) {
+        return;
+    }
+    dispatcher->stops_starting = true;
+    for (Call *call = dispatcher->first; call; call = next) {
+        next = call->next;
+        stop_waiting_call(call, now);
+    }
+}
+
 void
 Call_DispatcherTick(CallDispatcher *dispatcher, Instant now)
 {
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -45,7 +45,8 @@
     Call_REASON_KEY_TOO_LONG, /* the idempotency key is too long */
     Call_REASON_KEY_MISMATCH, /* the key was used for another request */
     Call_REASON_SUSPECT,      /* blamed for crashes of backend servers */
-    Call_REASON_VERSION       /* the preset in force is not confirmed */
+    Call_REASON_VERSION,      /* the preset in force is not confirmed */
+    Call_REASON_STOPPING      /* this node stops too soon to finish it */
 } CallReason;
 
 /* The caller's request.  The front end owns the strings and keeps them valid
@@ -93,6 +94,8 @@
     SharedPreset *in_force;
     /* in_force is confirmed as current; false: calls are refused */
     bool version_confirmed;
+    bool stops_starting;      /* no further attempt starts, but for nested
+                                 calls */
     uint64_t incarnation;     /* of this node */
     uint64_t attempt_counter; /* last counter used in an AttemptId */
     ClaimClient key_claims;
@@ -138,6 +141,11 @@
  * not called again. */
 void Call_Cancel(Call *call, Instant now);
 
+/* This node stops soon: from now on, calls that are not nested start no
+ * attempt.  Those that wait, here or in the queue of a backend server, end as
+ * not run; those that run go on.  A second call of this has no effect. */
+void Call_StopStarting(CallDispatcher *dispatcher, Instant now);
+
 /* Handles deadlines, waiting calls and hedges that are due; called at each
  * tick of the node's timer. */
 void Call_DispatcherTick(CallDispatcher *dispatcher, Instant now);
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -256,7 +256,8 @@
         return;
     }
     attempt = find_attempt(dispatcher, msg.id);
-    if (!attempt || !attempt->fence_sent) {
+    /* The rest of an answer that has begun follows in any case. */
+    if (!attempt || !attempt->fence_sent || attempt->pieces.next_sequence) {
         return;
     }
     Plc_OnLoadReport(&attempt->call->service->placement, origin->peer,
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -214,13 +214,22 @@
     Call_End(call, Call_NOT_RUN, call->not_run_reason, now);
 }
 
+bool
+Call_IsTooLate(const Call *call)
+{
+    return call->dispatcher->stops_starting && !call->nested;
+}
+
 void
 Call_Dispatch(Call *call, Instant now)
 {
     AttemptTarget target;
 
     call->retry_at = 0;
-    if (Call_ChooseTarget(call, &target, now)) {
+    if (Call_IsTooLate(call)) {
+        Call_End(call, Call_NOT_RUN, Call_REASON_STOPPING, now);
+    }
+    else if (Call_ChooseTarget(call, &target, now)) {
         Call_StartAttempt(call, &target, now);
     }
     else {
@@ -279,7 +288,7 @@
         .id = attempt->id,
         .target_incarnation = attempt->incarnation,
         .keep_long = call->claim_session != NULL,
-        .cancel_if_queued = call->settling,
+        .cancel_if_queued = call->settling || Call_IsTooLate(call),
     };
     Pack pack;
 
@@ -414,6 +423,11 @@
         Call_EndAttempt(attempt, result, now);
         return;
     }
+    if (failure == Rty_NOT_RUN && Call_IsTooLate(call)) {
+        Call_EndAttempt(attempt, result, now);
+        Call_EndNotRun(call, Call_REASON_STOPPING, now);
+        return;
+    }
     switch (
         Rty_Decide(&call->retry, &call->service->retry_budget, failure, now)) {
     case Rty_RETRY:
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -85,6 +85,9 @@
  * can run it. */
 const MemberRecord *Call_FindExclusiveNode(const Call *call, Instant now);
 
+/* Whether CALL may start no attempt because this node stops soon. */
+bool Call_IsTooLate(const Call *call);
+
 /* Sends an attempt to TARGET.  May end CALL. */
 void Call_StartAttempt(Call *call, const AttemptTarget *target, Instant now);
 
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -155,6 +155,8 @@
         return (FinalAnswer){503, not_run,
                              Str_LIT("which preset is in force is not known "
                                      "yet\n")};
+    case Call_REASON_STOPPING:
+        return (FinalAnswer){503, not_run, Str_LIT("this node is stopping\n")};
     case Call_REASON_NO_BACKEND:
         return (FinalAnswer){503, not_run,
                              Str_LIT("no backend server is known\n")};
--- a/tests/integration/test_graceful_stop.c
+++ b/tests/integration/test_graceful_stop.c
@@ -3,6 +3,7 @@
  */
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/wait.h>
 
 #include "fleet.h"
@@ -160,12 +161,143 @@
 }
 END_TEST
 
+/* Deadlines are longer than a stop. */
+static const Str long_preset =
+    Str_LIT("{\"name\":\"long\",\"limits\":{},\"routes\":["
+            "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+            "\"method\":\"GET\",\"interactive\":true,\"idempotent\":true,"
+            "\"deadline_ms\":10000},"
+            "{\"service\":\"visor\",\"route\":\"book\",\"method\":\"POST\","
+            "\"path\":\"/visor/\",\"deadline_ms\":10000}]}");
+
+/* Half of this time after the signal, no call is started any more. */
+enum { STOP_BOUND_MS = 4000 };
+
+/* Work that keeps the stopping node busy until shortly before its time limit,
+ * and work that a late call would not finish before it. */
+#define BUSY_TIME "X-Fake-Time-Us: 3600000\r\n"
+#define LONG_TIME "X-Fake-Time-Us: 2500000\r\n"
+#define SHORT_TIME "X-Fake-Time-Us: 100000\r\n"
+
+typedef struct {
+    const char *name;
+    Str request; /* its body of one byte is sent SENT_AFTER the signal */
+    Span sent_after;
+    Str answer;       /* how the answer begins */
+    bool is_answered; /* else it is rejected as not run */
+    bool finds_queue; /* the only slot is taken */
+} LateCase;
+
+#define POST_HEAD                                                             \
+    "POST /visor/a HTTP/1.1\r\nHost: barns\r\nContent-Length: 1\r\n"
+#define GET_HEAD                                                              \
+    "GET /visor/a HTTP/1.1\r\nHost: barns\r\nContent-Length: 1\r\n"
+
+static const LateCase late_cases[] = {
+    {"early booking", Str_LIT(POST_HEAD SHORT_TIME "\r\n"), Span_MS(600),
+     Str_LIT("HTTP/1.1 200 "), true, false},
+    {"late booking", Str_LIT(POST_HEAD LONG_TIME "\r\n"), Span_MS(2600),
+     Str_LIT("HTTP/1.1 503 "), false, false},
+    {"late short booking", Str_LIT(POST_HEAD SHORT_TIME "\r\n"), Span_MS(2600),
+     Str_LIT("HTTP/1.1 503 "), false, false},
+    {"late read", Str_LIT(GET_HEAD LONG_TIME "\r\n"), Span_MS(2600),
+     Str_LIT("HTTP/1.1 503 "), false, false},
+    {"early booking that waits in a queue",
+     Str_LIT(POST_HEAD LONG_TIME "\r\n"), Span_MS(600),
+     Str_LIT("HTTP/1.1 503 "), false, true},
+    {"early read that waits in a queue", Str_LIT(GET_HEAD LONG_TIME "\r\n"),
+     Span_MS(600), Str_LIT("HTTP/1.1 503 "), false, true},
+};
+
+enum { LATE_COUNT = sizeof late_cases / sizeof late_cases[0] };
+
+/* Starts two VMs with a backend server each; if QUEUE, only the second VM has
+ * one, of one slot. */
+static void
+start_two_vms(Fleet *fleet, bool queue)
+{
+    StrBuf settings = {0};
+
+    Fleet_Init(fleet, build, 54, 2, 1);
+    Fleet_SetPreset(fleet, long_preset);
+    StrBuf_AppendFmt(&settings, "\"stop_bound_ms\":%d", STOP_BOUND_MS);
+    Fleet_SetExtraSettings(fleet, StrBuf_View(&settings));
+    StrBuf_Finish(&settings);
+    for (int i = 0; i < 2; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    for (int i = queue; i < 2; i++) {
+        Fleet_StartBackend(fleet, i, Str_LIT("visor"),
+                           queue ? Str_LIT("--slots=1") : (Str){0});
+    }
+    for (int i = 0; i < 2; i++) {
+        ck_assert(
+            Fleet_WaitForPath(fleet, i, Str_LIT("/visor/ready"), Span_S(10)));
+    }
+    Fleet_Sleep(Span_S(1));
+}
+
+/* Opens a connection to VM and sends REQUEST. */
+static int
+open_and_send(Fleet *fleet, int vm, Str request)
+{
+    int fd = Fleet_RawOpen(fleet, vm, 8000);
+
+    ck_assert_int_ge(fd, 0);
+    Fleet_RawSend(fd, request);
+    return fd;
+}
+
+static bool
+says_not_run(Str answer)
+{
+    static const Str field = Str_LIT("X-Lycheeridge-Outcome: not-run\r\n");
+
+    return memmem(answer.ptr, answer.len, field.ptr, field.len) != NULL;
+}
+
+/* A node that stops starts no call in the second half of its time, and none
+ * waits for a slot then: what it could cut at its time limit is rejected as
+ * not run while the caller can still repeat it elsewhere. */
+START_TEST(starts_no_late_call)
+{
+    static const Str busy =
+        Str_LIT("GET /visor/a HTTP/1.1\r\nHost: barns\r\n" BUSY_TIME "\r\n");
+    const LateCase *c = &late_cases[_i];
+    Fleet fleet;
+    StrBuf answer = {0};
+    int late;
+    int under_way[2];
+
+    start_two_vms(&fleet, c->finds_queue);
+    late = open_and_send(&fleet, 0, c->request);
+    for (int i = 0; i < 2; i++) {
+        under_way[i] = open_and_send(&fleet, i, busy);
+        Fleet_Sleep(Span_MS(100));
+    }
+    kill(fleet.vms[0].node, SIGTERM);
+    Fleet_Sleep(c->sent_after);
+    Fleet_RawSend(late, Str_LIT("x"));
+    Fleet_RawRead(late, Span_S(3), &answer);
+    ck_assert_msg(Str_StartsWith(StrBuf_View(&answer), c->answer), "%s: %.*s",
+                  c->name, Str_ARG(answer));
+    ck_assert_msg(c->is_answered || says_not_run(StrBuf_View(&answer)),
+                  "%s: %.*s", c->name, Str_ARG(answer));
+    Fleet_RawClose(late);
+    Fleet_RawClose(under_way[0]);
+    Fleet_RawClose(under_way[1]);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {{rolling_over_all_nodes, ROLL_COUNT},
-                               {connections_close_gracefully, CLOSE_COUNT}};
+                               {connections_close_gracefully, CLOSE_COUNT},
+                               {starts_no_late_call, LATE_COUNT}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("graceful stop", tests, 2, 60);
+    return Suite_Run("graceful stop", tests, 3, 60);
 }
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -123,10 +123,58 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    Span time_limit;
+    Instant signals[2]; /* 0: none */
+    Instant at;
+    bool may_start;
+} StartCase;
+
+static const StartCase start_cases[] = {
+    {"no signal", TIME_LIMIT, {0, 0}, START, true},
+    {"just signaled", TIME_LIMIT, {START, 0}, START, true},
+    {"before half of the time",
+     TIME_LIMIT,
+     {START, 0},
+     AFTER_SIGNAL(TIME_LIMIT / 2 - 1),
+     true},
+    {"half of the time",
+     TIME_LIMIT,
+     {START, 0},
+     AFTER_SIGNAL(TIME_LIMIT / 2),
+     false},
+    {"at the time limit",
+     TIME_LIMIT,
+     {START, 0},
+     AFTER_SIGNAL(TIME_LIMIT),
+     false},
+    {"a second signal", TIME_LIMIT, {START, START + 5}, START + 5, false},
+    {"no time at all", 0, {START, 0}, START, false},
+};
+
+enum { START_COUNT = sizeof start_cases / sizeof start_cases[0] };
+
+START_TEST(starts_calls_in_first_half)
+{
+    const StartCase *c = &start_cases[_i];
+    const StopSettings settings = {c->time_limit, PROPAGATION_TIME, 0};
+    GracefulStop stop;
+
+    Stp_Init(&stop, &settings);
+    for (int i = 0; i < 2 && c->signals[i]; i++) {
+        Stp_OnSignal(&stop, c->signals[i]);
+    }
+    ck_assert_msg(Stp_MayStartCalls(&stop, c->at) == c->may_start, "%s",
+                  c->name);
+}
+END_TEST
+
 int
 main(void)
 {
-    const SuiteTest tests[] = {{gives_expected_actions, CASE_COUNT}};
+    const SuiteTest tests[] = {{gives_expected_actions, CASE_COUNT},
+                               {starts_calls_in_first_half, START_COUNT}};
 
-    return Suite_Run("stop", tests, 1, 10);
+    return Suite_Run("stop", tests, 2, 10);
 }
