Take the time limit of a stop from what the platform states

Cause: the template fixed 5.5 s, while deployments allow 6 s or 10 s until a process is killed, so that long runs were cut 4 s too soon.

test_settings stops_within_stated_grace, 7 rows.

--- /dev/null
+++ b/src/process/setbounds.h
@@ -0,0 +1,17 @@
+/* The setting "bounds": times that the platform under a node states, as texts
+ * NAME=VALUE.  Unknown names are ignored, since a platform states more than a
+ * node needs.
+ */
+#ifndef SETBOUNDS_H
+#define SETBOUNDS_H
+
+#include "process/settings.h"
+#include "value/json.h"
+
+/* Reads "bounds" of OBJECT.  "stop_grace_s" is the time from SIGTERM until the
+ * platform kills the process, in seconds; stop_bound is then shorter by the
+ * time that the process needs to exit.  Without it stop_bound is unchanged.
+ * Faults become findings of OBJECT. */
+void Set_ReadBounds(Settings *settings, JsonObject *object);
+
+#endif
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <sys/stat.h>
 
+#include "process/setbounds.h"
 #include "process/setcheck.h"
 #include "process/setheaders.h"
 #include "process/setkeys.h"
@@ -296,6 +297,7 @@
     settings->log_lines_per_s = (uint32_t)Jsn_GetInt(
         object, Str_LIT("log_lines_per_s"), 10, 1000000, Lgr_LINES_PER_S);
     read_times(settings, object);
+    Set_ReadBounds(settings, object);
     settings->operators_connections_max =
         (uint32_t)Jsn_GetInt(object, Str_LIT("operators_connections_max"), 1,
                              4096, OPERATOR_CONNECTIONS_DEFAULT);
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -71,6 +71,17 @@
     {Str_LIT("\"info\""), Str_LIT("\"info\",\"log_lines_per_s\":10"), {0}},
     {Str_LIT("\"info\""), Str_LIT("\"info\",\"log_lines_per_s\":9"),
      Str_LIT("/log_lines_per_s")},
+    {Str_LIT("\"info\""), Str_LIT("\"info\",\"bounds\":[]"), {0}},
+    {Str_LIT("\"info\""),
+     Str_LIT("\"info\",\"bounds\":[\"other=x\",\"stop_grace_s=6\"]"),
+     {0}},
+    {Str_LIT("\"info\""), Str_LIT("\"info\",\"bounds\":[7]"),
+     Str_LIT("/bounds")},
+    {Str_LIT("\"info\""), Str_LIT("\"info\",\"bounds\":[\"stop_grace_s\"]"),
+     Str_LIT("/bounds")},
+    {Str_LIT("\"info\""),
+     Str_LIT("\"info\",\"bounds\":[\"stop_grace_s=soon\"]"),
+     Str_LIT("/bounds")},
     {Str_LIT("500"), Str_LIT("0"), Str_LIT("/heartbeat_ms")},
     {Str_LIT("500"), Str_LIT("5e2"), Str_LIT("/heartbeat_ms")},
     {Str_LIT("500"), Str_LIT("99999999999999"), Str_LIT("/heartbeat_ms")},
@@ -160,6 +171,44 @@
 }
 END_TEST
 
+typedef struct {
+    Str to; /* in place of "info" */
+    Span stop_bound;
+} StopBoundCase;
+
+static const StopBoundCase stop_bounds[] = {
+    {Str_LIT("\"info\""), Span_S(30)},
+    {Str_LIT("\"info\",\"stop_bound_ms\":5500"), Span_MS(5500)},
+    {Str_LIT("\"info\",\"bounds\":[\"other=1\"]"), Span_S(30)},
+    {Str_LIT("\"info\",\"bounds\":[\"other=1\",\"stop_grace_s=6\"]"),
+     Span_MS(5200)},
+    {Str_LIT("\"info\",\"bounds\":[\"stop_grace_s=10\"],"
+             "\"stop_bound_ms\":5500"),
+     Span_MS(9200)},
+    {Str_LIT("\"info\",\"bounds\":[\"stop_grace_s=2.5\"]"), Span_MS(1200)},
+    {Str_LIT("\"info\",\"bounds\":[\"stop_grace_s=0\"]"), 0},
+};
+
+/* The process ends before the platform kills it. */
+START_TEST(stops_within_stated_grace)
+{
+    const StopBoundCase *c = &stop_bounds[_i];
+    const SettingsCase replacement = {Str_LIT("\"info\""), c->to, {0}};
+    StrBuf text = {0};
+    FindingList findings;
+    Settings settings;
+
+    replace_first(&replacement, &text);
+    Set_Init(&settings);
+    Fnd_Init(&findings);
+    ck_assert(Set_Parse(&settings, StrBuf_View(&text), &findings));
+    ck_assert_int_eq(settings.stop_bound, c->stop_bound);
+    Fnd_Finish(&findings);
+    Set_Finish(&settings);
+    StrBuf_Finish(&text);
+}
+END_TEST
+
 START_TEST(reports_all_findings_together)
 {
     FindingList findings;
@@ -181,8 +230,10 @@
 {
     const SuiteTest tests[] = {
         {reports_wrong_value_at_its_place, sizeof cases / sizeof cases[0]},
+        {stops_within_stated_grace,
+         sizeof stop_bounds / sizeof stop_bounds[0]},
         {reports_all_findings_together, 1},
     };
 
-    return Suite_Run("settings", tests, 2, 10);
+    return Suite_Run("settings", tests, 3, 10);
 }
