Send calls on without the retry budget when a backend server has left

Cause: a call that reached a node just as its backend server left was rejected as not run and sent on from the budget of retries.

--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -175,6 +175,16 @@
            reason == Reject_WRONG_INCARNATION || reason == Reject_DEADLINE;
 }
 
+/* The backend server has left the node.  Each node says so once, so that a
+ * call may move on without the retry budget: no backend server saw it. */
+static bool
+has_left(const Call *call, RejectReason reason)
+{
+    return (reason == Reject_DRAINING || reason == Reject_NO_BACKEND ||
+            reason == Reject_WRONG_INCARNATION) &&
+           call->rejected_by_count < Rty_TRIED_MAX;
+}
+
 /* The request is a suspect, but the node that was chosen to run it exclusively
  * considers another node to be the exclusive one. */
 static void
@@ -229,7 +239,7 @@
         find_other_exclusive_node(attempt, now);
     }
     else if (is_transient(msg.reason) && !call->claim_session &&
-             (call->route->latency_objective ||
+             (call->route->latency_objective || has_left(call, msg.reason) ||
               Call_FindExclusiveNode(call, now))) {
         if (msg.reason == Reject_FULL || msg.reason == Reject_DEADLINE) {
             Plc_OnQueueFull(&call->service->placement, origin->peer, now);
