Report a settings file that cannot be read

Cause: a read error counted as the end of the file, so that a folder given as the file was reported as a JSON fault. test_settings reports_file_that_cannot_be_read: the row of a folder failed before.

--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -336,6 +336,7 @@
     char bytes[4096];
     size_t got;
     FILE *stream;
+    bool failed;
 
     StrBuf_Set(&name, file);
     stream = fopen(StrBuf_CStr(&name), "rb");
@@ -347,7 +348,11 @@
            out->len < FILE_BYTES_MAX) {
         StrBuf_Append(out, Str_From(bytes, got));
     }
+    failed = ferror(stream) != 0;
     fclose(stream);
+    if (failed) {
+        return Err_SET(err, Err_IO, "cannot read %.*s", Str_ARG(file));
+    }
     if (out->len >= FILE_BYTES_MAX) {
         return Err_SET(err, Err_TOO_LARGE, "%.*s is over %d bytes",
                        Str_ARG(file), FILE_BYTES_MAX);
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -139,7 +139,7 @@
 bool Set_IsOpenToOthers(Str file);
 
 /* Appends the content of FILE to OUT.  Returns false with ERR (may be NULL)
- * when FILE can't be opened, or when OUT reaches 4 MiB. */
+ * when FILE can't be opened or read, or when OUT reaches 4 MiB. */
 bool Set_ReadFile(Str file, StrBuf *out, Err *err);
 
 #endif
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -209,6 +209,31 @@
 }
 END_TEST
 
+typedef struct {
+    Str file;
+    bool is_readable;
+    ErrCode code; /* unless it is readable */
+} FileCase;
+
+static const FileCase files[] = {
+    {Str_LIT("/dev/null"), true, 0},
+    {Str_LIT("/"), false, Err_IO}, /* a folder can be opened, but not read */
+    {Str_LIT("/no/such/file"), false, Err_IO},
+    {Str_LIT("/dev/zero"), false, Err_TOO_LARGE},
+};
+
+START_TEST(reports_file_that_cannot_be_read)
+{
+    const FileCase *c = &files[_i];
+    StrBuf text = {0};
+    Err err = {0};
+
+    ck_assert_int_eq(Set_ReadFile(c->file, &text, &err), c->is_readable);
+    ck_assert(c->is_readable || err.code == c->code);
+    StrBuf_Finish(&text);
+}
+END_TEST
+
 START_TEST(reports_all_findings_together)
 {
     FindingList findings;
@@ -232,8 +257,9 @@
         {reports_wrong_value_at_its_place, sizeof cases / sizeof cases[0]},
         {stops_within_stated_grace,
          sizeof stop_bounds / sizeof stop_bounds[0]},
+        {reports_file_that_cannot_be_read, sizeof files / sizeof files[0]},
         {reports_all_findings_together, 1},
     };
 
-    return Suite_Run("settings", tests, 3, 10);
+    return Suite_Run("settings", tests, 4, 10);
 }
