--- a/src/request/call.c
+++ b/src/request/call.c
@@ -83,11 +83,11 @@
     };
     CallSink sink = call->sink;
 
-    log_end(call, outcome, reason, now);
-    Lat_Record(call->dispatcher->latencies, Lat_CALL, now - call->arrived_at);
     if (outcome == Call_NOT_RUN && call->may_have_run) {
         outcome = Call_UNKNOWN; /* an earlier attempt may have run */
     }
+    log_end(call, outcome, reason, now);
+    Lat_Record(call->dispatcher->latencies, Lat_CALL, now - call->arrived_at);
     Cnt_Add(call->dispatcher->counters, ids[outcome], 1);
     if (outcome == Call_UNKNOWN || reason == Call_REASON_OVERLOAD) {
         Tml_Record(call->dispatcher->timeline,
@@ -98,6 +98,7 @@
     free_call(call);
     sink.on_end(sink.context, outcome, reason);
 }
+
 void
 Call_DispatcherInit(CallDispatcher *dispatcher, Net *net, Counters *counters,
                     Timeline *timeline, LatencyHistograms *latencies,
