--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -150,7 +150,8 @@
     case Call_REASON_NO_ROUTE:
         return (FinalAnswer){404, not_run, Str_LIT("no route matches\n")};
     case Call_REASON_DEADLINE:
-        return (FinalAnswer){504, not_run, Str_LIT("its deadline passed\n")};
+        return (FinalAnswer){
+            503, not_run, Str_LIT("it could not run before its deadline\n")};
     case Call_REASON_VERSION:
         return (FinalAnswer){503, not_run,
                              Str_LIT("which preset is in force is not known "
--- a/tests/integration/fleet_keyed.c
+++ b/tests/integration/fleet_keyed.c
@@ -44,6 +44,9 @@
     if (contains(text, Str_LIT("Outcome: not-run"))) {
         return Str_StartsWith(text, Str_LIT("HTTP/1.1 422"))
                    ? Post_KEY_MISMATCH
+               : Str_StartsWith(text, Str_LIT("HTTP/1.1 50")) &&
+                       !Str_StartsWith(text, Str_LIT("HTTP/1.1 503"))
+                   ? Post_CONTRADICTORY
                    : Post_NOT_RUN;
     }
     if (!contains(text, Str_LIT("Outcome: ran"))) {
--- a/tests/integration/fleet_keyed.h
+++ b/tests/integration/fleet_keyed.h
@@ -15,8 +15,10 @@
     Post_UNKNOWN = 8,
     Post_ANSWER_DROPPED = 16, /* ran; status 409, as the answer is not kept */
     Post_BACKEND_ERROR = 64,  /* ran; another status, of the backend server */
-    Post_KEY_MISMATCH = 32    /* not run; status 422, as the key was used for
+    Post_KEY_MISMATCH = 32,   /* not run; status 422, as the key was used for
                                * another request */
+    Post_CONTRADICTORY = 128  /* not run, but the status is one of those that
+                               * leave open whether it ran */
 } PostOutcome;
 
 /* Sends a POST through VM.  HEADERS are further header lines, each ended by
--- a/tests/integration/test_not_run.c
+++ b/tests/integration/test_not_run.c
@@ -202,7 +202,7 @@
     StrBuf answer = {0};
     int fds[CALLS];
     PostOutcome outcomes[CALLS];
-    int counts[Post_BACKEND_ERROR + 1] = {0};
+    int counts[Post_CONTRADICTORY + 1] = {0};
 
     start_fleet(&fleet, c->failure);
     send_calls(&fleet, c, fds);
@@ -229,6 +229,7 @@
         ck_assert_msg(outcomes[i] != Post_ANSWERED || effects == 1,
                       "%s: call %d was answered, but did not run", c->name, i);
     }
+    ck_assert_int_eq(counts[Post_CONTRADICTORY], 0);
     ck_assert_int_ge(counts[Post_NOT_RUN], c->not_run_min);
     ck_assert_int_ge(counts[Post_ANSWERED], c->answers_min);
     ck_assert_int_le(counts[Post_BACKEND_ERROR], c->errors_max);
