Blame a request whose backend server hangs before it ends

Cause of the known red rows 1, 4 and 7 of test_stopped_runs_again: beside load a backend server took over 3 s from its end to the close of its connections. The request was given up at its deadline, the close came later, and nobody was blamed. Seen in the logs of all four failed runs (row 1: 2 of 62, row 7: 2 of 45, row 4: 0 of 44), and in none that passed.

Now a run on a backend server that has stopped to announce itself is not given up at its call's deadline, nor an exclusive one at its own; and one that still accepts connections then is probed again for 5 s. Its caller is told at once.

Ruled out: blaming whatever runs when announcements stop, which would blame requests for a frozen VM.

--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -8,6 +8,11 @@
  * confirmed the report. */
 #define CRASH_REPORT_TIMEOUT Span_MS(150)
 
+/* A backend server that hangs after an interruption is probed again this
+ * often, for this long: it may be writing a core file. */
+#define HANG_PROBE_INTERVAL Span_MS(200)
+#define HANG_PROBE_TIME Span_S(5)
+
 enum {
     EXCLUSIVE_MAX = 2, /* suspects queued or running at one backend server */
     /* time given to other attempts after a suspect ran, as a multiple of the
@@ -228,6 +233,29 @@
     Sps_OnCrash(runner->suspects, blamed, count, now);
 }
 
+/* Whether the backend server still accepts connections, but no longer
+ * announces itself. */
+static bool
+seems_to_hang(const AttemptRunner *runner, Instant now)
+{
+    return !runner->admission->backend_present && now < runner->probes_end_at;
+}
+
+/* Reports all interrupted attempts as lost, but keeps them: if the backend
+ * server ends after all, they are blamed. */
+static void
+await_end_of_backend(AttemptRunner *runner, Instant now)
+{
+    for (BackendAttempt *attempt = runner->first; attempt;
+         attempt = attempt->next) {
+        if (attempt->interrupted && !attempt->detached) {
+            Run_ReportLost(attempt, now);
+            attempt->detached = true;
+        }
+    }
+    runner->probe_again_at = now + HANG_PROBE_INTERVAL;
+}
+
 static void
 on_connect_probe(void *context, ConnectResult result)
 {
@@ -248,22 +276,50 @@
         runner->crash_report_deadline = now + CRASH_REPORT_TIMEOUT;
     }
     else if (!runner->crash_report_deadline) {
-        report_interrupted_lost(runner, now);
+        if (seems_to_hang(runner, now)) {
+            await_end_of_backend(runner, now);
+        }
+        else {
+            report_interrupted_lost(runner, now);
+        }
     }
     Run_Tick(runner, now);
 }
 
-void
-Crs_OnInterrupted(BackendAttempt *attempt)
+static void
+start_probe(AttemptRunner *runner)
 {
-    AttemptRunner *runner = attempt->runner;
     ConnectProbeCallback callback = {runner, on_connect_probe};
 
-    attempt->interrupted = true;
     Cpr_Start(&runner->connect_probe, runner->pool->base, runner->pool->addr,
               &callback);
 }
 
+void
+Crs_OnInterrupted(BackendAttempt *attempt, Instant now)
+{
+    AttemptRunner *runner = attempt->runner;
+
+    attempt->interrupted = true;
+    runner->probes_end_at = now + HANG_PROBE_TIME;
+    start_probe(runner);
+}
+
+static void
+probe_again(AttemptRunner *runner, Instant now)
+{
+    if (!runner->probe_again_at || now < runner->probe_again_at) {
+        return;
+    }
+    runner->probe_again_at = 0;
+    if (seems_to_hang(runner, now)) {
+        start_probe(runner);
+    }
+    else {
+        report_interrupted_lost(runner, now);
+    }
+}
+
 static BackendAttempt *
 find_queued_exclusive(AttemptRunner *runner)
 {
@@ -296,6 +352,7 @@
     bool running;
 
     finish_crash_report(runner, now);
+    probe_again(runner, now);
     attempt = runner->exclusive_count ? find_queued_exclusive(runner) : NULL;
     running = runner->exclusive_count && !attempt;
     /* Other attempts stop starting once a queued suspect may start. */
--- a/src/request/crash.h
+++ b/src/request/crash.h
@@ -2,10 +2,13 @@
  *
  * After an interrupted exchange the node tries a TCP connection to the backend
  * server.  If the connection is refused, the backend server crashed, and every
- * request that was interrupted is blamed for it.  A blamed request is a
- * suspect: it runs exclusively, at one node of its service, or is refused.
- * The same applies to requests that are already queued when the blame becomes
- * known.  run.c calls these functions; the verdicts come from Suspects.
+ * request that was interrupted is blamed for it.  If it is accepted, but the
+ * backend server has stopped to announce itself, the node tries again for some
+ * seconds, since a crash can take that long to close the listening socket.  A
+ * blamed request is a suspect: it runs exclusively, at one node of its
+ * service, or is refused. The same applies to requests that are already queued
+ * when the blame becomes known.  run.c calls these functions; the verdicts
+ * come from Suspects.
  */
 #ifndef CRASH_H
 #define CRASH_H
@@ -31,7 +34,7 @@
 /* The exchange of ATTEMPT was interrupted.  Starts the connect probe; the
  * attempt is reported as lost once the probe's result is known and, after a
  * crash, the other nodes have confirmed the crash report. */
-void Crs_OnInterrupted(BackendAttempt *attempt);
+void Crs_OnInterrupted(BackendAttempt *attempt, Instant now);
 
 /* Reports interrupted attempts whose crash report is confirmed, and starts
  * a suspect that may run now. */
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -259,7 +259,7 @@
         break;
     case Bck_INTERRUPTED:
         attempt->exchange = NULL;
-        Crs_OnInterrupted(attempt);
+        Crs_OnInterrupted(attempt, now);
         return;
     case Bck_REJECTED:
         Run_Refuse(attempt, Reject_BY_BACKEND, now);
@@ -559,8 +559,9 @@
         Led_OnRefused(&runner->ledger, id, now);
         Run_DequeueAndFree(attempt);
     }
-    else if (attempt->keyed) {
-        /* A repeated call with the same key will ask for the outcome. */
+    else if (attempt->keyed || !runner->admission->backend_present) {
+        /* A repeated call with the same key will ask for the outcome.  If a
+         * backend server that fell silent ends, this attempt is blamed. */
         Ans_Detach(attempt);
     }
     else {
@@ -739,11 +740,14 @@
     return first;
 }
 
-/* An exclusive attempt gets no grace: all others wait for it. */
+/* An exclusive attempt gets no grace, since all others wait for it, unless the
+ * backend server has fallen silent: its end would be blamed on the attempt. */
 static Span
 get_overrun_grace(const BackendAttempt *attempt)
 {
-    return attempt->exclusive ? 0 : OVERRUN_GRACE;
+    return attempt->exclusive && attempt->runner->admission->backend_present
+               ? 0
+               : OVERRUN_GRACE;
 }
 
 /* Refuses queued attempts that cannot start in time, and admits those whose
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -51,6 +51,10 @@
     /* tries a connection to the backend server after an interrupted
      * exchange */
     ConnectProbe connect_probe;
+    /* The backend server that interrupted its attempts hangs and may still
+     * end: when to probe again (0: not at all), and until when. */
+    Instant probe_again_at;
+    Instant probes_end_at;
     /* Interrupted attempts are reported as lost at this time even if some
      * node has not confirmed the crash report; 0: no report is open. */
     Instant crash_report_deadline;
--- a/tests/integration/test_stopped_runs_again.c
+++ b/tests/integration/test_stopped_runs_again.c
@@ -27,6 +27,8 @@
 #define EXPIRY_WAIT Span_MS(2700) /* longer than the default member expiry */
 #define FREEZE_TIME Span_MS(1500)
 #define CRASH Str_LIT("X-Fake-Crash: before\r\n")
+/* The connections end after the deadline of the request has passed. */
+#define SLOW_CRASH Str_LIT("X-Fake-Crash: slowly\r\n")
 
 static Str build;
 
@@ -56,7 +58,8 @@
     LOSE_FOLDER,  /* as RESTART_ALL; one control replica loses its folder */
     REPLACE_NODE, /* a new node of the service joins */
     FREEZE_NODE,  /* stop the node of one backend server for FREEZE_TIME */
-    ANSWER_ERROR  /* send the request once more; the answer is 500 */
+    ANSWER_ERROR, /* send the request once more; the answer is 500 */
+    END_SLOWLY    /* none, but the request is sent with SLOW_CRASH */
 } Disturbance;
 
 typedef struct {
@@ -81,6 +84,7 @@
     {"a node joins", PRESET(VISOR_TARGET), REPLACE_NODE, 0},
     {"a node of the service is frozen", PRESET(VISOR_TARGET), FREEZE_NODE, 0},
     {"it is answered an error once", PRESET(VISOR_TARGET), ANSWER_ERROR, 0},
+    {"backend servers end slowly", PRESET(VISOR_TARGET), END_SLOWLY, 0},
 };
 
 static PostOutcome
@@ -242,6 +246,7 @@
 
     switch (disturbance) {
     case NO_DISTURBANCE:
+    case END_SLOWLY:
         break;
     case CHANGE_OTHER_PRESET:
         change_other_preset(fleet, round);
@@ -275,13 +280,14 @@
 START_TEST(stopped_request_runs_again_after)
 {
     const Case *c = &cases[_i];
+    Str crash = c->disturbance == END_SLOWLY ? SLOW_CRASH : CRASH;
     Fleet fleet;
     PostOutcome outcome = Post_NO_ANSWER;
     int losses = 0;
 
     start_fleet(&fleet, c->preset, c->despachos_count, (Str){0});
     for (int round = 0; round < ROUNDS; round++) {
-        outcome = post(&fleet, round % REPLICAS, Str_LIT("/notes/bad"), CRASH);
+        outcome = post(&fleet, round % REPLICAS, Str_LIT("/notes/bad"), crash);
         Fleet_Sleep(Span_MS(200));
         losses += count_losses(&fleet, c->despachos_count, (Str){0});
         ck_assert_msg(!(outcome & (Post_ANSWERED | Post_NO_ANSWER)),
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -237,10 +237,16 @@
     }
 }
 
+/* Longer than the deadline of most tests' requests. */
+enum { SLOW_CRASH_S = 4 };
+
+/* Ends the process WHEN the request asks for it.  With "slowly" it first hangs
+ * with its connections open, like one that writes a core file. */
 static void
 crash_if_requested(const FakeWork *work, Str when)
 {
     if (Str_Equal(get_field(work, "X-Fake-Crash"), when)) {
+        sleep(Str_Equal(when, Str_LIT("slowly")) ? SLOW_CRASH_S : 0);
         _exit(134);
     }
 }
@@ -343,6 +349,7 @@
     (void)fd;
     (void)what;
     crash_if_requested(work, Str_LIT("before"));
+    crash_if_requested(work, Str_LIT("slowly"));
     write_effect(work);
     crash_if_requested(work, Str_LIT("after"));
     if (get_field(work, "X-Fake-Endless").len) {
