Notice that a caller left after its announced last request

Now an interim response is sent to such a caller: the host of one that has left replies with a reset. A caller that waits reads on.

A caller of HTTP/1.0, which has no interim responses, is still served to the end.

test_http_edges hangup_cancels_call: two new rows failed before.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -44,6 +44,8 @@
     bool ignores_input;      /* no further request is read: the connection is
                                 closing */
     bool starts_with_word;   /* the input begins like a method */
+    bool half_closed;        /* the caller ended its side after its last
+                                request; it may have left */
     uint16_t error_status;   /* of the last input; sent after all earlier
                                 answers; 0: none */
     bool closes_after_flush; /* closes when all output was sent */
@@ -574,15 +576,43 @@
     }
 }
 
+/* The caller had announced its last request and has now ended its side: either
+ * it waits for the answer, or it has left.  That shows when something is sent:
+ * the host of a caller that left replies with a reset, which check_timeouts
+ * finds.  Until the answer begins, that something is an interim response. */
+static void
+start_half_close(CallerConnection *connection)
+{
+    const CallerRequest *request = connection->first_request;
+
+    connection->half_closed = true;
+    if (!request->http_1_0 && !request->head_sent) {
+        evbuffer_add_printf(bufferevent_get_output(connection->bev),
+                            "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+static bool
+has_socket_error(const CallerConnection *connection)
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+
+    getsockopt(bufferevent_getfd(connection->bev), SOL_SOCKET, SO_ERROR,
+               &error, &size);
+    return error != 0;
+}
+
 static void
 on_event(struct bufferevent *from, short what, void *context)
 {
-    const CallerConnection *connection = context;
+    CallerConnection *connection = context;
 
     (void)from;
     if (what & BEV_EVENT_EOF && connection->ignores_input &&
         connection->first_request) {
-        return; /* the caller had announced its last request */
+        start_half_close(connection);
+        return;
     }
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
         free_connection(context);
@@ -712,7 +742,10 @@
     const CallerLimits *limits = &connection->listener->limits;
     Span age = now - connection->timer_start;
 
-    if (connection->closes_after_flush) {
+    if (connection->half_closed && has_socket_error(connection)) {
+        free_connection(connection);
+    }
+    else if (connection->closes_after_flush) {
         if (age >= CLOSE_WAIT) {
             free_connection(connection);
         }
--- a/tests/integration/test_http_edges.c
+++ b/tests/integration/test_http_edges.c
@@ -306,6 +306,14 @@
     {"running", Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST_LINE
                         "X-Lycheeridge-Deadline-Ms: 60000\r\n"
                         "X-Fake-Time-Us: 3000000\r\n\r\n")},
+    {"announced as the last request",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST_LINE "Connection: close\r\n"
+             "X-Lycheeridge-Deadline-Ms: 60000\r\n"
+             "X-Fake-Time-Us: 3000000\r\n\r\n")},
+    {"announced as the last request, with a body",
+     Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST_LINE "Connection: close\r\n"
+             "Content-Length: 4\r\nX-Lycheeridge-Deadline-Ms: 60000\r\n"
+             "X-Fake-Time-Us: 3000000\r\n\r\nbarn")},
     {"with a body",
      Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST_LINE "Content-Length: 4\r\n"
              "X-Lycheeridge-Deadline-Ms: 60000\r\n"
