Blame a request whose backend server closes its connections first

Now a backend server that accepts the probe after an interruption is probed again every 0.1 s for 0.5 s, as one that has fallen silent already was for 5 s. The caller is told at once, as before.

Ruled out: a longer wait for the accepted connection to close, which would keep the callers of a backend server that only broke off an answer.

Open: a supervisor that starts the process again between two probes hides the crash.

--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -8,10 +8,15 @@
  * confirmed the report. */
 #define CRASH_REPORT_TIMEOUT Span_MS(150)
 
-/* A backend server that hangs after an interruption is probed again this
- * often, for this long: it may be writing a core file. */
-#define HANG_PROBE_INTERVAL Span_MS(200)
-#define HANG_PROBE_TIME Span_S(5)
+/* A backend server that still accepts connections after an interruption is
+ * probed again this often. */
+#define PROBE_INTERVAL Span_MS(100)
+
+/* How long it is probed: a process that ends closes its listening socket soon
+ * after its connections; one that no longer announces itself may be writing a
+ * core file. */
+#define CLOSING_TIME Span_MS(500)
+#define HANG_TIME Span_S(5)
 
 enum {
     EXCLUSIVE_MAX = 2, /* suspects queued or running at one backend server */
@@ -233,12 +238,13 @@
     Sps_OnCrash(runner->suspects, blamed, count, now);
 }
 
-/* Whether the backend server still accepts connections, but no longer
- * announces itself. */
+/* Whether a backend server that still accepts connections may be about to
+ * end. */
 static bool
-seems_to_hang(const AttemptRunner *runner, Instant now)
+may_be_ending(const AttemptRunner *runner, Instant now)
 {
-    return !runner->admission->backend_present && now < runner->probes_end_at;
+    return now - runner->interrupted_at <
+           (runner->admission->backend_present ? CLOSING_TIME : HANG_TIME);
 }
 
 /* Reports all interrupted attempts as lost, but keeps them: if the backend
@@ -253,7 +259,7 @@
             attempt->detached = true;
         }
     }
-    runner->probe_again_at = now + HANG_PROBE_INTERVAL;
+    runner->probe_again_at = now + PROBE_INTERVAL;
 }
 
 static void
@@ -276,7 +282,7 @@
         runner->crash_report_deadline = now + CRASH_REPORT_TIMEOUT;
     }
     else if (!runner->crash_report_deadline) {
-        if (seems_to_hang(runner, now)) {
+        if (may_be_ending(runner, now)) {
             await_end_of_backend(runner, now);
         }
         else {
@@ -301,7 +307,7 @@
     AttemptRunner *runner = attempt->runner;
 
     attempt->interrupted = true;
-    runner->probes_end_at = now + HANG_PROBE_TIME;
+    runner->interrupted_at = now;
     start_probe(runner);
 }
 
@@ -312,7 +318,7 @@
         return;
     }
     runner->probe_again_at = 0;
-    if (seems_to_hang(runner, now)) {
+    if (may_be_ending(runner, now)) {
         start_probe(runner);
     }
     else {
--- a/src/request/crash.h
+++ b/src/request/crash.h
@@ -2,9 +2,9 @@
  *
  * After an interrupted exchange the node tries a TCP connection to the backend
  * server.  If the connection is refused, the backend server crashed, and every
- * request that was interrupted is blamed for it.  If it is accepted, but the
- * backend server has stopped to announce itself, the node tries again for some
- * seconds, since a crash can take that long to close the listening socket.  A
+ * request that was interrupted is blamed for it.  If it is accepted, the
+ * node tries again for a while, since a process that crashes may close its
+ * listening socket later than its connections.  A
  * blamed request is a suspect: it runs exclusively, at one node of its
  * service, or is refused. The same applies to requests that are already queued
  * when the blame becomes known.  run.c calls these functions; the verdicts
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -51,10 +51,8 @@
     /* tries a connection to the backend server after an interrupted
      * exchange */
     ConnectProbe connect_probe;
-    /* The backend server that interrupted its attempts hangs and may still
-     * end: when to probe again (0: not at all), and until when. */
-    Instant probe_again_at;
-    Instant probes_end_at;
+    Instant interrupted_at; /* the last interruption; 0: none */
+    Instant probe_again_at; /* 0: the last connect probe decided */
     /* Interrupted attempts are reported as lost at this time even if some
      * node has not confirmed the crash report; 0: no report is open. */
     Instant crash_report_deadline;
--- a/tests/integration/test_stopped_runs_again.c
+++ b/tests/integration/test_stopped_runs_again.c
@@ -29,6 +29,8 @@
 #define CRASH Str_LIT("X-Fake-Crash: before\r\n")
 /* The connections end after the deadline of the request has passed. */
 #define SLOW_CRASH Str_LIT("X-Fake-Crash: slowly\r\n")
+/* The connection ends before the listening socket is closed. */
+#define CLOSING_CRASH Str_LIT("X-Fake-Crash: closing\r\n")
 
 static Str build;
 
@@ -59,7 +61,8 @@
     REPLACE_NODE, /* a new node of the service joins */
     FREEZE_NODE,  /* stop the node of one backend server for FREEZE_TIME */
     ANSWER_ERROR, /* send the request once more; the answer is 500 */
-    END_SLOWLY    /* none, but the request is sent with SLOW_CRASH */
+    END_SLOWLY,   /* none, but the request is sent with SLOW_CRASH */
+    END_CLOSING   /* none, but the request is sent with CLOSING_CRASH */
 } Disturbance;
 
 typedef struct {
@@ -85,6 +88,8 @@
     {"a node of the service is frozen", PRESET(VISOR_TARGET), FREEZE_NODE, 0},
     {"it is answered an error once", PRESET(VISOR_TARGET), ANSWER_ERROR, 0},
     {"backend servers end slowly", PRESET(VISOR_TARGET), END_SLOWLY, 0},
+    {"backend servers close their connections first", PRESET(VISOR_TARGET),
+     END_CLOSING, 0},
 };
 
 static PostOutcome
@@ -247,6 +252,7 @@
     switch (disturbance) {
     case NO_DISTURBANCE:
     case END_SLOWLY:
+    case END_CLOSING:
         break;
     case CHANGE_OTHER_PRESET:
         change_other_preset(fleet, round);
@@ -280,7 +286,9 @@
 START_TEST(stopped_request_runs_again_after)
 {
     const Case *c = &cases[_i];
-    Str crash = c->disturbance == END_SLOWLY ? SLOW_CRASH : CRASH;
+    Str crash = c->disturbance == END_SLOWLY    ? SLOW_CRASH
+                : c->disturbance == END_CLOSING ? CLOSING_CRASH
+                                                : CRASH;
     Fleet fleet;
     PostOutcome outcome = Post_NO_ANSWER;
     int losses = 0;
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "connection/evhttptext.h"
@@ -237,16 +238,36 @@
     }
 }
 
-/* Longer than the deadline of most tests' requests. */
-enum { SLOW_CRASH_S = 4 };
+enum {
+    SLOW_CRASH_US = 4000000, /* longer than most requests' deadline */
+    CLOSING_US = 60000       /* from the connection's end to the process's */
+};
 
-/* Ends the process WHEN the request asks for it.  With "slowly" it first hangs
- * with its connections open, like one that writes a core file. */
 static void
 crash_if_requested(const FakeWork *work, Str when)
 {
     if (Str_Equal(get_field(work, "X-Fake-Crash"), when)) {
-        sleep(Str_Equal(when, Str_LIT("slowly")) ? SLOW_CRASH_S : 0);
+        _exit(134);
+    }
+}
+
+/* Ends the process later than its connections show: with "slowly" it hangs
+ * first, like one that writes a core file; with "closing" the connection of
+ * the request ends before the listening socket. */
+static void
+crash_late_if_requested(const FakeWork *work)
+{
+    Str how = get_field(work, "X-Fake-Crash");
+
+    if (Str_Equal(how, Str_LIT("slowly"))) {
+        usleep(SLOW_CRASH_US);
+        _exit(134);
+    }
+    if (Str_Equal(how, Str_LIT("closing"))) {
+        shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(
+                     evhttp_request_get_connection(work->request))),
+                 SHUT_RDWR);
+        usleep(CLOSING_US);
         _exit(134);
     }
 }
@@ -349,7 +370,7 @@
     (void)fd;
     (void)what;
     crash_if_requested(work, Str_LIT("before"));
-    crash_if_requested(work, Str_LIT("slowly"));
+    crash_late_if_requested(work);
     write_effect(work);
     crash_if_requested(work, Str_LIT("after"));
     if (get_field(work, "X-Fake-Endless").len) {
