Keep over restarts that a backend server has left

Cause: what a backend server said of its leaving lived in the memory of its node alone, which acknowledged it before anything else knew; a process that started took the first announcement for valid. Evidence: `backend_started` with the id and start time that had left, in the log of the restarted node. Ruled out: a lost notice (answered 200, requests stopped), an old row at other nodes (theirs is the restarted node's).

Now the control replicas keep the latest start that leaves beside each node in a file, leaving is acknowledged once a majority has it, and a node that starts holds announcements back until a majority has told it. A notice names its start, so that a late one of an earlier start drains nothing.

The folder handling of the file of suspects moved to version/frame, where both files use it.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -2,9 +2,9 @@
  *
  * A message is one ZeroMQ frame that holds a MessagePack array: format
  * version, message kind, then the fields of that kind in order.  Each family
- * of kinds has its own file (callmsg, claimmsg, configmsg, logmsg, membermsg,
- * suspectmsg) with a Pack function for the sender and a Read function for the
- * receiver.
+ * of kinds has its own file (callmsg, claimmsg, configmsg, leavemsg, logmsg,
+ * membermsg, suspectmsg) with a Pack function for the sender and a Read
+ * function for the receiver.
  *
  * The sender calls Pack_Finish after it has sent the message.  The receiver
  * calls Wire_Open, passes the Unpack to the Read function of the kind, and
@@ -60,6 +60,9 @@
     Wire_RENEWAL,         /* membermsg: a node's record did not change */
     Wire_RENEWAL_ACK,     /* membermsg: the table did not change either */
     Wire_MEMBER_RECORD_REQUEST, /* membermsg: the full record is needed */
+
+    Wire_LEAVE,       /* leavemsg: a backend server leaves, or is that known */
+    Wire_LEAVE_REPLY, /* leavemsg */
     Wire_KINDS
 } MessageKind;
 
--- a/src/process/announce.c
+++ b/src/process/announce.c
@@ -6,15 +6,6 @@
 
 enum { SLOTS_MAX = 10000, SERVICE_BYTES_MAX = 64, ID_BYTES_MAX = 128 };
 
-typedef struct {
-    StrBuf service;
-    Addr addr; /* Addr_NONE: this VM's address, with the port below */
-    uint16_t port;
-    uint32_t slots;
-    bool draining;
-    PresenceAnnouncement presence; /* of /v1/backends/announce only */
-} Announcement;
-
 static bool
 parse_announcement(Str body, Announcement *announcement, FindingList *findings)
 {
@@ -202,6 +193,84 @@
     apply_announcement(receiver, announcement, now);
 }
 
+/* The backend server, which was ready, drains. */
+static void
+start_draining(AnnouncementReceiver *receiver, Instant now)
+{
+    if (receiver->has_backend && !receiver->is_draining) {
+        receiver->is_draining = true;
+        receiver->heard_at = now;
+        Adm_OnAnnounce(receiver->admission,
+                       receiver->admission->settings.slots, true, now);
+        receiver->on_change(receiver->context, now);
+    }
+}
+
+/* Keeps the latest announcement until LeaveSync is synced. */
+static void
+hold_announcement(AnnouncementReceiver *receiver,
+                  const Announcement *announcement)
+{
+    HeldAnnouncement *held = &receiver->held;
+    const PresenceAnnouncement *old = &held->announcement.presence;
+    const PresenceAnnouncement *new = &announcement->presence;
+    StrBuf service = held->announcement.service;
+
+    if (held->is_set &&
+        (new->started_at_ms < old->started_at_ms ||
+         (new->started_at_ms == old->started_at_ms && !new->draining &&
+          (old->draining || new->sequence <= old->sequence)))) {
+        return;
+    }
+    StrBuf_Set(&service, StrBuf_View(&announcement->service));
+    StrBuf_Set(&held->id, new->id);
+    held->announcement = *announcement;
+    held->announcement.service = service;
+    held->announcement.presence.id = StrBuf_View(&held->id);
+    held->is_set = true;
+}
+
+static void
+apply_held(AnnouncementReceiver *receiver, Instant now)
+{
+    if (receiver->held.is_set) {
+        receiver->held.is_set = false;
+        apply_presence(receiver, &receiver->held.announcement, now);
+    }
+}
+
+void
+Ann_OnLeavesUpdate(void *context, Instant now)
+{
+    AnnouncementReceiver *receiver = context;
+
+    if (Prs_SetLeft(&receiver->presence, receiver->leaves->own, now)) {
+        start_draining(receiver, now);
+    }
+    if (Lvs_IsSynced(receiver->leaves)) {
+        apply_held(receiver, now);
+    }
+    if (Lvs_IsConfirmed(receiver->leaves)) {
+        Ntw_Acknowledge(&receiver->waiting);
+    }
+}
+
+/* Records that START leaves, and answers the notice of it: now, when a
+ * majority of the control replicas has it already, or else later. */
+static OperatorAnswer
+answer_notice(AnnouncementReceiver *receiver, BackendStart start,
+              struct evhttp_request *request, Instant now)
+{
+    Lvs_Record(receiver->leaves, start, now);
+    if (Lvs_IsConfirmed(receiver->leaves)) {
+        return (OperatorAnswer){200, json_object()};
+    }
+    return Ntw_Add(&receiver->waiting, request, now)
+               ? (OperatorAnswer){0, NULL}
+               : (OperatorAnswer){503, Opr_Error(Str_LIT("busy"),
+                                                 Str_LIT("too many wait"))};
+}
+
 static void
 read_id(struct evhttp_request *request, StrBuf *id)
 {
@@ -248,8 +317,19 @@
                 Str_LIT("1 to 128 bytes"));
     }
     if (parse_presence(receiver, body, &announcement, &findings)) {
-        apply_presence(receiver, &announcement, now);
-        answer.body = json_object();
+        if (Lvs_IsSynced(receiver->leaves)) {
+            apply_presence(receiver, &announcement, now);
+        }
+        else {
+            hold_announcement(receiver, &announcement);
+        }
+        answer = announcement.presence.draining
+                     ? answer_notice(
+                           receiver,
+                           Lvt_MakeStart(announcement.presence.id,
+                                         announcement.presence.started_at_ms),
+                           request, now)
+                     : (OperatorAnswer){200, json_object()};
     }
     else {
         answer = reject(receiver, &findings);
@@ -260,36 +340,55 @@
     return answer;
 }
 
+/* The member "born" of BODY; 0 when there is none. */
+static int64_t
+read_started_at(Str body)
+{
+    FindingList findings;
+    json_t *root;
+    int64_t started_at_ms = 0;
+
+    Fnd_Init(&findings);
+    root = Jsn_Load(body, &findings);
+    if (root) {
+        JsonObject o;
+        Jsn_Enter(&o, root, (Str){0}, &findings);
+        started_at_ms = Jsn_GetInt(&o, Str_LIT("born"), 0, INT64_MAX, 0);
+        Jsn_LeaveAllowUnknown(&o);
+        json_decref(root);
+    }
+    Fnd_Finish(&findings);
+    return started_at_ms;
+}
+
 static OperatorAnswer
 on_leave(void *context, struct evhttp_request *request, Str body, Instant now)
 {
     AnnouncementReceiver *receiver = context;
     StrBuf id = {0};
+    OperatorAnswer answer;
 
-    (void)body;
     read_id(request, &id);
-    if (Prs_OnLeave(&receiver->presence, StrBuf_View(&id), now) &&
-        receiver->has_backend && !receiver->is_draining) {
-        receiver->is_draining = true;
-        receiver->heard_at = now;
-        Adm_OnAnnounce(receiver->admission,
-                       receiver->admission->settings.slots, true, now);
-        receiver->on_change(receiver->context, now);
+    if (Prs_OnLeave(&receiver->presence, StrBuf_View(&id),
+                    read_started_at(body), now)) {
+        start_draining(receiver, now);
     }
+    answer = answer_notice(receiver, receiver->presence.left, request, now);
     StrBuf_Finish(&id);
-    return (OperatorAnswer){200, json_object()};
+    return answer;
 }
 
 void
 Ann_Init(AnnouncementReceiver *receiver, const Settings *settings,
          Logger *logger, AdmissionController *admission, BackendPool *pool,
-         BackendChangeListener on_change, void *context)
+         LeaveSync *leaves, BackendChangeListener on_change, void *context)
 {
     *receiver = (AnnouncementReceiver){
         .settings = settings,
         .logger = logger,
         .admission = admission,
         .pool = pool,
+        .leaves = leaves,
         .on_change = on_change,
         .context = context,
     };
@@ -300,6 +399,14 @@
 {
     StrBuf_Finish(&receiver->service);
     Prs_Finish(&receiver->presence);
+    StrBuf_Finish(&receiver->held.announcement.service);
+    StrBuf_Finish(&receiver->held.id);
+}
+
+void
+Ann_EndWaiting(AnnouncementReceiver *receiver)
+{
+    Ntw_Finish(&receiver->waiting);
 }
 
 void
@@ -314,6 +421,7 @@
 void
 Ann_Expire(AnnouncementReceiver *receiver, Instant now)
 {
+    Ntw_Expire(&receiver->waiting, now);
     if (receiver->has_backend &&
         now - receiver->heard_at >= receiver->settings->backend_expiry) {
         remove_backend(receiver, now);
--- a/src/process/announce.h
+++ b/src/process/announce.h
@@ -7,14 +7,20 @@
  *
  * A backend server that identifies its starts posts {"service", "address",
  * "slots", "state", "sequence", "born"} to /v1/backends/announce?id=ID
- * instead, and posts to /v1/backends/leave?id=ID before it stops; further
- * members of that object are ignored.
+ * instead, and posts {"born"} to /v1/backends/leave?id=ID before it stops;
+ * further members of these objects are ignored.  That it drains or leaves is
+ * acknowledged with 200 once a majority of the control replicas has recorded
+ * it, and answered 503 when that takes too long; this node sends it nothing
+ * more from the start.  Until a node that starts has read what the replicas
+ * recorded, it holds the latest announcement back.
  */
 #ifndef ANNOUNCE_H
 #define ANNOUNCE_H
 
 #include "connection/backend.h"
 #include "process/admission.h"
+#include "process/leavesync.h"
+#include "process/noticewait.h"
 #include "process/operatorapi.h"
 #include "process/presence.h"
 
@@ -22,6 +28,23 @@
  * it drains. */
 typedef void (*BackendChangeListener)(void *context, Instant now);
 
+/* What a backend server says of itself. */
+typedef struct {
+    StrBuf service;
+    Addr addr; /* Addr_NONE: this VM's address, with the port below */
+    uint16_t port;
+    uint32_t slots;
+    bool draining;
+    PresenceAnnouncement presence; /* of /v1/backends/announce only */
+} Announcement;
+
+/* An announcement that waits until LeaveSync is synced. */
+typedef struct {
+    bool is_set;
+    Announcement announcement;
+    StrBuf id; /* of announcement.presence */
+} HeldAnnouncement;
+
 typedef struct {
     const Settings *settings;
     Logger *logger;
@@ -32,6 +55,9 @@
     StrBuf service;    /* of the last announcement */
     /* the last start that /v1/backends/announce reported */
     BackendPresence presence;
+    LeaveSync *leaves;
+    HeldAnnouncement held;
+    WaitingNotices waiting;
     Instant heard_at; /* last announcement or leave */
     BackendChangeListener on_change;
     void *context; /* of on_change */
@@ -40,15 +66,22 @@
 /* Starts without a backend server.  All pointers must outlive RECEIVER. */
 void Ann_Init(AnnouncementReceiver *receiver, const Settings *settings,
               Logger *logger, AdmissionController *admission,
-              BackendPool *pool, BackendChangeListener on_change,
-              void *context);
+              BackendPool *pool, LeaveSync *leaves,
+              BackendChangeListener on_change, void *context);
 void Ann_Finish(AnnouncementReceiver *receiver);
 
+/* Answers the notices that wait; to be called before Opr_Finish. */
+void Ann_EndWaiting(AnnouncementReceiver *receiver);
+
+/* The LeaveUpdateCallback of LeaveSync; CONTEXT is the receiver. */
+void Ann_OnLeavesUpdate(void *context, Instant now);
+
 /* Registers the paths /v1/announce and /v1/backends/ with OPR. */
 void Ann_RegisterPaths(AnnouncementReceiver *receiver, OperatorApi *opr);
 
 /* Counts the backend server as gone when its last announcement is older than
- * the expiry; to be called every tick. */
+ * the expiry, and answers notices that waited too long; to be called every
+ * tick. */
 void Ann_Expire(AnnouncementReceiver *receiver, Instant now);
 
 /* No process listens at the backend server's address: it counts as gone until
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -212,6 +212,7 @@
     Node *node = context;
 
     Mbs_OnReplicaReplaced(&node->members, number);
+    Lvs_OnReplicaReplaced(&node->leaves, number);
     node->control.peers[number] = (PeerReplica){0};
 }
 
@@ -220,6 +221,7 @@
 {
     Node *node = context;
 
+    Lvs_Tick(&node->leaves, now);
     Ann_Expire(&node->announcements, now);
     if (!Stp_MayStartCalls(&node->stop, now)) {
         Call_StopStarting(&node->dispatcher, now);
@@ -402,7 +404,10 @@
     Bck_PoolInit(&node->pool, node->loop.base, Loop_Now, &names);
     Bck_SetLoadCallback(&node->pool, on_load_report, node);
     Ann_Init(&node->announcements, settings, &node->logger, &node->admission,
-             &node->pool, on_backend_change, node);
+             &node->pool, &node->leaves, on_backend_change, node);
+    Lvs_Init(&node->leaves, &node->net, &node->counters, &node->logger,
+             settings, &node->replicas, Ann_OnLeavesUpdate,
+             &node->announcements);
     Svc_Init(&node->services, settings->address, settings->region_number,
              settings->domain_index, &node->members.membership, &node->rng);
     Psd_Init(&node->probe_sender, &node->net, &node->counters,
@@ -455,6 +460,7 @@
     Call_DispatcherFinish(&node->dispatcher);
     Mbs_Finish(&node->members);
     Svc_Finish(&node->services);
+    Lvs_Finish(&node->leaves);
     Ann_Finish(&node->announcements);
     Bck_PoolFinish(&node->pool);
 }
@@ -512,9 +518,10 @@
 Node_Finish(Node *node)
 {
     LoopTimer_Finish(&node->timer);
-    /* Before Opr_Finish, because it answers requests over the operators' HTTP
+    /* Before Opr_Finish, because they answer requests over the operators' HTTP
      * server. */
     Configapi_Finish(&node->config_api);
+    Ann_EndWaiting(&node->announcements);
     Rdy_Finish(&node->readiness);
     Opr_Finish(&node->operator_api);
     Edge_Finish(&node->edge);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -39,6 +39,7 @@
     AdmissionController admission;
     BackendPool pool; /* connections to the backend server */
     AnnouncementReceiver announcements;
+    LeaveSync leaves;
     Services services;
     ProbeSender probe_sender;
     ReplicaSet replicas;
--- a/src/process/presence.h
+++ b/src/process/presence.h
@@ -7,19 +7,20 @@
  * announcement is acknowledged and changes nothing, unless it says that the
  * backend server is draining: draining is never taken back.
  *
- * After a restart of this node the backend server may leave before it has
- * announced itself again.  Then its delayed announcements are stale for
- * Prs_LEAVE_HOLD.
+ * A start that is known to leave (process/leavesync.h) is never taken for one
+ * that is ready, whatever this process has heard itself: after a restart of
+ * this node the backend server may leave, or have left, before it announces
+ * itself again, and its delayed announcements are stale.
  *
  * process/announce.h serves the HTTP requests and owns the BackendPresence.
  */
 #ifndef PRESENCE_H
 #define PRESENCE_H
 
-#include "value/instant.h"
-#include "value/str.h"
+#include "process/leavetable.h"
 
-/* Longer than an announcement is under way. */
+/* Without a start time a backend server that left may start again under its
+ * id after this time.  Longer than an announcement is under way. */
 #define Prs_LEAVE_HOLD Span_S(10)
 
 typedef struct {
@@ -41,8 +42,8 @@
     int64_t started_at_ms;
     uint64_t sequence; /* the highest received */
     bool draining;
-    StrBuf left_id; /* left before any announcement; empty: none */
-    Instant left_at;
+    BackendStart left; /* the latest start known to leave; id_hash 0: none */
+    Instant left_at;   /* when this node learned of it */
 } BackendPresence;
 
 void Prs_Finish(BackendPresence *presence);
@@ -50,8 +51,15 @@
                                    const PresenceAnnouncement *announcement,
                                    Instant now);
 
-/* The backend server ID leaves, and drains from now on.  Returns false when ID
- * is not the current one. */
-bool Prs_OnLeave(BackendPresence *presence, Str id, Instant now);
+/* The start ID of STARTED_AT_MS (0: not given) of the backend server leaves.
+ * Returns true when it is the current one, which drains from now on; otherwise
+ * an earlier one leaves, or one that has not announced itself.  In either case
+ * presence->left is the latest start that leaves. */
+bool Prs_OnLeave(BackendPresence *presence, Str id, int64_t started_at_ms,
+                 Instant now);
+
+/* START is known to leave, from before this node's start.  Returns true when
+ * it is the current one, which drains from now on. */
+bool Prs_SetLeft(BackendPresence *presence, BackendStart start, Instant now);
 
 #endif
--- a/src/version/frame.c
+++ b/src/version/frame.c
@@ -181,3 +181,61 @@
     close(fd);
     return good && rename_and_sync(folder_fd, temporary, name, err);
 }
+
+static int
+open_folder(Str folder, Err *err)
+{
+    StrBuf path = {0};
+    int fd;
+
+    StrBuf_Set(&path, folder);
+    fd = open(StrBuf_CStr(&path), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) {
+        Err_SET(err, Err_IO, "cannot open %.*s: %s", Str_ARG(folder),
+                strerror(errno));
+    }
+    StrBuf_Finish(&path);
+    return fd;
+}
+
+bool
+Frm_SavePayload(Str folder, const char *name, Str payload, Err *err)
+{
+    int fd = open_folder(folder, err);
+    StrBuf bytes = {0};
+    bool saved;
+
+    if (fd < 0) {
+        return false;
+    }
+    Frm_Append(&bytes, payload);
+    saved = Frm_ReplaceFile(fd, name, StrBuf_View(&bytes), err);
+    StrBuf_Finish(&bytes);
+    close(fd);
+    return saved;
+}
+
+bool
+Frm_LoadPayload(Str folder, const char *name, StrBuf *bytes, Str *payload,
+                Err *err)
+{
+    int fd = open_folder(folder, err);
+    bool found = false;
+    bool ok;
+    Str rest;
+
+    if (fd < 0) {
+        return false;
+    }
+    ok = Frm_ReadFile(fd, name, bytes, &found, err);
+    close(fd);
+    rest = StrBuf_View(bytes);
+    if (ok && !found) {
+        return Err_SET(err, Err_IO, "no file %s", name);
+    }
+    if (ok && Frm_ReadNext(&rest, payload) != Frm_COMPLETE) {
+        return Err_SET(err, Err_CORRUPT, "%s does not match its checksum",
+                       name);
+    }
+    return ok;
+}
--- a/src/version/frame.h
+++ b/src/version/frame.h
@@ -6,7 +6,7 @@
  * and its payload.  The separate checksum of the length lets a reader tell an
  * incomplete last frame, left by an interrupted write, from data that was
  * damaged later.  Used by the storage of control replicas (disk.h) and by the
- * file of suspects.
+ * files of suspects and of leaving backend servers.
  */
 #ifndef FRAME_H
 #define FRAME_H
@@ -45,4 +45,14 @@
  * and syncs NAME.new, renames it to NAME, and syncs the folder. */
 bool Frm_ReplaceFile(int folder_fd, const char *name, Str bytes, Err *err);
 
+/* Replaces file NAME in FOLDER, as Frm_ReplaceFile, by one frame of
+ * PAYLOAD. */
+bool Frm_SavePayload(Str folder, const char *name, Str payload, Err *err);
+
+/* Reads file NAME in FOLDER into BYTES, and sets PAYLOAD to that of its one
+ * frame, which points into BYTES.  Returns false with ERR when there is no
+ * such file or it does not match its checksum. */
+bool Frm_LoadPayload(Str folder, const char *name, StrBuf *bytes, Str *payload,
+                     Err *err);
+
 #endif
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -1,5 +1,6 @@
 #include "connection/claimmsg.h"
 #include "connection/configmsg.h"
+#include "connection/leavemsg.h"
 #include "connection/logmsg.h"
 #include "support/samples.h"
 
@@ -388,6 +389,30 @@
     return Suspectmsg_ReadAck(in, &number, err);
 }
 
+static void
+pack_leave(Pack *pack)
+{
+    LeaveMessage msg = {77, {UINT64_MAX, 1700000000000}};
+
+    Leavemsg_Pack(pack, Wire_LEAVE, &msg);
+}
+
+static void
+pack_leave_reply(Pack *pack)
+{
+    LeaveMessage msg = {77, {0, 0}};
+
+    Leavemsg_Pack(pack, Wire_LEAVE_REPLY, &msg);
+}
+
+static bool
+read_leave(Unpack *in, Err *err)
+{
+    LeaveMessage msg;
+
+    return Leavemsg_Read(in, &msg, err);
+}
+
 const Sample control_samples[] = {
     {"register request", pack_register_request, read_register_request},
     {"register reply", pack_register_reply, read_register_reply},
@@ -399,6 +424,8 @@
     {"replica hello", pack_hello, read_hello},
     {"suspects", pack_suspects, read_suspects},
     {"suspects ack", pack_suspects_ack, read_suspects_ack},
+    {"leave", pack_leave, read_leave},
+    {"leave reply", pack_leave_reply, read_leave},
     {"configuration change", pack_change, read_change},
     {"configuration change reply", pack_change_reply, read_change_reply},
     {"version request", pack_version_request, read_version_request},
--- a/tests/unit/test_presence.c
+++ b/tests/unit/test_presence.c
@@ -51,6 +51,18 @@
     {"another id leaves",
      {{"a", 10, 1, false, false, Prs_NEW_START, false},
       {"b", 0, 0, false, true, Prs_STALE, false}}},
+    {"a late leave of an earlier start with the same id",
+     {{"a", 20, 1, false, false, Prs_NEW_START, false},
+      {"a", 10, 0, false, true, Prs_STALE, false},
+      {"a", 20, 2, false, false, Prs_ACCEPTED, false}}},
+    {"a later start leaves before it announces itself",
+     {{"a", 10, 1, false, false, Prs_NEW_START, false},
+      {"b", 20, 0, false, true, Prs_STALE, false},
+      {"b", 20, 1, false, false, Prs_STALE, false},
+      {"c", 30, 1, false, false, Prs_NEW_START, false}}},
+    {"drains after it left unannounced",
+     {{"a", 10, 0, false, true, Prs_STALE, false},
+      {"a", 10, 7, true, false, Prs_NEW_START, true}}},
 };
 
 START_TEST(follows_latest_start)
@@ -64,10 +76,11 @@
                                              step->started_at_ms,
                                              step->sequence, step->draining};
         PresenceVerdict verdict =
-            step->is_leave
-                ? (Prs_OnLeave(&presence, announcement.id, i) ? Prs_ACCEPTED
-                                                              : Prs_STALE)
-                : Prs_OnAnnouncement(&presence, &announcement, i);
+            step->is_leave ? (Prs_OnLeave(&presence, announcement.id,
+                                          step->started_at_ms, i)
+                                  ? Prs_ACCEPTED
+                                  : Prs_STALE)
+                           : Prs_OnAnnouncement(&presence, &announcement, i);
         ck_assert_msg(verdict == step->verdict &&
                           presence.draining == step->expected_draining,
                       "%s, step %d: %d, drains %d", c->name, i, (int)verdict,
@@ -80,28 +93,43 @@
 typedef struct {
     const char *name;
     const char *left_id;
-    const char *id; /* announced AFTER the leave */
+    int64_t left_started_at_ms;
+    const char *id; /* announced AFTER the leave, with start time 10 */
     Span after;
     PresenceVerdict verdict;
 } LeftCase;
 
 static const LeftCase left_cases[] = {
-    {"its delayed announcement", "a", "a", Span_S(2), Prs_STALE},
-    {"at the end of the hold", "a", "a", Prs_LEAVE_HOLD - 1, Prs_STALE},
-    {"started again later", "a", "a", Prs_LEAVE_HOLD, Prs_NEW_START},
-    {"another one", "a", "b", 1, Prs_NEW_START},
+    {"its delayed announcement", "a", 0, "a", Span_S(2), Prs_STALE},
+    {"at the end of the hold", "a", 0, "a", Prs_LEAVE_HOLD - 1, Prs_STALE},
+    {"started again later", "a", 0, "a", Prs_LEAVE_HOLD, Prs_NEW_START},
+    {"another one", "a", 0, "b", 1, Prs_NEW_START},
+    {"same start, long after", "a", 10, "a", 3 * Prs_LEAVE_HOLD, Prs_STALE},
+    {"an earlier start", "a", 11, "b", 3 * Prs_LEAVE_HOLD, Prs_STALE},
+    {"a later start with the same id", "a", 9, "a", 1, Prs_NEW_START},
 };
 
-/* A leave that comes before any announcement, as after a restart. */
+enum { LEAVE_NOTICE, KNOWN_BEFORE, LEFT_WAYS };
+
+/* A leave that comes before any announcement, as after a restart: by a notice,
+ * or known from before this node's start. */
 START_TEST(remembers_unannounced_leave)
 {
-    const LeftCase *c = &left_cases[_i];
+    const LeftCase *c = &left_cases[_i / LEFT_WAYS];
     const PresenceAnnouncement announcement = {Str_FromC(c->id), 10, 23,
                                                false};
     BackendPresence presence = {0};
     Instant now = Span_S(1);
+    Str left_id = Str_FromC(c->left_id);
 
-    ck_assert(!Prs_OnLeave(&presence, Str_FromC(c->left_id), now));
+    if (_i % LEFT_WAYS == LEAVE_NOTICE) {
+        ck_assert(
+            !Prs_OnLeave(&presence, left_id, c->left_started_at_ms, now));
+    }
+    else {
+        ck_assert(!Prs_SetLeft(
+            &presence, Lvt_MakeStart(left_id, c->left_started_at_ms), now));
+    }
     ck_assert_msg(Prs_OnAnnouncement(&presence, &announcement,
                                      now + c->after) == c->verdict,
                   "%s", c->name);
@@ -145,9 +173,10 @@
 int
 main(void)
 {
-    const SuiteTest tests[] = {{follows_latest_start, ROWS(cases)},
-                               {remembers_unannounced_leave, ROWS(left_cases)},
-                               {parses_load_header, ROWS(load_cases)}};
+    const SuiteTest tests[] = {
+        {follows_latest_start, ROWS(cases)},
+        {remembers_unannounced_leave, ROWS(left_cases) * LEFT_WAYS},
+        {parses_load_header, ROWS(load_cases)}};
 
     return Suite_Run("presence", tests, 3, 10);
 }
