Try a route again that by an old estimate could not finish

Cause: a call is refused unsent when its deadline is sooner than what calls of its route usually take, and only answers change that estimate. Once it is above the time that callers have, nothing is sent and nothing corrects it. Evidence: `call_ended why=late asked=0` at once, under the new version and service. Ruled out: a change that is not in force, full or ejected backend servers, admission (it renews what it judges by, or lets trials through).

Now such a call is sent as a trial when no answer has come for a second, and a good answer to it replaces the estimate. Estimates are kept for a route at its service, with the whole hash of both, so that a route that leads elsewhere begins without one and no two share one.

--- a/src/request/call.c
+++ b/src/request/call.c
@@ -214,27 +214,47 @@
     return now + (stated ? request->timeout : route->deadline);
 }
 
+/* Whether less time is left than all but few calls of the route take.  When it
+ * is unknown whether that still holds, CALL is sent as a trial. */
+static bool
+is_hopeless(Call *call, Instant now)
+{
+    RouteDurations *durations = &call->dispatcher->durations;
+
+    if (call->deadline -
+            Dur_Estimate(durations, call->duration_key, Dur_OPTIMISTIC) >
+        now) {
+        return false;
+    }
+    call->is_trial = Dur_StartTrial(durations, call->duration_key, now);
+    return !call->is_trial;
+}
+
 /* Computes the latest starts that meet the objective and the deadline, from
- * the usual durations of the route.  A call with a key does not wait, because
- * its claim names one node. */
+ * the usual durations of the route; a trial tells them anew.  A call with a
+ * key does not wait, because its claim names one node. */
 static void
 init_start_limits(Call *call, Instant now)
 {
     const RouteDurations *durations = &call->dispatcher->durations;
-    Str route = StrBuf_View(&call->route->name);
+    uint64_t key = Dur_MakeKey(StrBuf_View(&call->route->name),
+                               StrBuf_View(&call->service->name));
     Span objective = call->route->latency_objective;
 
+    call->duration_key = key;
     if (objective && !call->route->key_header.len) {
-        call->start_by_objective =
-            now + objective - Dur_Estimate(durations, route, Dur_TYPICAL);
-        call->start_by_deadline =
-            call->deadline - Dur_Estimate(durations, route, Dur_PESSIMISTIC);
+        call->cannot_finish = is_hopeless(call, now);
+        call->start_by_objective = now + objective;
+        call->start_by_deadline = call->deadline;
+        if (!call->is_trial) {
+            call->start_by_objective -=
+                Dur_Estimate(durations, key, Dur_TYPICAL);
+            call->start_by_deadline -=
+                Dur_Estimate(durations, key, Dur_PESSIMISTIC);
+        }
         if (call->nested) {
             call->start_by_objective = call->start_by_deadline;
         }
-        call->cannot_finish =
-            call->deadline - Dur_Estimate(durations, route, Dur_OPTIMISTIC) <=
-            now;
     }
 }
 
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -125,9 +125,8 @@
         }
         forward_piece(call, msg);
         if (!call->backend_error) {
-            Dur_Record(&call->dispatcher->durations,
-                       StrBuf_View(&call->route->name),
-                       now - attempt->sent_at);
+            Dur_Record(&call->dispatcher->durations, call->duration_key,
+                       now - attempt->sent_at, call->is_trial, now);
         }
         Call_EndAttempt(attempt,
                         call->backend_error ? Plc_FAILED : Plc_ANSWERED, now);
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -62,7 +62,9 @@
     Instant start_by_deadline;  /* latest start that meets the deadline */
     Instant retry_at;           /* next dispatch; 0: the call does not wait */
     bool nested; /* made by a run of the backend server beside this node */
+    uint64_t duration_key; /* of the estimate of its duration */
     bool cannot_finish; /* too little time is left for a call of the route */
+    bool is_trial; /* sent although the estimate says that it cannot finish */
     /* Nodes that rejected the call before their backend server saw it, since
      * the call last waited. */
     Addr rejected_by[Rty_TRIED_MAX];
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -2,6 +2,8 @@
  * requests that are nested or miss their latency objective.  Also how a node
  * learns which routes carry nested calls, and the usual durations of a route.
  */
+#include <string.h>
+
 #include "process/admission.h"
 #include "request/duration.h"
 #include "request/nesting.h"
@@ -127,19 +129,19 @@
 START_TEST(learns_usual_durations)
 {
     static RouteDurations usual;
-    Str route = Str_LIT("look");
+    uint64_t key = Dur_MakeKey(Str_LIT("look"), Str_LIT("visor"));
 
-    usual = (RouteDurations){{{0, 0}}};
-    ck_assert_int_eq(Dur_Estimate(&usual, route, Dur_TYPICAL), 0);
+    memset(&usual, 0, sizeof usual);
+    ck_assert_int_eq(Dur_Estimate(&usual, key, Dur_TYPICAL), 0);
     for (int i = 0; i < 1000; i++) {
-        Dur_Record(&usual, route, Span_MS(100 + i % 5 * 20));
+        Dur_Record(&usual, key, Span_MS(100 + i % 5 * 20), false, i);
     }
-    ck_assert(Dur_Estimate(&usual, route, Dur_OPTIMISTIC) > Span_MS(80) &&
-              Dur_Estimate(&usual, route, Dur_OPTIMISTIC) < Span_MS(140));
-    ck_assert(Dur_Estimate(&usual, route, Dur_TYPICAL) > Span_MS(140) &&
-              Dur_Estimate(&usual, route, Dur_TYPICAL) < Span_MS(180));
-    ck_assert(Dur_Estimate(&usual, route, Dur_PESSIMISTIC) >
-              Dur_Estimate(&usual, route, Dur_TYPICAL));
+    ck_assert(Dur_Estimate(&usual, key, Dur_OPTIMISTIC) > Span_MS(80) &&
+              Dur_Estimate(&usual, key, Dur_OPTIMISTIC) < Span_MS(140));
+    ck_assert(Dur_Estimate(&usual, key, Dur_TYPICAL) > Span_MS(140) &&
+              Dur_Estimate(&usual, key, Dur_TYPICAL) < Span_MS(180));
+    ck_assert(Dur_Estimate(&usual, key, Dur_PESSIMISTIC) >
+              Dur_Estimate(&usual, key, Dur_TYPICAL));
 }
 END_TEST
 
