Cut answers after each of their bytes, in the head too

Operators of similar systems reported that a backend server which stopped in the middle of its answer's head reached clients as an empty or short 200.

The fake backend server can cut a head now.

--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -142,8 +142,8 @@
     }
 }
 
-/* Sends a head that announces all of BODY, but only half of BODY, and then
- * closes the connection. */
+/* Sends a head that announces all of BODY, but only half of BODY, or with
+ * X-Fake-Cut: head only a part of the head, and then closes the connection. */
 static void
 send_truncated(FakeWork *work, struct evbuffer *body)
 {
@@ -151,8 +151,8 @@
         evhttp_request_get_connection(work->request);
     struct bufferevent *stream = evhttp_connection_get_bufferevent(connection);
     size_t len = evbuffer_get_length(body);
-    bool chunked =
-        Str_Equal(get_field(work, "X-Fake-Cut"), Str_LIT("chunked"));
+    Str cut = get_field(work, "X-Fake-Cut");
+    bool chunked = Str_Equal(cut, Str_LIT("chunked"));
     StrBuf text = {0};
 
     if (chunked) {
@@ -165,7 +165,12 @@
         StrBuf_AppendFmt(
             &text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", len);
     }
-    StrBuf_Append(&text, Str_Slice(Evt_BufferView(body), 0, len / 2));
+    if (Str_Equal(cut, Str_LIT("head"))) {
+        text.len -= sizeof "\r\n" - 1; /* the blank line is missing */
+    }
+    else {
+        StrBuf_Append(&text, Str_Slice(Evt_BufferView(body), 0, len / 2));
+    }
     if (chunked) {
         StrBuf_Append(&text, Str_LIT("\r\n"));
     }
