Walk lists so that callbacks may free their items

Cause: the end of a call whose answer had begun ends its caller's connection, which frees the other calls of it; loops over calls had stored the next call before they handled one.

Now a list knows its walks, and dropping an item moves on each walk that would visit it next (value/list.h). Calls, callers' connections, exchanges, attempts and claims of keys are in such lists. Call_Start returns no call any more, since it may have ended: a handle of the caller is cleared when it is freed.

Ops_PutRoutes moved from test_quick_again, as both tests send routes.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -32,8 +32,7 @@
 
 struct CallerConnection {
     CallerListener *listener;
-    CallerConnection *next;
-    CallerConnection *previous;
+    ListLink link;
     struct bufferevent *bev;
     HttpReader reader;
     CallerRequest *incoming; /* its body is being read; not in the list yet */
@@ -102,16 +101,7 @@
         connection->free_pending = true;
         return;
     }
-    if (connection->previous) {
-        connection->previous->next = connection->next;
-    }
-    else {
-        listener->first_connection = connection->next;
-    }
-    if (connection->next) {
-        connection->next->previous = connection->previous;
-    }
-    listener->connection_count--;
+    Lst_Drop(&listener->connections, &connection->link);
     bufferevent_free(connection->bev);
     Hrd_Finish(&connection->reader);
     Mem_Free(connection);
@@ -641,12 +631,7 @@
     bufferevent_setcb(connection->bev, on_read, on_written, on_event,
                       connection);
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
-    connection->next = listener->first_connection;
-    if (listener->first_connection) {
-        listener->first_connection->previous = connection;
-    }
-    listener->first_connection = connection;
-    listener->connection_count++;
+    Lst_Prepend(&listener->connections, &connection->link, connection);
 }
 
 bool
@@ -684,9 +669,11 @@
 void
 Ccn_Finish(CallerListener *listener)
 {
+    CallerConnection *connection;
+
     Ccn_StopListening(listener);
-    while (listener->first_connection) {
-        free_connection(listener->first_connection);
+    while ((connection = Lst_First(&listener->connections))) {
+        free_connection(connection);
     }
 }
 
@@ -710,9 +697,12 @@
 void
 Ccn_SetLimits(CallerListener *listener, const CallerLimits *limits)
 {
+    ListWalk walk;
+    CallerConnection *connection;
+
     listener->limits = *limits;
-    for (CallerConnection *connection = listener->first_connection; connection;
-         connection = connection->next) {
+    Lst_Begin(&walk, &listener->connections);
+    while ((connection = Lst_Next(&walk))) {
         connection->reader.head_bytes_max = limits->head_bytes_max;
     }
 }
@@ -728,8 +718,11 @@
 void
 Ccn_CloseIdle(CallerListener *listener)
 {
-    for (CallerConnection *connection = listener->first_connection; connection;
-         connection = connection->next) {
+    ListWalk walk;
+    CallerConnection *connection;
+
+    Lst_Begin(&walk, &listener->connections);
+    while ((connection = Lst_Next(&walk))) {
         if (is_idle(connection)) {
             end_after_flush(connection);
         }
@@ -763,11 +756,11 @@
 void
 Ccn_CheckTimeouts(CallerListener *listener, Instant now)
 {
-    CallerConnection *next;
+    ListWalk walk;
+    CallerConnection *connection;
 
-    for (CallerConnection *connection = listener->first_connection; connection;
-         connection = next) {
-        next = connection->next;
+    Lst_Begin(&walk, &listener->connections);
+    while ((connection = Lst_Next(&walk))) {
         check_timeouts(connection, now);
     }
 }
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -19,6 +19,7 @@
 #include "value/addr.h"
 #include "value/err.h"
 #include "value/instant.h"
+#include "value/list.h"
 
 typedef struct CallerConnection CallerConnection;
 typedef struct CallerRequest CallerRequest;
@@ -76,8 +77,7 @@
     struct evconnlistener *listener; /* NULL: no longer listening */
     CallerCallbacks callbacks;
     CallerLimits limits;
-    CallerConnection *first_connection;
-    size_t connection_count;
+    List connections;
     size_t active_requests; /* requests read completely and not answered yet */
     bool is_draining;       /* connections close after their next answer */
 };
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -156,5 +156,5 @@
 size_t
 Edge_CountConnections(const Edge *edge)
 {
-    return edge->caller_listener.connection_count;
+    return edge->caller_listener.connections.count;
 }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -104,8 +104,8 @@
 get_stop_activity(const Node *node)
 {
     return (StopActivity){
-        .calls = node->dispatcher.count,
-        .local_attempts = node->runner.count,
+        .calls = node->dispatcher.calls.count,
+        .local_attempts = node->runner.attempts.count,
         .http_exchanges = Edge_CountRequests(&node->edge),
         .caller_connections = Edge_CountConnections(&node->edge),
         .last_peer_attempt_at = node->runner.last_call_at,
@@ -547,7 +547,7 @@
 Node_Stop(Node *node, Instant now)
 {
     Tml_Record(&node->timeline, Tml_STOPPING, "calls=%zu runs=%zu",
-               node->dispatcher.count, node->runner.count);
+               node->dispatcher.calls.count, node->runner.attempts.count);
     Stp_OnSignal(&node->stop, now);
     do_next_stop_step(node, now);
 }
--- a/src/process/statusapi.c
+++ b/src/process/statusapi.c
@@ -170,10 +170,10 @@
 
     Cnt_PrintGauge(out, Str_LIT("calls_in_flight"),
                    Str_LIT("Calls being served to callers"),
-                   api->dispatcher->count);
+                   api->dispatcher->calls.count);
     Cnt_PrintGauge(out, Str_LIT("runs_in_flight"),
                    Str_LIT("Attempts waiting or running at this node"),
-                   api->runner->count);
+                   api->runner->attempts.count);
     Cnt_PrintGauge(out, Str_LIT("suspects"),
                    Str_LIT("Requests blamed for a loss of a backend server"),
                    Sus_CountBlamed(&api->suspects->table));
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -7,33 +7,13 @@
 
 enum { KEY_BYTES_MAX = 1024 };
 
-static void
-link_call(CallDispatcher *dispatcher, Call *call)
-{
-    call->dispatcher = dispatcher;
-    call->next = dispatcher->first;
-    if (dispatcher->first) {
-        dispatcher->first->previous = call;
-    }
-    dispatcher->first = call;
-    dispatcher->count++;
-}
-
 static void
 free_call(Call *call)
 {
     CallDispatcher *dispatcher = call->dispatcher;
 
-    if (call->previous) {
-        call->previous->next = call->next;
-    }
-    else {
-        dispatcher->first = call->next;
-    }
-    if (call->next) {
-        call->next->previous = call->previous;
-    }
-    dispatcher->count--;
+    *call->handle = NULL;
+    Lst_Drop(&dispatcher->calls, &call->link);
     for (size_t i = 0; i < Call_ATTEMPTS_MAX; i++) {
         if (call->attempts[i].id.counter) {
             Hsh_Drop(&dispatcher->attempts_by_id, &call->attempts[i].link);
@@ -123,8 +103,10 @@
 void
 Call_DispatcherFinish(CallDispatcher *dispatcher)
 {
-    while (dispatcher->first) {
-        free_call(dispatcher->first);
+    Call *call;
+
+    while ((call = Lst_First(&dispatcher->calls))) {
+        free_call(call);
     }
     Key_FinishClient(&dispatcher->key_claims);
     Hsh_Finish(&dispatcher->attempts_by_id);
@@ -278,31 +260,33 @@
     sink->on_end(sink->context, Call_NOT_RUN, reason);
 }
 
-Call *
+void
 Call_Start(CallDispatcher *dispatcher, const CallRequest *request,
-           const CallSink *sink, Instant now)
+           const CallSink *sink, Call **handle, Instant now)
 {
     const PresetRoute *route =
         Pst_FindRoute(&dispatcher->in_force->preset, request->host,
                       request->method, path_of(request->target));
     uint32_t attempts_max = dispatcher->in_force->preset.limits.attempts_max;
     Call *call;
-    size_t count_before;
 
+    *handle = NULL;
     Cnt_Add(dispatcher->counters, Cnt_CALLS, 1);
     if (!dispatcher->version_confirmed) {
         Cnt_Add(dispatcher->counters, Cnt_CALLS_NOT_RUN, 1);
         reject_request(dispatcher, request, sink, Call_REASON_VERSION);
-        return NULL;
+        return;
     }
     if (!route) {
         Cnt_Add(dispatcher->counters, Cnt_CALLS_NO_ROUTE, 1);
         reject_request(dispatcher, request, sink, Call_REASON_NO_ROUTE);
-        return NULL;
+        return;
     }
-    count_before = dispatcher->count;
     call = Mem_Alloc(1, sizeof *call);
-    link_call(dispatcher, call);
+    call->dispatcher = dispatcher;
+    call->handle = handle;
+    *handle = call;
+    Lst_Prepend(&dispatcher->calls, &call->link, call);
     for (size_t i = 0; i < Call_ATTEMPTS_MAX; i++) {
         call->attempts[i].call = call;
     }
@@ -332,8 +316,7 @@
     init_start_limits(call, now);
     call->fingerprint =
         compute_fingerprint(request, StrBuf_View(&route->host));
-    start_call(call, now);
-    return dispatcher->count > count_before ? call : NULL;
+    start_call(call, now); /* may free the call */
 }
 
 void
@@ -405,14 +388,15 @@
 void
 Call_StopStarting(CallDispatcher *dispatcher, Instant now)
 {
-    Call *next;
+    ListWalk walk;
+    Call *call;
 
     if (dispatcher->stops_starting) {
         return;
     }
     dispatcher->stops_starting = true;
-    for (Call *call = dispatcher->first; call; call = next) {
-        next = call->next;
+    Lst_Begin(&walk, &dispatcher->calls);
+    while ((call = Lst_Next(&walk))) {
         stop_waiting_call(call, now);
     }
 }
@@ -420,11 +404,12 @@
 void
 Call_DispatcherTick(CallDispatcher *dispatcher, Instant now)
 {
-    Call *next;
+    ListWalk walk;
+    Call *call;
 
     Key_Tick(&dispatcher->key_claims, now);
-    for (Call *call = dispatcher->first; call; call = next) {
-        next = call->next;
+    Lst_Begin(&walk, &dispatcher->calls);
+    while ((call = Lst_Next(&walk))) {
         if (call->retry_at) {
             Call_TickWaiting(call, now);
         }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -25,6 +25,7 @@
 #include "request/field.h"
 #include "request/keyed.h"
 #include "request/nesting.h"
+#include "value/list.h"
 #include "version/sharedpreset.h"
 
 typedef enum {
@@ -108,8 +109,7 @@
     void *enclosing_run_context;
     bool (*has_enclosing_run)(void *context, Instant deadline);
     HashTable attempts_by_id;
-    Call *first;
-    size_t count;
+    List calls; /* in flight, the latest first */
 } CallDispatcher;
 
 /* Registers the handlers of messages about attempts at NET. */
@@ -122,11 +122,12 @@
 /* Frees all calls without calling their sinks. */
 void Call_DispatcherFinish(CallDispatcher *dispatcher);
 
-/* Starts a call for REQUEST.  The sink may be called before this function
- * returns.  Returns NULL when the call has already ended; on_end was called
- * then.  The sink is copied. */
-Call *Call_Start(CallDispatcher *dispatcher, const CallRequest *request,
-                 const CallSink *sink, Instant now);
+/* Starts a call for REQUEST.  HANDLE is set to it, and to NULL when it is
+ * freed, which is before on_end; that, or Call_Cancel, is the last time that
+ * HANDLE is written to.  The sink may be called, and the call end, before this
+ * function returns.  The sink is copied. */
+void Call_Start(CallDispatcher *dispatcher, const CallRequest *request,
+                const CallSink *sink, Call **handle, Instant now);
 
 /* Whether the route of a request with this host, method and target is
  * idempotent, by the preset that this node has; false when no route matches.
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -316,11 +316,12 @@
 on_peer_lost(void *context, Addr peer, Instant now)
 {
     CallDispatcher *dispatcher = context;
-    Call *next;
+    ListWalk walk;
+    Call *call;
 
-    for (Call *call = dispatcher->first; call; call = next) {
+    Lst_Begin(&walk, &dispatcher->calls);
+    while ((call = Lst_Next(&walk))) {
         Attempt *attempt = find_attempt_at(call, peer);
-        next = call->next;
         if (attempt) {
             on_answer_lost(attempt, now);
         }
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -35,8 +35,8 @@
 
 struct Call {
     CallDispatcher *dispatcher;
-    Call *next;
-    Call *previous;
+    ListLink link; /* in the dispatcher's list */
+    Call **handle; /* of the front end; NULL once the call is freed */
     CallRequest request;
     CallSink sink;
     SharedPreset *in_force; /* when the call started; a reference */
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -148,10 +148,11 @@
 Crs_ReviewQueued(void *context, Instant now)
 {
     AttemptRunner *runner = context;
-    BackendAttempt *next;
+    ListWalk walk;
+    BackendAttempt *attempt;
 
-    for (BackendAttempt *attempt = runner->first; attempt; attempt = next) {
-        next = attempt->next;
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
         if (Run_IsQueued(attempt) || attempt->awaits_load) {
             review_attempt(attempt, now);
         }
@@ -184,10 +185,11 @@
 static void
 report_interrupted_lost(AttemptRunner *runner, Instant now)
 {
-    BackendAttempt *next;
+    ListWalk walk;
+    BackendAttempt *attempt;
 
-    for (BackendAttempt *attempt = runner->first; attempt; attempt = next) {
-        next = attempt->next;
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
         if (attempt->interrupted) {
             Run_ReportLost(attempt, now);
             Run_Free(attempt);
@@ -199,10 +201,11 @@
 static void
 refuse_queued(AttemptRunner *runner, Instant now)
 {
-    BackendAttempt *next;
+    ListWalk walk;
+    BackendAttempt *attempt;
 
-    for (BackendAttempt *attempt = runner->first; attempt; attempt = next) {
-        next = attempt->next;
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
         if (Run_IsQueued(attempt)) {
             Run_Refuse(attempt, Reject_NO_BACKEND, now);
             Run_DequeueAndFree(attempt);
@@ -225,9 +228,9 @@
     uint64_t blamed[Sps_BLAMED_PER_CRASH_MAX];
     size_t count = 0;
 
-    for (const BackendAttempt *attempt = runner->first;
-         attempt && count < Sps_BLAMED_PER_CRASH_MAX;
-         attempt = attempt->next) {
+    for (const ListLink *link = runner->attempts.first;
+         link && count < Sps_BLAMED_PER_CRASH_MAX; link = link->next) {
+        const BackendAttempt *attempt = link->item;
         if (attempt->interrupted) {
             blamed[count++] = attempt->fingerprint;
             log_blamed(attempt, now);
@@ -252,8 +255,11 @@
 static void
 await_end_of_backend(AttemptRunner *runner, Instant now)
 {
-    for (BackendAttempt *attempt = runner->first; attempt;
-         attempt = attempt->next) {
+    ListWalk walk;
+    BackendAttempt *attempt;
+
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
         if (attempt->interrupted && !attempt->detached) {
             Run_ReportLost(attempt, now);
             attempt->detached = true;
@@ -329,8 +335,8 @@
 static BackendAttempt *
 find_queued_exclusive(AttemptRunner *runner)
 {
-    for (BackendAttempt *attempt = runner->first; attempt;
-         attempt = attempt->next) {
+    for (ListLink *link = runner->attempts.first; link; link = link->next) {
+        BackendAttempt *attempt = link->item;
         if (attempt->exclusive && Run_IsQueued(attempt)) {
             return attempt;
         }
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -10,10 +10,9 @@
 
 struct Exchange {
     ExchangeList *list;
-    Exchange *next;
-    Exchange *previous;
+    ListLink link;
     CallerRequest *request;
-    Call *call;
+    Call *call; /* NULL: not started yet, or freed */
     StrBuf request_id;
     bool head_sent; /* the head of the answer was sent */
 };
@@ -21,16 +20,7 @@
 static void
 free_exchange(Exchange *exchange)
 {
-    if (exchange->previous) {
-        exchange->previous->next = exchange->next;
-    }
-    else {
-        exchange->list->first = exchange->next;
-    }
-    if (exchange->next) {
-        exchange->next->previous = exchange->previous;
-    }
-    exchange->list->count--;
+    Lst_Drop(&exchange->list->exchanges, &exchange->link);
     StrBuf_Finish(&exchange->request_id);
     Mem_Free(exchange);
 }
@@ -38,8 +28,10 @@
 void
 Xch_ListFinish(ExchangeList *list)
 {
-    while (list->first) {
-        free_exchange(list->first);
+    Exchange *exchange;
+
+    while ((exchange = Lst_First(&list->exchanges))) {
+        free_exchange(exchange);
     }
 }
 
@@ -186,7 +178,6 @@
     Exchange *exchange = context;
     FinalAnswer answer = choose_final_answer(outcome, reason);
 
-    exchange->call = NULL;
     exchange->request->user_data = NULL;
     if (!exchange->head_sent) {
         send_final_answer(exchange, &answer);
@@ -271,12 +262,7 @@
     exchange->list = list;
     exchange->request = request;
     request->user_data = exchange;
-    exchange->next = list->first;
-    if (list->first) {
-        list->first->previous = exchange;
-    }
-    list->first = exchange;
-    list->count++;
+    Lst_Prepend(&list->exchanges, &exchange->link, exchange);
     return exchange;
 }
 
@@ -307,7 +293,6 @@
         .body = StrBuf_View(&http->body),
         .timeout = timeout,
     };
-    Call *call;
 
     if (!Str_StartsWith(http->target, Str_LIT("/"))) {
         /* An absolute URI: the caller uses this node as a proxy.  Close the
@@ -316,10 +301,8 @@
     }
     copy_forwarded_fields(exchange, &request.fields);
     sink.context = exchange;
-    call = Call_Start(exchange->list->dispatcher, &request, &sink, now);
-    if (call) {
-        exchange->call = call;
-    }
+    Call_Start(exchange->list->dispatcher, &request, &sink, &exchange->call,
+               now); /* may free the exchange */
 }
 
 void
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -19,8 +19,7 @@
 typedef struct {
     CallDispatcher *dispatcher;
     const HeaderFieldNames *names;
-    Exchange *first;
-    size_t count;
+    List exchanges;
     uint64_t request_id_counter; /* for request ids that this node assigns */
 } ExchangeList;
 
--- a/src/request/keyed.c
+++ b/src/request/keyed.c
@@ -5,8 +5,7 @@
 struct ClaimSession {
     HashLink link; /* must be the first member; in sessions_by_claim */
     ClaimClient *client;
-    ClaimSession *next;
-    ClaimSession *previous;
+    ListLink list_link; /* in the client's list */
     AttemptId claim_id;
     /* names the register: the service's name, a line feed, the caller's key */
     StrBuf register_key;
@@ -17,15 +16,7 @@
 static void
 free_session(ClaimSession *session)
 {
-    if (session->previous) {
-        session->previous->next = session->next;
-    }
-    else {
-        session->client->first_session = session->next;
-    }
-    if (session->next) {
-        session->next->previous = session->previous;
-    }
+    Lst_Drop(&session->client->sessions, &session->list_link);
     Hsh_Drop(&session->client->sessions_by_claim, &session->link);
     StrBuf_Finish(&session->register_key);
     Clm_Finish(&session->claim);
@@ -286,8 +277,10 @@
 void
 Key_FinishClient(ClaimClient *client)
 {
-    while (client->first_session) {
-        free_session(client->first_session);
+    ClaimSession *session;
+
+    while ((session = Lst_First(&client->sessions))) {
+        free_session(session);
     }
     Hsh_Finish(&client->sessions_by_claim);
 }
@@ -295,11 +288,11 @@
 void
 Key_Tick(ClaimClient *client, Instant now)
 {
-    ClaimSession *next;
+    ListWalk walk;
+    ClaimSession *session;
 
-    for (ClaimSession *session = client->first_session; session;
-         session = next) {
-        next = session->next;
+    Lst_Begin(&walk, &client->sessions);
+    while ((session = Lst_Next(&walk))) {
         carry_out(session, Clm_Tick(&session->claim, now), now);
     }
 }
@@ -314,11 +307,7 @@
     session->client = client;
     session->claim_id = claim;
     session->callbacks = *callbacks;
-    session->next = client->first_session;
-    if (client->first_session) {
-        client->first_session->previous = session;
-    }
-    client->first_session = session;
+    Lst_Prepend(&client->sessions, &session->list_link, session);
     Hsh_Add(&client->sessions_by_claim, &session->link, AttemptId_Hash(claim));
     StrBuf_AppendFmt(&session->register_key, "%.*s\n%.*s", Str_ARG(service),
                      Str_ARG(key));
--- a/src/request/keyed.h
+++ b/src/request/keyed.h
@@ -16,6 +16,7 @@
 #include "process/net.h"
 #include "process/timeline.h"
 #include "request/claim.h"
+#include "value/list.h"
 
 /* The node chosen for the next attempt of a call. */
 typedef struct {
@@ -57,7 +58,7 @@
     const Addr *acceptors; /* borrowed */
     uint32_t acceptor_count;
     HashTable sessions_by_claim; /* by the claim's id */
-    ClaimSession *first_session;
+    List sessions;
 } ClaimClient;
 
 /* Registers the handlers of Wire_REGISTER_REPLY and Wire_FATE_REPLY at NET.
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -38,15 +38,7 @@
     attempt->runner = runner;
     Hsh_Add(&runner->attempts_by_id, &attempt->link,
             AttemptId_Hash(attempt->id));
-    attempt->previous = runner->last;
-    if (runner->last) {
-        runner->last->next = attempt;
-    }
-    else {
-        runner->first = attempt;
-    }
-    runner->last = attempt;
-    runner->count++;
+    Lst_Append(&runner->attempts, &attempt->list_link, attempt);
 }
 
 void
@@ -54,19 +46,7 @@
 {
     AttemptRunner *runner = attempt->runner;
 
-    if (attempt->previous) {
-        attempt->previous->next = attempt->next;
-    }
-    else {
-        runner->first = attempt->next;
-    }
-    if (attempt->next) {
-        attempt->next->previous = attempt->previous;
-    }
-    else {
-        runner->last = attempt->previous;
-    }
-    runner->count--;
+    Lst_Drop(&runner->attempts, &attempt->list_link);
     runner->awaiting_load_count -= attempt->awaits_load;
     Hsh_Drop(&runner->attempts_by_id, &attempt->link);
     runner->exclusive_count -= attempt->exclusive;
@@ -436,11 +416,11 @@
 on_load_query_end(void *context, Instant now)
 {
     AttemptRunner *runner = context;
-    BackendAttempt *next;
+    ListWalk walk;
+    BackendAttempt *attempt;
 
-    for (BackendAttempt *attempt = runner->first;
-         attempt && runner->awaiting_load_count; attempt = next) {
-        next = attempt->next;
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
         if (attempt->awaits_load) {
             stop_awaiting_load(attempt);
             Run_Admit(attempt, now);
@@ -648,11 +628,13 @@
 Run_FinishRunner(AttemptRunner *runner)
 {
     Ldq_Finish(&runner->load_query);
-    while (runner->first) {
-        if (runner->first->exchange) {
-            Bck_Cancel(runner->first->exchange);
+    BackendAttempt *attempt;
+
+    while ((attempt = Lst_First(&runner->attempts))) {
+        if (attempt->exchange) {
+            Bck_Cancel(attempt->exchange);
         }
-        Run_Free(runner->first);
+        Run_Free(attempt);
     }
     Cpr_Cancel(&runner->connect_probe);
     Hsh_Finish(&runner->attempts_by_id);
@@ -671,8 +653,9 @@
 bool
 Run_HasAttemptUntil(const AttemptRunner *runner, Instant deadline)
 {
-    for (const BackendAttempt *attempt = runner->first; attempt;
-         attempt = attempt->next) {
+    for (const ListLink *link = runner->attempts.first; link;
+         link = link->next) {
+        const BackendAttempt *attempt = link->item;
         if (attempt->exchange &&
             attempt->deadline + DEADLINE_TOLERANCE >= deadline) {
             return true;
@@ -729,8 +712,8 @@
 {
     BackendAttempt *first = NULL;
 
-    for (BackendAttempt *attempt = runner->first; attempt;
-         attempt = attempt->next) {
+    for (ListLink *link = runner->attempts.first; link; link = link->next) {
+        BackendAttempt *attempt = link->item;
         if (Run_IsQueued(attempt) && !attempt->exclusive &&
             attempt->request_class == request_class &&
             (!first || starts_before(attempt, first))) {
@@ -757,10 +740,11 @@
 static void
 drop_overdue(AttemptRunner *runner, Instant now)
 {
-    BackendAttempt *next;
+    ListWalk walk;
+    BackendAttempt *attempt;
 
-    for (BackendAttempt *attempt = runner->first; attempt; attempt = next) {
-        next = attempt->next;
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
         if (Run_IsQueued(attempt) && Adm_IsDraining(runner->admission)) {
             Run_Refuse(attempt, Reject_DRAINING, now);
             Run_DequeueAndFree(attempt);
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -24,6 +24,7 @@
 #include "process/reportthrottle.h"
 #include "process/suspectsync.h"
 #include "process/timeline.h"
+#include "value/list.h"
 #include "version/preset.h"
 
 typedef struct BackendAttempt BackendAttempt;
@@ -41,10 +42,7 @@
     AttemptLedger ledger;           /* what became of each attempt id */
     ReportThrottle report_throttle; /* when load reports are piggybacked */
     HashTable attempts_by_id;       /* BackendAttempt by its attempt id */
-    /* list of all attempts in order of arrival; NULL: none */
-    BackendAttempt *first;
-    BackendAttempt *last;
-    size_t count; /* attempts in the list */
+    List attempts;                  /* all, in order of arrival */
     /* attempts that wait for the backend server's load before admission */
     size_t awaiting_load_count;
     LoadQuery load_query; /* asks the backend server for its load */
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -14,9 +14,8 @@
 struct BackendAttempt {
     HashLink link; /* must be the first member; in attempts_by_id */
     AttemptRunner *runner;
-    BackendAttempt *next;
-    BackendAttempt *previous;
-    NetOrigin origin; /* the node that the answer goes to */
+    ListLink list_link; /* in the runner's list */
+    NetOrigin origin;   /* the node that the answer goes to */
     AttemptId id;
     RequestClass request_class;
     uint32_t priority; /* 0: most urgent */
--- a/tests/integration/operators.c
+++ b/tests/integration/operators.c
@@ -1,5 +1,6 @@
 #include "operators.h"
 
+#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -317,3 +318,32 @@
     }
     return get_time() - start;
 }
+
+void
+Ops_PutRoutes(Fleet *fleet, int revision, int base, Str routes)
+{
+    StrBuf body = {0};
+    StrBuf request = {0};
+    StrBuf answer = {0};
+    int fd = Fleet_RawOpen(fleet, 0, OPERATOR_PORT);
+
+    StrBuf_AppendFmt(&body,
+                     "{\"revision\":%d,\"routes\":[%.*s],\"services\":["
+                     "{\"name\":\"visor\"},{\"name\":\"despachos\"}]}",
+                     revision, Str_ARG(routes));
+    StrBuf_AppendFmt(&request,
+                     "POST /v1/routing/put HTTP/1.1\r\nHost: a\r\n"
+                     "If-Match: %d\r\nConnection: close\r\n"
+                     "Content-Length: %zu\r\n\r\n%.*s",
+                     base, body.len, Str_ARG(body));
+    ck_assert_int_ge(fd, 0);
+    Fleet_RawSend(fd, StrBuf_View(&request));
+    Fleet_RawRead(fd, Span_S(5), &answer);
+    Fleet_RawClose(fd);
+    ck_assert_msg(
+        Str_StartsWith(StrBuf_View(&answer), Str_LIT("HTTP/1.1 200 ")),
+        "revision %d: %.*s", revision, Str_ARG(answer));
+    StrBuf_Finish(&body);
+    StrBuf_Finish(&request);
+    StrBuf_Finish(&answer);
+}
--- a/tests/integration/operators.h
+++ b/tests/integration/operators.h
@@ -90,4 +90,9 @@
 Span Ops_WaitForVersion(Fleet *fleet, OpsVersionWatch *watch,
                         ConfigVersion version, Span wait);
 
+/* Sends the whole routing table REVISION on top of BASE to VM 0's node, whose
+ * operators need no key, and checks that it is accepted.  ROUTES are JSON
+ * objects; the services are visor and despachos. */
+void Ops_PutRoutes(Fleet *fleet, int revision, int base, Str routes);
+
 #endif
--- a/tests/integration/test_quick_again.c
+++ b/tests/integration/test_quick_again.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "fleet.h"
+#include "operators.h"
 #include "request/duration.h"
 #include "support/suite.h"
 
@@ -55,36 +55,6 @@
      "900"},
 };
 
-/* Sends the whole configuration REVISION with ROUTES, on top of BASE. */
-static void
-put_routes(Fleet *fleet, int revision, int base, Str routes)
-{
-    StrBuf body = {0};
-    StrBuf request = {0};
-    StrBuf answer = {0};
-    int fd = Fleet_RawOpen(fleet, 0, OPERATORS_PORT);
-
-    StrBuf_AppendFmt(&body,
-                     "{\"revision\":%d,\"routes\":[%.*s],\"services\":["
-                     "{\"name\":\"visor\"},{\"name\":\"despachos\"}]}",
-                     revision, Str_ARG(routes));
-    StrBuf_AppendFmt(&request,
-                     "POST /v1/routing/put HTTP/1.1\r\nHost: a\r\n"
-                     "If-Match: %d\r\nConnection: close\r\n"
-                     "Content-Length: %zu\r\n\r\n%.*s",
-                     base, body.len, Str_ARG(body));
-    ck_assert_int_ge(fd, 0);
-    Fleet_RawSend(fd, StrBuf_View(&request));
-    Fleet_RawRead(fd, Span_S(5), &answer);
-    Fleet_RawClose(fd);
-    ck_assert_msg(
-        Str_StartsWith(StrBuf_View(&answer), Str_LIT("HTTP/1.1 200 ")),
-        "revision %d: %.*s", revision, Str_ARG(answer));
-    StrBuf_Finish(&body);
-    StrBuf_Finish(&request);
-    StrBuf_Finish(&answer);
-}
-
 static void
 append_route(StrBuf *routes, const char *name, const char *kind,
              const char *timeout_ms, const char *service)
@@ -126,7 +96,7 @@
     }
     if (c->change == ADDED) {
         append_route(&routes, "idle", c->kind, "900", "visor");
-        put_routes(fleet, 2, 1, StrBuf_View(&routes));
+        Ops_PutRoutes(fleet, 2, 1, StrBuf_View(&routes));
         Fleet_Sleep(APPLY_WAIT);
     }
     if (c->change == COLLIDES) {
@@ -134,7 +104,7 @@
     }
     StrBuf_Clear(&routes);
     append_route(&routes, name, c->kind, c->timeout_ms, service);
-    put_routes(fleet, 3, c->change == ADDED ? 2 : 1, StrBuf_View(&routes));
+    Ops_PutRoutes(fleet, 3, c->change == ADDED ? 2 : 1, StrBuf_View(&routes));
     StrBuf_Finish(&routes);
 }
 
@@ -183,7 +153,7 @@
     ck_assert(
         Fleet_WaitForPath(&fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
     append_route(&routes, "stock", c->kind, "4000", "visor");
-    put_routes(&fleet, 1, 0, StrBuf_View(&routes));
+    Ops_PutRoutes(&fleet, 1, 0, StrBuf_View(&routes));
     Fleet_Sleep(APPLY_WAIT);
     served = send_calls(&fleet, "stock", "4000", c->slow_us, SLOW_CALLS);
     ck_assert_msg(served == SLOW_CALLS, "%s: %d served at first", c->name,
