Take a broken-off answer back while none of it is out

Cause: an answer that cannot be completed reset its connection, also when it still waited behind an earlier one and no byte of it had gone out. Evidence: the callers saw no byte of either answer; the deferred output of a request that is not the oldest of its connection is written to no socket.

Now such an answer is taken back and 504 sent in its place. When bytes are out, earlier answers are sent first and the connection ends without the rest, which a length or chunks show; only an answer without either is reset.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -179,6 +179,7 @@
     bool has_length = Field_Get(fields, Str_LIT("Content-Length")).len > 0;
 
     request->head_sent = true;
+    request->has_length = has_length;
     request->has_no_body = Str_Equal(request->method, Str_LIT("HEAD")) ||
                            status == NO_CONTENT || status == NOT_MODIFIED;
     request->chunked =
@@ -337,14 +338,41 @@
     return request->next != NULL;
 }
 
+bool
+Ccn_Retract(CallerRequest *request)
+{
+    if (request == request->connection->first_request) {
+        return false;
+    }
+    if (request->deferred_output) {
+        evbuffer_drain(request->deferred_output,
+                       evbuffer_get_length(request->deferred_output));
+    }
+    request->head_sent = false;
+    request->chunked = false;
+    request->unsent_bytes = 0;
+    /* No further input is read since the answer was to close the
+     * connection. */
+    request->is_last |= request->closes_connection;
+    request->closes_connection = false;
+    return true;
+}
+
 void
 Ccn_Abort(CallerRequest *request)
 {
     CallerConnection *connection = request->connection;
+    bool shows_end = request->chunked || request->has_length;
 
     request->answer_ended = true;
     connection->listener->active_requests--;
-    reset_connection(connection);
+    if (shows_end) {
+        drop_requests(connection);
+        end_after_flush(connection);
+    }
+    else {
+        reset_connection(connection);
+    }
 }
 
 void
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -39,6 +39,7 @@
     bool is_dispatched; /* passed to on_request */
     bool head_sent;     /* the answer's head was written */
     bool chunked;
+    bool has_length; /* the answer's head gives the length of its body */
     bool has_no_body;
     bool answer_ended;
     bool closes_connection; /* the connection closes after its answer */
@@ -116,8 +117,15 @@
 /* Returns whether later requests of the connection wait for this answer. */
 bool Ccn_HasPipelined(const CallerRequest *request);
 
-/* Resets the connection, so that the caller sees that the answer is
- * incomplete. */
+/* Takes back what was sent of the answer, so that another one can be sent in
+ * its place.  Returns false, and changes nothing, unless an earlier answer of
+ * the connection is still to be completed: then bytes may have gone out. */
+bool Ccn_Retract(CallerRequest *request);
+
+/* Ends the connection, so that the caller sees that the answer is incomplete.
+ * Earlier answers are sent first; later requests count as not read.  A caller
+ * could take the end of the connection for that of an answer without framing,
+ * so that one is reset. */
 void Ccn_Abort(CallerRequest *request);
 
 /* Sends a complete answer with a Content-Length, and ends the request. */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -119,7 +119,7 @@
 {
     static const Str not_run = Str_LIT("not-run");
 
-    if (outcome == Call_UNKNOWN) {
+    if (outcome == Call_UNKNOWN || outcome == Call_TRUNCATED) {
         return (FinalAnswer){
             504, Str_LIT("unknown"),
             Str_LIT("it may have run; its answer did not come\n")};
@@ -179,12 +179,12 @@
     FinalAnswer answer = choose_final_answer(outcome, reason);
 
     exchange->request->user_data = NULL;
-    if (!exchange->head_sent) {
-        send_final_answer(exchange, &answer);
-    }
-    else if (outcome == Call_ANSWERED) {
+    if (exchange->head_sent && outcome == Call_ANSWERED) {
         Ccn_EndAnswer(exchange->request);
     }
+    else if (!exchange->head_sent || Ccn_Retract(exchange->request)) {
+        send_final_answer(exchange, &answer);
+    }
     else {
         Ccn_Abort(exchange->request);
     }
--- a/tests/integration/test_pipelined_ends.c
+++ b/tests/integration/test_pipelined_ends.c
@@ -34,7 +34,12 @@
 static Str build;
 
 #define SLOW "X-Fake-Time-Us: 1500000\r\n"
+#define BROKEN "X-Fake-Size: 200000\r\nX-Fake-Cut: 1\r\n"
+#define BROKEN_CHUNKED "X-Fake-Size: 200000\r\nX-Fake-Cut: chunked\r\n"
+#define BROKEN_SHORT "X-Fake-Size: 900\r\nX-Fake-Cut: 1\r\n"
 #define LARGE "X-Fake-Size: 1500000\r\n"
+/* The route of these calls has a time-out of 700 ms. */
+#define SOON "/soon/a"
 #define PLAIN ""
 
 typedef struct {
@@ -60,6 +65,42 @@
      {{"/look/a", SLOW}, {"/look/a", LARGE}, {"/look/a", PLAIN}},
      {{200, true}, {200, true}, {200, true}},
      false},
+    {"broken off behind one that runs",
+     {{"/look/a", SLOW}, {"/look/a", BROKEN}, {"/look/a", PLAIN}},
+     {{200, true}, {504, true}, {200, true}},
+     false},
+    {"broken off behind one that runs, chunked",
+     {{"/look/a", SLOW}, {"/look/a", BROKEN_CHUNKED}, {"/look/a", PLAIN}},
+     {{200, true}, {504, true}, {200, true}},
+     false},
+    {"two broken off behind one that runs",
+     {{"/look/a", SLOW}, {"/look/a", BROKEN}, {"/look/a", BROKEN}},
+     {{200, true}, {504, true}, {504, true}},
+     false},
+    {"broken off last",
+     {{"/look/a", SLOW}, {"/look/a", PLAIN}, {"/look/a", BROKEN}},
+     {{200, true}, {200, true}, {504, true}},
+     false},
+    {"broken off in the first piece behind one that runs",
+     {{"/look/a", SLOW}, {"/look/a", BROKEN_SHORT}, {"/look/a", PLAIN}},
+     {{200, true}, {504, true}, {200, true}},
+     false},
+    {"broken off first",
+     {{"/look/a", BROKEN}, {"/look/a", SLOW}, {"/look/a", PLAIN}},
+     {{200, false}, {0, false}, {0, false}},
+     false},
+    {"broken off first, chunked",
+     {{"/look/a", BROKEN_CHUNKED}, {"/look/a", SLOW}, {"/look/a", PLAIN}},
+     {{200, false}, {0, false}, {0, false}},
+     false},
+    {"begun and late behind one that runs",
+     {{"/look/a", SLOW}, {SOON, LARGE}, {"/look/a", PLAIN}},
+     {{200, true}, {504, true}, {200, true}},
+     false},
+    {"begun and late behind two that run",
+     {{"/look/a", SLOW}, {"/look/a", SLOW}, {SOON, LARGE}},
+     {{200, true}, {200, true}, {504, true}},
+     false},
     {"the node that hands it on freezes",
      {{"/look/a", SLOW}, {"/look/a", LARGE}, {"/look/a", LARGE}},
      {{0, false}},
