Don't count bases that were never in force as dropped

Cause: when the refused order's outcome was dropped, its base became the highest base of those dropped, and a change at or below it is not decided, as it may have been before.

Now a base above the current one is not counted, and a change on the current base is always decided, since it cannot have been accepted before. By the latter a data folder that holds the mark already works again.

--- a/src/process/leavesync.c
+++ b/src/process/leavesync.c
@@ -167,6 +167,19 @@
     send_own(sync, now);
 }
 
+static bool
+read_message(LeaveSync *sync, Unpack *in, LeaveMessage *msg)
+{
+    Err err = {0};
+
+    if (Leavemsg_Read(in, msg, &err)) {
+        return true;
+    }
+    Cnt_Add(sync->counters, Cnt_MALFORMED, 1);
+    Lgr_LogErr(sync->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
+    return false;
+}
+
 static void
 on_reply(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -175,12 +188,8 @@
     size_t slot = Rps_Find(sync->replicas, origin->peer);
     LeaveMessage msg;
     bool is_new;
-    Err err = {0};
 
-    if (!Leavemsg_Read(in, &msg, &err)) {
-        Cnt_Add(sync->counters, Cnt_MALFORMED, 1);
-        Lgr_LogErr(sync->logger, Lgr_WARNING, Str_LIT("message_refused"),
-                   &err);
+    if (!read_message(sync, in, &msg)) {
         return;
     }
     if (slot == Set_REPLICAS_MAX || msg.node != sync->settings->address) {
@@ -230,12 +239,8 @@
 {
     LeaveSync *sync = context;
     LeaveMessage msg;
-    Err err = {0};
 
-    if (!Leavemsg_Read(in, &msg, &err)) {
-        Cnt_Add(sync->counters, Cnt_MALFORMED, 1);
-        Lgr_LogErr(sync->logger, Lgr_WARNING, Str_LIT("message_refused"),
-                   &err);
+    if (!read_message(sync, in, &msg)) {
         return;
     }
     merge_row(sync, msg.node, msg.start, now);
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -257,26 +257,34 @@
     }
 }
 
+/* The record of a change on BASE is dropped.  A base that was never in force
+ * does not count: it would for all changes that are still to come. */
+static void
+raise_dropped_base(ConfigState *cfg, ConfigVersion base, bool is_routing)
+{
+    if (is_routing) {
+        if (base.index <= cfg->routing_revision &&
+            base.index > cfg->dropped_revision_max) {
+            cfg->dropped_revision_max = base.index;
+        }
+    }
+    else if (Cfg_CompareVersions(base, cfg->version) <= 0 &&
+             Cfg_CompareVersions(base, cfg->dropped_base_max) > 0) {
+        cfg->dropped_base_max = base;
+    }
+}
+
 static void
 drop_oldest_record(ConfigState *cfg)
 {
     const ChangeRecord *first = record_at(cfg, 0);
 
-    bool is_routing_change =
-        first->verb == Cfg_REPLACE_ROUTING || first->verb == Cfg_PATCH_ROUTING;
-
     /* A rejected change does not count: when it is repeated, it is rejected
      * again. */
-    if (is_routing_change) {
-        if (first->outcome != Cfg_REJECTED &&
-            first->base_version.index > cfg->dropped_revision_max) {
-            cfg->dropped_revision_max = first->base_version.index;
-        }
-    }
-    else if (first->outcome != Cfg_REJECTED &&
-             Cfg_CompareVersions(first->base_version, cfg->dropped_base_max) >
-                 0) {
-        cfg->dropped_base_max = first->base_version;
+    if (first->outcome != Cfg_REJECTED) {
+        raise_dropped_base(cfg, first->base_version,
+                           first->verb == Cfg_REPLACE_ROUTING ||
+                               first->verb == Cfg_PATCH_ROUTING);
     }
     cfg->record_first = (cfg->record_first + 1) % Cfg_RECORDS_MAX;
     cfg->record_count--;
@@ -379,10 +387,16 @@
         Rtg_Revision(StrBuf_View(&Cfg_PresetInForce(cfg)->json));
 }
 
-/* Whether CHANGE may have been decided by a record that was dropped since. */
+/* Whether CHANGE may have been decided by a record that was dropped since. One
+ * on the current base was not accepted before, as that base would have been
+ * replaced: also where an older program counted bases that were never in
+ * force. */
 static bool
 may_be_dropped(const ConfigState *cfg, const ConfigChange *change)
 {
+    if (matches_base(cfg, change)) {
+        return false;
+    }
     if (Cfg_IsRoutingChange(change)) {
         return cfg->dropped_revision_max > 0 &&
                change->base_version.index <= cfg->dropped_revision_max;
