Keep the leave of a control replica's own VM over its retention

A backend server beside a control replica that drains for over ten minutes would have been told 503 from then on: the replica's own row expired, so that its own folder no longer counted. Found by reading the change again, not by a run; the retention is ten minutes, so that no test waits for it. The row is recorded again as long as the process knows the start. test_left_after_restart passes.

--- a/src/process/leavesync.c
+++ b/src/process/leavesync.c
@@ -115,33 +115,36 @@
     }
 }
 
+static void
+merge_row(LeaveSync *sync, Addr node, BackendStart start, Instant now)
+{
+    sync->needs_save |= Lvt_Merge(&sync->table, node, start, now);
+}
+
 /* On a control replica: what its own data folder has counts like the reply of
- * another one. */
+ * another one.  The row of its own VM is kept over its retention. */
 static void
-check_own_folder(LeaveSync *sync)
+check_own_folder(LeaveSync *sync, Instant now)
 {
     size_t slot = Rps_Find(sync->replicas, sync->settings->address);
 
-    if (sync->settings->control && slot < Set_REPLICAS_MAX &&
-        !sync->needs_save) {
+    if (!sync->settings->control || slot == Set_REPLICAS_MAX) {
+        return;
+    }
+    merge_row(sync, sync->settings->address, sync->own, now);
+    if (!sync->needs_save) {
         sync->holds[slot] = Lvt_StartsAreEqual(
             Lvt_Find(&sync->table, sync->settings->address), sync->own);
     }
 }
 
-static void
-merge_row(LeaveSync *sync, Addr node, BackendStart start, Instant now)
-{
-    sync->needs_save |= Lvt_Merge(&sync->table, node, start, now);
-}
-
 /* Calls back when the state differs from what it was. */
 static void
 update(LeaveSync *sync, bool was_confirmed, bool has_new_start, Instant now)
 {
     bool was_synced = sync->is_synced;
 
-    check_own_folder(sync);
+    check_own_folder(sync, now);
     sync->is_synced = was_synced || is_held_by_majority(sync);
     if (sync->is_synced && !was_synced) {
         Lgr_Log(sync->logger, Lgr_INFO, Str_LIT("leaves_synced"),
