Split callers' connections by what a reader looks for

Connections and their timeouts stay there; callerinput.c reads requests, calleranswer.c sends answers, callerstate.h is what they share. Functions are moved and renamed only.

--- /dev/null
+++ b/src/connection/callerstate.h
@@ -0,0 +1,66 @@
+/* The state of one connection of a caller, and the functions that the files
+ * of callerconn.h share: callerconn.c (listener, connections, timeouts),
+ * callerinput.c (requests) and calleranswer.c (answers).  Private to these
+ * files.
+ */
+#ifndef CALLERSTATE_H
+#define CALLERSTATE_H
+
+#include "connection/callerconn.h"
+
+struct CallerConnection {
+    CallerListener *listener;
+    ListLink link;
+    struct bufferevent *bev;
+    HttpReader reader;
+    CallerRequest *incoming; /* its body is being read; not in the list yet */
+    CallerRequest *first_request; /* not answered yet, oldest first */
+    size_t request_count;
+    Instant timer_start; /* first byte of a head, or end of the last answer */
+    bool in_head;
+    bool ignores_input;      /* no further request is read: the connection is
+                                closing */
+    bool starts_with_word;   /* the input begins like a method */
+    bool half_closed;        /* the caller ended its side after its last
+                                request; it may have left */
+    uint16_t error_status;   /* of the last input; sent after all earlier
+                                answers; 0: none */
+    bool closes_after_flush; /* closes when all output was sent */
+    bool in_reader;    /* a callback of the reader is on the call stack */
+    bool free_pending; /* to be freed after the callback has returned */
+};
+
+Instant Ccn_Now(const CallerListener *listener);
+
+void Ccn_FreeRequest(CallerRequest *request);
+
+/* Frees all requests; on_disconnect is called for those that are being
+ * answered. */
+void Ccn_DropRequests(CallerConnection *connection);
+
+/* Closes and frees CONNECTION, or, on behalf of a callback of its reader, lets
+ * the reader do so. */
+void Ccn_Free(CallerConnection *connection);
+
+/* Closes the connection with a TCP reset, so that the caller sees a
+ * failure. */
+void Ccn_Reset(CallerConnection *connection);
+
+/* Closes the connection after its output was sent.  Further input is read and
+ * discarded, because closing with unread input could destroy the last
+ * answer. */
+void Ccn_EndAfterFlush(CallerConnection *connection);
+
+/* Passes REQUEST to on_request. */
+void Ccn_DispatchRequest(CallerConnection *connection, CallerRequest *request);
+
+/* Rejects the current input.  The error is sent after all earlier answers. */
+void Ccn_RejectInput(CallerConnection *connection, uint16_t status);
+
+/* Prepares the reader of a new connection. */
+void Ccn_InitReader(CallerConnection *connection);
+
+/* Reads the requests that have arrived, as far as there is room for them. */
+void Ccn_ProcessInput(CallerConnection *connection);
+
+#endif
