Name in the log what the end of a connection cuts off

No line named the requests that callers lost around a planned stop: a call that was answered is logged at level debug, and the end of a connection not at all. Now a request is kept until its answer has been written to the socket, and the node names each one that it cuts off, with the reason and how far it was; a call that this cancels says whether it waited, was sent or was being answered; the node beside the backend server names the attempts that its exit cuts off. No request is handled differently.

--- a/src/connection/calleranswer.c
+++ b/src/connection/calleranswer.c
@@ -120,7 +120,6 @@
     Ccn_EndAfterFlush(connection);
 }
 
-/* Rejects the current input.  The error is sent after all earlier answers. */
 void
 Ccn_RejectInput(CallerConnection *connection, uint16_t status)
 {
@@ -141,9 +140,10 @@
     connection->first_request = request->next;
     connection->request_count--;
     connection->timer_start = Ccn_Now(connection->listener);
-    Ccn_FreeRequest(request);
+    Ccn_AddUnsent(connection, request);
     if (closes) {
-        Ccn_DropRequests(connection); /* later requests count as not read */
+        /* Later requests count as not read. */
+        Ccn_DropRequests(connection, Ccn_BEHIND_CLOSE);
         Ccn_EndAfterFlush(connection);
     }
     else if (!connection->first_request && connection->error_status) {
@@ -234,11 +234,11 @@
     request->answer_ended = true;
     connection->listener->active_requests--;
     if (shows_end) {
-        Ccn_DropRequests(connection);
+        Ccn_DropRequests(connection, Ccn_ANSWER_ABORTED);
         Ccn_EndAfterFlush(connection);
     }
     else {
-        Ccn_Reset(connection);
+        Ccn_Reset(connection, Ccn_ANSWER_ABORTED);
     }
 }
 
--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -32,26 +32,44 @@
 {
     StrBuf_Finish(&request->text);
     StrBuf_Finish(&request->body);
+    StrBuf_Finish(&request->id);
     if (request->deferred_output) {
         evbuffer_free(request->deferred_output);
     }
     Mem_Free(request);
 }
 
+/* Frees REQUEST, whose answer has not been sent completely. */
+static void
+drop_request(CallerRequest *request, CallerEnd reason)
+{
+    CallerListener *listener = request->connection->listener;
+    const CallerCallbacks *callbacks = &listener->callbacks;
+    uint64_t sent = request->connection->sent_bytes;
+    size_t unsent = 0;
+
+    if (request->end_offset) {
+        unsent = (size_t)(request->end_offset - sent);
+    }
+    else if (request->deferred_output) {
+        unsent = evbuffer_get_length(request->deferred_output);
+    }
+    callbacks->on_cut(callbacks->context, request, reason, unsent);
+    if (request->is_dispatched && !request->answer_ended) {
+        callbacks->on_disconnect(callbacks->context, request);
+    }
+    listener->active_requests -= !request->answer_ended;
+    Ccn_FreeRequest(request);
+}
+
 void
-Ccn_DropRequests(CallerConnection *connection)
+Ccn_DropRequests(CallerConnection *connection, CallerEnd reason)
 {
-    CallerListener *listener = connection->listener;
     CallerRequest *request;
 
     while ((request = connection->first_request)) {
         connection->first_request = request->next;
-        listener->active_requests -= !request->answer_ended;
-        if (request->is_dispatched && !request->answer_ended) {
-            listener->callbacks.on_disconnect(listener->callbacks.context,
-                                              request);
-        }
-        Ccn_FreeRequest(request);
+        drop_request(request, reason);
     }
     connection->request_count = 0;
     if (connection->incoming) {
@@ -60,37 +78,84 @@
     }
 }
 
+static void
+drop_unsent(CallerConnection *connection, CallerEnd reason)
+{
+    CallerRequest *request;
+
+    while ((request = connection->first_unsent)) {
+        connection->first_unsent = request->next;
+        drop_request(request, reason);
+    }
+}
+
+static struct evbuffer *
+output_of(const CallerConnection *connection)
+{
+    return bufferevent_get_output(connection->bev);
+}
+
+void
+Ccn_AddUnsent(CallerConnection *connection, CallerRequest *request)
+{
+    CallerRequest **at = &connection->first_unsent;
+
+    while (*at) {
+        at = &(*at)->next;
+    }
+    *at = request;
+    request->next = NULL;
+    request->end_offset =
+        connection->sent_bytes + evbuffer_get_length(output_of(connection));
+    StrBuf_Finish(&request->body);
+}
+
+/* Called when bytes are added to the output, and when they were written to the
+ * socket. */
+static void
+on_output_change(struct evbuffer *out, const struct evbuffer_cb_info *info,
+                 void *context)
+{
+    CallerConnection *connection = context;
+    CallerRequest *request;
+
+    (void)out;
+    connection->sent_bytes += info->n_deleted;
+    while ((request = connection->first_unsent) &&
+           request->end_offset <= connection->sent_bytes) {
+        connection->first_unsent = request->next;
+        Ccn_FreeRequest(request);
+    }
+}
+
 void
-Ccn_Free(CallerConnection *connection)
+Ccn_Free(CallerConnection *connection, CallerEnd reason)
 {
     CallerListener *listener = connection->listener;
 
-    Ccn_DropRequests(connection);
+    drop_unsent(connection, reason);
+    Ccn_DropRequests(connection, reason);
     if (connection->in_reader) {
         connection->free_pending = true;
         return;
     }
     Lst_Drop(&listener->connections, &connection->link);
+    evbuffer_remove_cb(output_of(connection), on_output_change, connection);
     bufferevent_free(connection->bev);
     Hrd_Finish(&connection->reader);
     Mem_Free(connection);
 }
 
-/* Closes the connection with a TCP reset, so that the caller sees a
- * failure. */
 void
-Ccn_Reset(CallerConnection *connection)
+Ccn_Reset(CallerConnection *connection, CallerEnd reason)
 {
     struct linger zero_linger = {1, 0};
 
     setsockopt(bufferevent_getfd(connection->bev), SOL_SOCKET, SO_LINGER,
                &zero_linger, sizeof zero_linger);
-    Ccn_Free(connection);
+    Ccn_Free(connection, reason);
 }
 
-/* Closes the connection after its output was sent.  Further input is read and
- * discarded, because closing with unread input could destroy the last
- * answer. */
 void
 Ccn_EndAfterFlush(CallerConnection *connection)
 {
@@ -176,7 +241,7 @@
         return;
     }
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
-        Ccn_Free(context);
+        Ccn_Free(context, Ccn_CALLER_LEFT);
     }
 }
 
@@ -199,6 +264,7 @@
         bufferevent_socket_new(listener->base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(connection->bev, on_read, on_written, on_event,
                       connection);
+    evbuffer_add_cb(output_of(connection), on_output_change, connection);
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
     Lst_Prepend(&listener->connections, &connection->link, connection);
 }
@@ -242,7 +308,7 @@
 
     Ccn_StopListening(listener);
     while ((connection = Lst_First(&listener->connections))) {
-        Ccn_Free(connection);
+        Ccn_Free(connection, Ccn_EXIT);
     }
 }
 
@@ -298,6 +364,34 @@
     }
 }
 
+size_t
+Ccn_CountReading(CallerListener *listener)
+{
+    ListWalk walk;
+    CallerConnection *connection;
+    size_t count = 0;
+
+    Lst_Begin(&walk, &listener->connections);
+    while ((connection = Lst_Next(&walk))) {
+        count += connection->incoming || connection->reader.in_message;
+    }
+    return count;
+}
+
+size_t
+Ccn_CountUnsentBytes(CallerListener *listener)
+{
+    ListWalk walk;
+    CallerConnection *connection;
+    size_t bytes = 0;
+
+    Lst_Begin(&walk, &listener->connections);
+    while ((connection = Lst_Next(&walk))) {
+        bytes += evbuffer_get_length(output_of(connection));
+    }
+    return bytes;
+}
+
 static void
 check_timeouts(CallerConnection *connection, Instant now)
 {
@@ -305,11 +399,11 @@
     Span age = now - connection->timer_start;
 
     if (connection->half_closed && has_socket_error(connection)) {
-        Ccn_Free(connection);
+        Ccn_Free(connection, Ccn_CALLER_LEFT);
     }
     else if (connection->closes_after_flush) {
         if (age >= CLOSE_WAIT) {
-            Ccn_Free(connection);
+            Ccn_Free(connection, Ccn_CALLER_STALLED);
         }
     }
     else if (connection->in_head && connection->reader.in_message) {
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -25,7 +25,8 @@
 typedef struct CallerRequest CallerRequest;
 typedef struct CallerListener CallerListener;
 
-/* One request and its answer.  Its strings are valid until the answer ends. */
+/* One request and its answer.  Its strings are valid until the answer ends;
+ * those of the head until it has been sent. */
 struct CallerRequest {
     CallerConnection *connection;
     CallerRequest *next;
@@ -46,9 +47,22 @@
     uint32_t unsent_bytes;  /* body bytes not yet sent to the caller */
     struct evbuffer *deferred_output; /* answer behind earlier answers */
     void *user_data;     /* set and used by the owner of the callbacks */
+    StrBuf id;           /* for logs; set by the owner of the callbacks */
     Instant received_at; /* when it was read completely */
+    /* Once the answer has ended: how many bytes of the connection's output end
+     * with it. */
+    uint64_t end_offset;
 };
 
+/* Why a connection ended before an answer was sent completely. */
+typedef enum {
+    Ccn_CALLER_LEFT,    /* the caller ended or reset the connection */
+    Ccn_CALLER_STALLED, /* the caller did not read for too long */
+    Ccn_ANSWER_ABORTED, /* the answer cannot be completed */
+    Ccn_BEHIND_CLOSE,   /* behind an answer that closes the connection */
+    Ccn_EXIT            /* the process ends */
+} CallerEnd;
+
 /* Receives the requests of all connections of a listener. */
 typedef struct {
     void *context;
@@ -59,6 +73,11 @@
     void (*on_consumed)(void *context, CallerRequest *request, uint32_t bytes);
     /* The caller disconnected.  The request is freed after this call. */
     void (*on_disconnect)(void *context, CallerRequest *request);
+    /* The connection ended before the answer was sent completely, or begun:
+     * UNSENT bytes are left of what is known of it.  Called before
+     * on_disconnect; the request is freed after it. */
+    void (*on_cut)(void *context, const CallerRequest *request,
+                   CallerEnd reason, size_t unsent);
     /* Adds header fields to the error answer STATUS of a request that could
      * not be read. */
     void (*add_error_fields)(void *context, uint16_t status,
@@ -103,6 +122,12 @@
 /* Closes connections without a request, after their output was sent. */
 void Ccn_CloseIdle(CallerListener *listener);
 
+/* Counts the connections on which a part of a request has been read. */
+size_t Ccn_CountReading(CallerListener *listener);
+
+/* Counts the bytes of all answers that were not sent yet. */
+size_t Ccn_CountUnsentBytes(CallerListener *listener);
+
 /* Handles the timeouts of all connections; called periodically. */
 void Ccn_CheckTimeouts(CallerListener *listener, Instant now);
 
--- a/src/connection/callerinput.c
+++ b/src/connection/callerinput.c
@@ -176,7 +176,7 @@
     read_messages(connection);
     connection->in_reader = false;
     if (connection->free_pending) {
-        Ccn_Free(connection);
+        Ccn_Free(connection, Ccn_CALLER_LEFT);
     }
 }
 
--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -16,6 +16,8 @@
     CallerRequest *incoming; /* its body is being read; not in the list yet */
     CallerRequest *first_request; /* not answered yet, oldest first */
     size_t request_count;
+    CallerRequest *first_unsent; /* answered, but not sent completely yet */
+    uint64_t sent_bytes;         /* written to the socket */
     Instant timer_start; /* first byte of a head, or end of the last answer */
     bool in_head;
     bool ignores_input;      /* no further request is read: the connection is
@@ -34,17 +36,21 @@
 
 void Ccn_FreeRequest(CallerRequest *request);
 
-/* Frees all requests; on_disconnect is called for those that are being
- * answered. */
-void Ccn_DropRequests(CallerConnection *connection);
+/* Frees the requests whose answers have not ended; on_disconnect is called for
+ * those that are being answered. */
+void Ccn_DropRequests(CallerConnection *connection, CallerEnd reason);
+
+/* REQUEST, which is no longer in the list, was answered: keeps it until the
+ * answer has been sent. */
+void Ccn_AddUnsent(CallerConnection *connection, CallerRequest *request);
 
 /* Closes and frees CONNECTION, or, on behalf of a callback of its reader, lets
  * the reader do so. */
-void Ccn_Free(CallerConnection *connection);
+void Ccn_Free(CallerConnection *connection, CallerEnd reason);
 
 /* Closes the connection with a TCP reset, so that the caller sees a
  * failure. */
-void Ccn_Reset(CallerConnection *connection);
+void Ccn_Reset(CallerConnection *connection, CallerEnd reason);
 
 /* Closes the connection after its output was sent.  Further input is read and
  * discarded, because closing with unread input could destroy the last
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -35,6 +35,51 @@
     Xch_OnDisconnect(request, Loop_Now());
 }
 
+/* The request id; of a request that was not passed on, the one that the caller
+ * gave. */
+static Str
+get_request_id(const Edge *edge, const CallerRequest *request)
+{
+    const HeaderFieldNames *names = &edge->settings->header_fields;
+
+    return request->id.len
+               ? StrBuf_View(&request->id)
+               : Field_Get(&request->fields, StrBuf_View(&names->request_id));
+}
+
+static const char *
+get_stage(const CallerRequest *request)
+{
+    if (!request->is_dispatched) {
+        return "waits_behind";
+    }
+    if (request->answer_ended) {
+        return "answered";
+    }
+    return request->head_sent ? "answer_begun" : "no_answer_yet";
+}
+
+/* Logs what the end of the connection cuts off.  That a caller leaves is
+ * usual, unless it leaves a node that stops. */
+static void
+on_cut(void *context, const CallerRequest *request, CallerEnd reason,
+       size_t unsent)
+{
+    static const char *const reasons[] = {"caller_left", "caller_stalled",
+                                          "answer_aborted", "behind_close",
+                                          "exit"};
+    const Edge *edge = context;
+    bool is_usual = !edge->caller_listener.is_draining &&
+                    (reason == Ccn_CALLER_LEFT || reason == Ccn_BEHIND_CLOSE);
+
+    Lgr_Log(edge->exchanges.dispatcher->logger,
+            is_usual ? Lgr_DEBUG : Lgr_INFO, Str_LIT("answer_cut"),
+            "request=%.*s why=%s stage=%s unsent=%zu since_read_us=%lld",
+            Str_ARG(get_request_id(edge, request)), reasons[reason],
+            get_stage(request), unsent,
+            (long long)(Loop_Now() - request->received_at));
+}
+
 static void
 add_error_fields(void *context, uint16_t status, FieldList *fields)
 {
@@ -78,8 +123,9 @@
 Edge_Init(Edge *edge, Loop *loop, const Settings *settings,
           CallDispatcher *dispatcher, Err *err)
 {
-    CallerCallbacks callbacks = {edge,        can_run_early, on_request,
-                                 on_consumed, on_disconnect, add_error_fields};
+    CallerCallbacks callbacks = {
+        edge,          can_run_early, on_request,      on_consumed,
+        on_disconnect, on_cut,        add_error_fields};
     PresetCallerLimits no_limits = {0};
     CallerLimits limits = choose_limits(settings, &no_limits);
 
@@ -158,3 +204,15 @@
 {
     return edge->caller_listener.connections.count;
 }
+
+size_t
+Edge_CountReading(Edge *edge)
+{
+    return Ccn_CountReading(&edge->caller_listener);
+}
+
+size_t
+Edge_CountUnsentBytes(Edge *edge)
+{
+    return Ccn_CountUnsentBytes(&edge->caller_listener);
+}
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -55,4 +55,10 @@
 /* Counts callers' connections, with a request or without. */
 size_t Edge_CountConnections(const Edge *edge);
 
+/* Counts callers' connections on which a part of a request has been read. */
+size_t Edge_CountReading(Edge *edge);
+
+/* Counts the bytes of answers that were not sent to their callers yet. */
+size_t Edge_CountUnsentBytes(Edge *edge);
+
 #endif
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -112,6 +112,22 @@
     };
 }
 
+/* Logs what the exit cuts off, and when the last piece of an answer was sent
+ * to another node, which may not have it yet. */
+static void
+log_stopped(Node *node, const StopActivity *activity, Instant now)
+{
+    Instant last_piece_at = node->runner.last_piece_at;
+
+    Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("stopped"),
+            "cut=%d calls=%zu runs=%zu requests=%zu connections=%zu "
+            "reading=%zu unsent=%zu last_piece_ms=%lld",
+            node->stop.timed_out, activity->calls, activity->local_attempts,
+            activity->http_exchanges, activity->caller_connections,
+            Edge_CountReading(&node->edge), Edge_CountUnsentBytes(&node->edge),
+            last_piece_at ? (long long)(now - last_piece_at) / 1000 : -1);
+}
+
 /* Carries out the next action of a stop that is under way. */
 static void
 do_next_stop_step(Node *node, Instant now)
@@ -138,9 +154,7 @@
         Edge_CloseIdle(&node->edge);
         break;
     case Stp_EXIT:
-        Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("stopped"),
-                "cut=%d calls=%zu runs=%zu", node->stop.timed_out,
-                activity.calls, activity.local_attempts);
+        log_stopped(node, &activity, now);
         Loop_Stop(&node->loop);
         break;
     }
--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -22,6 +22,7 @@
         msg.fields = attempt->answer_fields;
     }
     attempt->next_piece++;
+    attempt->runner->last_piece_at = now;
     attempt->deadline = now + Callmsg_STALL_TIMEOUT;
     attempt->uncredited_bytes += (uint32_t)bytes.len;
     Callmsg_PackPiece(&pack, &msg);
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -333,9 +333,37 @@
     }
 }
 
+static const char *
+get_state(Call *call)
+{
+    const Attempt *attempt = Call_ActiveAttempt(call);
+
+    if (attempt) {
+        return attempt->pieces.next_sequence ? "answer_begun" : "sent";
+    }
+    return call->retry_at ? "waits" : "claims";
+}
+
+/* While the node stops, its exit may be what cancels the call. */
+static void
+log_cancel(Call *call, Instant now)
+{
+    Lgr_Log(
+        call->dispatcher->logger,
+        call->dispatcher->stops_starting ? Lgr_INFO : Lgr_DEBUG,
+        Str_LIT("call_cancelled"),
+        "request=%.*s state=%s attempts=%u asked=%u nested=%d took_us=%lld "
+        "left_us=%lld",
+        Str_ARG(call->request.request_id), get_state(call),
+        call->retry.attempt_count, call->sent_count, call->nested,
+        (long long)(now - call->arrived_at),
+        (long long)(call->deadline - now));
+}
+
 void
 Call_Cancel(Call *call, Instant now)
 {
+    log_cancel(call, now);
     Cnt_Add(call->dispatcher->counters, Cnt_CALLS_HUNG_UP, 1);
     Call_CancelAttempts(call, now);
     if (call->claim_session) {
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -12,8 +12,7 @@
     ExchangeList *list;
     ListLink link;
     CallerRequest *request;
-    Call *call; /* NULL: not started yet, or freed */
-    StrBuf request_id;
+    Call *call;     /* NULL: not started yet, or freed */
     bool head_sent; /* the head of the answer was sent */
 };
 
@@ -21,7 +20,6 @@
 free_exchange(Exchange *exchange)
 {
     Lst_Drop(&exchange->list->exchanges, &exchange->link);
-    StrBuf_Finish(&exchange->request_id);
     Mem_Free(exchange);
 }
 
@@ -83,7 +81,7 @@
         Field_Add(fields, name_of(&names->outcome), outcome);
     }
     Field_Add(fields, name_of(&names->request_id),
-              StrBuf_View(&exchange->request_id));
+              StrBuf_View(&exchange->request->id));
 }
 
 static void
@@ -201,10 +199,10 @@
 set_request_id(Exchange *exchange, Str given)
 {
     if (Htr_IsValidRequestId(given)) {
-        StrBuf_Set(&exchange->request_id, given);
+        StrBuf_Set(&exchange->request->id, given);
         return;
     }
-    StrBuf_AppendFmt(&exchange->request_id, "%016" PRIx64 "-%" PRIu64,
+    StrBuf_AppendFmt(&exchange->request->id, "%016" PRIx64 "-%" PRIu64,
                      exchange->list->dispatcher->incarnation,
                      ++exchange->list->request_id_counter);
 }
@@ -247,7 +245,7 @@
         }
     }
     Field_Add(to, name_of(&names->request_id),
-              StrBuf_View(&exchange->request_id));
+              StrBuf_View(&exchange->request->id));
     if (names->origin_service.len && names->origin_value.len) {
         Field_Add(to, name_of(&names->origin_service),
                   name_of(&names->origin_value));
@@ -286,7 +284,7 @@
     const CallerRequest *http = exchange->request;
     CallSink sink = callbacks;
     CallRequest request = {
-        .request_id = StrBuf_View(&exchange->request_id),
+        .request_id = StrBuf_View(&exchange->request->id),
         .host = Htr_HostWithoutPort(&http->fields),
         .method = http->method,
         .target = Htr_OriginForm(http->target),
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -631,6 +631,11 @@
     BackendAttempt *attempt;
 
     while ((attempt = Lst_First(&runner->attempts))) {
+        Lgr_Log(runner->logger, Lgr_INFO, Str_LIT("run_cut"),
+                "request=%.*s runs=%d pieces=%u unsent=%zu uncredited=%u",
+                Str_ARG(attempt->request_id), attempt->exchange != NULL,
+                attempt->next_piece, attempt->unsent_body.len,
+                attempt->uncredited_bytes);
         if (attempt->exchange) {
             Bck_Cancel(attempt->exchange);
         }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -59,7 +59,9 @@
     void *backend_lost_context;
     /* see Run_SetBackendLostCallback */
     void (*on_backend_lost)(void *context, Instant now);
-    Instant last_call_at; /* when a Wire_CALL message came last; 0: never */
+    Instant last_call_at;  /* when a Wire_CALL message came last; 0: never */
+    Instant last_piece_at; /* when a piece of an answer was sent last; 0:
+                              never */
 } AttemptRunner;
 
 /* Registers the handlers of Wire_CALL, Wire_CANCEL, Wire_CREDIT and
