--- /dev/null
+++ b/tests/integration/test_planned_stop.c
@@ -0,0 +1,224 @@
+/* Guards against the failure that requests were lost around a planned stop:
+ * answers cut on the way to callers that read late or slowly, and no answer to
+ * requests that were being read. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "fleet_mix.h"
+#include "operators.h"
+#include "process/loop.h"
+#include "support/suite.h"
+
+#define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
+
+enum { SUBNET = 61, VMS = 4, STOPPED_VM = 1, MANY = 90, FEW = 4 };
+
+#define SIGNAL_AT Span_MS(1500)
+#define GRACE Span_S(6)
+/* Requests are sent until half of the grace time has passed. */
+#define LAST_SEND (SIGNAL_AT + GRACE / 2)
+/* A connection may end within this time of a request's last byte: the request
+ * and the end of the connection cross each other. */
+#define CROSSING_TIME Span_MS(200)
+
+static Str build;
+
+typedef struct {
+    const char *name;
+    uint32_t seed;
+    bool is_full; /* backend servers have fewer slots than work */
+    Span work_max;
+    bool has_notice; /* callers are told of the stop before it closes their
+                        connections */
+    bool local_only; /* one backend server, beside the node that stops, else
+                        beside all */
+    int caller_vm;   /* callers connect there */
+    int callers;     /* with few, the stop ends early */
+} StopCase;
+
+static const StopCase cases[] = {
+    {"room", 102, false, Span_MS(1500), true, false, STOPPED_VM, MANY},
+    {"full", 103, true, Span_MS(500), true, false, STOPPED_VM, MANY},
+    {"no notice", 104, false, Span_MS(1500), false, false, STOPPED_VM, MANY},
+    {"no hop", 5, false, Span_MS(1500), true, true, STOPPED_VM, MANY},
+    {"beside the backend server", 102, false, Span_MS(1500), true, false, 2,
+     MANY},
+    {"few callers", 7, false, Span_MS(1500), true, false, STOPPED_VM, FEW},
+    {"few callers, no notice", 8, false, Span_MS(1500), false, false,
+     STOPPED_VM, FEW},
+};
+
+typedef struct {
+    Fleet *fleet;
+    bool signaled;
+    Instant signaled_at;
+    bool exited;
+    Span took;
+    int status;
+} Stop;
+
+static void
+start_fleet(Fleet *fleet, const StopCase *c)
+{
+    static const Str routes =
+        Str_LIT("{\"name\":\"look\",\"host\":\"barns\",\"path\":\"/look/\","
+                "\"kind\":\"idempotent\",\"deadline_ms\":10000,"
+                "\"objective_ms\":4000,\"priority\":1,\"service\":\"visor\"},"
+                "{\"name\":\"book\",\"host\":\"barns\",\"path\":\"/book/\","
+                "\"kind\":\"non_idempotent\",\"deadline_ms\":10000,"
+                "\"objective_ms\":4000,\"priority\":1,\"service\":\"visor\"}");
+    StrBuf settings = {0};
+
+    Fleet_Init(fleet, build, SUBNET, VMS, 1);
+    StrBuf_AppendFmt(&settings,
+                     "\"operators_open\":true,\"bounds\":[\"stop_grace_s=6\"],"
+                     "\"stop_notice_ms\":%d",
+                     c->has_notice ? 2500 : 0);
+    Fleet_SetExtraSettings(fleet, StrBuf_View(&settings));
+    StrBuf_Finish(&settings);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(fleet, i);
+    }
+    for (int i = 1; i < VMS; i++) {
+        if (i == STOPPED_VM || !c->local_only) {
+            Fleet_StartBackend(fleet, i, Str_LIT("visor"),
+                               c->is_full ? Str_LIT("--slots=4")
+                                          : Str_LIT("--slots=90"));
+        }
+    }
+    for (int i = 0; i < VMS; i++) {
+        ck_assert(
+            Fleet_WaitForPath(fleet, i, Str_LIT("/visor/ready"), Span_S(10)));
+    }
+    Ops_PutRoutes(fleet, 1, 0, routes);
+    Fleet_Sleep(Span_S(2));
+}
+
+static void
+on_tick(void *context, Span elapsed)
+{
+    Stop *stop = context;
+    pid_t *node = &stop->fleet->vms[STOPPED_VM].node;
+
+    if (!stop->signaled && elapsed >= SIGNAL_AT) {
+        kill(*node, SIGTERM);
+        stop->signaled = true;
+    }
+    if (stop->signaled && !stop->exited &&
+        waitpid(*node, &stop->status, WNOHANG) == *node) {
+        stop->exited = true;
+        stop->took = elapsed - SIGNAL_AT;
+        *node = 0;
+    }
+    if (!stop->exited && elapsed >= SIGNAL_AT + GRACE) {
+        kill(*node, SIGKILL);
+    }
+}
+
+/* A request that the connection's end crossed, or that was sent behind another
+ * one, may get no answer when no backend server has run it. */
+static bool
+is_excused(Fleet *fleet, const MixResult *result, bool is_behind)
+{
+    return result->outcome == Mix_SILENT &&
+           Fleet_CountEffects(fleet, Str_FromC(result->id)) == 0 &&
+           (is_behind || result->ended_at - result->sent_at < CROSSING_TIME);
+}
+
+static bool
+is_lost(Fleet *fleet, const MixResult *result, bool is_behind)
+{
+    switch (result->outcome) {
+    case Mix_UNSENT:
+    case Mix_ANSWERED:
+        return false;
+    case Mix_REJECTED:
+        return Fleet_CountEffects(fleet, Str_FromC(result->id)) > 0;
+    default:
+        return !is_excused(fleet, result, is_behind);
+    }
+}
+
+/* Prints what became of the requests, by outcome, and the callers that lost
+ * one.  Returns how many were lost. */
+static int
+count_lost(Fleet *fleet, const Mix *mix, const char *name, const Stop *stop)
+{
+    int by_outcome[Mix_WRONG + 1] = {0};
+    int lost = 0;
+    StrBuf text = {0};
+
+    for (int i = 0; i < mix->count; i++) {
+        const MixPlan *plan = Mix_GetPlan(mix, i);
+        int before = lost;
+        for (int k = 0; k < plan->request_count; k++) {
+            const MixResult *result = Mix_GetResult(mix, i, k);
+            by_outcome[result->outcome]++;
+            lost += is_lost(fleet, result, k > 0);
+        }
+        if (lost > before) {
+            Mix_Print(mix, i, &text);
+        }
+    }
+    fprintf(stderr,
+            "%s: unsent %d, answered %d, rejected %d, failed %d, cut %d, "
+            "silent %d, wrong %d; lost %d; stop took %lld ms\n%.*s",
+            name, by_outcome[Mix_UNSENT], by_outcome[Mix_ANSWERED],
+            by_outcome[Mix_REJECTED], by_outcome[Mix_FAILED],
+            by_outcome[Mix_CUT], by_outcome[Mix_SILENT], by_outcome[Mix_WRONG],
+            lost, (long long)(stop->took / 1000), Str_ARG(text));
+    StrBuf_Finish(&text);
+    return lost;
+}
+
+static uint32_t
+get_seed(const StopCase *c)
+{
+    const char *given = getenv("MIX_SEED");
+
+    return given ? (uint32_t)atoi(given) : c->seed;
+}
+
+START_TEST(planned_stop_loses_no_request)
+{
+    const StopCase *c = &cases[_i];
+    Fleet fleet;
+    Mix mix;
+    MixPlan plans[MANY];
+    Stop stop = {.fleet = &fleet};
+    Rng rng;
+
+    Rng_Init(&rng, get_seed(c));
+    for (int i = 0; i < c->callers; i++) {
+        Mix_Draw(&plans[i], &rng, c->caller_vm, Span_MS(100), LAST_SEND,
+                 c->work_max);
+    }
+    Rng_Finish(&rng);
+    start_fleet(&fleet, c);
+    Mix_Init(&mix, &fleet, plans, c->callers);
+    mix.context = &stop;
+    mix.on_tick = on_tick;
+    Mix_Run(&mix, SIGNAL_AT + GRACE + Span_S(2));
+    while (!stop.exited) {
+        on_tick(&stop, Loop_Now() - mix.started_at);
+        Fleet_Sleep(Span_MS(10));
+    }
+    ck_assert_int_eq(count_lost(&fleet, &mix, c->name, &stop), 0);
+    ck_assert_msg(WIFEXITED(stop.status) && WEXITSTATUS(stop.status) == 0,
+                  "%s: status %x", c->name, (unsigned)stop.status);
+    Mix_Finish(&mix);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
+int
+main(int argc, char **argv)
+{
+    const SuiteTest tests[] = {{planned_stop_loses_no_request, ROWS(cases)}};
+
+    build = Suite_GetBuildFolder(argc, argv);
+    return Suite_Run("planned stop", tests, 1, 60);
+}
