Close a caller's connection when its answers have arrived, not 2 s later

Callers that read late or slowly saw answers end in the middle, and none to the requests that they had sent behind: in a planned stop, where each connection is closed after its last answer, and at any time when the caller announced its last request.

Cause: a request counted as done when its answer had been queued in the node's memory, and the time for the caller to end its side began then. 2 s later the connection was freed with what was left in it. Evidence: answer_cut why=caller_stalled stage=answered unsent=116483, 2.0 s after the last piece came from the backend server. Ruled out: the exit of the node (it was still running), and of the one beside the backend server (the bytes were here).

Now a request ends when its answer has been written to the socket: it counts as work of the node until then, in a stop and against the bound of pipelined requests. The 2 s begin when the caller's host has acknowledged all; a caller that takes no byte for 30 s is given up. The same cause elsewhere: idle connections were closed with unsent output; a caller that ended its side while an answer was on the way lost it; a reset for an answer without framing went ahead of earlier answers; a caller that never reads made the node keep answers without bound.

--- a/src/connection/calleranswer.c
+++ b/src/connection/calleranswer.c
@@ -138,8 +138,6 @@
     bool closes = request->closes_connection;
 
     connection->first_request = request->next;
-    connection->request_count--;
-    connection->timer_start = Ccn_Now(connection->listener);
     Ccn_AddUnsent(connection, request);
     if (closes) {
         /* Later requests count as not read. */
@@ -186,7 +184,6 @@
         evbuffer_add(output_of(request), "0\r\n\r\n", 5);
     }
     request->answer_ended = true;
-    connection->listener->active_requests--;
     if (request == connection->first_request) {
         bool was_in_reader = connection->in_reader;
         connection->in_reader = true;
@@ -231,14 +228,13 @@
     CallerConnection *connection = request->connection;
     bool shows_end = request->chunked || request->has_length;
 
-    request->answer_ended = true;
-    connection->listener->active_requests--;
+    request->is_aborted = true;
+    Ccn_DropRequests(connection, Ccn_ANSWER_ABORTED);
     if (shows_end) {
-        Ccn_DropRequests(connection, Ccn_ANSWER_ABORTED);
         Ccn_EndAfterFlush(connection);
     }
     else {
-        Ccn_Reset(connection, Ccn_ANSWER_ABORTED);
+        Ccn_ResetAfterFlush(connection);
     }
 }
 
--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -1,7 +1,9 @@
 #include "connection/callerconn.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "connection/callerstate.h"
@@ -17,10 +19,12 @@
 #define HEAD_TIMEOUT Span_S(3)
 #define IDLE_TIMEOUT Span_S(15)
 
-/* Time for the caller to read the last answer before the connection is
- * closed. */
+/* Time for the caller to end its side once the last answer was delivered. */
 #define CLOSE_WAIT Span_S(2)
 
+/* A caller that takes no byte of an answer for so long is given up. */
+#define STALL_TIMEOUT Span_S(30)
+
 Instant
 Ccn_Now(const CallerListener *listener)
 {
@@ -55,10 +59,11 @@
         unsent = evbuffer_get_length(request->deferred_output);
     }
     callbacks->on_cut(callbacks->context, request, reason, unsent);
-    if (request->is_dispatched && !request->answer_ended) {
+    if (request->is_dispatched && !request->answer_ended &&
+        !request->is_aborted) {
         callbacks->on_disconnect(callbacks->context, request);
     }
-    listener->active_requests -= !request->answer_ended;
+    listener->active_requests--;
     Ccn_FreeRequest(request);
 }
 
@@ -69,9 +74,9 @@
 
     while ((request = connection->first_request)) {
         connection->first_request = request->next;
+        connection->request_count--;
         drop_request(request, reason);
     }
-    connection->request_count = 0;
     if (connection->incoming) {
         Ccn_FreeRequest(connection->incoming);
         connection->incoming = NULL;
@@ -85,6 +90,7 @@
 
     while ((request = connection->first_unsent)) {
         connection->first_unsent = request->next;
+        connection->request_count--;
         drop_request(request, reason);
     }
 }
@@ -124,6 +130,9 @@
     while ((request = connection->first_unsent) &&
            request->end_offset <= connection->sent_bytes) {
         connection->first_unsent = request->next;
+        connection->request_count--;
+        connection->listener->active_requests--;
+        connection->timer_start = Ccn_Now(connection->listener);
         Ccn_FreeRequest(request);
     }
 }
@@ -146,14 +155,26 @@
     Mem_Free(connection);
 }
 
-void
-Ccn_Reset(CallerConnection *connection, CallerEnd reason)
+static void
+reset_connection(CallerConnection *connection)
 {
     struct linger zero_linger = {1, 0};
 
     setsockopt(bufferevent_getfd(connection->bev), SOL_SOCKET, SO_LINGER,
                &zero_linger, sizeof zero_linger);
-    Ccn_Free(connection, reason);
+    Ccn_Free(connection, Ccn_ANSWER_ABORTED);
+}
+
+/* Bytes of the output that the caller's host has not acknowledged. */
+static size_t
+count_undelivered(const CallerConnection *connection)
+{
+    int in_kernel = 0;
+
+    if (ioctl(bufferevent_getfd(connection->bev), SIOCOUTQ, &in_kernel)) {
+        in_kernel = 0;
+    }
+    return evbuffer_get_length(output_of(connection)) + (size_t)in_kernel;
 }
 
 void
@@ -161,19 +182,32 @@
 {
     connection->ignores_input = true;
     connection->closes_after_flush = true;
-    connection->timer_start = Ccn_Now(connection->listener);
-    if (evbuffer_get_length(bufferevent_get_output(connection->bev)) == 0) {
+    connection->undelivered = count_undelivered(connection);
+    connection->progress_at = Ccn_Now(connection->listener);
+    if (evbuffer_get_length(output_of(connection)) == 0) {
         shutdown(bufferevent_getfd(connection->bev), SHUT_WR);
     }
 }
 
+void
+Ccn_ResetAfterFlush(CallerConnection *connection)
+{
+    connection->ignores_input = true;
+    connection->resets_after_flush = true;
+    connection->undelivered = count_undelivered(connection);
+    connection->progress_at = Ccn_Now(connection->listener);
+    if (connection->undelivered == 0) {
+        reset_connection(connection);
+    }
+}
+
 static void
 on_read(struct bufferevent *from, void *context)
 {
     CallerConnection *connection = context;
 
     (void)from;
-    if (connection->closes_after_flush) {
+    if (connection->closes_after_flush || connection->resets_after_flush) {
         struct evbuffer *input = bufferevent_get_input(connection->bev);
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
@@ -197,22 +231,39 @@
                                             request, bytes);
         }
     }
-    else if (connection->closes_after_flush) {
+    if (connection->closes_after_flush) {
         shutdown(bufferevent_getfd(to), SHUT_WR);
     }
+    else {
+        Ccn_ProcessInput(connection); /* there is room for further requests */
+    }
+}
+
+/* Whether a caller that has ended its side may wait for answers: it announced
+ * its last request, or an answer is on the way to it. */
+static bool
+may_still_read(const CallerConnection *connection)
+{
+    const CallerRequest *request = connection->first_request;
+
+    if (!request) {
+        return evbuffer_get_length(output_of(connection)) > 0;
+    }
+    return connection->ignores_input || request->head_sent;
 }
 
-/* The caller had announced its last request and has now ended its side: either
- * it waits for the answer, or it has left.  That shows when something is sent:
- * the host of a caller that left replies with a reset, which check_timeouts
- * finds.  Until the answer begins, that something is an interim response. */
+/* The caller has ended its side: either it waits for answers, or it has left.
+ * That shows when something is sent: the host of a caller that left replies
+ * with a reset, which check_timeouts finds.  Until an answer begins, that
+ * something is an interim response. */
 static void
 start_half_close(CallerConnection *connection)
 {
     const CallerRequest *request = connection->first_request;
 
     connection->half_closed = true;
-    if (!request->http_1_0 && !request->head_sent) {
+    connection->ignores_input = true;
+    if (request && !request->http_1_0 && !request->head_sent) {
         evbuffer_add_printf(bufferevent_get_output(connection->bev),
                             "HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -235,8 +286,7 @@
     CallerConnection *connection = context;
 
     (void)from;
-    if (what & BEV_EVENT_EOF && connection->ignores_input &&
-        connection->first_request) {
+    if (what & BEV_EVENT_EOF && may_still_read(connection)) {
         start_half_close(connection);
         return;
     }
@@ -345,8 +395,10 @@
 static bool
 is_idle(const CallerConnection *connection)
 {
-    return !connection->first_request && !connection->incoming &&
-           !connection->reader.in_message && !connection->closes_after_flush &&
+    return !connection->first_request && !connection->first_unsent &&
+           !connection->incoming && !connection->reader.in_message &&
+           !connection->closes_after_flush &&
+           !connection->resets_after_flush &&
            evbuffer_get_length(bufferevent_get_input(connection->bev)) == 0;
 }
 
@@ -392,6 +444,26 @@
     return bytes;
 }
 
+/* Ends a connection whose output has been delivered, or makes no progress. */
+static void
+check_closing(CallerConnection *connection, Instant now)
+{
+    size_t undelivered = count_undelivered(connection);
+    Span limit = connection->half_closed ? 0 : CLOSE_WAIT;
+
+    if (undelivered != connection->undelivered) {
+        connection->undelivered = undelivered;
+        connection->progress_at = now;
+    }
+    if (undelivered == 0 && connection->resets_after_flush) {
+        reset_connection(connection);
+    }
+    else if (now - connection->progress_at >=
+             (undelivered ? STALL_TIMEOUT : limit)) {
+        Ccn_Free(connection, Ccn_CALLER_STALLED);
+    }
+}
+
 static void
 check_timeouts(CallerConnection *connection, Instant now)
 {
@@ -401,10 +473,12 @@
     if (connection->half_closed && has_socket_error(connection)) {
         Ccn_Free(connection, Ccn_CALLER_LEFT);
     }
-    else if (connection->closes_after_flush) {
-        if (age >= CLOSE_WAIT) {
-            Ccn_Free(connection, Ccn_CALLER_STALLED);
-        }
+    else if (connection->closes_after_flush ||
+             connection->resets_after_flush) {
+        check_closing(connection, now);
+    }
+    else if (connection->half_closed && !connection->first_request) {
+        Ccn_EndAfterFlush(connection);
     }
     else if (connection->in_head && connection->reader.in_message) {
         if (age >= limits->head_timeout && !connection->first_request) {
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -43,6 +43,7 @@
     bool has_length; /* the answer's head gives the length of its body */
     bool has_no_body;
     bool answer_ended;
+    bool is_aborted;        /* by Ccn_Abort */
     bool closes_connection; /* the connection closes after its answer */
     uint32_t unsent_bytes;  /* body bytes not yet sent to the caller */
     struct evbuffer *deferred_output; /* answer behind earlier answers */
@@ -98,7 +99,8 @@
     CallerCallbacks callbacks;
     CallerLimits limits;
     List connections;
-    size_t active_requests; /* requests read completely and not answered yet */
+    size_t active_requests; /* read completely, and the answer not sent
+                               completely yet */
     bool is_draining;       /* connections close after their next answer */
 };
 
--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -18,16 +18,20 @@
     size_t request_count;
     CallerRequest *first_unsent; /* answered, but not sent completely yet */
     uint64_t sent_bytes;         /* written to the socket */
-    Instant timer_start; /* first byte of a head, or end of the last answer */
+    size_t undelivered;          /* bytes of output that the caller's host had
+                                    not acknowledged, at the last look */
+    Instant progress_at;         /* when that last changed */
+    Instant timer_start; /* first byte of a head, or when the last answer had
+                            been sent */
     bool in_head;
     bool ignores_input;      /* no further request is read: the connection is
                                 closing */
     bool starts_with_word;   /* the input begins like a method */
-    bool half_closed;        /* the caller ended its side after its last
-                                request; it may have left */
+    bool half_closed;        /* the caller ended its side; it may have left */
     uint16_t error_status;   /* of the last input; sent after all earlier
                                 answers; 0: none */
     bool closes_after_flush; /* closes when all output was sent */
+    bool resets_after_flush; /* by a reset, not an orderly end */
     bool in_reader;    /* a callback of the reader is on the call stack */
     bool free_pending; /* to be freed after the callback has returned */
 };
@@ -48,9 +52,9 @@
  * the reader do so. */
 void Ccn_Free(CallerConnection *connection, CallerEnd reason);
 
-/* Closes the connection with a TCP reset, so that the caller sees a
- * failure. */
-void Ccn_Reset(CallerConnection *connection, CallerEnd reason);
+/* Closes the connection with a TCP reset, so that the caller sees a failure,
+ * once what was sent before has been delivered. */
+void Ccn_ResetAfterFlush(CallerConnection *connection);
 
 /* Closes the connection after its output was sent.  Further input is read and
  * discarded, because closing with unread input could destroy the last
--- a/tests/integration/fleet_mix.c
+++ b/tests/integration/fleet_mix.c
@@ -35,6 +35,7 @@
     Mix *mix;
     int fd; /* -1: not open */
     bool connected;
+    bool half_closed;
     bool ended; /* nothing more will happen on the connection */
     Span opened_at;
     Span closed_at;     /* when the node ended the connection; 0: not yet */
@@ -316,9 +317,19 @@
     caller->sending++;
     StrBuf_Clear(&caller->text);
     caller->sent = 0;
-    if (caller->sending == caller->plan.request_count &&
-        caller->plan.half_closes) {
+}
+
+static void
+half_close_if_due(MixCaller *caller, Span elapsed)
+{
+    int count = caller->plan.request_count;
+
+    if (caller->plan.half_closes && !caller->half_closed &&
+        caller->sending == count &&
+        elapsed - caller->results[count - 1].sent_at >=
+            caller->plan.half_close_delay) {
         shutdown(caller->fd, SHUT_WR);
+        caller->half_closed = true;
     }
 }
 
@@ -412,6 +423,7 @@
             caller->closed_at = elapsed;
         }
         send_due(caller, elapsed);
+        half_close_if_due(caller, elapsed);
         read_due(caller, elapsed);
     }
 }
--- a/tests/integration/fleet_mix.h
+++ b/tests/integration/fleet_mix.h
@@ -34,10 +34,11 @@
     int request_count;
     bool announces_last; /* Connection: close in its last request */
     bool half_closes;    /* ends its side after its last request */
-    int receive_buffer;  /* bytes; 0: the system's choice */
-    Span read_after;     /* reads nothing for so long after its first byte */
-    size_t read_bytes;   /* read at a time; 0: all that is there */
-    Span read_interval;  /* between two reads */
+    Span half_close_delay;
+    int receive_buffer; /* bytes; 0: the system's choice */
+    Span read_after;    /* reads nothing for so long after its first byte */
+    size_t read_bytes;  /* read at a time; 0: all that is there */
+    Span read_interval; /* between two reads */
 } MixPlan;
 
 typedef enum {
