Reject nested calls that still wait when a stop nears its end

Callers got no answer at all: a node that stopped exited at its time limit with calls that no backend server had been sent, and closed their connections.

In the second half of a stop no call is started but nested ones, without which the requests that made them fail; nothing ended those that wait. Evidence: call_cancelled state=waits asked=0 nested=1 beside answer_cut why=exit.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -237,8 +237,11 @@
 
     Lvs_Tick(&node->leaves, now);
     Ann_Expire(&node->announcements, now);
-    if (!Stp_MayStartCalls(&node->stop, now)) {
-        Call_StopStarting(&node->dispatcher, now);
+    if (!Stp_MayStartCalls(&node->stop, false, now)) {
+        Call_StopStarting(&node->dispatcher, false, now);
+    }
+    if (!Stp_MayStartCalls(&node->stop, true, now)) {
+        Call_StopStarting(&node->dispatcher, true, now);
     }
     Call_DispatcherTick(&node->dispatcher, now);
     Run_Tick(&node->runner, now);
--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -4,8 +4,9 @@
  * backlog of the listening socket. */
 #define ACCEPT_DELAY Span_MS(50)
 
-/* The part of the time limit, one in so many, in which calls may start. */
-enum { START_TIME_DIVISOR = 2 };
+/* The last part of the time limit, one in so many, in which no call is started
+ * any more; of nested calls. */
+enum { NO_START_DIVISOR = 2, NO_NESTED_START_DIVISOR = 6 };
 
 void
 Stp_Init(GracefulStop *stop, const StopSettings *settings)
@@ -79,9 +80,11 @@
 }
 
 bool
-Stp_MayStartCalls(const GracefulStop *stop, Instant now)
+Stp_MayStartCalls(const GracefulStop *stop, bool nested, Instant now)
 {
-    return !stop->signaled_at ||
-           now - stop->signaled_at <
-               stop->settings.time_limit / START_TIME_DIVISOR;
+    Span limit = stop->settings.time_limit;
+    Span last_part =
+        limit / (nested ? NO_NESTED_START_DIVISOR : NO_START_DIVISOR);
+
+    return !stop->signaled_at || now - stop->signaled_at < limit - last_part;
 }
--- a/src/process/stop.h
+++ b/src/process/stop.h
@@ -6,7 +6,8 @@
  * listening, closes connections without a request, and exits once no work is
  * left and no other node has sent an attempt for the propagation time; or at
  * its time limit, with work left.  In the second half of that time no call is
- * started any more, so that the calls under way have it to end.
+ * started any more, so that the calls under way have it to end.  Those that
+ * wait then are rejected: the caller may send them elsewhere.
  *
  * The node (process/node.h) reports signals with Stp_OnSignal, calls
  * Stp_NextStep at each tick with its current activity, and carries out the
@@ -66,7 +67,8 @@
                         Instant now);
 
 /* Whether calls of this node's callers may still start at a backend server:
- * false in the second half of a stop's time limit. */
-bool Stp_MayStartCalls(const GracefulStop *stop, Instant now);
+ * false in the second half of a stop's time limit; in its last sixth for
+ * NESTED calls, without which the requests that made them fail. */
+bool Stp_MayStartCalls(const GracefulStop *stop, bool nested, Instant now);
 
 #endif
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -401,7 +401,7 @@
 {
     Attempt *attempt = Call_ActiveAttempt(call);
 
-    if (call->nested || call->claim_session) {
+    if (!Call_IsTooLate(call) || call->claim_session) {
         return;
     }
     if (call->retry_at) {
@@ -414,15 +414,17 @@
 }
 
 void
-Call_StopStarting(CallDispatcher *dispatcher, Instant now)
+Call_StopStarting(CallDispatcher *dispatcher, bool nested_too, Instant now)
 {
+    bool *stops =
+        nested_too ? &dispatcher->stops_nested : &dispatcher->stops_starting;
     ListWalk walk;
     Call *call;
 
-    if (dispatcher->stops_starting) {
+    if (*stops) {
         return;
     }
-    dispatcher->stops_starting = true;
+    *stops = true;
     Lst_Begin(&walk, &dispatcher->calls);
     while ((call = Lst_Next(&walk))) {
         stop_waiting_call(call, now);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -97,6 +97,7 @@
     bool version_confirmed;
     bool stops_starting;      /* no further attempt starts, but for nested
                                  calls */
+    bool stops_nested;        /* nor does one for them */
     uint64_t incarnation;     /* of this node */
     uint64_t attempt_counter; /* last counter used in an AttemptId */
     ClaimClient key_claims;
@@ -143,9 +144,11 @@
 void Call_Cancel(Call *call, Instant now);
 
 /* This node stops soon: from now on, calls that are not nested start no
- * attempt.  Those that wait, here or in the queue of a backend server, end as
- * not run; those that run go on.  A second call of this has no effect. */
-void Call_StopStarting(CallDispatcher *dispatcher, Instant now);
+ * attempt; with NESTED_TOO, none does.  Those that wait, here or in the queue
+ * of a backend server, end as not run; those that run go on.  A second call of
+ * this has no effect. */
+void Call_StopStarting(CallDispatcher *dispatcher, bool nested_too,
+                       Instant now);
 
 /* Handles deadlines, waiting calls and hedges that are due; called at each
  * tick of the node's timer. */
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -217,7 +217,10 @@
 bool
 Call_IsTooLate(const Call *call)
 {
-    return call->dispatcher->stops_starting && !call->nested;
+    const CallDispatcher *dispatcher = call->dispatcher;
+
+    return call->nested ? dispatcher->stops_nested
+                        : dispatcher->stops_starting;
 }
 
 void
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -24,6 +24,8 @@
  * and the end of the connection cross each other. */
 #define CROSSING_TIME Span_MS(200)
 
+#define REJECT_TIME Span_MS(500)
+
 static Str build;
 
 typedef struct {
@@ -142,6 +144,15 @@
     }
 }
 
+/* Whether a request was rejected later than the stop makes sure that it cannot
+ * run: its caller could have sent it elsewhere. */
+static bool
+is_rejected_late(const MixPlan *plan, const MixResult *result, bool is_behind)
+{
+    return result->outcome == Mix_REJECTED && !is_behind &&
+           plan->read_after == 0 && result->ended_at > LAST_SEND + REJECT_TIME;
+}
+
 /* Prints what became of the requests, by outcome, and the callers that lost
  * one.  Returns how many were lost. */
 static int
@@ -157,7 +168,8 @@
         for (int k = 0; k < plan->request_count; k++) {
             const MixResult *result = Mix_GetResult(mix, i, k);
             by_outcome[result->outcome]++;
-            lost += is_lost(fleet, result, k > 0);
+            lost += is_lost(fleet, result, k > 0) ||
+                    is_rejected_late(plan, result, k > 0);
         }
         if (lost > before) {
             Mix_Print(mix, i, &text);
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -129,28 +129,49 @@
     Instant signals[2]; /* 0: none */
     Instant at;
     bool may_start;
+    bool may_start_nested;
 } StartCase;
 
 static const StartCase start_cases[] = {
-    {"no signal", TIME_LIMIT, {0, 0}, START, true},
-    {"just signaled", TIME_LIMIT, {START, 0}, START, true},
+    {"no signal", TIME_LIMIT, {0, 0}, START, true, true},
+    {"just signaled", TIME_LIMIT, {START, 0}, START, true, true},
     {"before half of the time",
      TIME_LIMIT,
      {START, 0},
      AFTER_SIGNAL(TIME_LIMIT / 2 - 1),
+     true,
      true},
     {"half of the time",
      TIME_LIMIT,
      {START, 0},
      AFTER_SIGNAL(TIME_LIMIT / 2),
+     false,
+     true},
+    {"before the last sixth",
+     TIME_LIMIT,
+     {START, 0},
+     AFTER_SIGNAL(TIME_LIMIT / 6 * 5 - 1),
+     false,
+     true},
+    {"the last sixth",
+     TIME_LIMIT,
+     {START, 0},
+     AFTER_SIGNAL(TIME_LIMIT / 6 * 5),
+     false,
      false},
     {"at the time limit",
      TIME_LIMIT,
      {START, 0},
      AFTER_SIGNAL(TIME_LIMIT),
+     false,
+     false},
+    {"a second signal",
+     TIME_LIMIT,
+     {START, START + 5},
+     START + 5,
+     false,
      false},
-    {"a second signal", TIME_LIMIT, {START, START + 5}, START + 5, false},
-    {"no time at all", 0, {START, 0}, START, false},
+    {"no time at all", 0, {START, 0}, START, false, false},
 };
 
 enum { START_COUNT = sizeof start_cases / sizeof start_cases[0] };
@@ -165,8 +186,10 @@
     for (int i = 0; i < 2 && c->signals[i]; i++) {
         Stp_OnSignal(&stop, c->signals[i]);
     }
-    ck_assert_msg(Stp_MayStartCalls(&stop, c->at) == c->may_start, "%s",
+    ck_assert_msg(Stp_MayStartCalls(&stop, false, c->at) == c->may_start, "%s",
                   c->name);
+    ck_assert_msg(Stp_MayStartCalls(&stop, true, c->at) == c->may_start_nested,
+                  "%s", c->name);
 }
 END_TEST
 
