Don't take a call for nested because a slow caller reads beside it

Calls at a node with one caller that reads slowly were taken for nested ones: they went ahead of others, and in a stop they waited for a backend server a second longer than callers are kept waiting.

A call is nested when a run that ends no sooner is in progress beside its node. The time by which a run ends was read from the attempt's deadline, which is moved by 30 s with each piece of its answer: while one answer is being read, every call fits inside. Evidence: nested=1 at calls of callers only, from the first slow reader on. The deadline that came with the call is kept now.

--- a/src/request/run.c
+++ b/src/request/run.c
@@ -314,6 +314,7 @@
     attempt->fingerprint = msg->fingerprint;
     attempt->request_class = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
     attempt->deadline = now + msg->time_left;
+    attempt->call_deadline = attempt->deadline;
     attempt->queue_deadline = now + msg->queue_time_max;
     attempt->priority = msg->priority;
     attempt->nested = msg->nested;
@@ -662,7 +663,7 @@
          link = link->next) {
         const BackendAttempt *attempt = link->item;
         if (attempt->exchange &&
-            attempt->deadline + DEADLINE_TOLERANCE >= deadline) {
+            attempt->call_deadline + DEADLINE_TOLERANCE >= deadline) {
             return true;
         }
     }
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -38,9 +38,10 @@
     bool idempotent; /* may run more than once */
     /* made for an idempotency key: the ledger keeps the outcome for long */
     bool keyed;
-    bool cross_region; /* the ingress node is in another region */
-    bool detached;     /* no node waits for the answer */
-    /* of the call; once a piece was sent, Callmsg_STALL_TIMEOUT after the last
+    bool cross_region;     /* the ingress node is in another region */
+    bool detached;         /* no node waits for the answer */
+    Instant call_deadline; /* of the call, as it came */
+    /* the same; once a piece was sent, Callmsg_STALL_TIMEOUT after the last
      * piece */
     Instant deadline;
     Instant started_at;
