Answer requests that are being read when a stop closes connections

Callers that sent in pieces got no answer: the node waited for the rest until its time limit and exited. A request that arrived just before the node closed its idle connection was read and thrown away; its caller could not tell that it had not run.

Both have one cause: a connection was either a whole request or idle, and what was on its way in counted as nothing. Now a stop rejects what is still partial in the second half of its time (503, not run), when the rest could not run any more. An idle connection is closed only when nothing has arrived on it and its last answer has been delivered, and at once: a request that crosses the close is not read, and its caller sees a reset.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -402,6 +402,27 @@
            evbuffer_get_length(bufferevent_get_input(connection->bev)) == 0;
 }
 
+/* Whether bytes have arrived that were not read yet. */
+static bool
+has_arrived(const CallerConnection *connection)
+{
+    char byte;
+
+    return recv(bufferevent_getfd(connection->bev), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Closes an idle connection at once: what arrives from now on is not read, and
+ * the caller sees that by a reset.  Does nothing yet when a request has
+ * arrived or the last answer is on the way, which the reset could overtake. */
+static void
+close_idle(CallerConnection *connection)
+{
+    if (!has_arrived(connection) && count_undelivered(connection) == 0) {
+        Ccn_Free(connection, Ccn_CALLER_LEFT);
+    }
+}
+
 void
 Ccn_CloseIdle(CallerListener *listener)
 {
@@ -411,13 +432,20 @@
     Lst_Begin(&walk, &listener->connections);
     while ((connection = Lst_Next(&walk))) {
         if (is_idle(connection)) {
-            Ccn_EndAfterFlush(connection);
+            close_idle(connection);
         }
     }
 }
 
+/* Whether a part of a request has been read, and the rest is awaited. */
+static bool
+has_partial_request(const CallerConnection *connection)
+{
+    return connection->reader.in_message && !connection->ignores_input;
+}
+
 size_t
-Ccn_CountReading(CallerListener *listener)
+Ccn_CountPartial(CallerListener *listener)
 {
     ListWalk walk;
     CallerConnection *connection;
@@ -425,11 +453,25 @@
 
     Lst_Begin(&walk, &listener->connections);
     while ((connection = Lst_Next(&walk))) {
-        count += connection->incoming || connection->reader.in_message;
+        count += has_partial_request(connection);
     }
     return count;
 }
 
+void
+Ccn_RejectPartial(CallerListener *listener, uint16_t status)
+{
+    ListWalk walk;
+    CallerConnection *connection;
+
+    Lst_Begin(&walk, &listener->connections);
+    while ((connection = Lst_Next(&walk))) {
+        if (has_partial_request(connection)) {
+            Ccn_RejectInput(connection, status);
+        }
+    }
+}
+
 size_t
 Ccn_CountUnsentBytes(CallerListener *listener)
 {
@@ -486,7 +528,7 @@
         }
     }
     else if (is_idle(connection) && age >= limits->idle_timeout) {
-        Ccn_EndAfterFlush(connection);
+        close_idle(connection);
     }
 }
 
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -121,11 +121,16 @@
 /* Copies LIMITS, which also apply to open connections. */
 void Ccn_SetLimits(CallerListener *listener, const CallerLimits *limits);
 
-/* Closes connections without a request, after their output was sent. */
+/* Closes the connections without a request and without an answer on the way.
+ * A request that has arrived is read first; one that crosses the close is not
+ * read, which its caller sees as a reset. */
 void Ccn_CloseIdle(CallerListener *listener);
 
-/* Counts the connections on which a part of a request has been read. */
-size_t Ccn_CountReading(CallerListener *listener);
+/* Counts requests of which only a part was read. */
+size_t Ccn_CountPartial(CallerListener *listener);
+
+/* Rejects these requests with STATUS; their connections close after it. */
+void Ccn_RejectPartial(CallerListener *listener, uint16_t status);
 
 /* Counts the bytes of all answers that were not sent yet. */
 size_t Ccn_CountUnsentBytes(CallerListener *listener);
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -5,6 +5,8 @@
 
 #include "connection/httprule.h"
 
+enum { HTTP_SERVICE_UNAVAILABLE = 503 };
+
 static bool
 can_run_early(void *context, const CallerRequest *request)
 {
@@ -91,6 +93,9 @@
     if (outcome.len) {
         Field_Add(fields, outcome, Str_LIT("not-run"));
     }
+    if (status == HTTP_SERVICE_UNAVAILABLE) {
+        Field_Add(fields, Str_LIT("Retry-After"), Str_LIT("1"));
+    }
 }
 
 /* The settings' limits hold where the preset has none. */
@@ -187,6 +192,12 @@
     Ccn_CloseIdle(&edge->caller_listener);
 }
 
+void
+Edge_RejectPartialRequests(Edge *edge)
+{
+    Ccn_RejectPartial(&edge->caller_listener, HTTP_SERVICE_UNAVAILABLE);
+}
+
 void
 Edge_CheckTimeouts(Edge *edge, Instant now)
 {
@@ -206,9 +217,9 @@
 }
 
 size_t
-Edge_CountReading(Edge *edge)
+Edge_CountPartialRequests(Edge *edge)
 {
-    return Ccn_CountReading(&edge->caller_listener);
+    return Ccn_CountPartial(&edge->caller_listener);
 }
 
 size_t
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -33,7 +33,7 @@
  * and connections; the settings' limits hold where PRESET has none. */
 void Edge_SetPreset(Edge *edge, const Preset *preset);
 
-/* The next three functions are the steps of a stop, in this order.  The first
+/* The next four functions are the steps of a stop, in this order.  The first
  * makes each answer from now on the last one of its connection, and drops new
  * connections. */
 void Edge_StartDraining(Edge *edge);
@@ -45,6 +45,10 @@
 /* Closes the connections without a request. */
 void Edge_CloseIdle(Edge *edge);
 
+/* Rejects the requests of which only a part has been read, as not run; their
+ * connections close after it. */
+void Edge_RejectPartialRequests(Edge *edge);
+
 /* Handles the timeouts of callers' connections; called at each tick of the
  * node's timer. */
 void Edge_CheckTimeouts(Edge *edge, Instant now);
@@ -55,8 +59,8 @@
 /* Counts callers' connections, with a request or without. */
 size_t Edge_CountConnections(const Edge *edge);
 
-/* Counts callers' connections on which a part of a request has been read. */
-size_t Edge_CountReading(Edge *edge);
+/* Counts requests of which only a part has been read. */
+size_t Edge_CountPartialRequests(Edge *edge);
 
 /* Counts the bytes of answers that were not sent to their callers yet. */
 size_t Edge_CountUnsentBytes(Edge *edge);
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -101,13 +101,14 @@
 }
 
 static StopActivity
-get_stop_activity(const Node *node)
+get_stop_activity(Node *node)
 {
     return (StopActivity){
         .calls = node->dispatcher.calls.count,
         .local_attempts = node->runner.attempts.count,
         .http_exchanges = Edge_CountRequests(&node->edge),
         .caller_connections = Edge_CountConnections(&node->edge),
+        .partial_requests = Edge_CountPartialRequests(&node->edge),
         .last_peer_attempt_at = node->runner.last_call_at,
     };
 }
@@ -124,7 +125,7 @@
             "reading=%zu unsent=%zu last_piece_ms=%lld",
             node->stop.timed_out, activity->calls, activity->local_attempts,
             activity->http_exchanges, activity->caller_connections,
-            Edge_CountReading(&node->edge), Edge_CountUnsentBytes(&node->edge),
+            activity->partial_requests, Edge_CountUnsentBytes(&node->edge),
             last_piece_at ? (long long)(now - last_piece_at) / 1000 : -1);
 }
 
@@ -153,6 +154,9 @@
     case Stp_CLOSE_IDLE_CONNECTIONS:
         Edge_CloseIdle(&node->edge);
         break;
+    case Stp_REJECT_PARTIAL:
+        Edge_RejectPartialRequests(&node->edge);
+        break;
     case Stp_EXIT:
         log_stopped(node, &activity, now);
         Loop_Stop(&node->loop);
--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -61,6 +61,9 @@
         stop->timed_out = !is_idle(activity);
         return Stp_EXIT;
     }
+    if (activity->partial_requests && !Stp_MayStartCalls(stop, false, now)) {
+        return Stp_REJECT_PARTIAL;
+    }
     if (!stop->keep_alive_disabled) {
         stop->keep_alive_disabled = elapsed >= stop->settings.notice_time;
         return stop->keep_alive_disabled ? Stp_DISABLE_KEEP_ALIVE : Stp_WAIT;
--- a/src/process/stop.h
+++ b/src/process/stop.h
@@ -27,6 +27,7 @@
     Stp_DISABLE_KEEP_ALIVE, /* each answer ends its caller's connection */
     Stp_STOP_LISTENING,     /* all callers that connected are accepted */
     Stp_CLOSE_IDLE_CONNECTIONS, /* those of callers without a request */
+    Stp_REJECT_PARTIAL,         /* requests of which only a part was read */
     Stp_EXIT
 } StopAction;
 
@@ -37,6 +38,7 @@
     size_t http_exchanges;        /* callers' requests that were read and are
                                      not answered completely */
     size_t caller_connections;    /* open, with or without a request */
+    size_t partial_requests;      /* of which only a part was read */
     Instant last_peer_attempt_at; /* from another node; 0: none */
 } StopActivity;
 
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -226,11 +226,88 @@
 }
 END_TEST
 
+/* Requests that are being sent around a stop, by one caller. */
+typedef struct {
+    const char *name;
+    MixPlan plan;
+    MixOutcome outcome; /* of its last request */
+    Span ended_by;      /* after the signal */
+} SendingCase;
+
+static const SendingCase sending_cases[] = {
+    {"sent in pieces until after the notice",
+     {.vm = STOPPED_VM,
+      .request_count = 1,
+      .requests = {{.send_at = SIGNAL_AT + Span_MS(500),
+                    .is_booking = true,
+                    .body_bytes = 100,
+                    .piece_count = 3,
+                    .piece_gap = Span_MS(500),
+                    .answer_bytes = 40}}},
+     Mix_ANSWERED,
+     Span_S(2)},
+    {"the rest would come after the stop",
+     {.vm = STOPPED_VM,
+      .request_count = 1,
+      .requests = {{.send_at = SIGNAL_AT + Span_MS(500),
+                    .is_booking = true,
+                    .body_bytes = 100,
+                    .piece_count = 3,
+                    .piece_gap = Span_MS(3000),
+                    .answer_bytes = 40}}},
+     Mix_REJECTED,
+     Span_S(3)},
+    {"the rest would come after the stop, behind an answer",
+     {.vm = STOPPED_VM,
+      .request_count = 2,
+      .requests = {{.send_at = SIGNAL_AT - Span_MS(500),
+                    .answer_bytes = 300000,
+                    .work = Span_MS(2500)},
+                   {.send_at = SIGNAL_AT + Span_MS(500),
+                    .is_pipelined = true,
+                    .is_booking = true,
+                    .body_bytes = 100,
+                    .piece_count = 2,
+                    .piece_gap = Span_S(6),
+                    .answer_bytes = 40}}},
+     Mix_REJECTED,
+     Span_S(3)},
+};
+
+START_TEST(request_being_sent_is_answered)
+{
+    const SendingCase *c = &sending_cases[_i];
+    const StopCase fleet_case = {.has_notice = true};
+    int last = c->plan.request_count - 1;
+    Fleet fleet;
+    Mix mix;
+    Stop stop = {.fleet = &fleet};
+    const MixResult *result;
+    StrBuf text = {0};
+
+    start_fleet(&fleet, &fleet_case);
+    Mix_Init(&mix, &fleet, &c->plan, 1);
+    mix.context = &stop;
+    mix.on_tick = on_tick;
+    Mix_Run(&mix, SIGNAL_AT + GRACE + Span_S(1));
+    Mix_Print(&mix, 0, &text);
+    result = Mix_GetResult(&mix, 0, last);
+    ck_assert_msg(result->outcome == c->outcome &&
+                      result->ended_at <= SIGNAL_AT + c->ended_by,
+                  "%s: %.*s", c->name, Str_ARG(text));
+    StrBuf_Finish(&text);
+    Mix_Finish(&mix);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
-    const SuiteTest tests[] = {{planned_stop_loses_no_request, ROWS(cases)}};
+    const SuiteTest tests[] = {
+        {planned_stop_loses_no_request, ROWS(cases)},
+        {request_being_sent_is_answered, ROWS(sending_cases)}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("planned stop", tests, 1, 60);
+    return Suite_Run("planned stop", tests, 2, 60);
 }
