Send answers ahead of credits when the node beside a backend server stops

A caller of another node that read an answer late or slowly saw it end in the middle when the node beside the backend server was stopped: answers of several MB, read after the stop.

The window of pieces follows the caller's reading, so that the rest of the answer waits at the node that stops, and its time limit cut it off. Evidence: run_cut request=c0-0 runs=1 pieces=46 uncredited=262144 at the node that stopped. Ruled out: the ingress node (it had sent all that came).

From half of the stop's time on, pieces are sent ahead of credits, 32 MB over all attempts, and wait for their callers at the ingress nodes.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -243,6 +243,7 @@
     Ann_Expire(&node->announcements, now);
     if (!Stp_MayStartCalls(&node->stop, false, now)) {
         Call_StopStarting(&node->dispatcher, false, now);
+        Run_StartFlushing(&node->runner, now);
     }
     if (!Stp_MayStartCalls(&node->stop, true, now)) {
         Call_StopStarting(&node->dispatcher, true, now);
--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -1,5 +1,19 @@
 #include "request/answer.h"
 
+/* What all attempts together may send ahead of credits while the node
+ * flushes. */
+enum { FLUSH_BYTES = 32 * 1024 * 1024 };
+
+/* Bytes that may be sent and not credited yet. */
+static size_t
+get_window(const BackendAttempt *attempt)
+{
+    const AttemptRunner *runner = attempt->runner;
+
+    return Callmsg_WINDOW_BYTES +
+           (runner->is_flushing ? FLUSH_BYTES / runner->attempts.count : 0);
+}
+
 static void
 send_piece(BackendAttempt *attempt, Str bytes, bool last, Instant now)
 {
@@ -37,7 +51,7 @@
     size_t sent = 0;
 
     while (attempt->unsent_body.len - sent >= Callmsg_PIECE_BYTES &&
-           attempt->uncredited_bytes < Callmsg_WINDOW_BYTES) {
+           attempt->uncredited_bytes < get_window(attempt)) {
         send_piece(attempt,
                    Str_Slice(StrBuf_View(&attempt->unsent_body), sent,
                              Callmsg_PIECE_BYTES),
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -552,6 +552,16 @@
     }
 }
 
+/* Sends what the window allows, and reads on when there is room. */
+static void
+send_more(BackendAttempt *attempt, Instant now)
+{
+    Ans_SendFullPieces(attempt, now);
+    if (attempt->exchange && attempt->unsent_body.len < Callmsg_WINDOW_BYTES) {
+        Bck_Resume(attempt->exchange);
+    }
+}
+
 static void
 on_credit(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -569,11 +579,23 @@
         attempt->uncredited_bytes -= msg.bytes < attempt->uncredited_bytes
                                          ? msg.bytes
                                          : attempt->uncredited_bytes;
-        Ans_SendFullPieces(attempt, now);
-        if (attempt->exchange &&
-            attempt->unsent_body.len < Callmsg_WINDOW_BYTES) {
-            Bck_Resume(attempt->exchange);
-        }
+        send_more(attempt, now);
+    }
+}
+
+void
+Run_StartFlushing(AttemptRunner *runner, Instant now)
+{
+    ListWalk walk;
+    BackendAttempt *attempt;
+
+    if (runner->is_flushing) {
+        return;
+    }
+    runner->is_flushing = true;
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
+        send_more(attempt, now);
     }
 }
 
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -59,6 +59,8 @@
     void *backend_lost_context;
     /* see Run_SetBackendLostCallback */
     void (*on_backend_lost)(void *context, Instant now);
+    bool is_flushing;      /* the node stops soon: answers are sent ahead of
+                              credits, and wait for their callers elsewhere */
     Instant last_call_at;  /* when a Wire_CALL message came last; 0: never */
     Instant last_piece_at; /* when a piece of an answer was sent last; 0:
                               never */
@@ -99,6 +101,11 @@
  * that run (nesting.h). */
 bool Run_HasAttemptUntil(const AttemptRunner *runner, Instant deadline);
 
+/* This node stops soon: from now on, answers are sent to their ingress nodes
+ * ahead of credits, within a bound for all of them, so that callers who read
+ * slowly do not need this node any more. */
+void Run_StartFlushing(AttemptRunner *runner, Instant now);
+
 /* Drops attempts that are past a deadline and starts queued ones that may
  * start now.  Called regularly, and after each change that may free a slot. */
 void Run_Tick(AttemptRunner *runner, Instant now);
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -301,13 +301,75 @@
 }
 END_TEST
 
+/* Callers of another node read an answer of the backend server beside the node
+ * that stops. */
+typedef struct {
+    const char *name;
+    MixPlan plan;
+    Span stopped_by; /* after the signal */
+} ReaderCase;
+
+static const ReaderCase reader_cases[] = {
+    {"reads after the stop",
+     {.vm = 2,
+      .request_count = 1,
+      .requests = {{.send_at = SIGNAL_AT - Span_S(1),
+                    .answer_bytes = 8000000}},
+      .read_after = Span_S(1) + GRACE + Span_S(1)},
+     GRACE},
+    {"reads slowly over the stop",
+     {.vm = 2,
+      .request_count = 1,
+      .requests = {{.send_at = SIGNAL_AT - Span_S(1),
+                    .answer_bytes = 8000000,
+                    .answer_is_chunked = true}},
+      .receive_buffer = 65536,
+      .read_bytes = 20000,
+      .read_interval = Span_MS(20)},
+     GRACE},
+    {"a booking, read after the stop",
+     {.vm = 2,
+      .request_count = 1,
+      .requests = {{.send_at = SIGNAL_AT - Span_S(1),
+                    .is_booking = true,
+                    .answer_bytes = 8000000}},
+      .read_after = Span_S(1) + GRACE + Span_S(1)},
+     GRACE},
+};
+
+START_TEST(slow_reader_of_another_node_gets_whole_answer)
+{
+    const ReaderCase *c = &reader_cases[_i];
+    const StopCase fleet_case = {.has_notice = true, .local_only = true};
+    Fleet fleet;
+    Mix mix;
+    Stop stop = {.fleet = &fleet};
+    StrBuf text = {0};
+
+    start_fleet(&fleet, &fleet_case);
+    Mix_Init(&mix, &fleet, &c->plan, 1);
+    mix.context = &stop;
+    mix.on_tick = on_tick;
+    Mix_Run(&mix, SIGNAL_AT + GRACE + Span_S(6));
+    Mix_Print(&mix, 0, &text);
+    ck_assert_msg(Mix_GetResult(&mix, 0, 0)->outcome == Mix_ANSWERED &&
+                      stop.exited && stop.took < c->stopped_by,
+                  "%s: stop took %lld ms: %.*s", c->name,
+                  (long long)(stop.took / 1000), Str_ARG(text));
+    StrBuf_Finish(&text);
+    Mix_Finish(&mix);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {
         {planned_stop_loses_no_request, ROWS(cases)},
-        {request_being_sent_is_answered, ROWS(sending_cases)}};
+        {request_being_sent_is_answered, ROWS(sending_cases)},
+        {slow_reader_of_another_node_gets_whole_answer, ROWS(reader_cases)}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("planned stop", tests, 2, 60);
+    return Suite_Run("planned stop", tests, 3, 60);
 }
