Exit only when other nodes have received the answers sent to them

Callers of other nodes saw answers end in the middle, or got 504, when the node beside the backend server was stopped and the link between was slow: the node exited as soon as its last piece was queued.

What was queued was taken for received. Evidence: stopped runs=0 last_piece_ms=10 at one node, then silent_connection and outcome=cut at the other 0.5 s later. Ruled out: the time limit (the stop took 2.6 s of 5.2 s).

A node that stops now sends a ping behind the pieces that it sent in the last 5 s, and waits for the pong, which shows that all before it has arrived (process/receipts.h). It needs no new message, so that nodes of an older version confirm as well.

--- a/src/process/net.c
+++ b/src/process/net.c
@@ -88,7 +88,14 @@
         Lgr_LogErr(net->logger, Lgr_WARNING, Str_LIT("message_refused"), &err);
         return;
     }
-    call_handler(net, kind, origin, &in, now);
+    if (kind == Wire_PONG && origin->peer == Addr_NONE) {
+        if (net->on_origin_pong) {
+            net->on_origin_pong(net->pong_context, origin);
+        }
+    }
+    else {
+        call_handler(net, kind, origin, &in, now);
+    }
     Unpack_Finish(&in);
 }
 
@@ -522,6 +529,25 @@
     return sent;
 }
 
+void
+Net_SetOriginPongCallback(Net *net, NetPongCallback callback, void *context)
+{
+    net->on_origin_pong = callback;
+    net->pong_context = context;
+}
+
+bool
+Net_PingOrigin(Net *net, const NetOrigin *origin, Instant now)
+{
+    Pack ping;
+    bool sent;
+
+    Callmsg_PackPing(&ping);
+    sent = Net_Answer(net, origin, Pack_View(&ping), now);
+    Pack_Finish(&ping);
+    return sent;
+}
+
 void
 Net_AddPendingAttempt(Net *net, Addr addr)
 {
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -37,6 +37,10 @@
  * is valid, like ORIGIN, until the handler returns. */
 typedef void (*NetHandler)(void *context, const NetOrigin *origin, Unpack *in,
                            Instant now);
+/* Called when the node that ORIGIN names, which opened the connection, has
+ * answered a ping of Net_PingOrigin. */
+typedef void (*NetPongCallback)(void *context, const NetOrigin *origin);
+
 /* Called after the connection to the node PEER was closed as unresponsive and
  * a new one was opened. */
 typedef void (*NetUnresponsiveCallback)(void *context, Addr peer, Instant now);
@@ -64,6 +68,8 @@
     NetHandlerEntry handlers[Wire_KINDS];    /* by message kind */
     NetUnresponsiveCallback on_unresponsive; /* NULL: none */
     void *unresponsive_context;
+    NetPongCallback on_origin_pong; /* NULL: none */
+    void *pong_context;
     LoopTimer peer_check_timer;
 } Net;
 
@@ -85,6 +91,14 @@
 void Net_SetUnresponsiveCallback(Net *net, NetUnresponsiveCallback callback,
                                  void *context);
 
+/* Sets the only such callback. */
+void Net_SetOriginPongCallback(Net *net, NetPongCallback callback,
+                               void *context);
+
+/* Sends a ping over the connection by which a message came, behind all that
+ * Net_Answer has sent there.  Returns false when the connection has ended. */
+bool Net_PingOrigin(Net *net, const NetOrigin *origin, Instant now);
+
 /* Queues MESSAGE to the node PEER, and opens a connection if there is none.
  * Returns false if the message could not be queued, which includes PEER
  * Addr_NONE. */
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -101,13 +101,14 @@
 }
 
 static StopActivity
-get_stop_activity(Node *node)
+get_stop_activity(Node *node, Instant now)
 {
     return (StopActivity){
         .calls = node->dispatcher.calls.count,
         .local_attempts = node->runner.attempts.count,
         .http_exchanges = Edge_CountRequests(&node->edge),
         .caller_connections = Edge_CountConnections(&node->edge),
+        .unconfirmed_peers = Run_ConfirmPieces(&node->runner, now),
         .partial_requests = Edge_CountPartialRequests(&node->edge),
         .last_peer_attempt_at = node->runner.last_call_at,
     };
@@ -122,10 +123,11 @@
 
     Lgr_Log(&node->logger, Lgr_INFO, Str_LIT("stopped"),
             "cut=%d calls=%zu runs=%zu requests=%zu connections=%zu "
-            "reading=%zu unsent=%zu last_piece_ms=%lld",
+            "reading=%zu unsent=%zu unconfirmed=%zu last_piece_ms=%lld",
             node->stop.timed_out, activity->calls, activity->local_attempts,
             activity->http_exchanges, activity->caller_connections,
             activity->partial_requests, Edge_CountUnsentBytes(&node->edge),
+            activity->unconfirmed_peers,
             last_piece_at ? (long long)(now - last_piece_at) / 1000 : -1);
 }
 
@@ -133,8 +135,12 @@
 static void
 do_next_stop_step(Node *node, Instant now)
 {
-    StopActivity activity = get_stop_activity(node);
+    StopActivity activity;
 
+    if (!node->stop.signaled_at) {
+        return;
+    }
+    activity = get_stop_activity(node, now);
     switch (Stp_NextStep(&node->stop, &activity, now)) {
     case Stp_WAIT:
         break;
--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -41,7 +41,7 @@
 is_idle(const StopActivity *activity)
 {
     return activity->calls == 0 && activity->local_attempts == 0 &&
-           activity->http_exchanges == 0;
+           activity->http_exchanges == 0 && activity->unconfirmed_peers == 0;
 }
 
 StopAction
--- a/src/process/stop.h
+++ b/src/process/stop.h
@@ -38,6 +38,8 @@
     size_t http_exchanges;        /* callers' requests that were read and are
                                      not answered completely */
     size_t caller_connections;    /* open, with or without a request */
+    size_t unconfirmed_peers;     /* nodes that have not confirmed that they
+                                     have the answers sent to them */
     size_t partial_requests;      /* of which only a part was read */
     Instant last_peer_attempt_at; /* from another node; 0: none */
 } StopActivity;
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -1,5 +1,7 @@
 #include "request/run.h"
 
+#include <string.h>
+
 #include "request/answer.h"
 #include "request/crash.h"
 
@@ -583,6 +585,32 @@
     }
 }
 
+static void
+on_origin_pong(void *context, const NetOrigin *origin)
+{
+    AttemptRunner *runner = context;
+
+    Rcp_OnPong(&runner->receipts,
+               Str_From(origin->routing_id, origin->routing_id_len));
+}
+
+size_t
+Run_ConfirmPieces(AttemptRunner *runner, Instant now)
+{
+    NetOrigin origin = {.peer = Addr_NONE};
+    Str id;
+
+    while (Rcp_NextPing(&runner->receipts, &id, now)) {
+        memcpy(origin.routing_id, id.ptr, id.len);
+        origin.routing_id_len = id.len;
+        if (!Net_PingOrigin(runner->net, &origin, now)) {
+            Rcp_OnLost(&runner->receipts,
+                       Str_From(origin.routing_id, origin.routing_id_len));
+        }
+    }
+    return Rcp_CountUnconfirmed(&runner->receipts, now);
+}
+
 void
 Run_StartFlushing(AttemptRunner *runner, Instant now)
 {
@@ -645,6 +673,7 @@
     Net_SetHandler(net, Wire_CANCEL, on_cancel, runner);
     Net_SetHandler(net, Wire_CREDIT, on_credit, runner);
     Net_SetHandler(net, Wire_PING, on_ping, runner);
+    Net_SetOriginPongCallback(net, on_origin_pong, runner);
 }
 
 void
@@ -665,6 +694,7 @@
         Run_Free(attempt);
     }
     Cpr_Cancel(&runner->connect_probe);
+    Rcp_Finish(&runner->receipts);
     Hsh_Finish(&runner->attempts_by_id);
     Led_Finish(&runner->ledger);
 }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -21,6 +21,7 @@
 #include "process/latency.h"
 #include "process/ledger.h"
 #include "process/net.h"
+#include "process/receipts.h"
 #include "process/reportthrottle.h"
 #include "process/suspectsync.h"
 #include "process/timeline.h"
@@ -59,8 +60,10 @@
     void *backend_lost_context;
     /* see Run_SetBackendLostCallback */
     void (*on_backend_lost)(void *context, Instant now);
-    bool is_flushing;      /* the node stops soon: answers are sent ahead of
-                              credits, and wait for their callers elsewhere */
+    Receipts receipts; /* of the pieces of answers, by the nodes that they were
+                          sent to; asked for while this node stops */
+    bool is_flushing;  /* the node stops soon: answers are sent ahead of
+                               credits, and wait for their callers elsewhere */
     Instant last_call_at;  /* when a Wire_CALL message came last; 0: never */
     Instant last_piece_at; /* when a piece of an answer was sent last; 0:
                               never */
@@ -106,6 +109,10 @@
  * slowly do not need this node any more. */
 void Run_StartFlushing(AttemptRunner *runner, Instant now);
 
+/* Asks the nodes that were sent pieces of answers lately whether they have
+ * them.  Returns how many have not confirmed that. */
+size_t Run_ConfirmPieces(AttemptRunner *runner, Instant now);
+
 /* Drops attempts that are past a deadline and starts queued ones that may
  * start now.  Called regularly, and after each change that may free a slot. */
 void Run_Tick(AttemptRunner *runner, Instant now);
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -38,19 +38,25 @@
     bool local_only; /* one backend server, beside the node that stops, else
                         beside all */
     int caller_vm;   /* callers connect there */
+    bool has_proxy;  /* between the nodes */
     int callers;     /* with few, the stop ends early */
 } StopCase;
 
 static const StopCase cases[] = {
-    {"room", 102, false, Span_MS(1500), true, false, STOPPED_VM, MANY},
-    {"full", 103, true, Span_MS(500), true, false, STOPPED_VM, MANY},
-    {"no notice", 104, false, Span_MS(1500), false, false, STOPPED_VM, MANY},
-    {"no hop", 5, false, Span_MS(1500), true, true, STOPPED_VM, MANY},
+    {"room", 102, false, Span_MS(1500), true, false, STOPPED_VM,
+     .callers = MANY},
+    {"full", 103, true, Span_MS(500), true, false, STOPPED_VM,
+     .callers = MANY},
+    {"no notice", 104, false, Span_MS(1500), false, false, STOPPED_VM,
+     .callers = MANY},
+    {"no hop", 5, false, Span_MS(1500), true, true, STOPPED_VM,
+     .callers = MANY},
     {"beside the backend server", 102, false, Span_MS(1500), true, false, 2,
-     MANY},
-    {"few callers", 7, false, Span_MS(1500), true, false, STOPPED_VM, FEW},
+     .callers = MANY},
+    {"few callers", 7, false, Span_MS(1500), true, false, STOPPED_VM,
+     .callers = FEW},
     {"few callers, no notice", 8, false, Span_MS(1500), false, false,
-     STOPPED_VM, FEW},
+     STOPPED_VM, .callers = FEW},
 };
 
 typedef struct {
@@ -81,6 +87,9 @@
                      c->has_notice ? 2500 : 0);
     Fleet_SetExtraSettings(fleet, StrBuf_View(&settings));
     StrBuf_Finish(&settings);
+    if (c->has_proxy) {
+        Fleet_UseProxy(fleet);
+    }
     for (int i = 0; i < VMS; i++) {
         Fleet_StartNode(fleet, i);
     }
@@ -120,6 +129,16 @@
     }
 }
 
+/* Waits for the end of the process after the last caller has ended. */
+static void
+wait_for_exit(Stop *stop, const Mix *mix)
+{
+    while (!stop->exited) {
+        on_tick(stop, Loop_Now() - mix->started_at);
+        Fleet_Sleep(Span_MS(10));
+    }
+}
+
 /* A request that the connection's end crossed, or that was sent behind another
  * one, may get no answer when no backend server has run it. */
 static bool
@@ -214,10 +233,7 @@
     mix.context = &stop;
     mix.on_tick = on_tick;
     Mix_Run(&mix, SIGNAL_AT + GRACE + Span_S(2));
-    while (!stop.exited) {
-        on_tick(&stop, Loop_Now() - mix.started_at);
-        Fleet_Sleep(Span_MS(10));
-    }
+    wait_for_exit(&stop, &mix);
     ck_assert_int_eq(count_lost(&fleet, &mix, c->name, &stop), 0);
     ck_assert_msg(WIFEXITED(stop.status) && WEXITSTATUS(stop.status) == 0,
                   "%s: status %x", c->name, (unsigned)stop.status);
@@ -351,6 +367,7 @@
     mix.context = &stop;
     mix.on_tick = on_tick;
     Mix_Run(&mix, SIGNAL_AT + GRACE + Span_S(6));
+    wait_for_exit(&stop, &mix);
     Mix_Print(&mix, 0, &text);
     ck_assert_msg(Mix_GetResult(&mix, 0, 0)->outcome == Mix_ANSWERED &&
                       stop.exited && stop.took < c->stopped_by,
@@ -362,14 +379,73 @@
 }
 END_TEST
 
+/* The link between the nodes is slow: what the node that stops has sent is
+ * still on its way when it has no work left. */
+typedef struct {
+    const char *name;
+    Str rate; /* of the link, bytes a second */
+    uint32_t answer_bytes;
+    int callers;
+    bool books;
+} LinkCase;
+
+static const LinkCase link_cases[] = {
+    {"several answers", Str_LIT("1000000"), 700000, 6, false},
+    {"bookings", Str_LIT("1000000"), 700000, 6, true},
+    {"one answer", Str_LIT("300000"), 1000000, 1, false},
+    {"many short answers", Str_LIT("300000"), 20000, 60, true},
+};
+
+START_TEST(slow_link_delivers_whole_answers)
+{
+    const LinkCase *c = &link_cases[_i];
+    const StopCase fleet_case = {
+        .has_notice = true, .local_only = true, .has_proxy = true};
+    Fleet fleet;
+    Mix mix;
+    MixPlan plans[MANY];
+    Stop stop = {.fleet = &fleet};
+    StrBuf text = {0};
+    int lost = 0;
+
+    start_fleet(&fleet, &fleet_case);
+    StrBuf_AppendFmt(&text, "rate norte>litoral %.*s\n", Str_ARG(c->rate));
+    ck_assert(Fleet_SendProxyCommand(&fleet, StrBuf_View(&text)));
+    for (int i = 0; i < c->callers; i++) {
+        plans[i] = (MixPlan){.vm = 2,
+                             .request_count = 1,
+                             .requests = {{.send_at = SIGNAL_AT - Span_MS(200),
+                                           .is_booking = c->books,
+                                           .answer_bytes = c->answer_bytes}}};
+    }
+    Mix_Init(&mix, &fleet, plans, c->callers);
+    mix.context = &stop;
+    mix.on_tick = on_tick;
+    Mix_Run(&mix, SIGNAL_AT + GRACE + Span_S(6));
+    wait_for_exit(&stop, &mix);
+    for (int i = 0; i < c->callers; i++) {
+        if (Mix_GetResult(&mix, i, 0)->outcome != Mix_ANSWERED && lost++ < 5) {
+            Mix_Print(&mix, i, &text);
+        }
+    }
+    ck_assert_msg(lost == 0 && stop.exited && stop.took < GRACE,
+                  "%s: stop took %lld ms: %.*s", c->name,
+                  (long long)(stop.took / 1000), Str_ARG(text));
+    StrBuf_Finish(&text);
+    Mix_Finish(&mix);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {
         {planned_stop_loses_no_request, ROWS(cases)},
         {request_being_sent_is_answered, ROWS(sending_cases)},
-        {slow_reader_of_another_node_gets_whole_answer, ROWS(reader_cases)}};
+        {slow_reader_of_another_node_gets_whole_answer, ROWS(reader_cases)},
+        {slow_link_delivers_whole_answers, ROWS(link_cases)}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("planned stop", tests, 3, 60);
+    return Suite_Run("planned stop", tests, 4, 60);
 }
