Take a caller for half closed only while bytes are on the way to it

A caller that ends its side without having announced its last request has usually left. While bytes are on the way, its host shows that by a reset at once; when all that was sent has been acknowledged, nothing would show it until the next byte of the answer, and the work would go on for nobody. So only bytes that are not acknowledged keep the connection.

Found by reading. test_late_readers (8 of 8) and test_http_edges (39 of 39) pass.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -240,16 +240,13 @@
 }
 
 /* Whether a caller that has ended its side may wait for answers: it announced
- * its last request, or an answer is on the way to it. */
+ * its last request, or bytes are on the way to it.  If it has left, its host
+ * replies to these with a reset. */
 static bool
 may_still_read(const CallerConnection *connection)
 {
-    const CallerRequest *request = connection->first_request;
-
-    if (!request) {
-        return evbuffer_get_length(output_of(connection)) > 0;
-    }
-    return connection->ignores_input || request->head_sent;
+    return (connection->ignores_input && connection->first_request) ||
+           count_undelivered(connection) > 0;
 }
 
 /* The caller has ended its side: either it waits for answers, or it has left.
