--- a/src/connection/calleranswer.c
+++ b/src/connection/calleranswer.c
@@ -53,11 +53,14 @@
                            status == NO_CONTENT || status == NOT_MODIFIED;
     request->chunked =
         !has_length && !request->has_no_body && !request->http_1_0;
-    /* While draining, close only if no later request was sent: the close
-     * must not lose it. */
+    request->is_unframed =
+        !has_length && !request->chunked && !request->has_no_body;
+    /* Close only if no later request was passed on, and while draining if none
+     * was sent: the close must not lose it. */
     request->closes_connection =
-        request->is_last ||
-        (!has_length && !request->chunked && !request->has_no_body) ||
+        (request->is_last &&
+         !(request->next && request->next->is_dispatched)) ||
+        request->is_unframed ||
         (connection->listener->is_draining && !request->next &&
          !connection->incoming);
     evbuffer_add_printf(out, "HTTP/1.%c %u %.*s\r\n",
--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -13,6 +13,7 @@
     BACKLOG = 1024,
     HEAD_BYTES_MAX = 16384,
     BODY_BYTES_MAX = 64 * 1024 * 1024,
+    INPUT_BYTES_MAX = 65536, /* read from one connection ahead of requests */
     REQUEST_TIMEOUT = 408
 };
 
@@ -22,6 +23,9 @@
 /* Time for the caller to end its side once the last answer was delivered. */
 #define CLOSE_WAIT Span_S(2)
 
+/* A request that has been arriving for so long counts as partial. */
+#define PARTIAL_TIME Span_MS(200)
+
 /* A caller that takes no byte of an answer for so long is given up. */
 #define STALL_TIMEOUT Span_S(30)
 
@@ -101,11 +105,30 @@
     return bufferevent_get_output(connection->bev);
 }
 
+/* Ends the requests whose answers have been written to the socket. */
+static void
+end_sent_requests(CallerConnection *connection)
+{
+    CallerRequest *request;
+
+    while ((request = connection->first_unsent) &&
+           request->end_offset <= connection->sent_bytes) {
+        connection->first_unsent = request->next;
+        connection->request_count--;
+        connection->listener->active_requests--;
+        connection->timer_start = Ccn_Now(connection->listener);
+        Ccn_FreeRequest(request);
+    }
+}
+
 void
 Ccn_AddUnsent(CallerConnection *connection, CallerRequest *request)
 {
     CallerRequest **at = &connection->first_unsent;
 
+    if (!*at) {
+        connection->progress_at = Ccn_Now(connection->listener);
+    }
     while (*at) {
         at = &(*at)->next;
     }
@@ -114,6 +137,7 @@
     request->end_offset =
         connection->sent_bytes + evbuffer_get_length(output_of(connection));
     StrBuf_Finish(&request->body);
+    end_sent_requests(connection); /* its last part may have been empty */
 }
 
 /* Called when bytes are added to the output, and when they were written to the
@@ -123,18 +147,41 @@
                  void *context)
 {
     CallerConnection *connection = context;
-    CallerRequest *request;
 
     (void)out;
     connection->sent_bytes += info->n_deleted;
-    while ((request = connection->first_unsent) &&
-           request->end_offset <= connection->sent_bytes) {
-        connection->first_unsent = request->next;
-        connection->request_count--;
-        connection->listener->active_requests--;
-        connection->timer_start = Ccn_Now(connection->listener);
-        Ccn_FreeRequest(request);
+    end_sent_requests(connection);
+}
+
+/* Whether the end of the connection could be taken for the end of an answer
+ * that is not complete. */
+static bool
+must_reset(const CallerConnection *connection)
+{
+    const CallerRequest *request = connection->first_request;
+
+    if (connection->resets_after_flush ||
+        (request && request->head_sent && !request->answer_ended &&
+         request->is_unframed)) {
+        return true;
     }
+    for (request = connection->first_unsent; request;
+         request = request->next) {
+        if (request->is_unframed) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Makes the close of the connection a TCP reset. */
+static void
+set_reset(const CallerConnection *connection)
+{
+    struct linger zero_linger = {1, 0};
+
+    setsockopt(bufferevent_getfd(connection->bev), SOL_SOCKET, SO_LINGER,
+               &zero_linger, sizeof zero_linger);
 }
 
 void
@@ -142,6 +189,9 @@
 {
     CallerListener *listener = connection->listener;
 
+    if (must_reset(connection)) {
+        set_reset(connection);
+    }
     drop_unsent(connection, reason);
     Ccn_DropRequests(connection, reason);
     if (connection->in_reader) {
@@ -155,16 +205,6 @@
     Mem_Free(connection);
 }
 
-static void
-reset_connection(CallerConnection *connection)
-{
-    struct linger zero_linger = {1, 0};
-
-    setsockopt(bufferevent_getfd(connection->bev), SOL_SOCKET, SO_LINGER,
-               &zero_linger, sizeof zero_linger);
-    Ccn_Free(connection, Ccn_ANSWER_ABORTED);
-}
-
 /* Bytes of the output that the caller's host has not acknowledged. */
 static size_t
 count_undelivered(const CallerConnection *connection)
@@ -197,7 +237,7 @@
     connection->undelivered = count_undelivered(connection);
     connection->progress_at = Ccn_Now(connection->listener);
     if (connection->undelivered == 0) {
-        reset_connection(connection);
+        Ccn_Free(connection, Ccn_ANSWER_ABORTED);
     }
 }
 
@@ -312,6 +352,7 @@
     bufferevent_setcb(connection->bev, on_read, on_written, on_event,
                       connection);
     evbuffer_add_cb(output_of(connection), on_output_change, connection);
+    bufferevent_setwatermark(connection->bev, EV_READ, 0, INPUT_BYTES_MAX);
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
     Lst_Prepend(&listener->connections, &connection->link, connection);
 }
@@ -415,7 +456,10 @@
 static void
 close_idle(CallerConnection *connection)
 {
-    if (!has_arrived(connection) && count_undelivered(connection) == 0) {
+    if (count_undelivered(connection)) {
+        connection->timer_start = Ccn_Now(connection->listener);
+    }
+    else if (!has_arrived(connection)) {
         Ccn_Free(connection, Ccn_CALLER_LEFT);
     }
 }
@@ -434,15 +478,17 @@
     }
 }
 
-/* Whether a part of a request has been read, and the rest is awaited. */
+/* Whether a part of a request has been read, and the rest is awaited for
+ * longer than the parts of one request usually lie apart. */
 static bool
-has_partial_request(const CallerConnection *connection)
+has_partial_request(const CallerConnection *connection, Instant now)
 {
-    return connection->reader.in_message && !connection->ignores_input;
+    return connection->reader.in_message && !connection->ignores_input &&
+           now - connection->message_start >= PARTIAL_TIME;
 }
 
 size_t
-Ccn_CountPartial(CallerListener *listener)
+Ccn_CountPartial(CallerListener *listener, Instant now)
 {
     ListWalk walk;
     CallerConnection *connection;
@@ -450,20 +496,20 @@
 
     Lst_Begin(&walk, &listener->connections);
     while ((connection = Lst_Next(&walk))) {
-        count += has_partial_request(connection);
+        count += has_partial_request(connection, now);
     }
     return count;
 }
 
 void
-Ccn_RejectPartial(CallerListener *listener, uint16_t status)
+Ccn_RejectPartial(CallerListener *listener, uint16_t status, Instant now)
 {
     ListWalk walk;
     CallerConnection *connection;
 
     Lst_Begin(&walk, &listener->connections);
     while ((connection = Lst_Next(&walk))) {
-        if (has_partial_request(connection)) {
+        if (has_partial_request(connection, now)) {
             Ccn_RejectInput(connection, status);
         }
     }
@@ -483,26 +529,41 @@
     return bytes;
 }
 
-/* Ends a connection whose output has been delivered, or makes no progress. */
-static void
-check_closing(CallerConnection *connection, Instant now)
+/* Looks how much the caller has taken.  Returns whether it took nothing for
+ * too long. */
+static bool
+has_stalled(CallerConnection *connection, Instant now)
 {
     size_t undelivered = count_undelivered(connection);
-    Span limit = connection->half_closed ? 0 : CLOSE_WAIT;
 
     if (undelivered != connection->undelivered) {
         connection->undelivered = undelivered;
         connection->progress_at = now;
     }
-    if (undelivered == 0 && connection->resets_after_flush) {
-        reset_connection(connection);
-    }
-    else if (now - connection->progress_at >=
-             (undelivered ? STALL_TIMEOUT : limit)) {
-        Ccn_Free(connection, Ccn_CALLER_STALLED);
+    return undelivered && now - connection->progress_at >= STALL_TIMEOUT;
+}
+
+/* Ends a closing connection once its output has been delivered and the caller
+ * had time to end its side. */
+static void
+check_closing(CallerConnection *connection, Instant now)
+{
+    bool waits = !connection->half_closed && !connection->resets_after_flush;
+
+    if (connection->undelivered == 0 &&
+        now - connection->progress_at >= (waits ? CLOSE_WAIT : 0)) {
+        Ccn_Free(connection, Ccn_ANSWER_ABORTED);
     }
 }
 
+/* Whether all of an answer waits for the caller, or the connection closes. */
+static bool
+has_output(const CallerConnection *connection)
+{
+    return connection->first_unsent || connection->closes_after_flush ||
+           connection->resets_after_flush;
+}
+
 static void
 check_timeouts(CallerConnection *connection, Instant now)
 {
@@ -512,6 +573,9 @@
     if (connection->half_closed && has_socket_error(connection)) {
         Ccn_Free(connection, Ccn_CALLER_LEFT);
     }
+    else if (has_output(connection) && has_stalled(connection, now)) {
+        Ccn_Free(connection, Ccn_CALLER_STALLED);
+    }
     else if (connection->closes_after_flush ||
              connection->resets_after_flush) {
         check_closing(connection, now);
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -42,6 +42,7 @@
     bool chunked;
     bool has_length; /* the answer's head gives the length of its body */
     bool has_no_body;
+    bool is_unframed; /* the answer ends with the connection */
     bool answer_ended;
     bool is_aborted;        /* by Ccn_Abort */
     bool closes_connection; /* the connection closes after its answer */
@@ -126,11 +127,11 @@
  * read, which its caller sees as a reset. */
 void Ccn_CloseIdle(CallerListener *listener);
 
-/* Counts requests of which only a part was read. */
-size_t Ccn_CountPartial(CallerListener *listener);
+/* Counts requests of which only a part was read, and that some time ago. */
+size_t Ccn_CountPartial(CallerListener *listener, Instant now);
 
 /* Rejects these requests with STATUS; their connections close after it. */
-void Ccn_RejectPartial(CallerListener *listener, uint16_t status);
+void Ccn_RejectPartial(CallerListener *listener, uint16_t status, Instant now);
 
 /* Counts the bytes of all answers that were not sent yet. */
 size_t Ccn_CountUnsentBytes(CallerListener *listener);
--- a/src/connection/callerinput.c
+++ b/src/connection/callerinput.c
@@ -95,8 +95,8 @@
     connection->request_count++;
     listener->active_requests++;
     if (request == connection->first_request ||
-        listener->callbacks.can_run_early(listener->callbacks.context,
-                                          request)) {
+        (!request->http_1_0 && listener->callbacks.can_run_early(
+                                   listener->callbacks.context, request))) {
         Ccn_DispatchRequest(connection, request);
     }
 }
@@ -146,6 +146,7 @@
             connection->in_head = true;
             connection->starts_with_word = begins_with_word(input);
             connection->timer_start = Ccn_Now(connection->listener);
+            connection->message_start = connection->timer_start;
         }
         switch (Hrd_Feed(&connection->reader, input)) {
         case Hrd_NEEDS_MORE:
--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -21,8 +21,9 @@
     size_t undelivered;          /* bytes of output that the caller's host had
                                     not acknowledged, at the last look */
     Instant progress_at;         /* when that last changed */
-    Instant timer_start; /* first byte of a head, or when the last answer had
-                            been sent */
+    Instant timer_start;   /* first byte of a head, or when the last answer had
+                              been sent */
+    Instant message_start; /* first byte of the request that is being read */
     bool in_head;
     bool ignores_input;      /* no further request is read: the connection is
                                 closing */
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -193,9 +193,9 @@
 }
 
 void
-Edge_RejectPartialRequests(Edge *edge)
+Edge_RejectPartialRequests(Edge *edge, Instant now)
 {
-    Ccn_RejectPartial(&edge->caller_listener, HTTP_SERVICE_UNAVAILABLE);
+    Ccn_RejectPartial(&edge->caller_listener, HTTP_SERVICE_UNAVAILABLE, now);
 }
 
 void
@@ -217,9 +217,9 @@
 }
 
 size_t
-Edge_CountPartialRequests(Edge *edge)
+Edge_CountPartialRequests(Edge *edge, Instant now)
 {
-    return Ccn_CountPartial(&edge->caller_listener);
+    return Ccn_CountPartial(&edge->caller_listener, now);
 }
 
 size_t
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -47,7 +47,7 @@
 
 /* Rejects the requests of which only a part has been read, as not run; their
  * connections close after it. */
-void Edge_RejectPartialRequests(Edge *edge);
+void Edge_RejectPartialRequests(Edge *edge, Instant now);
 
 /* Handles the timeouts of callers' connections; called at each tick of the
  * node's timer. */
@@ -59,8 +59,9 @@
 /* Counts callers' connections, with a request or without. */
 size_t Edge_CountConnections(const Edge *edge);
 
-/* Counts requests of which only a part has been read. */
-size_t Edge_CountPartialRequests(Edge *edge);
+/* Counts requests of which only a part has been read, and that some time
+ * ago. */
+size_t Edge_CountPartialRequests(Edge *edge, Instant now);
 
 /* Counts the bytes of answers that were not sent to their callers yet. */
 size_t Edge_CountUnsentBytes(Edge *edge);
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -109,7 +109,7 @@
         .http_exchanges = Edge_CountRequests(&node->edge),
         .caller_connections = Edge_CountConnections(&node->edge),
         .unconfirmed_peers = Run_ConfirmPieces(&node->runner, now),
-        .partial_requests = Edge_CountPartialRequests(&node->edge),
+        .partial_requests = Edge_CountPartialRequests(&node->edge, now),
         .last_peer_attempt_at = node->runner.last_call_at,
     };
 }
@@ -161,7 +161,7 @@
         Edge_CloseIdle(&node->edge);
         break;
     case Stp_REJECT_PARTIAL:
-        Edge_RejectPartialRequests(&node->edge);
+        Edge_RejectPartialRequests(&node->edge, now);
         break;
     case Stp_EXIT:
         log_stopped(node, &activity, now);
--- a/src/process/receipts.c
+++ b/src/process/receipts.c
@@ -40,17 +40,23 @@
     *peer = receipts->peers[--receipts->count];
 }
 
+static bool
+is_confirmed(const ReceiptPeer *peer)
+{
+    return peer->pongs >= peer->covered;
+}
+
 static bool
 is_waited_for(const ReceiptPeer *peer, Instant now)
 {
-    return now - peer->sent_at < CONFIRM_TIMEOUT;
+    return !is_confirmed(peer) && now - peer->sent_at < CONFIRM_TIMEOUT;
 }
 
 static void
 forget_old_peers(Receipts *receipts, Instant now)
 {
     for (size_t i = receipts->count; i-- > 0;) {
-        if (!is_waited_for(&receipts->peers[i], now)) {
+        if (now - receipts->peers[i].sent_at >= CONFIRM_TIMEOUT) {
             drop_peer(receipts, &receipts->peers[i]);
         }
     }
@@ -102,7 +108,9 @@
         return;
     }
     peer->pongs++;
-    if (peer->pongs >= peer->covered) {
+    /* While pongs to earlier pings are under way, the entry keeps them from
+     * being taken for answers to later ones. */
+    if (is_confirmed(peer) && peer->pongs >= peer->pings) {
         drop_peer(receipts, peer);
     }
 }
--- a/src/process/receipts.h
+++ b/src/process/receipts.h
@@ -16,8 +16,8 @@
 
 enum { Rcp_ID_BYTES_MAX = 32, Rcp_PEERS_MAX = 1024 };
 
-/* A peer that was sent something which it has not confirmed.  It is forgotten
- * some seconds later. */
+/* A peer that was sent something, until it has confirmed that and answered all
+ * pings, or some seconds have passed. */
 typedef struct {
     char id[Rcp_ID_BYTES_MAX];
     size_t id_len;
--- a/tests/unit/test_caller_connections.c
+++ b/tests/unit/test_caller_connections.c
@@ -209,7 +209,7 @@
         Ccn_CloseIdle(&listener);
     }
     else {
-        Ccn_RejectPartial(&listener, UNAVAILABLE);
+        Ccn_RejectPartial(&listener, UNAVAILABLE, Loop_Now() + Span_S(1));
     }
     send_text(fd, c->after);
     run_loop(loop.base);
--- a/tests/unit/test_receipts.c
+++ b/tests/unit/test_receipts.c
@@ -51,6 +51,17 @@
       {PING, 'a', 4901, 1},
       {NO_PING, 'a', 5001, 0}}},
     {"not asked in time", {{SEND, 'a', 1, 1}, {NO_PING, 'a', 5001, 0}}},
+    {"pongs to earlier pings come after something more was sent",
+     {{SEND, 'a', 1, 1},
+      {PING, 'a', 2, 1},
+      {PING, 'a', 102, 1},
+      {PING, 'a', 202, 1},
+      {PONG, 'a', 252, 0},
+      {SEND, 'a', 260, 1},
+      {PONG, 'a', 352, 1},
+      {PONG, 'a', 452, 1},
+      {PING, 'a', 453, 1},
+      {PONG, 'a', 700, 0}}},
     {"a pong of an unknown peer", {{PONG, 'c', 1, 0}}},
 };
 
