Wait for all answers to other nodes, and ask about both attempts of a call

Found by the review, by reading: refusals, kept answers and replies about fences went out without a receipt being asked for, as pieces did before; a full queue was taken for a lost connection; in a stop, a call with two attempts that wait in queues was not asked about, and could have met the exit; what waits of one caller's input is bounded without the library's watermark, whose event never rests.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -13,7 +13,6 @@
     BACKLOG = 1024,
     HEAD_BYTES_MAX = 16384,
     BODY_BYTES_MAX = 64 * 1024 * 1024,
-    INPUT_BYTES_MAX = 65536, /* read from one connection ahead of requests */
     REQUEST_TIMEOUT = 408
 };
 
@@ -217,10 +216,24 @@
     return evbuffer_get_length(output_of(connection)) + (size_t)in_kernel;
 }
 
+/* Discards what has been read of further requests, and what will be. */
+static void
+discard_input(CallerConnection *connection)
+{
+    struct evbuffer *input = bufferevent_get_input(connection->bev);
+
+    connection->ignores_input = true;
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (connection->is_input_full) {
+        connection->is_input_full = false;
+        bufferevent_enable(connection->bev, EV_READ);
+    }
+}
+
 void
 Ccn_EndAfterFlush(CallerConnection *connection)
 {
-    connection->ignores_input = true;
+    discard_input(connection);
     connection->closes_after_flush = true;
     connection->undelivered = count_undelivered(connection);
     connection->progress_at = Ccn_Now(connection->listener);
@@ -232,7 +245,7 @@
 void
 Ccn_ResetAfterFlush(CallerConnection *connection)
 {
-    connection->ignores_input = true;
+    discard_input(connection);
     connection->resets_after_flush = true;
     connection->undelivered = count_undelivered(connection);
     connection->progress_at = Ccn_Now(connection->listener);
@@ -352,7 +365,6 @@
     bufferevent_setcb(connection->bev, on_read, on_written, on_event,
                       connection);
     evbuffer_add_cb(output_of(connection), on_output_change, connection);
-    bufferevent_setwatermark(connection->bev, EV_READ, 0, INPUT_BYTES_MAX);
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
     Lst_Prepend(&listener->connections, &connection->link, connection);
 }
--- a/src/connection/callerinput.c
+++ b/src/connection/callerinput.c
@@ -3,6 +3,7 @@
 
 enum {
     PIPELINED_MAX = 16, /* requests of one connection read and not answered */
+    INPUT_BYTES_MAX = 65536, /* that wait on one connection */
     BAD_REQUEST = 400,
     BODY_TOO_LARGE = 413,
     EXPECTATION_FAILED = 417,
@@ -134,6 +135,25 @@
     return at > 0 && at < len && bytes[at] == ' ';
 }
 
+/* Stops reading while LEN bytes, too many, wait behind the requests that are
+ * being answered. */
+static void
+limit_input(CallerConnection *connection, size_t len)
+{
+    bool is_full = len >= INPUT_BYTES_MAX;
+
+    if (is_full == connection->is_input_full) {
+        return;
+    }
+    connection->is_input_full = is_full;
+    if (is_full) {
+        bufferevent_disable(connection->bev, EV_READ);
+    }
+    else {
+        bufferevent_enable(connection->bev, EV_READ);
+    }
+}
+
 static void
 read_messages(CallerConnection *connection)
 {
@@ -161,9 +181,11 @@
             break;
         }
     }
-    if (!connection->free_pending && connection->ignores_input &&
-        !connection->first_request) {
-        evbuffer_drain(input, evbuffer_get_length(input));
+    if (!connection->free_pending) {
+        if (connection->ignores_input) {
+            evbuffer_drain(input, evbuffer_get_length(input));
+        }
+        limit_input(connection, evbuffer_get_length(input));
     }
 }
 
--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -24,6 +24,7 @@
     Instant timer_start;   /* first byte of a head, or when the last answer had
                               been sent */
     Instant message_start; /* first byte of the request that is being read */
+    bool is_input_full;    /* nothing is read until requests were answered */
     bool in_head;
     bool ignores_input;      /* no further request is read: the connection is
                                 closing */
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -1,5 +1,6 @@
 #include "process/net.h"
 
+#include <errno.h>
 #include <string.h>
 #include <zmq.h>
 
@@ -540,12 +541,14 @@
 Net_PingOrigin(Net *net, const NetOrigin *origin, Instant now)
 {
     Pack ping;
-    bool sent;
+    bool is_lost;
 
     Callmsg_PackPing(&ping);
-    sent = Net_Answer(net, origin, Pack_View(&ping), now);
+    errno = 0;
+    is_lost = !Net_Answer(net, origin, Pack_View(&ping), now) &&
+              zmq_errno() == EHOSTUNREACH;
     Pack_Finish(&ping);
-    return sent;
+    return !is_lost;
 }
 
 void
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -96,7 +96,8 @@
                                void *context);
 
 /* Sends a ping over the connection by which a message came, behind all that
- * Net_Answer has sent there.  Returns false when the connection has ended. */
+ * Net_Answer has sent there, unless too much is queued.  Returns false when
+ * the connection has ended. */
 bool Net_PingOrigin(Net *net, const NetOrigin *origin, Instant now);
 
 /* Queues MESSAGE to the node PEER, and opens a connection if there is none.
--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -37,17 +37,11 @@
     }
     attempt->next_piece++;
     attempt->runner->last_piece_at = now;
-    if (attempt->origin.peer == Addr_NONE) {
-        Rcp_OnSent(&attempt->runner->receipts,
-                   Str_From(attempt->origin.routing_id,
-                            attempt->origin.routing_id_len),
-                   now);
-    }
     attempt->deadline = now + Callmsg_STALL_TIMEOUT;
     attempt->uncredited_bytes += (uint32_t)bytes.len;
     Callmsg_PackPiece(&pack, &msg);
     Cnt_Add(attempt->runner->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
-    Net_Answer(attempt->runner->net, &attempt->origin, Pack_View(&pack), now);
+    Run_AnswerOrigin(attempt->runner, &attempt->origin, Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
 
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -399,17 +399,19 @@
 static void
 stop_waiting_call(Call *call, Instant now)
 {
-    Attempt *attempt = Call_ActiveAttempt(call);
-
     if (!Call_IsTooLate(call) || call->claim_session) {
         return;
     }
     if (call->retry_at) {
         Call_End(call, Call_NOT_RUN, Call_REASON_STOPPING, now);
+        return;
     }
-    else if (attempt && !Call_OtherAttempt(attempt) &&
-             !attempt->pieces.next_sequence && !attempt->fence_sent) {
-        Call_SendFence(attempt, now);
+    for (size_t i = 0; i < Call_ATTEMPTS_MAX; i++) {
+        Attempt *attempt = &call->attempts[i];
+        if (attempt->id.counter && !attempt->pieces.next_sequence &&
+            !attempt->fence_sent) {
+            Call_SendFence(attempt, now);
+        }
     }
 }
 
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -274,6 +274,9 @@
     if (msg.result == Fence_NEVER_RAN) {
         Call_OnAttemptFailed(attempt, Rty_NOT_RUN, now);
     }
+    else if (msg.result == Fence_UNKNOWN && Call_OtherAttempt(attempt)) {
+        Call_OnAttemptFailed(attempt, Rty_UNKNOWN, now);
+    }
     else if (msg.result == Fence_UNKNOWN) {
         Call_EndUnknown(attempt->call, now);
     }
--- a/src/request/fence.c
+++ b/src/request/fence.c
@@ -1,6 +1,7 @@
 #include "request/fence.h"
 
 #include "connection/claimmsg.h"
+#include "request/runstate.h"
 
 static bool
 reject_malformed(AttemptRunner *runner, bool well_formed, const Err *err)
@@ -50,7 +51,7 @@
         piece.data = answer.body;
         piece.load = Adm_GetLoadReport(runner->admission, now);
         Callmsg_PackPiece(&pack, &piece);
-        Net_Answer(runner->net, origin, Pack_View(&pack), now);
+        Run_AnswerOrigin(runner, origin, Pack_View(&pack), now);
         Pack_Finish(&pack);
     }
     Unpack_Finish(&in);
@@ -76,7 +77,7 @@
                (unsigned long long)msg.id.incarnation,
                (unsigned long long)msg.id.counter, fenced.result);
     Callmsg_PackFenceReply(&pack, &fenced);
-    Net_Answer(runner->net, origin, Pack_View(&pack), now);
+    Run_AnswerOrigin(runner, origin, Pack_View(&pack), now);
     Pack_Finish(&pack);
     if (fenced.result == Fence_ANSWERED) {
         send_kept_answer(runner, origin, msg.id, answer, now);
@@ -110,7 +111,7 @@
         fates[Led_Fence(&runner->ledger, msg.attempt, msg.target_incarnation,
                         true, now, &fate.answer)];
     Claimmsg_PackFateReply(&pack, &fate);
-    Net_Answer(runner->net, origin, Pack_View(&pack), now);
+    Run_AnswerOrigin(runner, origin, Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -93,6 +93,17 @@
     return Rpt_ShouldAttach(&runner->report_throttle, node, cross_region, now);
 }
 
+void
+Run_AnswerOrigin(AttemptRunner *runner, const NetOrigin *origin, Str message,
+                 Instant now)
+{
+    Net_Answer(runner->net, origin, message, now);
+    if (origin->peer == Addr_NONE) {
+        Rcp_OnSent(&runner->receipts,
+                   Str_From(origin->routing_id, origin->routing_id_len), now);
+    }
+}
+
 static void
 send_refused(AttemptRunner *runner, const NetOrigin *origin, AttemptId id,
              bool cross_region, RejectReason reason, Instant now)
@@ -108,7 +119,7 @@
 
     Cnt_Add(runner->counters, Cnt_ATTEMPTS_REFUSED, 1);
     Callmsg_PackRejected(&pack, &msg);
-    Net_Answer(runner->net, origin, Pack_View(&pack), now);
+    Run_AnswerOrigin(runner, origin, Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
 
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -90,6 +90,10 @@
 /* Run_Dequeue and Run_Free.  Reports to neither the ledger nor the origin. */
 void Run_DequeueAndFree(BackendAttempt *attempt);
 
+/* Sends MESSAGE to ORIGIN, and waits at a stop until that node has it. */
+void Run_AnswerOrigin(AttemptRunner *runner, const NetOrigin *origin,
+                      Str message, Instant now);
+
 /* True when a load report is to be piggybacked on the answer to ORIGIN that
  * is sent now.  CROSS_REGION: ORIGIN is in another region. */
 bool Run_IncludesLoadReport(AttemptRunner *runner, const NetOrigin *origin,
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -273,6 +273,13 @@
                     .answer_bytes = 40}}},
      Mix_REJECTED,
      Span_S(3)},
+    {"kept open after an answer of whole pieces",
+     {.vm = STOPPED_VM,
+      .request_count = 2,
+      .requests = {{.send_at = Span_MS(500), .answer_bytes = 65536},
+                   {.send_at = Span_S(60)}}},
+     Mix_UNSENT,
+     Span_S(3)},
     {"the rest would come after the stop, behind an answer",
      {.vm = STOPPED_VM,
       .request_count = 2,
@@ -383,17 +390,23 @@
  * still on its way when it has no work left. */
 typedef struct {
     const char *name;
-    Str rate; /* of the link, bytes a second */
+    Str rate;     /* of the link, bytes a second */
+    int delay_us; /* of the link, each way */
     uint32_t answer_bytes;
     int callers;
     bool books;
+    Span first_work; /* of the first caller, whose answer is short; 0: it is
+                        as the others */
+    Span work;
 } LinkCase;
 
 static const LinkCase link_cases[] = {
-    {"several answers", Str_LIT("1000000"), 700000, 6, false},
-    {"bookings", Str_LIT("1000000"), 700000, 6, true},
-    {"one answer", Str_LIT("300000"), 1000000, 1, false},
-    {"many short answers", Str_LIT("300000"), 20000, 60, true},
+    {"several answers", Str_LIT("1000000"), 0, 700000, 6, false, 0, 0},
+    {"bookings", Str_LIT("1000000"), 0, 700000, 6, true, 0, 0},
+    {"one answer", Str_LIT("300000"), 0, 1000000, 1, false, 0, 0},
+    {"many short answers", Str_LIT("300000"), 0, 20000, 60, true, 0, 0},
+    {"after one that is being confirmed", Str_LIT("3000000"), 100000, 2000000,
+     2, true, Span_MS(2600), Span_MS(2850)},
 };
 
 START_TEST(slow_link_delivers_whole_answers)
@@ -409,15 +422,23 @@
     int lost = 0;
 
     start_fleet(&fleet, &fleet_case);
-    StrBuf_AppendFmt(&text, "rate norte>litoral %.*s\n", Str_ARG(c->rate));
+    StrBuf_AppendFmt(&text,
+                     "rate norte>litoral %.*s\ndelay norte>litoral %d\n"
+                     "delay litoral>norte %d\n",
+                     Str_ARG(c->rate), c->delay_us, c->delay_us);
     ck_assert(Fleet_SendProxyCommand(&fleet, StrBuf_View(&text)));
     for (int i = 0; i < c->callers; i++) {
         plans[i] = (MixPlan){.vm = 2,
                              .request_count = 1,
                              .requests = {{.send_at = SIGNAL_AT - Span_MS(200),
                                            .is_booking = c->books,
+                                           .work = c->work,
                                            .answer_bytes = c->answer_bytes}}};
     }
+    if (c->first_work) {
+        plans[0].requests[0].work = c->first_work;
+        plans[0].requests[0].answer_bytes = 40;
+    }
     Mix_Init(&mix, &fleet, plans, c->callers);
     mix.context = &stop;
     mix.on_tick = on_tick;
--- a/tests/unit/test_caller_connections.c
+++ b/tests/unit/test_caller_connections.c
@@ -65,6 +65,16 @@
 enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
 
 static int request_count;
+static int disconnect_count;
+static CallerRequest *last_request;
+static bool answers_at_once;
+static Span clock_skew; /* added to the listener's clock */
+
+static Instant
+get_time(void)
+{
+    return Loop_Now() + clock_skew;
+}
 
 static bool
 can_run_early(void *context, const CallerRequest *request)
@@ -82,7 +92,11 @@
     (void)context;
     (void)now;
     request_count++;
-    Ccn_SendAnswer(request, 200, &fields, Str_LIT("well"));
+    request->user_data = last_request; /* the one before it */
+    last_request = request;
+    if (answers_at_once) {
+        Ccn_SendAnswer(request, 200, &fields, Str_LIT("well"));
+    }
 }
 
 static void
@@ -98,6 +112,7 @@
 {
     (void)context;
     (void)request;
+    disconnect_count++;
 }
 
 static void
@@ -129,7 +144,7 @@
     Err err = {0};
 
     ck_assert(Addr_Parse(Str_LIT("127.0.0.1:1"), &addr));
-    ck_assert(Ccn_Listen(listener, base, Loop_Now, Addr_WithPort(addr, 0),
+    ck_assert(Ccn_Listen(listener, base, get_time, Addr_WithPort(addr, 0),
                          &callbacks, &err));
     Ccn_StartAccepting(listener);
 }
@@ -193,7 +208,7 @@
     size_t len;
     int fd;
 
-    request_count = 0;
+    answers_at_once = true;
     ck_assert(Loop_Init(&loop, &err));
     start_listener(&listener, loop.base);
     fd = open_caller(&listener);
@@ -225,10 +240,269 @@
 }
 END_TEST
 
+/* A caller that has sent its requests, to be answered step by step. */
+typedef struct {
+    Loop loop;
+    CallerListener listener;
+    int fd;
+    size_t got; /* bytes that the caller has read */
+} Fixture;
+
+enum { LARGE = 8000000, PIECE = 65536, READ_BYTES = 65536 };
+
+static char filler[LARGE];
+
+static void
+send_head(CallerRequest *request, size_t len)
+{
+    FieldList fields = {.count = 0};
+    StrBuf text = {0};
+
+    StrBuf_AppendFmt(&text, "%zu", len);
+    Field_Add(&fields, Str_LIT("Content-Length"), StrBuf_View(&text));
+    Ccn_SendHead(request, 200, &fields);
+    StrBuf_Finish(&text);
+}
+
+static void
+send_filler(CallerRequest *request, size_t len)
+{
+    Ccn_SendBody(request, Str_From(filler, len));
+}
+
+static ConnectionState
+read_all(Fixture *fixture)
+{
+    static char bytes[READ_BYTES];
+    ConnectionState state = OPEN;
+
+    for (int i = 0; i < 400 && state == OPEN; i++) {
+        size_t len = 0;
+        ssize_t got = recv(fixture->fd, bytes, sizeof bytes, MSG_DONTWAIT);
+        if (got > 0) {
+            len = (size_t)got;
+        }
+        else if (got == 0 || errno != EAGAIN) {
+            state = got == 0 ? ENDED : RESET;
+        }
+        fixture->got += len;
+        event_base_loop(fixture->loop.base, EVLOOP_NONBLOCK);
+        Ccn_CheckTimeouts(&fixture->listener, get_time());
+        usleep(len ? 0 : 500);
+    }
+    return state;
+}
+
+/* Lets TIME pass, with the timeouts checked once a second. */
+static void
+pass_time(Fixture *fixture, Span time)
+{
+    for (Span passed = 0; passed < time; passed += Span_S(1)) {
+        clock_skew += Span_S(1);
+        Ccn_CheckTimeouts(&fixture->listener, get_time());
+    }
+    run_loop(fixture->loop.base);
+}
+
+static void
+end_with_empty_part(Fixture *fixture)
+{
+    send_head(last_request, PIECE);
+    send_filler(last_request, PIECE);
+    read_all(fixture);
+    Ccn_EndAnswer(last_request);
+}
+
+static void
+stall(Fixture *fixture)
+{
+    send_head(last_request, LARGE);
+    send_filler(last_request, LARGE);
+    Ccn_EndAnswer(last_request);
+    run_loop(fixture->loop.base);
+    pass_time(fixture, Span_S(60));
+}
+
+static void
+abort_unframed_and_exit(Fixture *fixture)
+{
+    FieldList fields = {.count = 0};
+
+    Ccn_SendHead(last_request, 200, &fields);
+    send_filler(last_request, LARGE);
+    run_loop(fixture->loop.base);
+    Ccn_Abort(last_request);
+    run_loop(fixture->loop.base);
+    Ccn_Finish(&fixture->listener);
+}
+
+static void
+abort_unframed_and_stall(Fixture *fixture)
+{
+    FieldList fields = {.count = 0};
+
+    Ccn_SendHead(last_request, 200, &fields);
+    send_filler(last_request, LARGE);
+    run_loop(fixture->loop.base);
+    Ccn_Abort(last_request);
+    pass_time(fixture, Span_S(60));
+}
+
+static void
+exit_during_unframed(Fixture *fixture)
+{
+    FieldList fields = {.count = 0};
+
+    Ccn_SendHead(last_request, 200, &fields);
+    send_filler(last_request, PIECE);
+    run_loop(fixture->loop.base);
+    Ccn_Finish(&fixture->listener);
+}
+
+static void
+leave_between_parts(Fixture *fixture)
+{
+    send_head(last_request, 2 * PIECE);
+    send_filler(last_request, PIECE);
+    read_all(fixture);
+    shutdown(fixture->fd, SHUT_RDWR);
+    run_loop(fixture->loop.base);
+}
+
+/* What Xch does with a request that it makes the last one. */
+static void
+make_first_the_last(Fixture *fixture)
+{
+    CallerRequest *second = last_request;
+    CallerRequest *first = NULL;
+    FieldList fields = {.count = 0};
+
+    (void)fixture;
+    first = second->user_data;
+    first->is_last = true;
+    Ccn_SendAnswer(first, 200, &fields, Str_LIT("well"));
+    Ccn_SendAnswer(second, 200, &fields, Str_LIT("well"));
+}
+
+static void
+half_close_with_answer_on_the_way(Fixture *fixture)
+{
+    CallerRequest *second = last_request;
+    CallerRequest *first = second->user_data;
+
+    send_head(first, LARGE);
+    send_filler(first, LARGE);
+    Ccn_EndAnswer(first);
+    run_loop(fixture->loop.base);
+    shutdown(fixture->fd, SHUT_WR);
+    run_loop(fixture->loop.base);
+    send_head(second, PIECE);
+    send_filler(second, PIECE);
+    Ccn_EndAnswer(second);
+}
+
+static void
+never_answer(Fixture *fixture)
+{
+    StrBuf many = {0};
+    size_t sent = 0;
+    int refused = 0;
+
+    for (int i = 0; i < 1000; i++) {
+        StrBuf_Append(&many, whole);
+    }
+    while (sent < LARGE && refused < 100) {
+        ssize_t put =
+            send(fixture->fd, many.ptr, many.len, MSG_DONTWAIT | MSG_NOSIGNAL);
+        refused = put > 0 ? 0 : refused + 1;
+        sent += put > 0 ? (size_t)put : 0;
+        event_base_loop(fixture->loop.base, EVLOOP_NONBLOCK);
+        usleep(refused ? 100 : 0);
+    }
+    StrBuf_Finish(&many);
+    fixture->got = sent;
+}
+
+static const Str old_request =
+    Str_LIT("GET /a HTTP/1.0\r\nHost: barns\r\n\r\n");
+static const Str two_requests =
+    Str_LIT("GET /a HTTP/1.1\r\nHost: barns\r\n\r\n"
+            "GET /b HTTP/1.1\r\nHost: barns\r\n\r\n");
+
+typedef struct {
+    const char *name;
+    const Str *requests;
+    void (*act)(Fixture *fixture);
+    size_t active_requests; /* afterwards */
+    size_t connections;
+    int disconnects;
+    ConnectionState state; /* that the caller sees */
+    size_t got_min; /* bytes that the caller has read, or sent, at least */
+    size_t got_max;
+} EndCase;
+
+static const EndCase end_cases[] = {
+    {"the end of an answer brings no byte", &whole, end_with_empty_part, 0, 1,
+     0, OPEN, PIECE, 2 * PIECE},
+    {"an answer is not read for a minute", &whole, stall, 0, 0, 0, ENDED, 1,
+     LARGE - 1},
+    {"an unframed answer is broken off, then the process exits", &old_request,
+     abort_unframed_and_exit, 0, 0, 0, RESET, 0, LARGE - 1},
+    {"an unframed answer is broken off and not read", &old_request,
+     abort_unframed_and_stall, 0, 0, 0, RESET, 0, LARGE - 1},
+    {"the process exits during an unframed answer", &old_request,
+     exit_during_unframed, 0, 0, 1, RESET, 0, 2 * PIECE},
+    {"the caller leaves between two parts of an answer", &whole,
+     leave_between_parts, 0, 0, 1, ENDED, PIECE, 2 * PIECE},
+    {"a request is made the last one, another was passed on", &two_requests,
+     make_first_the_last, 0, 1, 0, OPEN, 84, 1000},
+    {"the caller ends its side, with an answer on the way and a request at "
+     "work",
+     &two_requests, half_close_with_answer_on_the_way, 0, 0, 0, ENDED,
+     LARGE + PIECE, LARGE + PIECE + 1000},
+    {"requests behind one that is not answered", &whole, never_answer, 16, 1,
+     0, OPEN, 0, LARGE - 1},
+};
+
+enum { END_COUNT = sizeof end_cases / sizeof end_cases[0] };
+
+START_TEST(ends_answers_and_connections)
+{
+    const EndCase *c = &end_cases[_i];
+    Fixture fixture = {.got = 0};
+    ConnectionState state;
+    Err err = {0};
+
+    ck_assert(Loop_Init(&fixture.loop, &err));
+    start_listener(&fixture.listener, fixture.loop.base);
+    fixture.fd = open_caller(&fixture.listener);
+    run_loop(fixture.loop.base);
+    send_text(fixture.fd, c->requests);
+    run_loop(fixture.loop.base);
+    c->act(&fixture);
+    run_loop(fixture.loop.base);
+    state = read_all(&fixture);
+    ck_assert_msg(fixture.listener.active_requests == c->active_requests &&
+                      fixture.listener.connections.count == c->connections,
+                  "%s: %zu requests, %zu connections", c->name,
+                  fixture.listener.active_requests,
+                  fixture.listener.connections.count);
+    ck_assert_msg(disconnect_count == c->disconnects, "%s: %d disconnects",
+                  c->name, disconnect_count);
+    ck_assert_msg(state == c->state, "%s: state %d", c->name, (int)state);
+    ck_assert_msg(fixture.got >= c->got_min && fixture.got <= c->got_max,
+                  "%s: %zu bytes", c->name, fixture.got);
+    close(fixture.fd);
+    Ccn_Finish(&fixture.listener);
+    Loop_Finish(&fixture.loop);
+}
+END_TEST
+
 int
 main(void)
 {
-    const SuiteTest tests[] = {{closes_without_losing_requests, CASE_COUNT}};
+    const SuiteTest tests[] = {{closes_without_losing_requests, CASE_COUNT},
+                               {ends_answers_and_connections, END_COUNT}};
 
-    return Suite_Run("caller connections", tests, 1, 10);
+    return Suite_Run("caller connections", tests, 2, 20);
 }
