Read what has arrived before a connection is closed at the exit

At its time limit a node closes connections whose last bytes are in the kernel. Unread input, such as a request that was sent behind, made that close a reset, which takes these bytes with it. Found by the review, by reading.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -13,6 +13,8 @@
     BACKLOG = 1024,
     HEAD_BYTES_MAX = 16384,
     BODY_BYTES_MAX = 64 * 1024 * 1024,
+    LEFTOVER_BYTES = 4096, /* read at a time when the process exits */
+    LEFTOVER_READS_MAX = 64,
     REQUEST_TIMEOUT = 408
 };
 
@@ -183,6 +185,21 @@
                &zero_linger, sizeof zero_linger);
 }
 
+/* Reads and discards what has arrived.  Closing with unread input would reset
+ * the connection, and destroy what the kernel still has to deliver. */
+static void
+read_leftovers(const CallerConnection *connection)
+{
+    char bytes[LEFTOVER_BYTES];
+
+    for (int i = 0; i < LEFTOVER_READS_MAX; i++) {
+        if (recv(bufferevent_getfd(connection->bev), bytes, sizeof bytes,
+                 MSG_DONTWAIT) <= 0) {
+            return;
+        }
+    }
+}
+
 void
 Ccn_Free(CallerConnection *connection, CallerEnd reason)
 {
@@ -191,6 +208,9 @@
     if (must_reset(connection)) {
         set_reset(connection);
     }
+    else if (reason == Ccn_EXIT) {
+        read_leftovers(connection);
+    }
     drop_unsent(connection, reason);
     Ccn_DropRequests(connection, reason);
     if (connection->in_reader) {
