Give an answer up when the connection of its node has ended

A stop waited until its time limit for an answer that nobody could take any more: pieces to a node whose connection had ended were dropped without a word, no credit came for them, and the rest waited. Seen once in a series of test_planned_stop (stop took 5.2 s), after the ingress node had opened a new connection.

When a piece cannot be sent since its connection has ended, the rest of the answer is read and discarded. The outcome is no other: an answer that has begun is never sent again.

test_planned_stop lost_connection_does_not_hold_stop failed before.

--- a/src/process/net.c
+++ b/src/process/net.c
@@ -525,12 +525,14 @@
 {
     bool sent;
 
+    net->has_lost_origin = false;
     if (origin->peer != Addr_NONE) {
         return Net_Send(net, origin->peer, message, now);
     }
     sent = zmq_send(net->router, origin->routing_id, origin->routing_id_len,
                     ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
            send_message(net, net->router, message);
+    net->has_lost_origin = !sent && zmq_errno() == EHOSTUNREACH;
     recheck_socket(net->router, net->router_event);
     return sent;
 }
@@ -546,14 +548,11 @@
 Net_PingOrigin(Net *net, const NetOrigin *origin, Instant now)
 {
     Pack ping;
-    bool is_lost;
 
     Callmsg_PackPing(&ping);
-    errno = 0;
-    is_lost = !Net_Answer(net, origin, Pack_View(&ping), now) &&
-              zmq_errno() == EHOSTUNREACH;
+    Net_Answer(net, origin, Pack_View(&ping), now);
     Pack_Finish(&ping);
-    return !is_lost;
+    return !net->has_lost_origin;
 }
 
 void
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -61,6 +61,8 @@
     CurveKeys keys;
     void *router; /* owned; the ROUTER socket */
     struct event *router_event;
+    /* the last Net_Answer failed because its connection has ended */
+    bool has_lost_origin;
     PeerConnection **peers; /* owned; open connections to other nodes, in no
                                order */
     size_t peer_count;
--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -41,7 +41,8 @@
     attempt->uncredited_bytes += (uint32_t)bytes.len;
     Callmsg_PackPiece(&pack, &msg);
     Cnt_Add(attempt->runner->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
-    Run_AnswerOrigin(attempt->runner, &attempt->origin, Pack_View(&pack), now);
+    attempt->origin_lost |= !Run_AnswerOrigin(
+        attempt->runner, &attempt->origin, Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -93,15 +93,19 @@
     return Rpt_ShouldAttach(&runner->report_throttle, node, cross_region, now);
 }
 
-void
+bool
 Run_AnswerOrigin(AttemptRunner *runner, const NetOrigin *origin, Str message,
                  Instant now)
 {
     Net_Answer(runner->net, origin, message, now);
+    if (runner->net->has_lost_origin) {
+        return false;
+    }
     if (origin->peer == Addr_NONE) {
         Rcp_OnSent(&runner->receipts,
                    Str_From(origin->routing_id, origin->routing_id_len), now);
     }
+    return true;
 }
 
 static void
@@ -814,6 +818,9 @@
 
     Lst_Begin(&walk, &runner->attempts);
     while ((attempt = Lst_Next(&walk))) {
+        if (attempt->origin_lost && !attempt->detached) {
+            Ans_Detach(attempt);
+        }
         if (Run_IsQueued(attempt) && Adm_IsDraining(runner->admission)) {
             Run_Refuse(attempt, Reject_DRAINING, now);
             Run_DequeueAndFree(attempt);
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -40,6 +40,8 @@
     bool keyed;
     bool cross_region;     /* the ingress node is in another region */
     bool detached;         /* no node waits for the answer */
+    bool origin_lost;      /* a piece could not be sent: the connection of the
+                              origin has ended */
     Instant call_deadline; /* of the call, as it came */
     /* the same; once a piece was sent, Callmsg_STALL_TIMEOUT after the last
      * piece */
@@ -90,8 +92,9 @@
 /* Run_Dequeue and Run_Free.  Reports to neither the ledger nor the origin. */
 void Run_DequeueAndFree(BackendAttempt *attempt);
 
-/* Sends MESSAGE to ORIGIN, and waits at a stop until that node has it. */
-void Run_AnswerOrigin(AttemptRunner *runner, const NetOrigin *origin,
+/* Sends MESSAGE to ORIGIN, and waits at a stop until that node has it.
+ * Returns false when the connection has ended. */
+bool Run_AnswerOrigin(AttemptRunner *runner, const NetOrigin *origin,
                       Str message, Instant now);
 
 /* True when a load report is to be piggybacked on the answer to ORIGIN that
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -66,6 +66,8 @@
     bool exited;
     Span took;
     int status;
+    Str fault; /* a command for the proxy; sent before the signal */
+    bool is_cut;
 } Stop;
 
 static void
@@ -458,6 +460,57 @@
 }
 END_TEST
 
+/* The connection between two nodes ends while an answer is being sent over it.
+ * Nobody can take the rest, so that the stop need not wait for it. */
+typedef struct {
+    const char *name;
+    Str fault;
+    Span stopped_by; /* after the signal */
+} CutCase;
+
+static const CutCase cut_cases[] = {
+    {"closed", Str_LIT("cut n2-1\n"), Span_S(4)},
+};
+
+static void
+on_cut_tick(void *context, Span elapsed)
+{
+    Stop *stop = context;
+
+    if (!stop->is_cut && elapsed >= SIGNAL_AT - Span_MS(300)) {
+        ck_assert(Fleet_SendProxyCommand(stop->fleet, stop->fault));
+        stop->is_cut = true;
+    }
+    on_tick(context, elapsed);
+}
+
+START_TEST(lost_connection_does_not_hold_stop)
+{
+    const CutCase *c = &cut_cases[_i];
+    const StopCase fleet_case = {
+        .has_notice = true, .local_only = true, .has_proxy = true};
+    const MixPlan plan = {
+        .vm = 2,
+        .request_count = 1,
+        .requests = {{.send_at = Span_MS(100), .answer_bytes = 8000000}},
+        .read_after = Span_S(4)};
+    Fleet fleet;
+    Mix mix;
+    Stop stop = {.fleet = &fleet, .fault = c->fault};
+
+    start_fleet(&fleet, &fleet_case);
+    Mix_Init(&mix, &fleet, &plan, 1);
+    mix.context = &stop;
+    mix.on_tick = on_cut_tick;
+    Mix_Run(&mix, SIGNAL_AT + GRACE);
+    wait_for_exit(&stop, &mix);
+    ck_assert_msg(stop.took < c->stopped_by, "%s: stop took %lld ms", c->name,
+                  (long long)(stop.took / 1000));
+    Mix_Finish(&mix);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
@@ -465,8 +518,9 @@
         {planned_stop_loses_no_request, ROWS(cases)},
         {request_being_sent_is_answered, ROWS(sending_cases)},
         {slow_reader_of_another_node_gets_whole_answer, ROWS(reader_cases)},
-        {slow_link_delivers_whole_answers, ROWS(link_cases)}};
+        {slow_link_delivers_whole_answers, ROWS(link_cases)},
+        {lost_connection_does_not_hold_stop, ROWS(cut_cases)}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("planned stop", tests, 4, 60);
+    return Suite_Run("planned stop", tests, 5, 60);
 }
