Ignore announcements of services that the configuration doesn't name

Callers got 503 for a service whose backend server was sound, until that started again: one announcement with a service that no configuration names, and a later start time or a higher sequence number, was acknowledged and took its place, and its own announcements counted as late.

Cause: the service of an announcement was checked for its form only. Ruled out: the address (another port does the same) and the start time (the same start with a higher sequence number does the same).

Such an announcement now changes nothing, unless it is of the current start and service, so that a service that a configuration drops may be named again. Until a configuration names any service all announcements count; a start taken then gives way when its service turns out not to be named. That a start drains is refused with 400 when it is not kept to.

--- a/src/process/announce.c
+++ b/src/process/announce.c
@@ -36,6 +36,33 @@
     return findings->count == 0;
 }
 
+static bool
+is_named(const AnnouncementReceiver *receiver, const StrBuf *service)
+{
+    return receiver->preset &&
+           Pst_NamesService(receiver->preset, StrBuf_View(service));
+}
+
+/* Whether ANNOUNCEMENT must not change anything, see announce.h. */
+static bool
+is_stray(const AnnouncementReceiver *receiver,
+         const Announcement *announcement)
+{
+    bool stray =
+        receiver->preset && Pst_NamesAnyService(receiver->preset) &&
+        !is_named(receiver, &announcement->service) &&
+        !(Prs_IsCurrent(&receiver->presence, &announcement->presence) &&
+          Str_Equal(StrBuf_View(&receiver->service),
+                    StrBuf_View(&announcement->service)));
+
+    if (stray) {
+        Lgr_Log(receiver->logger, Lgr_DEBUG, Str_LIT("announcement_stray"),
+                "id=%.*s service=%.*s", Str_ARG(announcement->presence.id),
+                Str_ARG(announcement->service));
+    }
+    return stray;
+}
+
 static void
 apply_announcement(AnnouncementReceiver *receiver,
                    const Announcement *announcement, Instant now)
@@ -73,7 +100,9 @@
     Fnd_Init(&findings);
     Fnd_SetFile(&findings, Str_LIT("announcement"));
     if (parse_announcement(body, &announcement, &findings)) {
-        apply_announcement(context, &announcement, now);
+        if (!is_stray(context, &announcement)) {
+            apply_announcement(context, &announcement, now);
+        }
     }
     else {
         StrBuf text = {0};
@@ -169,6 +198,15 @@
 apply_presence(AnnouncementReceiver *receiver, Announcement *announcement,
                Instant now)
 {
+    bool named = is_named(receiver, &announcement->service);
+
+    if (is_stray(receiver, announcement)) {
+        return;
+    }
+    if (receiver->is_unconfirmed && named &&
+        !is_named(receiver, &receiver->service)) {
+        Prs_Forget(&receiver->presence);
+    }
     switch (Prs_OnAnnouncement(&receiver->presence, &announcement->presence,
                                now)) {
     case Prs_STALE:
@@ -185,8 +223,10 @@
         if (receiver->has_backend) {
             remove_backend(receiver, now); /* the earlier start is gone */
         }
+        receiver->is_unconfirmed = !named;
         break;
     case Prs_ACCEPTED:
+        receiver->is_unconfirmed &= !named;
         break;
     }
     announcement->draining = receiver->presence.draining;
@@ -298,6 +338,41 @@
     return answer;
 }
 
+/* One that changes nothing is not kept to: that it drains is refused. */
+static OperatorAnswer
+answer_stray(const Announcement *announcement)
+{
+    return announcement->draining
+               ? (OperatorAnswer){400,
+                                  Opr_Error(Str_LIT("unknown_service"),
+                                            Str_LIT("no such service is in "
+                                                    "force"))}
+               : (OperatorAnswer){200, json_object()};
+}
+
+static OperatorAnswer
+take_presence(AnnouncementReceiver *receiver, Announcement *announcement,
+              struct evhttp_request *request, Instant now)
+{
+    const PresenceAnnouncement *presence = &announcement->presence;
+
+    if (is_stray(receiver, announcement)) {
+        return answer_stray(announcement);
+    }
+    if (Lvs_IsSynced(receiver->leaves)) {
+        apply_presence(receiver, announcement, now);
+    }
+    else {
+        hold_announcement(receiver, announcement);
+    }
+    return presence->draining
+               ? answer_notice(
+                     receiver,
+                     Lvt_MakeStart(presence->id, presence->started_at_ms),
+                     request, now)
+               : (OperatorAnswer){200, json_object()};
+}
+
 static OperatorAnswer
 on_presence(void *context, struct evhttp_request *request, Str body,
             Instant now)
@@ -317,19 +392,7 @@
                 Str_LIT("1 to 128 bytes"));
     }
     if (parse_presence(receiver, body, &announcement, &findings)) {
-        if (Lvs_IsSynced(receiver->leaves)) {
-            apply_presence(receiver, &announcement, now);
-        }
-        else {
-            hold_announcement(receiver, &announcement);
-        }
-        answer = announcement.presence.draining
-                     ? answer_notice(
-                           receiver,
-                           Lvt_MakeStart(announcement.presence.id,
-                                         announcement.presence.started_at_ms),
-                           request, now)
-                     : (OperatorAnswer){200, json_object()};
+        answer = take_presence(receiver, &announcement, request, now);
     }
     else {
         answer = reject(receiver, &findings);
@@ -394,6 +457,12 @@
     };
 }
 
+void
+Ann_SetPreset(AnnouncementReceiver *receiver, const Preset *preset)
+{
+    receiver->preset = preset;
+}
+
 void
 Ann_Finish(AnnouncementReceiver *receiver)
 {
--- a/src/process/announce.h
+++ b/src/process/announce.h
@@ -13,6 +13,13 @@
  * it, and answered 503 when that takes too long; this node sends it nothing
  * more from the start.  Until a node that starts has read what the replicas
  * recorded, it holds the latest announcement back.
+ *
+ * An announcement whose service the preset in force doesn't name may come from
+ * another writer.  It changes nothing, unless it is of the current start and
+ * names the same service as before: a service that a preset no longer names
+ * may be named again.  A start that leaves in this way is not acknowledged.
+ * Until a preset names any service, all announcements count; a start taken
+ * then whose service turns out not to be named gives way to any other.
  */
 #ifndef ANNOUNCE_H
 #define ANNOUNCE_H
@@ -23,6 +30,7 @@
 #include "process/noticewait.h"
 #include "process/operatorapi.h"
 #include "process/presence.h"
+#include "version/preset.h"
 
 /* Called when the backend server came, went, or changed its service or whether
  * it drains. */
@@ -55,6 +63,9 @@
     StrBuf service;    /* of the last announcement */
     /* the last start that /v1/backends/announce reported */
     BackendPresence presence;
+    const Preset *preset; /* in force; NULL: none was confirmed yet */
+    /* No preset has named the service of the current start yet. */
+    bool is_unconfirmed;
     LeaveSync *leaves;
     HeldAnnouncement held;
     WaitingNotices waiting;
@@ -70,6 +81,10 @@
               BackendChangeListener on_change, void *context);
 void Ann_Finish(AnnouncementReceiver *receiver);
 
+/* PRESET, of a confirmed version, is in force from now on; it must stay valid
+ * until the next one. */
+void Ann_SetPreset(AnnouncementReceiver *receiver, const Preset *preset);
+
 /* Answers the notices that wait; to be called before Opr_Finish. */
 void Ann_EndWaiting(AnnouncementReceiver *receiver);
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -341,6 +341,7 @@
         Shp_Release(node->in_force);
         node->in_force = Shp_New(&preset, version);
         apply_preset(node);
+        Ann_SetPreset(&node->announcements, &node->in_force->preset);
         Edge_SetPreset(&node->edge, &node->in_force->preset);
         node->dispatcher.version_confirmed = true;
         Mbs_SetVersion(&node->members, version, now);
--- a/src/process/presence.c
+++ b/src/process/presence.c
@@ -6,14 +6,23 @@
     StrBuf_Finish(&presence->id);
 }
 
-static bool
-is_same_start(const BackendPresence *presence,
+bool
+Prs_IsCurrent(const BackendPresence *presence,
               const PresenceAnnouncement *announcement)
 {
     return Str_Equal(StrBuf_View(&presence->id), announcement->id) &&
            presence->started_at_ms == announcement->started_at_ms;
 }
 
+void
+Prs_Forget(BackendPresence *presence)
+{
+    StrBuf_Clear(&presence->id);
+    presence->started_at_ms = 0;
+    presence->sequence = 0;
+    presence->draining = false;
+}
+
 static void
 set_left(BackendPresence *presence, BackendStart start, Instant now)
 {
@@ -62,7 +71,7 @@
 {
     bool is_known = presence->id.len > 0;
 
-    if (is_known && is_same_start(presence, announcement)) {
+    if (is_known && Prs_IsCurrent(presence, announcement)) {
         return update_start(presence, announcement);
     }
     if (is_known && announcement->started_at_ms &&
--- a/src/process/presence.h
+++ b/src/process/presence.h
@@ -51,6 +51,14 @@
                                    const PresenceAnnouncement *announcement,
                                    Instant now);
 
+/* Whether ANNOUNCEMENT is of the current start. */
+bool Prs_IsCurrent(const BackendPresence *presence,
+                   const PresenceAnnouncement *announcement);
+
+/* Forgets the current start, which was not one of this VM's backend server.
+ * What is known to leave stays known. */
+void Prs_Forget(BackendPresence *presence);
+
 /* The start ID of STARTED_AT_MS (0: not given) of the backend server leaves.
  * Returns true when it is the current one, which drains from now on; otherwise
  * an earlier one leaves, or one that has not announced itself.  In either case
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -267,6 +267,25 @@
     return NULL;
 }
 
+bool
+Pst_NamesService(const Preset *preset, Str service)
+{
+    for (size_t i = 0; i < preset->route_count; i++) {
+        const PresetRoute *route = &preset->routes[i];
+        if (Str_Equal(StrBuf_View(&route->service), service) ||
+            has_split_target(route, service)) {
+            return true;
+        }
+    }
+    return Pst_FindService(preset, service) != NULL;
+}
+
+bool
+Pst_NamesAnyService(const Preset *preset)
+{
+    return preset->route_count > 0 || preset->service_count > 0;
+}
+
 const PresetRoute *
 Pst_FindRoute(const Preset *preset, Str host, Str method, Str path)
 {
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -114,6 +114,10 @@
 /* Returns the service NAME of the routing; NULL when there is none. */
 const PresetService *Pst_FindService(const Preset *preset, Str name);
 
+/* Whether a route or the routing names a service: SERVICE, or any at all. */
+bool Pst_NamesService(const Preset *preset, Str service);
+bool Pst_NamesAnyService(const Preset *preset);
+
 /* Frees what ROUTE owns, but not ROUTE itself. */
 void Pst_FinishRoute(PresetRoute *route);
 
--- a/tests/unit/test_presence.c
+++ b/tests/unit/test_presence.c
@@ -137,6 +137,27 @@
 }
 END_TEST
 
+/* A start that was forgotten no longer makes earlier ones late; what is known
+ * to leave stays known. */
+START_TEST(forgets_current_start)
+{
+    const PresenceAnnouncement first = {Str_LIT("a"), 20, 900, false};
+    const PresenceAnnouncement earlier = {Str_LIT("b"), 10, 1, false};
+    const PresenceAnnouncement left = {Str_LIT("c"), 9, 1, false};
+    BackendPresence presence = {0};
+
+    Prs_SetLeft(&presence, Lvt_MakeStart(Str_LIT("c"), 9), 0);
+    ck_assert(Prs_OnAnnouncement(&presence, &first, 1) == Prs_NEW_START);
+    ck_assert(Prs_OnAnnouncement(&presence, &earlier, 2) == Prs_STALE);
+    Prs_Forget(&presence);
+    ck_assert(!Prs_IsCurrent(&presence, &first));
+    ck_assert(Prs_OnAnnouncement(&presence, &left, 3) == Prs_STALE);
+    ck_assert(Prs_OnAnnouncement(&presence, &earlier, 4) == Prs_NEW_START);
+    ck_assert(Prs_IsCurrent(&presence, &earlier));
+    Prs_Finish(&presence);
+}
+END_TEST
+
 typedef struct {
     const char *text;
     bool is_valid;
@@ -176,7 +197,8 @@
     const SuiteTest tests[] = {
         {follows_latest_start, ROWS(cases)},
         {remembers_unannounced_leave, ROWS(left_cases) * LEFT_WAYS},
+        {forgets_current_start, 1},
         {parses_load_header, ROWS(load_cases)}};
 
-    return Suite_Run("presence", tests, 3, 10);
+    return Suite_Run("presence", tests, 4, 10);
 }
