Refuse a route that names an unknown service beside a split

Operators got 200 for a configuration, whole or as a patch, with a route whose "service" is not one of the configuration's services, where the route has a split too. Such a configuration is invalid.

Cause: "service" is not read when there is a split. Ruled out: that services are not checked (one without a split, and one inside it, are refused), and that only patches pass by.

The leader now checks it before it proposes a change. What applies the log is unchanged, so that entries that older programs accepted come out as they did.

--- a/src/process/control_changes.c
+++ b/src/process/control_changes.c
@@ -1,5 +1,6 @@
 #include "connection/configmsg.h"
 #include "process/control.h"
+#include "version/routing.h"
 
 bool
 Ctl_RejectMalformed(ControlReplica *control, bool is_read, const Err *err)
@@ -80,6 +81,10 @@
     if (valid && Cfg_IsRoutingChange(change) &&
         change->base_version.index == control->cfg.routing_revision) {
         valid = Cfg_ReviseRouting(&control->cfg, change, &json, &findings);
+        if (valid) {
+            Rtg_CheckProposed(StrBuf_View(&json), &findings);
+            valid = findings.count == 0;
+        }
     }
     if (!valid) {
         ConfigChangeReplyMessage refusal = {
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -98,6 +98,7 @@
                 Str_LIT("the same name in both"));
     }
     Pst_Finish(&preset);
+    Rtg_CheckProposed(change->json, findings);
 }
 
 bool
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -32,6 +32,12 @@
 bool Rtg_Revise(Str preset_json, Str sent, bool patch, StrBuf *out,
                 FindingList *findings);
 
+/* Adds a finding for each route in PRESET_JSON that names an unknown service
+ * beside a split, which Pst_Parse allows.  Only for what is to be proposed:
+ * older programs accepted such routes, and a log that holds them must be
+ * applied as it was. */
+void Rtg_CheckProposed(Str preset_json, FindingList *findings);
+
 /* Returns the revision of the routing in PRESET_JSON; 0 for no routing. */
 uint64_t Rtg_Revision(Str preset_json);
 
--- a/tests/integration/test_platform.c
+++ b/tests/integration/test_platform.c
@@ -166,6 +166,12 @@
     "\"service\":\"visor\",\"priority\":1}],"                                 \
     "\"services\":[{\"name\":\"visor\",\"note\":\"kept\"}]}"
 
+/* A route that names SERVICE beside a split. */
+#define SPLIT_ROUTE(service)                                                  \
+    "{\"name\":\"c\",\"host\":\"barns\",\"path\":\"/split/\","                \
+    "\"kind\":\"idempotent\",\"service\":\"" service "\",\"split\":["         \
+    "{\"service\":\"visor\",\"weight\":1}]}"
+
 typedef struct {
     const char *path;
     const char *if_match; /* NULL: no such header */
@@ -189,7 +195,23 @@
     {"/v1/routing/patch", "2",
      "{\"revision\":4,\"upsert\":{\"routes\":[{\"name\":\"b\"}]}}",
      Str_LIT(" 400 "), Str_LIT("missing")},
-    {"/v1/routing/patch", "2", "{\"revision\":4}", Str_LIT(" 200 "), {0}},
+    {"/v1/routing/put", "2",
+     "{\"revision\":4,\"routes\":[" SPLIT_ROUTE(
+         "nobody") "],"
+                   "\"services\":[{\"name\":\"visor\"}]}",
+     Str_LIT(" 400 "), Str_LIT("unknown service")},
+    {"/v1/routing/patch", "2",
+     "{\"revision\":4,\"upsert\":{\"routes\":[" SPLIT_ROUTE("nobody") "]}}",
+     Str_LIT(" 400 "), Str_LIT("/routing/routes/c/service")},
+    {"/v1/routing/patch",
+     "2",
+     "{\"revision\":3,\"upsert\":{\"routes\":[" SPLIT_ROUTE("visor") "]}}",
+     Str_LIT(" 200 "),
+     {0}},
+    {"/v1/routing/patch", "3",
+     "{\"revision\":4,\"remove\":{\"services\":[\"visor\"]}}",
+     Str_LIT(" 400 "), Str_LIT("unknown service")},
+    {"/v1/routing/patch", "3", "{\"revision\":4}", Str_LIT(" 200 "), {0}},
     {"/v1/routing/read", NULL, "", Str_LIT(" 200 "),
      Str_LIT("\"note\":\"kept\"")},
     {"/v1/routing/read", NULL, "", Str_LIT(" 200 "),
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -11,6 +11,11 @@
 #define ROUTE(members)                                                        \
     "{\"name\":\"a\",\"host\":\"h\",\"path\":\"/a/\","                        \
     "\"kind\":\"idempotent\",\"service\":\"visor\"" members "}"
+/* A route that names SERVICE beside a split. */
+#define SPLIT(service)                                                        \
+    "{\"name\":\"a\",\"host\":\"h\",\"path\":\"/a/\","                        \
+    "\"kind\":\"idempotent\",\"service\":\"" service "\",\"split\":["         \
+    "{\"service\":\"visor\",\"weight\":1}]}"
 #define WHOLE(revision, route)                                                \
     "{\"revision\":" revision ",\"routes\":[" route "]," SERVICES "}"
 
@@ -33,6 +38,32 @@
     {"unknown service",
      "{\"revision\":7,\"routes\":[" ROUTE("") "],\"services\":[]}", false,
      "unknown service", 0, 0},
+    {"unknown service beside a split", WHOLE("7", SPLIT("nobody")), false,
+     "unknown service", 0, 0},
+    {"no name beside a split",
+     "{\"revision\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+     "\"path\":\"/a/\",\"kind\":\"idempotent\",\"service\":7,\"split\":["
+     "{\"service\":\"visor\",\"weight\":1}]}]," SERVICES "}",
+     false, "unknown service", 0, 0},
+    {"known service beside a split", WHOLE("7", SPLIT("visor")), false, NULL,
+     7, 1},
+    {"patch: unknown service beside a split",
+     "{\"revision\":6,\"upsert\":{\"routes\":[" SPLIT("nobody") "]}}", true,
+     "unknown service", 0, 0},
+    {"patch: known service beside a split",
+     "{\"revision\":6,\"upsert\":{\"routes\":[" SPLIT("balanza") "]}}", true,
+     NULL, 6, 3},
+    {"patch: a service that only a split's route names, removed",
+     "{\"revision\":6,\"upsert\":{\"routes\":[" SPLIT(
+         "balanza") "]},"
+                    "\"remove\":{\"services\":[\"balanza\"],\"routes\":["
+                    "\"look\",\"book\"]}}",
+     true, "unknown service", 0, 0},
+    {"patch: a service that only a split's route names, added",
+     "{\"revision\":6,\"upsert\":{\"routes\":[" SPLIT(
+         "nueva") "],"
+                  "\"services\":[{\"name\":\"nueva\"}]}}",
+     true, NULL, 6, 3},
     {"weight below 0",
      "{\"revision\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
      "\"path\":\"/a/\",\"kind\":\"idempotent\",\"split\":["
@@ -96,9 +127,16 @@
     good = Rtg_Revise(StrBuf_View(&before), Str_FromC(c->sent), c->patch,
                       &after, &findings) &&
            Pst_Parse(&preset, StrBuf_View(&after), &findings);
+    if (good) {
+        Rtg_CheckProposed(StrBuf_View(&after), &findings);
+    }
     Fnd_Print(&findings, &text);
-    ck_assert_msg(good == !c->finding, "%s: %s", c->name, StrBuf_CStr(&text));
+    ck_assert_msg((good && findings.count == 0) == !c->finding, "%s: %s",
+                  c->name, StrBuf_CStr(&text));
     if (c->finding) {
+        if (good) {
+            Pst_Finish(&preset);
+        }
         ck_assert_msg(findings.count > 0 &&
                           strstr(StrBuf_CStr(&text), c->finding),
                       "%s: %s", c->name, StrBuf_CStr(&text));
