Keep large bodies once at each node, and bound them

Uploads inside the configured limits took nodes over their memory: one of 60 MB took both nodes to 183 MB, and with four at once a small request of another caller was answered 504.

Cause: each body was there three times at each node (the body, its packed message and ZeroMQ's copy; the received message, the attempt's body and the output of the connection), and nothing bounded how many bodies were kept. Ruled out: the growth of the buffer by doubling, whose second half is never touched.

The message is now written around the body, and the received one is kept in place of a copy. Bodies over 256 KB have 64 MB together at a node; what exceeds it is rejected with 503, Retry-After and not-run, or refused as full beside the backend server. One that stalls for the idle time is given up with 408. Messages are as before.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -16,6 +16,9 @@
  * allows for the overhead of chunks of one byte each. */
 enum { DISCARDED_BYTES_MAX = 1024 * 1024, DISCARDED_PER_BODY_BYTE = 8 };
 
+/* Shorter bodies are copied to be sent. */
+enum { IN_PLACE_BYTES_MIN = 64 * 1024 };
+
 enum { HEADER_BYTES_MAX = 64 * 1024, OK = 200, MISDIRECTED = 421 };
 
 /* A connection that was idle for longer is not reused: the backend server
@@ -461,6 +464,18 @@
     return open_connection(pool);
 }
 
+/* A large body is not copied: it stays valid until the exchange has ended, and
+ * a connection over which it was not sent completely then sends nothing
+ * more. */
+static void
+add_body(struct evbuffer *out, Str body)
+{
+    if (body.len < IN_PLACE_BYTES_MIN ||
+        evbuffer_add_reference(out, body.ptr, body.len, NULL, NULL) < 0) {
+        evbuffer_add(out, body.ptr, body.len);
+    }
+}
+
 static void
 write_request(const BackendExchange *exchange)
 {
@@ -493,7 +508,7 @@
         evbuffer_add_printf(out, "Content-Length: %zu\r\n", from->body.len);
     }
     evbuffer_add(out, "\r\n", 2);
-    evbuffer_add(out, from->body.ptr, from->body.len);
+    add_body(out, from->body);
 }
 
 static void
--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -22,7 +22,7 @@
     Str target;
     Str request_id; /* empty: answers are not matched by id */
     FieldList fields;
-    Str body;
+    Str body;          /* a large one is not copied: valid until the end */
     bool is_internal;  /* sent by this node itself, without a deadline */
     Span time_left;    /* time until the deadline */
     Span resend_after; /* 0: never resent; see Bck_Start */
--- a/src/connection/calleranswer.c
+++ b/src/connection/calleranswer.c
@@ -128,6 +128,9 @@
 {
     connection->error_status = status;
     connection->ignores_input = true;
+    if (connection->incoming) {
+        Ccn_ReleaseBody(connection->incoming);
+    }
     if (!connection->first_request) {
         send_error(connection);
     }
--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -40,7 +40,7 @@
 Ccn_FreeRequest(CallerRequest *request)
 {
     StrBuf_Finish(&request->text);
-    StrBuf_Finish(&request->body);
+    Ccn_ReleaseBody(request);
     StrBuf_Finish(&request->id);
     if (request->deferred_output) {
         evbuffer_free(request->deferred_output);
@@ -137,7 +137,7 @@
     request->next = NULL;
     request->end_offset =
         connection->sent_bytes + evbuffer_get_length(output_of(connection));
-    StrBuf_Finish(&request->body);
+    Ccn_ReleaseBody(request);
     end_sent_requests(connection); /* its last part may have been empty */
 }
 
@@ -588,6 +588,19 @@
     }
 }
 
+/* Whether the caller has stopped in the middle of a large body, for which
+ * others are rejected. */
+static bool
+is_stalled_upload(const CallerConnection *connection, Instant now)
+{
+    const CallerRequest *incoming = connection->incoming;
+
+    return incoming && incoming->reserved_bytes > 0 &&
+           !connection->first_request &&
+           now - incoming->received_at >=
+               connection->listener->limits.idle_timeout;
+}
+
 /* Whether all of an answer waits for the caller, or the connection closes. */
 static bool
 has_output(const CallerConnection *connection)
@@ -620,6 +633,9 @@
             Ccn_RejectInput(connection, REQUEST_TIMEOUT);
         }
     }
+    else if (is_stalled_upload(connection, now)) {
+        Ccn_RejectInput(connection, REQUEST_TIMEOUT);
+    }
     else if (is_idle(connection) && age >= limits->idle_timeout) {
         close_idle(connection);
     }
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -8,6 +8,12 @@
  * as not read.  The owner answers with Ccn_SendHead, Ccn_SendBody and
  * Ccn_EndAnswer, or with Ccn_SendAnswer.  A disconnect by the caller is
  * noticed at any time.
+ *
+ * Large bodies that are read or kept at a time are bounded for the whole
+ * listener: a request with another one is rejected with 503 when its head has
+ * been read, or, where the head gives no length, as soon as its body gets too
+ * large.  Small bodies, and one large one, are always read.  A large body of
+ * which nothing arrives for the idle timeout is given up with 408.
  */
 #ifndef CALLERCONN_H
 #define CALLERCONN_H
@@ -17,6 +23,7 @@
 
 #include "connection/httpread.h"
 #include "value/addr.h"
+#include "value/bodybuf.h"
 #include "value/err.h"
 #include "value/instant.h"
 #include "value/list.h"
@@ -34,8 +41,9 @@
     Str method;
     Str target;
     FieldList fields;
-    StrBuf body;
-    bool is_last; /* the caller sends no further request */
+    BodyBuf *body;         /* NULL: none; until the answer ends */
+    size_t reserved_bytes; /* of the bodies that the listener may keep */
+    bool is_last;          /* the caller sends no further request */
     bool http_1_0;
     bool is_dispatched; /* passed to on_request */
     bool head_sent;     /* the answer's head was written */
@@ -50,7 +58,7 @@
     struct evbuffer *deferred_output; /* answer behind earlier answers */
     void *user_data;     /* set and used by the owner of the callbacks */
     StrBuf id;           /* for logs; set by the owner of the callbacks */
-    Instant received_at; /* when it was read completely */
+    Instant received_at; /* when its last bytes were read */
     /* Once the answer has ended: how many bytes of the connection's output end
      * with it. */
     uint64_t end_offset;
@@ -100,6 +108,7 @@
     CallerCallbacks callbacks;
     CallerLimits limits;
     List connections;
+    size_t body_bytes;      /* reserved for large bodies */
     size_t active_requests; /* read completely, and the answer not sent
                                completely yet */
     bool is_draining;       /* connections close after their next answer */
--- a/src/connection/callerinput.c
+++ b/src/connection/callerinput.c
@@ -9,9 +9,15 @@
     EXPECTATION_FAILED = 417,
     HEAD_TOO_LARGE = 431,
     NOT_IMPLEMENTED = 501,
+    UNAVAILABLE = 503,
     METHOD_BYTES_MAX = 32
 };
 
+/* Room before a body for the head of the message that carries it to another
+ * node: the text of the request, twice for what is packed around it, and the
+ * rest. */
+enum { HEADROOM_FACTOR = 2, HEADROOM_BYTES = 4096 };
+
 /* Returns false if the Expect field holds an unsupported expectation. */
 static bool
 check_expectation(CallerConnection *connection, const CallerRequest *request)
@@ -32,6 +38,25 @@
     return true;
 }
 
+/* Makes room for the body whose length the head gives.  Returns false when
+ * this node keeps too many others. */
+static bool
+prepare_body(CallerConnection *connection, CallerRequest *request,
+             const HttpHead *head)
+{
+    uint64_t len = connection->reader.parser.content_length;
+
+    if (!head->has_content_length || len == 0 ||
+        len > connection->listener->limits.body_bytes_max) {
+        return true; /* too long a body is rejected where it ends the room */
+    }
+    if (!Ccn_ReserveBody(request, (size_t)len)) {
+        connection->error_status = UNAVAILABLE;
+        return false;
+    }
+    return true;
+}
+
 static bool
 on_head(void *context, const HttpHead *head)
 {
@@ -41,6 +66,7 @@
     Str whole;
 
     request->connection = connection;
+    request->received_at = Ccn_Now(connection->listener);
     request->is_last = !head->keep_alive;
     request->http_1_0 = head->http_1_0;
     StrBuf_Append(&request->text, head->method);
@@ -63,19 +89,33 @@
     }
     connection->incoming = request;
     connection->in_head = false;
-    return check_expectation(connection, request);
+    return prepare_body(connection, request, head) &&
+           check_expectation(connection, request);
 }
 
 static bool
 on_bytes(void *context, Str bytes)
 {
     CallerConnection *connection = context;
-    StrBuf *body = &connection->incoming->body;
+    CallerRequest *request = connection->incoming;
+    size_t len = Bod_View(request->body).len + bytes.len;
 
-    if (body->len + bytes.len > connection->listener->limits.body_bytes_max) {
+    if (len > connection->listener->limits.body_bytes_max) {
         return false;
     }
-    StrBuf_Append(body, bytes);
+    request->received_at = Ccn_Now(connection->listener);
+    if (!Ccn_ReserveBody(request, len)) {
+        connection->error_status = UNAVAILABLE;
+        return false;
+    }
+    if (!request->body) {
+        request->body =
+            Bod_New(request->text.len * HEADROOM_FACTOR + HEADROOM_BYTES);
+        Bod_Reserve(request->body, len > request->reserved_bytes
+                                       ? len
+                                       : request->reserved_bytes);
+    }
+    Bod_Append(request->body, bytes);
     return true;
 }
 
--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -42,6 +42,13 @@
 
 void Ccn_FreeRequest(CallerRequest *request);
 
+/* Reserves room for LEN bytes of body in all.  Returns false, and changes
+ * nothing, when other large bodies take it. */
+bool Ccn_ReserveBody(CallerRequest *request, size_t len);
+
+/* Frees the body and the room that was reserved for it. */
+void Ccn_ReleaseBody(CallerRequest *request);
+
 /* Frees the requests whose answers have not ended; on_disconnect is called for
  * those that are being answered. */
 void Ccn_DropRequests(CallerConnection *connection, CallerEnd reason);
--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -119,7 +119,7 @@
 }
 
 void
-Callmsg_PackCall(Pack *pack, const CallMessage *msg)
+Callmsg_PackCallHead(Pack *pack, const CallMessage *msg)
 {
     Wire_Begin(pack, Wire_CALL, CALL_FIELDS);
     Callmsg_PutId(pack, msg->id);
@@ -138,7 +138,14 @@
     Pack_Str(pack, msg->method);
     Pack_Str(pack, msg->target);
     put_fields(pack, &msg->fields);
-    Pack_Str(pack, msg->body);
+    Pack_StrHead(pack, msg->body.len);
+}
+
+void
+Callmsg_PackCall(Pack *pack, const CallMessage *msg)
+{
+    Callmsg_PackCallHead(pack, msg);
+    Pack_StrBytes(pack, msg->body);
 }
 
 bool
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -123,6 +123,9 @@
 #define Callmsg_STALL_TIMEOUT Span_S(30)
 
 void Callmsg_PackCall(Pack *pack, const CallMessage *msg);
+
+/* As Callmsg_PackCall, without the bytes of the body, which come last. */
+void Callmsg_PackCallHead(Pack *pack, const CallMessage *msg);
 bool Callmsg_ReadCall(Unpack *in, CallMessage *msg, Err *err);
 void Callmsg_PackPiece(Pack *pack, const PieceMessage *msg);
 bool Callmsg_ReadPiece(Unpack *in, PieceMessage *msg, Err *err);
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -14,6 +14,11 @@
  * would retransmit it only after a second. */
 enum { CONNECT_TIMEOUT_MS = 200 };
 
+/* A message that a handler kept. */
+struct NetMessage {
+    zmq_msg_t msg;
+};
+
 /* Time to send queued messages when the node exits. */
 enum { FINISH_LINGER_MS = 300 };
 
@@ -185,6 +190,31 @@
            zmq_send(socket, message.ptr, message.len, ZMQ_DONTWAIT) >= 0;
 }
 
+static void
+release_body(void *data, void *context)
+{
+    (void)data;
+    Bod_Release(context);
+}
+
+/* As send_message, for WHOLE in BODY, which is not copied. */
+static bool
+send_body(Net *net, void *socket, BodyBuf *body, Str whole)
+{
+    HlcStamp stamp = Hlc_Next(&net->timeline->clock, net->logger->clock());
+    zmq_msg_t msg;
+
+    Bod_Retain(body);
+    zmq_msg_init_data(&msg, (char *)whole.ptr, whole.len, release_body, body);
+    if (zmq_send(socket, &stamp, sizeof stamp, ZMQ_SNDMORE | ZMQ_DONTWAIT) >=
+            0 &&
+        zmq_msg_send(&msg, socket, ZMQ_DONTWAIT) >= 0) {
+        return true;
+    }
+    zmq_msg_close(&msg);
+    return false;
+}
+
 static void
 on_router_readable(evutil_socket_t fd, short what, void *context)
 {
@@ -197,9 +227,11 @@
         zmq_msg_t msg;
         zmq_msg_init(&msg);
         if (receive_message(net, net->router, &msg) && zmq_msg_size(&msg)) {
+            net->handled = &msg;
             dispatch(net, &origin,
                      Str_From(zmq_msg_data(&msg), zmq_msg_size(&msg)),
                      Loop_Now());
+            net->handled = NULL;
         }
         zmq_msg_close(&msg);
     }
@@ -496,8 +528,9 @@
     Pack_Finish(&ping);
 }
 
-bool
-Net_Send(Net *net, Addr addr, Str message, Instant now)
+/* Sends WHOLE, which is in BODY, or copied where BODY is NULL. */
+static bool
+send_to_peer(Net *net, Addr addr, BodyBuf *body, Str whole, Instant now)
 {
     PeerConnection *peer = find_peer(net, addr);
     bool sent;
@@ -508,7 +541,8 @@
     if (!peer) {
         peer = add_peer(net, addr);
     }
-    sent = send_message(net, peer->socket, message);
+    sent = body ? send_body(net, peer->socket, body, whole)
+                : send_message(net, peer->socket, whole);
     if (sent) {
         Peer_OnSent(peer, now);
     }
@@ -520,6 +554,42 @@
     return sent;
 }
 
+bool
+Net_Send(Net *net, Addr addr, Str message, Instant now)
+{
+    return send_to_peer(net, addr, NULL, message, now);
+}
+
+bool
+Net_SendBody(Net *net, Addr addr, BodyBuf *body, Str whole, Instant now)
+{
+    return send_to_peer(net, addr, body, whole, now);
+}
+
+NetMessage *
+Net_KeepMessage(Net *net)
+{
+    NetMessage *message;
+
+    if (!net->handled) {
+        return NULL;
+    }
+    message = Mem_Alloc(1, sizeof *message);
+    zmq_msg_init(&message->msg);
+    zmq_msg_move(&message->msg, net->handled);
+    net->handled = NULL;
+    return message;
+}
+
+void
+Net_FreeMessage(NetMessage *message)
+{
+    if (message) {
+        zmq_msg_close(&message->msg);
+        Mem_Free(message);
+    }
+}
+
 bool
 Net_Answer(Net *net, const NetOrigin *origin, Str message, Instant now)
 {
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -19,6 +19,7 @@
 #include "process/loop.h"
 #include "process/settings.h"
 #include "process/timeline.h"
+#include "value/bodybuf.h"
 
 enum { Net_ROUTING_ID_BYTES_MAX = 32 };
 
@@ -33,6 +34,9 @@
     size_t routing_id_len;
 } NetOrigin;
 
+/* A message that was received and kept. */
+typedef struct NetMessage NetMessage;
+
 /* Handles one message.  IN is at the first field of the message's kind, and
  * is valid, like ORIGIN, until the handler returns. */
 typedef void (*NetHandler)(void *context, const NetOrigin *origin, Unpack *in,
@@ -74,6 +78,7 @@
     void *pong_context;
     LoopTimer peer_check_timer;
     Instant peers_checked_at; /* when it ran last; 0: never */
+    void *handled; /* zmq_msg_t of the message being handled; NULL: none */
 } Net;
 
 /* Listens at the address that SETTINGS gives for other nodes.  Returns false
@@ -108,6 +113,16 @@
  * Addr_NONE. */
 bool Net_Send(Net *net, Addr peer, Str message, Instant now);
 
+/* As Net_Send, for the message WHOLE of Bod_Prepend, which is not copied: BODY
+ * is retained until it was sent. */
+bool Net_SendBody(Net *net, Addr peer, BodyBuf *body, Str whole, Instant now);
+
+/* Keeps the message that is being handled, which must be of several KB, so
+ * that what was read from it stays valid until Net_FreeMessage, also for NULL.
+ * Returns NULL when it cannot be kept. */
+NetMessage *Net_KeepMessage(Net *net);
+void Net_FreeMessage(NetMessage *message);
+
 /* Queues MESSAGE to the node that ORIGIN names, over the connection by which
  * its message arrived.  Returns false if the message could not be queued. */
 bool Net_Answer(Net *net, const NetOrigin *origin, Str message, Instant now);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -25,6 +25,7 @@
 #include "request/field.h"
 #include "request/keyed.h"
 #include "request/nesting.h"
+#include "value/bodybuf.h"
 #include "value/list.h"
 #include "version/sharedpreset.h"
 
@@ -59,7 +60,8 @@
     Str target; /* path and query */
     FieldList fields;
     Str body;
-    Span timeout; /* given by the caller; 0: use the route's */
+    BodyBuf *body_buf; /* holds the body; NULL: it is copied to be sent */
+    Span timeout;      /* given by the caller; 0: use the route's */
 } CallRequest;
 
 /* Callbacks of the front end that receive the answer: on_head once, on_body
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -9,6 +9,9 @@
 #define LATE_WAIT_INTERVAL Span_MS(60)
 #define WAIT_INTERVAL_MAX Span_MS(250)
 
+/* Shorter bodies are copied to be sent. */
+enum { IN_PLACE_BYTES_MIN = 64 * 1024 };
+
 Attempt *
 Call_ActiveAttempt(Call *call)
 {
@@ -91,12 +94,40 @@
     return call->start_by_objective > now ? call->start_by_objective - now : 1;
 }
 
+/* Sends MSG around its body, or a copy of both while an earlier attempt is
+ * still being sent. */
+static bool
+pack_and_send(const Attempt *attempt, const CallMessage *msg, Instant now)
+{
+    CallDispatcher *dispatcher = attempt->call->dispatcher;
+    BodyBuf *body = attempt->call->request.body_buf;
+    Str whole;
+    Pack pack;
+    bool sent;
+
+    if (msg->body.len < IN_PLACE_BYTES_MIN) {
+        body = NULL;
+    }
+    Callmsg_PackCallHead(&pack, msg);
+    if (!body || !Bod_Prepend(body, Pack_View(&pack), &whole)) {
+        Pack_StrBytes(&pack, msg->body);
+        whole = Pack_View(&pack);
+        body = NULL;
+    }
+    Cnt_Add(dispatcher->counters, Cnt_DATA_BYTES, whole.len);
+    Call_CountCrossRegion(attempt, whole.len, now);
+    sent = body
+               ? Net_SendBody(dispatcher->net, attempt->node, body, whole, now)
+               : Net_Send(dispatcher->net, attempt->node, whole, now);
+    Pack_Finish(&pack);
+    return sent;
+}
+
 /* Returns false when nothing of the request can reach the node. */
 static bool
 send_attempt(const Attempt *attempt, Instant now)
 {
     const Call *call = attempt->call;
-    CallDispatcher *dispatcher = call->dispatcher;
     CallMessage msg = {
         .id = attempt->id,
         .target_incarnation = attempt->incarnation,
@@ -118,16 +149,11 @@
         .body = call->request.body,
     };
     StrBuf depth = {0};
-    Pack pack;
     bool sent;
 
     Dep_Write(&msg.fields, Dep_Read(&msg.fields) + 1, &depth);
-    Callmsg_PackCall(&pack, &msg);
+    sent = pack_and_send(attempt, &msg, now);
     StrBuf_Finish(&depth);
-    Cnt_Add(dispatcher->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
-    Call_CountCrossRegion(attempt, Pack_View(&pack).len, now);
-    sent = Net_Send(dispatcher->net, attempt->node, Pack_View(&pack), now);
-    Pack_Finish(&pack);
     return sent;
 }
 
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -288,7 +288,8 @@
         .host = Htr_HostWithoutPort(&http->fields),
         .method = http->method,
         .target = Htr_OriginForm(http->target),
-        .body = StrBuf_View(&http->body),
+        .body = Bod_View(http->body),
+        .body_buf = http->body,
         .timeout = timeout,
     };
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -26,6 +26,8 @@
     LEDGER_BYTES_MAX = 8 * 1024 * 1024,
     LEDGER_ENTRIES_MAX = 131072,
     LEDGER_ORIGINS_MAX = 4096,
+    SMALL_BODY_BYTES = 256 * 1024, /* up to this size a body always has room */
+    LARGE_BODIES_BYTES_MAX = 64 * 1024 * 1024, /* kept at a time */
     HTTP_SERVICE_UNAVAILABLE = 503,
     SILENCE_SERVICE_TIMES = 8, /* times the smoothed service time */
     /* one part in 4 of the time left until the deadline */
@@ -55,7 +57,11 @@
     StrBuf_Finish(&attempt->method);
     StrBuf_Finish(&attempt->target);
     StrBuf_Finish(&attempt->request_id);
-    StrBuf_Finish(&attempt->body);
+    StrBuf_Finish(&attempt->body_text);
+    if (attempt->message) {
+        runner->kept_bytes -= attempt->body.len;
+        Net_FreeMessage(attempt->message);
+    }
     StrBuf_Finish(&attempt->field_text);
     StrBuf_Finish(&attempt->answer_field_text);
     StrBuf_Finish(&attempt->unsent_body);
@@ -296,7 +302,7 @@
         .target = StrBuf_View(&attempt->target),
         .request_id = StrBuf_View(&attempt->request_id),
         .fields = attempt->fields,
-        .body = StrBuf_View(&attempt->body),
+        .body = attempt->body,
         .time_left = attempt->deadline - now,
         .resend_after = get_resend_delay(attempt, attempt->deadline - now),
     };
@@ -316,6 +322,34 @@
     Run_Free(attempt);
 }
 
+/* Keeps BODY: a large one where it was received, without a copy. */
+static void
+keep_body(BackendAttempt *attempt, Str body)
+{
+    AttemptRunner *runner = attempt->runner;
+
+    attempt->message =
+        body.len > SMALL_BODY_BYTES ? Net_KeepMessage(runner->net) : NULL;
+    if (attempt->message) {
+        attempt->body = body;
+        runner->kept_bytes += body.len;
+        return;
+    }
+    StrBuf_Set(&attempt->body_text, body);
+    attempt->body = StrBuf_View(&attempt->body_text);
+}
+
+/* Whether the bodies that are kept, that of ATTEMPT among them, take too much
+ * memory.  A small body, and a single large one, never does. */
+static bool
+exceeds_body_room(const BackendAttempt *attempt)
+{
+    size_t kept = attempt->runner->kept_bytes;
+
+    return attempt->message && kept > attempt->body.len &&
+           kept > LARGE_BODIES_BYTES_MAX;
+}
+
 BackendAttempt *
 Run_Add(AttemptRunner *runner, const NetOrigin *origin, const CallMessage *msg,
         Instant now)
@@ -340,7 +374,7 @@
     StrBuf_Set(&attempt->method, msg->method);
     StrBuf_Set(&attempt->target, msg->target);
     StrBuf_Set(&attempt->request_id, msg->request_id);
-    StrBuf_Set(&attempt->body, msg->body);
+    keep_body(attempt, msg->body);
     Run_CopyFields(&attempt->fields, &attempt->field_text, &msg->fields);
     return attempt;
 }
@@ -485,7 +519,11 @@
         return;
     }
     attempt = Run_Add(runner, origin, &msg, now);
-    if (!start_awaiting_load(attempt, now)) {
+    if (exceeds_body_room(attempt)) {
+        Run_Refuse(attempt, Reject_FULL, now);
+        Run_Free(attempt);
+    }
+    else if (!start_awaiting_load(attempt, now)) {
         Run_Admit(attempt, now);
     }
 }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -46,6 +46,8 @@
     List attempts;                  /* all, in order of arrival */
     /* attempts that wait for the backend server's load before admission */
     size_t awaiting_load_count;
+    size_t kept_bytes; /* bodies of attempts in the messages that brought them
+                        */
     LoadQuery load_query; /* asks the backend server for its load */
     /* tries a connection to the backend server after an interrupted
      * exchange */
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -58,8 +58,10 @@
     StrBuf method;
     StrBuf target;
     StrBuf request_id;
-    StrBuf body;
-    StrBuf field_text; /* bytes of the strings in fields */
+    Str body;            /* in body_text or in message */
+    StrBuf body_text;    /* a copy of a small body */
+    NetMessage *message; /* that brought a large body; NULL: small */
+    StrBuf field_text;   /* bytes of the strings in fields */
     FieldList fields;
     uint32_t next_piece; /* number of the next piece; 0: nothing was sent */
     uint16_t status;     /* HTTP status of the answer; 0: no head came yet */
--- a/src/value/pack.c
+++ b/src/value/pack.c
@@ -40,14 +40,26 @@
 }
 
 void
-Pack_Str(Pack *pack, Str value)
+Pack_StrHead(Pack *pack, size_t len)
+{
+    msgpack_pack_bin(&pack->packer, len);
+}
+
+void
+Pack_StrBytes(Pack *pack, Str value)
 {
-    msgpack_pack_bin(&pack->packer, value.len);
     if (value.len) {
         msgpack_pack_bin_body(&pack->packer, value.ptr, value.len);
     }
 }
 
+void
+Pack_Str(Pack *pack, Str value)
+{
+    Pack_StrHead(pack, value.len);
+    Pack_StrBytes(pack, value);
+}
+
 void
 Pack_Array(Pack *pack, uint32_t count)
 {
--- a/src/value/pack.h
+++ b/src/value/pack.h
@@ -42,6 +42,11 @@
 void Pack_Bool(Pack *pack, bool value);
 void Pack_Str(Pack *pack, Str value);
 
+/* The two parts of Pack_Str: what says that LEN bytes follow, and the bytes,
+ * which may be sent from where they are. */
+void Pack_StrHead(Pack *pack, size_t len);
+void Pack_StrBytes(Pack *pack, Str value);
+
 /* Starts a nested array as the next field; the COUNT fields written next
  * belong to it. */
 void Pack_Array(Pack *pack, uint32_t count);
