--- a/tests/integration/fleet_steps.c
+++ b/tests/integration/fleet_steps.c
@@ -238,6 +238,20 @@
     change->fd = -1;
 }
 
+/* Kills the node, and notes it if it had ended before. */
+static void
+kill_node(Schedule *schedule, int vm, Span elapsed)
+{
+    pid_t *node = &schedule->fleet->vms[vm].node;
+    bool runs = *node > 0;
+    int status = Fleet_Kill(node, SIGKILL);
+
+    if (runs && !(WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL)) {
+        add_fault(schedule, vm, "node ended by itself, status", status,
+                  elapsed);
+    }
+}
+
 static void
 begin_step(Schedule *schedule, Step *step, Span elapsed)
 {
@@ -247,7 +261,7 @@
     step->has_begun = true;
     switch (step->kind) {
     case Step_KILL:
-        Fleet_Kill(&vm->node, SIGKILL);
+        kill_node(schedule, step->vm, elapsed);
         break;
     case Step_FREEZE:
         send_signal(vm->node, SIGSTOP);
@@ -366,6 +380,21 @@
     return elapsed >= step->until;
 }
 
+/* Whether a step has sent SIGTERM to the node of VM; has_stopped takes its end
+ * and status. */
+static bool
+is_stopping(const Schedule *schedule, int vm)
+{
+    for (int i = 0; i < schedule->step_count; i++) {
+        const Step *step = &schedule->steps[i];
+        if (step->kind == Step_STOP && step->vm == vm && step->has_begun &&
+            !step->has_ended) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Notes a process that ended although no step ended it. */
 static void
 watch_process(Schedule *schedule, int vm, pid_t *process, const char *what,
@@ -397,8 +426,10 @@
     }
     for (int i = 0; i < schedule->fleet->vm_count; i++) {
         FleetVm *vm = &schedule->fleet->vms[i];
-        watch_process(schedule, i, &vm->node, "node ended by itself, status",
-                      elapsed);
+        if (!is_stopping(schedule, i)) {
+            watch_process(schedule, i, &vm->node,
+                          "node ended by itself, status", elapsed);
+        }
         watch_process(schedule, i, &vm->backend,
                       "backend server ended by itself, status", elapsed);
     }
