--- a/tests/integration/fleet_steps.c
+++ b/tests/integration/fleet_steps.c
@@ -210,8 +210,8 @@
 }
 
 /* Reads what is there of the answer to the change.  A change without an answer
- * may be accepted: the next one then builds on it and is refused, which
- * harms nothing. */
+ * may have been accepted: when the next one is refused for its base, later
+ * ones build on that change. */
 static void
 read_change(Schedule *schedule)
 {
@@ -233,6 +233,16 @@
                        Str_LIT("HTTP/1.1 200 "))) {
         schedule->base = change->revision;
         schedule->changed_count++;
+        schedule->unanswered = 0;
+    }
+    else if (Str_StartsWith(StrBuf_View(&change->answer),
+                            Str_LIT("HTTP/1.1 412 ")) &&
+             schedule->unanswered) {
+        schedule->base = schedule->unanswered;
+        schedule->unanswered = 0;
+    }
+    else {
+        schedule->unanswered = change->revision;
     }
     Fleet_RawClose(change->fd);
     change->fd = -1;
@@ -298,6 +308,7 @@
     uint64_t refusals =
         Fleet_ReadBackendCount(schedule->fleet, step->vm, Str_LIT("shed"));
 
+    /* The log of the backend servers names them. */
     if (step->is_counted && refusals > step->refusals) {
         add_fault(schedule, step->vm, "requests at a server that left:",
                   (long long)(refusals - step->refusals), elapsed);
@@ -326,6 +337,7 @@
         if (schedule->change.fd >= 0) {
             Fleet_RawClose(schedule->change.fd);
             schedule->change.fd = -1;
+            schedule->unanswered = schedule->change.revision;
         }
         break;
     default:
--- a/tests/integration/fleet_steps.h
+++ b/tests/integration/fleet_steps.h
@@ -53,6 +53,7 @@
     StepChange change;
     int last_revision; /* sent */
     int base;          /* the newest revision known to be accepted */
+    int unanswered;    /* a revision that may be accepted; 0: none */
     int changed_count; /* changes accepted */
     int fault_count;
     StrBuf faults; /* a line for each */
--- a/tests/integration/test_caller_mix.c
+++ b/tests/integration/test_caller_mix.c
@@ -161,7 +161,8 @@
     draw_callers(plans, &rng);
     Rng_Finish(&rng);
     Stp_Print(&schedule, &text);
-    fprintf(stderr, "seed %u:\n%.*s", seed, Str_ARG(text));
+    fprintf(stderr, "seed %u, in %.*s:\n%.*s", seed, Str_ARG(fleet.folder),
+            Str_ARG(text));
     StrBuf_Clear(&text);
     Mix_Init(&mix, &fleet, plans, CALLERS);
     run_mix(&fleet, &mix, &schedule, &text);
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -264,12 +264,29 @@
     evhttp_send_reply(request, status, NULL, NULL);
 }
 
+/* Shows which requests reach a server that leaves, and when. */
+static void
+log_refusal(const FakeServer *fake, struct evhttp_request *request)
+{
+    const char *id = evhttp_find_header(
+        evhttp_request_get_input_headers(request), "X-Request-Id");
+    StrBuf address = {0};
+
+    Addr_Print(fake->addr, &address);
+    fprintf(stderr, "%lld ms: %.*s is draining, refuses %s\n",
+            (long long)(Loop_Now() / 1000), Str_ARG(address), id ? id : "-");
+    StrBuf_Finish(&address);
+}
+
 /* Refuses a request, without reading it, because the server is draining or
  * full. */
 static void
 shed_request(FakeServer *fake, struct evhttp_request *request)
 {
     fake->counts.shed++;
+    if (fake->knobs.draining) {
+        log_refusal(fake, request);
+    }
     if (fake->knobs.draining || fake->knobs.report_not_run) {
         evhttp_add_header(evhttp_request_get_output_headers(request),
                           "X-Lycheeridge-Not-Run", "1");
