Tell a slow backend server from a lost connection before sending again

Beside a slow backend server that did not drain, each request that ran for 8 service times ran twice.

The timer for lost idle connections judged by time alone and asked nobody. Ruled out: the drain being unknown (the node that acknowledged it sends), and attempts made again by the caller's node (the second request comes from the same node over a new connection).

Now evidence decides (connection/silence.h): bytes that the other host doesn't acknowledge, requests sent later and answered much sooner, the longest answers of late, requests over new connections that are unanswered too. Where nothing else runs, one request is sent again, and its answer decides about the others. Before anything is sent again, admission is asked (Adm_TakesRepeat); a request that was lost where admission refuses is given up, and goes elsewhere.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "connection/delivery.h"
 #include "connection/httpread.h"
 #include "value/mem.h"
 
@@ -19,12 +20,25 @@
 /* Shorter bodies are copied to be sent. */
 enum { IN_PLACE_BYTES_MIN = 64 * 1024 };
 
-enum { HEADER_BYTES_MAX = 64 * 1024, OK = 200, MISDIRECTED = 421 };
+enum {
+    HEADER_BYTES_MAX = 64 * 1024,
+    OK = 200,
+    MISDIRECTED = 421,
+    SERVER_ERROR_MIN = 500
+};
 
 /* A connection that was idle for longer is not reused: the backend server
  * may be closing it. */
 #define IDLE_TIMEOUT Span_S(1)
 
+/* After one part in 2 of resend_after without an answer, new requests no
+ * longer use the idle connections: they may be lost too, and their answers
+ * over new ones show whether the backend server is slow. */
+enum { SUSPECTED_DIVISOR = 2 };
+
+/* How often an unanswered request is looked at again. */
+#define RESEND_CHECK_INTERVAL Span_MS(50)
+
 /* Added to the deadline: within this time the node of the caller cancels. */
 #define CANCEL_GRACE Span_MS(500)
 
@@ -46,8 +60,12 @@
     BackendPool *pool;
     BackendConnection *connection;
     BackendRequest request;
-    Instant deadline;            /* of the request */
-    struct event *resend_timer;  /* NULL: the request is not resent */
+    Instant deadline;           /* of the request */
+    struct event *resend_timer; /* NULL: the request is not resent */
+    bool is_suspected;          /* may be lost; counted in the pool's watch */
+    bool is_new_send;           /* counted in the pool's watch */
+    Instant sent_at;
+    uint32_t server_number;      /* of the backend server it was sent to */
     struct event *timeout_timer; /* for the whole exchange */
     bool paused;
     BackendCallbacks callbacks;
@@ -122,11 +140,31 @@
 }
 
 static void
-free_exchange(BackendExchange *exchange)
+drop_resend_timer(BackendExchange *exchange)
 {
     if (exchange->resend_timer) {
         event_free(exchange->resend_timer);
+        exchange->resend_timer = NULL;
+    }
+    exchange->pool->silence.suspected -= exchange->is_suspected;
+    exchange->is_suspected = false;
+}
+
+/* The answer came or is no longer awaited. */
+static void
+stop_watching(BackendExchange *exchange)
+{
+    drop_resend_timer(exchange);
+    if (exchange->is_new_send) {
+        Sil_OnNewEnd(&exchange->pool->silence, exchange->request.work_kind);
+        exchange->is_new_send = false;
     }
+}
+
+static void
+free_exchange(BackendExchange *exchange)
+{
+    stop_watching(exchange);
     event_free(exchange->timeout_timer);
     Mem_Free(exchange);
 }
@@ -218,6 +256,20 @@
                                                            : OTHER_REQUEST;
 }
 
+/* An error says nothing about how long the work takes. */
+static void
+report_answer(const BackendExchange *exchange, uint16_t status)
+{
+    BackendPool *pool = exchange->pool;
+
+    if (status < SERVER_ERROR_MIN &&
+        exchange->server_number == pool->server_number) {
+        Sil_OnAnswer(&pool->silence, exchange->request.work_kind,
+                     exchange->sent_at, exchange->request.resend_after,
+                     pool->clock());
+    }
+}
+
 static void
 accept_head(BackendExchange *exchange, const HttpHead *head)
 {
@@ -233,10 +285,7 @@
          * time. */
         exchange->connection->idle_timeout = idle / 2;
     }
-    if (exchange->resend_timer) {
-        event_free(exchange->resend_timer);
-        exchange->resend_timer = NULL;
-    }
+    stop_watching(exchange);
     if (pool->on_load && has_field(all, pool->header_names.load)) {
         pool->on_load(pool->on_load_context,
                       Field_Get(all, pool->header_names.load), pool->clock());
@@ -252,6 +301,7 @@
     }
     if (!exchange->is_rejected) {
         if (!exchange->request.is_internal) {
+            report_answer(exchange, head->status);
             /* From here on, the receiver of the answer limits its time. */
             evtimer_del(exchange->timeout_timer);
         }
@@ -453,7 +503,7 @@
     BackendConnection *connection;
 
     while ((connection = pool->idle)) {
-        if (connection->addr == pool->addr &&
+        if (!pool->silence.suspected && connection->addr == pool->addr &&
             now - connection->idle_since < connection->idle_timeout &&
             is_open(connection)) {
             pool->idle = connection->next;
@@ -514,27 +564,102 @@
 static void
 send_request(BackendExchange *exchange, BackendConnection *connection)
 {
+    BackendPool *pool = exchange->pool;
+
     exchange->connection = connection;
+    exchange->sent_at = pool->clock();
+    exchange->server_number = pool->server_number;
     connection->exchange = exchange;
     connection->reader.skip_body =
         Str_Equal(exchange->request.method, Str_LIT("HEAD"));
+    if (!connection->has_completed && !exchange->request.is_internal) {
+        exchange->is_new_send = true;
+        Sil_OnNewSend(&pool->silence, exchange->request.work_kind);
+    }
     write_request(exchange);
 }
 
+static SilenceVerdict
+decide_silence(const BackendExchange *exchange, Instant now)
+{
+    UnansweredRequest request = {
+        .kind = exchange->request.work_kind,
+        .sent_at = exchange->sent_at,
+        .is_unacknowledged =
+            Dlv_IsUnacknowledged(bufferevent_getfd(exchange->connection->bev)),
+    };
+
+    return Sil_Decide(&exchange->pool->silence, &request, now);
+}
+
+static bool
+may_resend(const BackendPool *pool, bool may_still_run, Instant now)
+{
+    return !pool->resend_check ||
+           pool->resend_check(pool->resend_check_context, may_still_run, now);
+}
+
+static void
+resend(BackendExchange *exchange, Instant now)
+{
+    BackendPool *pool = exchange->pool;
+
+    drop_resend_timer(exchange);
+    close_later(pool, exchange->connection);
+    close_all_idle(pool);
+    exchange->request.time_left = exchange->deadline - now;
+    send_request(exchange, open_connection(pool));
+}
+
+static void
+restart_resend_timer(BackendExchange *exchange, Span wait)
+{
+    Span left = wait > 0 ? wait : 0;
+    struct timeval after = {left / 1000000, left % 1000000};
+
+    evtimer_add(exchange->resend_timer, &after);
+}
+
+static void
+handle_silence(BackendExchange *exchange, Instant now)
+{
+    SilenceVerdict verdict = decide_silence(exchange, now);
+
+    if (verdict != Sil_WAIT &&
+        may_resend(exchange->pool, verdict == Sil_TRY, now)) {
+        resend(exchange, now);
+    }
+    else if (verdict == Sil_LOST) {
+        /* Another backend server may still run it in time. */
+        end_exchange(exchange, Bck_INTERRUPTED, false);
+    }
+    else {
+        restart_resend_timer(exchange, RESEND_CHECK_INTERVAL);
+    }
+}
+
 static void
 on_resend_timer(evutil_socket_t fd, short what, void *context)
 {
     BackendExchange *exchange = context;
     BackendPool *pool = exchange->pool;
+    Instant now = pool->clock();
 
     (void)fd;
     (void)what;
-    event_free(exchange->resend_timer);
-    exchange->resend_timer = NULL;
-    close_later(pool, exchange->connection);
-    close_all_idle(pool);
-    exchange->request.time_left = exchange->deadline - pool->clock();
-    send_request(exchange, open_connection(pool));
+    if (exchange->server_number != pool->server_number) {
+        drop_resend_timer(exchange); /* that backend server is gone */
+    }
+    else if (!exchange->is_suspected) {
+        exchange->is_suspected = true;
+        pool->silence.suspected++;
+        restart_resend_timer(exchange, exchange->sent_at +
+                                           exchange->request.resend_after -
+                                           now);
+    }
+    else {
+        handle_silence(exchange, now);
+    }
 }
 
 static void
@@ -589,6 +714,8 @@
         !Str_Equal(StrBuf_View(&pool->expected_instance), instance)) {
         pool->addr = addr;
         StrBuf_Set(&pool->expected_instance, instance);
+        pool->server_number++;
+        Sil_OnNewServer(&pool->silence);
         close_all_idle(pool);
     }
 }
@@ -602,6 +729,16 @@
     pool->on_load_context = context;
 }
 
+void
+Bck_SetResendCheck(BackendPool *pool,
+                   bool (*check)(void *context, bool may_still_run,
+                                 Instant now),
+                   void *context)
+{
+    pool->resend_check = check;
+    pool->resend_check_context = context;
+}
+
 /* Returns the longest time to wait for an answer. */
 static Span
 timeout_of(const BackendRequest *request)
@@ -629,7 +766,8 @@
     send_request(exchange, get_connection(pool, pool->clock()));
     if (request->resend_after && exchange->connection->has_completed) {
         exchange->resend_timer =
-            start_timer(exchange, request->resend_after, on_resend_timer);
+            start_timer(exchange, request->resend_after / SUSPECTED_DIVISOR,
+                        on_resend_timer);
     }
     return exchange;
 }
--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -13,6 +13,7 @@
 
 #include <event2/event.h>
 
+#include "connection/silence.h"
 #include "request/field.h"
 #include "value/addr.h"
 #include "value/instant.h"
@@ -22,10 +23,11 @@
     Str target;
     Str request_id; /* empty: answers are not matched by id */
     FieldList fields;
-    Str body;          /* a large one is not copied: valid until the end */
-    bool is_internal;  /* sent by this node itself, without a deadline */
-    Span time_left;    /* time until the deadline */
-    Span resend_after; /* 0: never resent; see Bck_Start */
+    Str body;           /* a large one is not copied: valid until the end */
+    bool is_internal;   /* sent by this node itself, without a deadline */
+    Span time_left;     /* time until the deadline */
+    Span resend_after;  /* 0: never resent; see Bck_Start */
+    uint32_t work_kind; /* requests of one kind take about as long */
 } BackendRequest;
 
 typedef enum {
@@ -69,6 +71,11 @@
     BackendConnection *idle;
     BackendConnection *closing; /* closed later from the event loop */
     struct event *close_event;
+    uint32_t server_number; /* counts the backend servers so far */
+    SilenceWatch silence;
+    void *resend_check_context;
+    bool (*resend_check)(void *context, bool may_still_run,
+                         Instant now); /* NULL: always */
     void *on_load_context;
     void (*on_load)(void *context, Str text,
                     Instant now); /* NULL: loads are ignored */
@@ -93,12 +100,21 @@
                          void (*load)(void *context, Str text, Instant now),
                          void *context);
 
+/* Sets the function that is asked before a request is sent again: whether the
+ * backend server would be sent work now.  MAY_STILL_RUN: the request may run
+ * there, so that it holds a slot beside the one that it needs. */
+void Bck_SetResendCheck(BackendPool *pool,
+                        bool (*check)(void *context, bool may_still_run,
+                                      Instant now),
+                        void *context);
+
 /* Starts an exchange.  Returns NULL if there is no backend server; the request
  * did not run then.  The callbacks are never called before this function
  * returns.  The strings of REQUEST must stay valid until the end of the
- * exchange.  If a request over a reused connection gets no answer within
- * resend_after, the request is sent once more over a new connection, because
- * the reused connection may have failed. */
+ * exchange.  A request over a reused connection that has no answer after
+ * resend_after is sent once more, over a new connection, when it was lost
+ * with the reused one (silence.h) and the resend check permits.  One that was
+ * lost and may not be sent again ends with Bck_INTERRUPTED. */
 BackendExchange *Bck_Start(BackendPool *pool, const BackendRequest *request,
                            const BackendCallbacks *callbacks);
 
--- a/src/process/admission.c
+++ b/src/process/admission.c
@@ -314,6 +314,22 @@
     return Adm_QUEUE;
 }
 
+bool
+Adm_TakesRepeat(const AdmissionController *controller, bool may_still_run,
+                Instant now)
+{
+    if (!controller->backend_present || controller->draining ||
+        controller->stopping || controller->next_trial_at ||
+        Adm_IsBackendSlow(controller, now)) {
+        return false;
+    }
+    /* One that runs no more starts in the slot that it was given. */
+    return may_still_run
+               ? controller->running < count_usable_slots(controller, now) &&
+                     count_queued(controller) == 0
+               : controller->running <= count_available_slots(controller, now);
+}
+
 /* In recorded events the flags are the lowest bits of queue_time_max. */
 enum { FLAG_NESTED = 1, FLAG_MISSES_OBJECTIVE = 2, FLAGS_FACTOR = 4 };
 
--- a/src/process/admission.h
+++ b/src/process/admission.h
@@ -155,6 +155,12 @@
 AdmissionVerdict Adm_Admit(AdmissionController *controller,
                            const AdmissionRequest *request, Instant now);
 
+/* True when the backend server would now be sent an attempt that was started
+ * before: it takes work and has a slot.  MAY_STILL_RUN: the attempt may still
+ * run there, and needs a second slot. */
+bool Adm_TakesRepeat(const AdmissionController *controller, bool may_still_run,
+                     Instant now);
+
 /* The backend server reported the present duration of work there. */
 void Adm_OnPaceReport(AdmissionController *controller,
                       const BackendLoad *report, Instant now);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -275,10 +275,19 @@
     Run_Tick(runner, now);
 }
 
+/* Asked before a request is sent to the backend server again. */
+static bool
+may_resend(void *context, bool may_still_run, Instant now)
+{
+    const AttemptRunner *runner = context;
+
+    return Adm_TakesRepeat(runner->admission, may_still_run, now);
+}
+
 /* Returns the time without an answer over a reused connection after which the
- * request is sent again over a new one: 8 service times or a quarter of the
- * time left, whichever is longer.  0: never, since the request must not run
- * twice. */
+ * request may have been lost and may be sent again over a new one: 8 service
+ * times or a quarter of the time left, whichever is longer.  0: never, since
+ * the request must not run twice. */
 static Span
 get_resend_delay(const BackendAttempt *attempt, Span left)
 {
@@ -305,6 +314,7 @@
         .body = attempt->body,
         .time_left = attempt->deadline - now,
         .resend_after = get_resend_delay(attempt, attempt->deadline - now),
+        .work_kind = get_work_kind(attempt),
     };
     BackendCallbacks callbacks = {attempt, Ans_OnHead, Ans_OnBytes,
                                   on_exchange_end};
@@ -721,6 +731,7 @@
     };
     Sps_SetUpdateCallback(suspects, Crs_ReviewQueued, runner);
     Led_Init(&runner->ledger, &ledger, incarnation);
+    Bck_SetResendCheck(pool, may_resend, runner);
     Ldq_Init(&runner->load_query, pool, on_load_query_end, runner);
     Net_SetHandler(net, Wire_CALL, on_call, runner);
     Net_SetHandler(net, Wire_CANCEL, on_cancel, runner);
