--- a/tests/integration/fleet_mix.h
+++ b/tests/integration/fleet_mix.h
@@ -34,23 +34,26 @@
 } MixRequest;
 
 typedef struct {
-    int vm; /* the caller connects to its node */
-    Span open_at;
     MixRequest requests[Mix_REQUESTS_MAX];
     int request_count;
-    bool announces_last; /* Connection: close in its last request */
-    bool half_closes;    /* ends its side after its last request */
-    Span half_close_delay;
-    int receive_buffer; /* bytes; 0: the system's choice */
+    int vm; /* the caller connects to its node */
+    Span open_at;
     Span read_after;    /* reads nothing for so long after its first byte */
     size_t read_bytes;  /* read at a time; 0: all that is there */
     Span read_interval; /* between two reads */
-    bool cancels;       /* closes the connection after its last request */
+    Span half_close_delay;
     Span cancel_after;
-    bool cancel_resets; /* closes it with a reset */
-    bool repeats;       /* sends again, once, what got no whole answer and may
-                           run twice, or was not run */
+    int receive_buffer; /* bytes; 0: the system's choice */
     int repeat_vm;
+    bool announces_last; /* Connection: close in its last request */
+    bool half_closes;    /* ends its side half_close_delay after its last
+                            request */
+    bool cancels;        /* closes the connection cancel_after its last
+                            request */
+    bool cancel_resets;  /* closes it with a reset */
+    bool repeats;        /* sends again, once, through the node of repeat_vm,
+                            what got no whole answer and may run twice, or was
+                            not run */
 } MixPlan;
 
 typedef enum {
--- a/tests/integration/fleet_steps.c
+++ b/tests/integration/fleet_steps.c
@@ -117,13 +117,13 @@
 }
 
 void
-Stp_Draw(Schedule *schedule, Rng *rng, Fleet *fleet, Span length)
+Sdl_Draw(Schedule *schedule, Rng *rng, Fleet *fleet, Span length)
 {
     Span at = FIRST_AT;
 
     schedule->fleet = fleet;
     schedule->change.fd = -1;
-    while (at < length && schedule->step_count < Stp_STEPS_MAX) {
+    while (at < length && schedule->step_count < Sdl_STEPS_MAX) {
         for (int i = 0; i < TRIES; i++) {
             Step step = {.kind = (StepKind)Rng_Below(rng, Step_KINDS),
                          .vm = (int)Rng_Below(rng, (uint32_t)fleet->vm_count),
@@ -139,7 +139,7 @@
 }
 
 void
-Stp_Finish(Schedule *schedule)
+Sdl_Finish(Schedule *schedule)
 {
     if (schedule->change.fd >= 0) {
         Fleet_RawClose(schedule->change.fd);
@@ -149,7 +149,7 @@
 }
 
 void
-Stp_Print(const Schedule *schedule, StrBuf *out)
+Sdl_Print(const Schedule *schedule, StrBuf *out)
 {
     for (int i = 0; i < schedule->step_count; i++) {
         const Step *step = &schedule->steps[i];
@@ -421,7 +421,7 @@
 }
 
 bool
-Stp_Act(Schedule *schedule, Span elapsed)
+Sdl_Act(Schedule *schedule, Span elapsed)
 {
     bool remain = false;
 
@@ -449,7 +449,7 @@
 }
 
 void
-Stp_StopAll(Schedule *schedule)
+Sdl_StopAll(Schedule *schedule)
 {
     Fleet *fleet = schedule->fleet;
     Step stops[Fleet_VMS_MAX];
--- a/tests/integration/fleet_steps.h
+++ b/tests/integration/fleet_steps.h
@@ -1,9 +1,9 @@
-/* Stp: a schedule of disturbances of a fleet: nodes that are killed, frozen
+/* Sdl: a schedule of disturbances of a fleet: nodes that are killed, frozen
  * and stopped, backend servers that turn slow, drain or fail, changes of
  * routes.
  *
  * A test draws the schedule with a seed, prints it, and lets it act at each
- * tick.  Times count from the start of the run.  Stp_Act also watches that no
+ * tick.  Times count from the start of the run.  Sdl_Act also watches that no
  * process ends by itself.
  */
 #ifndef FLEET_STEPS_H
@@ -35,7 +35,7 @@
     uint64_t refusals; /* of that server at that time */
 } Step;
 
-enum { Stp_STEPS_MAX = 64 };
+enum { Sdl_STEPS_MAX = 64 };
 
 /* A change of routes that is sent and not answered yet. */
 typedef struct {
@@ -46,7 +46,7 @@
 
 typedef struct {
     Fleet *fleet;
-    Step steps[Stp_STEPS_MAX];
+    Step steps[Sdl_STEPS_MAX];
     int step_count;
     /* Prints routes for revision REVISION into OUT, as in Ops_PutRoutes. */
     void (*print_routes)(int revision, StrBuf *out);
@@ -61,17 +61,17 @@
 
 /* Draws steps of which the last ends before LENGTH.  At most two nodes are
  * away at a time, one control replica, and one backend server of a service. */
-void Stp_Draw(Schedule *schedule, Rng *rng, Fleet *fleet, Span length);
-void Stp_Finish(Schedule *schedule);
+void Sdl_Draw(Schedule *schedule, Rng *rng, Fleet *fleet, Span length);
+void Sdl_Finish(Schedule *schedule);
 
 /* Appends a line for each step. */
-void Stp_Print(const Schedule *schedule, StrBuf *out);
+void Sdl_Print(const Schedule *schedule, StrBuf *out);
 
 /* Begins and ends the steps that are due at ELAPSED.  Returns whether steps
  * remain. */
-bool Stp_Act(Schedule *schedule, Span elapsed);
+bool Sdl_Act(Schedule *schedule, Span elapsed);
 
 /* Stops all nodes, with SIGTERM, and checks how they end. */
-void Stp_StopAll(Schedule *schedule);
+void Sdl_StopAll(Schedule *schedule);
 
 #endif
--- a/tests/integration/test_caller_mix.c
+++ b/tests/integration/test_caller_mix.c
@@ -113,7 +113,7 @@
 static void
 on_tick(void *context, Span elapsed)
 {
-    Stp_Act(context, elapsed);
+    Sdl_Act(context, elapsed);
 }
 
 /* Runs the mix and the schedule, prints what came of them, and checks it.
@@ -127,10 +127,10 @@
     mix->context = schedule;
     mix->on_tick = on_tick;
     Mix_Run(mix, LENGTH + REST);
-    while (Stp_Act(schedule, Loop_Now() - mix->started_at)) {
+    while (Sdl_Act(schedule, Loop_Now() - mix->started_at)) {
         Fleet_Sleep(Span_MS(10));
     }
-    Stp_StopAll(schedule);
+    Sdl_StopAll(schedule);
     check = Mck_Check(fleet, mix, faults);
     Mck_Print(&check, &text);
     StrBuf_Append(faults, StrBuf_View(&schedule->faults));
@@ -157,10 +157,10 @@
 
     start_fleet(&fleet);
     Rng_Init(&rng, seed);
-    Stp_Draw(&schedule, &rng, &fleet, LENGTH);
+    Sdl_Draw(&schedule, &rng, &fleet, LENGTH);
     draw_callers(plans, &rng);
     Rng_Finish(&rng);
-    Stp_Print(&schedule, &text);
+    Sdl_Print(&schedule, &text);
     fprintf(stderr, "seed %u, in %.*s:\n%.*s", seed, Str_ARG(fleet.folder),
             Str_ARG(text));
     StrBuf_Clear(&text);
@@ -168,7 +168,7 @@
     run_mix(&fleet, &mix, &schedule, &text);
     StrBuf_Finish(&text);
     Mix_Finish(&mix);
-    Stp_Finish(&schedule);
+    Sdl_Finish(&schedule);
     Fleet_Finish(&fleet);
 }
 END_TEST
--- a/tests/integration/test_planned_stop.c
+++ b/tests/integration/test_planned_stop.c
@@ -30,33 +30,30 @@
 
 typedef struct {
     const char *name;
-    uint32_t seed;
-    bool is_full; /* backend servers have fewer slots than work */
     Span work_max;
+    uint32_t seed;
+    int caller_vm;   /* callers connect there */
+    int callers;     /* with few, the stop ends early */
+    bool is_full;    /* backend servers have fewer slots than work */
     bool has_notice; /* callers are told of the stop before it closes their
                         connections */
     bool local_only; /* one backend server, beside the node that stops, else
                         beside all */
-    int caller_vm;   /* callers connect there */
     bool has_proxy;  /* between the nodes */
-    int callers;     /* with few, the stop ends early */
 } StopCase;
 
 static const StopCase cases[] = {
-    {"room", 102, false, Span_MS(1500), true, false, STOPPED_VM,
-     .callers = MANY},
-    {"full", 103, true, Span_MS(500), true, false, STOPPED_VM,
-     .callers = MANY},
-    {"no notice", 104, false, Span_MS(1500), false, false, STOPPED_VM,
-     .callers = MANY},
-    {"no hop", 5, false, Span_MS(1500), true, true, STOPPED_VM,
-     .callers = MANY},
-    {"beside the backend server", 102, false, Span_MS(1500), true, false, 2,
-     .callers = MANY},
-    {"few callers", 7, false, Span_MS(1500), true, false, STOPPED_VM,
-     .callers = FEW},
-    {"few callers, no notice", 8, false, Span_MS(1500), false, false,
-     STOPPED_VM, .callers = FEW},
+    {"room", Span_MS(1500), 102, STOPPED_VM, MANY, .has_notice = true},
+    {"full", Span_MS(500), 103, STOPPED_VM, MANY, .is_full = true,
+     .has_notice = true},
+    {"no notice", Span_MS(1500), 104, STOPPED_VM, MANY, .has_notice = false},
+    {"no hop", Span_MS(1500), 5, STOPPED_VM, MANY, .has_notice = true,
+     .local_only = true},
+    {"beside the backend server", Span_MS(1500), 102, 2, MANY,
+     .has_notice = true},
+    {"few callers", Span_MS(1500), 7, STOPPED_VM, FEW, .has_notice = true},
+    {"few callers, no notice", Span_MS(1500), 8, STOPPED_VM, FEW,
+     .has_notice = false},
 };
 
 typedef struct {
