--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -1,7 +1,7 @@
 /* The state of one connection of a caller, and the functions that the files
  * of callerconn.h share: callerconn.c (listener, connections, timeouts),
- * callerinput.c (requests) and calleranswer.c (answers).  Private to these
- * files.
+ * callerinput.c (requests), callerbody.c (room for their bodies) and
+ * calleranswer.c (answers).  Private to these files.
  */
 #ifndef CALLERSTATE_H
 #define CALLERSTATE_H
