Give the cut after a byte a header field of its own

X-Fake-Cut: 1 cuts half of a body, as test_pipelined_ends and test_whole_answers use it; read as a number it cut after one byte. A test of ours had changed what others check; now they check what they did before.

--- a/tests/integration/fleet_mix.c
+++ b/tests/integration/fleet_mix.c
@@ -280,7 +280,7 @@
         StrBuf_AppendFmt(out, "X-Fake-Status: %d\r\n", request->status);
     }
     if (request->cut_after) {
-        StrBuf_AppendFmt(out, "X-Fake-Cut: %u\r\n", request->cut_after);
+        StrBuf_AppendFmt(out, "X-Fake-Cut-After: %u\r\n", request->cut_after);
     }
     if (request->is_refused_twice) {
         StrBuf_Append(out, Str_LIT("X-Fake-Again: named\r\n"));
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -10,8 +10,9 @@
  *   X-Fake-Crash    the process ends: "before" or "after" the effect
  *   X-Fake-Cut      half of the body is sent, then the connection ends;
  *                   "chunked": half of a body in chunks; "head": a part of
- *                   the head; a number: that many bytes of the answer, chunked
- *                   as X-Fake-Chunked says
+ *                   the head
+ *   X-Fake-Cut-After  that many bytes of the answer are sent, then the
+ *                   connection ends; chunked as X-Fake-Chunked says
  *   X-Fake-Chunked  the body is sent in chunks, without Content-Length
  *   X-Fake-Show     the body is "NAME=VALUE" of the header field named here
  *   X-Fake-Echo     the body is the request's body
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -142,8 +142,8 @@
     }
 }
 
-/* Sends the first bytes of a whole answer, as many as X-Fake-Cut says, and
- * then closes the connection. */
+/* Sends the first bytes of a whole answer, as many as X-Fake-Cut-After says,
+ * and then closes the connection. */
 static void
 send_first_bytes(FakeWork *work, struct evbuffer *body, uint64_t count)
 {
@@ -225,7 +225,7 @@
     evhttp_connection_set_closecb(evhttp_request_get_connection(work->request),
                                   NULL, NULL);
     append_body(work, body);
-    if (Str_ToU64(get_field(work, "X-Fake-Cut"), &cut_after)) {
+    if (Str_ToU64(get_field(work, "X-Fake-Cut-After"), &cut_after)) {
         send_first_bytes(work, body, cut_after);
     }
     else if (get_field(work, "X-Fake-Cut").len) {
