Split the runner of attempts by what a reader looks for

The exchange with the backend server is in runexchange.c, what ingress nodes are told in runreply.c, and the flow of pieces with the others in answer.c.

--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -145,3 +145,12 @@
         Bck_Resume(attempt->exchange);
     }
 }
+
+void
+Ans_SendMore(BackendAttempt *attempt, Instant now)
+{
+    Ans_SendFullPieces(attempt, now);
+    if (attempt->exchange && attempt->unsent_body.len < Callmsg_WINDOW_BYTES) {
+        Bck_Resume(attempt->exchange);
+    }
+}
--- a/src/request/answer.h
+++ b/src/request/answer.h
@@ -17,6 +17,10 @@
 /* Sends full pieces as long as the window allows, and keeps the rest. */
 void Ans_SendFullPieces(BackendAttempt *attempt, Instant now);
 
+/* After credits, or when the window has grown: sends what it allows, and reads
+ * on from the backend server when there is room. */
+void Ans_SendMore(BackendAttempt *attempt, Instant now);
+
 /* The answer is complete: sends what is left of it, the last piece marked
  * as such, whatever the window allows. */
 void Ans_SendRest(BackendAttempt *attempt, Instant now);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -1,10 +1,6 @@
-#include "request/run.h"
-
-#include <string.h>
-
 #include "request/answer.h"
 #include "request/crash.h"
-
+#include "request/runstate.h"
 #include "value/mem.h"
 #include "version/preset.h"
 
@@ -27,13 +23,7 @@
     LEDGER_ENTRIES_MAX = 131072,
     LEDGER_ORIGINS_MAX = 4096,
     SMALL_BODY_BYTES = 256 * 1024, /* up to this size a body always has room */
-    LARGE_BODIES_BYTES_MAX = 64 * 1024 * 1024, /* kept at a time */
-    HTTP_SERVICE_UNAVAILABLE = 503,
-    SILENCE_SERVICE_TIMES = 8, /* times the smoothed service time */
-    /* one part in 4 of the time left until the deadline */
-    SILENCE_DEADLINE_DIVISOR = 4,
-    /* percent of the usual duration of work; above it work counts as slow */
-    STEADY_PACE_PERCENT = 250
+    LARGE_BODIES_BYTES_MAX = 64 * 1024 * 1024 /* kept at a time */
 };
 
 static void
@@ -89,106 +79,6 @@
     }
 }
 
-bool
-Run_IncludesLoadReport(AttemptRunner *runner, const NetOrigin *origin,
-                       bool cross_region, Instant now)
-{
-    uint64_t node =
-        Str_Hash(Str_From(origin->routing_id, origin->routing_id_len));
-
-    return Rpt_ShouldAttach(&runner->report_throttle, node, cross_region, now);
-}
-
-bool
-Run_AnswerOrigin(AttemptRunner *runner, const NetOrigin *origin, Str message,
-                 Instant now)
-{
-    Net_Answer(runner->net, origin, message, now);
-    if (runner->net->has_lost_origin) {
-        return false;
-    }
-    if (origin->peer == Addr_NONE) {
-        Rcp_OnSent(&runner->receipts,
-                   Str_From(origin->routing_id, origin->routing_id_len), now);
-    }
-    return true;
-}
-
-static void
-send_refused(AttemptRunner *runner, const NetOrigin *origin, AttemptId id,
-             bool cross_region, RejectReason reason, Instant now)
-{
-    CallRejectedMessage msg = {
-        .id = id,
-        .reason = reason,
-        .load = Adm_GetLoadReport(runner->admission, now),
-        .load_omitted =
-            !Run_IncludesLoadReport(runner, origin, cross_region, now),
-    };
-    Pack pack;
-
-    Cnt_Add(runner->counters, Cnt_ATTEMPTS_REFUSED, 1);
-    Callmsg_PackRejected(&pack, &msg);
-    Run_AnswerOrigin(runner, origin, Pack_View(&pack), now);
-    Pack_Finish(&pack);
-}
-
-void
-Run_RefuseCall(AttemptRunner *runner, const NetOrigin *origin,
-               const CallMessage *msg, RejectReason reason, Instant now)
-{
-    send_refused(runner, origin, msg->id, msg->cross_region, reason, now);
-}
-
-static Str
-get_reason_name(RejectReason reason)
-{
-    static const Str names[Reject_REASONS] = {
-        [Reject_FULL] = Str_LIT("full"),
-        [Reject_DEADLINE] = Str_LIT("late"),
-        [Reject_DRAINING] = Str_LIT("draining"),
-        [Reject_NO_BACKEND] = Str_LIT("absent"),
-        [Reject_FENCED] = Str_LIT("fenced"),
-        [Reject_SUSPECT] = Str_LIT("suspect"),
-        [Reject_WRONG_INCARNATION] = Str_LIT("incarnation"),
-        [Reject_TRUNCATED] = Str_LIT("cut"),
-        [Reject_SLOW] = Str_LIT("slow"),
-        [Reject_BY_BACKEND] = Str_LIT("turned_away"),
-        [Reject_EXPIRED] = Str_LIT("expired"),
-        [Reject_RUNS_ELSEWHERE] = Str_LIT("elsewhere"),
-    };
-
-    return names[reason];
-}
-
-void
-Run_Refuse(BackendAttempt *attempt, RejectReason reason, Instant now)
-{
-    const AdmissionController *admission = attempt->runner->admission;
-
-    Lgr_Log(attempt->runner->logger, Lgr_DEBUG, Str_LIT("run_refused"),
-            "request=%.*s reason=%.*s running=%u queued=%u pace=%u "
-            "pace_age_us=%lld",
-            Str_ARG(attempt->request_id), Str_ARG(get_reason_name(reason)),
-            admission->running, admission->queued[Adm_INTERACTIVE],
-            admission->pace, (long long)(now - admission->pace_reported_at));
-    Led_OnRefused(&attempt->runner->ledger, attempt->id, now);
-    if (!attempt->detached) {
-        send_refused(attempt->runner, &attempt->origin, attempt->id,
-                     attempt->cross_region, reason, now);
-    }
-}
-
-void
-Run_ReportLost(BackendAttempt *attempt, Instant now)
-{
-    Led_OnUnknown(&attempt->runner->ledger, attempt->id, now);
-    if (!attempt->detached) {
-        send_refused(attempt->runner, &attempt->origin, attempt->id,
-                     attempt->cross_region, Reject_TRUNCATED, now);
-    }
-}
-
 bool
 Run_IsQueued(const BackendAttempt *attempt)
 {
@@ -196,142 +86,6 @@
            !attempt->awaits_load;
 }
 
-/* Converts TOOK to the time that the attempt would have taken at the usual
- * pace. */
-static Span
-normalize_time(const BackendAttempt *attempt, Span took)
-{
-    return attempt->start_pace
-               ? took * Load_USUAL_PACE_PERCENT / attempt->start_pace
-               : took;
-}
-
-/* Service times are compared within one kind of work only: all nested
- * attempts, or all other attempts of one priority, are similar enough. */
-static uint32_t
-get_work_kind(const BackendAttempt *attempt)
-{
-    return attempt->nested ? 0 : attempt->priority + 1;
-}
-
-static void
-report_end(const BackendAttempt *attempt, bool failed, Instant now)
-{
-    AttemptCompletion completion = {
-        .normalized_time = normalize_time(attempt, now - attempt->started_at),
-        .failed = failed,
-        .concurrency =
-            attempt->start_pace && attempt->start_pace <= STEADY_PACE_PERCENT
-                ? attempt->start_concurrency
-                : 0,
-        .work_kind = get_work_kind(attempt),
-    };
-
-    Lat_Record(attempt->runner->latencies, Lat_RUN, now - attempt->started_at);
-    Adm_OnAttemptEnd(attempt->runner->admission, &completion, now);
-}
-
-static void
-on_exchange_end(void *context, BackendResult result)
-{
-    BackendAttempt *attempt = context;
-    AttemptRunner *runner = attempt->runner;
-    Instant now = Loop_Now();
-    bool failed =
-        result != Bck_COMPLETE || attempt->status >= Callmsg_SERVER_ERROR_MIN;
-
-    Lgr_Log(runner->logger, Lgr_DEBUG, Str_LIT("run_ended"),
-            "request=%.*s end=%d status=%u took_us=%lld pace=%u running=%u",
-            Str_ARG(attempt->request_id), (int)result, attempt->status,
-            (long long)(now - attempt->started_at), attempt->start_pace,
-            runner->admission->running);
-    report_end(attempt, failed, now);
-    Crs_OnExchangeEnd(attempt, result, now);
-    if (result == Bck_CONNECT_FAILED || result == Bck_REJECTED ||
-        (result == Bck_COMPLETE &&
-         attempt->status == HTTP_SERVICE_UNAVAILABLE)) {
-        Adm_OnBackendReject(runner->admission, now);
-    }
-    else if (result == Bck_COMPLETE) {
-        Adm_OnBackendAccept(runner->admission);
-    }
-    switch (result) {
-    case Bck_COMPLETE:
-        Ans_StoreInLedger(attempt, now);
-        Ans_SendRest(attempt, now);
-        break;
-    case Bck_INTERRUPTED:
-        attempt->exchange = NULL;
-        Crs_OnInterrupted(attempt, now);
-        return;
-    case Bck_REJECTED:
-        Run_Refuse(attempt, Reject_BY_BACKEND, now);
-        break;
-    case Bck_CONNECT_FAILED:
-        Run_Refuse(attempt, Reject_NO_BACKEND, now);
-        break;
-    }
-    Run_Free(attempt);
-    Run_Tick(runner, now);
-}
-
-/* Asked before a request is sent to the backend server again. */
-static bool
-may_resend(void *context, bool may_still_run, Instant now)
-{
-    const AttemptRunner *runner = context;
-
-    return Adm_TakesRepeat(runner->admission, may_still_run, now);
-}
-
-/* Returns the time without an answer over a reused connection after which the
- * request may have been lost and may be sent again over a new one: 8 service
- * times or a quarter of the time left, whichever is longer.  0: never, since
- * the request must not run twice. */
-static Span
-get_resend_delay(const BackendAttempt *attempt, Span left)
-{
-    Span usual =
-        (Span)attempt->runner->admission->service_us * SILENCE_SERVICE_TIMES;
-
-    if (!attempt->idempotent) {
-        return 0;
-    }
-    return usual > left / SILENCE_DEADLINE_DIVISOR
-               ? usual
-               : left / SILENCE_DEADLINE_DIVISOR;
-}
-
-void
-Run_StartExchange(BackendAttempt *attempt, Instant now)
-{
-    AttemptRunner *runner = attempt->runner;
-    BackendRequest request = {
-        .method = StrBuf_View(&attempt->method),
-        .target = StrBuf_View(&attempt->target),
-        .request_id = StrBuf_View(&attempt->request_id),
-        .fields = attempt->fields,
-        .body = attempt->body,
-        .time_left = attempt->deadline - now,
-        .resend_after = get_resend_delay(attempt, attempt->deadline - now),
-        .work_kind = get_work_kind(attempt),
-    };
-    BackendCallbacks callbacks = {attempt, Ans_OnHead, Ans_OnBytes,
-                                  on_exchange_end};
-
-    attempt->started_at = now;
-    attempt->start_concurrency = runner->admission->running;
-    attempt->start_pace = Adm_GetLoadReport(runner->admission, now).pace;
-    attempt->exchange = Bck_Start(runner->pool, &request, &callbacks);
-    if (attempt->exchange) {
-        Cnt_Add(runner->counters, Cnt_RUNS, 1);
-        return;
-    }
-    report_end(attempt, true, now);
-    Run_Refuse(attempt, Reject_NO_BACKEND, now);
-    Run_Free(attempt);
-}
-
 /* Keeps BODY: a large one where it was received, without a copy. */
 static void
 keep_body(BackendAttempt *attempt, Str body)
@@ -577,7 +331,7 @@
 cancel_attempt(BackendAttempt *attempt, Instant now)
 {
     Bck_Cancel(attempt->exchange);
-    report_end(attempt, true, now);
+    Run_ReportEnd(attempt, true, now);
     Run_ReportLost(attempt, now);
     Run_Free(attempt);
 }
@@ -617,16 +371,6 @@
     }
 }
 
-/* Sends what the window allows, and reads on when there is room. */
-static void
-send_more(BackendAttempt *attempt, Instant now)
-{
-    Ans_SendFullPieces(attempt, now);
-    if (attempt->exchange && attempt->unsent_body.len < Callmsg_WINDOW_BYTES) {
-        Bck_Resume(attempt->exchange);
-    }
-}
-
 static void
 on_credit(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -644,34 +388,8 @@
         attempt->uncredited_bytes -= msg.bytes < attempt->uncredited_bytes
                                          ? msg.bytes
                                          : attempt->uncredited_bytes;
-        send_more(attempt, now);
-    }
-}
-
-static void
-on_origin_pong(void *context, const NetOrigin *origin)
-{
-    AttemptRunner *runner = context;
-
-    Rcp_OnPong(&runner->receipts,
-               Str_From(origin->routing_id, origin->routing_id_len));
-}
-
-size_t
-Run_ConfirmPieces(AttemptRunner *runner, Instant now)
-{
-    NetOrigin origin = {.peer = Addr_NONE};
-    Str id;
-
-    while (Rcp_NextPing(&runner->receipts, &id, now)) {
-        memcpy(origin.routing_id, id.ptr, id.len);
-        origin.routing_id_len = id.len;
-        if (!Net_PingOrigin(runner->net, &origin, now)) {
-            Rcp_OnLost(&runner->receipts,
-                       Str_From(origin.routing_id, origin.routing_id_len));
-        }
+        Ans_SendMore(attempt, now);
     }
-    return Rcp_CountUnconfirmed(&runner->receipts, now);
 }
 
 void
@@ -686,7 +404,7 @@
     runner->is_flushing = true;
     Lst_Begin(&walk, &runner->attempts);
     while ((attempt = Lst_Next(&walk))) {
-        send_more(attempt, now);
+        Ans_SendMore(attempt, now);
     }
 }
 
@@ -731,13 +449,13 @@
     };
     Sps_SetUpdateCallback(suspects, Crs_ReviewQueued, runner);
     Led_Init(&runner->ledger, &ledger, incarnation);
-    Bck_SetResendCheck(pool, may_resend, runner);
+    Bck_SetResendCheck(pool, Run_MayResend, runner);
     Ldq_Init(&runner->load_query, pool, on_load_query_end, runner);
     Net_SetHandler(net, Wire_CALL, on_call, runner);
     Net_SetHandler(net, Wire_CANCEL, on_cancel, runner);
     Net_SetHandler(net, Wire_CREDIT, on_credit, runner);
     Net_SetHandler(net, Wire_PING, on_ping, runner);
-    Net_SetOriginPongCallback(net, on_origin_pong, runner);
+    Net_SetOriginPongCallback(net, Run_OnOriginPong, runner);
 }
 
 void
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -1,6 +1,7 @@
 /* The state of one attempt at the node beside its backend server, and the
- * functions that run.c, answer.c and crash.c share.  Private to these files;
- * everything else uses run.h.
+ * functions that run.c (messages, queue), runexchange.c (the exchange with the
+ * backend server), runreply.c (what ingress nodes are told), answer.c and
+ * crash.c share.  Private to these files; everything else uses run.h.
  *
  * An attempt is in one of four states: it awaits the backend server's load
  * (awaits_load), it is queued (Run_IsQueued), it runs (exchange is set), or
@@ -82,6 +83,15 @@
  * be started. */
 void Run_StartExchange(BackendAttempt *attempt, Instant now);
 
+/* Reports to admission that ATTEMPT, which ran, has ended. */
+void Run_ReportEnd(const BackendAttempt *attempt, bool failed, Instant now);
+
+/* The check of Bck_SetResendCheck; CONTEXT is the AttemptRunner. */
+bool Run_MayResend(void *context, bool may_still_run, Instant now);
+
+/* The NetPongCallback; CONTEXT is the AttemptRunner. */
+void Run_OnOriginPong(void *context, const NetOrigin *origin);
+
 /* Asks admission, then starts, queues or refuses the attempt.  ATTEMPT may
  * be freed. */
 void Run_Admit(BackendAttempt *attempt, Instant now);
