Elect and keep a leader on disks that take long to sync

Callers of the operators' interface saw no configuration at all, in silence, and changes were not acknowledged, while all five control replicas ran and were connected.

Cause: time in which a replica stood still, since a store took long, counted as the silence of the others. A candidate stored its vote, each voter stored the new term and then its vote, which is four syncs, and by then the candidate's timeout, taken from before its own store, had passed: it began again in a new term. A leader that had followers store an entry stepped down because they did not answer meanwhile.

Now a pause of this replica does not run down its election timer, and for 10 s it gives the others as long; term and vote are stored once; the leader sends an entry before it stores it, so that both stores run at the same time; and it steps down only after four election timeouts without a quorum. It accepts changes and reads only with a recent quorum, as before.

--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -3,6 +3,14 @@
 #include "value/mem.h"
 #include "version/rlog_impl.h"
 
+/* A pause counts from this part of the election timeout on. */
+enum { PAUSE_MIN_DIVISOR = 10 };
+
+/* A pause counts with at most this many election timeouts, and is expected
+ * again for PAUSE_MEMORY. */
+enum { PAUSE_MAX_TIMEOUTS = 4 };
+#define PAUSE_MEMORY Span_S(10)
+
 void
 Rlog_Init(ReplicatedLog *rlog, const RaftSettings *settings,
           const RaftCallbacks *callbacks, Rng *rng, Instant now)
@@ -83,6 +91,15 @@
     rlog->entry_count++;
 }
 
+void
+Rlog_KeepEntries(ReplicatedLog *rlog, const RaftEntry *entries, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        append_copy(rlog, &entries[i]);
+    }
+    Rlog_RefreshReplicas(rlog);
+}
+
 bool
 Rlog_StoreEntries(ReplicatedLog *rlog, const RaftEntry *entries, size_t count)
 {
@@ -90,10 +107,7 @@
                                        count)) {
         return false;
     }
-    for (size_t i = 0; i < count; i++) {
-        append_copy(rlog, &entries[i]);
-    }
-    Rlog_RefreshReplicas(rlog);
+    Rlog_KeepEntries(rlog, entries, count);
     return true;
 }
 
@@ -297,6 +311,31 @@
     return true;
 }
 
+Span
+Rlog_ExpectedPause(const ReplicatedLog *rlog, Instant now)
+{
+    return now - rlog->resumed_at < PAUSE_MEMORY ? rlog->pause : 0;
+}
+
+/* To be called first with each message and tick. */
+static void
+note_own_pause(ReplicatedLog *rlog, Instant now)
+{
+    Span pause = rlog->active_at ? now - rlog->active_at : 0;
+    Span max = rlog->settings.election_timeout * PAUSE_MAX_TIMEOUTS;
+
+    rlog->active_at = now;
+    if (pause < rlog->settings.election_timeout / PAUSE_MIN_DIVISOR) {
+        return;
+    }
+    rlog->election_at += pause;
+    pause = pause < max ? pause : max;
+    if (pause > Rlog_ExpectedPause(rlog, now)) {
+        rlog->pause = pause;
+    }
+    rlog->resumed_at = now;
+}
+
 void
 Rlog_OnMessage(ReplicatedLog *rlog, const RaftMessage *message, Instant now)
 {
@@ -304,6 +343,7 @@
         message->from == rlog->settings.identity) {
         return;
     }
+    note_own_pause(rlog, now);
     switch (message->kind) {
     case Rlog_VOTE_REQUEST:
         Rlog_OnVoteRequest(rlog, message, now);
@@ -337,6 +377,7 @@
     if (rlog->has_failed) {
         return;
     }
+    note_own_pause(rlog, now);
     if (rlog->role == Rlog_LEADER) {
         Rlog_TickLeader(rlog, now);
     }
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -15,9 +15,14 @@
  * follower's read index request.  No guarantee compares clocks of two
  * machines, so a replica may vote immediately after a restart.
  *
- * Elections: a leader that no quorum answers for the election timeout steps
- * down.  A replica that has heard from a leader refuses votes for the same
- * time, so that a live leader is not disrupted.
+ * Elections: a leader that no quorum answers for some election timeouts steps
+ * down; long before, it accepts nothing.  A replica that has heard from a
+ * leader refuses votes for the same time, so that a live leader is not
+ * disrupted.
+ *
+ * Pauses: a replica that did not run for a while, since a store took long or
+ * its machine stood still, does not count that time as the silence of others,
+ * and for some time gives the others as long in an election.
  *
  * Membership: replicas are identified by identity.  A new identity joins as a
  * learner and becomes a voter once it has what the leader has committed; then
@@ -207,6 +212,11 @@
     Instant heartbeat_sent_at; /* last appends to all replicas */
     Instant leader_since;      /* when this replica last became leader */
 
+    /* A store, or the machine, may hold this replica up. */
+    Instant active_at;  /* last message or tick; 0: none yet */
+    Instant resumed_at; /* end of the last pause; 0: none */
+    Span pause;         /* longest pause of the last PAUSE_MEMORY (rlog.c) */
+
     RaftEntry *entries; /* those after the snapshot; owned with their data */
     size_t entry_count;
     size_t entry_capacity;
--- a/src/version/rlog_append.c
+++ b/src/version/rlog_append.c
@@ -9,6 +9,11 @@
  * other replicas may elect a new leader. */
 enum { QUORUM_AGE_MAX_PERMILLE = 800 };
 
+/* Election timeouts without an answer of a quorum after which a leader steps
+ * down.  It accepts nothing long before; the followers may be held up by their
+ * stores. */
+enum { STEP_DOWN_TIMEOUTS = 4 };
+
 typedef uint64_t (*ProgressValue)(const FollowerProgress *progress);
 
 /* The highest value that a quorum of voters has reached, or 0 when too few
@@ -172,12 +177,17 @@
         .data = data,
     };
 
-    if (!Rlog_StoreEntries(rlog, &entry, 1)) {
+    /* The followers store the entry while this replica does.  It counts itself
+     * only once it has. */
+    Rlog_KeepEntries(rlog, &entry, 1);
+    send_append_to_all(rlog, now);
+    if (!rlog->callbacks.store_entries(rlog->callbacks.context, &entry, 1)) {
         Rlog_Fail(rlog, now);
         return 0;
     }
-    advance_commit(rlog);
-    send_append_to_all(rlog, now);
+    if (advance_commit(rlog)) {
+        send_append_to_all(rlog, now);
+    }
     return entry.index;
 }
 
@@ -200,10 +210,11 @@
 void
 Rlog_TickLeader(ReplicatedLog *rlog, Instant now)
 {
-    Instant acked = Rlog_QuorumAckedAt(rlog);
-    Instant since = acked > rlog->leader_since ? acked : rlog->leader_since;
+    Instant since = Rlog_QuorumAckedAt(rlog);
 
-    if (now - since >= rlog->settings.election_timeout) {
+    since = since > rlog->leader_since ? since : rlog->leader_since;
+    since = since > rlog->resumed_at ? since : rlog->resumed_at;
+    if (now - since >= rlog->settings.election_timeout * STEP_DOWN_TIMEOUTS) {
         Rlog_BecomeFollower(rlog, rlog->term, 0, now);
         return;
     }
--- a/src/version/rlog_impl.h
+++ b/src/version/rlog_impl.h
@@ -18,6 +18,10 @@
 /* NULL when INDEX is covered by the snapshot or after the end of the log. */
 const RaftEntry *Rlog_EntryAt(const ReplicatedLog *rlog, uint64_t index);
 
+/* Appends copies of entries to the log without storing them. */
+void Rlog_KeepEntries(ReplicatedLog *rlog, const RaftEntry *entries,
+                      size_t count);
+
 /* Stores entries and appends copies to the log; false when that failed. */
 bool Rlog_StoreEntries(ReplicatedLog *rlog, const RaftEntry *entries,
                        size_t count);
@@ -41,6 +45,10 @@
  * entries that conflict with committed ones or a malformed snapshot. */
 void Rlog_Fail(ReplicatedLog *rlog, Instant now);
 
+/* The longest time for which this replica stood still lately.  The others may
+ * stand still as long, as their disks and processors are of the same kind. */
+Span Rlog_ExpectedPause(const ReplicatedLog *rlog, Instant now);
+
 /* rlog_vote.c: elections */
 
 /* Follows LEADER (0: not known) in TERM; stores a TERM that is higher. */
--- a/src/version/rlog_vote.c
+++ b/src/version/rlog_vote.c
@@ -16,6 +16,7 @@
         timeout_min = timeout_min / FAST_START_DIVISOR
                       << rlog->elections_tried;
     }
+    timeout_min += Rlog_ExpectedPause(rlog, now);
     rlog->election_at =
         now + timeout_min + Rng_Below(rlog->rng, (uint32_t)timeout_min / 2);
 }
@@ -192,15 +193,16 @@
         .granted = grants_vote(rlog, message, now),
     };
 
-    if (!message->is_pre_vote && message->term > rlog->term &&
-        !has_live_leader(rlog, now)) {
-        Rlog_BecomeFollower(rlog, message->term, 0, now);
+    /* A new term and the vote in it are stored together: each store may take
+     * a large part of the election. */
+    if (!message->is_pre_vote && reply.granted &&
+        !store_term(rlog, message->term, message->from, now)) {
+        return;
     }
-    if (!message->is_pre_vote && reply.granted) {
-        if (!store_term(rlog, message->term, message->from, now)) {
-            return;
-        }
-        Rlog_ResetElectionTimer(rlog, now);
+    if (!message->is_pre_vote &&
+        (reply.granted ||
+         (message->term > rlog->term && !has_live_leader(rlog, now)))) {
+        Rlog_BecomeFollower(rlog, message->term, 0, now);
     }
     if (rlog->has_failed) {
         return;
--- a/tests/support/rlog_simulation.c
+++ b/tests/support/rlog_simulation.c
@@ -66,18 +66,43 @@
 }
 
 static void
-queue_message(RlogSimulation *sim, const RaftMessage *message)
+insert_message(RlogSimulation *sim, SimulatedMessage *message)
 {
-    SimulatedMessage *copy = copy_message(message);
     SimulatedMessage **at = &sim->queue;
 
-    copy->due = sim->now + Span_MS(DELAY_MIN_MS) +
-                Rng_Below(&sim->rng, (uint32_t)sim->delay_max);
-    while (*at && (*at)->due <= copy->due) {
+    while (*at && (*at)->due <= message->due) {
         at = &(*at)->next;
     }
-    copy->next = *at;
-    *at = copy;
+    message->next = *at;
+    *at = message;
+}
+
+static void
+queue_message(RlogSimulation *sim, const RaftMessage *message, Instant sent_at)
+{
+    SimulatedMessage *copy = copy_message(message);
+
+    copy->due = sent_at + Span_MS(DELAY_MIN_MS) +
+                Rng_Below(&sim->rng, (uint32_t)sim->delay_max);
+    for (uint32_t i = 0; i < message->entry_count; i++) {
+        sim->sent_bytes += message->entries[i].data.len;
+    }
+    insert_message(sim, copy);
+}
+
+/* When REPLICA, which may be held up by a store, does what it does next. */
+static Instant
+get_own_time(const SimulatedReplica *replica)
+{
+    Instant now = replica->sim->now;
+
+    return replica->busy_until > now ? replica->busy_until : now;
+}
+
+static void
+spend_store_time(SimulatedReplica *replica)
+{
+    replica->busy_until = get_own_time(replica) + replica->store_time;
 }
 
 static void
@@ -90,9 +115,9 @@
         Rng_Below(&sim->rng, 1000) < sim->drop_permille) {
         return;
     }
-    queue_message(sim, message);
+    queue_message(sim, message, get_own_time(replica));
     if (Rng_Below(&sim->rng, 1000) < sim->duplicate_permille) {
-        queue_message(sim, message);
+        queue_message(sim, message, get_own_time(replica));
     }
 }
 
@@ -104,6 +129,7 @@
     if (replica->is_disk_full) {
         return false;
     }
+    spend_store_time(replica);
     replica->term = term;
     replica->voted_for = voted_for;
     return true;
@@ -117,6 +143,7 @@
     if (replica->is_disk_full) {
         return false;
     }
+    spend_store_time(replica);
     replica->entries =
         Mem_Resize(replica->entries, replica->entry_count + count,
                    sizeof *replica->entries);
@@ -172,6 +199,7 @@
     if (replica->is_disk_full) {
         return false;
     }
+    spend_store_time(replica);
     replica->snapshot_term = term;
     replica->snapshot_index = index;
     StrBuf_Set(&replica->snapshot, snapshot);
@@ -248,6 +276,7 @@
         report_violation(sim, "two leaders in one term", term);
     }
     *known = replica->identity;
+    sim->election_count++;
 }
 
 static void
@@ -312,6 +341,7 @@
 {
     SimulatedReplica *replica = &sim->replicas[number];
 
+    replica->busy_until = 0;
     if (replica->is_up) {
         Rlog_Finish(&replica->rlog);
         Rng_Finish(&replica->rng);
@@ -401,8 +431,9 @@
 static void
 check_read(RlogSimulation *sim, SimulatedReplica *replica)
 {
-    if (!replica->is_up) {
-        replica->read_requested_at = 0;
+    if (!replica->is_up || replica->busy_until > sim->now) {
+        replica->read_requested_at =
+            replica->is_up ? replica->read_requested_at : 0;
         return;
     }
     if (replica->read_requested_at &&
@@ -436,6 +467,11 @@
         SimulatedMessage *first = sim->queue;
         SimulatedReplica *to = find_by_identity(sim, first->message.to);
         sim->queue = first->next;
+        if (to && to->is_up && to->busy_until > sim->now) {
+            first->due = to->busy_until;
+            insert_message(sim, first);
+            continue;
+        }
         if (to && to->is_up && !to->is_partitioned &&
             accepts_message(to, first)) {
             Rlog_OnMessage(&to->rlog, &first->message, sim->now);
@@ -478,7 +514,8 @@
 {
     for (int i = 0; i < sim->replica_count; i++) {
         SimulatedReplica *other = &sim->replicas[i];
-        if (other->is_up && !other->is_partitioned) {
+        if (other->is_up && !other->is_partitioned &&
+            leader->busy_until <= sim->now) {
             Rlog_OnReplicaSeen(&leader->rlog, other->identity, other->addr,
                                sim->now, sim->now);
         }
@@ -493,12 +530,13 @@
     while (sim->now < end) {
         int leader = Rsim_FindLeader(sim);
         sim->now += TICK_INTERVAL;
-        deliver(sim);
         for (int i = 0; i < sim->replica_count; i++) {
-            if (sim->replicas[i].is_up) {
+            if (sim->replicas[i].is_up &&
+                sim->replicas[i].busy_until <= sim->now) {
                 Rlog_OnTick(&sim->replicas[i].rlog, sim->now);
             }
         }
+        deliver(sim);
         check_reads(sim);
         if (leader >= 0 && sim->now % HELLO_INTERVAL == 0) {
             report_replicas_seen(sim, &sim->replicas[leader]);
@@ -541,6 +579,9 @@
     if (leader < 0) {
         return false;
     }
+    while (sim->replicas[leader].busy_until > sim->now) {
+        Rsim_Run(sim, TICK_INTERVAL);
+    }
     index = Rlog_Propose(&sim->replicas[leader].rlog, text, sim->now);
     while (index && sim->now < end) {
         if (sim->replicas[leader].rlog.commit_index >= index) {
--- a/tests/support/rlog_simulation.h
+++ b/tests/support/rlog_simulation.h
@@ -2,7 +2,10 @@
  * process.  Their messages go through a queue that a test can partition,
  * delay, drop and duplicate.
  *
- * The disk of a replica is memory that outlives its restarts.  The simulation
+ * The disk of a replica is memory that outlives its restarts.  While a store
+ * takes its time the replica does nothing else; afterwards it runs what is due
+ * before it reads the messages that have come meanwhile, as the loop of a
+ * process may.  The simulation
  * checks that no replica commits anything other than what was committed
  * before, that each term has one leader, and that a replica that is current
  * as of a time holds everything that was committed anywhere before that time.
@@ -36,6 +39,8 @@
     bool is_partitioned;  /* all messages to and from it are dropped */
     bool appends_blocked; /* appends and snapshots to it are dropped */
     bool is_disk_full;    /* stores of votes, entries and snapshots fail */
+    Span store_time;      /* each store holds the replica up for so long */
+    Instant busy_until;   /* it handles nothing until then */
     uint64_t identity;
     Addr addr;
     ReplicatedLog rlog;
@@ -74,9 +79,11 @@
     StrBuf committed;        /* the longest state that any replica ever had */
     /* identity of the leader of a term, at term % Rsim_TERMS; 0: none yet */
     uint64_t leaders[Rsim_TERMS];
-    int violation_count; /* failed checks */
-    uint64_t read_count; /* read index requests that succeeded */
-    uint32_t voters_max; /* as in RaftSettings; 0: no limit */
+    int violation_count;     /* failed checks */
+    uint64_t read_count;     /* read index requests that succeeded */
+    uint32_t election_count; /* leaders so far */
+    uint64_t sent_bytes;     /* data of the entries of all append requests */
+    uint32_t voters_max;     /* as in RaftSettings; 0: no limit */
 };
 
 /* Starts COUNT replicas, at most Rsim_REPLICAS_MAX, as voters; the first one
