Store a vote with one sync

A vote was a file written beside the old one, synced, renamed and the folder synced: two syncs that each replica waits for in an election, one after the other. Now it is a frame of the log, one append and one sync like an entry. The vote file stays as it is made with the folder; the newer of both counts, so that folders of earlier programs are read as they are. An earlier program does not read a log with votes: it reports it as malformed and does not run the role.

--- a/src/version/disk.c
+++ b/src/version/disk.c
@@ -174,9 +174,11 @@
     *storage = (ReplicaStorage){.folder_fd = -1, .log_fd = -1};
 }
 
+/* Reports the vote of the log, or that of the vote file: it holds the first
+ * one, and all votes of programs that stored them there alone. */
 static bool
 load_vote(ReplicaStorage *storage, const StorageLoadCallbacks *callbacks,
-          Err *err)
+          const LogEntryList *list, Err *err)
 {
     uint64_t vote[2];
     bool found;
@@ -187,6 +189,10 @@
     if (!found) {
         return Err_SET(err, Err_CORRUPT, "the vote file is missing");
     }
+    if (list->has_vote && list->vote_term >= vote[0]) {
+        vote[0] = list->vote_term;
+        vote[1] = list->voted_for;
+    }
     return callbacks->on_vote(callbacks->context, vote[0], vote[1], err);
 }
 
@@ -254,36 +260,36 @@
     return true;
 }
 
+/* Reads the log into LIST, which points into BYTES. */
 static bool
-load_log(ReplicaStorage *storage, const StorageLoadCallbacks *callbacks,
-         uint64_t term, uint64_t index, Err *err)
+read_log(ReplicaStorage *storage, StrBuf *bytes, LogEntryList *list, Err *err)
 {
-    StrBuf bytes = {0};
-    LogEntryList list;
     bool found;
-    bool good;
 
-    Dlg_Init(&list);
-    good = Frm_ReadFile(storage->folder_fd, log_file, &bytes, &found, err) &&
-           Dlg_ReadFrames(&list, StrBuf_View(&bytes), err) &&
-           truncate_torn_frame(storage, bytes.len, list.intact_bytes, err) &&
-           Dlg_DropThroughSnapshot(&list, term, index, err) &&
-           report_entries(callbacks, &list, err);
-    Dlg_Finish(&list);
-    StrBuf_Finish(&bytes);
-    return good;
+    return Frm_ReadFile(storage->folder_fd, log_file, bytes, &found, err) &&
+           Dlg_ReadFrames(list, StrBuf_View(bytes), err);
 }
 
 bool
 Disk_Load(ReplicaStorage *storage, const StorageLoadCallbacks *callbacks,
           Err *err)
 {
+    StrBuf bytes = {0};
+    LogEntryList list;
     uint64_t term = 0;
     uint64_t index = 0;
+    bool good;
 
-    return load_vote(storage, callbacks, err) &&
+    Dlg_Init(&list);
+    good = read_log(storage, &bytes, &list, err) &&
+           load_vote(storage, callbacks, &list, err) &&
            load_snapshot(storage, callbacks, &term, &index, err) &&
-           load_log(storage, callbacks, term, index, err);
+           truncate_torn_frame(storage, bytes.len, list.intact_bytes, err) &&
+           Dlg_DropThroughSnapshot(&list, term, index, err) &&
+           report_entries(callbacks, &list, err);
+    Dlg_Finish(&list);
+    StrBuf_Finish(&bytes);
+    return good;
 }
 
 static bool
@@ -300,19 +306,6 @@
     return good;
 }
 
-bool
-Disk_StoreVote(ReplicaStorage *storage, uint64_t term, uint64_t voted_for,
-               Err *err)
-{
-    const uint64_t vote[] = {term, voted_for};
-
-    if (has_failed(storage, err)) {
-        return false;
-    }
-    return note_result(storage,
-                       write_numbers(storage, vote_file, vote, 2, err));
-}
-
 static bool
 append_log(ReplicaStorage *storage, StrBuf *frame, Err *err)
 {
@@ -324,6 +317,16 @@
     return good;
 }
 
+bool
+Disk_StoreVote(ReplicaStorage *storage, uint64_t term, uint64_t voted_for,
+               Err *err)
+{
+    StrBuf frame = {0};
+
+    Dlg_AppendVote(&frame, term, voted_for);
+    return append_log(storage, &frame, err);
+}
+
 bool
 Disk_StoreEntries(ReplicaStorage *storage, const RaftEntry *entries,
                   size_t count, Err *err)
@@ -349,6 +352,9 @@
     StrBuf bytes = {0};
     bool good;
 
+    if (list->has_vote) {
+        Dlg_AppendVote(&bytes, list->vote_term, list->voted_for);
+    }
     if (list->count) {
         Dlg_AppendEntries(&bytes, list->entries, list->count);
     }
@@ -367,12 +373,10 @@
 {
     StrBuf bytes = {0};
     LogEntryList list;
-    bool found;
     bool good;
 
     Dlg_Init(&list);
-    good = Frm_ReadFile(storage->folder_fd, log_file, &bytes, &found, err) &&
-           Dlg_ReadFrames(&list, StrBuf_View(&bytes), err) &&
+    good = read_log(storage, &bytes, &list, err) &&
            Dlg_DropThroughSnapshot(&list, term, index, err) &&
            replace_log(storage, &list, err);
     Dlg_Finish(&list);
--- a/src/version/disk.h
+++ b/src/version/disk.h
@@ -1,8 +1,8 @@
 /* Disk: the storage of one control replica in its data folder.
  *
  *   identity   the replica's identity, written last when the folder is made
- *   vote       current term and vote
- *   log        frames of appended entries and of truncations
+ *   vote       the first term and vote
+ *   log        frames of appended entries, truncations and later votes
  *   snapshot   the state up to and including one entry
  *
  * Disk_Init opens the folder, Disk_Load reads it back once, and the Disk_Store
@@ -57,7 +57,8 @@
 bool Disk_Load(ReplicaStorage *storage, const StorageLoadCallbacks *callbacks,
                Err *err);
 
-/* Replaces the stored term and vote.  VOTED_FOR is the identity of a replica;
+/* Replaces the stored term and vote, by one append to the log: an election
+ * waits for it.  VOTED_FOR is the identity of a replica;
  * 0 means no vote in TERM. */
 bool Disk_StoreVote(ReplicaStorage *storage, uint64_t term, uint64_t voted_for,
                     Err *err);
--- a/src/version/disklog.c
+++ b/src/version/disklog.c
@@ -7,6 +7,7 @@
 enum {
     FRAME_ENTRIES = 1,
     FRAME_TRUNCATION = 2,
+    FRAME_VOTE = 3,
     ENTRY_FIELDS = 4,
     PER_FRAME_MAX = 65536
 };
@@ -59,6 +60,18 @@
     append_frame(out, &pack);
 }
 
+void
+Dlg_AppendVote(StrBuf *out, uint64_t term, uint64_t voted_for)
+{
+    Pack pack;
+
+    Pack_Init(&pack, 3);
+    Pack_U64(&pack, FRAME_VOTE);
+    Pack_U64(&pack, term);
+    Pack_U64(&pack, voted_for);
+    append_frame(out, &pack);
+}
+
 static bool
 add_entry(LogEntryList *list, const RaftEntry *entry)
 {
@@ -108,6 +121,14 @@
     }
 }
 
+static void
+unpack_vote(LogEntryList *list, Unpack *in)
+{
+    list->has_vote = true;
+    list->vote_term = Unpack_U64(in);
+    list->voted_for = Unpack_U64(in);
+}
+
 static bool
 unpack_frame(LogEntryList *list, Str payload, Err *err)
 {
@@ -124,6 +145,9 @@
     case FRAME_TRUNCATION:
         drop_entries(list, Unpack_U64(&in));
         break;
+    case FRAME_VOTE:
+        unpack_vote(list, &in);
+        break;
     default:
         good = false;
     }
--- a/src/version/disklog.h
+++ b/src/version/disklog.h
@@ -1,9 +1,10 @@
 /* Dlg: the encoding of the log file of a control replica (see disk.h).
  *
- * The file is a sequence of frames (frame.h).  Each frame holds either entries
- * or one truncation, which removes the entries from an index on.  The append
- * functions make frames; Dlg_ReadFrames reads a file and applies its
- * truncations, so that the list holds the entries that are left.
+ * The file is a sequence of frames (frame.h).  Each frame holds entries, one
+ * truncation, which removes the entries from an index on, or a vote, which
+ * replaces the one before it.  The append functions make frames;
+ * Dlg_ReadFrames reads a file and applies its truncations and votes, so that
+ * the list holds what is left.
  */
 #ifndef DISKLOG_H
 #define DISKLOG_H
@@ -18,6 +19,9 @@
     size_t capacity;
     size_t intact_bytes; /* length of the file up to its last complete
                             frame */
+    bool has_vote;       /* the file holds a vote, the members below */
+    uint64_t vote_term;
+    uint64_t voted_for; /* identity of a replica; 0: no vote in the term */
 } LogEntryList;
 
 void Dlg_Init(LogEntryList *list);
@@ -34,9 +38,10 @@
 bool Dlg_DropThroughSnapshot(LogEntryList *list, uint64_t term, uint64_t index,
                              Err *err);
 
-/* Append one frame to OUT: COUNT entries, or a truncation that removes the
- * entries from FROM_INDEX on. */
+/* Append one frame to OUT: COUNT entries, a truncation that removes the
+ * entries from FROM_INDEX on, or a vote. */
 void Dlg_AppendEntries(StrBuf *out, const RaftEntry *entries, size_t count);
 void Dlg_AppendTruncation(StrBuf *out, uint64_t from_index);
+void Dlg_AppendVote(StrBuf *out, uint64_t term, uint64_t voted_for);
 
 #endif
--- a/tests/unit/test_disk.c
+++ b/tests/unit/test_disk.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include "support/suite.h"
@@ -134,8 +135,24 @@
      Str_LIT("vote 0 0;snapshot 2 2 s;entry 2 3 x;")},
     {{{TWO_ENTRIES, 1, 1}, {SNAPSHOT, 1, 9}, {ENTRY, 3, 10}, {END, 0, 0}},
      Str_LIT("vote 0 0;snapshot 1 9 s;entry 3 10 x;")},
+    {{{VOTE, 3, 9}, {ENTRY, 3, 1}, {VOTE, 4, 0}, {VOTE, 4, 7}, {END, 0, 0}},
+     Str_LIT("vote 4 7;entry 3 1 x;")},
+    {{{TWO_ENTRIES, 1, 1}, {VOTE, 5, 8}, {SNAPSHOT, 1, 1}, {END, 0, 0}},
+     Str_LIT("vote 5 8;snapshot 1 1 s;entry 1 2 x;")},
+    {{{VOTE, 5, 8}, {SNAPSHOT, 1, 9}, {ENTRY, 5, 10}, {END, 0, 0}},
+     Str_LIT("vote 5 8;snapshot 1 9 s;entry 5 10 x;")},
 };
 
+static int sync_count;
+
+/* In place of the C library's, to count them. */
+int
+fsync(int fd)
+{
+    sync_count++;
+    return (int)syscall(SYS_fsync, fd);
+}
+
 static bool
 store_operation(ReplicaStorage *storage, const Op *op, Err *err)
 {
@@ -197,6 +214,25 @@
 }
 END_TEST
 
+/* Guards against the failure that an election waits for more syncs than it has
+ * time for. */
+START_TEST(vote_takes_one_sync)
+{
+    Folder folder;
+    ReplicaStorage storage;
+    Err err = {0};
+
+    make_folder(&folder);
+    ck_assert(
+        Disk_Init(&storage, StrBuf_View(&folder.folder), IDENTITY, &err));
+    sync_count = 0;
+    ck_assert(Disk_StoreVote(&storage, 3, 9, &err));
+    ck_assert_int_eq(sync_count, 1);
+    Disk_Finish(&storage);
+    remove_folder(&folder);
+}
+END_TEST
+
 static off_t
 file_size(Folder *folder, const char *name)
 {
@@ -403,6 +439,7 @@
 {
     const SuiteTest tests[] = {
         {restores_what_was_stored, ROWS(store_cases)},
+        {vote_takes_one_sync, 1},
         {truncates_a_last_frame_torn_at_any_byte, ROWS(torn_cases)},
         {reports_a_changed_byte, ROWS(flip_cases)},
         {reports_a_missing_file, ROWS(missing_files)},
