--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -15,14 +15,14 @@
  * follower's read index request.  No guarantee compares clocks of two
  * machines, so a replica may vote immediately after a restart.
  *
- * Elections: a leader that no quorum answers for some election timeouts steps
- * down; long before, it accepts nothing.  A replica that has heard from a
+ * Elections: a leader that no quorum answers for the election timeout steps
+ * down.  A replica that has heard from a
  * leader refuses votes for the same time, so that a live leader is not
  * disrupted.
  *
  * Pauses: a replica that did not run for a while, since a store took long or
  * its machine stood still, does not count that time as the silence of others,
- * and for some time gives the others as long in an election.
+ * and for some time gives the others as long, in an election and as a leader.
  *
  * Membership: replicas are identified by identity.  A new identity joins as a
  * learner and becomes a voter once it has what the leader has committed; then
--- a/src/version/rlog_append.c
+++ b/src/version/rlog_append.c
@@ -9,11 +9,6 @@
  * other replicas may elect a new leader. */
 enum { QUORUM_AGE_MAX_PERMILLE = 800 };
 
-/* Election timeouts without an answer of a quorum after which a leader steps
- * down.  It accepts nothing long before; the followers may be held up by their
- * stores. */
-enum { STEP_DOWN_TIMEOUTS = 4 };
-
 typedef uint64_t (*ProgressValue)(const FollowerProgress *progress);
 
 /* The highest value that a quorum of voters has reached, or 0 when too few
@@ -214,7 +209,10 @@
 
     since = since > rlog->leader_since ? since : rlog->leader_since;
     since = since > rlog->resumed_at ? since : rlog->resumed_at;
-    if (now - since >= rlog->settings.election_timeout * STEP_DOWN_TIMEOUTS) {
+    /* Followers that store an entry answer only then, and what they were sent
+     * meanwhile waits as well. */
+    if (now - since >=
+        rlog->settings.election_timeout + 2 * Rlog_ExpectedPause(rlog, now)) {
         Rlog_BecomeFollower(rlog, rlog->term, 0, now);
         return;
     }
