Let the first routing wait for the first preset instead of refusing it

An operator's first configuration was refused with 400 ("no preset is in force"), which ends a proper order for good.

Cause: a leader is there before the first preset is accepted, by one commit; a routing change that came between was judged against nothing. A leader that can't judge a change yet now says that it did nothing, as one that has lost its quorum does, and the node asks again.

--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -26,7 +26,8 @@
 /* Wire_CONFIG_CHANGE_REPLY. */
 typedef struct {
     uint64_t request_number;
-    bool is_decided; /* false: the replica is not the leader and did nothing */
+    bool is_decided; /* false: the replica is not the leader, or can't judge
+                        the change yet, and did nothing */
     Addr leader;     /* as far as the replica knows */
     ConfigResult result;
     Str detail; /* why the change was rejected */
--- a/src/process/control_changes.c
+++ b/src/process/control_changes.c
@@ -134,7 +134,8 @@
         return;
     }
     reply.request_number = msg.request_number;
-    if (!Ctl_IsLeading(control, now) || !pending) {
+    if (!Ctl_IsLeading(control, now) || !pending ||
+        !Cfg_CanJudge(&control->cfg, &msg.change)) {
         answer_change(control, origin, &reply, now);
         return;
     }
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -145,6 +145,12 @@
            change->verb == Cfg_PATCH_ROUTING;
 }
 
+bool
+Cfg_CanJudge(const ConfigState *cfg, const ConfigChange *change)
+{
+    return !Cfg_IsRoutingChange(change) || Cfg_PresetInForce(cfg);
+}
+
 bool
 Cfg_ReviseRouting(const ConfigState *cfg, const ConfigChange *change,
                   StrBuf *json, FindingList *findings)
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -154,6 +154,10 @@
 bool Cfg_ReviseRouting(const ConfigState *cfg, const ConfigChange *change,
                        StrBuf *json, FindingList *findings);
 
+/* Whether CHANGE can be judged yet.  A routing change cannot before the first
+ * preset is in force: that comes soon after the first leader. */
+bool Cfg_CanJudge(const ConfigState *cfg, const ConfigChange *change);
+
 /* Decides the committed CHANGE and records its outcome.  An accepted change
  * makes VERSION, its position in the log.  The first preset that is put comes
  * into force at once. */
--- a/tests/unit/test_revisions.c
+++ b/tests/unit/test_revisions.c
@@ -158,11 +158,50 @@
 }
 END_TEST
 
+typedef struct {
+    ConfigVerb verb;
+    bool before; /* the first preset is in force */
+    bool after;
+} JudgeCase;
+
+static const JudgeCase judge_cases[] = {
+    {Cfg_PUT_PRESET, true, true},
+    {Cfg_USE_PRESET, true, true},
+    {Cfg_REPLACE_ROUTING, false, true},
+    {Cfg_PATCH_ROUTING, false, true},
+};
+
+/* Guards against the failure that the first routing of a fleet is refused for
+ * good, while the preset that it changes is not accepted yet. */
+START_TEST(first_routing_waits_for_first_preset)
+{
+    const JudgeCase *c = &judge_cases[_i];
+    ConfigChange change = {.verb = c->verb, .id = Str_LIT("a")};
+    ConfigChange first = {
+        .verb = Cfg_PUT_PRESET,
+        .id = Str_LIT("first"),
+        .preset_name = Str_LIT("p"),
+        .json = Str_LIT("{\"name\":\"p\",\"limits\":{},\"routes\":[]}"),
+    };
+    ConfigResult result;
+    ConfigState cfg;
+
+    Cfg_Init(&cfg);
+    ck_assert_int_eq(Cfg_CanJudge(&cfg, &change), c->before);
+    Cfg_ApplyChange(&cfg, &first, (ConfigVersion){1, 2}, &result);
+    ck_assert_int_eq(result.outcome, Cfg_ACCEPTED);
+    ck_assert_int_eq(Cfg_CanJudge(&cfg, &change), c->after);
+    Cfg_Finish(&cfg);
+}
+END_TEST
+
 int
 main(void)
 {
-    const SuiteTest tests[] = {{decides_each_change_once, ROWS(cases)},
-                               {reports_outcomes_no_longer_kept, 1}};
+    const SuiteTest tests[] = {
+        {decides_each_change_once, ROWS(cases)},
+        {first_routing_waits_for_first_preset, ROWS(judge_cases)},
+        {reports_outcomes_no_longer_kept, 1}};
 
     return Suite_Run("revisions", tests, 2, 30);
 }
