Sync the folder in which a data folder is made

After a loss of power a control replica could come back as another one, with nothing: its data folder was gone, with each vote and change that it had acknowledged.

Cause: the files of the folder were synced and their names too, but the name of the folder itself, and that of the folder around it, never. Frm_MakeFolder makes a folder and syncs the one that it is in, also when it was there already: a process that ended early may have made it and not synced. A folder around it that this user can't open is no failure when the data folder was there.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -1,10 +1,10 @@
 #include "process/control.h"
 
 #include <inttypes.h>
-#include <sys/stat.h>
 
 #include "connection/logmsg.h"
 #include "value/mem.h"
+#include "version/frame.h"
 
 #define TICK Span_MS(20)
 #define ELECTION_TIMEOUT Span_MS(350)
@@ -255,9 +255,10 @@
     bool ok;
 
     StrBuf_Set(&folder, StrBuf_View(&control->settings->data_folder));
-    mkdir(StrBuf_CStr(&folder), 0700); /* Disk_Init reports a failure */
+    ok = Frm_MakeFolder(StrBuf_View(&folder), err);
     StrBuf_Append(&folder, Str_LIT("/control"));
-    ok = Disk_Init(&control->disk, StrBuf_View(&folder), Loop_Entropy(), err);
+    ok = ok &&
+         Disk_Init(&control->disk, StrBuf_View(&folder), Loop_Entropy(), err);
     StrBuf_Finish(&folder);
     return ok;
 }
--- a/src/version/disk.c
+++ b/src/version/disk.c
@@ -22,11 +22,11 @@
     StrBuf name = {0};
     const char *path;
 
+    if (!Frm_MakeFolder(folder, err)) {
+        return false;
+    }
     StrBuf_Set(&name, folder);
     path = StrBuf_CStr(&name);
-    if (mkdir(path, 0700) != 0 && errno != EEXIST) {
-        Err_SET(err, Err_IO, "cannot create %s: %s", path, strerror(errno));
-    }
     storage->folder_fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (storage->folder_fd < 0) {
         Err_SET(err, Err_IO, "cannot open %s: %s", path, strerror(errno));
--- a/src/version/frame.c
+++ b/src/version/frame.c
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -198,6 +199,59 @@
     return fd;
 }
 
+/* The folder that FOLDER is in. */
+static Str
+find_parent(Str folder)
+{
+    size_t len = folder.len;
+
+    while (len > 1 && folder.ptr[len - 1] == '/') {
+        len--;
+    }
+    while (len && folder.ptr[len - 1] != '/') {
+        len--;
+    }
+    return len ? Str_Slice(folder, 0, len) : Str_LIT(".");
+}
+
+/* Returns 0, or why it failed. */
+static int
+sync_folder(Str folder)
+{
+    int fd = open_folder(folder, NULL);
+    int failure = fd >= 0 && fsync(fd) == 0 ? 0 : errno;
+
+    if (fd >= 0) {
+        close(fd);
+    }
+    return failure;
+}
+
+bool
+Frm_MakeFolder(Str folder, Err *err)
+{
+    StrBuf path = {0};
+    bool is_made;
+    int failure;
+
+    StrBuf_Set(&path, folder);
+    is_made = mkdir(StrBuf_CStr(&path), 0700) == 0;
+    failure = is_made || errno == EEXIST ? 0 : errno;
+    StrBuf_Finish(&path);
+    if (failure) {
+        return Err_SET(err, Err_IO, "cannot create %.*s: %s", Str_ARG(folder),
+                       strerror(failure));
+    }
+    /* A process that ended early may have made it and not synced.  One that
+     * somebody else made may be in a folder that this process can't open. */
+    failure = sync_folder(find_parent(folder));
+    if (failure && (is_made || failure == EIO)) {
+        return Err_SET(err, Err_IO, "cannot sync the folder of %.*s: %s",
+                       Str_ARG(folder), strerror(failure));
+    }
+    return true;
+}
+
 bool
 Frm_SavePayload(Str folder, const char *name, Str payload, Err *err)
 {
--- a/src/version/frame.h
+++ b/src/version/frame.h
@@ -41,6 +41,10 @@
 bool Frm_ReadFile(int folder_fd, const char *name, StrBuf *out, bool *found,
                   Err *err);
 
+/* Makes FOLDER if it is not there, and syncs the folder that it is in, so that
+ * FOLDER is there after a loss of power too. */
+bool Frm_MakeFolder(Str folder, Err *err);
+
 /* Replaces the content of file NAME in FOLDER_FD by BYTES, atomically: writes
  * and syncs NAME.new, renames it to NAME, and syncs the folder. */
 bool Frm_ReplaceFile(int folder_fd, const char *name, Str bytes, Err *err);
