Open a log whose last frame lacks only its beginning

After a loss of power a control replica refused its folder, until an operator removed it.

Cause: a frame may lie on several pages, and a loss of power may keep the later ones and not the first. The header then reads as zeros with other bytes behind it, which counted as damage. It was never acknowledged, so it is cut like any other interrupted write, when its first byte is zero and nothing that looks like a header follows. Zeros before a whole frame stay damage.

Ruled out: a beginning without its end, and zeros in place of all of it, were cut already.

--- a/src/version/frame.c
+++ b/src/version/frame.c
@@ -54,8 +54,6 @@
     StrBuf_Append(out, payload);
 }
 
-/* Used for a header that does not match: after a crash, a file may have its
- * new length while the bytes themselves were not written and read as zeros. */
 static bool
 is_all_zero(Str bytes)
 {
@@ -67,6 +65,41 @@
     return true;
 }
 
+static bool
+matches_header(Str bytes, size_t *len)
+{
+    if (bytes.len < Frm_HEADER_BYTES) {
+        return false;
+    }
+    *len = load_little_endian(bytes.ptr + LENGTH_OFFSET, 4);
+    return *len <= Frm_PAYLOAD_BYTES_MAX &&
+           load_little_endian(bytes.ptr + LENGTH_CHECKSUM_OFFSET, 4) ==
+               length_checksum(bytes.ptr);
+}
+
+static bool
+has_header(Str bytes)
+{
+    size_t len;
+
+    for (size_t i = 0; i < bytes.len; i++) {
+        if (matches_header(Str_Slice(bytes, i, bytes.len), &len)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Used for a header that does not match: after a crash, a file may have its
+ * new length while some pages were not written and read as zeros.  When the
+ * first page of the last frame is among them, no header follows it. */
+static bool
+is_unwritten(Str frame)
+{
+    return is_all_zero(Str_Slice(frame, Frm_HEADER_BYTES, frame.len)) ||
+           (frame.ptr[0] == 0 && !has_header(frame));
+}
+
 FrameStatus
 Frm_ReadNext(Str *bytes, Str *payload)
 {
@@ -79,13 +112,10 @@
     if (bytes->len < Frm_HEADER_BYTES) {
         return Frm_TORN;
     }
-    rest = Str_Slice(*bytes, Frm_HEADER_BYTES, bytes->len);
-    len = load_little_endian(bytes->ptr + LENGTH_OFFSET, 4);
-    if (load_little_endian(bytes->ptr + LENGTH_CHECKSUM_OFFSET, 4) !=
-            length_checksum(bytes->ptr) ||
-        len > Frm_PAYLOAD_BYTES_MAX) {
-        return is_all_zero(rest) ? Frm_TORN : Frm_CORRUPT;
+    if (!matches_header(*bytes, &len)) {
+        return is_unwritten(*bytes) ? Frm_TORN : Frm_CORRUPT;
     }
+    rest = Str_Slice(*bytes, Frm_HEADER_BYTES, bytes->len);
     if (rest.len < len) {
         return Frm_TORN;
     }
--- a/src/version/frame.h
+++ b/src/version/frame.h
@@ -21,7 +21,8 @@
     Frm_COMPLETE, /* a frame that matches its checksums */
     Frm_END,      /* no bytes are left */
     Frm_TORN,   /* the last frame is incomplete, or its payload does not match
-                   its checksum, as after an interrupted write */
+                   its checksum, or its beginning reads as zeros, as after an
+                   interrupted write */
     Frm_CORRUPT /* damage that no interrupted write leaves */
 } FrameStatus;
 
--- a/tests/unit/test_disk.c
+++ b/tests/unit/test_disk.c
@@ -344,6 +344,30 @@
 }
 END_TEST
 
+/* Guards against the failure that whole frames are taken for the rest of an
+ * interrupted write and removed. */
+START_TEST(reports_zeros_before_a_whole_frame)
+{
+    static const char zeros[FILE_BYTES_MAX];
+    Folder folder;
+    off_t end;
+
+    store_operations(&folder, all_kinds);
+    end = file_size(&folder, "log") / 2; /* whole frames follow it */
+    remove_folder(&folder);
+    for (off_t len = 1; len <= end; len++) {
+        int fd;
+
+        store_operations(&folder, all_kinds);
+        fd = open(path_of(&folder, "log"), O_RDWR);
+        ck_assert_int_eq(pwrite(fd, zeros, (size_t)len, 0), len);
+        close(fd);
+        ck_assert_int_eq(reopen_and_load(&folder), Err_CORRUPT);
+        remove_folder(&folder);
+    }
+}
+END_TEST
+
 static const char *const missing_files[] = {"identity", "vote", "log",
                                             "snapshot"};
 
@@ -442,6 +466,7 @@
         {vote_takes_one_sync, 1},
         {truncates_a_last_frame_torn_at_any_byte, ROWS(torn_cases)},
         {reports_a_changed_byte, ROWS(flip_cases)},
+        {reports_zeros_before_a_whole_frame, 1},
         {reports_a_missing_file, ROWS(missing_files)},
         {rejects_writes_after_a_failed_write, ROWS(full_disk_cases)},
         {rejects_a_second_opener, 1},
