--- a/src/version/disk.c
+++ b/src/version/disk.c
@@ -270,6 +270,41 @@
            Dlg_ReadFrames(list, StrBuf_View(bytes), err);
 }
 
+static bool
+replace_log(ReplicaStorage *storage, const LogEntryList *list, Err *err)
+{
+    StrBuf bytes = {0};
+    bool good;
+
+    if (list->has_vote) {
+        Dlg_AppendVote(&bytes, list->vote_term, list->voted_for);
+    }
+    if (list->count) {
+        Dlg_AppendEntries(&bytes, list->entries, list->count);
+    }
+    good = Frm_ReplaceFile(storage->folder_fd, log_file, StrBuf_View(&bytes),
+                           err);
+    StrBuf_Finish(&bytes);
+    if (!good) {
+        return false;
+    }
+    close(storage->log_fd);
+    return open_log(storage, err);
+}
+
+/* Removes the entries that the snapshot covers, also from the file: a process
+ * may have ended between the snapshot and the log.  Later entries could not be
+ * appended to others than those before them. */
+static bool
+drop_covered_entries(ReplicaStorage *storage, LogEntryList *list,
+                     uint64_t term, uint64_t index, Err *err)
+{
+    size_t count = list->count;
+
+    return Dlg_DropThroughSnapshot(list, term, index, err) &&
+           (list->count == count || replace_log(storage, list, err));
+}
+
 bool
 Disk_Load(ReplicaStorage *storage, const StorageLoadCallbacks *callbacks,
           Err *err)
@@ -285,7 +320,7 @@
            load_vote(storage, callbacks, &list, err) &&
            load_snapshot(storage, callbacks, &term, &index, err) &&
            truncate_torn_frame(storage, bytes.len, list.intact_bytes, err) &&
-           Dlg_DropThroughSnapshot(&list, term, index, err) &&
+           drop_covered_entries(storage, &list, term, index, err) &&
            report_entries(callbacks, &list, err);
     Dlg_Finish(&list);
     StrBuf_Finish(&bytes);
@@ -346,28 +381,6 @@
     return append_log(storage, &frame, err);
 }
 
-static bool
-replace_log(ReplicaStorage *storage, const LogEntryList *list, Err *err)
-{
-    StrBuf bytes = {0};
-    bool good;
-
-    if (list->has_vote) {
-        Dlg_AppendVote(&bytes, list->vote_term, list->voted_for);
-    }
-    if (list->count) {
-        Dlg_AppendEntries(&bytes, list->entries, list->count);
-    }
-    good = Frm_ReplaceFile(storage->folder_fd, log_file, StrBuf_View(&bytes),
-                           err);
-    StrBuf_Finish(&bytes);
-    if (!good) {
-        return false;
-    }
-    close(storage->log_fd);
-    return open_log(storage, err);
-}
-
 static bool
 compact_log(ReplicaStorage *storage, uint64_t term, uint64_t index, Err *err)
 {
--- a/tests/unit/test_power_loss.c
+++ b/tests/unit/test_power_loss.c
@@ -731,11 +731,19 @@
                                     {SNAPSHOT, 1, 1},
                                     {ENTRY, 1, 3},
                                     {END, 0, 0}};
+static const Step later_snapshot[] = {{VOTE, 1, 9},
+                                      {TWO_ENTRIES, 1, 1},
+                                      {SNAPSHOT, 1, 9},
+                                      {ENTRY, 3, 10},
+                                      {END, 0, 0}};
+static const Step other_snapshot[] = {
+    {TWO_ENTRIES, 1, 1}, {SNAPSHOT, 2, 1}, {ENTRY, 2, 2}, {END, 0, 0}};
 static const Step two_snapshots[] = {
     {ENTRY, 1, 1}, {SNAPSHOT, 1, 1}, {SNAPSHOT, 1, 9}, {END, 0, 0}};
 
 static const Step *const step_cases[] = {
-    only_made, votes, entries, truncation, own_snapshot, two_snapshots};
+    only_made,    votes,          entries,        truncation,
+    own_snapshot, later_snapshot, other_snapshot, two_snapshots};
 
 static void
 init_trial(Trial *trial, const Step *steps)
