Sync the names of a folder before it is read

After a kill and a later loss of power a control replica could come back as another one, or refuse its folder, with all that it had acknowledged since the kill.

The folder is synced now when it is opened.

--- a/src/version/disk.c
+++ b/src/version/disk.c
@@ -145,13 +145,22 @@
            write_numbers(storage, identity_file, &new_identity, 1, err);
 }
 
+/* An earlier process may have ended, or failed, between a rename and its
+ * sync. */
+static bool
+sync_names(ReplicaStorage *storage, Err *err)
+{
+    return fsync(storage->folder_fd) == 0 ||
+           Err_SET(err, Err_IO, "cannot sync the folder: %s", strerror(errno));
+}
+
 bool
 Disk_Init(ReplicaStorage *storage, Str folder, uint64_t new_identity, Err *err)
 {
     bool found = false;
 
     *storage = (ReplicaStorage){.folder_fd = -1, .log_fd = -1};
-    if (open_folder(storage, folder, err) &&
+    if (open_folder(storage, folder, err) && sync_names(storage, err) &&
         read_numbers(storage, identity_file, &storage->identity, 1, &found,
                      err) &&
         (found || create_files(storage, new_identity, err)) &&
--- a/tests/unit/test_power_loss.c
+++ b/tests/unit/test_power_loss.c
@@ -786,11 +786,41 @@
 }
 END_TEST
 
+static void
+lose_power_after_each_fault(const Step *steps, bool is_kill)
+{
+    static Trial trial;
+
+    init_trial(&trial, steps);
+    for (int at = 0; record_steps(&trial, at, is_kill); at++) {
+        lose_power_at_each_operation(&trial);
+    }
+    finish_trial(&trial);
+}
+
+/* Guards against the failure that a process counts on what an earlier one
+ * wrote and never synced. */
+START_TEST(keeps_what_the_next_process_read)
+{
+    lose_power_after_each_fault(step_cases[_i], true);
+}
+END_TEST
+
+/* Guards against the failure that what a failed write or sync left is counted
+ * on when the folder is opened again. */
+START_TEST(keeps_what_was_read_after_a_failure)
+{
+    lose_power_after_each_fault(step_cases[_i], false);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {
         {keeps_what_was_stored, ROWS(step_cases)},
+        {keeps_what_the_next_process_read, 1},
+        {keeps_what_was_read_after_a_failure, 1},
     };
 
     return Suite_Run("power loss", tests, ROWS(tests), 60);
