Know as of when a replica holds all that was committed

A replica could only say whether it had heard its leader within the election timeout, or whether one given read was confirmed. One whose log does not advance hears its leader all the time, so the first says nothing about what it holds, and callers of it took it for current.

Rlog_CurrentAsOf gives the latest moment on the replica's own clock for which a quorum has confirmed that it holds everything committed before: as leader the send time of the last appends that a quorum answered, else that of the last answered read index request whose index is committed here. A later reply whose index is not committed yet must not make the replica forget the earlier one, so that one is kept.

Ruled out: taking the send time of the last answered request alone. With that 2 of the 8 new rows fail (index not committed, the log does not advance); the random schedules of the simulation do not show it, nor do they when the same condition is taken out of Rlog_IsCurrentSince, so the rows are what guards it. With the send time of a request that is not answered, the simulation's new check fails.

--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -236,6 +236,8 @@
     Instant read_sent_at;      /* last read index request */
     Instant read_confirmed_at; /* send time of the last one answered */
     uint64_t read_index;       /* the leader's commit index in that reply */
+    Instant read_reached_at;   /* send time of the last one answered before,
+                                  whose index is committed here; 0: none */
     bool is_read_pending; /* another request is due: one was under way, or no
                              leader was known */
 
@@ -309,6 +311,11 @@
  * before SINCE. */
 bool Rlog_IsCurrentSince(const ReplicatedLog *rlog, Instant since);
 
+/* The latest moment, not after NOW, for which this replica is known to have
+ * committed every entry that was committed anywhere before it; 0: not known.
+ * Rlog_RequestReadIndex moves it on. */
+Instant Rlog_CurrentAsOf(const ReplicatedLog *rlog, Instant now);
+
 /* Whether this replica leads, or knows a leader that it has heard from within
  * the election timeout. */
 bool Rlog_HasLeaderContact(const ReplicatedLog *rlog, Instant now);
--- a/src/version/rlog_read.c
+++ b/src/version/rlog_read.c
@@ -81,6 +81,39 @@
     }
 }
 
+/* A reply that names a later index must not make this replica forget when it
+ * was known to be current. */
+static Instant
+get_read_reached_at(const ReplicatedLog *rlog)
+{
+    return rlog->commit_index >= rlog->read_index ? rlog->read_confirmed_at
+                                                  : rlog->read_reached_at;
+}
+
+static Instant
+get_lead_confirmed_at(const ReplicatedLog *rlog)
+{
+    return rlog->role == Rlog_LEADER &&
+                   Rlog_TermAt(rlog, rlog->commit_index) == rlog->term
+               ? Rlog_QuorumAckedAt(rlog)
+               : 0;
+}
+
+Instant
+Rlog_CurrentAsOf(const ReplicatedLog *rlog, Instant now)
+{
+    Instant as_of = get_read_reached_at(rlog);
+    Instant lead_as_of = get_lead_confirmed_at(rlog);
+
+    if (rlog->has_failed) {
+        return 0;
+    }
+    if (lead_as_of > as_of) {
+        as_of = lead_as_of;
+    }
+    return as_of < now ? as_of : now;
+}
+
 void
 Rlog_OnReadIndexReply(ReplicatedLog *rlog, const RaftMessage *message,
                       Instant now)
@@ -90,6 +123,7 @@
     if (sent_at > rlog->read_sent_at || sent_at <= rlog->read_confirmed_at) {
         return;
     }
+    rlog->read_reached_at = get_read_reached_at(rlog);
     rlog->read_confirmed_at = sent_at;
     rlog->read_index = message->last_index;
     if (rlog->is_read_pending && rlog->role != Rlog_LEADER &&
--- a/tests/support/rlog_simulation.c
+++ b/tests/support/rlog_simulation.c
@@ -466,12 +466,40 @@
     }
 }
 
+/* What was committed at the tick before Rlog_CurrentAsOf must be committed at
+ * REPLICA. */
+static void
+check_as_of(RlogSimulation *sim, SimulatedReplica *replica)
+{
+    Instant as_of = replica->is_up && replica->busy_until <= sim->now
+                        ? Rlog_CurrentAsOf(&replica->rlog, sim->now)
+                        : 0;
+    const CommittedLength *before;
+
+    if (as_of <= TICK_INTERVAL) {
+        return;
+    }
+    before =
+        &sim->lengths[(as_of - TICK_INTERVAL) / TICK_INTERVAL % Rsim_TICKS];
+    if (before->at != as_of - TICK_INTERVAL) {
+        return; /* before the start, or too long ago */
+    }
+    if (replica->state.len < before->length) {
+        report_violation(sim, "replica lacks changes as of a time",
+                         (uint64_t)as_of);
+    }
+    sim->as_of_count++;
+}
+
 static void
 check_reads(RlogSimulation *sim)
 {
     for (int i = 0; i < sim->replica_count; i++) {
         check_read(sim, &sim->replicas[i]);
+        check_as_of(sim, &sim->replicas[i]);
     }
+    sim->lengths[sim->now / TICK_INTERVAL % Rsim_TICKS] =
+        (CommittedLength){sim->now, sim->committed.len};
 }
 
 static void
--- a/tests/support/rlog_simulation.h
+++ b/tests/support/rlog_simulation.h
@@ -18,7 +18,8 @@
 
 enum {
     Rsim_REPLICAS_MAX = 7,
-    Rsim_TERMS = 4096 /* terms whose leader is remembered */
+    Rsim_TERMS = 4096, /* terms whose leader is remembered */
+    Rsim_TICKS = 8192  /* latest ticks that are remembered */
 };
 
 typedef struct RlogSimulation RlogSimulation;
@@ -62,6 +63,12 @@
     size_t read_state_min;
 } SimulatedReplica;
 
+/* The length of RlogSimulation.committed after the tick at AT. */
+typedef struct {
+    Instant at;
+    size_t length;
+} CommittedLength;
+
 typedef struct SimulatedMessage SimulatedMessage;
 
 struct RlogSimulation {
@@ -79,10 +86,13 @@
     Span delay_max;
     SimulatedMessage *queue; /* by due time */
     StrBuf committed;        /* the longest state that any replica ever had */
+    /* of the latest ticks, the one at AT in slot AT / 5 ms % Rsim_TICKS */
+    CommittedLength lengths[Rsim_TICKS];
     /* identity of the leader of a term, at term % Rsim_TERMS; 0: none yet */
     uint64_t leaders[Rsim_TERMS];
     int violation_count;     /* failed checks */
     uint64_t read_count;     /* read index requests that succeeded */
+    uint64_t as_of_count;    /* checks of Rlog_CurrentAsOf */
     uint32_t election_count; /* leaders so far */
     uint64_t sent_bytes;     /* data of the entries of all append requests */
     uint32_t sent_snapshots;
--- a/tests/unit/test_rlog.c
+++ b/tests/unit/test_rlog.c
@@ -557,6 +557,7 @@
     ck_assert_int_eq(sim.violation_count, 0);
     ck_assert_uint_gt(sim.committed.len, c->committed_bytes_min);
     ck_assert_uint_gt(sim.read_count, EVENTS);
+    ck_assert_uint_gt(sim.as_of_count, sim.read_count);
     ck_assert(!c->lose_disks || sim.identity_count > (uint64_t)c->replicas);
     Rsim_Finish(&sim);
 }
--- a/tests/unit/test_rlog_rules.c
+++ b/tests/unit/test_rlog_rules.c
@@ -145,12 +145,81 @@
 }
 END_TEST
 
+/* A follower's read index requests and the replies to them.  Its log holds
+ * three entries, all of the leader's term; those up to COMMITTED are. */
+typedef struct {
+    const char *name;
+    uint64_t committed;
+    struct {
+        Span sent_at;         /* of the request, after the start; 0: none */
+        uint64_t reply_index; /* the leader's commit index; 0: no reply */
+    } reads[3];
+    uint64_t committed_later; /* after the replies */
+    bool has_failed;
+    Span as_of; /* after the start; 0: not known */
+} AsOfCase;
+
+static const AsOfCase as_of_cases[] = {
+    {"no request", 1, {{0, 0}}, 1, false, 0},
+    {"no reply", 1, {{Span_MS(10), 0}}, 1, false, 0},
+    {"index committed", 2, {{Span_MS(10), 2}}, 2, false, Span_MS(10)},
+    {"index not committed", 1, {{Span_MS(10), 2}}, 1, false, 0},
+    {"index committed later", 1, {{Span_MS(10), 2}}, 2, false, Span_MS(10)},
+    {"the log does not advance",
+     2,
+     {{Span_MS(10), 2}, {Span_MS(200), 3}, {Span_MS(400), 3}},
+     2,
+     false,
+     Span_MS(10)},
+    {"the log advances again",
+     2,
+     {{Span_MS(10), 2}, {Span_MS(200), 3}, {Span_MS(400), 3}},
+     3,
+     false,
+     Span_MS(400)},
+    {"a store failed", 2, {{Span_MS(10), 2}}, 2, true, 0},
+};
+
+START_TEST(current_as_of_last_index_that_is_committed)
+{
+    const AsOfCase *c = &as_of_cases[_i];
+    const uint64_t terms[] = {1, 1, 1};
+    static RlogSimulation sim;
+    ReplicatedLog *rlog = init_single_replica(&sim, terms, 3);
+    Instant start = sim.now;
+
+    rlog->role = Rlog_FOLLOWER;
+    rlog->term = 1;
+    rlog->leader_identity = sim.replicas[1].identity;
+    rlog->commit_index = c->committed;
+    for (int i = 0; i < 3 && c->reads[i].sent_at; i++) {
+        RaftMessage reply = {.kind = Rlog_READ_INDEX_REPLY,
+                             .from = rlog->leader_identity,
+                             .to = rlog->settings.identity,
+                             .term = 1,
+                             .last_index = c->reads[i].reply_index};
+        Rlog_RequestReadIndex(rlog, start + c->reads[i].sent_at);
+        reply.request_sent_at = last_sent.request_sent_at;
+        if (reply.last_index) {
+            Rlog_OnMessage(rlog, &reply, start + c->reads[i].sent_at);
+        }
+    }
+    rlog->commit_index = c->committed_later;
+    rlog->has_failed = c->has_failed;
+    ck_assert_msg(Rlog_CurrentAsOf(rlog, start + Span_S(1)) ==
+                      (c->as_of ? start + c->as_of : 0),
+                  "%s", c->name);
+    Rsim_Finish(&sim);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {
         {applies_vote_rules, ROWS(vote_cases)},
         {commits_only_entries_of_own_term, ROWS(commit_cases)},
+        {current_as_of_last_index_that_is_committed, ROWS(as_of_cases)},
     };
 
     return Suite_Run("rlog rules", tests, ROWS(tests), 30);
