Count the time for which a machine is suspended

CLOCK_MONOTONIC stands still while a machine is suspended. After it, what a process had heard before looked as young as it was then: a control replica that was confirmed as current would say so again, a node would take its word of the routing for fresh, and a leader its quorum.

Loop_Now reads CLOCK_BOOTTIME, which counts that time. It is taken as a whole and not for ages alone, since ages are computed from send times that other parts of the program store, and since a suspension then looks like a stopped process, which all deciders of silence, expiry and pauses must stand already. What speaks against it, a burst of expired deadlines and connections after a suspension, is true of them: their callers' clocks went on. Timers of the event loop stay on their own clock; they only decide when a function is called, not what time it is given.

Not shown by a test: a suspension can't be made on loopback. A hypervisor that pauses a guest without telling it stops both clocks; that remains.

--- a/src/process/loop.c
+++ b/src/process/loop.c
@@ -45,7 +45,7 @@
 Instant
 Loop_Now(void)
 {
-    return read_clock(CLOCK_MONOTONIC);
+    return read_clock(CLOCK_BOOTTIME);
 }
 
 int64_t
--- a/src/process/loop.h
+++ b/src/process/loop.h
@@ -37,7 +37,8 @@
 /* Makes Loop_Run return after the callback that is running now. */
 void Loop_Stop(Loop *loop);
 
-/* Microseconds of the monotonic clock. */
+/* Microseconds of the monotonic clock that also runs while the machine is
+ * suspended: what was heard before that is old afterwards. */
 Instant Loop_Now(void);
 
 /* Microseconds since 1970, UTC. */
--- a/src/value/instant.h
+++ b/src/value/instant.h
@@ -1,7 +1,8 @@
 /* Instant, Span: points in time and durations, in microseconds.
  *
- * An Instant is a reading of the process's monotonic clock and comparable only
- * within one process.  The event loop reads the clock and passes the instant
+ * An Instant is a reading of the process's monotonic clock, which also counts
+ * the time for which the machine is suspended, and comparable only within one
+ * process.  The event loop reads the clock and passes the instant
  * to every function that makes decisions; nothing below the loop reads a
  * clock.
  */
