Tell a node how old a replica's word of its version is

A replica answered a node with the version it has and with whether it was in contact with its leader. A replica whose log does not advance, or that hears its leader late and in order, or that has not caught up, is in contact all the time; its nodes took an old version for the newest, and nothing in the answer could have told them.

Wire_VERSION now carries the age of the replica's word in place of the contact: for how long it has not been known to hold every accepted change. It repeats the send time of the node's request, and the node computes from both as of when all that was accepted is in force here, keeps the latest, and remembers who said so. Both sides count on their own clocks only, and both err to the old side: the replica's age ends at its answer, which came after the request. An announcement repeats the node's last request and so proves nothing later. The word counts only once the version that came with it is in force. A poll is content with an answer that is younger than 500 ms.

--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -2,8 +2,8 @@
 
 enum {
     CHANGE_REPLY_FIELDS = 15,
-    VERSION_REQUEST_FIELDS = 6,
-    VERSION_FIELDS = 6,
+    VERSION_REQUEST_FIELDS = 7,
+    VERSION_FIELDS = 7,
     PRESETS_REQUEST_FIELDS = 5,
     PRESETS_REPLY_FIELDS = 9,
     SUMMARY_FIELDS = 3,
@@ -105,6 +105,7 @@
     put_version(pack, msg->known_version);
     Pack_Bool(pack, msg->wants_json);
     Pack_Bool(pack, msg->must_be_current);
+    Pack_U64(pack, (uint64_t)msg->sent_at);
     Suspectmsg_PutSummary(pack, &msg->suspects);
 }
 
@@ -115,16 +116,26 @@
     msg->known_version = take_version(in);
     msg->wants_json = Unpack_Bool(in);
     msg->must_be_current = Unpack_Bool(in);
+    msg->sent_at = (Instant)Unpack_Bounded(in, INT64_MAX);
     Suspectmsg_TakeSummary(in, &msg->suspects);
     return Unpack_Ok(in, err);
 }
 
+static uint64_t
+round_up_to_ms(Span age)
+{
+    return age < Configmsg_AGE_NOT_KNOWN
+               ? (uint64_t)((age + Span_MS(1) - 1) / Span_MS(1))
+               : UINT32_MAX;
+}
+
 void
 Configmsg_PackVersion(Pack *pack, const VersionMessage *msg)
 {
     Wire_Begin(pack, Wire_VERSION, VERSION_FIELDS);
     Pack_Bool(pack, msg->is_current);
-    Pack_Bool(pack, msg->has_leader_contact);
+    Pack_U64(pack, round_up_to_ms(msg->age));
+    Pack_U64(pack, (uint64_t)msg->request_sent_at);
     Pack_U64(pack, msg->leader);
     put_version(pack, msg->version);
     Pack_Str(pack, msg->json);
@@ -134,7 +145,8 @@
 Configmsg_ReadVersion(Unpack *in, VersionMessage *msg, Err *err)
 {
     msg->is_current = Unpack_Bool(in);
-    msg->has_leader_contact = Unpack_Bool(in);
+    msg->age = Span_MS(Unpack_Bounded(in, UINT32_MAX));
+    msg->request_sent_at = (Instant)Unpack_Bounded(in, INT64_MAX);
     msg->leader = Unpack_U64(in);
     msg->version = take_version(in);
     msg->json = take_bounded(in, Cfg_JSON_BYTES_MAX);
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -17,6 +17,9 @@
 /* Bytes of ConfigChangeReplyMessage.detail. */
 enum { Configmsg_DETAIL_MAX = 4096 };
 
+/* A VersionMessage.age that is not known, or is 49 days or more. */
+#define Configmsg_AGE_NOT_KNOWN Span_MS(UINT32_MAX)
+
 /* Wire_CONFIG_CHANGE. */
 typedef struct {
     uint64_t request_number; /* echoed in the reply */
@@ -46,13 +49,17 @@
     ConfigVersion known_version; /* version that the node has */
     bool wants_json;         /* asks for the preset if there is a newer one */
     bool must_be_current;    /* asks for a reply that is_current */
+    Instant sent_at;         /* on the node's clock; the reply echoes it */
     SuspectSummary suspects; /* what the node knows */
 } VersionRequestMessage;
 
 /* Wire_VERSION, as a reply or announced by a control replica. */
 typedef struct {
-    bool is_current;         /* nothing newer existed when the request came */
-    bool has_leader_contact; /* the replica will announce newer versions */
+    bool is_current; /* nothing newer existed when the request came */
+    Span age; /* before this message was sent, the replica was known to hold
+                 every change accepted until then; on the wire it is rounded up
+                 to milliseconds; Configmsg_AGE_NOT_KNOWN: not known */
+    Instant request_sent_at; /* sent_at of the latest request of this node */
     Addr leader;
     ConfigVersion version; /* {0, 0}: the replica knows none */
     Str json;              /* empty unless wanted and newer */
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -64,7 +64,8 @@
 typedef struct {
     Addr node;
     NetOrigin origin;
-    Instant polled_at;           /* last poll */
+    Instant request_sent_at;     /* sent_at of its last poll */
+    Instant polled_at;           /* last poll, on this replica's clock */
     Instant confirm_received_at; /* a poll that came then waits until this
                                     replica is known to be current; 0: none */
 } VersionWatcher;
--- a/src/process/control_read.c
+++ b/src/process/control_read.c
@@ -143,21 +143,34 @@
     VersionWatcher *watcher = find_watcher(control, request->node, now);
 
     if (watcher) {
-        *watcher = (VersionWatcher){
-            .node = request->node, .origin = *origin, .polled_at = now};
+        *watcher = (VersionWatcher){.node = request->node,
+                                    .origin = *origin,
+                                    .request_sent_at = request->sent_at,
+                                    .polled_at = now};
     }
     return watcher;
 }
 
+/* For how long this replica has not been known to hold every change. */
+static Span
+get_age(const ControlReplica *control, Instant now)
+{
+    Instant as_of =
+        control->is_open ? Rlog_CurrentAsOf(&control->rlog, now) : 0;
+
+    return as_of ? now - as_of : Configmsg_AGE_NOT_KNOWN;
+}
+
 static void
 answer_version(ControlReplica *control, const NetOrigin *origin,
-               ConfigVersion have, bool wanted, bool current, Instant now)
+               Instant request_sent_at, ConfigVersion have, bool wanted,
+               bool current, Instant now)
 {
     const StoredPreset *in_force = Cfg_PresetInForce(&control->cfg);
     VersionMessage msg = {
         .is_current = current,
-        .has_leader_contact =
-            control->is_open && Rlog_HasLeaderContact(&control->rlog, now),
+        .age = get_age(control, now),
+        .request_sent_at = request_sent_at,
         .leader = Ctl_Leader(control),
         .version = get_known_version(control),
     };
@@ -186,7 +199,7 @@
     Sps_OnSummary(control->suspects, origin, &request.suspects, now);
     watcher = refresh_watcher(control, &request, origin, now);
     if (!watcher || !request.must_be_current || !control->is_open) {
-        answer_version(control, origin, request.known_version,
+        answer_version(control, origin, request.sent_at, request.known_version,
                        request.wants_json, false, now);
         return;
     }
@@ -199,26 +212,19 @@
 void
 Ctl_AnnounceVersion(ControlReplica *control, Instant now)
 {
-    VersionMessage msg = {
-        .has_leader_contact = true,
-        .leader = Ctl_Leader(control),
-        .version = get_known_version(control),
-    };
-    Pack pack;
+    ConfigVersion version = get_known_version(control);
 
-    if (Cfg_CompareVersions(msg.version, control->announced_version) <= 0) {
+    if (Cfg_CompareVersions(version, control->announced_version) <= 0) {
         return;
     }
-    control->announced_version = msg.version;
-    Configmsg_PackVersion(&pack, &msg);
+    control->announced_version = version;
     for (size_t i = 0; i < control->watcher_count; i++) {
         const VersionWatcher *watcher = &control->watchers[i];
         if (now - watcher->polled_at < WATCH_EXPIRY) {
-            Ctl_CountMessage(control, &pack);
-            Net_Answer(control->net, &watcher->origin, Pack_View(&pack), now);
+            answer_version(control, &watcher->origin, watcher->request_sent_at,
+                           version, false, false, now);
         }
     }
-    Pack_Finish(&pack);
 }
 
 /* Whether a read that came at SINCE can be answered now.  *CURRENT is set to
@@ -256,8 +262,8 @@
         if (watcher->confirm_received_at &&
             can_answer(control, watcher->confirm_received_at, now, &current)) {
             watcher->confirm_received_at = 0;
-            answer_version(control, &watcher->origin, (ConfigVersion){0},
-                           false, current, now);
+            answer_version(control, &watcher->origin, watcher->request_sent_at,
+                           (ConfigVersion){0}, false, current, now);
         }
         any_pending = any_pending || watcher->confirm_received_at;
     }
--- a/src/process/versionfollower.c
+++ b/src/process/versionfollower.c
@@ -4,6 +4,9 @@
 
 #define TICK Span_MS(100)
 
+/* An answer that is older does not say enough. */
+#define WORD_AGE_MAX Span_MS(500)
+
 /* The same version is not requested again within this time. */
 #define FETCH_RETRY Span_MS(300)
 
@@ -16,6 +19,7 @@
         .known_version = follower->version,
         .wants_json = !confirm,
         .must_be_current = confirm,
+        .sent_at = now,
         .suspects = Sps_MakeSummary(follower->suspects),
     };
     Pack pack;
@@ -25,6 +29,9 @@
     Cnt_Add(follower->counters, Cnt_CONTROL_BYTES, Pack_View(&pack).len);
     Net_Send(follower->net, replica, Pack_View(&pack), now);
     Pack_Finish(&pack);
+    if (!follower->first_request_at) {
+        follower->first_request_at = now;
+    }
     Vpl_OnRequest(&follower->poll, now);
 }
 
@@ -133,11 +140,35 @@
     }
 }
 
+/* The replica FROM holds all that was accepted before AS_OF, which MSG's
+ * version includes; that says nothing of this node until it has that version
+ * too. */
+static void
+advance_word(VersionFollower *follower, Addr from, const VersionMessage *msg,
+             Instant as_of)
+{
+    if (msg->version.term > 0 &&
+        Cfg_CompareVersions(follower->version, msg->version) >= 0) {
+        Vwd_Advance(&follower->word, as_of, from);
+    }
+}
+
+static Instant
+compute_as_of(const VersionFollower *follower, const VersionMessage *msg,
+              Instant now)
+{
+    return msg->age < Configmsg_AGE_NOT_KNOWN
+               ? Vwd_ComputeAsOf(msg->request_sent_at, msg->age,
+                                 follower->first_request_at, now)
+               : 0;
+}
+
 static void
 on_version(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
     VersionFollower *follower = context;
     VersionMessage msg;
+    Instant as_of;
     Err err = {0};
 
     if (!Configmsg_ReadVersion(in, &msg, &err) ||
@@ -149,7 +180,8 @@
                    Str_LIT("message_refused"), &err);
         return;
     }
-    Vpl_OnResponse(&follower->poll, msg.has_leader_contact);
+    as_of = compute_as_of(follower, &msg, now);
+    Vpl_OnResponse(&follower->poll, as_of > 0 && now - as_of < WORD_AGE_MAX);
     if (msg.leader) {
         follower->leader = msg.leader;
     }
@@ -160,6 +192,7 @@
         Cfg_CompareVersions(msg.version, follower->min_version) >= 0) {
         handle_version(follower, origin->peer, &msg, now);
     }
+    advance_word(follower, origin->peer, &msg, as_of);
     follower->is_up_to_date =
         follower->is_confirmed && follower->version.term > 0 &&
         Cfg_CompareVersions(follower->version, follower->min_version) >= 0;
--- /dev/null
+++ b/src/process/versionword.c
@@ -0,0 +1,25 @@
+#include "process/versionword.h"
+
+Instant
+Vwd_ComputeAsOf(Instant sent_at, Span age, Instant first_sent_at, Instant now)
+{
+    bool is_sent =
+        first_sent_at > 0 && sent_at >= first_sent_at && sent_at <= now;
+
+    return is_sent && age < sent_at ? sent_at - age : 0;
+}
+
+void
+Vwd_Advance(VersionWord *word, Instant as_of, Addr from)
+{
+    if (as_of > word->as_of) {
+        word->as_of = as_of;
+        word->from = from;
+    }
+}
+
+Span
+Vwd_Age(const VersionWord *word, Instant now)
+{
+    return word->as_of ? now - word->as_of : Vwd_NOT_KNOWN;
+}
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -260,7 +260,8 @@
 static void
 pack_version_request(Pack *pack)
 {
-    VersionRequestMessage msg = {77, version, true, true, suspect_summary};
+    VersionRequestMessage msg = {77,   version, true,
+                                 true, 4000,    suspect_summary};
 
     Configmsg_PackVersionRequest(pack, &msg);
 }
@@ -276,7 +277,7 @@
 static void
 pack_version(Pack *pack)
 {
-    VersionMessage msg = {true, true, 77, version, Str_LIT("{}")};
+    VersionMessage msg = {true, Span_MS(30), 4000, 77, version, Str_LIT("{}")};
 
     Configmsg_PackVersion(pack, &msg);
 }
--- a/tests/unit/test_messages.c
+++ b/tests/unit/test_messages.c
@@ -1,6 +1,7 @@
 /* Each decoder rejects messages between nodes that are malformed, truncated,
  * oversized, of another version, or followed by more data.  The loop index _i
  * selects a sample message. */
+#include "connection/configmsg.h"
 #include "connection/membermsg.h"
 #include "support/samples.h"
 #include "support/suite.h"
@@ -190,6 +191,56 @@
 }
 END_TEST
 
+/* A message of another version of the program, which has other fields:
+ * numbers, but for a boolean at BOOL_AT. */
+typedef struct {
+    const char *name;
+    MessageKind kind;
+    uint32_t fields;
+    uint32_t bool_at;
+} OtherFieldsCase;
+
+static const OtherFieldsCase other_fields[] = {
+    {"version request", Wire_VERSION_REQUEST, 6, 3},
+    {"version", Wire_VERSION, 6, 1},
+    {"version", Wire_VERSION, 7, 1},
+};
+
+enum { OTHER_FIELDS_COUNT = sizeof other_fields / sizeof other_fields[0] };
+
+START_TEST(rejects_fields_of_other_version)
+{
+    const OtherFieldsCase *c = &other_fields[_i];
+    VersionRequestMessage request;
+    VersionMessage version;
+    MessageKind kind;
+    Err err = {0};
+    Unpack in;
+    Pack pack;
+
+    Wire_Begin(&pack, c->kind, c->fields);
+    for (uint32_t i = 0; i < c->fields; i++) {
+        if (i == c->bool_at || i == 0) {
+            Pack_Bool(&pack, true);
+        }
+        else if (i + 1 == c->fields) {
+            Pack_Str(&pack, Str_LIT("{}"));
+        }
+        else {
+            Pack_U64(&pack, 7);
+        }
+    }
+    ck_assert(Wire_Open(&in, Pack_View(&pack), &kind, &err));
+    ck_assert_msg(!(kind == Wire_VERSION
+                        ? Configmsg_ReadVersion(&in, &version, &err)
+                        : Configmsg_ReadVersionRequest(&in, &request, &err)),
+                  "%s", c->name);
+    ck_assert_int_eq(err.code, Err_MALFORMED);
+    Unpack_Finish(&in);
+    Pack_Finish(&pack);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -197,7 +248,8 @@
         {reads_what_was_packed, Sample_Count()},
         {rejects_corrupt_messages, Sample_Count()},
         {empty_messages_reject_fields, EMPTY_MESSAGE_COUNT},
+        {rejects_fields_of_other_version, OTHER_FIELDS_COUNT},
     };
 
-    return Suite_Run("messages", tests, 3, 20);
+    return Suite_Run("messages", tests, 4, 20);
 }
