Take nothing for an answer that HTTP doesn't allow a server to send

Reported by users: a backend server in trouble sent an answer whose status was 000, and the client got it as an answer. Callers here got answers with status 600 to 999, and "HTTP/1.1 0200 OK" and two blanks before the status as 200. An answer with 000 to 099 or 101 was not passed on, but its request waited for its deadline and half a second more, since such a status counted as interim. Neighbours: a body under "gzip, chunked" was passed on still coded but without a word of it; a chunk could be longer than its size; folded lines were joined; and a 304 with the length of what it is about, which is correct, never ended.

Cause: what the HTTP parser takes counted as an answer. It takes any number up to 999, and as packaged it is built without its strict mode. It reads a body behind 1xx, 204 and 304, which have none.

Ruled out: that a caller's side changes a status (the exchange with the backend server alone shows it), and that the status alone is lax (the forms).

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -10,6 +10,7 @@
 
 #include "connection/delivery.h"
 #include "connection/httpread.h"
+#include "connection/httprule.h"
 #include "value/mem.h"
 
 /* Limit on the bytes that are read and discarded for one exchange: interim
@@ -23,6 +24,7 @@
 enum {
     HEADER_BYTES_MAX = 64 * 1024,
     OK = 200,
+    NO_CONTENT = 204,
     MISDIRECTED = 421,
     SERVER_ERROR_MIN = 500
 };
@@ -221,8 +223,8 @@
     return name.len && Field_Get(fields, name).len > 0;
 }
 
-/* Collects the fields that are forwarded with the answer.  A Content-Length
- * beside chunked coding is dropped (RFC 9112, section 6.3). */
+/* Collects the fields that are forwarded with the answer.  One without content
+ * has no Content-Length (RFC 9110, section 8.6). */
 static void
 forward_fields(const HttpHead *head, FieldList *fields)
 {
@@ -233,7 +235,7 @@
         const Field *field = &head->fields.items[i];
         bool length = Str_EqualNoCase(field->name, Str_LIT("Content-Length"));
         if (!Field_IsHopByHop(field->name, connection) &&
-            !(length && head->chunked)) {
+            !(length && head->status == NO_CONTENT)) {
             Field_Add(fields, field->name, field->value);
         }
     }
@@ -279,7 +281,10 @@
     FieldList fields;
 
     exchange->head_received = true;
-    exchange->keep_open = head->keep_alive;
+    /* What has a length without content may be followed by a body. */
+    exchange->keep_open =
+        head->keep_alive && !(head->status == NO_CONTENT &&
+                              (head->has_content_length || head->chunked));
     if (idle) {
         /* Half of the timeout: the backend server counts from an earlier
          * time. */
@@ -318,7 +323,7 @@
     BackendExchange *exchange = connection->exchange;
     AnswerOwner owner;
 
-    if (!exchange) {
+    if (!exchange || !Htr_IsAnswer(head)) {
         return false;
     }
     exchange->is_interim = head->status < OK;
--- a/src/connection/httpread.c
+++ b/src/connection/httpread.c
@@ -5,6 +5,8 @@
 /* Bytes parsed in one step. */
 enum { PARSE_BYTES_MAX = 16384 };
 
+enum { OK = 200, NO_CONTENT = 204, NOT_MODIFIED = 304 };
+
 static HttpReader *
 reader_of(const http_parser *parser)
 {
@@ -85,6 +87,28 @@
     return Str_Slice(StrBuf_View(&reader->head_text), span.offset, span.len);
 }
 
+/* Removes the blanks between a name and its colon (RFC 9112, section 5.1).
+ * Returns false if NAME is no name of a field. */
+static bool
+trim_name(Str *name)
+{
+    while (name->len && name->ptr[name->len - 1] == ' ') {
+        name->len--;
+    }
+    return name->len && Str_Find(*name, ' ') == name->len;
+}
+
+/* RFC 9110, sections 6.4.1 and 15. */
+static bool
+has_no_body(const HttpReader *reader)
+{
+    unsigned int status = reader->parser.status_code;
+
+    return reader->skip_body ||
+           (reader->parser.type == HTTP_RESPONSE &&
+            (status < OK || status == NO_CONTENT || status == NOT_MODIFIED));
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -102,14 +126,23 @@
         head.method = Str_FromC(http_method_str(parser->method));
     }
     for (size_t i = 0; i < reader->field_count; i++) {
-        Field_Add(&head.fields, text_of(reader, reader->names[i]),
-                  text_of(reader, reader->values[i]));
+        Str name = text_of(reader, reader->names[i]);
+        if (parser->type == HTTP_RESPONSE && !trim_name(&name)) {
+            return -1;
+        }
+        Field_Add(&head.fields, name, text_of(reader, reader->values[i]));
     }
     if (parser->upgrade || parser->http_major != 1 ||
         !reader->callbacks.on_head(reader->callbacks.context, &head)) {
         return -1;
     }
-    return reader->skip_body ? 1 : 0;
+    if (has_no_body(reader)) {
+        return 1;
+    }
+    if (parser->type == HTTP_RESPONSE && head.chunked) {
+        Afm_BeginChunks(&reader->form);
+    }
+    return 0;
 }
 
 static int
@@ -130,6 +163,7 @@
 
     reader->message_ended = true;
     reader->in_message = false;
+    Afm_Begin(&reader->form);
     http_parser_pause(parser, 1);
     return 0;
 }
@@ -190,11 +224,15 @@
     resume_parser(reader);
     while ((len = evbuffer_get_contiguous_space(input)) > 0) {
         size_t part = len < PARSE_BYTES_MAX ? len : PARSE_BYTES_MAX;
-        const char *bytes =
-            (const char *)evbuffer_pullup(input, (ev_ssize_t)part);
-        size_t read = http_parser_execute(&reader->parser, &parser_callbacks,
-                                          bytes, part);
-        evbuffer_drain(input, read);
+        Str bytes = Str_From(
+            (const char *)evbuffer_pullup(input, (ev_ssize_t)part), part);
+        if (reader->parser.type == HTTP_RESPONSE &&
+            !Afm_Feed(&reader->form, &bytes)) {
+            return Hrd_ERROR;
+        }
+        evbuffer_drain(input,
+                       http_parser_execute(&reader->parser, &parser_callbacks,
+                                           bytes.ptr, bytes.len));
         if (read_status(reader) != Hrd_NEEDS_MORE) {
             break;
         }
--- a/src/connection/httpread.h
+++ b/src/connection/httpread.h
@@ -4,7 +4,8 @@
  * Hrd_Feed parses the bytes that have arrived and reports the head and the
  * body of a message through callbacks.  The reader stops at the end of each
  * message until it is fed again, so that its owner decides when the next
- * message may begin.
+ * message may begin.  An answer with status 1xx, 204 or 304 ends with its
+ * head, whatever its fields say.
  */
 #ifndef HTTPREAD_H
 #define HTTPREAD_H
@@ -12,6 +13,7 @@
 #include <event2/buffer.h>
 #include <http_parser.h>
 
+#include "connection/answerform.h"
 #include "request/field.h"
 
 typedef enum { Hrd_REQUESTS, Hrd_ANSWERS } HttpMessageKind;
@@ -51,10 +53,12 @@
 typedef struct {
     HttpReaderCallbacks callbacks;
     http_parser parser;
+    AnswerForm form; /* of answers */
     size_t head_bytes_max;
     size_t head_bytes;
     bool in_message;    /* a message has begun and not ended */
-    bool skip_body;     /* the next answer is to a HEAD request */
+    bool skip_body;     /* the answer is to a HEAD request; on_head may still
+                           set it */
     bool head_too_long; /* the cause of Hrd_ERROR is the size of the head or
                            the number of its fields */
     bool message_ended;
--- a/src/connection/httprule.c
+++ b/src/connection/httprule.c
@@ -2,6 +2,13 @@
 
 enum { REQUEST_ID_BYTES_MAX = 128 };
 
+enum {
+    STATUS_MIN = 100,
+    SWITCHING_PROTOCOLS = 101,
+    FINAL_STATUS_MIN = 200,
+    STATUS_MAX = 599
+};
+
 typedef struct {
     int host_count;
     int length_count;
@@ -106,6 +113,25 @@
     return (RequestCheckResult){0};
 }
 
+bool
+Htr_IsAnswer(const HttpHead *head)
+{
+    FieldSummary summary = summarize_fields(&head->fields);
+
+    if (head->status < STATUS_MIN || head->status > STATUS_MAX ||
+        head->status == SWITCHING_PROTOCOLS) {
+        return false;
+    }
+    if (head->status < FINAL_STATUS_MIN) {
+        return true; /* without a body, whatever the fields say */
+    }
+    /* The reader has checked the digits of a length, unless it is empty. */
+    return (summary.length_count == 0 || head->has_content_length) &&
+           (summary.encoding_count == 0 ||
+            (summary.encoding_count == 1 && summary.chunked &&
+             !head->http_1_0));
+}
+
 Str
 Htr_OriginForm(Str target)
 {
--- a/tests/integration/test_whole_answers.c
+++ b/tests/integration/test_whole_answers.c
@@ -92,7 +92,18 @@
     const char *told; /* how the caller's first line begins */
 } LineCase;
 
+#define TOLD_UNKNOWN 504, "HTTP/1.1 504 Gateway Timeout\r\n"
+
 static const LineCase lines[] = {
+    {"HTTP/1.1 000 No", TOLD_UNKNOWN},
+    {"HTTP/1.1 099 No", TOLD_UNKNOWN},
+    {"HTTP/1.1 101 Switching Protocols", TOLD_UNKNOWN},
+    {"HTTP/1.1 600 Six", TOLD_UNKNOWN},
+    {"HTTP/1.1 999 Nine", TOLD_UNKNOWN},
+    {"HTTP/1.1 0200 OK", TOLD_UNKNOWN},
+    {"HTTP/1.1  200 OK", TOLD_UNKNOWN},
+    {"HTTP/1.1 20 OK", TOLD_UNKNOWN},
+    {"HTTP/2 200", TOLD_UNKNOWN},
     {"HTTP/1.1 200", 200, "HTTP/1.1 200 OK\r\n"},
     {"HTTP/1.1 201 Other", 201, "HTTP/1.1 201 Created\r\n"},
     {"HTTP/1.1 299 Own", 299, "HTTP/1.1 299 \r\n"},
@@ -100,9 +111,12 @@
     {"HTTP/1.1 599 Own", 599, "HTTP/1.1 599 \r\n"},
 };
 
+/* Long before the request is late. */
+#define TOLD_WITHIN Span_S(1)
+
 enum { LINE_COUNT = sizeof lines / sizeof lines[0] };
 
-START_TEST(status_has_a_right_reason)
+START_TEST(impossible_status_is_told_as_failure)
 {
     const LineCase *c = &lines[_i];
     StrBuf headers = {0};
@@ -121,6 +135,8 @@
             Str_StartsWith(StrBuf_View(&answer.headers), Str_FromC(c->told)),
         "%s: status %ld, %s", c->line, answer.status,
         StrBuf_CStr(&answer.headers));
+    /* The request may have run. */
+    ck_assert(!Str_Equal(StrBuf_View(&answer.outcome), Str_LIT("not-run")));
     StrBuf_Finish(&headers);
     Fleet_FinishAnswer(&answer);
     Fleet_Finish(&fleet);
@@ -307,7 +323,7 @@
 {
     const SuiteTest tests[] = {
         {answer_is_whole_or_visibly_truncated, CASE_COUNT},
-        {status_has_a_right_reason, LINE_COUNT},
+        {impossible_status_is_told_as_failure, LINE_COUNT},
         {slow_callers_use_bounded_memory, SLOW_COUNT},
         {each_request_gets_its_own_answer, ORDER_COUNT}};
 
