Test that changes come into force with slow disks, on real processes

An acknowledged change was not in force at nodes, and no replica answered a read in calm, in runs whose disks took long to sync. Nothing in the suite made a real replica's disk slow.

test_config_in_force: five replicas in two regions, found through seeds, four nodes, a change every 0.3 s through drawn replicas, seeded. Rows: each sync 100 ms or 250 ms at all five replicas; 600 ms at two; the leader's disk hangs for 3.5 s; all five killed at once and two folders lost, at 100 ms a sync. Bounds: a change is acknowledged, and a read answered by some replica, within 4 s of calm; no node answers 404 for a route acknowledged 2 s before (7 s beside a fault); no read is older than what was acknowledged 2 s before.

Syncs wait by a shared object that the fleet preloads, built for tests only; nothing under src/ knows it.

--- a/Makefile
+++ b/Makefile
@@ -32,13 +32,17 @@
 FLEET_OBJECTS = $(patsubst %.c,$(BUILD)/%.o, \
 	$(filter-out $(FLEET_MAINS),$(wildcard tests/integration/*.c)))
 
+# Shared objects that fleets preload into the daemon.
+PRELOADS = $(patsubst tests/preload/%.c,$(BUILD)/%.so, \
+	$(wildcard tests/preload/*.c))
+
 SUPPORT_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/*.c))
 
 SOURCES = $(wildcard src/*/*.[ch] tools/*.[ch] tests/*/*.[ch])
 
 all: $(DAEMON) $(CLI) $(TOOLS)
 
-programs: all $(UNIT_TESTS) $(FLEET_TESTS)
+programs: all $(UNIT_TESTS) $(FLEET_TESTS) $(PRELOADS)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -71,6 +75,11 @@
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) $(TEST_LIBS) -lm -o $@
 
+$(PRELOADS): $(BUILD)/%.so: tests/preload/%.c
+	@mkdir -p $(BUILD)
+	@echo "LD $@"
+	@$(CC) $(ALL_CFLAGS) -fPIC -shared $< -o $@
+
 packages:
 	scripts/install-packages
 
--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -197,6 +197,7 @@
     append_settings(fleet, vm, &text);
     StrBuf_AppendFmt(&name, "node%d.json", number);
     write_file(fleet, StrBuf_View(&name), StrBuf_View(&text));
+    Fleet_AppendDelay(fleet, number, &command);
     StrBuf_AppendFmt(&command, "%.*s/lycheeridged %.*s/%.*s",
                      Str_ARG(fleet->build_folder), Str_ARG(fleet->folder),
                      Str_ARG(name));
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -40,6 +40,7 @@
     StrBuf extra_settings; /* as in Fleet_SetExtraSettings */
     Span member_expiry;    /* setting member_expiry_ms; 1 s after Fleet_Init.
                             * Change it before any node starts. */
+    bool delays_syncs;     /* as in Fleet_DelaySyncs */
     pid_t proxy;           /* 0: connections do not go through the proxy */
 } Fleet;
 
@@ -131,6 +132,14 @@
  * the proxy rejects it or does not answer. */
 bool Fleet_SendProxyCommand(Fleet *fleet, Str command);
 
+/* Makes each sync of a file by node VM wait for DELAY first.  Nodes that were
+ * started before the first call for any VM are not delayed. */
+void Fleet_DelaySyncs(Fleet *fleet, int vm, Span delay);
+
+/* Appends to a command that starts node VM what precedes the daemon so that
+ * its syncs are delayed; nothing before Fleet_DelaySyncs. */
+void Fleet_AppendDelay(const Fleet *fleet, int vm, StrBuf *out);
+
 /* Nodes started from now on find the control replicas through seeds.  VMS
  * holds the numbers of the seed VMs, one digit each; it is not copied.  BEGINS
  * is the setting begin_history: the history of the fleet begins with this
