Ask several replicas at once when one does not know enough

What callers saw: 404 for a route that had been acknowledged over 2 s before. A node that asked a replica which did not answer asked the next one 250 to 350 ms later, and so on, one after the other; and it was content with any replica in contact with its leader, also one whose log does not advance. With two of five replicas silent and one that lags, and the announcement lost, the newest version came in force after up to 3.1 s.

A poll is satisfied by an answer whose word is younger than 500 ms. The first answer that is older makes the node ask three replicas of any region at once, a missing one does after 250 ms: with the one asked before, these are more than the two silent ones and the one that lags. What is known is renewed before it is 1.25 s old. A control replica keeps its word young only while nodes ask: one that was current within 250 ms answers at once, else one read index request serves all that wait. It answers after 150 ms at the latest, and at once without a leader. A newer preset is not kept back by that.

Ruled out: asking all replicas each time (five times the messages in calm); renewing on a timer (messages without nodes).

--- a/src/process/control.h
+++ b/src/process/control.h
@@ -65,9 +65,12 @@
     Addr node;
     NetOrigin origin;
     Instant request_sent_at;     /* sent_at of its last poll */
+    ConfigVersion known_version; /* in that poll */
+    bool wants_json;             /* in that poll */
+    bool must_be_current;        /* in that poll */
     Instant polled_at;           /* last poll, on this replica's clock */
-    Instant confirm_received_at; /* a poll that came then waits until this
-                                    replica is known to be current; 0: none */
+    Instant waits_since; /* its poll came then and waits until this replica
+                            is known to be current enough; 0: answered */
 } VersionWatcher;
 
 /* The role, with its stored state and all requests that wait for an answer. */
@@ -97,7 +100,8 @@
     PendingRead pending_reads[Ctl_PENDING_READS_MAX];
     VersionWatcher *watchers; /* Ctl_WATCHERS_MAX, owned */
     size_t watcher_count;
-    bool has_pending_reads; /* a pending read, or a watcher that waits */
+    bool has_pending_reads;    /* a pending read, or a watcher that waits */
+    Instant read_requested_at; /* last read for nodes' polls; 0: none */
     Instant next_hello_at;
     Instant startup_ends_at; /* hellos are more frequent until then; 0:
                                 none was sent yet */
--- a/src/process/control_read.c
+++ b/src/process/control_read.c
@@ -6,6 +6,14 @@
 /* A node that has not polled for this long gets no announcements. */
 #define WATCH_EXPIRY Span_S(5)
 
+/* A poll is answered at once by a replica that was known to be current so long
+ * ago; else the replica asks its leader, at most as often. */
+#define POLL_AGE_MAX Span_MS(250)
+
+/* A poll that has waited this long is answered with what is known: before the
+ * node gives this replica up. */
+#define POLL_TIMEOUT Span_MS(150)
+
 /* A read that has waited this long is answered as not current. */
 #define READ_TIMEOUT Span_MS(500)
 
@@ -143,10 +151,15 @@
     VersionWatcher *watcher = find_watcher(control, request->node, now);
 
     if (watcher) {
-        *watcher = (VersionWatcher){.node = request->node,
-                                    .origin = *origin,
-                                    .request_sent_at = request->sent_at,
-                                    .polled_at = now};
+        *watcher =
+            (VersionWatcher){.node = request->node,
+                             .origin = *origin,
+                             .request_sent_at = request->sent_at,
+                             .known_version = request->known_version,
+                             .wants_json = request->wants_json,
+                             .must_be_current = request->must_be_current,
+                             .polled_at = now,
+                             .waits_since = now};
     }
     return watcher;
 }
@@ -183,6 +196,79 @@
     Ctl_Answer(control, origin, &pack, now);
 }
 
+/* Whether a read that came at SINCE can be answered now.  *CURRENT is set to
+ * whether this replica is current as of SINCE; if not, the read has timed out
+ * or the folder is closed. */
+static bool
+can_answer(const ControlReplica *control, Instant since, Instant now,
+           bool *current)
+{
+    *current = control->is_open && Rlog_IsCurrentSince(&control->rlog, since);
+    return *current || !control->is_open || now - since >= READ_TIMEOUT;
+}
+
+/* Whether the poll of WATCHER can be answered now.  A replica that does not
+ * hear a leader would wait in vain. */
+static bool
+can_answer_poll(const ControlReplica *control, const VersionWatcher *watcher,
+                Instant now, bool *current)
+{
+    bool is_done = can_answer(control, watcher->waits_since, now, current);
+
+    return is_done || (!watcher->must_be_current &&
+                       (get_age(control, now) <= POLL_AGE_MAX ||
+                        now - watcher->waits_since >= POLL_TIMEOUT ||
+                        !Rlog_HasLeaderContact(&control->rlog, now)));
+}
+
+/* Returns false while WATCHER has to wait. */
+static bool
+answer_watcher(ControlReplica *control, VersionWatcher *watcher, Instant now)
+{
+    bool current;
+
+    if (!can_answer_poll(control, watcher, now, &current)) {
+        return false;
+    }
+    watcher->waits_since = 0;
+    answer_version(control, &watcher->origin, watcher->request_sent_at,
+                   watcher->known_version, watcher->wants_json, current, now);
+    return true;
+}
+
+/* Answers WATCHER at once if it wants a preset and there is a newer one.
+ * Returns true unless what this replica knows is too old: then WATCHER gets
+ * another answer. */
+static bool
+answer_newer(ControlReplica *control, VersionWatcher *watcher, Instant now)
+{
+    ConfigVersion version = get_known_version(control);
+
+    if (!watcher->wants_json ||
+        Cfg_CompareVersions(version, watcher->known_version) <= 0) {
+        return false;
+    }
+    answer_version(control, &watcher->origin, watcher->request_sent_at,
+                   watcher->known_version, true, false, now);
+    watcher->known_version = version;
+    if (get_age(control, now) <= POLL_AGE_MAX) {
+        watcher->waits_since = 0;
+    }
+    return !watcher->waits_since;
+}
+
+/* One read serves all polls that wait; a node without a version does not wait
+ * for the next one. */
+static void
+request_poll_read(ControlReplica *control, bool at_once, Instant now)
+{
+    if (at_once || !control->read_requested_at ||
+        now - control->read_requested_at >= POLL_AGE_MAX) {
+        control->read_requested_at = now;
+        Rlog_RequestReadIndex(&control->rlog, now);
+    }
+}
+
 static void
 on_version_request(void *context, const NetOrigin *origin, Unpack *in,
                    Instant now)
@@ -198,15 +284,16 @@
     }
     Sps_OnSummary(control->suspects, origin, &request.suspects, now);
     watcher = refresh_watcher(control, &request, origin, now);
-    if (!watcher || !request.must_be_current || !control->is_open) {
+    if (!watcher) {
         answer_version(control, origin, request.sent_at, request.known_version,
                        request.wants_json, false, now);
-        return;
     }
-    watcher->confirm_received_at = now;
-    control->has_pending_reads = true;
-    Rlog_RequestReadIndex(&control->rlog, now);
-    Ctl_AnswerReads(control, now);
+    else if (!answer_newer(control, watcher, now) &&
+             !answer_watcher(control, watcher, now)) {
+        control->has_pending_reads = true;
+        request_poll_read(control, watcher->must_be_current, now);
+        Ctl_AnswerReads(control, now);
+    }
 }
 
 void
@@ -227,22 +314,12 @@
     }
 }
 
-/* Whether a read that came at SINCE can be answered now.  *CURRENT is set to
- * whether this replica is current as of SINCE; if not, the read has timed out
- * or the folder is closed. */
-static bool
-can_answer(const ControlReplica *control, Instant since, Instant now,
-           bool *current)
-{
-    *current = control->is_open && Rlog_IsCurrentSince(&control->rlog, since);
-    return *current || !control->is_open || now - since >= READ_TIMEOUT;
-}
-
 void
 Ctl_AnswerReads(ControlReplica *control, Instant now)
 {
     bool current;
     bool any_pending = false;
+    bool must_read;
 
     if (!control->has_pending_reads) {
         return;
@@ -257,18 +334,16 @@
         }
         any_pending = any_pending || pending->received_at;
     }
+    must_read = any_pending;
     for (size_t i = 0; i < control->watcher_count; i++) {
         VersionWatcher *watcher = &control->watchers[i];
-        if (watcher->confirm_received_at &&
-            can_answer(control, watcher->confirm_received_at, now, &current)) {
-            watcher->confirm_received_at = 0;
-            answer_version(control, &watcher->origin, watcher->request_sent_at,
-                           (ConfigVersion){0}, false, current, now);
+        if (watcher->waits_since && !answer_watcher(control, watcher, now)) {
+            any_pending = true;
+            must_read = must_read || watcher->must_be_current;
         }
-        any_pending = any_pending || watcher->confirm_received_at;
     }
     control->has_pending_reads = any_pending;
-    if (any_pending) {
+    if (must_read) {
         Rlog_RequestReadIndex(&control->rlog, now);
     }
 }
--- a/src/process/versionfollower.c
+++ b/src/process/versionfollower.c
@@ -4,9 +4,6 @@
 
 #define TICK Span_MS(100)
 
-/* An answer that is older does not say enough. */
-#define WORD_AGE_MAX Span_MS(500)
-
 /* The same version is not requested again within this time. */
 #define FETCH_RETRY Span_MS(300)
 
@@ -32,7 +29,6 @@
     if (!follower->first_request_at) {
         follower->first_request_at = now;
     }
-    Vpl_OnRequest(&follower->poll, now);
 }
 
 static bool
@@ -81,9 +77,12 @@
 {
     bool is_in_sync = follower->is_up_to_date && follower->suspects->is_synced;
 
-    if (Vpl_IsDue(&follower->poll, is_in_sync, now)) {
-        send_request(follower, choose_replica(follower),
-                     !follower->is_up_to_date, now);
+    uint32_t count = Vpl_CountDue(&follower->poll, is_in_sync, now);
+
+    for (uint32_t i = 0; i < count; i++) {
+        Addr replica = choose_replica(follower);
+        Vpl_OnRequest(&follower->poll, now);
+        send_request(follower, replica, !follower->is_up_to_date, now);
     }
 }
 
@@ -107,6 +106,11 @@
     }
     follower->fetch_version = version;
     follower->fetch_sent_at = now;
+    /* Without an answer another replica is asked; while a poll has none, that
+     * is under way. */
+    if (follower->poll.vain_rounds == 0) {
+        Vpl_OnRequest(&follower->poll, now);
+    }
     send_request(follower, replica, false, now);
 }
 
@@ -181,7 +185,10 @@
         return;
     }
     as_of = compute_as_of(follower, &msg, now);
-    Vpl_OnResponse(&follower->poll, as_of > 0 && now - as_of < WORD_AGE_MAX);
+    /* A preset is sent at once; if the word that comes with it is old,
+     * another one follows. */
+    Vpl_OnResponse(&follower->poll, msg.json.len ? 0 : msg.request_sent_at,
+                   as_of, now);
     if (msg.leader) {
         follower->leader = msg.leader;
     }
@@ -196,6 +203,9 @@
     follower->is_up_to_date =
         follower->is_confirmed && follower->version.term > 0 &&
         Cfg_CompareVersions(follower->version, follower->min_version) >= 0;
+    if (follower->poll.is_overdue) {
+        poll_when_due(follower, now);
+    }
 }
 
 void
--- a/src/process/versionfollower.h
+++ b/src/process/versionfollower.h
@@ -1,8 +1,9 @@
 /* Fol: follows the configuration version in force for a node.  The node calls
  * Fol_Init at its start; from then on APPLY is called with each newer version.
  *
- * The follower polls the control replicas of its region in turn; a polled
- * replica announces a newer version as soon as it has one.  Versions are only
+ * The follower polls the control replicas of its region in turn, and several
+ * of any region when one did not know enough; a polled replica announces a
+ * newer version as soon as it has one.  Versions are only
  * ever replaced by newer ones.  After its start the node accepts no version
  * until a replica has confirmed which one is the newest, and none older than
  * that, so that a replica that lags or is partitioned can't bring back an
--- a/src/process/versionpoll.c
+++ b/src/process/versionpoll.c
@@ -5,34 +5,53 @@
 /* An answer from another region arrives long before this. */
 #define RESPONSE_TIMEOUT Span_MS(250)
 
-bool
-Vpl_IsDue(const VersionPoll *poll, bool is_up_to_date, Instant now)
+/* An answer that is older does not say enough. */
+#define WORD_AGE_MAX Span_MS(500)
+
+/* What is known is renewed before it is this old: the interval, and the age
+ * of what a replica answers without asking its leader. */
+#define RENEWAL_AGE Span_MS(1250)
+
+uint32_t
+Vpl_CountDue(const VersionPoll *poll, bool is_up_to_date, Instant now)
 {
-    if (!is_up_to_date || now >= poll->next_request_at) {
-        return true;
+    if (poll->is_overdue ||
+        (poll->vain_rounds > 0 &&
+         now - poll->last_request_at >= RESPONSE_TIMEOUT)) {
+        return Vpl_WIDE_REQUESTS;
     }
-    return poll->unanswered_requests > 0 &&
-           now - poll->last_request_at >= RESPONSE_TIMEOUT;
+    return !is_up_to_date || now >= poll->next_request_at;
 }
 
 bool
 Vpl_UsesAllRegions(const VersionPoll *poll)
 {
-    return poll->unanswered_requests > 0;
+    return poll->vain_rounds > 0;
 }
 
 void
 Vpl_OnRequest(VersionPoll *poll, Instant now)
 {
-    poll->unanswered_requests++;
+    if (poll->vain_rounds == 0 || now != poll->last_request_at) {
+        poll->vain_rounds++;
+    }
+    poll->is_overdue = false;
     poll->last_request_at = now;
     poll->next_request_at = now + POLL_INTERVAL;
 }
 
 void
-Vpl_OnResponse(VersionPoll *poll, bool has_leader)
+Vpl_OnResponse(VersionPoll *poll, Instant sent_at, Instant as_of, Instant now)
 {
-    if (has_leader) {
-        poll->unanswered_requests = 0;
+    if (as_of > 0 && now - as_of < WORD_AGE_MAX) {
+        poll->vain_rounds = 0;
+        poll->is_overdue = false;
+        if (as_of + RENEWAL_AGE < poll->next_request_at) {
+            poll->next_request_at = as_of + RENEWAL_AGE;
+        }
+    }
+    /* Those asked later have been asked widely already. */
+    else if (poll->vain_rounds == 1 && sent_at == poll->last_request_at) {
+        poll->is_overdue = true;
     }
 }
