Write the log anew when a folder is opened

A control replica could lose votes and entries that it had acknowledged, or refuse its folder, after a kill or a failed sync and a later loss of power.

Cause: what a process writes can be read back before any sync, also by the next process. That one took it for stored: it acknowledged entries and votes that it "had" without a sync of its own. After a sync that failed, a second one of the same file may say nothing. And with an unsynced frame before a synced one, a loss of power may leave damage in the middle of the log. Now the bytes that were read go to a new file, which is synced and renamed, before the replica takes part. That also removes an incomplete last frame, which was cut in place until now.

Ruled out: a sync of the file as it is (not enough after one that failed, and the same number of waits but one). A vote and a batch of entries still wait for one sync each (vote_takes_one_sync).

--- a/src/version/disk.c
+++ b/src/version/disk.c
@@ -255,20 +255,6 @@
     return true;
 }
 
-static bool
-truncate_torn_frame(ReplicaStorage *storage, size_t bytes, size_t intact_bytes,
-                    Err *err)
-{
-    storage->truncated_bytes = bytes - intact_bytes;
-    if (storage->truncated_bytes &&
-        (ftruncate(storage->log_fd, (off_t)intact_bytes) != 0 ||
-         fsync(storage->log_fd) != 0)) {
-        return Err_SET(err, Err_IO, "cannot truncate the log: %s",
-                       strerror(errno));
-    }
-    return true;
-}
-
 /* Reads the log into LIST, which points into BYTES. */
 static bool
 read_log(ReplicaStorage *storage, StrBuf *bytes, LogEntryList *list, Err *err)
@@ -279,6 +265,17 @@
            Dlg_ReadFrames(list, StrBuf_View(bytes), err);
 }
 
+static bool
+write_log(ReplicaStorage *storage, Str bytes, Err *err)
+{
+    if (!Frm_ReplaceFile(storage->folder_fd, log_file, bytes, err)) {
+        return false;
+    }
+    close(storage->log_fd);
+    return open_log(storage, err);
+}
+
+/* Writes a log of the entries and the vote of LIST alone. */
 static bool
 replace_log(ReplicaStorage *storage, const LogEntryList *list, Err *err)
 {
@@ -291,27 +288,32 @@
     if (list->count) {
         Dlg_AppendEntries(&bytes, list->entries, list->count);
     }
-    good = Frm_ReplaceFile(storage->folder_fd, log_file, StrBuf_View(&bytes),
-                           err);
+    good = write_log(storage, StrBuf_View(&bytes), err);
     StrBuf_Finish(&bytes);
-    if (!good) {
-        return false;
-    }
-    close(storage->log_fd);
-    return open_log(storage, err);
+    return good;
 }
 
-/* Removes the entries that the snapshot covers, also from the file: a process
- * may have ended between the snapshot and the log.  Later entries could not be
- * appended to others than those before them. */
+/* Writes the log anew: what was read may be in memory alone, when an earlier
+ * process ended or failed before its sync, and a sync of the same file after
+ * one that failed may say nothing.  BYTES is what was read.
+ *
+ * The entries that the snapshot covers are left out, since later ones could
+ * not be appended to them. */
 static bool
-drop_covered_entries(ReplicaStorage *storage, LogEntryList *list,
-                     uint64_t term, uint64_t index, Err *err)
+make_log_durable(ReplicaStorage *storage, LogEntryList *list, Str bytes,
+                 uint64_t term, uint64_t index, Err *err)
 {
     size_t count = list->count;
 
-    return Dlg_DropThroughSnapshot(list, term, index, err) &&
-           (list->count == count || replace_log(storage, list, err));
+    storage->truncated_bytes = bytes.len - list->intact_bytes;
+    if (!Dlg_DropThroughSnapshot(list, term, index, err)) {
+        return false;
+    }
+    if (list->count != count) {
+        return replace_log(storage, list, err);
+    }
+    return bytes.len == 0 ||
+           write_log(storage, Str_Slice(bytes, 0, list->intact_bytes), err);
 }
 
 bool
@@ -328,8 +330,8 @@
     good = read_log(storage, &bytes, &list, err) &&
            load_vote(storage, callbacks, &list, err) &&
            load_snapshot(storage, callbacks, &term, &index, err) &&
-           truncate_torn_frame(storage, bytes.len, list.intact_bytes, err) &&
-           drop_covered_entries(storage, &list, term, index, err) &&
+           make_log_durable(storage, &list, StrBuf_View(&bytes), term, index,
+                            err) &&
            report_entries(callbacks, &list, err);
     Dlg_Finish(&list);
     StrBuf_Finish(&bytes);
--- a/src/version/disk.h
+++ b/src/version/disk.h
@@ -10,8 +10,9 @@
  * true, the data is synced.  After a failed write all further writes fail
  * until the folder is opened again.
  *
- * An incomplete last frame of the log was never acknowledged, so Disk_Load
- * truncates the log before it.  Any other data that does not match its
+ * Disk_Load makes durable what it reads: an earlier process may have ended
+ * before its sync.  An incomplete last frame of the log was never acknowledged
+ * and is removed.  Any other data that does not match its
  * checksum is Err_CORRUPT: the operator replaces the folder by an empty one.
  */
 #ifndef DISK_H
@@ -52,8 +53,8 @@
 /* Closes the folder and releases its lock. */
 void Disk_Finish(ReplicaStorage *storage);
 
-/* Reads the whole folder back through CALLBACKS; returns false and sets ERR on
- * failure. */
+/* Reads the whole folder back through CALLBACKS and writes the log anew;
+ * returns false and sets ERR on failure. */
 bool Disk_Load(ReplicaStorage *storage, const StorageLoadCallbacks *callbacks,
                Err *err);
 
