Save what was loaded of backend servers that left before it counts

A backend server that had left could be in use again after a kill of a control replica and a later loss of power.

Cause: a control replica counted the rows of its file as held when it had read them. The process that wrote the file may have ended between the rename and the sync of the folder, and the loss of power brings the file before it back. A replica saves the table once more after it has loaded it; its answers and its own row wait for that, as they wait after each new row.

Ruled out: rows that this process recorded; they waited for the save already.

--- a/src/process/leavesync.c
+++ b/src/process/leavesync.c
@@ -290,6 +290,8 @@
         !Leavemsg_ReadTable(payload, &sync->table, now, &err)) {
         Lgr_LogErr(sync->logger, Lgr_INFO, Str_LIT("leaves_not_loaded"), &err);
     }
+    /* The process that wrote the file may have ended before its sync. */
+    sync->needs_save = sync->table.count > 0;
     StrBuf_Finish(&bytes);
 }
 
