--- a/tests/unit/test_answer_forms.c
+++ b/tests/unit/test_answer_forms.c
@@ -2,6 +2,7 @@
  * are passed on as an answer, among them those with an impossible status, and
  * that a correct answer is not passed on or not ended in time.
  */
+#include "connection/httprule.h"
 #include "support/stub_server.h"
 #include "support/suite.h"
 
@@ -280,12 +281,81 @@
 }
 END_TEST
 
+typedef struct {
+    uint16_t status; /* of the last head */
+    StrBuf body;
+} ReadAnswer;
+
+static bool
+on_head(void *context, const HttpHead *head)
+{
+    ((ReadAnswer *)context)->status = head->status;
+    return Htr_IsAnswer(head);
+}
+
+static bool
+on_body(void *context, Str bytes)
+{
+    StrBuf_Append(&((ReadAnswer *)context)->body, bytes);
+    return true;
+}
+
+/* Reads the row's answer in pieces of PIECE bytes, through its interim
+ * answers. */
+static HttpReadStatus
+read_in_pieces(const FormCase *c, size_t piece, ReadAnswer *answer)
+{
+    const HttpReaderCallbacks callbacks = {answer, on_head, on_body};
+    HttpReadStatus status = Hrd_NEEDS_MORE;
+    struct evbuffer *input = evbuffer_new();
+    HttpReader reader;
+
+    Hrd_Init(&reader, Hrd_ANSWERS, &callbacks, 4096);
+    reader.skip_body = Str_Equal(Str_FromC(c->method), Str_LIT("HEAD"));
+    for (size_t at = 0; at < c->answer.len && status == Hrd_NEEDS_MORE;) {
+        Str part = Str_Slice(c->answer, at, piece);
+        evbuffer_add(input, part.ptr, part.len);
+        at += part.len;
+        do {
+            status = Hrd_Feed(&reader, input);
+        } while (status == Hrd_MESSAGE_END && answer->status < 200 &&
+                 evbuffer_get_length(input));
+        if (status == Hrd_MESSAGE_END && answer->status < 200) {
+            status = Hrd_NEEDS_MORE;
+        }
+    }
+    Hrd_Finish(&reader);
+    evbuffer_free(input);
+    return status;
+}
+
+START_TEST(form_is_judged_the_same_in_pieces)
+{
+    const FormCase *c = &forms[_i];
+    ReadAnswer whole = {0};
+    HttpReadStatus status = read_in_pieces(c, c->answer.len, &whole);
+
+    for (size_t piece = 1; piece < c->answer.len; piece++) {
+        ReadAnswer answer = {0};
+        ck_assert_msg(read_in_pieces(c, piece, &answer) == status,
+                      "%s, %zu bytes a piece: not %d", c->name, piece,
+                      (int)status);
+        ck_assert(!c->status || (answer.status == whole.status &&
+                                 Str_Equal(StrBuf_View(&answer.body),
+                                           StrBuf_View(&whole.body))));
+        StrBuf_Finish(&answer.body);
+    }
+    StrBuf_Finish(&whole.body);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {
         {impossible_status_is_no_answer, STATUS_ROWS},
-        {answer_is_passed_on_or_refused_by_its_form, ROWS(forms)}};
+        {answer_is_passed_on_or_refused_by_its_form, ROWS(forms)},
+        {form_is_judged_the_same_in_pieces, ROWS(forms)}};
 
-    return Suite_Run("answer forms", tests, 2, 20);
+    return Suite_Run("answer forms", tests, 3, 20);
 }
