Let no late second copy of an answer answer the next request

Reported by operators of similar systems: a server sent an answer again, late, on a connection in use again, and the next caller got it. Shown here in four ways: an answer that names no request, from a server that never does; an answer to the health path before the first one to a call; a refusal, while the same request runs there a second time, which told "not run" of a run; and answers to HEAD, or to GET while HEAD waits, which were read with the wrong end, so that the answer behind them was lost.

Cause: what a connection had seen decided whether an answer may name no request; an id names a request, not one sending of it; and a foreign answer was read as one to the request that waits.

Ruled out by rows that held before: a named copy, one in the segment of the first answer, in a chunk or between chunks, and one without a name where the answers have names.

Now an answer without a request id is taken only as the first over its connection, and ends it; a health answer keeps its connection only if the backend server has named a call's request. The refusals without an id, which ended their connection before, are one case of this.

Cost: a backend server that never names requests gets a new connection for each.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "connection/carried.h"
 #include "connection/delivery.h"
 #include "connection/httpread.h"
 #include "connection/httprule.h"
@@ -49,9 +50,9 @@
     struct bufferevent *bev;
     HttpReader reader;
     Addr addr;
-    bool has_completed;      /* an exchange has completed over it */
-    bool is_connected;       /* the TCP connection was established */
-    bool echoes_request_ids; /* an answer over it has carried its request id */
+    bool has_completed; /* an exchange has completed over it */
+    bool is_connected;  /* the TCP connection was established */
+    CarriedRequests carried;
     Instant idle_since;
     Span idle_timeout;
     BackendExchange *exchange; /* NULL: idle, or to be closed */
@@ -244,11 +245,18 @@
 /* The request that an answer belongs to, by the request id in its head. */
 typedef enum { THIS_REQUEST, OTHER_REQUEST, NO_REQUEST_ID } AnswerOwner;
 
+static Str
+get_echoed_id(const BackendExchange *exchange, const HttpHead *head)
+{
+    Str name = exchange->pool->header_names.request_id;
+
+    return name.len ? Field_Get(&head->fields, name) : (Str){0};
+}
+
 static AnswerOwner
 find_answer_owner(const BackendExchange *exchange, const HttpHead *head)
 {
-    Str name = exchange->pool->header_names.request_id;
-    Str echoed = name.len ? Field_Get(&head->fields, name) : (Str){0};
+    Str echoed = get_echoed_id(exchange, head);
 
     if (!echoed.len || (!exchange->request.request_id.len &&
                         !exchange->request.is_internal)) {
@@ -272,8 +280,23 @@
     }
 }
 
+/* Whether more bytes may follow the answer that would be taken for the answer
+ * to the next request: a body where there must be none, or a second copy that
+ * names no request either. */
+static bool
+may_be_followed(const BackendExchange *exchange, const HttpHead *head,
+                AnswerOwner owner)
+{
+    if (head->status == NO_CONTENT &&
+        (head->has_content_length || head->chunked)) {
+        return true;
+    }
+    return owner != THIS_REQUEST &&
+           !(exchange->request.is_internal && exchange->pool->names_requests);
+}
+
 static void
-accept_head(BackendExchange *exchange, const HttpHead *head)
+accept_head(BackendExchange *exchange, const HttpHead *head, AnswerOwner owner)
 {
     BackendPool *pool = exchange->pool;
     const FieldList *all = &head->fields;
@@ -281,10 +304,8 @@
     FieldList fields;
 
     exchange->head_received = true;
-    /* What has a length without content may be followed by a body. */
     exchange->keep_open =
-        head->keep_alive && !(head->status == NO_CONTENT &&
-                              (head->has_content_length || head->chunked));
+        head->keep_alive && !may_be_followed(exchange, head, owner);
     if (idle) {
         /* Half of the timeout: the backend server counts from an earlier
          * time. */
@@ -299,11 +320,6 @@
                             (has_field(all, pool->header_names.not_run) ||
                              (head->status == MISDIRECTED &&
                               pool->header_names.expected_instance.len));
-    if (exchange->is_rejected && !exchange->connection->echoes_request_ids) {
-        /* If the backend server sent this rejection twice, the second would
-         * be taken for the answer to the next request. */
-        exchange->keep_open = false;
-    }
     if (!exchange->is_rejected) {
         if (!exchange->request.is_internal) {
             report_answer(exchange, head->status);
@@ -316,6 +332,28 @@
     }
 }
 
+/* Whether an answer that names no request may be a second copy of one to an
+ * earlier request. */
+static bool
+may_be_copy(const BackendExchange *exchange)
+{
+    return !exchange->request.is_internal &&
+           exchange->connection->has_completed;
+}
+
+/* Begins to discard an answer to another request.  Returns false if where it
+ * ends isn't known: it may be to a HEAD request. */
+static bool
+begin_foreign(const BackendExchange *exchange, const HttpHead *head)
+{
+    BackendConnection *connection = exchange->connection;
+    AnswerFraming framing =
+        Car_FindFraming(&connection->carried, get_echoed_id(exchange, head));
+
+    connection->reader.skip_body = framing == Car_NO_BODY;
+    return framing != Car_UNKNOWN;
+}
+
 static bool
 on_head(void *context, const HttpHead *head)
 {
@@ -331,15 +369,17 @@
         return true;
     }
     owner = find_answer_owner(exchange, head);
-    if (owner == NO_REQUEST_ID && connection->echoes_request_ids &&
-        !exchange->request.is_internal) {
-        return false; /* possibly a repeated answer to an earlier request */
-    }
-    connection->echoes_request_ids |= owner == THIS_REQUEST;
     exchange->is_foreign = owner == OTHER_REQUEST;
-    if (!exchange->is_foreign) {
-        accept_head(exchange, head);
+    if (exchange->is_foreign) {
+        return begin_foreign(exchange, head);
     }
+    if (owner == NO_REQUEST_ID && may_be_copy(exchange)) {
+        return false;
+    }
+    exchange->pool->names_requests |=
+        owner == THIS_REQUEST &&
+        exchange->server_number == exchange->pool->server_number;
+    accept_head(exchange, head, owner);
     return connection->exchange == exchange;
 }
 
@@ -359,6 +399,20 @@
     return connection->exchange == exchange;
 }
 
+static bool
+is_head_request(const BackendRequest *request)
+{
+    return Str_Equal(request->method, Str_LIT("HEAD"));
+}
+
+/* The next answer over the connection is the one to the request. */
+static void
+expect_answer(const BackendExchange *exchange)
+{
+    exchange->connection->reader.skip_body =
+        is_head_request(&exchange->request);
+}
+
 /* Handles the end of a message.  Returns false if the answer to this request
  * is still to come. */
 static bool
@@ -369,6 +423,7 @@
                  evbuffer_get_length(bufferevent_get_output(stream)) == 0;
 
     if (exchange->is_interim || exchange->is_foreign) {
+        expect_answer(exchange);
         exchange->is_interim = false;
         exchange->is_foreign = false;
         return false;
@@ -502,19 +557,35 @@
                 MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
+static bool
+is_usable(const BackendConnection *connection, Instant now)
+{
+    const BackendPool *pool = connection->pool;
+
+    return !pool->silence.suspected && connection->addr == pool->addr &&
+           now - connection->idle_since < connection->idle_timeout &&
+           is_open(connection);
+}
+
+/* A request that is sent a second time uses another connection: a second copy
+ * of the answer to the first would name it too. */
 static BackendConnection *
-get_connection(BackendPool *pool, Instant now)
+get_connection(BackendPool *pool, Str request_id, Instant now)
 {
+    BackendConnection **at = &pool->idle;
     BackendConnection *connection;
 
-    while ((connection = pool->idle)) {
-        if (!pool->silence.suspected && connection->addr == pool->addr &&
-            now - connection->idle_since < connection->idle_timeout &&
-            is_open(connection)) {
-            pool->idle = connection->next;
+    while ((connection = *at)) {
+        if (!is_usable(connection, now)) {
+            close_idle(connection);
+        }
+        else if (Car_Has(&connection->carried, request_id)) {
+            at = &connection->next;
+        }
+        else {
+            *at = connection->next;
             return connection;
         }
-        close_idle(connection);
     }
     return open_connection(pool);
 }
@@ -575,8 +646,9 @@
     exchange->sent_at = pool->clock();
     exchange->server_number = pool->server_number;
     connection->exchange = exchange;
-    connection->reader.skip_body =
-        Str_Equal(exchange->request.method, Str_LIT("HEAD"));
+    expect_answer(exchange);
+    Car_Add(&connection->carried, exchange->request.request_id,
+            is_head_request(&exchange->request));
     if (!connection->has_completed && !exchange->request.is_internal) {
         exchange->is_new_send = true;
         Sil_OnNewSend(&pool->silence, exchange->request.work_kind);
@@ -720,6 +792,7 @@
         pool->addr = addr;
         StrBuf_Set(&pool->expected_instance, instance);
         pool->server_number++;
+        pool->names_requests = false;
         Sil_OnNewServer(&pool->silence);
         close_all_idle(pool);
     }
@@ -768,7 +841,8 @@
     exchange->callbacks = *callbacks;
     exchange->timeout_timer =
         start_timer(exchange, timeout_of(request), on_timeout);
-    send_request(exchange, get_connection(pool, pool->clock()));
+    send_request(exchange,
+                 get_connection(pool, request->request_id, pool->clock()));
     if (request->resend_after && exchange->connection->has_completed) {
         exchange->resend_timer =
             start_timer(exchange, request->resend_after / SUSPECTED_DIVISOR,
--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -4,9 +4,9 @@
  *
  * A complete answer that says that the request did not run ends the exchange
  * with Bck_REJECTED, and on_head is not called for it.  An answer that
- * carries the id of another request is discarded.  An answer without a
- * request id is accepted only if no earlier answer on its connection carried
- * one; a rejection without a request id closes its connection.
+ * carries the id of another request is discarded.  One without a request id
+ * is accepted only as the first over its connection, and closes it.  A request
+ * id is not sent over a connection that carried it lately.
  */
 #ifndef BACKEND_H
 #define BACKEND_H
@@ -72,6 +72,7 @@
     BackendConnection *closing; /* closed later from the event loop */
     struct event *close_event;
     uint32_t server_number; /* counts the backend servers so far */
+    bool names_requests;    /* an answer of this one carried its request id */
     SilenceWatch silence;
     void *resend_check_context;
     bool (*resend_check)(void *context, bool may_still_run,
