Keep the connection of a 204 that announces no body

A 204 with "Content-Length: 0", which many servers send, ended its connection, since any length counted as the sign of a body that may follow. Only a length above 0 and chunks are one. test_answer_forms "204 with the length 0" failed before and passes now; the other 101 rows are as before.

--- a/src/connection/backend.c
+++ b/src/connection/backend.c
@@ -280,6 +280,18 @@
     }
 }
 
+/* Whether the fields of an answer announce a body. */
+static bool
+announces_body(const HttpHead *head)
+{
+    uint64_t len = 0;
+
+    return head->chunked ||
+           (Str_ToU64(Field_Get(&head->fields, Str_LIT("Content-Length")),
+                      &len) &&
+            len > 0);
+}
+
 /* Whether more bytes may follow the answer that would be taken for the answer
  * to the next request: a body where there must be none, or a second copy that
  * names no request either. */
@@ -287,12 +299,9 @@
 may_be_followed(const BackendExchange *exchange, const HttpHead *head,
                 AnswerOwner owner)
 {
-    if (head->status == NO_CONTENT &&
-        (head->has_content_length || head->chunked)) {
-        return true;
-    }
-    return owner != THIS_REQUEST &&
-           !(exchange->request.is_internal && exchange->pool->names_requests);
+    return (head->status == NO_CONTENT && announces_body(head)) ||
+           (owner != THIS_REQUEST && !(exchange->request.is_internal &&
+                                       exchange->pool->names_requests));
 }
 
 static void
