Let a stop begin its quiet time again after the node itself did not run

What callers saw: a node that was being stopped was frozen for a moment. Calls that other nodes had sent to it just before got no answer until their deadline, and nobody could say whether they had run.

Cause: a stopping node exits once other nodes have been quiet for the propagation time. Time in which the node itself did not run counted as their quiet: it exited with the first tick after the pause, with their attempts still unread in its socket. Nobody was left to say what became of them.

Ruled out: pauses that begin within 50 ms of the signal: then the next step is to stop listening, and the tick after it finds the attempts read.

Why it works: the timer of the node sees that it ran late, and the quiet time begins again; what was on its way is read within it, and a node that asks over a new connection is answered. The time limit of the stop is not moved.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -245,6 +245,10 @@
 {
     Node *node = context;
 
+    if (node->ticked_at) {
+        Stp_OnOwnPause(&node->stop, now - node->ticked_at - TIMER_PERIOD, now);
+    }
+    node->ticked_at = now;
     Lvs_Tick(&node->leaves, now);
     Ann_Expire(&node->announcements, now);
     if (!Stp_MayStartCalls(&node->stop, false, now)) {
--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -8,6 +8,9 @@
  * any more; of nested calls. */
 enum { NO_START_DIVISOR = 2, NO_NESTED_START_DIVISOR = 6 };
 
+/* A pause counts from this part of the propagation time on. */
+enum { PAUSE_MIN_DIVISOR = 8 };
+
 void
 Stp_Init(GracefulStop *stop, const StopSettings *settings)
 {
@@ -24,8 +27,17 @@
     stop->signaled_at = now;
 }
 
+void
+Stp_OnOwnPause(GracefulStop *stop, Span pause, Instant now)
+{
+    if (pause >= stop->settings.propagation_time / PAUSE_MIN_DIVISOR) {
+        stop->resumed_at = now;
+    }
+}
+
 /* True when the other nodes know that this node leaves: enough time has passed
- * since the signal, and since the last attempt that one of them sent. */
+ * since the signal, since the last attempt that one of them sent, and since
+ * this node was last unable to read what they sent. */
 static bool
 is_propagated(const GracefulStop *stop, const StopActivity *activity,
               Instant now)
@@ -33,6 +45,7 @@
     Span required_time = stop->settings.propagation_time;
 
     return now - stop->signaled_at >= required_time &&
+           now - stop->resumed_at >= required_time &&
            (activity->last_peer_attempt_at == 0 ||
             now - activity->last_peer_attempt_at >= required_time);
 }
--- a/tests/integration/fleet_stop.c
+++ b/tests/integration/fleet_stop.c
@@ -50,6 +50,25 @@
     Fleet_Sleep(Span_S(2));
 }
 
+static void
+pause_process(FleetStop *stop, Span since_signal)
+{
+    pid_t node = stop->fleet->vms[Fst_STOPPED_VM].node;
+
+    if (!stop->pause || stop->has_exited) {
+        return;
+    }
+    if (!stop->is_paused && since_signal >= stop->pause_after) {
+        kill(node, SIGSTOP);
+        stop->is_paused = true;
+    }
+    if (!stop->is_pause_over &&
+        since_signal >= stop->pause_after + stop->pause) {
+        kill(node, SIGCONT);
+        stop->is_pause_over = true;
+    }
+}
+
 static void
 on_tick(void *context, Span elapsed)
 {
@@ -65,6 +84,7 @@
         kill(*node, SIGTERM);
         stop->is_signaled = true;
     }
+    pause_process(stop, elapsed - Fst_SIGNAL_AT);
     if (stop->is_signaled && !stop->has_exited &&
         waitpid(*node, &stop->status, WNOHANG) == *node) {
         stop->has_exited = true;
--- a/tests/integration/fleet_stop.h
+++ b/tests/integration/fleet_stop.h
@@ -29,7 +29,12 @@
     Mix mix;
     Str fault; /* a command for the proxy, sent shortly before the signal;
                   empty: none */
+    Span pause_after; /* the process does not run from so long after the
+                         signal on */
+    Span pause;       /* for so long; 0: it is not paused */
     bool is_faulted;
+    bool is_paused;
+    bool is_pause_over;
     bool is_signaled;
     bool has_exited;
     Span took;  /* from the signal to the exit */
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -15,6 +15,8 @@
     const char *name;
     StopStep steps[STEPS_MAX];
     Instant second_signal; /* 0: none */
+    Instant resumed;       /* the end of a pause; 0: none */
+    Span pause;
     bool timed_out;
 } StopCase;
 
@@ -116,6 +118,39 @@
       {70000, {.calls = 1}, Stp_EXIT}},
      .second_signal = 65000,
      .timed_out = true},
+    {"a pause beyond the propagation time",
+     {{0, {0}, Stp_LEAVE},
+      {50000, {0}, Stp_STOP_LISTENING},
+      {2000000, {0}, Stp_WAIT},
+      {2000000 + PROPAGATION_TIME - 1, {0}, Stp_WAIT},
+      {2000000 + PROPAGATION_TIME, {0}, Stp_EXIT}},
+     .resumed = 2000000,
+     .pause = 1940000},
+    {"a pause, after which attempts are read",
+     {{0, {0}, Stp_LEAVE},
+      {50000, {0}, Stp_STOP_LISTENING},
+      {2000000, {0}, Stp_WAIT},
+      {2000000 + PROPAGATION_TIME,
+       {.last_peer_attempt_at = AFTER_SIGNAL(2000100)},
+       Stp_WAIT},
+      {2000100 + PROPAGATION_TIME,
+       {.last_peer_attempt_at = AFTER_SIGNAL(2000100)},
+       Stp_EXIT}},
+     .resumed = 2000000,
+     .pause = 1940000},
+    {"a pause too short to count",
+     {{0, {0}, Stp_LEAVE},
+      {50000, {0}, Stp_STOP_LISTENING},
+      {PROPAGATION_TIME, {0}, Stp_EXIT}},
+     .resumed = PROPAGATION_TIME,
+     .pause = PROPAGATION_TIME / 8 - 1},
+    {"a pause over the time limit",
+     {{0, {.calls = 1}, Stp_LEAVE},
+      {50000, {.calls = 1}, Stp_STOP_LISTENING},
+      {TIME_LIMIT, {.calls = 1}, Stp_EXIT}},
+     .resumed = TIME_LIMIT,
+     .pause = TIME_LIMIT / 2,
+     .timed_out = true},
 };
 
 enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
@@ -134,6 +169,9 @@
         if (c->second_signal && step->at > c->second_signal) {
             Stp_OnSignal(&stop, AFTER_SIGNAL(c->second_signal));
         }
+        if (c->resumed && step->at == c->resumed) {
+            Stp_OnOwnPause(&stop, c->pause, AFTER_SIGNAL(c->resumed));
+        }
         ck_assert_msg(Stp_NextStep(&stop, &step->activity,
                                    AFTER_SIGNAL(step->at)) == step->action,
                       "%s: step %d", c->name, i);
