Say that a route is missing only while that can be known

A node that lacks a route now answers 404 only while its word of its version is younger than the time within which a change must be in force everywhere; else 503 with Retry-After, not run, like a node without a version. A request that is refused at T with a word as of K, T - K below that time, can't have been sent later than that time after a change was acknowledged that came after K; and every change before K is in force here. The platform states the time as the bound "config_apply_ms"; without it it is 2 s.

Ruled out: refusing every call by an old word. A route that is there is served as before: nodes go on while no replica can be reached. In calm a word is at most 1.5 s old, so that nothing changes there.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -463,6 +463,8 @@
     Run_SetBackendLostCallback(&node->runner, on_backend_lost, node);
     node->dispatcher.enclosing_run_context = &node->runner;
     node->dispatcher.has_enclosing_run = has_enclosing_run;
+    node->dispatcher.version_word = &node->version_follower.word;
+    node->dispatcher.apply_bound = settings->apply_bound;
     Fnc_RegisterHandlers(&node->runner);
     Acc_Init(&node->register_acceptor, &node->loop, &node->net,
              &node->counters, &node->timeline, settings, node->incarnation,
--- a/src/process/setbounds.c
+++ b/src/process/setbounds.c
@@ -3,14 +3,17 @@
 /* From the end of a graceful stop to the end of the process. */
 #define EXIT_TIME Span_MS(800)
 
-enum { GRACE_MAX_S = 3600 };
+/* Without the bound "config_apply_ms". */
+#define APPLY_BOUND Span_MS(2000)
 
-/* Reads whole seconds; a fraction is ignored. */
+enum { GRACE_MAX_S = 3600, APPLY_MAX_MS = 3600000 };
+
+/* Reads a whole number; a fraction is ignored. */
 static bool
-read_seconds(Str text, uint64_t *seconds)
+read_number(Str text, uint64_t max, uint64_t *number)
 {
-    return Str_ToU64(Str_Slice(text, 0, Str_Find(text, '.')), seconds) &&
-           *seconds <= GRACE_MAX_S;
+    return Str_ToU64(Str_Slice(text, 0, Str_Find(text, '.')), number) &&
+           *number <= max;
 }
 
 static void
@@ -27,15 +30,22 @@
 read_bound(Settings *settings, Str text)
 {
     size_t name_len = Str_Find(text, '=');
-    uint64_t grace_s = 0;
+    Str name = Str_Slice(text, 0, name_len);
+    Str value = Str_Slice(text, name_len + 1, text.len);
+    uint64_t number = 0;
 
-    if (!Str_Equal(Str_Slice(text, 0, name_len), Str_LIT("stop_grace_s"))) {
-        return true;
+    if (Str_Equal(name, Str_LIT("stop_grace_s"))) {
+        if (!read_number(value, GRACE_MAX_S, &number)) {
+            return false;
+        }
+        set_stop_bound(settings, number);
     }
-    if (!read_seconds(Str_Slice(text, name_len + 1, text.len), &grace_s)) {
-        return false;
+    else if (Str_Equal(name, Str_LIT("config_apply_ms"))) {
+        if (!read_number(value, APPLY_MAX_MS, &number)) {
+            return false;
+        }
+        settings->apply_bound = Span_MS(number);
     }
-    set_stop_bound(settings, grace_s);
     return true;
 }
 
@@ -44,13 +54,15 @@
 {
     json_t *array = Jsn_GetArray(object, Str_LIT("bounds"), false);
 
+    settings->apply_bound = APPLY_BOUND;
     for (size_t i = 0; i < json_array_size(array); i++) {
         json_t *item = json_array_get(array, i);
         Str text = Str_From(json_string_value(item), json_string_length(item));
         if (!json_is_string(item) || !read_bound(settings, text)) {
             Jsn_AddFinding(object, Str_LIT("bounds"), Str_LIT("not a bound"),
-                           Str_LIT("texts such as stop_grace_s=10, with 0 to "
-                                   "3600 seconds"));
+                           Str_LIT("texts such as stop_grace_s=10 or "
+                                   "config_apply_ms=2000, with at most an "
+                                   "hour"));
         }
     }
 }
--- a/src/process/setbounds.h
+++ b/src/process/setbounds.h
@@ -11,6 +11,8 @@
 /* Reads "bounds" of OBJECT.  "stop_grace_s" is the time from SIGTERM until the
  * platform kills the process, in seconds; stop_bound is then shorter by the
  * time that the process needs to exit.  Without it stop_bound is unchanged.
+ * "config_apply_ms" is the time within which a change of the configuration
+ * must be in force everywhere, in milliseconds; without it 2 s.
  * Faults become findings of OBJECT. */
 void Set_ReadBounds(Settings *settings, JsonObject *object);
 
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -105,6 +105,8 @@
     Span backend_expiry; /* a backend server without an announcement for
                             this long is removed */
     Span stop_bound;     /* longest duration of a graceful stop */
+    Span apply_bound;    /* within this a change of the configuration must be
+                            in force at every node */
     Span stop_notice;    /* from the start of a graceful stop; for this
                             long, callers are still accepted */
     Span ramp;           /* slow start of a cold backend server */
--- a/src/process/versionword.c
+++ b/src/process/versionword.c
@@ -23,3 +23,9 @@
 {
     return word->as_of ? now - word->as_of : Vwd_NOT_KNOWN;
 }
+
+bool
+Vwd_ProvesAbsence(const VersionWord *word, Span apply_bound, Instant now)
+{
+    return Vwd_Age(word, now) < apply_bound;
+}
--- a/src/process/versionword.h
+++ b/src/process/versionword.h
@@ -38,4 +38,11 @@
 /* The age of WORD, or Vwd_NOT_KNOWN. */
 Span Vwd_Age(const VersionWord *word, Instant now);
 
+/* Whether a node may say that a route does not exist, although it is missing
+ * from its version only.  A change must be in force everywhere within
+ * APPLY_BOUND after it was accepted.  One that is missing here was accepted
+ * after WORD, so before that time has passed since WORD, nobody may count on
+ * it yet. */
+bool Vwd_ProvesAbsence(const VersionWord *word, Span apply_bound, Instant now);
+
 #endif
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -260,6 +260,21 @@
     sink->on_end(sink->context, Call_NOT_RUN, reason);
 }
 
+/* A route that this node lacks may have been added since it last heard of its
+ * version. */
+static void
+reject_unrouted(CallDispatcher *dispatcher, const CallRequest *request,
+                const CallSink *sink, Instant now)
+{
+    bool is_absent = Vwd_ProvesAbsence(dispatcher->version_word,
+                                       dispatcher->apply_bound, now);
+
+    Cnt_Add(dispatcher->counters,
+            is_absent ? Cnt_CALLS_NO_ROUTE : Cnt_CALLS_NOT_RUN, 1);
+    reject_request(dispatcher, request, sink,
+                   is_absent ? Call_REASON_NO_ROUTE : Call_REASON_VERSION);
+}
+
 void
 Call_Start(CallDispatcher *dispatcher, const CallRequest *request,
            const CallSink *sink, Call **handle, Instant now)
@@ -278,8 +293,7 @@
         return;
     }
     if (!route) {
-        Cnt_Add(dispatcher->counters, Cnt_CALLS_NO_ROUTE, 1);
-        reject_request(dispatcher, request, sink, Call_REASON_NO_ROUTE);
+        reject_unrouted(dispatcher, request, sink, now);
         return;
     }
     call = Mem_Alloc(1, sizeof *call);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -21,6 +21,7 @@
 #include "process/services.h"
 #include "process/suspectsync.h"
 #include "process/timeline.h"
+#include "process/versionword.h"
 #include "request/duration.h"
 #include "request/field.h"
 #include "request/keyed.h"
@@ -47,7 +48,8 @@
     Call_REASON_KEY_TOO_LONG, /* the idempotency key is too long */
     Call_REASON_KEY_MISMATCH, /* the key was used for another request */
     Call_REASON_SUSPECT,      /* blamed for crashes of backend servers */
-    Call_REASON_VERSION,      /* the preset in force is not confirmed */
+    Call_REASON_VERSION,      /* the preset in force is not confirmed, or so
+                                 long ago that a route may be missing */
     Call_REASON_STOPPING      /* this node stops too soon to finish it */
 } CallReason;
 
@@ -97,6 +99,10 @@
     SharedPreset *in_force;
     /* in_force is confirmed as current; false: calls are refused */
     bool version_confirmed;
+    /* Set by the node: how old what it knows of in_force is, and the time
+     * within which a change must be in force everywhere. */
+    const VersionWord *version_word;
+    Span apply_bound;
     bool stops_starting;      /* no further attempt starts, but for nested
                                  calls */
     bool stops_nested;        /* nor does one for them */
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -82,6 +82,11 @@
     {Str_LIT("\"info\""),
      Str_LIT("\"info\",\"bounds\":[\"stop_grace_s=soon\"]"),
      Str_LIT("/bounds")},
+    {Str_LIT("\"info\""), Str_LIT("\"info\",\"bounds\":[\"config_apply_ms\"]"),
+     Str_LIT("/bounds")},
+    {Str_LIT("\"info\""),
+     Str_LIT("\"info\",\"bounds\":[\"config_apply_ms=3600001\"]"),
+     Str_LIT("/bounds")},
     {Str_LIT("500"), Str_LIT("0"), Str_LIT("/heartbeat_ms")},
     {Str_LIT("500"), Str_LIT("5e2"), Str_LIT("/heartbeat_ms")},
     {Str_LIT("500"), Str_LIT("99999999999999"), Str_LIT("/heartbeat_ms")},
@@ -209,6 +214,40 @@
 }
 END_TEST
 
+typedef struct {
+    Str to; /* in place of "info" */
+    Span apply_bound;
+} ApplyBoundCase;
+
+static const ApplyBoundCase apply_bounds[] = {
+    {Str_LIT("\"info\""), Span_MS(2000)},
+    {Str_LIT("\"info\",\"bounds\":[\"stop_grace_s=6\"]"), Span_MS(2000)},
+    {Str_LIT("\"info\",\"bounds\":[\"config_apply_ms=17000\"]"),
+     Span_MS(17000)},
+    {Str_LIT("\"info\",\"bounds\":[\"config_apply_ms=1500.5\","
+             "\"stop_grace_s=6\"]"),
+     Span_MS(1500)},
+};
+
+START_TEST(reads_stated_time_of_changes)
+{
+    const ApplyBoundCase *c = &apply_bounds[_i];
+    const SettingsCase replacement = {Str_LIT("\"info\""), c->to, {0}};
+    StrBuf text = {0};
+    FindingList findings;
+    Settings settings;
+
+    replace_first(&replacement, &text);
+    Set_Init(&settings);
+    Fnd_Init(&findings);
+    ck_assert(Set_Parse(&settings, StrBuf_View(&text), &findings));
+    ck_assert_int_eq(settings.apply_bound, c->apply_bound);
+    Fnd_Finish(&findings);
+    Set_Finish(&settings);
+    StrBuf_Finish(&text);
+}
+END_TEST
+
 typedef struct {
     Str file;
     bool is_readable;
@@ -257,9 +296,11 @@
         {reports_wrong_value_at_its_place, sizeof cases / sizeof cases[0]},
         {stops_within_stated_grace,
          sizeof stop_bounds / sizeof stop_bounds[0]},
+        {reads_stated_time_of_changes,
+         sizeof apply_bounds / sizeof apply_bounds[0]},
         {reports_file_that_cannot_be_read, sizeof files / sizeof files[0]},
         {reports_all_findings_together, 1},
     };
 
-    return Suite_Run("settings", tests, 4, 10);
+    return Suite_Run("settings", tests, 5, 10);
 }
--- a/tests/unit/test_turn.c
+++ b/tests/unit/test_turn.c
@@ -355,6 +355,38 @@
 }
 END_TEST
 
+/* A node that lacks a route, AGE after the moment of its word, and a request
+ * for that route. */
+typedef struct {
+    const char *name;
+    Span age; /* Vwd_NOT_KNOWN: no word */
+    Span apply_bound;
+    bool not_found;
+} AbsenceCase;
+
+static const AbsenceCase absences[] = {
+    {"just heard", 0, Span_S(2), true},
+    {"heard within the bound", Span_MS(1999), Span_S(2), true},
+    {"heard of nothing for as long as the bound", Span_S(2), Span_S(2), false},
+    {"heard of nothing for seconds", Span_S(9), Span_S(2), false},
+    {"a platform with a longer bound", Span_S(9), Span_S(17), true},
+    {"never heard", Vwd_NOT_KNOWN, Span_S(17), false},
+};
+
+START_TEST(says_not_found_only_while_it_can_know)
+{
+    const AbsenceCase *c = &absences[_i];
+    VersionWord word = {0};
+
+    if (c->age != Vwd_NOT_KNOWN) {
+        Vwd_Advance(&word, START - c->age, 1);
+    }
+    ck_assert_msg(Vwd_ProvesAbsence(&word, c->apply_bound, START) ==
+                      c->not_found,
+                  "%s", c->name);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -365,7 +397,9 @@
          sizeof fault_cases / sizeof fault_cases[0]},
         {knows_version_as_of_request,
          sizeof word_cases / sizeof word_cases[0]},
+        {says_not_found_only_while_it_can_know,
+         sizeof absences / sizeof absences[0]},
     };
 
-    return Suite_Run("turn", tests, 4, 10);
+    return Suite_Run("turn", tests, 5, 10);
 }
