Answer reads and unsent changes of the routing before their sender gives up

A program that reads or changes the routing got silence from a node that found no replica to confirm it: after one second it went to another node, which was silent as well. So "no read succeeds" could not be told from a dead node.

Cause: such a request waited 6 s at the node. It also asked one replica after the other each 300 ms and took an answer only from the one asked last, so that over links where an answer takes longer than that no answer counted, ever.

Now a read, and a change that was sent to no leader, end with 503 after 0.8 s: not run. A change that was sent still waits for its outcome, up to 6 s, and then is "unknown": nothing says "not run" of one that may run. The next replica is asked after 200 ms, and an answer of each one that was asked counts: it was current after the request began. The other paths, which people use, wait as before.

Ruled out: 503 for a sent change (it may be accepted later); one second itself (the tick and a slow node's turn come on top).

--- a/src/process/configapi.c
+++ b/src/process/configapi.c
@@ -10,11 +10,15 @@
 #include "value/mem.h"
 
 #define TICK Span_MS(50)
-#define LEADER_QUERY_RETRY Span_MS(300) /* query another replica */
+#define LEADER_QUERY_RETRY Span_MS(200) /* query another replica */
 #define CHANGE_RETRY Span_MS(1000)      /* look for the leader, send again */
-#define REQUEST_TIMEOUT Span_MS(6000)   /* of all kinds but LIST_VERSIONS */
+#define REQUEST_TIMEOUT Span_MS(6000)   /* of the kinds not named below */
 #define VERSIONS_TIMEOUT Span_MS(1000)  /* then the local table is used */
 
+/* Programs that keep the routing ask another node when this one has been
+ * silent for a second; an answer before that tells them more. */
+#define ROUTING_TIMEOUT Span_MS(800)
+
 void
 Configapi_EndRequest(ConfigRequest *pending, OperatorAnswer answer)
 {
@@ -56,6 +60,7 @@
 needs_leader(const ConfigRequest *pending)
 {
     return pending->kind == Configapi_CHANGE ||
+           pending->kind == Configapi_CHANGE_ROUTING ||
            pending->kind == Configapi_LIST_VERSIONS;
 }
 
@@ -188,6 +193,15 @@
     }
 }
 
+/* A change that was sent waits for its outcome, whatever its caller does:
+ * sending it again makes the outcome known. */
+static Instant
+get_deadline(const ConfigRequest *pending)
+{
+    return pending->began_at +
+           (pending->unanswered_changes ? REQUEST_TIMEOUT : pending->patience);
+}
+
 static void
 on_tick(void *context, Instant now)
 {
@@ -197,7 +211,7 @@
 
     for (ConfigRequest *pending = api->requests; pending; pending = next) {
         next = pending->next;
-        if (now >= pending->deadline) {
+        if (now >= get_deadline(pending)) {
             end_unanswered(pending);
         }
         else if (now >= pending->retry_at) {
@@ -207,6 +221,20 @@
     Cnt_AddNs(api->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
+static Span
+get_patience(ConfigRequestKind kind)
+{
+    switch (kind) {
+    case Configapi_GET_ROUTING:
+    case Configapi_CHANGE_ROUTING:
+        return ROUTING_TIMEOUT;
+    case Configapi_LIST_VERSIONS:
+        return VERSIONS_TIMEOUT;
+    default:
+        return REQUEST_TIMEOUT;
+    }
+}
+
 ConfigRequest *
 Configapi_BeginRequest(ConfigApi *api, struct evhttp_request *request,
                        ConfigRequestKind kind, Instant now)
@@ -217,9 +245,8 @@
     pending->http_request = request;
     pending->kind = kind;
     pending->number = ++api->last_number;
-    pending->deadline =
-        now +
-        (kind == Configapi_LIST_VERSIONS ? VERSIONS_TIMEOUT : REQUEST_TIMEOUT);
+    pending->began_at = now;
+    pending->patience = get_patience(kind);
     pending->next = api->requests;
     api->requests = pending;
     return pending;
@@ -257,6 +284,7 @@
         answer_versions(pending, &msg->nodes, msg->version, true);
         break;
     case Configapi_CHANGE:
+    case Configapi_CHANGE_ROUTING:
         if (!pending->replica_is_leader) {
             send_change(pending, now);
         }
@@ -264,19 +292,38 @@
     }
 }
 
+static bool
+is_replica(const ConfigApi *api, Addr address)
+{
+    const Settings *settings = api->settings;
+
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        if (settings->replicas[i] == address) {
+            return true;
+        }
+    }
+    return address == settings->address ||
+           address == api->version_follower->leader;
+}
+
+/* An answer that comes after the next replica was queried counts as well: it
+ * was current after the request began. */
 static void
 handle_presets(ConfigApi *api, Addr from, PresetsReplyMessage *msg,
                Instant now)
 {
     ConfigRequest *pending = find_request(api, msg->request_number);
 
-    if (!pending || from != pending->replica) {
+    if (!pending || (from != pending->replica && !is_replica(api, from))) {
         return;
     }
     if (msg->is_current) {
+        if (!pending->replica_is_leader) {
+            pending->replica = from;
+        }
         handle_current_presets(pending, msg, now);
     }
-    else {
+    else if (from == pending->replica) {
         redirect_to_leader(pending, msg->leader, now);
     }
 }
@@ -317,11 +364,9 @@
         return;
     }
     if (msg.is_decided) {
-        Configapi_EndRequest(pending,
-                             pending->verb == Cfg_REPLACE_ROUTING ||
-                                     pending->verb == Cfg_PATCH_ROUTING
-                                 ? Configapi_RevisionAnswer(&msg)
-                                 : Configjson_ChangeAnswer(&msg));
+        Configapi_EndRequest(pending, pending->kind == Configapi_CHANGE_ROUTING
+                                          ? Configapi_RevisionAnswer(&msg)
+                                          : Configjson_ChangeAnswer(&msg));
         return;
     }
     pending->unanswered_changes -= pending->unanswered_changes > 0;
--- a/src/process/configapi_request.h
+++ b/src/process/configapi_request.h
@@ -17,8 +17,8 @@
     Configapi_GET_PRESET,    /* /v1/presets/show */
     Configapi_GET_ROUTING,   /* /v1/routing/read */
     Configapi_LIST_VERSIONS, /* /v1/versions; only the leader answers */
-    Configapi_CHANGE         /* /v1/change, /v1/routing/put and /patch; only
-                                the leader answers */
+    Configapi_CHANGE,        /* /v1/change; only the leader answers */
+    Configapi_CHANGE_ROUTING /* /v1/routing/put and /patch; likewise */
 } ConfigRequestKind;
 
 struct ConfigRequest {
@@ -28,7 +28,7 @@
     ConfigRequestKind kind;
     uint64_t number; /* names the request in messages; unique in the process */
     StrBuf preset_name; /* of Configapi_GET_PRESET and of /v1/change */
-    StrBuf change_id;   /* of Configapi_CHANGE, and so the next three */
+    StrBuf change_id;   /* of changes, and so the next three */
     StrBuf change_json; /* the preset, or the revision of the routing */
     ConfigVerb verb;
     ConfigVersion base_version; /* the version that the change builds on */
@@ -37,7 +37,9 @@
     uint32_t unanswered_changes; /* times that the change was sent, without
                                     those that a replica declined */
     Instant retry_at;            /* another replica is queried then */
-    Instant deadline;            /* the request ends without an outcome then */
+    Instant began_at;
+    Span patience; /* the request ends so long after it began, without an
+                      outcome; later if a change was sent */
 };
 
 /* Adds a request, which waits until Configapi_EndRequest answers it. */
--- a/src/process/configapi_routing.c
+++ b/src/process/configapi_routing.c
@@ -76,7 +76,8 @@
             413, Configjson_Outcome(Str_LIT("refused"),
                                     Str_LIT("over 524288 bytes"))};
     }
-    pending = Configapi_BeginRequest(api, request, Configapi_CHANGE, now);
+    pending =
+        Configapi_BeginRequest(api, request, Configapi_CHANGE_ROUTING, now);
     pending->verb = verb;
     pending->base_version.index = base;
     StrBuf_Set(&pending->change_json, body);
