Ask a silent node about a look-up that has no retry left

What callers saw: a node did not run for a moment (0.6 s) and went on. Look-ups that it was running for another node had been ended there with 504, 0.5 s after they were sent and seconds before their deadline, although they were still running. Bookings were not.

Cause: when a connection had been silent for too long, a call that must not be repeated was settled by asking the node over a new connection. A repeatable one was sent elsewhere, and where no retry was left (the budget of the service, the route's attempts, a call below the root of a tree) it was given up at once.

This is the one way shown that gives the failure of test_drain_no_retries moves_on_without_retries:2 (look-ups, no retries, a node that stops): one silence of 0.4 s is enough; the row with bookings asks first.

Ruled out: what the node has not read when it exits; test_paused_stop row 2, whose node has answered all when it exits, failed as well.

Why it works: the node answers what became of the attempt, and what still runs there is answered over the new connection. A node that leaves the question unanswered for as long again is given up as before, so that the caller of a repeatable call waits one silence longer at most.

Open: a look-up whose answer was sent over the old connection, as the node went on, is not kept there and still ends as unknown when no retry is left.

--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -47,7 +47,8 @@
     }
 }
 
-/* The answer of ATTEMPT will not arrive, or not completely. */
+/* The answer of ATTEMPT will not arrive over the connection that it was sent
+ * over, or not completely. */
 static void
 on_answer_lost(Attempt *attempt, Instant now)
 {
@@ -55,7 +56,7 @@
         Call_EndUnknown(attempt->call, now);
     }
     else {
-        Call_OnAttemptFailed(attempt, Rty_UNKNOWN, now);
+        Call_OnAttemptFailed(attempt, Rty_SILENT, now);
     }
 }
 
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -448,7 +448,7 @@
 
     if (Call_OtherAttempt(attempt)) {
         /* The other attempt may still answer. */
-        call->may_have_run |= failure == Rty_UNKNOWN;
+        call->may_have_run |= failure != Rty_NOT_RUN;
         Call_EndAttempt(attempt, result, now);
         return;
     }
@@ -460,12 +460,18 @@
     switch (
         Rty_Decide(&call->retry, &call->service->retry_budget, failure, now)) {
     case Rty_RETRY:
-        call->may_have_run |= failure == Rty_UNKNOWN;
+        call->may_have_run |= failure != Rty_NOT_RUN;
         Call_EndAttempt(attempt, result, now);
         retry_call(call, now);
         break;
     case Rty_FENCE:
-        Call_SendFence(attempt, now);
+        /* A repeatable call is not held for a node that stays silent. */
+        if (attempt->fence_sent && call->route->is_idempotent) {
+            Call_EndUnknown(call, now);
+        }
+        else {
+            Call_SendFence(attempt, now);
+        }
         break;
     case Rty_REPORT_NOT_RUN:
         Call_EndAttempt(attempt, Plc_REFUSED, now);
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -98,9 +98,11 @@
 }
 
 static RetryDecision
-report_decision(AttemptFailure failure)
+report_decision(const RetryState *retry, AttemptFailure failure, Instant now)
 {
     switch (failure) {
+    case Rty_SILENT:
+        return now < retry->deadline ? Rty_FENCE : Rty_REPORT_UNKNOWN;
     case Rty_NOT_RUN:
         return Rty_REPORT_NOT_RUN;
     case Rty_BACKEND_ERROR:
@@ -117,13 +119,14 @@
     if (failure == Rty_BACKEND_ERROR && !retry->idempotent) {
         return Rty_REPORT_FAILED;
     }
-    if (failure == Rty_UNKNOWN && !retry->idempotent) {
+    if ((failure == Rty_UNKNOWN || failure == Rty_SILENT) &&
+        !retry->idempotent) {
         return now < retry->deadline ? Rty_FENCE : Rty_REPORT_UNKNOWN;
     }
     if (now >= retry->deadline ||
         retry->attempt_count >= retry->attempts_max ||
         !Rty_BudgetTake(budget)) {
-        return report_decision(failure);
+        return report_decision(retry, failure, now);
     }
     return Rty_RETRY;
 }
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -32,7 +32,8 @@
 typedef enum {
     Rty_NOT_RUN,       /* refused by the node, fenced, or never sent */
     Rty_BACKEND_ERROR, /* ran; the backend server answered with an error */
-    Rty_UNKNOWN        /* may have run */
+    Rty_SILENT,        /* its connection fell silent; it may still run */
+    Rty_UNKNOWN        /* may have run, and its answer is lost */
 } AttemptFailure;
 
 typedef enum {
--- a/tests/integration/test_paused_stop.c
+++ b/tests/integration/test_paused_stop.c
@@ -22,6 +22,7 @@
 static const PauseCase cases[] = {
     {"bookings, until it may exit", true, Span_MS(70), Span_MS(900)},
     {"bookings, longer", true, Span_MS(70), Span_MS(1500)},
+    {"look-ups, a short pause", false, Span_MS(70), Span_MS(600)},
 };
 
 START_TEST(paused_node_reads_before_it_exits)
--- a/tests/unit/test_retry.c
+++ b/tests/unit/test_retry.c
@@ -29,6 +29,12 @@
     {9, 0, 3, Rty_NOT_RUN, Rty_REPORT_NOT_RUN, true},
     {1, DEADLINE, 1, Rty_BACKEND_ERROR, Rty_REPORT_FAILED, true},
     {0, 0, 1, Rty_UNKNOWN, Rty_REPORT_UNKNOWN, true},
+    {1, 0, 1, Rty_SILENT, Rty_RETRY, true},
+    {0, 0, 1, Rty_SILENT, Rty_FENCE, true},
+    {9, 0, 3, Rty_SILENT, Rty_FENCE, true},
+    {1, DEADLINE, 1, Rty_SILENT, Rty_REPORT_UNKNOWN, true},
+    {1, 0, 1, Rty_SILENT, Rty_FENCE, false},
+    {1, DEADLINE, 1, Rty_SILENT, Rty_REPORT_UNKNOWN, false},
 };
 
 START_TEST(decides_retries)
