--- a/tests/unit/test_revisions.c
+++ b/tests/unit/test_revisions.c
@@ -203,5 +203,5 @@
         {first_routing_waits_for_first_preset, ROWS(judge_cases)},
         {reports_outcomes_no_longer_kept, 1}};
 
-    return Suite_Run("revisions", tests, 2, 30);
+    return Suite_Run("revisions", tests, ROWS(tests), 30);
 }
