Refuse a request with a blank in the name of a field

Callers' requests with "Content-Length : 1", "Transfer-Encoding : chunked" or "X Barn: 1" were run. RFC 9112, section 5.1, asks for 400, since a blank before the colon has been used to smuggle requests: by reading, the field was forwarded as it came, beside the node's own Content-Length.

Cause: the HTTP parser as packaged is built without its strict mode, takes such names and frames the body by them; the checks of requests compare whole names.

Ruled out: other blanks in the head of a request (control characters are refused by Htr_CheckRequest). Not shown by a run: that a backend server was misled.

--- a/src/connection/httpread.c
+++ b/src/connection/httpread.c
@@ -87,12 +87,14 @@
     return Str_Slice(StrBuf_View(&reader->head_text), span.offset, span.len);
 }
 
-/* Removes the blanks between a name and its colon (RFC 9112, section 5.1).
- * Returns false if NAME is no name of a field. */
+/* Removes the blanks between a name and its colon from an answer; a request
+ * with them is malformed (RFC 9112, section 5.1).  Returns false if NAME is no
+ * name of a field. */
 static bool
-trim_name(Str *name)
+trim_name(const http_parser *parser, Str *name)
 {
-    while (name->len && name->ptr[name->len - 1] == ' ') {
+    while (parser->type == HTTP_RESPONSE && name->len &&
+           name->ptr[name->len - 1] == ' ') {
         name->len--;
     }
     return name->len && Str_Find(*name, ' ') == name->len;
@@ -127,7 +129,7 @@
     }
     for (size_t i = 0; i < reader->field_count; i++) {
         Str name = text_of(reader, reader->names[i]);
-        if (parser->type == HTTP_RESPONSE && !trim_name(&name)) {
+        if (!trim_name(parser, &name)) {
             return -1;
         }
         Field_Add(&head.fields, name, text_of(reader, reader->values[i]));
--- a/tests/integration/test_http_edges.c
+++ b/tests/integration/test_http_edges.c
@@ -35,6 +35,17 @@
     {"two hosts",
      Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST_LINE HOST_LINE "\r\n"),
      .expected = {Str_LIT("HTTP/1.1 400 "), NOT_RUN}, .closed = true},
+    {"blank before a colon",
+     Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST_LINE
+             "Content-Length : 1\r\n\r\nx"),
+     .expected = {Str_LIT("HTTP/1.1 400 ")}, .closed = true},
+    {"blank before a colon, chunked",
+     Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST_LINE
+             "Transfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"),
+     .expected = {Str_LIT("HTTP/1.1 400 ")}, .closed = true},
+    {"blank in a name",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST_LINE "X Barn: 1\r\n\r\n"),
+     .expected = {Str_LIT("HTTP/1.1 400 ")}, .closed = true},
     {"1.0", Str_LIT("GET /visor/a HTTP/1.0\r\n\r\n"),
      .expected = {Str_LIT("HTTP/1.0 200 OK\r\n"), RAN, Str_LIT("answer to ")},
      .absent = {Str_LIT("chunked")}, .closed = true},
