Drop no field of a message that has a hundred

Of an answer with 100 fields the last one didn't reach the caller: had it been the signature, the answer would have come without it. A request with 100 fields reached its backend server without its depth; by reading, one without a request id also without that and the caller's service.

Cause: a list held 100 fields, as many as a message may have when it is read, and what nodes add took the room of the last ones.

Ruled out: 99 and fewer (rows that held before), and 101, which are refused.

Now lists have room for the four fields that nodes add to the 100 that are read. test_whole_answers no_field_is_dropped_from_answer_with_many: 1 of 5 rows failed before, 0 since; test_http_edges "100 fields" failed before and passes; both under sanitizers, with test_messages and test_mutations.

The fake backend server's X-Fake-Fields adds fields to an answer.

--- a/src/connection/httpread.c
+++ b/src/connection/httpread.c
@@ -56,7 +56,7 @@
     HttpReader *reader = reader_of(parser);
 
     if (reader->field_count == 0 || reader->in_value) {
-        if (reader->field_count == Field_MAX) {
+        if (reader->field_count == Field_READ_MAX) {
             reader->head_too_long = true;
             return -1;
         }
--- a/src/connection/httpread.h
+++ b/src/connection/httpread.h
@@ -65,13 +65,13 @@
     bool in_value;
     StrBuf head_text;
     HttpTextRange target;
-    HttpTextRange names[Field_MAX];
-    HttpTextRange values[Field_MAX];
+    HttpTextRange names[Field_READ_MAX];
+    HttpTextRange values[Field_READ_MAX];
     size_t field_count;
 } HttpReader;
 
-/* Copies CALLBACKS.  A head of more than HEAD_BYTES_MAX bytes or Field_MAX
- * fields is an error. */
+/* Copies CALLBACKS.  A head of more than HEAD_BYTES_MAX bytes or
+ * Field_READ_MAX fields is an error. */
 void Hrd_Init(HttpReader *reader, HttpMessageKind kind,
               const HttpReaderCallbacks *callbacks, size_t head_bytes_max);
 void Hrd_Finish(HttpReader *reader);
--- a/tests/integration/test_http_edges.c
+++ b/tests/integration/test_http_edges.c
@@ -22,6 +22,12 @@
 } EdgeCase;
 
 #define HOST_LINE "Host: barns\r\n"
+#define TEN_FIELDS                                                            \
+    "A: 1\r\nB: 1\r\nC: 1\r\nD: 1\r\nE: 1\r\nF: 1\r\nG: 1\r\nH: 1\r\n"        \
+    "I: 1\r\nJ: 1\r\n"
+#define NINETY_FIELDS                                                         \
+    TEN_FIELDS TEN_FIELDS TEN_FIELDS TEN_FIELDS TEN_FIELDS TEN_FIELDS         \
+        TEN_FIELDS TEN_FIELDS TEN_FIELDS
 #define NOT_RUN Str_LIT("X-Lycheeridge-Outcome: not-run")
 #define RAN Str_LIT("X-Lycheeridge-Outcome: ran")
 #define OK_LINE Str_LIT("HTTP/1.1 200 OK\r\n")
@@ -35,6 +41,12 @@
     {"two hosts",
      Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST_LINE HOST_LINE "\r\n"),
      .expected = {Str_LIT("HTTP/1.1 400 "), NOT_RUN}, .closed = true},
+    {"100 fields",
+     Str_LIT("GET /visor/a HTTP/1.1\r\n" HOST_LINE "X-Request-Id: many\r\n"
+             "K: 1\r\nL: 1\r\nM: 1\r\nN: 1\r\nO: 1\r\nP: 1\r\nQ: "
+             "1\r\n" NINETY_FIELDS "X-Fake-Show: X-Lycheeridge-Depth\r\n\r\n"),
+     .expected = {OK_LINE, Str_LIT("X-Lycheeridge-Depth=1\n"),
+                  Str_LIT("X-Request-Id: many\r\n")}},
     {"blank before a colon",
      Str_LIT("POST /visor/a HTTP/1.1\r\n" HOST_LINE
              "Content-Length : 1\r\n\r\nx"),
--- a/tests/integration/test_whole_answers.c
+++ b/tests/integration/test_whole_answers.c
@@ -3,6 +3,7 @@
  * answers.
  */
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "fleet.h"
@@ -143,6 +144,50 @@
 }
 END_TEST
 
+/* An answer with so many fields, two of which are X-Request-Id and
+ * Content-Length, is passed on with all of them or refused. */
+typedef struct {
+    int fields;
+    bool is_passed_on;
+} FieldsCase;
+
+static const FieldsCase fields_cases[] = {
+    {50, true}, {98, true}, {99, true}, {100, true}, {101, false}};
+
+enum { FIELDS_COUNT = sizeof fields_cases / sizeof fields_cases[0] };
+
+START_TEST(no_field_is_dropped_from_answer_with_many)
+{
+    const FieldsCase *c = &fields_cases[_i];
+    StrBuf headers = {0};
+    StrBuf last = {0};
+    FleetRequest request = {.method = Str_LIT("GET"),
+                            .path = Str_LIT("/visor/a")};
+    Fleet fleet;
+    FleetAnswer answer;
+
+    start_fleet(&fleet);
+    StrBuf_AppendFmt(&headers, "X-Fake-Fields: %d\nX-Fake-Cut-After: 9000",
+                     c->fields - 2);
+    StrBuf_AppendFmt(&last, "X-Barn-%d: a\r\n", c->fields - 2);
+    request.headers = StrBuf_View(&headers);
+    Fleet_Send(&fleet, 0, &request, &answer);
+    ck_assert_msg(answer.is_complete &&
+                      (answer.status == 200) == c->is_passed_on,
+                  "%d fields: status %ld", c->fields, answer.status);
+    ck_assert_msg(
+        !c->is_passed_on ||
+            (strstr(StrBuf_CStr(&answer.headers), StrBuf_CStr(&last)) &&
+             strstr(StrBuf_CStr(&answer.headers), "Content-Length: ")),
+        "%d fields: some are missing in %s", c->fields,
+        StrBuf_CStr(&answer.headers));
+    StrBuf_Finish(&headers);
+    StrBuf_Finish(&last);
+    Fleet_FinishAnswer(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 /* Slow callers do not read after they sent the request.  Later they read the
  * whole answer (reads_on) or close the connection. */
 typedef struct {
@@ -324,9 +369,10 @@
     const SuiteTest tests[] = {
         {answer_is_whole_or_visibly_truncated, CASE_COUNT},
         {impossible_status_is_told_as_failure, LINE_COUNT},
+        {no_field_is_dropped_from_answer_with_many, FIELDS_COUNT},
         {slow_callers_use_bounded_memory, SLOW_COUNT},
         {each_request_gets_its_own_answer, ORDER_COUNT}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("whole answers", tests, 4, 60);
+    return Suite_Run("whole answers", tests, 5, 60);
 }
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -14,6 +14,7 @@
  *   X-Fake-Cut-After  that many bytes of the answer are sent, then the
  *                   connection ends; chunked as X-Fake-Chunked says
  *   X-Fake-Line     first line of such an answer
+ *   X-Fake-Fields   further fields of it: X-Barn-1 to X-Barn-N
  *   X-Fake-Chunked  the body is sent in chunks, without Content-Length
  *   X-Fake-Show     the body is "NAME=VALUE" of the header field named here
  *   X-Fake-Echo     the body is the request's body
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -153,11 +153,16 @@
     size_t len = evbuffer_get_length(body);
     bool chunked = get_field(work, "X-Fake-Chunked").len;
     Str line = get_field(work, "X-Fake-Line");
+    uint64_t fields = 0;
     StrBuf text = {0};
 
     StrBuf_AppendFmt(&text, "%.*s\r\nX-Request-Id: %.*s\r\n",
                      Str_ARG(line.len ? line : Str_LIT("HTTP/1.1 200 OK")),
                      Str_ARG(get_field(work, "X-Request-Id")));
+    Str_ToU64(get_field(work, "X-Fake-Fields"), &fields);
+    for (uint64_t i = 1; i <= fields; i++) {
+        StrBuf_AppendFmt(&text, "X-Barn-%d: a\r\n", (int)i);
+    }
     if (chunked) {
         StrBuf_AppendFmt(&text, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n",
                          len);
