--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -6,10 +6,10 @@
 /* A pause counts from this part of the election timeout on. */
 enum { PAUSE_MIN_DIVISOR = 10 };
 
-/* A pause counts with at most this many election timeouts, and is expected
- * again for PAUSE_MEMORY. */
+/* A pause is expected again for at most this many election timeouts, and
+ * remembered for one to two periods. */
 enum { PAUSE_MAX_TIMEOUTS = 4 };
-#define PAUSE_MEMORY Span_S(10)
+#define PAUSE_PERIOD Span_S(10)
 
 void
 Rlog_Init(ReplicatedLog *rlog, const RaftSettings *settings,
@@ -314,7 +314,59 @@
 Span
 Rlog_ExpectedPause(const ReplicatedLog *rlog, Instant now)
 {
-    return now - rlog->resumed_at < PAUSE_MEMORY ? rlog->pause : 0;
+    Span expected = rlog->pauses.second > rlog->earlier_pauses.second
+                        ? rlog->pauses.second
+                        : rlog->earlier_pauses.second;
+
+    return now - rlog->period_began < 2 * PAUSE_PERIOD ? expected : 0;
+}
+
+static Span
+limit_pause(const ReplicatedLog *rlog, Span pause)
+{
+    Span max = rlog->settings.election_timeout * PAUSE_MAX_TIMEOUTS;
+
+    return pause < max ? pause : max;
+}
+
+static void
+remember_pause(ReplicatedLog *rlog, Span pause, Instant now)
+{
+    if (now - rlog->period_began >= PAUSE_PERIOD) {
+        rlog->earlier_pauses = now - rlog->period_began < 2 * PAUSE_PERIOD
+                                   ? rlog->pauses
+                                   : (RaftPauses){0};
+        rlog->pauses = (RaftPauses){0};
+        rlog->period_began = now;
+    }
+    if (pause > rlog->pauses.longest) {
+        rlog->pauses.second = rlog->pauses.longest;
+        rlog->pauses.longest = pause;
+    }
+    else if (pause > rlog->pauses.second) {
+        rlog->pauses.second = pause;
+    }
+}
+
+/* The first pause moves the election timer by its length, and that of a
+ * candidate by twice as much, since its voters store their votes after it has
+ * stored its own.  Further ones move it by one election timeout at most: else
+ * a replica that hardly runs never calls an election. */
+static void
+shift_election(ReplicatedLog *rlog, Span pause)
+{
+    Span shift = pause;
+
+    if (rlog->role == Rlog_CANDIDATE) {
+        shift += limit_pause(rlog, pause);
+    }
+    if (rlog->is_election_shifted) {
+        shift = pause < rlog->election_shift_left ? pause
+                                                  : rlog->election_shift_left;
+        rlog->election_shift_left -= shift;
+    }
+    rlog->is_election_shifted = true;
+    rlog->election_at += shift;
 }
 
 /* To be called first with each message and tick. */
@@ -322,18 +374,13 @@
 note_own_pause(ReplicatedLog *rlog, Instant now)
 {
     Span pause = rlog->active_at ? now - rlog->active_at : 0;
-    Span max = rlog->settings.election_timeout * PAUSE_MAX_TIMEOUTS;
 
     rlog->active_at = now;
-    if (pause < rlog->settings.election_timeout / PAUSE_MIN_DIVISOR) {
-        return;
-    }
-    rlog->election_at += pause;
-    pause = pause < max ? pause : max;
-    if (pause > Rlog_ExpectedPause(rlog, now)) {
-        rlog->pause = pause;
+    if (pause >= rlog->settings.election_timeout / PAUSE_MIN_DIVISOR) {
+        remember_pause(rlog, limit_pause(rlog, pause), now);
+        shift_election(rlog, pause);
+        rlog->step_down_at += pause;
     }
-    rlog->resumed_at = now;
 }
 
 void
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -197,6 +197,12 @@
     uint64_t read_request_sent_at; /* send time in that request */
 } FollowerProgress;
 
+/* The longest pauses of a period. */
+typedef struct {
+    Span longest;
+    Span second;
+} RaftPauses;
+
 /* The replicated log of one replica.  Owners may read the members; only Rlog
  * functions change them. */
 typedef struct {
@@ -217,9 +223,14 @@
     Instant leader_since;      /* when this replica last became leader */
 
     /* A store, or the machine, may hold this replica up. */
-    Instant active_at;  /* last message or tick; 0: none yet */
-    Instant resumed_at; /* end of the last pause; 0: none */
-    Span pause;         /* longest pause of the last PAUSE_MEMORY (rlog.c) */
+    Instant active_at;         /* last message or tick; 0: none yet */
+    RaftPauses pauses;         /* of this period */
+    RaftPauses earlier_pauses; /* of the one before */
+    Instant period_began;
+    bool is_election_shifted; /* a pause has moved election_at */
+    Span election_shift_left; /* by which further pauses may move it */
+    Instant quorum_heard_at;  /* leader: as of when step_down_at was set */
+    Instant step_down_at;     /* leader: without an answer of a quorum */
 
     RaftEntry *entries; /* those after the snapshot; owned with their data */
     size_t entry_count;
@@ -281,8 +292,9 @@
 void Rlog_OnTick(ReplicatedLog *rlog, Instant now);
 
 /* Appends a change as leader.  Returns its index, or 0 when this replica does
- * not lead or could not store it.  The change is committed when on_commit
- * gets the same term and index. */
+ * not lead or could not store it; the others may have stored it then, and it
+ * may be committed.  The change is committed when on_commit gets the same term
+ * and index. */
 uint64_t Rlog_Propose(ReplicatedLog *rlog, Str data, Instant now);
 
 /* Reports to a leader that the replica IDENTITY runs at ADDR and was last
--- a/src/version/rlog_append.c
+++ b/src/version/rlog_append.c
@@ -222,17 +222,26 @@
     Rlog_AppendAsLeader(rlog, Rlog_ENTRY_NOOP, (Str){0}, now);
 }
 
+/* Whether no quorum answered for too long.  Followers that store an entry
+ * answer only then, and what they were sent meanwhile waits as well. */
+static bool
+has_lost_quorum(ReplicatedLog *rlog, Instant now)
+{
+    Instant heard = Rlog_QuorumAckedAt(rlog);
+
+    heard = heard > rlog->leader_since ? heard : rlog->leader_since;
+    if (heard != rlog->quorum_heard_at) {
+        rlog->quorum_heard_at = heard;
+        rlog->step_down_at = heard + rlog->settings.election_timeout +
+                             2 * Rlog_ExpectedPause(rlog, now);
+    }
+    return heard != Instant_NEVER && now >= rlog->step_down_at;
+}
+
 void
 Rlog_TickLeader(ReplicatedLog *rlog, Instant now)
 {
-    Instant since = Rlog_QuorumAckedAt(rlog);
-
-    since = since > rlog->leader_since ? since : rlog->leader_since;
-    since = since > rlog->resumed_at ? since : rlog->resumed_at;
-    /* Followers that store an entry answer only then, and what they were sent
-     * meanwhile waits as well. */
-    if (now - since >=
-        rlog->settings.election_timeout + 2 * Rlog_ExpectedPause(rlog, now)) {
+    if (has_lost_quorum(rlog, now)) {
         Rlog_BecomeFollower(rlog, rlog->term, 0, now);
         return;
     }
@@ -405,6 +414,13 @@
         from->rewound_at = now;
         send_append(rlog, from, now);
     }
+    else if (from->next_index <= rlog->snapshot_index &&
+             (Instant)message->request_sent_at > from->snapshot_sent_at) {
+        /* It got what was sent after the snapshot, but not that. */
+        from->snapshot_sent_at = 0;
+        from->snapshot_tries = 0;
+        send_append(rlog, from, now);
+    }
 }
 
 void
--- a/src/version/rlog_impl.h
+++ b/src/version/rlog_impl.h
@@ -45,7 +45,7 @@
  * entries that conflict with committed ones or a malformed snapshot. */
 void Rlog_Fail(ReplicatedLog *rlog, Instant now);
 
-/* The longest time for which this replica stood still lately.  The others may
+/* How long this replica stood still more than once lately.  The others may
  * stand still as long, as their disks and processors are of the same kind. */
 Span Rlog_ExpectedPause(const ReplicatedLog *rlog, Instant now);
 
@@ -78,7 +78,7 @@
 void Rlog_OnAppendReply(ReplicatedLog *rlog, const RaftMessage *message,
                         Instant now);
 
-/* Stores an entry of the leader's term and sends it to all; returns its
+/* Sends an entry of the leader's term to all and stores it; returns its
  * index, or 0 when it could not be stored. */
 uint64_t Rlog_AppendAsLeader(ReplicatedLog *rlog, RaftEntryKind kind, Str data,
                              Instant now);
--- a/src/version/rlog_vote.c
+++ b/src/version/rlog_vote.c
@@ -19,6 +19,8 @@
     timeout_min += Rlog_ExpectedPause(rlog, now);
     rlog->election_at =
         now + timeout_min + Rng_Below(rlog->rng, (uint32_t)timeout_min / 2);
+    rlog->is_election_shifted = false;
+    rlog->election_shift_left = rlog->settings.election_timeout;
 }
 
 /* Stores TERM and the vote in it, then adopts them; false when that failed. */
--- a/tests/support/rlog_simulation.c
+++ b/tests/support/rlog_simulation.c
@@ -434,9 +434,10 @@
 accepts_message(const SimulatedReplica *replica,
                 const SimulatedMessage *message)
 {
-    return !replica->appends_blocked ||
-           (message->message.kind != Rlog_APPEND_REQUEST &&
-            message->message.kind != Rlog_INSTALL_SNAPSHOT);
+    return !replica->is_deaf &&
+           (!replica->appends_blocked ||
+            (message->message.kind != Rlog_APPEND_REQUEST &&
+             message->message.kind != Rlog_INSTALL_SNAPSHOT));
 }
 
 /* Keeps one read index request pending at each replica that is up.  When a
--- a/tests/support/rlog_simulation.h
+++ b/tests/support/rlog_simulation.h
@@ -39,6 +39,7 @@
     bool is_up;           /* rlog and rng are initialised */
     bool is_partitioned;  /* all messages to and from it are dropped */
     bool appends_blocked; /* appends and snapshots to it are dropped */
+    bool is_deaf;         /* all messages to it are dropped */
     bool is_disk_full;    /* stores of votes, entries and snapshots fail */
     Span store_time;      /* each store holds the replica up for so long */
     Instant busy_until;   /* it handles nothing until then */
