Keep the answer of a look-up that a node sends after it did not run itself

What callers saw: a node that runs look-ups for others did not run for a moment. Its backend server had answered meanwhile. The callers got 504 as soon as the node went on.

Cause: the other node had given up the connection and asked over a new one, but the answer went out over the old one first, and the answers of attempts that may be repeated are not kept for such questions: "ran, answer dropped", which is unknown to the caller where no retry is left.

Why it works: answers are kept, within the bounds of the ledger, for 1 s after the node's own pause, and where the connection is known to have ended. At other times nothing more is copied.

--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -119,6 +119,17 @@
     } while (sent < rest.len);
 }
 
+/* An answer that is not kept can't be given again.  That of an attempt that
+ * may be repeated is kept while the other node may have given up the
+ * connection over which it is sent. */
+static bool
+is_kept(const BackendAttempt *attempt, Instant now)
+{
+    return attempt->next_piece == 0 &&
+           (!attempt->idempotent || attempt->origin_lost ||
+            Run_HasJustResumed(attempt->runner, now));
+}
+
 void
 Ans_StoreInLedger(BackendAttempt *attempt, Instant now)
 {
@@ -130,8 +141,7 @@
     Pack pack;
 
     Callmsg_PackAnswer(&pack, &answer);
-    Led_OnEnded(&attempt->runner->ledger, attempt->id,
-                !attempt->idempotent && attempt->next_piece == 0,
+    Led_OnEnded(&attempt->runner->ledger, attempt->id, is_kept(attempt, now),
                 Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -14,6 +14,13 @@
 /* Deadlines are sent in whole milliseconds, and lose time in transit. */
 #define DEADLINE_TOLERANCE Span_MS(5)
 
+/* A node whose last tick is so long ago did not run itself. */
+#define OWN_PAUSE_MIN Span_MS(100)
+
+/* After a pause, until the connections that other nodes gave up meanwhile are
+ * known to have ended. */
+#define RESUMED_TIME Span_S(1)
+
 /* How long an attempt waits for the backend server's load before it is
  * admitted without it. */
 #define LOAD_QUERY_TIMEOUT Span_MS(50)
@@ -613,11 +620,28 @@
     }
 }
 
+static bool
+was_paused(const AttemptRunner *runner, Instant now)
+{
+    return runner->ticked_at && now - runner->ticked_at >= OWN_PAUSE_MIN;
+}
+
+bool
+Run_HasJustResumed(const AttemptRunner *runner, Instant now)
+{
+    return was_paused(runner, now) ||
+           (runner->resumed_at && now - runner->resumed_at < RESUMED_TIME);
+}
+
 void
 Run_Tick(AttemptRunner *runner, Instant now)
 {
     RequestClass request_class;
 
+    if (was_paused(runner, now)) {
+        runner->resumed_at = now;
+    }
+    runner->ticked_at = now;
     Led_Expire(&runner->ledger, now);
     drop_overdue(runner, now);
     Crs_Tick(runner, now);
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -67,6 +67,8 @@
     bool is_flushing;  /* the node stops soon: answers are sent ahead of
                                credits, and wait for their callers elsewhere */
     Instant last_call_at;  /* when a Wire_CALL message came last; 0: never */
+    Instant ticked_at;     /* last Run_Tick; 0: none yet */
+    Instant resumed_at;    /* end of this node's last own pause; 0: none */
     Instant last_piece_at; /* when a piece of an answer was sent last; 0:
                               never */
 } AttemptRunner;
@@ -115,6 +117,10 @@
  * them.  Returns how many have not confirmed that. */
 size_t Run_ConfirmPieces(AttemptRunner *runner, Instant now);
 
+/* Whether this node itself did not run until a moment ago, so that other nodes
+ * may have given up their connections to it. */
+bool Run_HasJustResumed(const AttemptRunner *runner, Instant now);
+
 /* Drops attempts that are past a deadline and starts queued ones that may
  * start now.  Called regularly, and after each change that may free a slot. */
 void Run_Tick(AttemptRunner *runner, Instant now);
--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -43,6 +43,8 @@
      Span_MS(700), Span_MS(1200)},
     {"the serving node, bookings", true, SERVING_VM, Span_MS(300),
      Span_MS(700), Span_MS(1200)},
+    {"the serving node, before it can pass the answers on", false, SERVING_VM,
+     Span_MS(300), Span_MS(700), Span_MS(400)},
 };
 
 typedef struct {
