Log how old a node's word is and which replicas are behind

A confirmed change that is not in force leaves lines of refused calls only. They did not tell a node that is late by itself from a replica that lags, from a fleet without a leader, or from disks that take long: the four hypotheses of docs/incidents/config-not-in-force.md.

call_refused gets known_ms and from, at its end: how old the word was and which replica gave it. A node logs when its word is older than 1.5 s and when it is renewed, with the requests since and the replicas asked. The limit is not 1 s: polls come once a second with words up to 250 ms old, so 1 s would be passed in calm again and again. A control replica logs when polls get a word over 1 s old from it and when it is current again, with its role, term, leader, and what it has committed; and each store that took 100 ms or more. No line or name that was there is changed.

The row of platform on refused calls asks for the new members too.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -13,6 +13,8 @@
 
 /* While another process has the folder: it usually is about to end. */
 #define BUSY_RETRY Span_MS(100)
+/* A store that takes so long is logged. */
+#define SLOW_STORE Span_MS(100)
 
 enum { LOG_ENTRIES_MAX = 128 };
 
@@ -48,9 +50,18 @@
     Pack_Finish(&pack);
 }
 
+/* Checks the result of a store of WHAT that began at START. */
 static bool
-check_stored(ControlReplica *control, bool ok, const Err *err)
+check_stored(ControlReplica *control, const char *what, Instant start, bool ok,
+             const Err *err)
 {
+    Span took = Loop_Now() - start;
+
+    if (took >= SLOW_STORE) {
+        Cnt_Add(control->counters, Cnt_STORES_SLOW, 1);
+        Lgr_Log(control->timeline->logger, Lgr_INFO, Str_LIT("store_slow"),
+                "what=%s took_ms=%lld", what, (long long)(took / Span_MS(1)));
+    }
     if (!ok) {
         Lgr_LogErr(control->timeline->logger, Lgr_ERROR,
                    Str_LIT("control_folder_failed"), err);
@@ -63,9 +74,10 @@
 {
     ControlReplica *control = context;
     Err err = {0};
+    Instant start = Loop_Now();
     bool ok = Disk_StoreVote(&control->disk, term, voted_for, &err);
 
-    return check_stored(control, ok, &err);
+    return check_stored(control, "vote", start, ok, &err);
 }
 
 static bool
@@ -73,9 +85,10 @@
 {
     ControlReplica *control = context;
     Err err = {0};
+    Instant start = Loop_Now();
     bool ok = Disk_StoreEntries(&control->disk, entries, count, &err);
 
-    return check_stored(control, ok, &err);
+    return check_stored(control, "entries", start, ok, &err);
 }
 
 static bool
@@ -83,9 +96,10 @@
 {
     ControlReplica *control = context;
     Err err = {0};
+    Instant start = Loop_Now();
     bool ok = Disk_TruncateEntries(&control->disk, from_index, &err);
 
-    return check_stored(control, ok, &err);
+    return check_stored(control, "truncation", start, ok, &err);
 }
 
 static bool
@@ -93,9 +107,10 @@
 {
     ControlReplica *control = context;
     Err err = {0};
+    Instant start = Loop_Now();
     bool ok = Disk_StoreSnapshot(&control->disk, term, index, snapshot, &err);
 
-    return check_stored(control, ok, &err);
+    return check_stored(control, "snapshot", start, ok, &err);
 }
 
 static void
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -100,7 +100,8 @@
     PendingRead pending_reads[Ctl_PENDING_READS_MAX];
     VersionWatcher *watchers; /* Ctl_WATCHERS_MAX, owned */
     size_t watcher_count;
-    bool has_pending_reads;    /* a pending read, or a watcher that waits */
+    bool has_pending_reads; /* a pending read, or a watcher that waits */
+    bool is_behind; /* polls were last answered with a word that was old */
     Instant read_requested_at; /* last read for nodes' polls; 0: none */
     Instant next_hello_at;
     Instant startup_ends_at; /* hellos are more frequent until then; 0:
--- a/src/process/control_read.c
+++ b/src/process/control_read.c
@@ -14,6 +14,9 @@
  * node gives this replica up. */
 #define POLL_TIMEOUT Span_MS(150)
 
+/* A replica whose word is older than that, although nodes ask, is behind. */
+#define BEHIND_AGE Span_MS(1000)
+
 /* A read that has waited this long is answered as not current. */
 #define READ_TIMEOUT Span_MS(500)
 
@@ -221,6 +224,46 @@
                         !Rlog_HasLeaderContact(&control->rlog, now)));
 }
 
+static const char *
+get_role_name(const ControlReplica *control)
+{
+    static const char *const names[] = {
+        [Rlog_FOLLOWER] = "follower",
+        [Rlog_PRE_CANDIDATE] = "pre_candidate",
+        [Rlog_CANDIDATE] = "candidate",
+        [Rlog_LEADER] = "leader",
+    };
+
+    return control->is_open ? names[control->rlog.role] : "closed";
+}
+
+/* Logs when this replica falls behind, and when it is current again. */
+static void
+note_age(ControlReplica *control, Span age, Instant now)
+{
+    const ReplicatedLog *rlog = &control->rlog;
+    StrBuf leader = {0};
+
+    if (control->is_behind ? age > POLL_AGE_MAX : age < BEHIND_AGE) {
+        return;
+    }
+    control->is_behind = !control->is_behind;
+    Addr_Print(Ctl_Leader(control), &leader);
+    Lgr_Log(control->timeline->logger, Lgr_INFO,
+            control->is_behind ? Str_LIT("replica_behind")
+                               : Str_LIT("replica_current"),
+            "known_ms=%lld role=%s term=%llu leader=%.*s contact=%d "
+            "commit=%llu read_index=%llu",
+            age < Configmsg_AGE_NOT_KNOWN ? (long long)(age / Span_MS(1)) : -1,
+            get_role_name(control),
+            control->is_open ? (unsigned long long)rlog->term : 0,
+            Str_ARG(leader),
+            control->is_open && Rlog_HasLeaderContact(rlog, now),
+            control->is_open ? (unsigned long long)rlog->commit_index : 0,
+            control->is_open ? (unsigned long long)rlog->read_index : 0);
+    StrBuf_Finish(&leader);
+}
+
 /* Returns false while WATCHER has to wait. */
 static bool
 answer_watcher(ControlReplica *control, VersionWatcher *watcher, Instant now)
@@ -231,6 +274,7 @@
         return false;
     }
     watcher->waits_since = 0;
+    note_age(control, get_age(control, now), now);
     answer_version(control, &watcher->origin, watcher->request_sent_at,
                    watcher->known_version, watcher->wants_json, current, now);
     return true;
--- a/src/process/counters.h
+++ b/src/process/counters.h
@@ -52,6 +52,10 @@
     X(OPERATORS_CLOSED, "operators_closed_total",                             \
       "Operators' connections closed to make room")                           \
     X(DATA_BYTES, "data_bytes_total", "Bytes sent to other nodes for calls")  \
+    X(WORDS_OLD, "version_words_old_total",                                   \
+      "Times that the last word of the version became old")                   \
+    X(STORES_SLOW, "slow_stores_total",                                       \
+      "Votes, entries or snapshots stored in over 100 ms")                    \
     X(LOG_LINES_DROPPED, "log_lines_left_out_total", "Log lines not written")
 
 /* One id per row of Cnt_LIST: Cnt_CALLS and so on. */
--- a/src/process/versionfollower.c
+++ b/src/process/versionfollower.c
@@ -81,17 +81,58 @@
 
     for (uint32_t i = 0; i < count; i++) {
         Addr replica = choose_replica(follower);
+        if (follower->poll.vain_rounds == 0) {
+            follower->asked_count = 0;
+        }
+        follower->asked[follower->asked_count++ % Set_REPLICAS_MAX] = replica;
         Vpl_OnRequest(&follower->poll, now);
         send_request(follower, replica, !follower->is_up_to_date, now);
     }
 }
 
+/* The last replicas asked, the earliest first. */
+static void
+print_asked(const VersionFollower *follower, StrBuf *out)
+{
+    size_t count = follower->asked_count;
+    size_t first = count > Set_REPLICAS_MAX ? count - Set_REPLICAS_MAX : 0;
+
+    for (size_t i = first; i < count; i++) {
+        StrBuf_Append(out, i > first ? Str_LIT(",") : (Str){0});
+        Addr_Print(follower->asked[i % Set_REPLICAS_MAX], out);
+    }
+}
+
+static void
+log_age_change(VersionFollower *follower, Instant now)
+{
+    const VersionWord *word = &follower->word;
+    StrBuf from = {0};
+    StrBuf asked = {0};
+
+    Addr_Print(word->from, &from);
+    print_asked(follower, &asked);
+    Cnt_Add(follower->counters, Cnt_WORDS_OLD, word->is_old);
+    Lgr_Log(follower->timeline->logger, Lgr_INFO,
+            word->is_old ? Str_LIT("version_word_old")
+                         : Str_LIT("version_word_renewed"),
+            "known_ms=%lld old_ms=%lld from=%.*s requests=%zu asked=%.*s",
+            (long long)(Vwd_Age(word, now) / Span_MS(1)),
+            (long long)((now - word->old_as_of) / Span_MS(1)), Str_ARG(from),
+            follower->asked_count, Str_ARG(asked));
+    StrBuf_Finish(&from);
+    StrBuf_Finish(&asked);
+}
+
 static void
 on_tick(void *context, Instant now)
 {
     VersionFollower *follower = context;
     int64_t start = Loop_CpuNs();
 
+    if (Vwd_UpdateOld(&follower->word, now)) {
+        log_age_change(follower, now);
+    }
     poll_when_due(follower, now);
     Cnt_AddNs(follower->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
--- a/src/process/versionfollower.h
+++ b/src/process/versionfollower.h
@@ -39,12 +39,15 @@
     ConfigVersion min_version;  /* the newest confirmed one; older ones are
                                 rejected */
     bool is_confirmed;          /* a version was confirmed since the start */
-    bool is_up_to_date;       /* min_version or a newer one is in force here */
-    VersionWord word;         /* how old what is known of VERSION is */
-    Instant first_request_at; /* 0: none sent yet */
-    Addr leader;              /* as named by replicas; Addr_NONE: not known */
-    size_t next_replica;      /* index in settings->replicas */
-    VersionPoll poll;         /* when to poll, and in which region */
+    bool is_up_to_date; /* min_version or a newer one is in force here */
+    VersionWord word;   /* how old what is known of VERSION is */
+    Addr asked[Set_REPLICAS_MAX]; /* the last replicas asked */
+    size_t asked_count;           /* requests since the last answer that was
+                                     young enough */
+    Instant first_request_at;     /* 0: none sent yet */
+    Addr leader;         /* as named by replicas; Addr_NONE: not known */
+    size_t next_replica; /* index in settings->replicas */
+    VersionPoll poll;    /* when to poll, and in which region */
     ConfigVersion fetch_version; /* the last one whose preset was requested */
     Instant fetch_sent_at;       /* when that was */
     LoopTimer tick;
--- a/src/process/versionword.c
+++ b/src/process/versionword.c
@@ -1,5 +1,8 @@
 #include "process/versionword.h"
 
+/* In calm a word is renewed before it is that old (process/versionpoll.h). */
+#define OLD_AGE Span_MS(1500)
+
 Instant
 Vwd_ComputeAsOf(Instant sent_at, Span age, Instant first_sent_at, Instant now)
 {
@@ -29,3 +32,15 @@
 {
     return Vwd_Age(word, now) < apply_bound;
 }
+
+bool
+Vwd_UpdateOld(VersionWord *word, Instant now)
+{
+    bool was_old = word->is_old;
+
+    word->is_old = word->as_of && Vwd_Age(word, now) >= OLD_AGE;
+    if (word->is_old && !was_old) {
+        word->old_as_of = word->as_of;
+    }
+    return word->is_old != was_old;
+}
--- a/src/process/versionword.h
+++ b/src/process/versionword.h
@@ -20,6 +20,8 @@
     Instant as_of; /* each change that was accepted before is in force here;
                       0: not known */
     Addr from;     /* the control replica that gave this word */
+    bool is_old;   /* as Vwd_UpdateOld found it last */
+    Instant old_as_of; /* as_of when it last became old */
 } VersionWord;
 
 /* Age of a word that is not known. */
@@ -38,6 +40,10 @@
 /* The age of WORD, or Vwd_NOT_KNOWN. */
 Span Vwd_Age(const VersionWord *word, Instant now);
 
+/* Sets is_old to whether WORD, which must be known, is older than in calm.
+ * Returns whether that changed. */
+bool Vwd_UpdateOld(VersionWord *word, Instant now);
+
 /* Whether a node may say that a route does not exist, although it is missing
  * from its version only.  A change must be in force everywhere within
  * APPLY_BOUND after it was accepted.  One that is missing here was accepted
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -244,19 +244,26 @@
  * node's configuration version is not confirmed. */
 static void
 reject_request(CallDispatcher *dispatcher, const CallRequest *request,
-               const CallSink *sink, CallReason reason)
+               const CallSink *sink, CallReason reason, Instant now)
 {
     ConfigVersion version = dispatcher->in_force->version;
+    const VersionWord *word = dispatcher->version_word;
+    Span age = Vwd_Age(word, now);
+    StrBuf from = {0};
 
+    Addr_Print(word->from, &from);
     Lgr_Log(dispatcher->logger, Lgr_INFO, Str_LIT("call_refused"),
             "request=%.*s why=%s method=%.*s host=%.*s path=%.*s "
-            "version=%llu.%llu",
+            "version=%llu.%llu known_ms=%lld from=%.*s",
             Str_ARG(request->request_id),
             reason == Call_REASON_NO_ROUTE ? "no_route" : "version",
             Str_ARG(request->method), Str_ARG(request->host),
             Str_ARG(path_of(request->target)),
             (unsigned long long)version.term,
-            (unsigned long long)version.index);
+            (unsigned long long)version.index,
+            age == Vwd_NOT_KNOWN ? -1 : (long long)(age / Span_MS(1)),
+            Str_ARG(from));
+    StrBuf_Finish(&from);
     sink->on_end(sink->context, Call_NOT_RUN, reason);
 }
 
@@ -272,7 +279,8 @@
     Cnt_Add(dispatcher->counters,
             is_absent ? Cnt_CALLS_NO_ROUTE : Cnt_CALLS_NOT_RUN, 1);
     reject_request(dispatcher, request, sink,
-                   is_absent ? Call_REASON_NO_ROUTE : Call_REASON_VERSION);
+                   is_absent ? Call_REASON_NO_ROUTE : Call_REASON_VERSION,
+                   now);
 }
 
 void
@@ -289,7 +297,7 @@
     Cnt_Add(dispatcher->counters, Cnt_CALLS, 1);
     if (!dispatcher->version_confirmed) {
         Cnt_Add(dispatcher->counters, Cnt_CALLS_NOT_RUN, 1);
-        reject_request(dispatcher, request, sink, Call_REASON_VERSION);
+        reject_request(dispatcher, request, sink, Call_REASON_VERSION, now);
         return;
     }
     if (!route) {
--- a/tests/integration/test_platform.c
+++ b/tests/integration/test_platform.c
@@ -397,7 +397,8 @@
      Str_LIT("GET /nowhere?secret HTTP/1.1\r\n" HOST_HEADER
              "Lot-Id: lot-7\r\n\r\n"),
      Str_LIT("HTTP/1.1 404 "),
-     "'call_refused.*request=lot-7 why=no_route .* path=/nowhere version='"},
+     "'call_refused.*request=lot-7 why=no_route .* path=/nowhere version=.* "
+     "known_ms=[0-9]* from=[0-9]'"},
 };
 
 START_TEST(refusals_are_logged)
--- a/tests/unit/test_turn.c
+++ b/tests/unit/test_turn.c
@@ -387,6 +387,41 @@
 }
 END_TEST
 
+/* A word as of AS_OF, looked at AT. */
+typedef struct {
+    const char *name;
+    Span as_of;
+    Span at;
+    bool is_old;
+    bool is_changed;
+} AgeStep;
+
+static const AgeStep age_steps[] = {
+    {"in calm", 0, Span_MS(1499), false, false},
+    {"old", 0, Span_MS(1500), true, true},
+    {"still old", 0, Span_S(3), true, false},
+    {"an old word that is later", Span_S(2), Span_S(4), true, false},
+    {"renewed", Span_S(4), Span_S(4), false, true},
+    {"old again", Span_S(4), Span_S(6), true, true},
+};
+
+START_TEST(word_becomes_old_once)
+{
+    VersionWord word = {0};
+
+    ck_assert(!Vwd_UpdateOld(&word, START)); /* nothing is known yet */
+    for (size_t i = 0; i < sizeof age_steps / sizeof age_steps[0]; i++) {
+        const AgeStep *step = &age_steps[i];
+        Vwd_Advance(&word, START + step->as_of, 1);
+        ck_assert_msg(Vwd_UpdateOld(&word, START + step->at) ==
+                              step->is_changed &&
+                          word.is_old == step->is_old,
+                      "%s", step->name);
+    }
+    ck_assert_int_eq(word.old_as_of, START + Span_S(4));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -399,7 +434,8 @@
          sizeof word_cases / sizeof word_cases[0]},
         {says_not_found_only_while_it_can_know,
          sizeof absences / sizeof absences[0]},
+        {word_becomes_old_once, 1},
     };
 
-    return Suite_Run("turn", tests, 5, 10);
+    return Suite_Run("turn", tests, 6, 10);
 }
