Watch the configuration through some seconds of calm at the end

The rows of test_config_in_force ended with the last change, four of five before their bounds in calm could bite (found by review). They go on for 8 s now, longer than a read or a change may take in calm.

--- a/src/process/control.c
+++ b/src/process/control.c
@@ -13,6 +13,7 @@
 
 /* While another process has the folder: it usually is about to end. */
 #define BUSY_RETRY Span_MS(100)
+
 /* A store that takes so long is logged. */
 #define SLOW_STORE Span_MS(100)
 
--- a/tests/integration/test_config_in_force.c
+++ b/tests/integration/test_config_in_force.c
@@ -13,6 +13,9 @@
 #define HANG Span_MS(3500)
 #define RUN_TIMEOUT Span_S(15)
 
+/* Calm at the end: longer than a read or a change may take then. */
+#define CALM_TIME Span_S(8)
+
 enum { SUBNET = 90, VMS = 9, REPLICAS = 5, CHANGES = 3, SEED = 20261206 };
 
 static Str build;
@@ -110,6 +113,7 @@
     if (c->fault != NO_FAULT) {
         Fwt_Run(&watch, CHANGES, RUN_TIMEOUT);
     }
+    Fwt_Pass(&watch, CALM_TIME);
     ck_assert_msg(watch.fault_count == 0, "%s, seed %d:\n%.*s", c->name,
                   SEED + _i, Str_ARG(watch.faults));
     Fwt_Finish(&watch);
