Keep a backend server over a pause of the node beside it

What was seen: a node that did not run for 2.5 s reported its backend server as gone when it went on, though that had announced itself all the while, and as new with its next announcement.

Cause: an announcement expires 1.5 s after it was read (as set in the test). After a pause the timer ran before the announcements that had arrived meanwhile were read: the node's own pause counted as the backend server's silence.

What callers lose by it was not measured: a backend server that comes anew starts slowly again, and other nodes hear that it is gone.

Why it works: the time between two checks, where it is 0.1 s or more, is added to the time of the last announcement, to the present at most. A backend server that did end meanwhile is found by its connections, or by the rest of the expiry.

--- a/src/process/announce.c
+++ b/src/process/announce.c
@@ -4,6 +4,9 @@
 
 #include "value/json.h"
 
+/* A node whose last check is so long ago did not run itself. */
+#define OWN_PAUSE_MIN Span_MS(100)
+
 enum { SLOTS_MAX = 10000, SERVICE_BYTES_MAX = 64, ID_BYTES_MAX = 128 };
 
 static bool
@@ -487,9 +490,26 @@
     Opr_AddPath(opr, Str_LIT("/v1/backends/leave"), false, on_leave, receiver);
 }
 
+/* Time in which this node itself did not run is not the backend server's
+ * silence: its announcements were not read. */
+static void
+note_own_pause(AnnouncementReceiver *receiver, Instant now)
+{
+    Span pause = receiver->checked_at ? now - receiver->checked_at : 0;
+
+    receiver->checked_at = now;
+    if (pause >= OWN_PAUSE_MIN) {
+        receiver->heard_at += pause;
+        if (receiver->heard_at > now) {
+            receiver->heard_at = now;
+        }
+    }
+}
+
 void
 Ann_Expire(AnnouncementReceiver *receiver, Instant now)
 {
+    note_own_pause(receiver, now);
     Ntw_Expire(&receiver->waiting, now);
     if (receiver->has_backend &&
         now - receiver->heard_at >= receiver->settings->backend_expiry) {
--- a/src/process/announce.h
+++ b/src/process/announce.h
@@ -69,7 +69,9 @@
     LeaveSync *leaves;
     HeldAnnouncement held;
     WaitingNotices waiting;
-    Instant heard_at; /* last announcement or leave */
+    Instant heard_at; /* last announcement or leave; later by the time in which
+                         this node itself did not run since */
+    Instant checked_at; /* last Ann_Expire; 0: none yet */
     BackendChangeListener on_change;
     void *context; /* of on_change */
 } AnnouncementReceiver;
--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -3,8 +3,10 @@
  * they were running for it.  And another node gave up the look-ups that it was
  * running where no retry was left, though it could have been asked. */
 #include <signal.h>
+#include <string.h>
 
 #include "fleet_mix.h"
+#include "process/settings.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
@@ -118,11 +120,52 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    Span pause; /* of the node beside the backend server */
+} ExpiryCase;
+
+/* An announcement is valid for 1.5 s. */
+static const ExpiryCase expiry_cases[] = {
+    {"longer than an announcement is valid", Span_MS(2500)},
+    {"much longer", Span_MS(4000)},
+};
+
+START_TEST(paused_node_keeps_its_backend_server)
+{
+    const ExpiryCase *c = &expiry_cases[_i];
+    const Str gone = Str_LIT("backend_gone");
+    Fleet fleet;
+    StrBuf path = {0};
+    StrBuf log = {0};
+
+    Fleet_Init(&fleet, build, SUBNET, 1, 1);
+    Fleet_SetPreset(&fleet, preset);
+    Fleet_StartNode(&fleet, 0);
+    Fleet_StartBackend(&fleet, 0, Str_LIT("visor"), (Str){0});
+    ck_assert(
+        Fleet_WaitForPath(&fleet, 0, Str_LIT("/look/ready"), Span_S(10)));
+    kill(fleet.vms[0].node, SIGSTOP);
+    Fleet_Sleep(c->pause);
+    kill(fleet.vms[0].node, SIGCONT);
+    Fleet_Sleep(Span_S(1));
+    StrBuf_AppendFmt(&path, "%.*s/node0.json.log", Str_ARG(fleet.folder));
+    ck_assert(Set_ReadFile(StrBuf_View(&path), &log, NULL));
+    ck_assert_msg(!memmem(log.ptr, log.len, gone.ptr, gone.len), "%s",
+                  c->name);
+    StrBuf_Finish(&path);
+    StrBuf_Finish(&log);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
-    const SuiteTest tests[] = {{paused_node_gives_up_no_call, ROWS(cases)}};
+    const SuiteTest tests[] = {
+        {paused_node_gives_up_no_call, ROWS(cases)},
+        {paused_node_keeps_its_backend_server, ROWS(expiry_cases)}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("own pause", tests, 1, 40);
+    return Suite_Run("own pause", tests, 2, 40);
 }
