Cut a log of many large entries into frames that can be read

Cause: the entries that stayed went into one frame, however many they were. A frame of more than 16 MB is not read; 33 changes of 512 KB are enough, where 64 may wait. They go into frames of 16 entries now, at most 8.2 MB.

Ruled out: appended batches; they have 256 KB, or one entry.

--- a/src/version/disk.c
+++ b/src/version/disk.c
@@ -11,6 +11,9 @@
 #include "version/disklog.h"
 #include "version/frame.h"
 
+/* So many entries of the largest size fit into a frame. */
+enum { FRAME_ENTRIES_MAX = 16 };
+
 static const char identity_file[] = "identity";
 static const char vote_file[] = "vote";
 static const char log_file[] = "log";
@@ -285,8 +288,10 @@
     if (list->has_vote) {
         Dlg_AppendVote(&bytes, list->vote_term, list->voted_for);
     }
-    if (list->count) {
-        Dlg_AppendEntries(&bytes, list->entries, list->count);
+    for (size_t i = 0; i < list->count; i += FRAME_ENTRIES_MAX) {
+        size_t left = list->count - i;
+        Dlg_AppendEntries(&bytes, list->entries + i,
+                          left < FRAME_ENTRIES_MAX ? left : FRAME_ENTRIES_MAX);
     }
     good = write_log(storage, StrBuf_View(&bytes), err);
     StrBuf_Finish(&bytes);
--- a/tests/unit/test_disk.c
+++ b/tests/unit/test_disk.c
@@ -442,6 +442,39 @@
 }
 END_TEST
 
+/* Guards against the failure that a cut log has a frame that is too large to
+ * be read. */
+START_TEST(keeps_many_large_entries_after_a_snapshot)
+{
+    enum { COUNT = 34, LARGE_BYTES = 512 * 1024 };
+    static char large[LARGE_BYTES];
+    Folder folder;
+    ReplicaStorage storage;
+    Err err = {0};
+    StrBuf expected = {0};
+
+    make_folder(&folder);
+    StrBuf_Set(&expected, Str_LIT("vote 0 0;snapshot 1 1 s;"));
+    ck_assert(
+        Disk_Init(&storage, StrBuf_View(&folder.folder), IDENTITY, &err));
+    for (uint64_t i = 1; i <= COUNT; i++) {
+        RaftEntry entry = {1, i, Rlog_ENTRY_CHANGE,
+                           Str_From(large, sizeof large)};
+        ck_assert(Disk_StoreEntries(&storage, &entry, 1, &err));
+        if (i > 1) {
+            StrBuf_AppendFmt(&expected, "entry 1 %llu ;",
+                             (unsigned long long)i);
+        }
+    }
+    ck_assert(Disk_StoreSnapshot(&storage, 1, 1, Str_LIT("s"), &err));
+    Disk_Finish(&storage);
+    ck_assert_int_eq(reopen_and_load(&folder), Err_NONE);
+    ck_assert(Str_Equal(StrBuf_View(&folder.loaded), StrBuf_View(&expected)));
+    StrBuf_Finish(&expected);
+    remove_folder(&folder);
+}
+END_TEST
+
 START_TEST(rejects_a_second_opener)
 {
     Folder folder;
@@ -469,6 +502,7 @@
         {reports_zeros_before_a_whole_frame, 1},
         {reports_a_missing_file, ROWS(missing_files)},
         {rejects_writes_after_a_failed_write, ROWS(full_disk_cases)},
+        {keeps_many_large_entries_after_a_snapshot, 1},
         {rejects_a_second_opener, 1},
     };
 
