--- a/tests/unit/test_entries_once.c
+++ b/tests/unit/test_entries_once.c
@@ -10,21 +10,21 @@
 
 typedef struct {
     const char *name;
-    Span delay; /* of a message, one way */
-    Span pause; /* between two entries */
-    int entries;
+    Span delay;      /* of a message, one way */
+    Span pause;      /* between two entries */
     Span cut;        /* the last replica is cut off for so long at first */
     Span store_time; /* at the followers */
+    int entries;
     int sent_percent_max; /* of one copy for each follower */
 } EntryCase;
 
 static const EntryCase cases[] = {
-    {"short link", Span_MS(5), Span_MS(20), 100, 0, 0, 110},
-    {"long link", Span_MS(60), Span_MS(20), 100, 0, 0, 110},
-    {"long link, many changes", Span_MS(60), Span_MS(5), 300, 0, 0, 110},
-    {"slow stores", Span_MS(12), Span_MS(150), 40, 0, Span_MS(100), 110},
+    {"short link", Span_MS(5), Span_MS(20), 0, 0, 100, 110},
+    {"long link", Span_MS(60), Span_MS(20), 0, 0, 100, 110},
+    {"long link, many changes", Span_MS(60), Span_MS(5), 0, 0, 300, 110},
+    {"slow stores", Span_MS(12), Span_MS(150), 0, Span_MS(100), 40, 110},
     /* What is sent to a replica that is cut off is lost, and sent again. */
-    {"cut off at first", Span_MS(12), Span_MS(50), 100, Span_S(3), 0, 150},
+    {"cut off at first", Span_MS(12), Span_MS(50), Span_S(3), 0, 100, 150},
 };
 
 static void
--- a/tests/unit/test_slow_stores.c
+++ b/tests/unit/test_slow_stores.c
@@ -12,24 +12,24 @@
 
 typedef struct {
     const char *name;
-    int slow_replicas; /* the first ones */
-    Span store_time;   /* of their disks; the simulation's election timeout is
-                          one second */
+    Span store_time;   /* of the slow replicas' disks; the simulation's
+                          election timeout is one second */
     Span pause;        /* between two changes */
+    int slow_replicas; /* the first ones */
     uint32_t elections_max;
 } StoreCase;
 
 static const StoreCase cases[] = {
-    {"all disks fast", REPLICAS, 0, Span_MS(300), 1},
-    {"a tenth of an election timeout", REPLICAS, Span_MS(100), Span_MS(300),
+    {"all disks fast", 0, Span_MS(300), REPLICAS, 1},
+    {"a tenth of an election timeout", Span_MS(100), Span_MS(300), REPLICAS,
      1},
-    {"a third", REPLICAS, Span_MS(300), Span_MS(300), 1},
-    {"a third, rare changes", REPLICAS, Span_MS(300), Span_S(3), 1},
-    {"more than half", REPLICAS, Span_MS(600), Span_MS(300), 1},
-    {"more than half, rare changes", REPLICAS, Span_MS(600), Span_S(3), 1},
-    {"a whole one", REPLICAS, Span_MS(1000), Span_S(3), 1},
-    {"two disks slow", 2, Span_MS(1000), Span_MS(300), 2},
-    {"one disk slow, the first leader's", 1, Span_MS(1000), Span_MS(300), 2},
+    {"a third", Span_MS(300), Span_MS(300), REPLICAS, 1},
+    {"a third, rare changes", Span_MS(300), Span_S(3), REPLICAS, 1},
+    {"more than half", Span_MS(600), Span_MS(300), REPLICAS, 1},
+    {"more than half, rare changes", Span_MS(600), Span_S(3), REPLICAS, 1},
+    {"a whole one", Span_MS(1000), Span_S(3), REPLICAS, 1},
+    {"two disks slow", Span_MS(1000), Span_MS(300), 2, 2},
+    {"one disk slow, the first leader's", Span_MS(1000), Span_MS(300), 1, 2},
 };
 
 static void
