Fetch a change in the node's own region when it is to be had there

Cause: a node fetched a new version from whichever replica told of it first, which is always the leader, and each fetch renewed its place among those that the leader tells. So a node that had once asked outside its region, at its start or after one unanswered poll, fetched every change over the link between the regions: with 8 nodes, 84 changes of 0.95 MB in all carried 11.9 MB there. What fills the link also holds up the leader's heartbeats.

Now a version that a replica of another region tells of is fetched there only if none of the own region brings it within 300 ms, or none is known or answers.

--- a/src/process/versionfollower.c
+++ b/src/process/versionfollower.c
@@ -7,6 +7,10 @@
 /* The same version is not requested again within this time. */
 #define FETCH_RETRY Span_MS(300)
 
+/* A version that a replica of another region has told of is fetched there
+ * after this, unless one of this region has told of it. */
+#define NEAR_WAIT Span_MS(300)
+
 static void
 send_request(VersionFollower *follower, Addr replica, bool confirm,
              Instant now)
@@ -40,6 +44,20 @@
            row->record.region == follower->settings->region_number;
 }
 
+/* Whether a replica of this region is known and answers. */
+static bool
+has_near_replica(const VersionFollower *follower)
+{
+    const Settings *settings = follower->settings;
+
+    for (size_t i = 0; i < settings->replica_count; i++) {
+        if (is_in_region(follower, settings->replicas[i])) {
+            return !Vpl_UsesAllRegions(&follower->poll);
+        }
+    }
+    return false;
+}
+
 static Addr
 next_listed_replica(VersionFollower *follower)
 {
@@ -124,6 +142,33 @@
     StrBuf_Finish(&asked);
 }
 
+static void
+fetch(VersionFollower *follower, Addr replica, ConfigVersion version,
+      Instant now)
+{
+    if (Cfg_CompareVersions(version, follower->fetch_version) <= 0 &&
+        now - follower->fetch_sent_at < FETCH_RETRY) {
+        return;
+    }
+    follower->fetch_version = version;
+    follower->fetch_sent_at = now;
+    /* Without an answer another replica is asked; while a poll has none, that
+     * is under way. */
+    if (follower->poll.vain_rounds == 0) {
+        Vpl_OnRequest(&follower->poll, now);
+    }
+    send_request(follower, replica, false, now);
+}
+
+static void
+fetch_from_afar(VersionFollower *follower, Instant now)
+{
+    if (Cfg_CompareVersions(follower->far_version, follower->version) > 0 &&
+        now - follower->far_heard_at >= NEAR_WAIT) {
+        fetch(follower, follower->far_replica, follower->far_version, now);
+    }
+}
+
 static void
 on_tick(void *context, Instant now)
 {
@@ -133,26 +178,26 @@
     if (Vwd_UpdateOld(&follower->word, now)) {
         log_age_change(follower, now);
     }
+    fetch_from_afar(follower, now);
     poll_when_due(follower, now);
     Cnt_AddNs(follower->counters, Cnt_CONTROL_CPU_US, Loop_CpuNs() - start);
 }
 
+/* The leader tells of a version first.  If all nodes of other regions fetched
+ * it there, the link between regions would carry it once for each node. */
 static void
-fetch(VersionFollower *follower, Addr replica, ConfigVersion version,
-      Instant now)
+hear_of_version(VersionFollower *follower, Addr from, ConfigVersion version,
+                Instant now)
 {
-    if (Cfg_CompareVersions(version, follower->fetch_version) <= 0 &&
-        now - follower->fetch_sent_at < FETCH_RETRY) {
-        return;
+    if (is_in_region(follower, from) || !has_near_replica(follower)) {
+        fetch(follower, from, version, now);
     }
-    follower->fetch_version = version;
-    follower->fetch_sent_at = now;
-    /* Without an answer another replica is asked; while a poll has none, that
-     * is under way. */
-    if (follower->poll.vain_rounds == 0) {
-        Vpl_OnRequest(&follower->poll, now);
+    else if (Cfg_CompareVersions(follower->far_version, follower->version) <=
+             0) {
+        follower->far_version = version;
+        follower->far_replica = from;
+        follower->far_heard_at = now;
     }
-    send_request(follower, replica, false, now);
 }
 
 static void
@@ -166,7 +211,7 @@
         return;
     }
     if (msg->json.len == 0) {
-        fetch(follower, from, msg->version, now);
+        hear_of_version(follower, from, msg->version, now);
     }
     else if (follower->apply(follower->apply_context, msg->version, msg->json,
                              now)) {
--- a/src/process/versionfollower.h
+++ b/src/process/versionfollower.h
@@ -50,6 +50,9 @@
     VersionPoll poll;    /* when to poll, and in which region */
     ConfigVersion fetch_version; /* the last one whose preset was requested */
     Instant fetch_sent_at;       /* when that was */
+    ConfigVersion far_version;   /* that a replica of another region told of */
+    Addr far_replica;            /* that one */
+    Instant far_heard_at;        /* when it told of it */
     LoopTimer tick;
 } VersionFollower;
 
