--- a/src/process/versionfollower.h
+++ b/src/process/versionfollower.h
@@ -3,11 +3,11 @@
  *
  * The follower polls the control replicas of its region in turn, and several
  * of any region when one did not know enough; a polled replica announces a
- * newer version as soon as it has one.  Versions are only
- * ever replaced by newer ones.  After its start the node accepts no version
- * until a replica has confirmed which one is the newest, and none older than
- * that, so that a replica that lags or is partitioned can't bring back an
- * older version.
+ * newer version as soon as it has one.  Its preset is fetched from a replica
+ * of the node's own region where one has it.  Versions are only ever replaced
+ * by newer ones.  After its start the node accepts no version until a replica
+ * has confirmed which one is the newest, and none older than that, so that a
+ * replica that lags or is partitioned can't bring back an older version.
  */
 #ifndef VERSIONFOLLOWER_H
 #define VERSIONFOLLOWER_H
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -15,14 +15,18 @@
  * follower's read index request.  No guarantee compares clocks of two
  * machines, so a replica may vote immediately after a restart.
  *
+ * Appends: what was sent to a follower is taken as on its way, since
+ * connections keep the order of messages, and is sent again only when the
+ * follower says that it lacks it.
+ *
  * Elections: a leader that no quorum answers for the election timeout steps
- * down.  A replica that has heard from a
- * leader refuses votes for the same time, so that a live leader is not
- * disrupted.
+ * down.  A replica that has heard from a leader refuses votes for the same
+ * time, so that a live leader is not disrupted.
  *
  * Pauses: a replica that did not run for a while, since a store took long or
- * its machine stood still, does not count that time as the silence of others,
- * and for some time gives the others as long, in an election and as a leader.
+ * its machine stood still, does not count that time as the silence of others.
+ * When that happens again and again, it gives the others as long, in an
+ * election and as a leader.
  *
  * Membership: replicas are identified by identity.  A new identity joins as a
  * learner and becomes a voter once it has what the leader has committed; then
@@ -292,9 +296,9 @@
 void Rlog_OnTick(ReplicatedLog *rlog, Instant now);
 
 /* Appends a change as leader.  Returns its index, or 0 when this replica does
- * not lead or could not store it; the others may have stored it then, and it
- * may be committed.  The change is committed when on_commit gets the same term
- * and index. */
+ * not lead or could not store it; in the latter case the others may have
+ * stored it, and it may be committed.  The change is committed when on_commit
+ * gets the same term and index. */
 uint64_t Rlog_Propose(ReplicatedLog *rlog, Str data, Instant now);
 
 /* Reports to a leader that the replica IDENTITY runs at ADDR and was last
