Compute no step-down for the only voter

Under the sanitizers a fleet with one control replica ended with "signed integer overflow": a leader that is the only voter has no last answer of a quorum, Instant_NEVER, and its step-down was counted from that.

--- a/src/version/rlog_append.c
+++ b/src/version/rlog_append.c
@@ -229,13 +229,16 @@
 {
     Instant heard = Rlog_QuorumAckedAt(rlog);
 
+    if (heard == Instant_NEVER) {
+        return false;
+    }
     heard = heard > rlog->leader_since ? heard : rlog->leader_since;
     if (heard != rlog->quorum_heard_at) {
         rlog->quorum_heard_at = heard;
         rlog->step_down_at = heard + rlog->settings.election_timeout +
                              2 * Rlog_ExpectedPause(rlog, now);
     }
-    return heard != Instant_NEVER && now >= rlog->step_down_at;
+    return now >= rlog->step_down_at;
 }
 
 void
