--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -6,6 +6,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "connection/backlog.h"
 #include "connection/callerstate.h"
 #include "value/mem.h"
 
@@ -440,6 +441,15 @@
     }
 }
 
+void
+Ccn_StartDraining(CallerListener *listener)
+{
+    listener->is_draining = true;
+    if (listener->listener) {
+        Bkl_DropNew(evconnlistener_get_fd(listener->listener));
+    }
+}
+
 void
 Ccn_StopListening(CallerListener *listener)
 {
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -125,6 +125,10 @@
 void Ccn_Finish(CallerListener *listener);
 void Ccn_StartAccepting(CallerListener *listener);
 
+/* Makes each answer from now on the last one of its connection, and lets no
+ * new connection begin; those that have begun are still accepted. */
+void Ccn_StartDraining(CallerListener *listener);
+
 /* Closes the listening socket; open connections stay. */
 void Ccn_StopListening(CallerListener *listener);
 
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -1,8 +1,5 @@
 #include "process/edge.h"
 
-#include <linux/filter.h>
-#include <sys/socket.h>
-
 #include "connection/httprule.h"
 
 enum { HTTP_SERVICE_UNAVAILABLE = 503 };
@@ -158,26 +155,10 @@
     Xch_ListFinish(&edge->exchanges);
 }
 
-/* Makes the kernel ignore attempts to connect.  To refuse them, the socket
- * would have to be closed, which resets connections that are established and
- * not accepted yet; with this filter they can still be accepted. */
-static void
-drop_new_connections(evutil_socket_t fd)
-{
-    struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
-    struct sock_fprog program = {1, &drop};
-
-    setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
-}
-
 void
 Edge_StartDraining(Edge *edge)
 {
-    edge->caller_listener.is_draining = true;
-    if (edge->caller_listener.listener) {
-        drop_new_connections(
-            evconnlistener_get_fd(edge->caller_listener.listener));
-    }
+    Ccn_StartDraining(&edge->caller_listener);
 }
 
 void
