--- a/tests/unit/test_caller_connections.c
+++ b/tests/unit/test_caller_connections.c
@@ -3,7 +3,9 @@
  * or never answered. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -498,11 +500,108 @@
 }
 END_TEST
 
+/* How far a caller's connection has come when the listener starts to drain. */
+typedef enum { NOT_BEGUN, UNDER_WAY, ESTABLISHED } Progress;
+
+/* Guards against the failure that a stop reset a connection whose handshake
+ * was under way, although the caller had connected. */
+typedef struct {
+    const char *name;
+    Progress progress;
+    int requests; /* passed on */
+    Str answer;   /* how it begins; empty: none */
+} DrainCase;
+
+static const DrainCase drain_cases[] = {
+    {"established", ESTABLISHED, 1, Str_LIT("HTTP/1.1 200 ")},
+    {"its handshake is under way", UNDER_WAY, 1, Str_LIT("HTTP/1.1 200 ")},
+    {"begins afterwards", NOT_BEGUN, 0, {NULL, 0}},
+};
+
+enum { DRAIN_COUNT = sizeof drain_cases / sizeof drain_cases[0] };
+
+/* The kernel repeats what was lost of a handshake after one second. */
+#define HANDSHAKE_WAIT Span_S(3)
+
+/* Starts to connect, without waiting.  If LOSES_REPLY, the replies to this
+ * caller are lost until SO_DETACH_FILTER. */
+static int
+begin_caller(const CallerListener *listener, bool loses_reply)
+{
+    struct sock_filter lose = BPF_STMT(BPF_RET | BPF_K, 0);
+    struct sock_fprog program = {1, &lose};
+    struct sockaddr_in name;
+    socklen_t size = sizeof name;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+    getsockname(evconnlistener_get_fd(listener->listener),
+                (struct sockaddr *)&name, &size);
+    if (loses_reply) {
+        ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                                    sizeof program),
+                         0);
+    }
+    ck_assert(connect(fd, (struct sockaddr *)&name, sizeof name) == 0 ||
+              errno == EINPROGRESS);
+    return fd;
+}
+
+/* Returns whether FD is connected within HANDSHAKE_WAIT. */
+static bool
+is_connected(int fd)
+{
+    struct pollfd wait = {fd, POLLOUT, 0};
+
+    return poll(&wait, 1, (int)(HANDSHAKE_WAIT / Span_MS(1))) == 1 &&
+           !(wait.revents & (POLLERR | POLLHUP));
+}
+
+START_TEST(drains_without_resets)
+{
+    const DrainCase *c = &drain_cases[_i];
+    Loop loop;
+    Err err = {0};
+    CallerListener listener;
+    char answer[ANSWER_BYTES];
+    size_t len;
+    int none = 0;
+    int fd = -1;
+
+    answers_at_once = true;
+    ck_assert(Loop_Init(&loop, &err));
+    start_listener(&listener, loop.base);
+    if (c->progress != NOT_BEGUN) {
+        fd = begin_caller(&listener, c->progress == UNDER_WAY);
+    }
+    Ccn_StartDraining(&listener);
+    if (c->progress == NOT_BEGUN) {
+        fd = begin_caller(&listener, false);
+    }
+    setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof none);
+    ck_assert_msg(is_connected(fd) == (c->requests > 0), "%s", c->name);
+    if (c->requests) {
+        send_text(fd, &whole);
+    }
+    usleep(2000);
+    run_loop(loop.base);
+    read_answer(fd, answer, &len);
+    ck_assert_msg(request_count == c->requests, "%s: %d requests", c->name,
+                  request_count);
+    ck_assert_msg(Str_StartsWith(Str_From(answer, len), c->answer) &&
+                      (len > 0) == (c->answer.len > 0),
+                  "%s: %.*s", c->name, (int)len, answer);
+    close(fd);
+    Ccn_Finish(&listener);
+    Loop_Finish(&loop);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {{closes_without_losing_requests, CASE_COUNT},
-                               {ends_answers_and_connections, END_COUNT}};
+                               {ends_answers_and_connections, END_COUNT},
+                               {drains_without_resets, DRAIN_COUNT}};
 
-    return Suite_Run("caller connections", tests, 2, 20);
+    return Suite_Run("caller connections", tests, 3, 20);
 }
