Count the time for which a request lies unread here

What callers and other nodes state as time left ran on while a node stood still and the request lay unread, and was given away whole afterwards: a backend server was handed up to the length of the pause too much, and work began after its caller's deadline (test_call_trees starts_nothing_late:0, forced by a stop of 60 ms).

The loop's own lateness, of which the stop of a node knew already, now counts as time that has passed (process/ownpause.h), where a request is read from a caller and where a call is read from a node. It is the longest time that fits: what came during the pause may get up to its length too little; nothing is refused that way that has not run, and its ingress node still has the rest.

Before: rows 1 to 3 of pause_is_not_given_away failed (4000 of 4000 ms after pauses of 700 and 400 ms; a request that had expired was run). After: they pass, as do test_unread_time, test_call_trees, test_measure_budget, test_paused_stop and test_stop. The entry of test_call_trees stays: a backend server that stands still looks the same.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -245,10 +245,8 @@
 {
     Node *node = context;
 
-    if (node->ticked_at) {
-        Stp_OnOwnPause(&node->stop, now - node->ticked_at - TIMER_PERIOD, now);
-    }
-    node->ticked_at = now;
+    Stp_OnOwnPause(&node->stop, Opa_GetLateness(&node->own_pause, now), now);
+    Opa_OnTick(&node->own_pause, now);
     Lvs_Tick(&node->leaves, now);
     Ann_Expire(&node->announcements, now);
     if (!Stp_MayStartCalls(&node->stop, false, now)) {
@@ -428,6 +426,7 @@
     const BackendHeaderNames names =
         get_backend_header_names(&settings->header_fields);
 
+    Opa_Init(&node->own_pause, TIMER_PERIOD);
     Rps_Init(&node->replicas, settings, on_replica_replaced, node);
     Adm_Init(&node->admission, &admission);
     if (node->admission_recorder.file) {
@@ -461,6 +460,8 @@
                         &node->ledger_recorder);
     }
     Run_SetBackendLostCallback(&node->runner, on_backend_lost, node);
+    node->runner.own_pause = &node->own_pause;
+    node->dispatcher.own_pause = &node->own_pause;
     node->dispatcher.enclosing_run_context = &node->runner;
     node->dispatcher.has_enclosing_run = has_enclosing_run;
     node->dispatcher.version_word = &node->version_follower.word;
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -61,7 +61,7 @@
     bool accepts_callers; /* the startup is done, and callers' connections
                              are accepted */
     Instant started_at;
-    Instant ticked_at;            /* last run of the timer; 0: none yet */
+    OwnPause own_pause;
     Instant version_confirmed_at; /* first version in force; 0: none yet */
     Instant backend_known_at;     /* first backend server known; 0: none yet */
     LoopTimer timer;
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -18,6 +18,7 @@
 #include "process/latency.h"
 #include "process/linkbudget.h"
 #include "process/net.h"
+#include "process/ownpause.h"
 #include "process/services.h"
 #include "process/suspectsync.h"
 #include "process/timeline.h"
@@ -99,6 +100,7 @@
     SharedPreset *in_force;
     /* in_force is confirmed as current; false: calls are refused */
     bool version_confirmed;
+    const OwnPause *own_pause; /* set by the node */
     /* Set by the node: how old what it knows of in_force is, and the time
      * within which a change must be in force everywhere. */
     const VersionWord *version_word;
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -304,6 +304,19 @@
                now); /* may free the exchange */
 }
 
+/* The caller's time ran on while its request lay unread here.  A timeout that
+ * has passed meanwhile becomes the shortest one. */
+static void
+subtract_unread_time(const CallDispatcher *dispatcher, Span *timeout,
+                     Instant now)
+{
+    Span unread = Opa_GetUnreadTime(dispatcher->own_pause, now);
+
+    if (*timeout) {
+        *timeout = *timeout > unread ? *timeout - unread : 1;
+    }
+}
+
 void
 Xch_Start(ExchangeList *list, CallerRequest *request, Instant now)
 {
@@ -322,6 +335,7 @@
         reject_request(exchange, 400, Str_LIT("deadline: 1 to 3600000 ms\n"));
     }
     else {
+        subtract_unread_time(list->dispatcher, &timeout, now);
         start_call(exchange, timeout, now);
     }
 }
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -135,7 +135,8 @@
     attempt->cross_region = msg->cross_region;
     attempt->fingerprint = msg->fingerprint;
     attempt->request_class = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
-    attempt->deadline = now + msg->time_left;
+    attempt->deadline =
+        now + msg->time_left - Opa_GetUnreadTime(runner->own_pause, now);
     attempt->call_deadline = attempt->deadline;
     attempt->queue_deadline = now + msg->queue_time_max;
     attempt->priority = msg->priority;
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -21,6 +21,7 @@
 #include "process/latency.h"
 #include "process/ledger.h"
 #include "process/net.h"
+#include "process/ownpause.h"
 #include "process/receipts.h"
 #include "process/reportthrottle.h"
 #include "process/suspectsync.h"
@@ -66,7 +67,8 @@
                           sent to; asked for while this node stops */
     bool is_flushing;  /* the node stops soon: answers are sent ahead of
                                credits, and wait for their callers elsewhere */
-    Instant last_call_at;  /* when a Wire_CALL message came last; 0: never */
+    Instant last_call_at; /* when a Wire_CALL message came last; 0: never */
+    const OwnPause *own_pause;
     Instant ticked_at;     /* last Run_Tick; 0: none yet */
     Instant resumed_at;    /* end of this node's last own pause; 0: none */
     Instant last_piece_at; /* when a piece of an answer was sent last; 0:
--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -1,8 +1,10 @@
 /* Guards against two failures around a node that does not run for a moment.
  * When it went on, it took other nodes for silent and gave up the calls that
  * they were running for it.  And another node gave up the look-ups that it was
- * running where no retry was left, though it could have been asked. */
+ * running where no retry was left, though it could have been asked.  Nor may
+ * the time for which a request lies unread be given to a backend server. */
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "fleet_mix.h"
@@ -159,13 +161,87 @@
 }
 END_TEST
 
+/* How much time a backend server is given for a request that lay unread while
+ * a node did not run. */
+typedef struct {
+    const char *name;
+    int paused_vm; /* from before the request is sent */
+    Span pause;
+    int stated_ms; /* by the caller */
+    int given_min; /* ms; not positive: the request is not run */
+    int given_max;
+} UnreadCase;
+
+static const UnreadCase unread_cases[] = {
+    {"no pause", INGRESS_VM, 0, 4000, 3800, 4000},
+    {"the ingress node", INGRESS_VM, Span_MS(700), 4000, 3000, 3320},
+    {"the serving node", SERVING_VM, Span_MS(400), 4000, 3400, 3620},
+    {"the ingress node, longer than the caller waits", INGRESS_VM,
+     Span_MS(700), 600, 0, 0},
+};
+
+/* Returns the milliseconds that ANSWER says the backend server was given; 0
+ * when it did not run the request. */
+static int
+read_given_ms(Str answer)
+{
+    static const char name[] = "X-Lycheeridge-Deadline-Ms=";
+    const char *at = memmem(answer.ptr, answer.len, name, sizeof name - 1);
+
+    return at ? atoi(at + sizeof name - 1) : 0;
+}
+
+START_TEST(pause_is_not_given_away)
+{
+    const UnreadCase *c = &unread_cases[_i];
+    Fleet fleet;
+    StrBuf text = {0};
+    pid_t paused;
+    int given_ms;
+    int fd;
+
+    Fleet_Init(&fleet, build, SUBNET, VMS, 1);
+    Fleet_SetPreset(&fleet, preset);
+    for (int i = 0; i < VMS; i++) {
+        Fleet_StartNode(&fleet, i);
+    }
+    Fleet_StartBackend(&fleet, SERVING_VM, Str_LIT("visor"), (Str){0});
+    ck_assert(Fleet_WaitForPath(&fleet, INGRESS_VM, Str_LIT("/look/ready"),
+                                Span_S(10)));
+    paused = fleet.vms[c->paused_vm].node;
+    if (c->pause) {
+        kill(paused, SIGSTOP);
+    }
+    fd = Fleet_RawOpen(&fleet, INGRESS_VM, 8000);
+    StrBuf_AppendFmt(&text,
+                     "GET /look/a HTTP/1.1\r\nHost: barns\r\n"
+                     "X-Fake-Show: X-Lycheeridge-Deadline-Ms\r\n"
+                     "X-Lycheeridge-Deadline-Ms: %d\r\n"
+                     "Connection: close\r\n\r\n",
+                     c->stated_ms);
+    Fleet_RawSend(fd, StrBuf_View(&text));
+    Fleet_Sleep(c->pause);
+    kill(paused, SIGCONT);
+    StrBuf_Clear(&text);
+    Fleet_RawRead(fd, Span_S(3), &text);
+    given_ms = read_given_ms(StrBuf_View(&text));
+    ck_assert_msg(given_ms >= c->given_min && given_ms <= c->given_max,
+                  "%s: %d ms given: %.*s", c->name, given_ms,
+                  Str_ARG(StrBuf_View(&text)));
+    Fleet_RawClose(fd);
+    StrBuf_Finish(&text);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
     const SuiteTest tests[] = {
         {paused_node_gives_up_no_call, ROWS(cases)},
-        {paused_node_keeps_its_backend_server, ROWS(expiry_cases)}};
+        {paused_node_keeps_its_backend_server, ROWS(expiry_cases)},
+        {pause_is_not_given_away, ROWS(unread_cases)}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("own pause", tests, 2, 40);
+    return Suite_Run("own pause", tests, 3, 40);
 }
