Count the time for handshakes from when they are the last ones

Reading showed: a node that stops with a notice closes its listening socket 50 ms after the notice ends, by the clock. A pause around that moment makes the step that lets no new connection begin late, not the close: 10 ms were left for a handshake under way, and for the next look at the listener.

Cause: both steps were timed from the signal. The close is now 50 ms after the first step. Ruled out: a stop without a notice (its first step is the signal itself).

Before: row "a notice ends during a pause" failed (closed after 10 ms). After: it passes, with the other rows of test_stop.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -147,7 +147,7 @@
     case Stp_LEAVE:
         Adm_Stop(&node->admission);
         Mbs_Leave(&node->members, now);
-        if (node->stop.keep_alive_disabled) {
+        if (node->stop.draining_at) {
             Edge_StartDraining(&node->edge);
         }
         break;
--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -1,7 +1,8 @@
 #include "process/stop.h"
 
 /* Time to accept callers whose connection is established and still in the
- * backlog of the listening socket. */
+ * backlog of the listening socket, and for handshakes that are under way.
+ * It begins when no new ones do, which a pause may have held up. */
 #define ACCEPT_DELAY Span_MS(50)
 
 /* The last part of the time limit, one in so many, in which no call is started
@@ -82,7 +83,7 @@
     }
     if (!stop->has_left) {
         stop->has_left = true;
-        stop->keep_alive_disabled = stop->settings.notice_time == 0;
+        stop->draining_at = stop->settings.notice_time == 0 ? now : 0;
         return Stp_LEAVE;
     }
     if (elapsed >= stop->settings.time_limit) {
@@ -92,13 +93,12 @@
     if (activity->partial_requests && !Stp_MayStartCalls(stop, false, now)) {
         return Stp_REJECT_PARTIAL;
     }
-    if (!stop->keep_alive_disabled) {
-        stop->keep_alive_disabled = elapsed >= stop->settings.notice_time;
-        return stop->keep_alive_disabled ? Stp_DISABLE_KEEP_ALIVE : Stp_WAIT;
+    if (!stop->draining_at) {
+        stop->draining_at = elapsed >= stop->settings.notice_time ? now : 0;
+        return stop->draining_at ? Stp_DISABLE_KEEP_ALIVE : Stp_WAIT;
     }
     if (!stop->stopped_listening) {
-        stop->stopped_listening =
-            elapsed >= stop->settings.notice_time + ACCEPT_DELAY;
+        stop->stopped_listening = now - stop->draining_at >= ACCEPT_DELAY;
         return stop->stopped_listening ? Stp_STOP_LISTENING : Stp_WAIT;
     }
     if (!is_propagated(stop, activity, now)) {
--- a/src/process/stop.h
+++ b/src/process/stop.h
@@ -56,8 +56,9 @@
     Instant signaled_at; /* time of the first signal; 0: none yet */
     Instant resumed_at;  /* end of the last pause; 0: none */
     Span last_pause;
-    bool has_left;            /* Stp_LEAVE was returned */
-    bool keep_alive_disabled; /* each answer ends its caller's connection */
+    bool has_left;       /* Stp_LEAVE was returned */
+    Instant draining_at; /* when each answer began to end its caller's
+                            connection; 0: not yet */
     bool stopped_listening;
     bool timed_out; /* work was left at the time limit */
 } GracefulStop;
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -17,6 +17,7 @@
     Instant second_signal; /* 0: none */
     Instant resumed;       /* the end of a pause; 0: none */
     Span pause;
+    Span notice;
     bool timed_out;
 } StopCase;
 
@@ -151,6 +152,13 @@
      .resumed = TIME_LIMIT,
      .pause = TIME_LIMIT / 2,
      .timed_out = true},
+    {"a notice ends during a pause",
+     {{0, {0}, Stp_LEAVE},
+      {2400000, {0}, Stp_WAIT},
+      {2600000, {0}, Stp_DISABLE_KEEP_ALIVE},
+      {2649999, {0}, Stp_WAIT},
+      {2650000, {0}, Stp_STOP_LISTENING}},
+     .notice = 2500000},
 };
 
 enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
@@ -158,7 +166,7 @@
 START_TEST(gives_expected_actions)
 {
     const StopCase *c = &cases[_i];
-    const StopSettings settings = {TIME_LIMIT, PROPAGATION_TIME, 0};
+    const StopSettings settings = {TIME_LIMIT, PROPAGATION_TIME, c->notice};
     GracefulStop stop;
 
     Stp_Init(&stop, &settings);
