Give the callers that connect last time for their first request

A caller that connected shortly before the end of a notice, and sent its first request 100 ms after the listener had closed, got no answer.

Cause: connections without a request were closed once the propagation time had passed since the signal. Ruled out: the filter and the backlog (the connection was accepted).

They have 250 ms from the close of the listener.

--- a/src/process/stop.c
+++ b/src/process/stop.c
@@ -5,6 +5,11 @@
  * It begins when no new ones do, which a pause may have held up. */
 #define ACCEPT_DELAY Span_MS(50)
 
+/* Time for the first request of callers that were accepted last.  Without it,
+ * where the notice is longer than the propagation time, they would be closed
+ * in the step after. */
+#define REQUEST_DELAY Span_MS(250)
+
 /* The last part of the time limit, one in so many, in which no call is started
  * any more; of nested calls. */
 enum { NO_START_DIVISOR = 2, NO_NESTED_START_DIVISOR = 6 };
@@ -97,15 +102,18 @@
         stop->draining_at = elapsed >= stop->settings.notice_time ? now : 0;
         return stop->draining_at ? Stp_DISABLE_KEEP_ALIVE : Stp_WAIT;
     }
-    if (!stop->stopped_listening) {
-        stop->stopped_listening = now - stop->draining_at >= ACCEPT_DELAY;
-        return stop->stopped_listening ? Stp_STOP_LISTENING : Stp_WAIT;
+    if (!stop->stopped_listening_at) {
+        stop->stopped_listening_at =
+            now - stop->draining_at >= ACCEPT_DELAY ? now : 0;
+        return stop->stopped_listening_at ? Stp_STOP_LISTENING : Stp_WAIT;
     }
     if (!is_propagated(stop, activity, now)) {
         return Stp_WAIT;
     }
     if (activity->caller_connections > activity->http_exchanges) {
-        return Stp_CLOSE_IDLE_CONNECTIONS;
+        return now - stop->stopped_listening_at >= REQUEST_DELAY
+                   ? Stp_CLOSE_IDLE_CONNECTIONS
+                   : Stp_WAIT;
     }
     return is_idle(activity) ? Stp_EXIT : Stp_WAIT;
 }
--- a/src/process/stop.h
+++ b/src/process/stop.h
@@ -3,7 +3,8 @@
  * The node leaves first: it announces that to the other members, refuses
  * attempts of other nodes (they did not run, and are sent to another node),
  * and closes each caller's connection after its answer.  Then the node stops
- * listening, closes connections without a request, and exits once no work is
+ * listening, closes connections without a request, a moment later, because the
+ * callers that connected last are about to send one, and exits once no work is
  * left and no other node has sent an attempt for the propagation time; or at
  * its time limit, with work left.  In the second half of that time no call is
  * started any more, so that the calls under way have it to end.  Those that
@@ -56,11 +57,11 @@
     Instant signaled_at; /* time of the first signal; 0: none yet */
     Instant resumed_at;  /* end of the last pause; 0: none */
     Span last_pause;
-    bool has_left;       /* Stp_LEAVE was returned */
-    Instant draining_at; /* when each answer began to end its caller's
-                            connection; 0: not yet */
-    bool stopped_listening;
-    bool timed_out; /* work was left at the time limit */
+    bool has_left;                /* Stp_LEAVE was returned */
+    Instant draining_at;          /* when each answer began to end its caller's
+                                     connection; 0: not yet */
+    Instant stopped_listening_at; /* 0: not yet */
+    bool timed_out;               /* work was left at the time limit */
 } GracefulStop;
 
 void Stp_Init(GracefulStop *stop, const StopSettings *settings);
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -159,6 +159,14 @@
       {2649999, {0}, Stp_WAIT},
       {2650000, {0}, Stp_STOP_LISTENING}},
      .notice = 2500000},
+    {"connections that were accepted at the end of a notice",
+     {{0, {0}, Stp_LEAVE},
+      {2500000, {0}, Stp_DISABLE_KEEP_ALIVE},
+      {2550000, {.caller_connections = 1}, Stp_STOP_LISTENING},
+      {2560000, {.caller_connections = 1}, Stp_WAIT},
+      {2799999, {.caller_connections = 1}, Stp_WAIT},
+      {2800000, {.caller_connections = 1}, Stp_CLOSE_IDLE_CONNECTIONS}},
+     .notice = 2500000},
 };
 
 enum { CASE_COUNT = sizeof cases / sizeof cases[0] };
