Count the time that a pipelined request waits behind others

A booking that was sent behind another one on its connection was handed to a backend server with its caller's whole time, counted from when the one before it had been answered (4000 of 4000 ms after 700 ms).

It counts from when the request was read now; the same class as the time for which a request lies unread. Ruled out: requests that may run early, which are dispatched when they are read.

Before: row "behind a booking" of pause_is_not_given_away failed. After: its five rows pass. The rows send a booking in place of a look-up, so that the new one waits; their bounds are the same.

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -304,16 +304,21 @@
                now); /* may free the exchange */
 }
 
-/* The caller's time ran on while its request lay unread here.  A timeout that
- * has passed meanwhile becomes the shortest one. */
+/* The caller's time ran on while its request lay here, unread or behind others
+ * of its connection.  A timeout that has passed meanwhile becomes the shortest
+ * one. */
 static void
-subtract_unread_time(const CallDispatcher *dispatcher, Span *timeout,
-                     Instant now)
+subtract_waiting_time(const Exchange *exchange, Span *timeout, Instant now)
 {
-    Span unread = Opa_GetUnreadTime(dispatcher->own_pause, now);
+    Span unread =
+        Opa_GetUnreadTime(exchange->list->dispatcher->own_pause, now);
+    Span waited = now - exchange->request->received_at;
 
+    if (waited < unread) {
+        waited = unread;
+    }
     if (*timeout) {
-        *timeout = *timeout > unread ? *timeout - unread : 1;
+        *timeout = *timeout > waited ? *timeout - waited : 1;
     }
 }
 
@@ -335,7 +340,7 @@
         reject_request(exchange, 400, Str_LIT("deadline: 1 to 3600000 ms\n"));
     }
     else {
-        subtract_unread_time(list->dispatcher, &timeout, now);
+        subtract_waiting_time(exchange, &timeout, now);
         start_call(exchange, timeout, now);
     }
 }
--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -167,17 +167,19 @@
     const char *name;
     int paused_vm; /* from before the request is sent */
     Span pause;
+    Span behind;   /* time that a booking before it on its connection takes */
     int stated_ms; /* by the caller */
     int given_min; /* ms; not positive: the request is not run */
     int given_max;
 } UnreadCase;
 
 static const UnreadCase unread_cases[] = {
-    {"no pause", INGRESS_VM, 0, 4000, 3800, 4000},
-    {"the ingress node", INGRESS_VM, Span_MS(700), 4000, 3000, 3320},
-    {"the serving node", SERVING_VM, Span_MS(400), 4000, 3400, 3620},
+    {"no pause", INGRESS_VM, 0, 0, 4000, 3800, 4000},
+    {"the ingress node", INGRESS_VM, Span_MS(700), 0, 4000, 3000, 3320},
+    {"the serving node", SERVING_VM, Span_MS(400), 0, 4000, 3400, 3620},
     {"the ingress node, longer than the caller waits", INGRESS_VM,
-     Span_MS(700), 600, 0, 0},
+     Span_MS(700), 0, 600, 0, 0},
+    {"behind a booking", INGRESS_VM, 0, Span_MS(700), 4000, 3000, 3310},
 };
 
 /* Returns the milliseconds that ANSWER says the backend server was given; 0
@@ -213,11 +215,18 @@
         kill(paused, SIGSTOP);
     }
     fd = Fleet_RawOpen(&fleet, INGRESS_VM, 8000);
+    if (c->behind) {
+        StrBuf_AppendFmt(&text,
+                         "POST /book/a HTTP/1.1\r\nHost: barns\r\n"
+                         "X-Fake-Time-Us: %lld\r\n"
+                         "Content-Length: 0\r\n\r\n",
+                         (long long)c->behind);
+    }
     StrBuf_AppendFmt(&text,
-                     "GET /look/a HTTP/1.1\r\nHost: barns\r\n"
+                     "POST /book/a HTTP/1.1\r\nHost: barns\r\n"
                      "X-Fake-Show: X-Lycheeridge-Deadline-Ms\r\n"
                      "X-Lycheeridge-Deadline-Ms: %d\r\n"
-                     "Connection: close\r\n\r\n",
+                     "Content-Length: 0\r\nConnection: close\r\n\r\n",
                      c->stated_ms);
     Fleet_RawSend(fd, StrBuf_View(&text));
     Fleet_Sleep(c->pause);
