Ask again about an attempt whose answer goes over a closed connection

Of several bookings at a node that stood still, some got no answer until their deadline. The ingress node closes a silent connection and asks about the attempt over a new one; if that falls silent too, it asks once more over a third. A node whose loop stands still while its sockets are served finds both questions unread. ZeroMQ reads connections in turn, but puts the last one in the place of one that it has emptied, so that the question sent last may be read first. The other one, read behind it, then sends the answer over the connection that is closed. The ingress node has its "it runs" by then, its pings are answered, and it asks no more.

As recorded by the serving node (connections 7, 8, 9 in the order of their opening, all within 1 ms): 5 over 8, 5 over 9, 4 over 8, 4 over 9, 3 over 8, 3 over 9, 2 over 9, 2 over 8 and 1.4 ms later the answers: 2 over 8, which is lost, the others over 9.

Ruled out as the cause of the forced cases: an attempt that is not known, an answer that is not kept, a lost question (all eight were read).

Now the question is repeated every 500 ms until the answer begins.

--- a/src/request/call.c
+++ b/src/request/call.c
@@ -431,7 +431,7 @@
     for (size_t i = 0; i < Call_ATTEMPTS_MAX; i++) {
         Attempt *attempt = &call->attempts[i];
         if (attempt->id.counter && !attempt->pieces.next_sequence &&
-            !attempt->fence_sent) {
+            !attempt->asked_at) {
             Call_SendFence(attempt, now);
         }
     }
@@ -470,9 +470,12 @@
         else if (now >= call->deadline) {
             on_deadline(call, now);
         }
-        else if (Hdg_ShouldSend(&call->hedge, &call->service->hedge_budget,
-                                now)) {
-            Call_SendHedge(call, now);
+        else {
+            Call_AskAgain(call, now);
+            if (Hdg_ShouldSend(&call->hedge, &call->service->hedge_budget,
+                               now)) {
+                Call_SendHedge(call, now);
+            }
         }
     }
 }
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -267,7 +267,7 @@
     }
     attempt = find_attempt(dispatcher, msg.id);
     /* The rest of an answer that has begun follows in any case. */
-    if (!attempt || !attempt->fence_sent || attempt->pieces.next_sequence) {
+    if (!attempt || !attempt->asked_at || attempt->pieces.next_sequence) {
         return;
     }
     Plc_OnLoadReport(&attempt->call->service->placement, origin->peer,
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -41,7 +41,7 @@
                          result, now - attempt->sent_at, now);
         Hsh_Drop(&dispatcher->attempts_by_id, &attempt->link);
         attempt->id.counter = 0;
-        attempt->fence_sent = false;
+        attempt->asked_at = 0;
     }
 }
 
@@ -322,12 +322,25 @@
     Pack pack;
 
     Cnt_Add(call->dispatcher->counters, Cnt_FENCES, 1);
-    attempt->fence_sent = true;
+    attempt->asked_at = now;
     Callmsg_PackFence(&pack, &msg);
     Net_Send(call->dispatcher->net, attempt->node, Pack_View(&pack), now);
     Pack_Finish(&pack);
 }
 
+void
+Call_AskAgain(Call *call, Instant now)
+{
+    for (size_t i = 0; i < Call_ATTEMPTS_MAX; i++) {
+        Attempt *attempt = &call->attempts[i];
+        if (attempt->id.counter && attempt->asked_at &&
+            !attempt->pieces.next_sequence &&
+            now - attempt->asked_at >= FENCE_INTERVAL) {
+            Call_SendFence(attempt, now);
+        }
+    }
+}
+
 static void
 count_retry(const Call *call)
 {
@@ -466,7 +479,7 @@
         break;
     case Rty_FENCE:
         /* A repeatable call is not held for a node that stays silent. */
-        if (attempt->fence_sent && call->route->is_idempotent) {
+        if (attempt->asked_at && call->route->is_idempotent) {
             Call_EndUnknown(call, now);
         }
         else {
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -17,6 +17,9 @@
 /* Time after the deadline to find out whether a call ran. */
 #define SETTLE_GRACE Span_MS(100)
 
+/* Time between two fences for an attempt that still runs. */
+#define FENCE_INTERVAL Span_MS(500)
+
 /* One attempt to run a call at one backend server. */
 typedef struct {
     HashLink link; /* first member; in attempts_by_id while in flight */
@@ -26,7 +29,7 @@
     uint64_t incarnation; /* of node */
     Instant sent_at;
     bool cross_region; /* node is in another region */
-    bool fence_sent;
+    Instant asked_at;  /* the last fence; 0: none */
     PieceSequence pieces;
 } Attempt;
 
@@ -152,6 +155,12 @@
  * it will never run it. */
 void Call_SendFence(Attempt *attempt, Instant now);
 
+/* Sends another fence for each attempt of CALL that was asked about and has
+ * not begun to answer.  The node answers over the connection of the fence that
+ * it read last, which need not be the one sent last: that of a connection
+ * closed since may be read behind it. */
+void Call_AskAgain(Call *call, Instant now);
+
 /* Registers the handlers of messages about attempts. */
 void Call_RegisterHandlers(CallDispatcher *dispatcher);
 
--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -1,11 +1,15 @@
 /* Guards against two failures around a node that does not run for a moment.
  * When it went on, it took other nodes for silent and gave up the calls that
  * they were running for it.  And another node gave up the look-ups that it was
- * running where no retry was left, though it could have been asked.  Nor may
- * the time for which a request lies unread be given to a backend server. */
+ * running where no retry was left, though it could have been asked.  And a
+ * node that had been asked over several connections sent the answer over one
+ * that had ended.  Nor may the time for which a request lies unread be given
+ * to a backend server. */
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ptrace.h>
+#include <sys/wait.h>
 
 #include "fleet_mix.h"
 #include "process/settings.h"
@@ -32,23 +36,27 @@
     Span paused_at;
     Span pause;
     Span work;
+    bool only_loop; /* the threads that serve its connections run on */
 } PauseCase;
 
 /* Each pause is longer than the time after which a connection counts as
- * silent. */
+ * silent; that of a loop alone is twice as long, so that questions lie unread
+ * on two connections. */
 static const PauseCase cases[] = {
     {"the ingress node, look-ups", false, INGRESS_VM, Span_MS(300),
-     Span_MS(700), Span_MS(1200)},
+     Span_MS(700), Span_MS(1200), false},
     {"the ingress node, bookings", true, INGRESS_VM, Span_MS(300),
-     Span_MS(700), Span_MS(1200)},
+     Span_MS(700), Span_MS(1200), false},
     {"the ingress node, after the answers", false, INGRESS_VM, Span_MS(300),
-     Span_MS(1500), Span_MS(1200)},
+     Span_MS(1500), Span_MS(1200), false},
     {"the serving node, look-ups", false, SERVING_VM, Span_MS(300),
-     Span_MS(700), Span_MS(1200)},
+     Span_MS(700), Span_MS(1200), false},
     {"the serving node, bookings", true, SERVING_VM, Span_MS(300),
-     Span_MS(700), Span_MS(1200)},
+     Span_MS(700), Span_MS(1200), false},
     {"the serving node, before it can pass the answers on", false, SERVING_VM,
-     Span_MS(300), Span_MS(700), Span_MS(400)},
+     Span_MS(300), Span_MS(700), Span_MS(400), false},
+    {"the loop of the serving node, bookings", true, SERVING_VM, Span_MS(300),
+     Span_MS(900), Span_MS(2500), true},
 };
 
 typedef struct {
@@ -58,6 +66,29 @@
     bool is_over;
 } Pause;
 
+/* Stops NODE, or the thread that it began with, which runs its loop. */
+static void
+stop(pid_t node, bool only_loop)
+{
+    if (!only_loop) {
+        kill(node, SIGSTOP);
+        return;
+    }
+    ck_assert_int_eq(ptrace(PTRACE_SEIZE, node, NULL, NULL), 0);
+    ck_assert_int_eq(ptrace(PTRACE_INTERRUPT, node, NULL, NULL), 0);
+}
+
+static void
+go_on(pid_t node, bool only_loop)
+{
+    if (!only_loop) {
+        kill(node, SIGCONT);
+        return;
+    }
+    ck_assert_int_eq(waitpid(node, NULL, __WALL), node);
+    ck_assert_int_eq(ptrace(PTRACE_DETACH, node, NULL, NULL), 0);
+}
+
 static void
 on_tick(void *context, Span elapsed)
 {
@@ -65,11 +96,11 @@
     pid_t node = pause->fleet->vms[pause->c->paused_vm].node;
 
     if (!pause->is_paused && elapsed >= pause->c->paused_at) {
-        kill(node, SIGSTOP);
+        stop(node, pause->c->only_loop);
         pause->is_paused = true;
     }
     if (!pause->is_over && elapsed >= pause->c->paused_at + pause->c->pause) {
-        kill(node, SIGCONT);
+        go_on(node, pause->c->only_loop);
         pause->is_over = true;
     }
 }
