Ask about attempts when the connection below them has ended

A TCP connection between two nodes that was closed while calls ran left these without an answer until their deadline: ZeroMQ connects again by itself, the node's pings are answered over the new connection, so it never looked silent, and the serving node sent the answers over the old one.

The node now watches each connection's end. It takes what came before the end, then treats its attempts as for a silent connection: a read may go elsewhere, the others are asked about, over the new connection.

--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -34,6 +34,7 @@
 {
     peer->unanswered_since = 0;
     peer->has_received = true;
+    peer->may_lose_answers = true;
 }
 
 void
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -21,12 +21,16 @@
     Addr addr;
     void *socket;
     struct event *event;
+    void *end_watch; /* connection/endwatch.h */
+    struct event *end_event;
     uint32_t pending_attempts;  /* attempts that wait for an answer over it */
     Instant unanswered_since;   /* first send since the last message from the
                                    node; 0: none */
     Instant sent_at;            /* last send */
     uint64_t open_count;        /* times this connection was opened */
     bool has_received;          /* a message came since it was last opened */
+    bool may_lose_answers;      /* a message came since the connection was last
+                                   opened or cut */
     uint32_t closed_unanswered; /* times closed without a message received */
 } PeerConnection;
 
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -5,6 +5,7 @@
 #include <zmq.h>
 
 #include "connection/callmsg.h"
+#include "connection/endwatch.h"
 #include "connection/logmsg.h"
 #include "value/mem.h"
 
@@ -297,6 +298,26 @@
     return event;
 }
 
+/* The connection may have ended with answers under way.  Those that came
+ * before the end are taken first.  One that fails again before a message came
+ * is not told again. */
+static void
+on_peer_ended(evutil_socket_t fd, short what, void *context)
+{
+    Net *net = ((PeerContext *)context)->net;
+    PeerConnection *peer = ((PeerContext *)context)->peer;
+    Addr addr = peer->addr;
+    bool cut = Edw_HasEnded(peer->end_watch) && peer->may_lose_answers;
+
+    peer->may_lose_answers &= !cut;
+    if (cut && peer->pending_attempts) {
+        on_peer_readable(fd, what, context);
+        if (net->on_unresponsive) {
+            net->on_unresponsive(net->unresponsive_context, addr, Loop_Now());
+        }
+    }
+}
+
 /* Returns the address to connect to for messages to PEER: the one that its
  * route in the settings gives, else its own. */
 static Addr
@@ -320,14 +341,18 @@
     peer->socket = zmq_socket(net->zmq_context, ZMQ_DEALER);
     set_common_options(net, peer->socket);
     Curve_ConfigureClient(&net->keys, peer->socket, peer->closed_unanswered);
+    peer->end_watch = Edw_Start(net->zmq_context, peer->socket);
     StrBuf_Append(&endpoint, Str_LIT("tcp://"));
     Addr_Print(choose_address(net->settings, peer->addr), &endpoint);
     zmq_connect(peer->socket, StrBuf_CStr(&endpoint));
     StrBuf_Finish(&endpoint);
     peer->event =
         add_socket_event(net, peer->socket, on_peer_readable, context);
+    peer->end_event =
+        add_socket_event(net, peer->end_watch, on_peer_ended, context);
     peer->unanswered_since = 0;
     peer->has_received = false;
+    peer->may_lose_answers = false;
     peer->open_count++;
 }
 
@@ -338,7 +363,9 @@
     PeerContext *context = event_get_callback_arg(peer->event);
 
     event_free(peer->event);
+    event_free(peer->end_event);
     Mem_Free(context);
+    Edw_Stop(peer->end_watch, peer->socket);
     zmq_close(peer->socket);
     peer->closed_unanswered = peer->has_received ? peer->closed_unanswered
                                                  : peer->closed_unanswered + 1;
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -46,7 +46,8 @@
 typedef void (*NetPongCallback)(void *context, const NetOrigin *origin);
 
 /* Called after the connection to the node PEER was closed as unresponsive and
- * a new one was opened. */
+ * a new one was opened, or after it ended and ZeroMQ opens it again: answers
+ * may be lost. */
 typedef void (*NetUnresponsiveCallback)(void *context, Addr peer, Instant now);
 
 typedef struct {
--- a/tests/integration/test_silent_connections.c
+++ b/tests/integration/test_silent_connections.c
@@ -1,6 +1,6 @@
 /* A connection loses all bytes in one direction or both without being closed,
- * while new connections work.  Requests are answered within their deadline,
- * and a node stays a member.
+ * or is closed, while new connections work.  Requests are answered within
+ * their deadline, and a node stays a member.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -159,6 +159,42 @@
 }
 END_TEST
 
+/* A connection is closed and opened again, so that pings are answered, while a
+ * request runs.  Its answer does not wait for the deadline. */
+static const FreezeCase cut_cases[] = {
+    {"closed", Str_LIT("cut n0-1"), true, 400000, 100, true},
+    {"booking, closed", Str_LIT("cut n0-1"), false, 400000, 100, true},
+};
+
+enum {
+    CUT_CASE_COUNT = sizeof cut_cases / sizeof cut_cases[0],
+    CUT_ANSWER_MS = 1500
+};
+
+START_TEST(closed_connection_holds_no_answer_up)
+{
+    const FreezeCase *c = &cut_cases[_i];
+    Fleet fleet;
+    StrBuf answer = {0};
+    int fd;
+
+    start_fleet(&fleet);
+    fd = send_request(&fleet, c);
+    Fleet_Sleep(Span_MS(c->freeze_after_ms));
+    ck_assert(Fleet_SendProxyCommand(&fleet, c->freeze));
+    ck_assert_msg(Fleet_RawRead(fd, Span_MS(CUT_ANSWER_MS), &answer),
+                  "%s: no answer", c->name);
+    Fleet_RawClose(fd);
+    ck_assert_msg(
+        Str_StartsWith(StrBuf_View(&answer), Str_LIT("HTTP/1.1 200 ")),
+        "%s: %.*s", c->name, Str_ARG(answer));
+    /* A read may be sent again. */
+    ck_assert(c->is_read || Fleet_CountEffects(&fleet, Str_LIT("lot")) == 1);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 /* A read is retried over a new connection because its connection to the
  * backend server was silent.  The retry has to forward only the deadline that
  * remains.
@@ -299,6 +335,7 @@
 {
     const SuiteTest tests[] = {
         {requests_are_answered_within_the_deadline, CASE_COUNT},
+        {closed_connection_holds_no_answer_up, CUT_CASE_COUNT},
         {repeat_has_less_time_left, RETRY_COUNT},
         {membership_survives_frozen_connection, CONTROL_FREEZE_COUNT},
         {answer_goes_on_after_silence, ANSWER_FREEZE_COUNT}};
