Blame a request once for one crash of a backend server

test_suspect is_stopped_after_two_losses:0 saw 1 of 48 other requests fail. Cause: the connections to a process that ends are closed one after the other. When a probe of its port ended between them, the node blamed all requests that it had interrupted so far, and at the next connection's end all of them again, as for a second crash. Requests that ran beside the crashing one had two losses then and were stopped.

The stand-in can now end its connections in that order ("parted").

--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -222,6 +222,9 @@
             attempt->exclusive, (long long)(now - attempt->started_at));
 }
 
+/* The connections to a backend server that crashes end one after the other,
+ * with probes between them.  While the first ones await the report of the
+ * crash, the later ones belong to it; none is blamed twice. */
 static void
 blame_interrupted(AttemptRunner *runner, Instant now)
 {
@@ -230,13 +233,15 @@
 
     for (const ListLink *link = runner->attempts.first;
          link && count < Sps_BLAMED_PER_CRASH_MAX; link = link->next) {
-        const BackendAttempt *attempt = link->item;
-        if (attempt->interrupted) {
+        BackendAttempt *attempt = link->item;
+        if (attempt->interrupted && !attempt->blamed) {
+            attempt->blamed = true;
             blamed[count++] = attempt->fingerprint;
             log_blamed(attempt, now);
         }
     }
-    Cnt_Add(runner->counters, Cnt_BACKEND_LOSSES, 1);
+    Cnt_Add(runner->counters, Cnt_BACKEND_LOSSES,
+            runner->crash_report_deadline == 0);
     Tml_Record(runner->timeline, Tml_BACKEND_LOST, "ran=%zu", count);
     Sps_OnCrash(runner->suspects, blamed, count, now);
 }
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -55,6 +55,7 @@
     /* The connection ended before the whole answer came; the backend server
      * may have crashed. */
     bool interrupted;
+    bool blamed;               /* for the crash that interrupted it */
     BackendExchange *exchange; /* NULL: not running */
     StrBuf method;
     StrBuf target;
--- a/tests/integration/test_suspect.c
+++ b/tests/integration/test_suspect.c
@@ -170,11 +170,45 @@
 }
 END_TEST
 
+/* Few enough that all can run again, one after the other, in time. */
+enum { BESIDE = 6 };
+
+/* The connections to a backend server that crashes end one after the other,
+ * with a probe of its port between them.  That is one crash: no request is
+ * blamed for two. */
+START_TEST(is_blamed_once_for_one_crash)
+{
+    Fleet fleet;
+    StrBuf answer = {0};
+    int fds[BESIDE];
+    int failed = 0;
+
+    start_fleet(&fleet);
+    for (int i = 0; i < BESIDE; i++) {
+        fds[i] = start_other_request(&fleet, i, 1 + i % (VMS - 1));
+    }
+    Fleet_Sleep(Span_MS(30));
+    ck_assert_int_eq(Fleet_Post(&fleet, 0, cases[0].path, (Str){0},
+                                Str_LIT("X-Fake-Crash: parted\r\n"),
+                                Str_LIT("bad"), Span_S(5), &answer),
+                     Post_UNKNOWN);
+    for (int i = 0; i < BESIDE; i++) {
+        failed +=
+            Fleet_FinishPost(fds[i], Span_S(5), &answer) != Post_ANSWERED;
+    }
+    ck_assert_int_eq(count_losses(&fleet, false), LOSSES_MAX);
+    ck_assert_int_eq(failed, 0);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 int
 main(int argc, char **argv)
 {
-    const SuiteTest tests[] = {{is_stopped_after_two_losses, CASE_COUNT}};
+    const SuiteTest tests[] = {{is_stopped_after_two_losses, CASE_COUNT},
+                               {is_blamed_once_for_one_crash, 1}};
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("suspect", tests, 1, 40);
+    return Suite_Run("suspect", tests, 2, 40);
 }
--- a/tools/fake_server.h
+++ b/tools/fake_server.h
@@ -7,7 +7,8 @@
  *   X-Fake-Size     bytes of the answer's body
  *   X-Fake-Time-Us  its service time, before the knob slow
  *   X-Fake-Status   status of the answer
- *   X-Fake-Crash    the process ends: "before" or "after" the effect
+ *   X-Fake-Crash    the process ends: "before" or "after" the effect, or
+ *                   later than its connections, see fake_work.c
  *   X-Fake-Cut      half of the body is sent, then the connection ends;
  *                   "chunked": half of a body in chunks; "head": a part of
  *                   the head
--- a/tools/fake_work.c
+++ b/tools/fake_work.c
@@ -306,7 +306,9 @@
 
 enum {
     SLOW_CRASH_US = 4000000, /* longer than most requests' deadline */
-    CLOSING_US = 60000       /* from the connection's end to the process's */
+    CLOSING_US = 60000,      /* from the connection's end to the process's */
+    PARTED_US = 3000,        /* between the ends of its connections */
+    FD_MAX = 1024
 };
 
 static void
@@ -317,9 +319,24 @@
     }
 }
 
+/* Ends all sockets but that of CONNECTION, as the kernel does one after the
+ * other when a process ends. */
+static void
+end_other_sockets(struct evhttp_connection *connection)
+{
+    int own = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+
+    for (int fd = STDERR_FILENO + 1; fd < FD_MAX; fd++) {
+        if (fd != own) {
+            shutdown(fd, SHUT_RDWR);
+        }
+    }
+}
+
 /* Ends the process later than its connections show: with "slowly" it hangs
  * first, like one that writes a core file; with "closing" the connection of
- * the request ends before the listening socket. */
+ * the request ends before the listening socket, with "parted" after all
+ * others. */
 static void
 crash_late_if_requested(const FakeWork *work)
 {
@@ -336,6 +353,11 @@
         usleep(CLOSING_US);
         _exit(134);
     }
+    if (Str_Equal(how, Str_LIT("parted"))) {
+        end_other_sockets(evhttp_request_get_connection(work->request));
+        usleep(PARTED_US);
+        _exit(134);
+    }
 }
 
 /* Frees WORK and gives its slot to a waiting request. */
