--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -196,21 +196,21 @@
  * a node did not run. */
 typedef struct {
     const char *name;
-    int paused_vm; /* from before the request is sent */
-    Span pause;
-    Span behind;   /* time that a booking before it on its connection takes */
+    Span pause;  /* from before the request is sent */
+    Span behind; /* time that a booking before it on its connection takes */
+    int paused_vm;
     int stated_ms; /* by the caller */
     int given_min; /* ms; not positive: the request is not run */
     int given_max;
 } UnreadCase;
 
 static const UnreadCase unread_cases[] = {
-    {"no pause", INGRESS_VM, 0, 0, 4000, 3800, 4000},
-    {"the ingress node", INGRESS_VM, Span_MS(700), 0, 4000, 3000, 3320},
-    {"the serving node", SERVING_VM, Span_MS(400), 0, 4000, 3400, 3620},
-    {"the ingress node, longer than the caller waits", INGRESS_VM,
-     Span_MS(700), 0, 600, 0, 0},
-    {"behind a booking", INGRESS_VM, 0, Span_MS(700), 4000, 3000, 3310},
+    {"no pause", 0, 0, INGRESS_VM, 4000, 3800, 4000},
+    {"the ingress node", Span_MS(700), 0, INGRESS_VM, 4000, 3000, 3320},
+    {"the serving node", Span_MS(400), 0, SERVING_VM, 4000, 3400, 3620},
+    {"the ingress node, longer than the caller waits", Span_MS(700), 0,
+     INGRESS_VM, 600, 0, 0},
+    {"behind a booking", 0, Span_MS(700), INGRESS_VM, 4000, 3000, 3310},
 };
 
 /* Returns the milliseconds that ANSWER says the backend server was given; 0
