Let a process hold the sockets that watch its connections

Each connection to another node takes three sockets of the library since its end is watched, and the library's own bound is 1023: a process with over 340 other nodes would have opened no more.

--- a/src/process/net.c
+++ b/src/process/net.c
@@ -20,6 +20,10 @@
     zmq_msg_t msg;
 };
 
+/* Of one process: each connection to another node takes three, itself and the
+ * two that watch its end. */
+enum { SOCKETS_MAX = 4095 };
+
 /* Time to send queued messages when the node exits. */
 enum { FINISH_LINGER_MS = 300 };
 
@@ -489,6 +493,7 @@
         .settings = settings,
     };
     net->zmq_context = zmq_ctx_new();
+    zmq_ctx_set(net->zmq_context, ZMQ_MAX_SOCKETS, SOCKETS_MAX);
     if (!Curve_Init(&net->keys, net->zmq_context, loop, settings, timeline,
                     counters, err)) {
         zmq_ctx_term(net->zmq_context);
