--- a/Makefile
+++ b/Makefile
@@ -11,12 +11,12 @@
 LIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm
 TEST_LIBS = $(shell pkg-config --libs check libcurl 2>/dev/null)
 
-LIB_SOURCES = $(filter-out src/process/main.c src/process/cli_main.c, \
-	$(wildcard src/*/*.c))
+LIB_SOURCES = $(filter-out src/process/main.c src/process/cli/cli_main.c, \
+	$(wildcard src/*/*.c src/*/*/*.c))
 LIB_OBJECTS = $(LIB_SOURCES:%.c=$(BUILD)/%.o)
 LIBRARY = $(BUILD)/liblycheeridge.a
 DAEMON = $(BUILD)/lycheeridged
-CLI = $(if $(wildcard src/process/cli_main.c),$(BUILD)/lycheeridge)
+CLI = $(if $(wildcard src/process/cli/cli_main.c),$(BUILD)/lycheeridge)
 
 # One program a file in tools/ whose name ends in _main.c; the rest is shared.
 TOOL_MAINS = $(wildcard tools/*_main.c)
@@ -38,7 +38,7 @@
 
 SUPPORT_OBJECTS = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/support/*.c))
 
-SOURCES = $(wildcard src/*/*.[ch] tools/*.[ch] tests/*/*.[ch])
+SOURCES = $(wildcard src/*/*.[ch] src/*/*/*.[ch] tools/*.[ch] tests/*/*.[ch])
 
 all: $(DAEMON) $(CLI) $(TOOLS)
 
@@ -57,7 +57,7 @@
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) -o $@
 
-$(BUILD)/lycheeridge: $(BUILD)/src/process/cli_main.o $(LIBRARY)
+$(BUILD)/lycheeridge: $(BUILD)/src/process/cli/cli_main.o $(LIBRARY)
 	@echo "LD $@"
 	@$(CC) $(ALL_CFLAGS) $^ $(LIBS) -o $@
 
--- a/src/connection/claimmsg.h
+++ b/src/connection/claimmsg.h
@@ -11,7 +11,7 @@
 #define CLAIMMSG_H
 
 #include "connection/wire.h"
-#include "process/register.h"
+#include "process/control/register.h"
 #include "request/claim.h"
 
 typedef enum {
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -10,7 +10,7 @@
 #define CONFIGMSG_H
 
 #include "connection/suspectmsg.h"
-#include "process/nodeversions.h"
+#include "process/control/nodeversions.h"
 #include "value/addr.h"
 #include "version/config.h"
 
--- a/src/connection/leavemsg.h
+++ b/src/connection/leavemsg.h
@@ -1,12 +1,13 @@
 /* Leavemsg: the messages by which a node records, at the control replicas,
  * that the backend server beside it leaves, and reads that back after a
- * restart (process/leavesync.h).  A replica's file holds the same rows.
+ * restart (process/membership/leavesync.h).  A replica's file holds the same
+ * rows.
  */
 #ifndef LEAVEMSG_H
 #define LEAVEMSG_H
 
 #include "connection/wire.h"
-#include "process/leavetable.h"
+#include "process/membership/leavetable.h"
 
 /* Wire_LEAVE, from a node: START leaves; without a start it only asks.
  * Wire_LEAVE_REPLY, from a replica: START is the latest one that its data
--- a/src/connection/membermsg.h
+++ b/src/connection/membermsg.h
@@ -10,7 +10,7 @@
 #define MEMBERMSG_H
 
 #include "connection/wire.h"
-#include "process/membership.h"
+#include "process/membership/membership.h"
 
 /* Value of SEEN from a node that wants no rows from this replica. */
 #define Membermsg_NO_ROWS UINT64_MAX
--- a/src/connection/suspectmsg.h
+++ b/src/connection/suspectmsg.h
@@ -10,7 +10,7 @@
 #define SUSPECTMSG_H
 
 #include "connection/wire.h"
-#include "process/suspecttable.h"
+#include "process/suspects/suspecttable.h"
 
 /* Summary of the records that a process knows. */
 typedef struct {
--- a/src/process/admission.c
+++ b/src/process/admission/admission.c
@@ -1,4 +1,4 @@
-#include "process/admission.h"
+#include "process/admission/admission.h"
 
 #include <math.h>
 
--- a/src/process/admission.h
+++ b/src/process/admission/admission.h
@@ -16,7 +16,7 @@
 #ifndef ADMISSION_H
 #define ADMISSION_H
 
-#include "process/knee.h"
+#include "process/admission/knee.h"
 #include "value/instant.h"
 #include "value/load.h"
 
--- a/src/process/knee.c
+++ b/src/process/admission/knee.c
@@ -1,4 +1,4 @@
-#include "process/knee.h"
+#include "process/admission/knee.h"
 
 #include <math.h>
 
--- a/src/process/ledger.c
+++ b/src/process/admission/ledger.c
@@ -1,4 +1,4 @@
-#include "process/ledger.h"
+#include "process/admission/ledger.h"
 
 #include "value/mem.h"
 
--- a/src/process/reportthrottle.c
+++ b/src/process/admission/reportthrottle.c
@@ -1,4 +1,4 @@
-#include "process/reportthrottle.h"
+#include "process/admission/reportthrottle.h"
 
 bool
 Rpt_ShouldAttach(ReportThrottle *throttle, uint64_t node_key,
--- a/src/process/cli_explain.c
+++ b/src/process/cli/cli_explain.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "process/cli.h"
+#include "process/cli/cli.h"
 #include "value/mem.h"
 
 enum {
--- a/src/process/cli_json.c
+++ b/src/process/cli/cli_json.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "process/cli.h"
+#include "process/cli/cli.h"
 
 Str
 Cli_GetText(const json_t *object, const char *key)
--- a/src/process/cli_keys.c
+++ b/src/process/cli/cli_keys.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <zmq.h>
 
-#include "process/cli.h"
+#include "process/cli/cli.h"
 
 CliStatus
 Cli_PrintNewKeys(const Cli *cli)
--- a/src/process/cli_main.c
+++ b/src/process/cli/cli_main.c
@@ -4,9 +4,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "process/cli.h"
-#include "process/settings.h"
-#include "process/timeline.h"
+#include "process/cli/cli.h"
+#include "process/observe/timeline.h"
+#include "process/settings/settings.h"
 
 #define VERSION "0.1.0"
 
--- a/src/process/cli_preset.c
+++ b/src/process/cli/cli_preset.c
@@ -2,8 +2,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "process/cli.h"
-#include "process/settings.h"
+#include "process/cli/cli.h"
+#include "process/settings/settings.h"
 #include "version/preset.h"
 
 static void
--- a/src/process/cli_request.c
+++ b/src/process/cli/cli_request.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 
 #include "connection/evhttptext.h"
-#include "process/cli.h"
+#include "process/cli/cli.h"
 
 enum { ANSWER_BYTES_MAX = 16 * 1024 * 1024 };
 
--- a/src/process/cli_status.c
+++ b/src/process/cli/cli_status.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-#include "process/cli.h"
+#include "process/cli/cli.h"
 
 #define POLL_INTERVAL Span_MS(200)
 
--- a/src/process/cli_suspects.c
+++ b/src/process/cli/cli_suspects.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-#include "process/cli.h"
+#include "process/cli/cli.h"
 
 static void
 print_crashes(const json_t *crashes)
--- a/src/process/cli_timeline.c
+++ b/src/process/cli/cli_timeline.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <time.h>
 
-#include "process/cli.h"
-#include "process/timeline.h"
+#include "process/cli/cli.h"
+#include "process/observe/timeline.h"
 #include "value/mem.h"
 
 typedef struct {
--- a/src/process/acceptor.c
+++ b/src/process/control/acceptor.c
@@ -1,4 +1,4 @@
-#include "process/acceptor.h"
+#include "process/control/acceptor.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/src/process/acceptor.h
+++ b/src/process/control/acceptor.h
@@ -1,4 +1,4 @@
-/* Acc: the acceptor of key registers (process/register.h) on a control
+/* Acc: the acceptor of key registers (process/control/register.h) on a control
  * replica.  It handles the messages of proposers (request/claim.h).  After a
  * restart it reads the registers that it may have lost from the other
  * acceptors before it replies to a proposer.
@@ -12,10 +12,10 @@
 #ifndef ACCEPTOR_H
 #define ACCEPTOR_H
 
-#include "process/counters.h"
+#include "process/control/register.h"
 #include "process/net.h"
-#include "process/register.h"
-#include "process/timeline.h"
+#include "process/observe/counters.h"
+#include "process/observe/timeline.h"
 #include "version/preset.h"
 
 /* Control replicas in the settings, each with an acceptor. */
--- a/src/process/configapi.c
+++ b/src/process/control/configapi.c
@@ -1,11 +1,11 @@
-#include "process/configapi.h"
+#include "process/control/configapi.h"
 
 #include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 
 #include "connection/configmsg.h"
-#include "process/configapi_request.h"
-#include "process/configjson.h"
+#include "process/control/configapi_request.h"
+#include "process/control/configjson.h"
 #include "value/json.h"
 #include "value/mem.h"
 
--- a/src/process/configapi.h
+++ b/src/process/control/configapi.h
@@ -12,9 +12,9 @@
 #ifndef CONFIGAPI_H
 #define CONFIGAPI_H
 
-#include "process/control.h"
-#include "process/operatorapi.h"
-#include "process/versionfollower.h"
+#include "process/control/control.h"
+#include "process/control/versionfollower.h"
+#include "process/operators/operatorapi.h"
 #include "version/sharedpreset.h"
 
 typedef struct ConfigRequest ConfigRequest;
--- a/src/process/configapi_request.h
+++ b/src/process/control/configapi_request.h
@@ -9,7 +9,7 @@
 #define CONFIGAPI_REQUEST_H
 
 #include "connection/configmsg.h"
-#include "process/configapi.h"
+#include "process/control/configapi.h"
 
 /* What the operator requested. */
 typedef enum {
--- a/src/process/configapi_routing.c
+++ b/src/process/control/configapi_routing.c
@@ -1,7 +1,7 @@
 #include <inttypes.h>
 
-#include "process/configapi_request.h"
-#include "process/configjson.h"
+#include "process/control/configapi_request.h"
+#include "process/control/configjson.h"
 #include "value/hash.h"
 #include "version/routing.h"
 
--- a/src/process/configjson.c
+++ b/src/process/control/configjson.c
@@ -1,8 +1,8 @@
-#include "process/configjson.h"
+#include "process/control/configjson.h"
 
 #include <inttypes.h>
 
-#include "process/opjson.h"
+#include "process/operators/opjson.h"
 
 json_t *
 Configjson_Outcome(Str outcome, Str detail)
--- a/src/process/configjson.h
+++ b/src/process/control/configjson.h
@@ -6,8 +6,8 @@
 #define CONFIGJSON_H
 
 #include "connection/configmsg.h"
-#include "process/control.h"
-#include "process/operatorapi.h"
+#include "process/control/control.h"
+#include "process/operators/operatorapi.h"
 
 /* {"outcome": OUTCOME, "detail": DETAIL} */
 json_t *Configjson_Outcome(Str outcome, Str detail);
--- a/src/process/control.c
+++ b/src/process/control/control.c
@@ -1,4 +1,4 @@
-#include "process/control.h"
+#include "process/control/control.h"
 
 #include <inttypes.h>
 
--- a/src/process/control.h
+++ b/src/process/control/control.h
@@ -19,10 +19,10 @@
 #define CONTROL_H
 
 #include "connection/configmsg.h"
-#include "process/membership.h"
+#include "process/control/replicaset.h"
+#include "process/membership/membership.h"
 #include "process/net.h"
-#include "process/replicaset.h"
-#include "process/suspectsync.h"
+#include "process/suspects/suspectsync.h"
 #include "version/config.h"
 #include "version/disk.h"
 #include "version/rlog.h"
--- a/src/process/control_changes.c
+++ b/src/process/control/control_changes.c
@@ -1,5 +1,5 @@
 #include "connection/configmsg.h"
-#include "process/control.h"
+#include "process/control/control.h"
 #include "version/routing.h"
 
 bool
--- a/src/process/control_hello.c
+++ b/src/process/control/control_hello.c
@@ -1,5 +1,5 @@
 #include "connection/logmsg.h"
-#include "process/control.h"
+#include "process/control/control.h"
 
 #define HELLO_INTERVAL Span_MS(2000)
 #define HELLO_INTERVAL_STARTUP Span_MS(500) /* for STARTUP_TIME */
--- a/src/process/control_read.c
+++ b/src/process/control/control_read.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "connection/configmsg.h"
-#include "process/control.h"
+#include "process/control/control.h"
 
 /* A node that has not polled for this long gets no announcements. */
 #define WATCH_EXPIRY Span_S(5)
--- a/src/process/nodeversions.c
+++ b/src/process/control/nodeversions.c
@@ -1,4 +1,4 @@
-#include "process/nodeversions.h"
+#include "process/control/nodeversions.h"
 
 #include "value/mem.h"
 
--- a/src/process/nodeversions.h
+++ b/src/process/control/nodeversions.h
@@ -9,7 +9,7 @@
 #ifndef NODEVERSIONS_H
 #define NODEVERSIONS_H
 
-#include "process/membership.h"
+#include "process/membership/membership.h"
 #include "version/config.h"
 
 /* The configuration version of one node. */
--- a/src/process/register.c
+++ b/src/process/control/register.c
@@ -1,4 +1,4 @@
-#include "process/register.h"
+#include "process/control/register.h"
 
 #include "value/mem.h"
 
--- a/src/process/register.h
+++ b/src/process/control/register.h
@@ -1,13 +1,13 @@
 /* Reg: the key registers of one acceptor.  The register of an idempotency key
  * records which attempt may run the call with this key, or how it ended.
  *
- * The acceptors run on the control replicas (process/acceptor.h); a proposer
- * (request/claim.h) is a call with a key.  A proposer sends an attempt to a
- * node only after a majority of the acceptors has accepted "attempt A at node
- * B" under its ballot.  Before it proposes another attempt than those that a
- * majority reported to it, it fences each of these at its node.  So the
- * acceptors need not agree on one attempt: they may hold different ones as
- * long as all but one are fenced.
+ * The acceptors run on the control replicas (process/control/acceptor.h); a
+ * proposer (request/claim.h) is a call with a key.  A proposer sends an
+ * attempt to a node only after a majority of the acceptors has accepted
+ * "attempt A at node B" under its ballot.  Before it proposes another attempt
+ * than those that a majority reported to it, it fences each of these at its
+ * node.  So the acceptors need not agree on one attempt: they may hold
+ * different ones as long as all but one are fenced.
  *
  * Round 1 is the fast path: the proposer skips the promises, and a register
  * accepts round 1 only when no other proposer has used the register.  The end
--- a/src/process/replicaset.c
+++ b/src/process/control/replicaset.c
@@ -1,4 +1,4 @@
-#include "process/replicaset.h"
+#include "process/control/replicaset.h"
 
 void
 Rps_Init(ReplicaSet *set, Settings *settings,
--- a/src/process/replicaset.h
+++ b/src/process/control/replicaset.h
@@ -10,7 +10,7 @@
 #ifndef REPLICASET_H
 #define REPLICASET_H
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 
 /* Called after the slot NUMBER was given to another replica.  The callback
  * drops what was stored for the former replica under this number. */
--- a/src/process/versionfollower.c
+++ b/src/process/control/versionfollower.c
@@ -1,4 +1,4 @@
-#include "process/versionfollower.h"
+#include "process/control/versionfollower.h"
 
 #include "connection/configmsg.h"
 
--- a/src/process/versionfollower.h
+++ b/src/process/control/versionfollower.h
@@ -12,11 +12,11 @@
 #ifndef VERSIONFOLLOWER_H
 #define VERSIONFOLLOWER_H
 
-#include "process/membership.h"
+#include "process/control/versionpoll.h"
+#include "process/control/versionword.h"
+#include "process/membership/membership.h"
 #include "process/net.h"
-#include "process/suspectsync.h"
-#include "process/versionpoll.h"
-#include "process/versionword.h"
+#include "process/suspects/suspectsync.h"
 #include "version/config.h"
 
 /* Puts the preset JSON in force as VERSION.  Returns false when this node
--- a/src/process/versionpoll.c
+++ b/src/process/control/versionpoll.c
@@ -1,4 +1,4 @@
-#include "process/versionpoll.h"
+#include "process/control/versionpoll.h"
 
 #define POLL_INTERVAL Span_MS(1000)
 
--- a/src/process/versionpoll.h
+++ b/src/process/control/versionpoll.h
@@ -3,8 +3,8 @@
  *
  * A node polls one replica of its own region.  When that replica does not
  * answer, or what it knows is too old, the node asks several at once, in any
- * region, until one of them knows better.  process/versionfollower.h sends the
- * requests and reports them and their answers here.
+ * region, until one of them knows better.  process/control/versionfollower.h
+ * sends the requests and reports them and their answers here.
  */
 #ifndef VERSIONPOLL_H
 #define VERSIONPOLL_H
--- a/src/process/versionword.c
+++ b/src/process/control/versionword.c
@@ -1,6 +1,7 @@
-#include "process/versionword.h"
+#include "process/control/versionword.h"
 
-/* In calm a word is renewed before it is that old (process/versionpoll.h). */
+/* In calm a word is renewed before it is that old
+ * (process/control/versionpoll.h). */
 #define OLD_AGE Span_MS(1500)
 
 Instant
--- a/src/process/curve.h
+++ b/src/process/curve.h
@@ -14,10 +14,10 @@
 #ifndef CURVE_H
 #define CURVE_H
 
-#include "process/counters.h"
 #include "process/loop.h"
-#include "process/settings.h"
-#include "process/timeline.h"
+#include "process/observe/counters.h"
+#include "process/observe/timeline.h"
+#include "process/settings/settings.h"
 
 /* A key as bytes, and as Z85 text. */
 enum { Curve_KEY_BYTES = 32, Curve_KEY_TEXT_BYTES = 40 };
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -10,7 +10,7 @@
 
 #include "connection/callerconn.h"
 #include "process/loop.h"
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "request/exchange.h"
 
 typedef struct {
--- a/src/process/incarnation.c
+++ b/src/process/lifecycle/incarnation.c
@@ -1,4 +1,4 @@
-#include "process/incarnation.h"
+#include "process/lifecycle/incarnation.h"
 
 enum { TIME_SHIFT_BITS = 14, RANDOM_BITS = 26 };
 
--- a/src/process/ownpause.c
+++ b/src/process/lifecycle/ownpause.c
@@ -1,4 +1,4 @@
-#include "process/ownpause.h"
+#include "process/lifecycle/ownpause.h"
 
 /* A tick that is late by less is no pause. */
 #define PAUSE_MIN Span_MS(20)
--- a/src/process/ready.c
+++ b/src/process/lifecycle/ready.c
@@ -1,4 +1,4 @@
-#include "process/ready.h"
+#include "process/lifecycle/ready.h"
 
 enum { STATUS_READY = 200, STATUS_NOT_READY = 503 };
 
--- a/src/process/receipts.c
+++ b/src/process/lifecycle/receipts.c
@@ -1,4 +1,4 @@
-#include "process/receipts.h"
+#include "process/lifecycle/receipts.h"
 
 #include <string.h>
 
--- a/src/process/stop.c
+++ b/src/process/lifecycle/stop.c
@@ -1,4 +1,4 @@
-#include "process/stop.h"
+#include "process/lifecycle/stop.h"
 
 /* Time to accept callers whose connection is established and still in the
  * backlog of the listening socket, and for handshakes that are under way.
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 
 #include "process/node.h"
-#include "process/reload.h"
+#include "process/settings/reload.h"
 
 enum { EXIT_GOOD = 0, EXIT_FAILED = 1, EXIT_USAGE = 2, EXIT_SETTINGS = 3 };
 
--- a/src/process/announce.c
+++ b/src/process/membership/announce.c
@@ -1,4 +1,4 @@
-#include "process/announce.h"
+#include "process/membership/announce.h"
 
 #include <event2/keyvalq_struct.h>
 
--- a/src/process/announce.h
+++ b/src/process/membership/announce.h
@@ -25,11 +25,11 @@
 #define ANNOUNCE_H
 
 #include "connection/backend.h"
-#include "process/admission.h"
-#include "process/leavesync.h"
-#include "process/noticewait.h"
-#include "process/operatorapi.h"
-#include "process/presence.h"
+#include "process/admission/admission.h"
+#include "process/membership/leavesync.h"
+#include "process/membership/noticewait.h"
+#include "process/membership/presence.h"
+#include "process/operators/operatorapi.h"
 #include "version/preset.h"
 
 /* Called when the backend server came, went, or changed its service or whether
--- a/src/process/leavesync.c
+++ b/src/process/membership/leavesync.c
@@ -1,4 +1,4 @@
-#include "process/leavesync.h"
+#include "process/membership/leavesync.h"
 
 #include "value/mem.h"
 #include "version/frame.h"
--- a/src/process/leavesync.h
+++ b/src/process/membership/leavesync.h
@@ -7,17 +7,17 @@
  * and a node that starts takes no announcement for valid before a majority has
  * told it what it knows.
  *
- * The receiver of announcements (process/announce.h) calls Lvs_Record and is
- * called back when something changed.
+ * The receiver of announcements (process/membership/announce.h) calls
+ * Lvs_Record and is called back when something changed.
  */
 #ifndef LEAVESYNC_H
 #define LEAVESYNC_H
 
 #include "connection/leavemsg.h"
-#include "process/counters.h"
+#include "process/control/replicaset.h"
 #include "process/net.h"
-#include "process/replicaset.h"
-#include "process/timeline.h"
+#include "process/observe/counters.h"
+#include "process/observe/timeline.h"
 
 enum { Lvs_PENDING_MAX = 256 }; /* replies that wait for a save */
 
--- a/src/process/leavetable.c
+++ b/src/process/membership/leavetable.c
@@ -1,4 +1,4 @@
-#include "process/leavetable.h"
+#include "process/membership/leavetable.h"
 
 #include "value/mem.h"
 
--- a/src/process/leavetable.h
+++ b/src/process/membership/leavetable.h
@@ -5,8 +5,8 @@
  * a process makes it ready again.  Of each node only the latest such start is
  * kept, since all earlier ones are gone as well.
  *
- * A control replica has the rows of all nodes; process/leavesync.h keeps them
- * in its data folder and exchanges them.
+ * A control replica has the rows of all nodes; process/membership/leavesync.h
+ * keeps them in its data folder and exchanges them.
  */
 #ifndef LEAVETABLE_H
 #define LEAVETABLE_H
--- a/src/process/membership.c
+++ b/src/process/membership/membership.c
@@ -1,4 +1,4 @@
-#include "process/membership.h"
+#include "process/membership/membership.h"
 
 #include "value/mem.h"
 
--- a/src/process/membershipsync.c
+++ b/src/process/membership/membershipsync.c
@@ -1,4 +1,4 @@
-#include "process/membershipsync.h"
+#include "process/membership/membershipsync.h"
 
 #include "connection/membermsg.h"
 #include "value/mem.h"
--- a/src/process/membershipsync.h
+++ b/src/process/membership/membershipsync.h
@@ -2,9 +2,9 @@
  *
  * At each heartbeat this node renews its record at its source, a control
  * replica of its region, which answers with the rows that changed;
- * process/membersource.h decides which message each replica gets.  A control
- * replica sends its record to all other replicas, and each answers with the
- * nodes that it hears directly.
+ * process/membership/membersource.h decides which message each replica gets.
+ * A control replica sends its record to all other replicas, and each answers
+ * with the nodes that it hears directly.
  *
  * A replica answers renewals for which it has no changed rows in batches, a
  * few times per heartbeat: most of the cost of such an answer is waking up for
@@ -17,9 +17,9 @@
 #ifndef MEMBERSHIPSYNC_H
 #define MEMBERSHIPSYNC_H
 
-#include "process/announce.h"
-#include "process/membership.h"
-#include "process/membersource.h"
+#include "process/membership/announce.h"
+#include "process/membership/membership.h"
+#include "process/membership/membersource.h"
 #include "process/net.h"
 #include "version/config.h"
 
--- a/src/process/membersource.c
+++ b/src/process/membership/membersource.c
@@ -1,4 +1,4 @@
-#include "process/membersource.h"
+#include "process/membership/membersource.h"
 
 #include "value/mem.h"
 
--- a/src/process/noticewait.c
+++ b/src/process/membership/noticewait.c
@@ -1,6 +1,6 @@
-#include "process/noticewait.h"
+#include "process/membership/noticewait.h"
 
-#include "process/operatorapi.h"
+#include "process/operators/operatorapi.h"
 
 /* A backend server waits about a second for an answer. */
 #define WAIT_MAX Span_MS(800)
--- a/src/process/noticewait.h
+++ b/src/process/membership/noticewait.h
@@ -1,6 +1,6 @@
 /* Ntw: notices of the backend server beside this node that it drains or
  * leaves, while their acknowledgement waits for the control replicas
- * (process/leavesync.h).
+ * (process/membership/leavesync.h).
  */
 #ifndef NOTICEWAIT_H
 #define NOTICEWAIT_H
--- a/src/process/presence.c
+++ b/src/process/membership/presence.c
@@ -1,4 +1,4 @@
-#include "process/presence.h"
+#include "process/membership/presence.h"
 
 void
 Prs_Finish(BackendPresence *presence)
--- a/src/process/presence.h
+++ b/src/process/membership/presence.h
@@ -7,17 +7,18 @@
  * announcement is acknowledged and changes nothing, unless it says that the
  * backend server is draining: draining is never taken back.
  *
- * A start that is known to leave (process/leavesync.h) is never taken for one
- * that is ready, whatever this process has heard itself: after a restart of
- * this node the backend server may leave, or have left, before it announces
- * itself again, and its delayed announcements are stale.
+ * A start that is known to leave (process/membership/leavesync.h) is never
+ * taken for one that is ready, whatever this process has heard itself: after a
+ * restart of this node the backend server may leave, or have left, before it
+ * announces itself again, and its delayed announcements are stale.
  *
- * process/announce.h serves the HTTP requests and owns the BackendPresence.
+ * process/membership/announce.h serves the HTTP requests and owns the
+ * BackendPresence.
  */
 #ifndef PRESENCE_H
 #define PRESENCE_H
 
-#include "process/leavetable.h"
+#include "process/membership/leavetable.h"
 
 /* Without a start time a backend server that left may start again under its
  * id after this time.  Longer than an announcement is under way. */
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -13,12 +13,12 @@
 
 #include "connection/peer.h"
 #include "connection/wire.h"
-#include "process/counters.h"
 #include "process/curve.h"
-#include "process/logger.h"
 #include "process/loop.h"
-#include "process/settings.h"
-#include "process/timeline.h"
+#include "process/observe/counters.h"
+#include "process/observe/logger.h"
+#include "process/observe/timeline.h"
+#include "process/settings/settings.h"
 #include "value/bodybuf.h"
 
 enum { Net_ROUTING_ID_BYTES_MAX = 32 };
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -1,7 +1,7 @@
 #include "process/node.h"
 
-#include "process/incarnation.h"
-#include "process/suspectops.h"
+#include "process/lifecycle/incarnation.h"
+#include "process/suspects/suspectops.h"
 
 #include "request/fence.h"
 #include "request/split.h"
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -7,20 +7,20 @@
 #ifndef NODE_H
 #define NODE_H
 
-#include "process/acceptor.h"
-#include "process/announce.h"
-#include "process/configapi.h"
-#include "process/control.h"
+#include "process/control/acceptor.h"
+#include "process/control/configapi.h"
+#include "process/control/control.h"
+#include "process/control/replicaset.h"
+#include "process/control/versionfollower.h"
 #include "process/edge.h"
-#include "process/membershipsync.h"
-#include "process/operatorapi.h"
-#include "process/probesender.h"
-#include "process/ready.h"
-#include "process/recorder.h"
-#include "process/replicaset.h"
-#include "process/statusapi.h"
-#include "process/stop.h"
-#include "process/versionfollower.h"
+#include "process/lifecycle/ready.h"
+#include "process/lifecycle/stop.h"
+#include "process/membership/announce.h"
+#include "process/membership/membershipsync.h"
+#include "process/observe/recorder.h"
+#include "process/observe/statusapi.h"
+#include "process/operators/operatorapi.h"
+#include "process/placement/probesender.h"
 #include "request/call.h"
 #include "request/run.h"
 
@@ -79,7 +79,8 @@
 /* Serves until a stop is complete. */
 void Node_Run(Node *node);
 
-/* Starts a graceful stop (process/stop.h).  A second call ends it at once. */
+/* Starts a graceful stop (process/lifecycle/stop.h).  A second call ends it at
+ * once. */
 void Node_Stop(Node *node, Instant now);
 
 #endif
--- a/src/process/counters.c
+++ b/src/process/observe/counters.c
@@ -1,4 +1,4 @@
-#include "process/counters.h"
+#include "process/observe/counters.h"
 
 #include <inttypes.h>
 
--- a/src/process/latency.c
+++ b/src/process/observe/latency.c
@@ -1,4 +1,4 @@
-#include "process/latency.h"
+#include "process/observe/latency.h"
 
 #include <math.h>
 
--- a/src/process/logger.c
+++ b/src/process/observe/logger.c
@@ -1,4 +1,4 @@
-#include "process/logger.h"
+#include "process/observe/logger.h"
 
 #include <inttypes.h>
 #include <jansson.h>
--- a/src/process/logger.h
+++ b/src/process/observe/logger.h
@@ -8,7 +8,7 @@
 #ifndef LOGGER_H
 #define LOGGER_H
 
-#include "process/counters.h"
+#include "process/observe/counters.h"
 #include "value/err.h"
 #include "value/str.h"
 
--- a/src/process/recorder.c
+++ b/src/process/observe/recorder.c
@@ -1,4 +1,4 @@
-#include "process/recorder.h"
+#include "process/observe/recorder.h"
 
 #include <inttypes.h>
 
--- a/src/process/recorder.h
+++ b/src/process/observe/recorder.h
@@ -1,8 +1,9 @@
 /* Rec: records the inputs and outcomes of a decider in a trace file.
  *
  * A decider is a module that makes decisions from its state, its arguments and
- * the time passed to it.  The admission controller (process/admission.h) and
- * the attempt ledger (process/ledger.h) can be recorded.  process/replay.h
+ * the time passed to it.  The admission controller
+ * (process/admission/admission.h) and the attempt ledger
+ * (process/admission/ledger.h) can be recorded.  process/observe/replay.h
  * replays a trace.
  *
  * A trace consists of JSON lines.  The first one is
@@ -15,8 +16,8 @@
 
 #include <stdio.h>
 
-#include "process/admission.h"
-#include "process/ledger.h"
+#include "process/admission/admission.h"
+#include "process/admission/ledger.h"
 #include "value/err.h"
 
 /* Version of the trace format. */
--- a/src/process/replay.c
+++ b/src/process/observe/replay.c
@@ -1,11 +1,11 @@
-#include "process/replay.h"
+#include "process/observe/replay.h"
 
 #include <inttypes.h>
 #include <string.h>
 
-#include "process/admission.h"
-#include "process/ledger.h"
-#include "process/recorder.h"
+#include "process/admission/admission.h"
+#include "process/admission/ledger.h"
+#include "process/observe/recorder.h"
 #include "value/json.h"
 
 enum { ARGS_MAX = Led_EVENT_ARGS };
--- a/src/process/replay.h
+++ b/src/process/observe/replay.h
@@ -1,7 +1,7 @@
 /* Rpl: replays a trace and compares the outcomes with the recorded ones.
  *
- * Traces are written by process/recorder.h, which gives their format.  A
- * replay shows whether today's code decides as the recorded code did.
+ * Traces are written by process/observe/recorder.h, which gives their format.
+ * A replay shows whether today's code decides as the recorded code did.
  */
 #ifndef REPLAY_H
 #define REPLAY_H
--- a/src/process/statusapi.c
+++ b/src/process/observe/statusapi.c
@@ -1,9 +1,9 @@
-#include "process/statusapi.h"
+#include "process/observe/statusapi.h"
 
 #include <event2/keyvalq_struct.h>
 #include <inttypes.h>
 
-#include "process/opjson.h"
+#include "process/operators/opjson.h"
 
 static json_t *
 json_domain(const Settings *settings, uint16_t number)
--- a/src/process/statusapi.h
+++ b/src/process/observe/statusapi.h
@@ -8,8 +8,8 @@
 #ifndef STATUSAPI_H
 #define STATUSAPI_H
 
-#include "process/membershipsync.h"
-#include "process/operatorapi.h"
+#include "process/membership/membershipsync.h"
+#include "process/operators/operatorapi.h"
 #include "request/call.h"
 #include "request/run.h"
 
--- a/src/process/timeline.c
+++ b/src/process/observe/timeline.c
@@ -1,4 +1,4 @@
-#include "process/timeline.h"
+#include "process/observe/timeline.h"
 
 #include <stdarg.h>
 #include <stdio.h>
--- a/src/process/timeline.h
+++ b/src/process/observe/timeline.h
@@ -5,7 +5,7 @@
 #ifndef TIMELINE_H
 #define TIMELINE_H
 
-#include "process/logger.h"
+#include "process/observe/logger.h"
 #include "value/hlc.h"
 
 /* Enumerator without its prefix; name in the log and for operators. */
@@ -42,7 +42,7 @@
 } TimelineKind;
 
 /* At most this many events of one kind are recorded in a second; further ones
- * are dropped.  The counters (process/counters.h) include them. */
+ * are dropped.  The counters (process/observe/counters.h) include them. */
 enum { Tml_MAX_PER_SECOND = 50 };
 
 enum { Tml_RING_EVENTS = 1024, Tml_DETAIL_BYTES = 160 };
--- a/src/process/opconns.c
+++ b/src/process/operators/opconns.c
@@ -1,4 +1,4 @@
-#include "process/opconns.h"
+#include "process/operators/opconns.h"
 
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
--- a/src/process/opconns.h
+++ b/src/process/operators/opconns.h
@@ -11,7 +11,7 @@
 
 #include <event2/http.h>
 
-#include "process/counters.h"
+#include "process/observe/counters.h"
 #include "value/instant.h"
 
 typedef struct {
--- a/src/process/operatorapi.c
+++ b/src/process/operators/operatorapi.c
@@ -1,4 +1,4 @@
-#include "process/operatorapi.h"
+#include "process/operators/operatorapi.h"
 
 #include <event2/buffer.h>
 #include <stdlib.h>
--- a/src/process/operatorapi.h
+++ b/src/process/operators/operatorapi.h
@@ -12,11 +12,11 @@
 #include <event2/http.h>
 #include <jansson.h>
 
-#include "process/counters.h"
 #include "process/loop.h"
-#include "process/opconns.h"
-#include "process/settings.h"
-#include "process/timeline.h"
+#include "process/observe/counters.h"
+#include "process/observe/timeline.h"
+#include "process/operators/opconns.h"
+#include "process/settings/settings.h"
 
 /* What a handler returns. */
 typedef struct {
--- a/src/process/opjson.c
+++ b/src/process/operators/opjson.c
@@ -1,4 +1,4 @@
-#include "process/opjson.h"
+#include "process/operators/opjson.h"
 
 json_t *
 Opj_Str(Str text)
--- a/src/process/linkbudget.c
+++ b/src/process/placement/linkbudget.c
@@ -1,4 +1,4 @@
-#include "process/linkbudget.h"
+#include "process/placement/linkbudget.h"
 
 /* The burst is what the rate allows in this time. */
 #define BURST_SECONDS 0.25
--- a/src/process/linkbudget.h
+++ b/src/process/placement/linkbudget.h
@@ -13,7 +13,7 @@
 #ifndef LINKBUDGET_H
 #define LINKBUDGET_H
 
-#include "process/tokenbucket.h"
+#include "value/tokenbucket.h"
 
 typedef struct {
     TokenBucket bucket; /* tokens are bytes; negative: debt */
--- a/src/process/placement.c
+++ b/src/process/placement/placement.c
@@ -1,8 +1,8 @@
-#include "process/placement.h"
+#include "process/placement/placement.h"
 
 #include <math.h>
 
-#include "process/placementpolicy.h"
+#include "process/placement/placementpolicy.h"
 #include "value/mem.h"
 
 /* Time constants of the decay: the first one of answered and unanswered_us,
--- a/src/process/placementpolicy.c
+++ b/src/process/placement/placementpolicy.c
@@ -1,4 +1,4 @@
-#include "process/placementpolicy.h"
+#include "process/placement/placementpolicy.h"
 
 #include <math.h>
 
--- a/src/process/placementpolicy.h
+++ b/src/process/placement/placementpolicy.h
@@ -18,7 +18,7 @@
 #ifndef PLACEMENTPOLICY_H
 #define PLACEMENTPOLICY_H
 
-#include "process/placement.h"
+#include "process/placement/placement.h"
 
 /* Returns the row for one attempt, or NULL.  With NULL, *FULL is true when a
  * backend server takes work, but its queue is full or it is remote and the
--- a/src/process/probe.c
+++ b/src/process/placement/probe.c
@@ -1,4 +1,4 @@
-#include "process/probe.h"
+#include "process/placement/probe.h"
 
 #define REPORT_FRESH Span_MS(250) /* younger: no probe needed */
 #define SERVICE_IN_USE Span_S(1)  /* since the last attempt */
--- a/src/process/probe.h
+++ b/src/process/placement/probe.h
@@ -11,8 +11,8 @@
 #ifndef PROBE_H
 #define PROBE_H
 
-#include "process/placement.h"
-#include "process/tokenbucket.h"
+#include "process/placement/placement.h"
+#include "value/tokenbucket.h"
 
 /* Upper bound of the bytes of one probe and its answer on the wire. */
 enum { Prb_BYTES_MAX = 160 };
--- a/src/process/probesender.c
+++ b/src/process/placement/probesender.c
@@ -1,4 +1,4 @@
-#include "process/probesender.h"
+#include "process/placement/probesender.h"
 
 #include "connection/callmsg.h"
 
--- a/src/process/probesender.h
+++ b/src/process/placement/probesender.h
@@ -7,8 +7,8 @@
 #define PROBESENDER_H
 
 #include "process/net.h"
-#include "process/probe.h"
-#include "process/services.h"
+#include "process/placement/probe.h"
+#include "process/placement/services.h"
 
 typedef struct {
     Net *net;
--- a/src/process/services.c
+++ b/src/process/placement/services.c
@@ -1,4 +1,4 @@
-#include "process/services.h"
+#include "process/placement/services.h"
 
 #include "value/mem.h"
 
--- a/src/process/services.h
+++ b/src/process/placement/services.h
@@ -13,9 +13,9 @@
 #ifndef SERVICES_H
 #define SERVICES_H
 
-#include "process/membership.h"
-#include "process/placement.h"
-#include "process/subset.h"
+#include "process/membership/membership.h"
+#include "process/placement/placement.h"
+#include "process/placement/subset.h"
 #include "request/retry.h"
 #include "version/preset.h"
 
--- a/src/process/subset.c
+++ b/src/process/placement/subset.c
@@ -1,4 +1,4 @@
-#include "process/subset.h"
+#include "process/placement/subset.h"
 
 #include <stdlib.h>
 
--- a/src/process/reload.c
+++ b/src/process/settings/reload.c
@@ -1,4 +1,4 @@
-#include "process/reload.h"
+#include "process/settings/reload.h"
 
 #include <sys/stat.h>
 
--- a/src/process/setbounds.c
+++ b/src/process/settings/setbounds.c
@@ -1,4 +1,4 @@
-#include "process/setbounds.h"
+#include "process/settings/setbounds.h"
 
 /* From the end of a graceful stop to the end of the process. */
 #define EXIT_TIME Span_MS(800)
--- a/src/process/setbounds.h
+++ b/src/process/settings/setbounds.h
@@ -5,7 +5,7 @@
 #ifndef SETBOUNDS_H
 #define SETBOUNDS_H
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "value/json.h"
 
 /* Reads "bounds" of OBJECT.  "stop_grace_s" is the time from SIGTERM until the
--- a/src/process/setcheck.c
+++ b/src/process/settings/setcheck.c
@@ -1,4 +1,4 @@
-#include "process/setcheck.h"
+#include "process/settings/setcheck.h"
 
 enum { NAME_BYTES_MAX = 64, KEY_BYTES_MIN = 8, KEY_BYTES_MAX = 256 };
 
--- a/src/process/setcheck.h
+++ b/src/process/settings/setcheck.h
@@ -5,7 +5,7 @@
 #ifndef SETCHECK_H
 #define SETCHECK_H
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "value/json.h"
 
 /* Adds a finding to OBJECT, which SETTINGS was read from, for each rule that
--- a/src/process/setheaders.c
+++ b/src/process/settings/setheaders.c
@@ -1,4 +1,4 @@
-#include "process/setheaders.h"
+#include "process/settings/setheaders.h"
 
 static void
 read_field_name(JsonObject *fields, Str key, Str default_name, StrBuf *name)
--- a/src/process/setheaders.h
+++ b/src/process/settings/setheaders.h
@@ -2,7 +2,7 @@
 #ifndef SETHEADERS_H
 #define SETHEADERS_H
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "value/json.h"
 
 /* Reads "header_fields" of OBJECT into NAMES, which must be empty.  A field
--- a/src/process/setkeys.c
+++ b/src/process/settings/setkeys.c
@@ -1,4 +1,4 @@
-#include "process/setkeys.h"
+#include "process/settings/setkeys.h"
 
 #include "process/curve.h"
 
--- a/src/process/setkeys.h
+++ b/src/process/settings/setkeys.h
@@ -2,7 +2,7 @@
 #ifndef SETKEYS_H
 #define SETKEYS_H
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "value/json.h"
 
 /* Reads and checks the keys of OBJECT that begin with curve_.  Faults become
--- a/src/process/setseeds.c
+++ b/src/process/settings/setseeds.c
@@ -1,4 +1,4 @@
-#include "process/setseeds.h"
+#include "process/settings/setseeds.h"
 
 #include "value/mem.h"
 
--- a/src/process/setseeds.h
+++ b/src/process/settings/setseeds.h
@@ -4,7 +4,7 @@
 #ifndef SETSEEDS_H
 #define SETSEEDS_H
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "value/json.h"
 
 /* Reads "control_seeds" of OBJECT with "control_port", "control",
--- a/src/process/settings.c
+++ b/src/process/settings/settings.c
@@ -1,13 +1,13 @@
-#include "process/settings.h"
+#include "process/settings/settings.h"
 
 #include <stdio.h>
 #include <sys/stat.h>
 
-#include "process/setbounds.h"
-#include "process/setcheck.h"
-#include "process/setheaders.h"
-#include "process/setkeys.h"
-#include "process/setseeds.h"
+#include "process/settings/setbounds.h"
+#include "process/settings/setcheck.h"
+#include "process/settings/setheaders.h"
+#include "process/settings/setkeys.h"
+#include "process/settings/setseeds.h"
 #include "value/json.h"
 #include "value/mem.h"
 
--- a/src/process/settings.h
+++ b/src/process/settings/settings.h
@@ -8,7 +8,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
-#include "process/logger.h"
+#include "process/observe/logger.h"
 #include "value/addr.h"
 #include "value/finding.h"
 #include "value/instant.h"
--- a/src/process/suspectops.c
+++ b/src/process/suspects/suspectops.c
@@ -1,8 +1,8 @@
-#include "process/suspectops.h"
+#include "process/suspects/suspectops.h"
 
 #include <inttypes.h>
 
-#include "process/opjson.h"
+#include "process/operators/opjson.h"
 #include "value/json.h"
 
 enum { FINGERPRINT_DIGITS = 16, US_PER_MS = 1000 };
--- a/src/process/suspectops.h
+++ b/src/process/suspects/suspectops.h
@@ -7,8 +7,8 @@
 #ifndef SUSPECTOPS_H
 #define SUSPECTOPS_H
 
-#include "process/operatorapi.h"
-#include "process/suspectsync.h"
+#include "process/operators/operatorapi.h"
+#include "process/suspects/suspectsync.h"
 
 /* Adds the paths to OPERATOR_API.  SYNC must outlive OPERATOR_API. */
 void Sop_RegisterPaths(SuspectSync *sync, OperatorApi *operator_api);
--- a/src/process/suspectstore.c
+++ b/src/process/suspects/suspectstore.c
@@ -1,4 +1,4 @@
-#include "process/suspectstore.h"
+#include "process/suspects/suspectstore.h"
 
 #include "connection/suspectmsg.h"
 #include "version/frame.h"
--- a/src/process/suspectstore.h
+++ b/src/process/suspects/suspectstore.h
@@ -8,7 +8,7 @@
 #ifndef SUSPECTSTORE_H
 #define SUSPECTSTORE_H
 
-#include "process/suspecttable.h"
+#include "process/suspects/suspecttable.h"
 #include "value/err.h"
 
 /* One moment on two clocks.  Ages of crashes are carried over a restart by the
--- a/src/process/suspectsync.c
+++ b/src/process/suspects/suspectsync.c
@@ -1,8 +1,8 @@
-#include "process/suspectsync.h"
+#include "process/suspects/suspectsync.h"
 
 #include <inttypes.h>
 
-#include "process/suspectstore.h"
+#include "process/suspects/suspectstore.h"
 
 /* Time between two saves of a control replica's file, and after a failed
  * one. */
--- a/src/process/suspectsync.h
+++ b/src/process/suspects/suspectsync.h
@@ -23,10 +23,10 @@
 #define SUSPECTSYNC_H
 
 #include "connection/suspectmsg.h"
-#include "process/counters.h"
-#include "process/membershipsync.h"
+#include "process/membership/membershipsync.h"
 #include "process/net.h"
-#include "process/timeline.h"
+#include "process/observe/counters.h"
+#include "process/observe/timeline.h"
 #include "version/preset.h"
 
 enum {
--- a/src/process/suspectsync_messages.c
+++ b/src/process/suspects/suspectsync_messages.c
@@ -1,4 +1,4 @@
-#include "process/suspectsync.h"
+#include "process/suspects/suspectsync.h"
 
 SuspectSummary
 Sps_MakeSummary(const SuspectSync *sync)
--- a/src/process/suspecttable.c
+++ b/src/process/suspects/suspecttable.c
@@ -1,4 +1,4 @@
-#include "process/suspecttable.h"
+#include "process/suspects/suspecttable.h"
 
 #include "value/str.h"
 
--- a/src/process/suspecttable.h
+++ b/src/process/suspects/suspecttable.h
@@ -14,9 +14,9 @@
  * merge each other's records in any order and any number of times, and arrive
  * at the same table; a digest tells whether two tables agree.
  *
- * process/suspectsync.h owns the table of a process and sends its records;
- * process/suspectstore.h keeps it in a file.  The functions here only decide:
- * they do no input or output.
+ * process/suspects/suspectsync.h owns the table of a process and sends its
+ * records; process/suspects/suspectstore.h keeps it in a file.  The functions
+ * here only decide: they do no input or output.
  */
 #ifndef SUSPECTTABLE_H
 #define SUSPECTTABLE_H
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -1,7 +1,8 @@
 /* Clm: decides whether a call with an idempotency key may run.  The KeyClaim
  * is the proposer of a Paxos instance for that key; the acceptors
- * (process/register.h) each hold the key's register.  The claim ends when this
- * call may run, gets the answer of an earlier call with the key, or fails.
+ * (process/control/register.h) each hold the key's register.  The claim ends
+ * when this call may run, gets the answer of an earlier call with the key, or
+ * fails.
  *
  * The claim sends nothing itself.  Each event function returns one
  * ClaimAction, which the caller (keyed.c) carries out; the first is
@@ -13,7 +14,7 @@
 #ifndef CLAIM_H
 #define CLAIM_H
 
-#include "process/register.h"
+#include "process/control/register.h"
 
 typedef enum {
     Clm_WAIT,         /* nothing until the next event */
--- a/src/request/keyed.h
+++ b/src/request/keyed.h
@@ -12,9 +12,9 @@
 
 #include "connection/callmsg.h"
 #include "connection/claimmsg.h"
-#include "process/counters.h"
 #include "process/net.h"
-#include "process/timeline.h"
+#include "process/observe/counters.h"
+#include "process/observe/timeline.h"
 #include "request/claim.h"
 #include "value/list.h"
 
--- a/src/process/tokenbucket.c
+++ b/src/value/tokenbucket.c
@@ -1,4 +1,4 @@
-#include "process/tokenbucket.h"
+#include "value/tokenbucket.h"
 
 static void
 refill(TokenBucket *bucket, Instant now)
--- a/tests/integration/fleet.c
+++ b/tests/integration/fleet.c
@@ -9,7 +9,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 
 enum { ARGS_MAX = 40 };
 
--- a/tests/integration/fleet_call.c
+++ b/tests/integration/fleet_call.c
@@ -2,7 +2,7 @@
 #include <time.h>
 
 #include "fleet.h"
-#include "process/settings.h"
+#include "process/settings/settings.h"
 
 enum { DEFAULT_TIMEOUT_S = 20, READ_TRIES = 3 };
 
--- a/tests/integration/fleet_load.c
+++ b/tests/integration/fleet_load.c
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include "fleet.h"
-#include "process/settings.h"
+#include "process/settings/settings.h"
 
 static void
 format_path(Fleet *fleet, const char *name, int number, StrBuf *out)
--- a/tests/integration/fleet_raw.c
+++ b/tests/integration/fleet_raw.c
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include "fleet.h"
-#include "process/settings.h"
+#include "process/settings/settings.h"
 
 int
 Fleet_RawOpen(Fleet *fleet, int vm, int port)
--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -12,7 +12,7 @@
 #include <sys/wait.h>
 
 #include "fleet_mix.h"
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/support/key_simulation.h
+++ b/tests/support/key_simulation.h
@@ -1,8 +1,8 @@
 /* Ksim: a simulation of the claims of one idempotency key, as a queue of
  * events in the order of their times.  The claims (request/claim.h), the
- * acceptors' registers (process/register.h) and the nodes' attempt ledgers
- * (process/ledger.h) are the production code; messages, backend servers and
- * clocks are simulated.
+ * acceptors' registers (process/control/register.h) and the nodes' attempt
+ * ledgers (process/admission/ledger.h) are the production code; messages,
+ * backend servers and clocks are simulated.
  *
  * The test supplies callbacks: it delivers, delays, duplicates or drops each
  * message and checks every run of the key and every reported outcome.  The
@@ -12,8 +12,8 @@
 #ifndef KEY_SIMULATION_H
 #define KEY_SIMULATION_H
 
-#include "process/ledger.h"
-#include "process/register.h"
+#include "process/admission/ledger.h"
+#include "process/control/register.h"
 #include "request/claim.h"
 #include "value/rng.h"
 
--- a/tests/unit/test_folder_in_use.c
+++ b/tests/unit/test_folder_in_use.c
@@ -6,7 +6,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include "process/control.h"
+#include "process/control/control.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_incarnation.c
+++ b/tests/unit/test_incarnation.c
@@ -1,5 +1,5 @@
 /* Incarnations are unique among nodes and rise with each start of one node. */
-#include "process/incarnation.h"
+#include "process/lifecycle/incarnation.h"
 #include "support/suite.h"
 
 typedef enum { LOWER, DIFFERENT } Expectation;
--- a/tests/unit/test_knee.c
+++ b/tests/unit/test_knee.c
@@ -3,7 +3,7 @@
  * leaves the reserve free.  Guards against a reserve that is used although all
  * requests become slower, and against slots left idle although they are as
  * fast as the others. */
-#include "process/admission.h"
+#include "process/admission/admission.h"
 #include "support/suite.h"
 #include "value/rng.h"
 
--- a/tests/unit/test_latency.c
+++ b/tests/unit/test_latency.c
@@ -2,7 +2,7 @@
  * printed cumulatively. */
 #include <string.h>
 
-#include "process/latency.h"
+#include "process/observe/latency.h"
 #include "support/suite.h"
 
 typedef struct {
--- a/tests/unit/test_leave_sync.c
+++ b/tests/unit/test_leave_sync.c
@@ -6,7 +6,7 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
-#include "process/leavesync.h"
+#include "process/membership/leavesync.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -1,7 +1,7 @@
 /* The attempt ledger: scripts of calls with the verdict or state that each
  * must return.  They guard against an attempt that runs twice, or that runs
  * after the ledger reported to another node that it never will. */
-#include "process/ledger.h"
+#include "process/admission/ledger.h"
 #include "support/suite.h"
 
 enum { NODE_INCARNATION = 7, ORIGIN = 3, STEPS_MAX = 10 };
--- a/tests/unit/test_logger.c
+++ b/tests/unit/test_logger.c
@@ -5,7 +5,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include "process/logger.h"
+#include "process/observe/logger.h"
 #include "support/suite.h"
 #include "value/json.h"
 
--- a/tests/unit/test_measure.c
+++ b/tests/unit/test_measure.c
@@ -1,8 +1,8 @@
 /* What may be spent on load probes and on the inter-region link: probe budget,
  * link budget, placement kept to a region, and throttled load reports. */
-#include "process/linkbudget.h"
-#include "process/probe.h"
-#include "process/reportthrottle.h"
+#include "process/admission/reportthrottle.h"
+#include "process/placement/linkbudget.h"
+#include "process/placement/probe.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -3,8 +3,8 @@
  * messages.
  */
 #include "connection/membermsg.h"
-#include "process/membership.h"
-#include "process/nodeversions.h"
+#include "process/control/nodeversions.h"
+#include "process/membership/membership.h"
 #include "support/suite.h"
 
 enum { SELF = 1, EXPIRY = 1000, STEPS_MAX = 8 };
--- a/tests/unit/test_membersource.c
+++ b/tests/unit/test_membersource.c
@@ -1,7 +1,7 @@
 /* Tables of heartbeats: what a SourceSelector sends to each control replica,
  * and which source it chooses.  Replicas 0 and 1 are in the node's region,
  * replica 2 is not. */
-#include "process/membersource.h"
+#include "process/membership/membersource.h"
 #include "support/suite.h"
 
 enum { HEARTBEAT = 500, REPLICAS = 3, HEARTBEATS_MAX = 10 };
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "support/samples.h"
 #include "support/suite.h"
 #include "value/mem.h"
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "process/admission.h"
+#include "process/admission/admission.h"
 #include "request/duration.h"
 #include "request/nesting.h"
 #include "support/suite.h"
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -1,6 +1,6 @@
 /* Placement: which backend servers are chosen for reported loads, that faulty
  * ones are ejected and come back once they work again. */
-#include "process/placement.h"
+#include "process/placement/placement.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_presence.c
+++ b/tests/unit/test_presence.c
@@ -1,6 +1,6 @@
 /* Announcements of the starts of a backend server, in and out of order, and
  * the parsing of the load that it reports. */
-#include "process/presence.h"
+#include "process/membership/presence.h"
 #include "support/suite.h"
 #include "value/load.h"
 
--- a/tests/unit/test_receipts.c
+++ b/tests/unit/test_receipts.c
@@ -1,6 +1,6 @@
 /* Whether a node knows that others have received what it sent, for sequences
  * of sends, pings and pongs. */
-#include "process/receipts.h"
+#include "process/lifecycle/receipts.h"
 #include "support/suite.h"
 
 enum { STEPS_MAX = 10 };
--- a/tests/unit/test_register.c
+++ b/tests/unit/test_register.c
@@ -1,7 +1,7 @@
 /* The key registers of one acceptor: scripts of messages with the reply that
  * each must get.  They guard against a register that accepts or reports a
  * value older than one it knows, and so lets the call of a key run twice. */
-#include "process/register.h"
+#include "process/control/register.h"
 #include "support/suite.h"
 
 enum { STEPS_MAX = 8 };
--- a/tests/unit/test_replay.c
+++ b/tests/unit/test_replay.c
@@ -1,7 +1,7 @@
 /* Traces recorded in real runs give the same outcomes when they are replayed,
  * and invalid traces are reported.  tests/traces/README.md describes them. */
-#include "process/replay.h"
-#include "process/settings.h"
+#include "process/observe/replay.h"
+#include "process/settings/settings.h"
 #include "support/suite.h"
 
 typedef struct {
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -1,7 +1,7 @@
 /* The operators' routing: whole documents, patches and invalid ones. */
 #include <string.h>
 
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "support/suite.h"
 #include "version/routing.h"
 
--- a/tests/unit/test_services.c
+++ b/tests/unit/test_services.c
@@ -1,6 +1,6 @@
 /* Services: which backend servers a node of a large fleet keeps for a service
  * while members come and go. */
-#include "process/services.h"
+#include "process/placement/services.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -1,7 +1,7 @@
 /* Checks that a fault in the settings gives exactly one finding, at the place
  * of the fault, and that valid settings give none.  Each row replaces one part
  * of valid settings. */
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "support/suite.h"
 
 static const Str valid = Str_LIT(
--- a/tests/unit/test_silence.c
+++ b/tests/unit/test_silence.c
@@ -12,7 +12,7 @@
 
 #include "connection/delivery.h"
 #include "connection/silence.h"
-#include "process/admission.h"
+#include "process/admission/admission.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -1,5 +1,5 @@
 /* The actions of a graceful stop, for sequences of a node's activity. */
-#include "process/stop.h"
+#include "process/lifecycle/stop.h"
 #include "support/suite.h"
 
 /* Times in this file are in microseconds. */
--- a/tests/unit/test_subset.c
+++ b/tests/unit/test_subset.c
@@ -3,7 +3,7 @@
  * more or less changes. */
 #include <stdio.h>
 
-#include "process/subset.h"
+#include "process/placement/subset.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_suspect_decider.c
+++ b/tests/unit/test_suspect_decider.c
@@ -1,7 +1,7 @@
-/* The table of suspect requests (process/suspecttable.h): sequences of events
- * and the verdicts that follow, records merged in different orders, and the
- * choice of the node for an exclusive run. */
-#include "process/suspecttable.h"
+/* The table of suspect requests (process/suspects/suspecttable.h): sequences
+ * of events and the verdicts that follow, records merged in different orders,
+ * and the choice of the node for an exclusive run. */
+#include "process/suspects/suspecttable.h"
 #include "support/suite.h"
 
 enum { STEPS_MAX = 10 };
--- a/tests/unit/test_suspect_store.c
+++ b/tests/unit/test_suspect_store.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
-#include "process/suspectstore.h"
+#include "process/suspects/suspectstore.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
--- a/tests/unit/test_timeline.c
+++ b/tests/unit/test_timeline.c
@@ -1,6 +1,6 @@
 /* The timeline: limits the events of each kind per second, so that many events
  * of one kind leave room for others, and keeps the order of the stamps. */
-#include "process/timeline.h"
+#include "process/observe/timeline.h"
 #include "support/suite.h"
 
 static int64_t wall_us;
--- a/tests/unit/test_turn.c
+++ b/tests/unit/test_turn.c
@@ -3,8 +3,8 @@
  * Each case is a series of events. */
 #include <stdio.h>
 
-#include "process/versionpoll.h"
-#include "process/versionword.h"
+#include "process/control/versionpoll.h"
+#include "process/control/versionword.h"
 #include "support/suite.h"
 
 #define START Span_S(100)
@@ -164,7 +164,7 @@
 #define TICK Span_MS(100)
 #define ROUND_TRIP Span_MS(24)
 /* A replica's longest wait for its leader before it answers (POLL_TIMEOUT in
- * process/control_read.c). */
+ * process/control/control_read.c). */
 #define ANSWER_WAIT Span_MS(150)
 /* Age of the word that a replica gives without asking its leader. */
 #define DIRECT_AGE Span_MS(250)
--- a/tests/unit/test_turned_away.c
+++ b/tests/unit/test_turned_away.c
@@ -3,7 +3,7 @@
  * and admits one trial attempt in each interval.  Guards against a node that
  * stops using the server after a short burst of rejections, and against one
  * that never tries it again. */
-#include "process/admission.h"
+#include "process/admission/admission.h"
 #include "support/suite.h"
 
 enum { STEPS_MAX = 10 };
--- a/tests/unit/test_unread_time.c
+++ b/tests/unit/test_unread_time.c
@@ -1,6 +1,6 @@
 /* Guards against the failure that time for which a request lay unread, while
  * the process did not run, was given to the request once more. */
-#include "process/ownpause.h"
+#include "process/lifecycle/ownpause.h"
 #include "support/suite.h"
 
 enum { TICKS_MAX = 4, PERIOD_MS = 10, START_MS = 1000 };
--- a/tools/bench.h
+++ b/tools/bench.h
@@ -8,8 +8,8 @@
 #ifndef BENCH_H
 #define BENCH_H
 
-#include "process/admission.h"
-#include "process/placement.h"
+#include "process/admission/admission.h"
+#include "process/placement/placement.h"
 #include "request/hedge.h"
 #include "request/retry.h"
 #include "value/str.h"
--- a/tools/bench_world.h
+++ b/tools/bench_world.h
@@ -9,7 +9,7 @@
 
 #include "bench.h"
 #include "bench_queue.h"
-#include "process/reportthrottle.h"
+#include "process/admission/reportthrottle.h"
 
 /* Mean service time at the usual speed. */
 #define Bnw_MEAN_SERVICE_US 5000.0
--- a/tools/demo_calls.c
+++ b/tools/demo_calls.c
@@ -3,7 +3,7 @@
 #include <event2/buffer.h>
 
 #include "connection/evhttptext.h"
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "value/mem.h"
 
 enum { ANSWER_TIMEOUT_S = 12 };
--- a/tools/fleet_main.c
+++ b/tools/fleet_main.c
@@ -9,7 +9,7 @@
 #include <argtable2.h>
 #include <stdio.h>
 
-#include "process/membershipsync.h"
+#include "process/membership/membershipsync.h"
 #include "value/mem.h"
 
 enum { START_INTERVAL_MS = 4, STATUS_INTERVAL_MS = 100, SLOTS = 9 };
--- a/tools/load_main.c
+++ b/tools/load_main.c
@@ -15,7 +15,7 @@
 #include <stdio.h>
 
 #include "load_calls.h"
-#include "process/settings.h"
+#include "process/settings/settings.h"
 #include "value/mem.h"
 
 enum { EFFECTS_FILES_MAX = 64, DEFAULT_BODY_BYTES = 5 };
--- a/tools/replay_main.c
+++ b/tools/replay_main.c
@@ -5,8 +5,8 @@
 #include <argtable2.h>
 #include <stdio.h>
 
-#include "process/replay.h"
-#include "process/settings.h"
+#include "process/observe/replay.h"
+#include "process/settings/settings.h"
 
 /* Prints the result for one trace; false when it differs or is unreadable. */
 static bool
