--- a/src/process/settings/setbounds.c
+++ b/src/process/settings/setbounds.c
@@ -24,8 +24,8 @@
     settings->stop_bound = grace > EXIT_TIME ? grace - EXIT_TIME : 0;
 }
 
-/* Reads TEXT, one bound.  Returns false when it is a known one with a value
- * that cannot be read. */
+/* Reads TEXT, one bound.  Returns false when it has no name, or is a known one
+ * with a value that cannot be read. */
 static bool
 read_bound(Settings *settings, Str text)
 {
@@ -34,6 +34,9 @@
     Str value = Str_Slice(text, name_len + 1, text.len);
     uint64_t number = 0;
 
+    if (name_len == text.len) {
+        return false;
+    }
     if (Str_Equal(name, Str_LIT("stop_grace_s"))) {
         if (!read_number(value, GRACE_MAX_S, &number)) {
             return false;
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -77,6 +77,9 @@
      {0}},
     {Str_LIT("\"info\""), Str_LIT("\"info\",\"bounds\":[7]"),
      Str_LIT("/bounds")},
+    /* a value without its name, as a template may write it */
+    {Str_LIT("\"info\""), Str_LIT("\"info\",\"bounds\":[\"6\"]"),
+     Str_LIT("/bounds")},
     {Str_LIT("\"info\""), Str_LIT("\"info\",\"bounds\":[\"stop_grace_s\"]"),
      Str_LIT("/bounds")},
     {Str_LIT("\"info\""),
