Resolve the key of a request to its client account at the ingress node

Cause: no route or request knew its client account; a configuration with the kind download, or with accounts, was answered 400. The routing now holds accounts with keys, priority, limit and regions; routes that need no key; large answers; what a cold backend server bears. A key is looked up once at the ingress node, in constant work, and replaced by the account's name. An unknown key gets 401, or 503 from a node that can't know its version young enough, and a node whose word of its version is as old as nine tenths of the bound of revocation serves no keys.

--- a/src/process/node.c
+++ b/src/process/node.c
@@ -292,7 +292,7 @@
                           &findings);
     if (good) {
         Spl_ContinueFrom(&preset, NULL, &node->rng);
-        node->in_force = Shp_New(&preset, (ConfigVersion){0});
+        node->in_force = Shp_New(&preset, (ConfigVersion){0}, Loop_Entropy());
     }
     else {
         Fnd_Print(&findings, &text);
@@ -341,7 +341,7 @@
     if (good) {
         Spl_ContinueFrom(&preset, &node->in_force->preset, &node->rng);
         Shp_Release(node->in_force);
-        node->in_force = Shp_New(&preset, version);
+        node->in_force = Shp_New(&preset, version, Loop_Entropy());
         apply_preset(node);
         Ann_SetPreset(&node->announcements, &node->in_force->preset);
         Edge_SetPreset(&node->edge, &node->in_force->preset);
@@ -466,6 +466,9 @@
     node->dispatcher.has_enclosing_run = has_enclosing_run;
     node->dispatcher.version_word = &node->version_follower.word;
     node->dispatcher.apply_bound = settings->apply_bound;
+    node->dispatcher.revoke_bound = settings->revoke_bound;
+    node->dispatcher.account_field =
+        StrBuf_View(&settings->header_fields.account);
     Fnc_RegisterHandlers(&node->runner);
     Acc_Init(&node->register_acceptor, &node->loop, &node->net,
              &node->counters, &node->timeline, settings, node->incarnation,
--- a/src/process/observe/counters.h
+++ b/src/process/observe/counters.h
@@ -18,6 +18,8 @@
     X(CALLS_RAN, "calls_ran_total",                                           \
       "Repeats of a key whose answer is not kept")                            \
     X(CALLS_NO_ROUTE, "calls_no_route_total", "Calls that no route matches")  \
+    X(CALLS_NO_ACCOUNT, "calls_no_account_total",                             \
+      "Calls whose key is no client account's")                               \
     X(CALLS_HUNG_UP, "calls_hung_up_total", "Calls whose caller hung up")     \
     X(ATTEMPTS, "attempts_total", "Attempts made")                            \
     X(RETRIES, "retries_total", "Attempts after the first of a call")         \
--- a/src/process/settings/setheaders.c
+++ b/src/process/settings/setheaders.c
@@ -32,6 +32,7 @@
                     &names->origin_service);
     read_field_name(&fields, Str_LIT("origin_value"), (Str){0},
                     &names->origin_value);
+    read_field_name(&fields, Str_LIT("account"), (Str){0}, &names->account);
     Jsn_Leave(&fields);
     json_decref(empty);
 }
@@ -47,4 +48,5 @@
     StrBuf_Finish(&names->load);
     StrBuf_Finish(&names->origin_service);
     StrBuf_Finish(&names->origin_value);
+    StrBuf_Finish(&names->account);
 }
--- a/src/process/settings/settings.h
+++ b/src/process/settings/settings.h
@@ -44,8 +44,22 @@
     StrBuf load;    /* in a backend server's answer: its load */
     StrBuf origin_service; /* service of the VM where the request began */
     StrBuf origin_value;   /* value that comes with origin_service */
+    StrBuf account;        /* the client account, for backend servers */
 } HeaderFieldNames;
 
+/* By how much the calls of an account may exceed its limit in any window. */
+typedef struct {
+    Span window;               /* 0: not stated */
+    uint32_t overage_permille; /* of what the limit allows in a window */
+    uint32_t slack;            /* calls on top of that */
+} QuotaBounds;
+
+/* The same for the calls that a cold backend server gets in a second. */
+typedef struct {
+    uint32_t overage_permille; /* of its rate; 1000: the rate itself */
+    uint32_t slack;            /* calls on top of that */
+} ColdBounds;
+
 /* Connections to the node at TO are made to VIA instead, as through a
  * proxy. */
 typedef struct {
@@ -107,6 +121,10 @@
     Span stop_bound;     /* longest duration of a graceful stop */
     Span apply_bound;    /* within this a change of the configuration must be
                             in force at every node */
+    Span revoke_bound;   /* within this no node serves a key that was taken
+                            away; 0: not bounded */
+    QuotaBounds quota;
+    ColdBounds cold;
     Span stop_notice;    /* from the start of a graceful stop; for this
                             long, callers are still accepted */
     Span ramp;           /* slow start of a cold backend server */
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -29,8 +29,8 @@
     static const char *const outcomes[] = {"answered", "not_run", "unknown",
                                            "cut", "ran"};
     static const char *const reasons[] = {
-        "-",   "no_route", "nobody",  "full",    "late",
-        "key", "mismatch", "suspect", "version", "stopping"};
+        "-",        "no_route", "nobody",  "full",    "late",    "key",
+        "mismatch", "suspect",  "version", "account", "stopping"};
 
     Lgr_Log(
         call->dispatcher->logger,
@@ -240,6 +240,12 @@
     }
 }
 
+static const char *const reject_reason_names[] = {
+    [Call_REASON_NO_ROUTE] = "no_route",
+    [Call_REASON_VERSION] = "version",
+    [Call_REASON_NO_ACCOUNT] = "no_account",
+};
+
 /* Rejects REQUEST before a call is started, because no route matches or this
  * node's configuration version is not confirmed. */
 static void
@@ -255,8 +261,7 @@
     Lgr_Log(dispatcher->logger, Lgr_INFO, Str_LIT("call_refused"),
             "request=%.*s why=%s method=%.*s host=%.*s path=%.*s "
             "version=%llu.%llu known_ms=%lld from=%.*s",
-            Str_ARG(request->request_id),
-            reason == Call_REASON_NO_ROUTE ? "no_route" : "version",
+            Str_ARG(request->request_id), reject_reason_names[reason],
             Str_ARG(request->method), Str_ARG(request->host),
             Str_ARG(path_of(request->target)),
             (unsigned long long)version.term,
@@ -283,6 +288,52 @@
                    now);
 }
 
+/* The share of the revocation bound for which a node serves keys without a
+ * newer word of its version; the rest is for the drift of its clock. */
+enum { KEY_WORD_PERCENT = 90, PERCENT = 100 };
+
+/* Whether a call of ROUTE needs the key of an account. */
+static bool
+needs_account(const CallDispatcher *dispatcher, const PresetRoute *route)
+{
+    return dispatcher->in_force->preset.account_count && !route->is_public;
+}
+
+/* Finds the account of REQUEST.  Returns the reason when it can't be served:
+ * the key may have been taken away, or added, since this node last heard of
+ * its version. */
+static CallReason
+find_account(const CallDispatcher *dispatcher, const CallRequest *request,
+             const PresetAccount **account, Instant now)
+{
+    Span age = Vwd_Age(dispatcher->version_word, now);
+
+    *account =
+        Ack_Find(&dispatcher->in_force->account_keys, request->credential);
+    if (!*account) {
+        return Vwd_ProvesAbsence(dispatcher->version_word,
+                                 dispatcher->apply_bound, now)
+                   ? Call_REASON_NO_ACCOUNT
+                   : Call_REASON_VERSION;
+    }
+    if (dispatcher->revoke_bound &&
+        age >= dispatcher->revoke_bound / PERCENT * KEY_WORD_PERCENT) {
+        return Call_REASON_VERSION;
+    }
+    return Call_REASON_NONE;
+}
+
+static void
+reject_without_account(CallDispatcher *dispatcher, const CallRequest *request,
+                       const CallSink *sink, CallReason reason, Instant now)
+{
+    Cnt_Add(dispatcher->counters,
+            reason == Call_REASON_NO_ACCOUNT ? Cnt_CALLS_NO_ACCOUNT
+                                             : Cnt_CALLS_NOT_RUN,
+            1);
+    reject_request(dispatcher, request, sink, reason, now);
+}
+
 void
 Call_Start(CallDispatcher *dispatcher, const CallRequest *request,
            const CallSink *sink, Call **handle, Instant now)
@@ -291,6 +342,8 @@
         Pst_FindRoute(&dispatcher->in_force->preset, request->host,
                       request->method, path_of(request->target));
     uint32_t attempts_max = dispatcher->in_force->preset.limits.attempts_max;
+    const PresetAccount *account = NULL;
+    CallReason reason = Call_REASON_NONE;
     Call *call;
 
     *handle = NULL;
@@ -304,6 +357,13 @@
         reject_unrouted(dispatcher, request, sink, now);
         return;
     }
+    if (needs_account(dispatcher, route)) {
+        reason = find_account(dispatcher, request, &account, now);
+    }
+    if (reason) {
+        reject_without_account(dispatcher, request, sink, reason, now);
+        return;
+    }
     call = Mem_Alloc(1, sizeof *call);
     call->dispatcher = dispatcher;
     call->handle = handle;
@@ -313,6 +373,11 @@
         call->attempts[i].call = call;
     }
     call->request = *request;
+    call->account = account;
+    if (account) {
+        Field_Add(&call->request.fields, dispatcher->account_field,
+                  StrBuf_View(&account->name));
+    }
     call->sink = *sink;
     call->arrived_at = now;
     call->in_force = Shp_Retain(dispatcher->in_force);
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -51,6 +51,7 @@
     Call_REASON_SUSPECT,      /* blamed for crashes of backend servers */
     Call_REASON_VERSION,      /* the preset in force is not confirmed, or so
                                  long ago that a route may be missing */
+    Call_REASON_NO_ACCOUNT,   /* the key is no account's */
     Call_REASON_STOPPING      /* this node stops too soon to finish it */
 } CallReason;
 
@@ -60,7 +61,8 @@
     Str request_id;
     Str host; /* without port; empty: not given */
     Str method;
-    Str target; /* path and query */
+    Str target;     /* path and query */
+    Str credential; /* key of a client account; empty: not given */
     FieldList fields;
     Str body;
     BodyBuf *body_buf; /* holds the body; NULL: it is copied to be sent */
@@ -105,6 +107,11 @@
      * within which a change must be in force everywhere. */
     const VersionWord *version_word;
     Span apply_bound;
+    /* Set by the node: the time within which a key that was taken away is
+     * served nowhere, 0: not bounded; and the name of the field that names the
+     * account to backend servers, empty: none. */
+    Span revoke_bound;
+    Str account_field;
     bool stops_starting;      /* no further attempt starts, but for nested
                                  calls */
     bool stops_nested;        /* nor does one for them */
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -46,6 +46,7 @@
     CallSink sink;
     SharedPreset *in_force; /* when the call started; a reference */
     const PresetRoute *route;
+    const PresetAccount *account; /* NULL: the call has none */
     Service *service;
     RetryState retry;
     Instant arrived_at;
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -137,6 +137,8 @@
         return (FinalAnswer){503, not_run,
                              Str_LIT("it is held back: it may crash backend "
                                      "servers\n")};
+    case Call_REASON_NO_ACCOUNT:
+        return (FinalAnswer){401, not_run, Str_LIT("the key is unknown\n")};
     case Call_REASON_NO_ROUTE:
         return (FinalAnswer){404, not_run, Str_LIT("no route matches\n")};
     case Call_REASON_DEADLINE:
@@ -223,6 +225,28 @@
     return true;
 }
 
+/* Whether callers send keys of accounts, which no backend server gets. */
+static bool
+has_accounts(const Exchange *exchange)
+{
+    return exchange->list->dispatcher->in_force->preset.account_count > 0;
+}
+
+/* The key in the Authorization field (RFC 6750, section 2.1); empty: none. */
+static Str
+get_credential(const Exchange *exchange)
+{
+    static const Str scheme = Str_LIT("Bearer ");
+    Str value =
+        Field_Get(&exchange->request->fields, Str_LIT("Authorization"));
+
+    if (!has_accounts(exchange) ||
+        !Str_EqualNoCase(Str_Slice(value, 0, scheme.len), scheme)) {
+        return (Str){0};
+    }
+    return Str_Trim(Str_Slice(value, scheme.len, value.len));
+}
+
 /* Copies the fields that are forwarded to the backend server: without those of
  * this connection and without those that this node sets or reads. */
 static void
@@ -240,6 +264,9 @@
             !Str_EqualNoCase(name, name_of(&names->deadline)) &&
             !Str_EqualNoCase(name, name_of(&names->expect_instance)) &&
             !Str_EqualNoCase(name, name_of(&names->origin_service)) &&
+            !Str_EqualNoCase(name, name_of(&names->account)) &&
+            !(has_accounts(exchange) &&
+              Str_EqualNoCase(name, Str_LIT("Authorization"))) &&
             !Str_EqualNoCase(name, name_of(&names->request_id))) {
             Field_Add(to, name, from->items[i].value);
         }
@@ -290,6 +317,7 @@
         .target = Htr_OriginForm(http->target),
         .body = Bod_View(http->body),
         .body_buf = http->body,
+        .credential = get_credential(exchange),
         .timeout = timeout,
     };
 
--- a/src/request/field.h
+++ b/src/request/field.h
@@ -12,8 +12,8 @@
 } Field;
 
 /* Fields of a message that is read, and of one with those that nodes add on
- * its way: at most 4, as they add none twice. */
-enum { Field_READ_MAX = 100, Field_MAX = Field_READ_MAX + 4 };
+ * its way: at most 5, as they add none twice. */
+enum { Field_READ_MAX = 100, Field_MAX = Field_READ_MAX + 5 };
 
 /* The fields in the order of the message; names may repeat. */
 typedef struct {
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -19,9 +19,30 @@
     *preset = (Preset){0};
 }
 
+void
+Pst_FinishRegions(PresetRegions *regions)
+{
+    for (size_t i = 0; i < regions->count; i++) {
+        StrBuf_Finish(&regions->names[i]);
+    }
+    Mem_Free(regions->names);
+}
+
+void
+Pst_FinishAccount(PresetAccount *account)
+{
+    for (size_t i = 0; i < account->key_count; i++) {
+        StrBuf_Finish(&account->keys[i]);
+    }
+    Mem_Free(account->keys);
+    StrBuf_Finish(&account->name);
+    Pst_FinishRegions(&account->regions);
+}
+
 void
 Pst_FinishRoute(PresetRoute *route)
 {
+    Pst_FinishRegions(&route->regions);
     for (size_t i = 0; i < route->split_target_count; i++) {
         StrBuf_Finish(&route->split_targets[i].service);
     }
@@ -47,6 +68,10 @@
         StrBuf_Finish(&preset->services[i].health_path);
     }
     Mem_Free(preset->services);
+    for (size_t i = 0; i < preset->account_count; i++) {
+        Pst_FinishAccount(&preset->accounts[i]);
+    }
+    Mem_Free(preset->accounts);
     StrBuf_Finish(&preset->name);
     *preset = (Preset){0};
 }
@@ -267,6 +292,17 @@
     return NULL;
 }
 
+bool
+Pst_AllowsRegion(const PresetRegions *regions, Str region)
+{
+    for (size_t i = 0; i < regions->count; i++) {
+        if (Str_Equal(StrBuf_View(&regions->names[i]), region)) {
+            return true;
+        }
+    }
+    return regions->count == 0;
+}
+
 bool
 Pst_NamesService(const Preset *preset, Str service)
 {
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -21,6 +21,12 @@
     double weight; /* share: this weight divided by the route's sum */
 } PresetSplitTarget;
 
+/* The regions in which a call may be served. */
+typedef struct {
+    StrBuf *names; /* owned; NULL: any region */
+    size_t count;
+} PresetRegions;
+
 /* Which calls a route selects, and how these calls are treated. */
 typedef struct {
     /* The service of all calls; the first target when calls are split. */
@@ -37,7 +43,10 @@
     StrBuf key_header;   /* header of the idempotency key; empty: none */
     bool is_interactive; /* a user waits: shed last, stays in its region */
     bool is_idempotent;  /* a call may run again without harm */
-    Span deadline;       /* the maximum, and the default for callers */
+    bool is_bulk;        /* its answers are large */
+    bool is_public;      /* a call needs no key of an account */
+    PresetRegions regions;
+    Span deadline; /* the maximum, and the default for callers */
     /* An answer within this time has the most value; 0: not set. */
     Span latency_objective;
     uint32_t priority; /* 0: most urgent */
@@ -58,8 +67,23 @@
     StrBuf name;
     StrBuf health_path;       /* empty: not set */
     uint32_t connections_max; /* to one backend server; 0: not set */
+    Span cold_start;          /* how long a backend server is cold */
+    uint32_t cold_per_s;      /* requests a second that a cold one bears; 0: no
+                                 bound */
 } PresetService;
 
+/* A client account: whose keys it has, and what it may use. */
+typedef struct {
+    StrBuf name;  /* passed to backend servers in place of the key */
+    StrBuf *keys; /* owned */
+    size_t key_count;
+    bool has_priority; /* PRIORITY goes before that of the route */
+    uint32_t priority; /* 0: most urgent */
+    uint32_t per_s;    /* calls a second, over all nodes; 0: no limit */
+    uint32_t burst;    /* calls beyond the rate, over all nodes */
+    PresetRegions regions;
+} PresetAccount;
+
 /* Limits and budgets of the whole system. */
 typedef struct {
     uint32_t measure_bytes_per_s;  /* all load probes of one node */
@@ -91,6 +115,8 @@
     PresetService *services;
     size_t service_count;
     PresetCallerLimits caller_limits;
+    PresetAccount *accounts; /* NULL: callers need no key */
+    size_t account_count;
 } Preset;
 
 /* Makes PRESET empty. */
@@ -118,7 +144,12 @@
 bool Pst_NamesService(const Preset *preset, Str service);
 bool Pst_NamesAnyService(const Preset *preset);
 
-/* Frees what ROUTE owns, but not ROUTE itself. */
+/* Whether REGION is one of REGIONS, or REGIONS are not bounded. */
+bool Pst_AllowsRegion(const PresetRegions *regions, Str region);
+
+/* Free what they own, but not themselves. */
 void Pst_FinishRoute(PresetRoute *route);
+void Pst_FinishRegions(PresetRegions *regions);
+void Pst_FinishAccount(PresetAccount *account);
 
 #endif
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -4,6 +4,7 @@
 
 #include "value/json.h"
 #include "value/mem.h"
+#include "version/routing_accounts.h"
 
 enum {
     NAME_BYTES_MAX = 256,
@@ -73,12 +74,13 @@
     StrBuf kind = {0};
 
     Jsn_GetStr(o, Str_LIT("kind"), true, &kind);
+    route->is_bulk = Str_Equal(StrBuf_View(&kind), Str_LIT("download"));
     route->is_idempotent =
-        Str_Equal(StrBuf_View(&kind), Str_LIT("idempotent"));
+        route->is_bulk || Str_Equal(StrBuf_View(&kind), Str_LIT("idempotent"));
     if (kind.len && !route->is_idempotent &&
         !Str_Equal(StrBuf_View(&kind), Str_LIT("non_idempotent"))) {
         Jsn_AddFinding(o, Str_LIT("kind"), Str_LIT("no such kind"),
-                       Str_LIT("idempotent or non_idempotent"));
+                       Str_LIT("idempotent, non_idempotent or download"));
     }
     StrBuf_Finish(&kind);
 }
@@ -113,6 +115,8 @@
     route->attempts_max =
         (uint32_t)Jsn_GetInt(&o, Str_LIT("attempts_max"), 1, ATTEMPTS_MAX, 1);
     route->is_interactive = true;
+    route->is_public = Jsn_GetBool(&o, Str_LIT("public"), false);
+    Rtg_ReadRegions(&route->regions, &o);
     Jsn_LeaveAllowUnknown(&o);
 }
 
@@ -127,6 +131,8 @@
     Jsn_GetStr(&o, Str_LIT("health_path"), false, &service->health_path);
     service->connections_max =
         (uint32_t)Jsn_GetInt(&o, Str_LIT("connections_max"), 0, INT32_MAX, 0);
+    service->cold_start = Rtg_ReadSeconds(&o, Str_LIT("cold_start_s"));
+    service->cold_per_s = Rtg_ReadRate(&o, Str_LIT("cold_per_s"));
     Jsn_LeaveAllowUnknown(&o);
 }
 
@@ -245,6 +251,7 @@
 {
     json_t *routes;
     json_t *services;
+    json_t *accounts;
     JsonObject o;
 
     if (!routing) {
@@ -263,8 +270,11 @@
     read_routes(preset, routes, findings);
     read_limits(&preset->caller_limits, Jsn_Get(&o, Str_LIT("limits")),
                 findings);
+    accounts = Jsn_GetArray(&o, Str_LIT("accounts"), false);
     Jsn_LeaveAllowUnknown(&o);
+    Rtg_ReadAccounts(preset, accounts, findings);
     check_names(routes, Str_LIT("/routing/routes"), findings);
+    check_names(accounts, Str_LIT("/routing/accounts"), findings);
     check_names(services, Str_LIT("/routing/services"), findings);
     for (size_t i = 0; i < preset->route_count; i++) {
         check_route(preset, &preset->routes[i], findings);
@@ -332,11 +342,20 @@
     return !value || json_is_array(value);
 }
 
+static json_t *
+find_or_add_list(json_t *routing, const char *key)
+{
+    if (!json_object_get(routing, key)) {
+        json_object_set_new(routing, key, json_array());
+    }
+    return json_object_get(routing, key);
+}
+
 /* Patches ROUTING in place; the caller passes a copy of its own. */
 static bool
 patch_routing(json_t *routing, json_t *sent, FindingList *findings)
 {
-    static const char *const lists[] = {"routes", "services"};
+    static const char *const lists[] = {"routes", "services", "accounts"};
     json_t *upserts = json_object_get(sent, "upsert");
     json_t *removals = json_object_get(sent, "remove");
     json_t *limits = json_object_get(upserts, "limits");
@@ -347,7 +366,7 @@
                            Str_LIT("upsert and remove as objects"));
     }
     for (size_t i = 0; i < sizeof lists / sizeof lists[0]; i++) {
-        json_t *list = json_object_get(routing, lists[i]);
+        json_t *list = find_or_add_list(routing, lists[i]);
         if (!is_array_or_absent(upserts, lists[i]) ||
             !is_array_or_absent(removals, lists[i])) {
             return add_finding(findings, Str_LIT("/"), Str_LIT("no list"),
--- a/src/version/sharedpreset.h
+++ b/src/version/sharedpreset.h
@@ -8,18 +8,21 @@
 #ifndef SHAREDPRESET_H
 #define SHAREDPRESET_H
 
+#include "version/accountkeys.h"
 #include "version/config.h"
 #include "version/preset.h"
 
 typedef struct {
     Preset preset;
-    ConfigVersion version; /* {0, 0}: read from the settings file */
+    AccountKeyTable account_keys; /* of the accounts of PRESET */
+    ConfigVersion version;        /* {0, 0}: read from the settings file */
     uint32_t ref_count;
 } SharedPreset;
 
 /* Moves PRESET into a new SharedPreset, which the caller holds one reference
- * to.  PRESET is left empty. */
-SharedPreset *Shp_New(Preset *preset, ConfigVersion version);
+ * to.  PRESET is left empty.  KEY_SEED is secret, see accountkeys.h. */
+SharedPreset *Shp_New(Preset *preset, ConfigVersion version,
+                      uint64_t key_seed);
 
 /* Adds a reference; returns SHARED. */
 SharedPreset *Shp_Retain(SharedPreset *shared);
