Decide about a key apart from calls, and test whose it is

The decision has a file and a table of its own: known, unknown, or not to be told by a node whose version is too old.

--- a/src/request/call.c
+++ b/src/request/call.c
@@ -1,6 +1,7 @@
 #include "request/call.h"
 
 #include "request/callstate.h"
+#include "request/credential.h"
 #include "request/depth.h"
 #include "request/split.h"
 #include "value/mem.h"
@@ -288,10 +289,6 @@
                    now);
 }
 
-/* The share of the revocation bound for which a node serves keys without a
- * newer word of its version; the rest is for the drift of its clock. */
-enum { KEY_WORD_PERCENT = 90, PERCENT = 100 };
-
 /* Whether a call of ROUTE needs the key of an account. */
 static bool
 needs_account(const CallDispatcher *dispatcher, const PresetRoute *route)
@@ -299,28 +296,24 @@
     return dispatcher->in_force->preset.account_count && !route->is_public;
 }
 
-/* Finds the account of REQUEST.  Returns the reason when it can't be served:
- * the key may have been taken away, or added, since this node last heard of
- * its version. */
+/* Finds the account of REQUEST; the reason says why it can't be served. */
 static CallReason
 find_account(const CallDispatcher *dispatcher, const CallRequest *request,
              const PresetAccount **account, Instant now)
 {
-    Span age = Vwd_Age(dispatcher->version_word, now);
-
-    *account =
-        Ack_Find(&dispatcher->in_force->account_keys, request->credential);
-    if (!*account) {
-        return Vwd_ProvesAbsence(dispatcher->version_word,
-                                 dispatcher->apply_bound, now)
-                   ? Call_REASON_NO_ACCOUNT
-                   : Call_REASON_VERSION;
-    }
-    if (dispatcher->revoke_bound &&
-        age >= dispatcher->revoke_bound / PERCENT * KEY_WORD_PERCENT) {
+    const CredentialBounds bounds = {dispatcher->apply_bound,
+                                     dispatcher->revoke_bound};
+
+    switch (Crd_FindAccount(&dispatcher->in_force->account_keys,
+                            request->credential, dispatcher->version_word,
+                            &bounds, account, now)) {
+    case Crd_KNOWN:
+        return Call_REASON_NONE;
+    case Crd_UNKNOWN:
+        return Call_REASON_NO_ACCOUNT;
+    default:
         return Call_REASON_VERSION;
     }
-    return Call_REASON_NONE;
 }
 
 static void
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -136,7 +136,9 @@
         .nested = call->nested,
         .misses_objective =
             call->start_by_deadline && now >= call->start_by_objective,
-        .priority = call->route->priority,
+        .priority = call->account && call->account->has_priority
+                        ? call->account->priority
+                        : call->route->priority,
         .queue_time_max = get_queue_time_max(call, now),
         .keep_long = call->claim_session != NULL,
         .cross_region = attempt->cross_region,
--- a/tests/integration/test_platform.c
+++ b/tests/integration/test_platform.c
@@ -36,7 +36,7 @@
                      "\"stop_notice_ms\":300,\"header_fields\":{"
                      "\"request_id\":\"Lot-Id\",\"deadline_ms\":\"Wait-Ms\","
                      "\"outcome\":\"\",\"origin_service\":\"From-Service\","
-                     "\"origin_value\":\"visor\"}",
+                     "\"origin_value\":\"visor\",\"account\":\"Client\"}",
                      Str_ARG(fleet->vms[0].ip), READY_PORT);
     Fleet_SetExtraSettings(fleet, StrBuf_View(&extra));
     StrBuf_Finish(&extra);
@@ -262,6 +262,83 @@
 }
 END_TEST
 
+#define ACCOUNTS                                                              \
+    "{\"revision\":1,\"routes\":[{\"name\":\"a\",\"host\":\"barns\","         \
+    "\"path\":\"/keyed/\",\"kind\":\"idempotent\",\"service\":\"visor\"},"    \
+    "{\"name\":\"b\",\"host\":\"barns\",\"path\":\"/open/\","                 \
+    "\"kind\":\"idempotent\",\"service\":\"visor\",\"public\":true}],"        \
+    "\"services\":[{\"name\":\"visor\"}],\"accounts\":[{\"name\":\"farms\","  \
+    "\"keys\":[\"k-one\"]}]}"
+
+typedef struct {
+    const char *name;
+    Str request;
+    Str expected;
+    Str absent;
+} AccountCase;
+
+static const AccountCase account_cases[] = {
+    {"a key becomes its account's name",
+     Str_LIT("GET /keyed/a HTTP/1.1\r\n" HOST_HEADER
+             "Authorization: Bearer k-one\r\nX-Fake-Show: Client\r\n\r\n"),
+     Str_LIT("Client=farms\n"), Str_LIT("k-one")},
+    {"a name that the caller gives counts for nothing",
+     Str_LIT("GET /keyed/a HTTP/1.1\r\n" HOST_HEADER "Client: towns\r\n"
+             "Authorization: Bearer k-one\r\nX-Fake-Show: Client\r\n\r\n"),
+     Str_LIT("Client=farms\n"), Str_LIT("towns")},
+    {"the key goes no further",
+     Str_LIT("GET /keyed/a HTTP/1.1\r\n" HOST_HEADER
+             "Authorization: Bearer k-one\r\n"
+             "X-Fake-Show: Authorization\r\n\r\n"),
+     Str_LIT(" 200 "), Str_LIT("k-one")},
+    {"nor does it on a public route",
+     Str_LIT("GET /open/a HTTP/1.1\r\n" HOST_HEADER
+             "Authorization: Bearer k-one\r\nClient: towns\r\n"
+             "X-Fake-Show: Authorization\r\n\r\n"),
+     Str_LIT(" 200 "), Str_LIT("k-one")},
+    {"a public route needs no key",
+     Str_LIT("GET /open/a HTTP/1.1\r\n" HOST_HEADER "\r\n"),
+     Str_LIT(" 200 "),
+     {0}},
+    {"an unknown key",
+     Str_LIT("GET /keyed/a HTTP/1.1\r\n" HOST_HEADER
+             "Authorization: Bearer k-two\r\n\r\n"),
+     Str_LIT(" 401 "), Str_LIT(" 200 ")},
+    {"no key", Str_LIT("GET /keyed/a HTTP/1.1\r\n" HOST_HEADER "\r\n"),
+     Str_LIT(" 401 "), Str_LIT(" 200 ")},
+    {"another scheme",
+     Str_LIT("GET /keyed/a HTTP/1.1\r\n" HOST_HEADER
+             "Authorization: Basic k-one\r\n\r\n"),
+     Str_LIT(" 401 "), Str_LIT(" 200 ")},
+};
+
+START_TEST(replaces_key_by_account)
+{
+    const AccountCase *c = &account_cases[_i];
+    const OperatorStep put = {
+        "/v1/routing/put", "0", ACCOUNTS, Str_LIT(" 200 "), {0}};
+    Fleet fleet;
+    StrBuf request = {0};
+    StrBuf answer = {0};
+
+    start_fleet(&fleet);
+    build_operators_request(&put, &request);
+    exchange(&fleet, OPERATORS_PORT, StrBuf_View(&request), Span_MS(300),
+             &answer);
+    ck_assert_msg(contains(StrBuf_View(&answer), put.status), "%.*s",
+                  Str_ARG(answer));
+    Fleet_Sleep(Span_MS(500));
+    exchange(&fleet, CALLERS_PORT, c->request, Span_MS(400), &answer);
+    ck_assert_msg(
+        contains(StrBuf_View(&answer), c->expected) &&
+            !(c->absent.len && contains(StrBuf_View(&answer), c->absent)),
+        "%s: %.*s", c->name, Str_ARG(answer));
+    StrBuf_Finish(&request);
+    StrBuf_Finish(&answer);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 static bool
 is_ready(Fleet *fleet)
 {
@@ -424,6 +501,7 @@
     const SuiteTest tests[] = {
         {requests_get_expected_answers, ROWS(caller_cases)},
         {operators_send_routing, 1},
+        {replaces_key_by_account, ROWS(account_cases)},
         {stops_with_notice, ROWS(stop_cases)},
         {reads_settings_again, ROWS(reload_cases)},
         {refusals_are_logged, ROWS(refused_cases)}};
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -19,6 +19,13 @@
 #define WHOLE(revision, route)                                                \
     "{\"revision\":" revision ",\"routes\":[" route "]," SERVICES "}"
 
+/* A whole routing with ACCOUNTS. */
+#define WITH_ACCOUNTS(revision, accounts)                                     \
+    "{\"revision\":" revision                                                 \
+    ",\"routes\":[" ROUTE("") "]," SERVICES ",\"accounts\":[" accounts "]}"
+#define ACCOUNT(name, keys, members)                                          \
+    "{\"name\":\"" name "\",\"keys\":[" keys "]" members "}"
+
 /* Sent on top of tests/data/routed.json, whose revision is 5. */
 typedef struct {
     const char *name;
@@ -104,6 +111,57 @@
     {"patch: no list", "{\"revision\":6,\"upsert\":{\"routes\":7}}", true,
      "no list", 0, 0},
     {"patch: an older revision", "{\"revision\":4}", true, "not above", 0, 0},
+    {"large answers",
+     "{\"revision\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+     "\"path\":\"/a/\",\"kind\":\"download\",\"service\":\"visor\"}]," SERVICES
+     "}",
+     false, NULL, 7, 1},
+    {"a public route of one region",
+     WHOLE("7", ROUTE(",\"public\":true,\"home_regions\":[\"north\"]")), false,
+     NULL, 7, 1},
+    {"a region without a name", WHOLE("7", ROUTE(",\"home_regions\":[\"\"]")),
+     false, "home_regions", 0, 0},
+    {"accounts",
+     WITH_ACCOUNTS(
+         "7",
+         ACCOUNT("a", "\"k1\",\"k2\"",
+                 ",\"rate_per_s\":2.5,\"burst\":4") "," ACCOUNT("b", "\"k3\"",
+                                                                "")),
+     false, NULL, 7, 1},
+    {"two accounts share a key",
+     WITH_ACCOUNTS("7", ACCOUNT("a", "\"k1\",\"k2\"",
+                                "") "," ACCOUNT("b", "\"k2\"", "")),
+     false, "a key stands twice", 0, 0},
+    {"an account has a key twice",
+     WITH_ACCOUNTS("7", ACCOUNT("a", "\"k1\",\"k1\"", "")), false,
+     "a key stands twice", 0, 0},
+    {"a key that is empty", WITH_ACCOUNTS("7", ACCOUNT("a", "\"\"", "")),
+     false, "keys", 0, 0},
+    {"two accounts of one name",
+     WITH_ACCOUNTS("7",
+                   ACCOUNT("a", "\"k1\"", "") "," ACCOUNT("a", "\"k2\"", "")),
+     false, "stands twice", 0, 0},
+    {"a rate below 0",
+     WITH_ACCOUNTS("7", ACCOUNT("a", "\"k1\"", ",\"rate_per_s\":-1")), false,
+     "rate_per_s", 0, 0},
+    {"patch: an account where there was none",
+     "{\"revision\":6,\"upsert\":{\"accounts\":[" ACCOUNT("a", "\"k1\"",
+                                                          "") "]}}",
+     true, NULL, 6, 2},
+    {"patch: accounts that share a key",
+     "{\"revision\":6,\"upsert\":{\"accounts\":[" ACCOUNT(
+         "a", "\"k1\"", "") "," ACCOUNT("b", "\"k1\"", "") "]}}",
+     true, "a key stands twice", 0, 0},
+    {"a cold backend server bears little",
+     "{\"revision\":7,\"routes\":[" ROUTE(
+         "") "],\"services\":[{\"name\":"
+             "\"visor\",\"cold_start_s\":3.0,\"cold_per_s\":13.0}]}",
+     false, NULL, 7, 1},
+    {"a cold rate below 0",
+     "{\"revision\":7,\"routes\":[" ROUTE(
+         "") "],\"services\":[{\"name\":"
+             "\"visor\",\"cold_per_s\":-13.0}]}",
+     false, "cold_per_s", 0, 0},
 };
 
 static void
