Queue by urgency and by client account, and let the less urgent give way

Now the queue goes by priority, then by what accounts had, and a newcomer takes the place of one that goes behind it.

--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -3,7 +3,7 @@
 enum {
     LOAD_FIELDS = 8,
     ID_FIELDS = 2,
-    CALL_FIELDS = ID_FIELDS + 16,
+    CALL_FIELDS = ID_FIELDS + 18,
     PIECE_FIELDS = ID_FIELDS + 6,
     REJECTED_FIELDS = ID_FIELDS + 2,
     CREDIT_FIELDS = ID_FIELDS + 1,
@@ -132,6 +132,8 @@
     Pack_Bool(pack, msg->nested);
     Pack_Bool(pack, msg->misses_objective);
     Pack_U64(pack, msg->priority);
+    Pack_U64(pack, msg->account.hash);
+    Pack_U64(pack, msg->account.weight);
     Pack_I64(pack, msg->time_left);
     Pack_I64(pack, msg->queue_time_max);
     Pack_U64(pack, msg->fingerprint);
@@ -161,6 +163,8 @@
     msg->nested = Unpack_Bool(in);
     msg->misses_objective = Unpack_Bool(in);
     msg->priority = (uint32_t)Unpack_Bounded(in, UINT32_MAX);
+    msg->account.hash = Unpack_U64(in);
+    msg->account.weight = (uint32_t)Unpack_Bounded(in, UINT32_MAX);
     msg->time_left = Unpack_I64(in);
     msg->queue_time_max = Unpack_I64(in);
     msg->fingerprint = Unpack_U64(in);
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -11,6 +11,7 @@
 #define CALLMSG_H
 
 #include "connection/wire.h"
+#include "process/admission/fairshare.h"
 #include "request/field.h"
 #include "value/addr.h"
 #include "value/instant.h"
@@ -28,6 +29,7 @@
                               made this request while it runs another */
     bool misses_objective; /* expected to miss its latency objective */
     uint32_t priority;     /* 0: most urgent */
+    AccountShare account;  /* client account, for its share of the slots */
     Span time_left;        /* until the deadline */
     Span queue_time_max;   /* longest time to wait for a slot */
     uint64_t fingerprint;  /* of the request, for suspects */
--- a/src/process/admission/admission.c
+++ b/src/process/admission/admission.c
@@ -314,6 +314,60 @@
     return Adm_QUEUE;
 }
 
+static bool
+can_queue_ahead(const AdmissionController *controller,
+                const AdmissionRequest *request, uint32_t ahead, Instant now)
+{
+    uint32_t slots = count_available_slots(controller, now);
+    Span wait;
+
+    if (!controller->backend_present || controller->draining ||
+        controller->stopping || controller->next_trial_at ||
+        request->misses_objective || !slots ||
+        ahead >= count_queued(controller) ||
+        Adm_IsBackendSlow(controller, now)) {
+        return false;
+    }
+    wait = (Span)(controller->service_us * (ahead + 1) / slots);
+    return wait < request->time_left &&
+           (!request->queue_time_max || wait < request->queue_time_max);
+}
+
+/* In recorded events, ahead * CLASSES_FACTOR + class. */
+enum { CLASSES_FACTOR = 2 };
+
+bool
+Adm_QueueAhead(AdmissionController *controller,
+               const AdmissionRequest *request, uint32_t ahead, Instant now)
+{
+    bool queues = can_queue_ahead(controller, request, ahead, now);
+
+    controller->queued[request->cls] += queues;
+    notify_observer(
+        controller,
+        &(AdmissionEvent){Adm_EVENT_QUEUE_AHEAD,
+                          now,
+                          {(int64_t)ahead * CLASSES_FACTOR + request->cls,
+                           request->time_left, request->queue_time_max},
+                          queues});
+    return queues;
+}
+
+static int64_t
+replay_queue_ahead(AdmissionController *controller,
+                   const AdmissionEvent *event)
+{
+    AdmissionRequest request = {
+        .cls = event->args[0] % CLASSES_FACTOR ? Adm_PATIENT : Adm_INTERACTIVE,
+        .time_left = event->args[1],
+        .queue_time_max = event->args[2],
+    };
+
+    return Adm_QueueAhead(controller, &request,
+                          (uint32_t)(event->args[0] / CLASSES_FACTOR),
+                          event->time);
+}
+
 bool
 Adm_TakesRepeat(const AdmissionController *controller, bool may_still_run,
                 Instant now)
@@ -577,6 +631,8 @@
         Adm_OnPaceReport(controller, &(BackendLoad){.pace = (uint32_t)args[0]},
                          event->time);
         break;
+    case Adm_EVENT_QUEUE_AHEAD:
+        return replay_queue_ahead(controller, event);
     case Adm_EVENT_COUNT:
         break;
     }
--- a/src/process/admission/admission.h
+++ b/src/process/admission/admission.h
@@ -85,6 +85,8 @@
     Adm_EVENT_QUEUE_CANCEL, /* class */
     Adm_EVENT_START_NEXT,   /* outcome: the class that starts */
     Adm_EVENT_PACE_REPORT,  /* pace */
+    Adm_EVENT_QUEUE_AHEAD,  /* class with the attempts ahead, time_left,
+                               queue_time_max; outcome: whether it queues */
     Adm_EVENT_COUNT
 } AdmissionEventKind;
 
@@ -155,6 +157,14 @@
 AdmissionVerdict Adm_Admit(AdmissionController *controller,
                            const AdmissionRequest *request, Instant now);
 
+/* Decides again about an attempt that Adm_Admit refused as full or late, when
+ * only AHEAD of the queued attempts start before it and the caller takes one
+ * of the others out of the queue.  Returns true when it is queued, and counted
+ * as such; the caller then calls Adm_OnQueueCancel for the other one. */
+bool Adm_QueueAhead(AdmissionController *controller,
+                    const AdmissionRequest *request, uint32_t ahead,
+                    Instant now);
+
 /* True when the backend server would now be sent an attempt that was started
  * before: it takes work and has a slot.  MAY_STILL_RUN: the attempt may still
  * run there, and needs a second slot. */
--- a/src/process/observe/counters.h
+++ b/src/process/observe/counters.h
@@ -17,6 +17,8 @@
     X(CALLS_CUT, "calls_cut_total", "Answers cut after their first piece")    \
     X(CALLS_RAN, "calls_ran_total",                                           \
       "Repeats of a key whose answer is not kept")                            \
+    X(DISPLACED, "displaced_total",                                           \
+      "Queued attempts that gave their place to a more urgent one")           \
     X(CALLS_NO_ROUTE, "calls_no_route_total", "Calls that no route matches")  \
     X(CALLS_NO_ACCOUNT, "calls_no_account_total",                             \
       "Calls whose key is no client account's")                               \
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -123,6 +123,16 @@
     return sent;
 }
 
+static AccountShare
+get_account_share(const Call *call)
+{
+    const PresetAccount *account = call->account;
+
+    return account ? (AccountShare){Str_Hash(StrBuf_View(&account->name)),
+                                    account->per_s}
+                   : (AccountShare){0, 0};
+}
+
 /* Returns false when nothing of the request can reach the node. */
 static bool
 send_attempt(const Attempt *attempt, Instant now)
@@ -139,6 +149,7 @@
         .priority = call->account && call->account->has_priority
                         ? call->account->priority
                         : call->route->priority,
+        .account = get_account_share(call),
         .queue_time_max = get_queue_time_max(call, now),
         .keep_long = call->claim_session != NULL,
         .cross_region = attempt->cross_region,
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -140,6 +140,7 @@
     attempt->call_deadline = attempt->deadline;
     attempt->queue_deadline = now + msg->queue_time_max;
     attempt->priority = msg->priority;
+    attempt->account = msg->account;
     attempt->nested = msg->nested;
     attempt->misses_objective = msg->misses_objective;
     attempt->queue_time_max = msg->queue_time_max;
@@ -199,29 +200,37 @@
     return false;
 }
 
-static AdmissionVerdict
-request_admission(BackendAttempt *attempt, Instant now)
+AdmissionRequest
+Run_GetAdmissionRequest(const BackendAttempt *attempt, Instant now)
 {
-    AdmissionRequest request = {
+    return (AdmissionRequest){
         .cls = attempt->request_class,
         .time_left = attempt->deadline - now,
         .queue_time_max = attempt->queue_time_max,
         .nested = attempt->nested,
         .misses_objective = attempt->misses_objective,
     };
+}
 
-    return Adm_Admit(attempt->runner->admission, &request, now);
+/* Whether another attempt may give way to one that got VERDICT. */
+static bool
+lacks_room(AdmissionVerdict verdict)
+{
+    return verdict == Adm_REFUSE_FULL || verdict == Adm_REFUSE_LATE;
 }
 
 void
 Run_Admit(BackendAttempt *attempt, Instant now)
 {
-    AdmissionVerdict verdict = request_admission(attempt, now);
+    AdmissionRequest request = Run_GetAdmissionRequest(attempt, now);
+    AdmissionVerdict verdict =
+        Adm_Admit(attempt->runner->admission, &request, now);
 
     if (verdict == Adm_RUN) {
         Run_StartExchange(attempt, now);
     }
-    else if (verdict != Adm_QUEUE) {
+    else if (verdict != Adm_QUEUE &&
+             !(lacks_room(verdict) && Run_Displace(attempt, now))) {
         Run_Refuse(attempt, get_reject_reason(verdict), now);
         Run_Free(attempt);
     }
@@ -556,36 +565,6 @@
                 own ? StrBuf_View(&own->health_path) : (Str){0});
 }
 
-/* Order of the queue: nested attempts first, then the lowest priority
- * number, then the earliest queue deadline. */
-static bool
-starts_before(const BackendAttempt *a, const BackendAttempt *b)
-{
-    if (a->nested != b->nested) {
-        return a->nested;
-    }
-    if (a->priority != b->priority) {
-        return a->priority < b->priority;
-    }
-    return a->queue_deadline < b->queue_deadline;
-}
-
-static BackendAttempt *
-find_next_queued(AttemptRunner *runner, RequestClass request_class)
-{
-    BackendAttempt *first = NULL;
-
-    for (ListLink *link = runner->attempts.first; link; link = link->next) {
-        BackendAttempt *attempt = link->item;
-        if (Run_IsQueued(attempt) && !attempt->exclusive &&
-            attempt->request_class == request_class &&
-            (!first || starts_before(attempt, first))) {
-            first = attempt;
-        }
-    }
-    return first;
-}
-
 /* An exclusive attempt gets no grace, since all others wait for it, unless the
  * backend server has fallen silent: its end would be blamed on the attempt. */
 static Span
@@ -662,6 +641,6 @@
     drop_overdue(runner, now);
     Crs_Tick(runner, now);
     while (Adm_StartNext(runner->admission, now, &request_class)) {
-        Run_StartExchange(find_next_queued(runner, request_class), now);
+        Run_StartExchange(Run_FindNextQueued(runner, request_class, now), now);
     }
 }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -17,6 +17,7 @@
 #include "connection/connectprobe.h"
 #include "connection/loadquery.h"
 #include "process/admission/admission.h"
+#include "process/admission/fairshare.h"
 #include "process/admission/ledger.h"
 #include "process/admission/reportthrottle.h"
 #include "process/lifecycle/ownpause.h"
@@ -38,6 +39,7 @@
     Logger *logger;
     Timeline *timeline;
     AdmissionController *admission;
+    FairShares shares; /* of the backend server's time, by client account */
     BackendPool *pool;
     SuspectSync *suspects;
     uint64_t incarnation;           /* of this node; changes at each start */
--- a/src/request/runexchange.c
+++ b/src/request/runexchange.c
@@ -134,6 +134,8 @@
     BackendCallbacks callbacks = {attempt, Ans_OnHead, Ans_OnBytes,
                                   on_exchange_end};
 
+    Fsh_OnStart(&runner->shares, attempt->account,
+                (Span)runner->admission->service_us, now);
     attempt->started_at = now;
     attempt->start_concurrency = runner->admission->running;
     attempt->start_pace = Adm_GetLoadReport(runner->admission, now).pace;
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -20,6 +20,7 @@
     AttemptId id;
     RequestClass request_class;
     uint32_t priority; /* 0: most urgent */
+    AccountShare account;
     /* the request was made by one that this backend server is still running;
      * goes first */
     bool nested;
@@ -97,6 +98,20 @@
  * be freed. */
 void Run_Admit(BackendAttempt *attempt, Instant now);
 
+/* The queued attempt of that class that starts next (runqueue.c); NULL: none
+ * is queued. */
+BackendAttempt *Run_FindNextQueued(AttemptRunner *runner,
+                                   RequestClass request_class, Instant now);
+
+/* Admission refused ATTEMPT for lack of room: queues it in place of a queued
+ * attempt that would start after it and gives way, which is refused.  Returns
+ * false when there is none, or ATTEMPT would start too late all the same. */
+bool Run_Displace(BackendAttempt *attempt, Instant now);
+
+/* What admission is asked about ATTEMPT. */
+AdmissionRequest Run_GetAdmissionRequest(const BackendAttempt *attempt,
+                                         Instant now);
+
 /* Removes ATTEMPT, which is queued or awaits the load, from the counts of
  * waiting attempts.  It stays in the list; the caller decides about it again
  * or frees it. */
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -43,6 +43,7 @@
         .target_incarnation = 5,
         .interactive = true,
         .time_left = Span_MS(1500),
+        .account = {.hash = 12, .weight = 34},
         .fingerprint = 99,
         .request_id = Str_LIT("r-1"),
         .method = Str_LIT("POST"),
