Keep calls bound to regions in these regions

Cause: no decision knew a region that a call may not leave. The routing's home_regions of routes and accounts were read and not used, so that placement sent calls and their bodies where the wait was least.

The ingress node computes once for each call, from route and account, a bit mask of the regions that are barred to it (version/regionmask.h). Placement tests the mask where it asks whether a row takes work, so that first attempts, trials, retries, hedges, fail-over and key claims keep to it, whatever the policy. The exclusive node of a suspect request is found by the same rule at the caller's node and at the one that runs it: the mask goes with the call. Where some call is bound, a node keeps at least 6 servers of each other region in its subset, not 2 of all others together. Where no server takes work in the regions that are left, the call is refused at once: 503, not run, Retry-After.

Ruled out: refusing at the backend server's node, since the body has crossed by then. Weighed: names of regions compared for each row (a mask is one test).

--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -3,7 +3,7 @@
 enum {
     LOAD_FIELDS = 8,
     ID_FIELDS = 2,
-    CALL_FIELDS = ID_FIELDS + 16,
+    CALL_FIELDS = ID_FIELDS + 17,
     PIECE_FIELDS = ID_FIELDS + 6,
     REJECTED_FIELDS = ID_FIELDS + 2,
     CREDIT_FIELDS = ID_FIELDS + 1,
@@ -135,6 +135,7 @@
     Pack_I64(pack, msg->time_left);
     Pack_I64(pack, msg->queue_time_max);
     Pack_U64(pack, msg->fingerprint);
+    Pack_U64(pack, msg->barred);
     Pack_Str(pack, msg->request_id);
     Pack_Str(pack, msg->method);
     Pack_Str(pack, msg->target);
@@ -164,6 +165,7 @@
     msg->time_left = Unpack_I64(in);
     msg->queue_time_max = Unpack_I64(in);
     msg->fingerprint = Unpack_U64(in);
+    msg->barred = Unpack_U64(in);
     msg->request_id = Unpack_Str(in);
     msg->method = Unpack_Str(in);
     msg->target = Unpack_Str(in);
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -15,6 +15,7 @@
 #include "value/addr.h"
 #include "value/instant.h"
 #include "value/load.h"
+#include "version/regionmask.h"
 
 typedef struct {
     AttemptId id;
@@ -31,6 +32,7 @@
     Span time_left;        /* until the deadline */
     Span queue_time_max;   /* longest time to wait for a slot */
     uint64_t fingerprint;  /* of the request, for suspects */
+    RegionMask barred;     /* the regions in which it may not run */
     Str request_id;
     Str method;
     Str target;
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -316,6 +316,7 @@
 
     node->dispatcher.in_force = node->in_force;
     Svc_SetLimits(&node->services, limits);
+    Svc_SetBound(&node->services, Pst_HasBoundCalls(&node->in_force->preset));
     Psd_SetLimits(&node->probe_sender, limits, Loop_Now());
     Lnk_SetRate(&node->dispatcher.link_budget, limits->link_bytes_per_s,
                 Loop_Now());
--- a/src/process/placement/placement.c
+++ b/src/process/placement/placement.c
@@ -286,6 +286,19 @@
     return false;
 }
 
+bool
+Plc_HasAllowedBackend(const PlacementTable *table, RegionMask barred)
+{
+    for (size_t i = 0; i < table->row_count; i++) {
+        const BackendRow *row = &table->rows[i];
+        if (!Rgm_Has(barred, row->location.region) && row->load.slots &&
+            !row->load.draining) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 Plc_HasLocalBackend(const PlacementTable *table)
 {
--- a/src/process/placement/placement.h
+++ b/src/process/placement/placement.h
@@ -28,6 +28,7 @@
 #include "value/instant.h"
 #include "value/load.h"
 #include "value/rng.h"
+#include "version/regionmask.h"
 
 typedef enum {
     Plc_LEAST_WAIT = 0, /* least expected time to an answer, among a
@@ -115,6 +116,7 @@
     bool local_only;       /* other regions are not allowed */
     bool avoid_slow;       /* no backend server with a recent report of being
                               slow */
+    RegionMask barred;     /* regions in which it may not run */
     Span time_left;        /* until the deadline */
     const Addr *excluded;  /* nodes that had an attempt of the call or
                               refused it */
@@ -158,6 +160,10 @@
 /* Decays the sums of ROW from decayed_at to NOW. */
 void Plc_DecayRow(BackendRow *row, Instant now);
 
+/* True when a backend server outside the BARRED regions has slots and does not
+ * drain. */
+bool Plc_HasAllowedBackend(const PlacementTable *table, RegionMask barred);
+
 /* True when a backend server of this region has slots and does not drain. */
 bool Plc_HasLocalBackend(const PlacementTable *table);
 
--- a/src/process/placement/placementpolicy.c
+++ b/src/process/placement/placementpolicy.c
@@ -34,6 +34,7 @@
 takes_work(const BackendRow *row, const PlacementRequest *request)
 {
     return row->load.slots > 0 && !row->load.draining &&
+           !Rgm_Has(request->barred, row->location.region) &&
            !is_excluded(request, row->location.node);
 }
 
@@ -345,7 +346,17 @@
     return NULL;
 }
 
-/* For one attempt in REFRESH_ONE_IN, the local row that has had none for the
+/* Whether ROW is among those that REQUEST usually goes to: the local ones, or
+ * all that it may use when it may not run in this region. */
+static bool
+is_usual(const PlacementTable *table, const PlacementRequest *request,
+         const BackendRow *row)
+{
+    return is_local(table, row) ||
+           Rgm_Has(request->barred, table->settings.region);
+}
+
+/* For one attempt in REFRESH_ONE_IN, the usual row that has had none for the
  * longest time: its last report may be outdated, and only an attempt brings a
  * new one.  The share of attempts makes the total independent of the number of
  * nodes. */
@@ -360,8 +371,8 @@
     }
     for (size_t i = 0; i < table->row_count; i++) {
         BackendRow *row = &table->rows[i];
-        if (is_local(table, row) && is_candidate(table, row, request, now) &&
-            row->in_flight == 0 &&
+        if (is_usual(table, request, row) &&
+            is_candidate(table, row, request, now) && row->in_flight == 0 &&
             now >= row->last_attempt_at + TRIAL_INTERVAL &&
             (!oldest || row->last_attempt_at < oldest->last_attempt_at)) {
             oldest = row;
@@ -390,7 +401,10 @@
         return trial;
     }
     compare_sample(&local, true, table->settings.sample_size);
-    compare_sample(&remote, false, REMOTE_SAMPLE_SIZE);
+    compare_sample(&remote, false,
+                   Rgm_Has(request->barred, table->settings.region)
+                       ? table->settings.sample_size
+                       : REMOTE_SAMPLE_SIZE);
     if (!local.best || !remote.best) {
         return local.best ? local.best : remote.best;
     }
--- a/src/process/placement/services.c
+++ b/src/process/placement/services.c
@@ -7,6 +7,9 @@
 /* Backend servers of one service kept by a node, by distance. */
 enum { DOMAIN_QUOTA = 10, REGION_QUOTA = 4, OTHER_REGION_QUOTA = 2 };
 
+/* The same of each other region, where calls are bound to regions. */
+enum { BOUND_REGION_MINIMUM = 6 };
+
 /* Members that come one after the other are taken into the subsets together,
  * this long after the last choice. */
 #define SUBSET_INTERVAL Span_MS(50)
@@ -77,6 +80,17 @@
     set_budget_limits(services);
 }
 
+void
+Svc_SetBound(Services *services, bool has_bound_calls)
+{
+    uint32_t minimum = has_bound_calls ? BOUND_REGION_MINIMUM : 0;
+
+    if (services->subset_settings.region_minimum != minimum) {
+        services->subset_settings.region_minimum = minimum;
+        services->subsets_outdated = true;
+    }
+}
+
 void
 Svc_SetNodeCount(Services *services, size_t node_count)
 {
--- a/src/process/placement/services.h
+++ b/src/process/placement/services.h
@@ -57,6 +57,10 @@
 /* Applies the limits of the preset in force to all services. */
 void Svc_SetLimits(Services *services, const PresetLimits *limits);
 
+/* Tells whether some calls are bound to regions: of each other region more
+ * servers are kept then. */
+void Svc_SetBound(Services *services, bool has_bound_calls);
+
 /* Sets the number of nodes that share a burst of retries or hedges: the nodes
  * with a backend server. */
 void Svc_SetNodeCount(Services *services, size_t node_count);
--- a/src/process/placement/subset.c
+++ b/src/process/placement/subset.c
@@ -90,6 +90,45 @@
     return (index + size - start) % size < share;
 }
 
+static size_t
+count_in_region(const SubsetServer *servers, size_t count, uint16_t region)
+{
+    size_t found = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        found += servers[i].region == region;
+    }
+    return found;
+}
+
+/* Whether SERVERS[POSITION] is the first one of its region. */
+static bool
+is_first_of_region(const SubsetServer *servers, size_t position)
+{
+    return count_in_region(servers, position, servers[position].region) == 0;
+}
+
+/* Keeps the servers of REGION that follow this node's place on the ring of
+ * that region, too.  Returns how many were not kept before. */
+static size_t
+keep_of_region(const SubsetSettings *settings, const SubsetPosition *position,
+               SubsetServer *servers, size_t count, uint16_t region)
+{
+    size_t size = count_in_region(servers, count, region);
+    size_t index = 0;
+    size_t added = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        if (servers[i].region == region &&
+            is_in_window(position, index++, size, settings->region_minimum) &&
+            !servers[i].is_kept) {
+            servers[i].is_kept = true;
+            added++;
+        }
+    }
+    return added;
+}
+
 size_t
 Sub_Choose(const SubsetSettings *settings, const SubsetPosition *position,
            SubsetServer *servers, size_t count)
@@ -111,5 +150,12 @@
         servers[i].is_kept = is_in_window(position, indexes[group]++,
                                           sizes[group], shares[group]);
     }
+    for (size_t i = 0; i < count && settings->region_minimum; i++) {
+        if (servers[i].region != settings->region &&
+            is_first_of_region(servers, i)) {
+            total += keep_of_region(settings, position, servers, count,
+                                    servers[i].region);
+        }
+    }
     return total;
 }
--- a/src/process/placement/subset.h
+++ b/src/process/placement/subset.h
@@ -35,6 +35,9 @@
     uint16_t region;                  /* of this node */
     uint16_t domain;                  /* failure domain of this node */
     uint32_t quotas[Sub_GROUP_COUNT]; /* servers kept of each group */
+    /* Servers kept of each single other region at least, for requests that may
+     * not run elsewhere; 0: no such bound. */
+    uint32_t region_minimum;
 } SubsetSettings;
 
 /* Position of a node among the nodes of its failure domain, in the order of a
@@ -61,7 +64,8 @@
 void Sub_CountNode(SubsetPosition *position, Addr node);
 
 /* Sets is_kept in each of SERVERS, and changes their order.  Returns how many
- * are kept: the sum of the quotas, or all COUNT if there are fewer. */
+ * are kept: the sum of the quotas, or all COUNT if there are fewer, and those
+ * that region_minimum adds. */
 size_t Sub_Choose(const SubsetSettings *settings,
                   const SubsetPosition *position, SubsetServer *servers,
                   size_t count);
--- a/src/process/settings/settings.c
+++ b/src/process/settings/settings.c
@@ -140,6 +140,10 @@
 {
     json_t *array = Jsn_GetArray(object, Str_LIT("failure_domains"), true);
 
+    if (json_array_size(array) > Rgm_REGIONS_MAX) {
+        Jsn_AddFinding(object, Str_LIT("failure_domains"), Str_LIT("too many"),
+                       Str_LIT("64 at most"));
+    }
     settings->domain_count = json_array_size(array);
     settings->domains =
         Mem_Alloc(settings->domain_count, sizeof *settings->domains);
--- a/src/process/settings/settings.h
+++ b/src/process/settings/settings.h
@@ -13,6 +13,7 @@
 #include "value/finding.h"
 #include "value/instant.h"
 #include "version/preset.h"
+#include "version/regionmask.h"
 
 /* A set of VMs that may fail together. */
 typedef struct {
--- a/src/process/suspects/suspectsync.c
+++ b/src/process/suspects/suspectsync.c
@@ -31,26 +31,26 @@
 }
 
 static bool
-accepts_requests(const MemberRecord *record, Str service)
+accepts_requests(const MemberRecord *record, Str service, RegionMask barred)
 {
     return record->has_backend && !record->is_leaving &&
-           !record->load.draining &&
+           !record->load.draining && !Rgm_Has(barred, record->region) &&
            Str_Equal(StrBuf_View(&record->service), service);
 }
 
 const MemberRecord *
 Sps_FindExclusiveNode(const SuspectSync *sync, Str service,
-                      uint64_t fingerprint)
+                      uint64_t fingerprint, RegionMask barred)
 {
     const MembershipTable *membership = &sync->members->membership;
     const MemberRecord *own = &sync->members->own_record;
     const MemberRecord *preferred =
-        accepts_requests(own, service) ? own : NULL;
+        accepts_requests(own, service, barred) ? own : NULL;
 
     for (size_t i = 0; i < membership->count; i++) {
         const MemberRecord *record = &membership->rows[i].record;
         if (!membership->rows[i].is_removed && record->node != own->node &&
-            accepts_requests(record, service) &&
+            accepts_requests(record, service, barred) &&
             (!preferred || Sus_PrefersNode(&sync->table, fingerprint,
                                            record->node, preferred->node))) {
             preferred = record;
@@ -60,11 +60,12 @@
 }
 
 bool
-Sps_IsExclusiveNode(const SuspectSync *sync, uint64_t fingerprint)
+Sps_IsExclusiveNode(const SuspectSync *sync, uint64_t fingerprint,
+                    RegionMask barred)
 {
     const MemberRecord *own = &sync->members->own_record;
-    const MemberRecord *preferred =
-        Sps_FindExclusiveNode(sync, StrBuf_View(&own->service), fingerprint);
+    const MemberRecord *preferred = Sps_FindExclusiveNode(
+        sync, StrBuf_View(&own->service), fingerprint, barred);
 
     return !preferred || preferred->node == own->node ||
            Sus_PrefersNode(&sync->table, fingerprint, own->node,
--- a/src/process/suspects/suspectsync.h
+++ b/src/process/suspects/suspectsync.h
@@ -28,6 +28,7 @@
 #include "process/observe/counters.h"
 #include "process/observe/timeline.h"
 #include "version/preset.h"
+#include "version/regionmask.h"
 
 enum {
     Sps_BLAMED_PER_CRASH_MAX = 256,   /* requests */
@@ -81,14 +82,17 @@
 SuspectVerdict Sps_GetVerdict(const SuspectSync *sync, uint64_t fingerprint,
                               Instant now);
 
-/* The node of SERVICE that runs FINGERPRINT exclusively, as far as this node
- * knows; NULL when no node of SERVICE accepts requests. */
+/* The node of SERVICE, outside the BARRED regions, that runs FINGERPRINT
+ * exclusively, as far as this node knows; NULL when no such node accepts
+ * requests. */
 const MemberRecord *Sps_FindExclusiveNode(const SuspectSync *sync, Str service,
-                                          uint64_t fingerprint);
+                                          uint64_t fingerprint,
+                                          RegionMask barred);
 
-/* True when this node is the one of its service that runs FINGERPRINT
- * exclusively. */
-bool Sps_IsExclusiveNode(const SuspectSync *sync, uint64_t fingerprint);
+/* True when this node is the one of its service, outside the BARRED regions,
+ * that runs FINGERPRINT exclusively. */
+bool Sps_IsExclusiveNode(const SuspectSync *sync, uint64_t fingerprint,
+                         RegionMask barred);
 
 /* The backend server beside this node crashed while the COUNT requests ran.
  * Blames them and sends the crash to the other processes. */
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -29,8 +29,8 @@
     static const char *const outcomes[] = {"answered", "not_run", "unknown",
                                            "cut", "ran"};
     static const char *const reasons[] = {
-        "-",        "no_route", "nobody",  "full",    "late",    "key",
-        "mismatch", "suspect",  "version", "account", "stopping"};
+        "-",        "no_route", "nobody",  "full",    "late",   "key",
+        "mismatch", "suspect",  "version", "account", "region", "stopping"};
 
     Lgr_Log(
         call->dispatcher->logger,
@@ -93,6 +93,7 @@
         .timeline = timeline,
         .services = services,
         .suspects = suspects,
+        .settings = settings,
         .incarnation = incarnation,
     };
     Key_InitClient(&dispatcher->key_claims, net, counters, timeline,
@@ -334,6 +335,27 @@
     reject_request(dispatcher, request, sink, reason, now);
 }
 
+/* The regions in which a call of ROUTE and ACCOUNT may not run: both bind. */
+static RegionMask
+find_barred_regions(const Settings *settings, const PresetRoute *route,
+                    const PresetAccount *account)
+{
+    RegionMask barred = 0;
+
+    if (!route->regions.count && !(account && account->regions.count)) {
+        return 0;
+    }
+    for (size_t i = 0; i < settings->domain_count; i++) {
+        const FailureDomain *domain = &settings->domains[i];
+        Str region = StrBuf_View(&domain->region);
+        if (!Pst_AllowsRegion(&route->regions, region) ||
+            (account && !Pst_AllowsRegion(&account->regions, region))) {
+            barred |= Rgm_Bit(domain->region_number);
+        }
+    }
+    return barred;
+}
+
 void
 Call_Start(CallDispatcher *dispatcher, const CallRequest *request,
            const CallSink *sink, Call **handle, Instant now)
@@ -384,6 +406,7 @@
     call->route = route;
     call->service =
         Svc_FindOrAdd(dispatcher->services, Spl_ChooseService(route));
+    call->barred = find_barred_regions(dispatcher->settings, route, account);
     call->deadline = compute_deadline(request, route, now);
     if (route->attempts_max) {
         attempts_max = route->attempts_max;
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -52,6 +52,8 @@
     Call_REASON_VERSION,      /* the preset in force is not confirmed, or so
                                  long ago that a route may be missing */
     Call_REASON_NO_ACCOUNT,   /* the key is no account's */
+    Call_REASON_NO_REGION,    /* no backend server in the regions that it is
+                                 bound to */
     Call_REASON_STOPPING      /* this node stops too soon to finish it */
 } CallReason;
 
@@ -97,6 +99,7 @@
     Timeline *timeline;
     Services *services;
     const SuspectSync *suspects;
+    const Settings *settings;
     /* The preset in force.  The node holds one reference to it, and each call
      * one of its own. */
     SharedPreset *in_force;
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -142,6 +142,7 @@
         .cross_region = attempt->cross_region,
         .time_left = call->deadline - now,
         .fingerprint = call->fingerprint,
+        .barred = call->barred,
         .request_id = call->request.request_id,
         .method = call->request.method,
         .target = call->request.target,
@@ -221,6 +222,10 @@
 static void
 wait_or_end(Call *call, Instant now)
 {
+    if (call->not_run_reason == Call_REASON_NO_REGION) {
+        Call_End(call, Call_NOT_RUN, Call_REASON_NO_REGION, now);
+        return;
+    }
     if (call->wants_exclusive_node) {
         call->retry_at = now + double_wait_interval(call, WAIT_INTERVAL);
         return;
--- a/src/request/callplacement.c
+++ b/src/request/callplacement.c
@@ -14,7 +14,8 @@
 {
     const PlacementTable *plc = &call->service->placement;
 
-    if (!call->start_by_deadline || !Plc_HasLocalBackend(plc)) {
+    if (!call->start_by_deadline || !Plc_HasLocalBackend(plc) ||
+        Rgm_Has(call->barred, plc->settings.region)) {
         return false;
     }
     return call->sent_cross_region || now >= call->start_by_objective ||
@@ -48,7 +49,7 @@
         return NULL;
     }
     return Sps_FindExclusiveNode(suspects, StrBuf_View(&call->service->name),
-                                 call->fingerprint);
+                                 call->fingerprint, call->barred);
 }
 
 static void
@@ -93,6 +94,7 @@
                                    (uint32_t)call->request.body.len, now) ||
                       is_local_only(call, now),
         .avoid_slow = call->start_by_deadline > 0,
+        .barred = call->barred,
         .time_left = call->deadline - now,
         .excluded = tried,
         .excluded_count = list_excluded_nodes(call, tried),
@@ -119,9 +121,12 @@
         call->not_run_reason = Call_REASON_OVERLOAD;
         break;
     case Plc_NO_BACKEND:
-        call->not_run_reason = call->retry.attempt_count
-                                   ? Call_REASON_OVERLOAD
-                                   : Call_REASON_NO_BACKEND;
+        call->not_run_reason =
+            call->barred && !Plc_HasAllowedBackend(&call->service->placement,
+                                                   call->barred)
+                ? Call_REASON_NO_REGION
+            : call->retry.attempt_count ? Call_REASON_OVERLOAD
+                                        : Call_REASON_NO_BACKEND;
         break;
     }
     return false;
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -48,6 +48,7 @@
     const PresetRoute *route;
     const PresetAccount *account; /* NULL: the call has none */
     Service *service;
+    RegionMask barred; /* regions in which it may not run */
     RetryState retry;
     Instant arrived_at;
     Instant last_sent_at; /* the last attempt; 0: none */
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -28,6 +28,7 @@
 /* The members of an attempt, new or queued, that decide_suspect reads. */
 typedef struct {
     uint64_t fingerprint;
+    RegionMask barred;
     Str request_id;
     RequestClass request_class;
     bool keyed;
@@ -69,7 +70,8 @@
         break;
     }
     if (!suspect->keyed &&
-        !Sps_IsExclusiveNode(runner->suspects, suspect->fingerprint)) {
+        !Sps_IsExclusiveNode(runner->suspects, suspect->fingerprint,
+                             suspect->barred)) {
         *reason = Reject_RUNS_ELSEWHERE;
         return REFUSED;
     }
@@ -89,6 +91,7 @@
 {
     SuspectCandidate suspect = {
         .fingerprint = msg->fingerprint,
+        .barred = msg->barred,
         .request_id = msg->request_id,
         .request_class = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT,
         .keyed = msg->keep_long,
@@ -118,6 +121,7 @@
 {
     SuspectCandidate suspect = {
         .fingerprint = attempt->fingerprint,
+        .barred = attempt->barred,
         .request_id = StrBuf_View(&attempt->request_id),
         .request_class = attempt->request_class,
         .keyed = attempt->keyed,
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -150,6 +150,10 @@
                                      "yet\n")};
     case Call_REASON_STOPPING:
         return (FinalAnswer){503, not_run, Str_LIT("this node is stopping\n")};
+    case Call_REASON_NO_REGION:
+        return (FinalAnswer){503, not_run,
+                             Str_LIT("no backend server is known in the "
+                                     "regions that it is bound to\n")};
     case Call_REASON_NO_BACKEND:
         return (FinalAnswer){503, not_run,
                              Str_LIT("no backend server is known\n")};
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -134,6 +134,7 @@
     attempt->keyed = msg->keep_long;
     attempt->cross_region = msg->cross_region;
     attempt->fingerprint = msg->fingerprint;
+    attempt->barred = msg->barred;
     attempt->request_class = msg->interactive ? Adm_INTERACTIVE : Adm_PATIENT;
     attempt->deadline =
         now + msg->time_left - Opa_GetUnreadTime(runner->own_pause, now);
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -50,6 +50,7 @@
     Instant started_at;
     /* of the request; suspects are listed by it */
     uint64_t fingerprint;
+    RegionMask barred; /* the regions in which it may not run */
     /* suspected of crashing backend servers: runs while nothing else runs */
     bool exclusive;
     /* The connection ended before the whole answer came; the backend server
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -292,6 +292,22 @@
     return NULL;
 }
 
+bool
+Pst_HasBoundCalls(const Preset *preset)
+{
+    for (size_t i = 0; i < preset->route_count; i++) {
+        if (preset->routes[i].regions.count) {
+            return true;
+        }
+    }
+    for (size_t i = 0; i < preset->account_count; i++) {
+        if (preset->accounts[i].regions.count) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 Pst_AllowsRegion(const PresetRegions *regions, Str region)
 {
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -147,6 +147,9 @@
 /* Whether REGION is one of REGIONS, or REGIONS are not bounded. */
 bool Pst_AllowsRegion(const PresetRegions *regions, Str region);
 
+/* Whether a route or an account is bound to regions. */
+bool Pst_HasBoundCalls(const Preset *preset);
+
 /* Free what they own, but not themselves. */
 void Pst_FinishRoute(PresetRoute *route);
 void Pst_FinishRegions(PresetRegions *regions);
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -44,6 +44,7 @@
         .interactive = true,
         .time_left = Span_MS(1500),
         .fingerprint = 99,
+        .barred = 2,
         .request_id = Str_LIT("r-1"),
         .method = Str_LIT("POST"),
         .target = Str_LIT("/despachos/orders"),
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -143,6 +143,102 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    LoadReport loads[SERVERS]; /* servers 1 and 2 are local, 3 and 4 remote */
+    RegionMask barred;
+    bool local_only;
+    PlacementVerdict verdict;
+    uint32_t allowed; /* as in ChoiceCase */
+    bool has_allowed; /* Plc_HasAllowedBackend */
+} RegionCase;
+
+static const RegionCase bound[] = {
+    {"bound to this region, which is crowded",
+     {CROWDED, CROWDED, IDLE, IDLE},
+     0x2,
+     false,
+     Plc_CHOSEN,
+     0x3,
+     true},
+    {"bound to the other region",
+     {IDLE, IDLE, IDLE, IDLE},
+     0x1,
+     false,
+     Plc_CHOSEN,
+     0xc,
+     true},
+    {"bound to the other region, the link's budget is spent",
+     {IDLE, IDLE, IDLE, IDLE},
+     0x1,
+     true,
+     Plc_ALL_FULL,
+     0,
+     true},
+    {"all servers of its region are full",
+     {IDLE, IDLE, FULL, FULL},
+     0x1,
+     false,
+     Plc_ALL_FULL,
+     0,
+     true},
+    {"all servers of its region drain",
+     {IDLE, IDLE, DRAINING, DRAINING},
+     0x1,
+     false,
+     Plc_NO_BACKEND,
+     0,
+     false},
+    {"bound to a region that does not exist",
+     {IDLE, IDLE, IDLE, IDLE},
+     0x3,
+     false,
+     Plc_NO_BACKEND,
+     0,
+     false},
+};
+
+/* What is bound to regions goes nowhere else, whatever the policy and however
+ * crowded its servers are. */
+START_TEST(stays_in_its_regions)
+{
+    const RegionCase *c = &bound[_i / (Plc_TWO_CHOICES + 1)];
+    Instant now = Span_S(5);
+    PlacementSettings settings = default_settings;
+    PlacementFixture fixture;
+    PlacementRequest request = {.interactive = true,
+                                .time_left = Span_S(1),
+                                .barred = c->barred,
+                                .local_only = c->local_only};
+    uint32_t chosen = 0;
+
+    settings.policy = (PlacementPolicy)(_i % (Plc_TWO_CHOICES + 1));
+    init_fixture(&fixture, settings);
+    for (int i = 0; i < SERVERS; i++) {
+        set_backend(&fixture, (Addr)i + 1, i / 2, c->loads[i], now);
+    }
+    for (int i = 0; i < 500; i++) {
+        const BackendRow *row;
+        PlacementVerdict verdict =
+            Plc_Choose(&fixture.placement, &request, now, &row);
+        chosen |= row ? 1u << (row->location.node - 1) : 0;
+        ck_assert(settings.policy != Plc_LEAST_WAIT || verdict == c->verdict);
+    }
+    if (settings.policy == Plc_LEAST_WAIT) {
+        ck_assert_msg(!(chosen & ~c->allowed) && !chosen == !c->allowed,
+                      "%s: %x", c->name, chosen);
+    }
+    for (int i = 0; i < SERVERS; i++) {
+        ck_assert_msg(
+            !(chosen >> i & 1) || !Rgm_Has(c->barred, (uint16_t)(i / 2)),
+            "%s: server %d, policy %d", c->name, i + 1, (int)settings.policy);
+    }
+    ck_assert(Plc_HasAllowedBackend(&fixture.placement, c->barred) ==
+              c->has_allowed);
+    finish_fixture(&fixture);
+}
+END_TEST
+
 typedef struct {
     const char *name;
     double share_max;           /* server 1, of all attempts, second second */
@@ -281,6 +377,7 @@
     const SuiteTest tests[] = {
         {chooses_allowed_server, ROWS(choices)},
         {ejects_faulty_servers, ROWS(faults)},
+        {stays_in_its_regions, ROWS(bound) * (Plc_TWO_CHOICES + 1)},
     };
 
     return Suite_Run("placement", tests, ROWS(tests), 20);
--- a/tests/unit/test_subset.c
+++ b/tests/unit/test_subset.c
@@ -73,6 +73,7 @@
     const FleetCase *layout;
     SubsetServer servers[MEMBERS_MAX];
     size_t server_count;
+    uint32_t region_minimum;     /* as in SubsetSettings */
     size_t kept_by[MEMBERS_MAX]; /* nodes that keep a server, by tag */
 } SubsetFleet;
 
@@ -114,7 +115,8 @@
 {
     const FleetCase *c = fleet->layout;
     SubsetSettings settings = {.region = get_region(c, domain),
-                               .domain = (uint16_t)domain};
+                               .domain = (uint16_t)domain,
+                               .region_minimum = fleet->region_minimum};
     SubsetPosition position;
 
     for (int i = 0; i < Sub_GROUP_COUNT; i++) {
@@ -159,6 +161,56 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    int servers[DOMAINS_MAX]; /* in each failure domain; two for a region */
+    int regions;
+    uint32_t minimum;
+    uint32_t kept_min; /* of each other region, by a node of the first */
+} BoundCase;
+
+static const BoundCase bound[] = {
+    {"three regions", {9, 9, 9, 9, 9, 9}, 3, 6, 6},
+    {"four regions", {4, 4, 4, 4, 4, 4, 4, 4}, 4, 3, 3},
+    {"a region with two servers", {9, 9, 1, 1, 9, 9}, 3, 6, 2},
+    {"a region with one server", {20, 20, 0, 1, 20, 20}, 3, 6, 1},
+};
+
+/* Of each other region a node keeps the minimum, or all servers. */
+START_TEST(keeps_some_of_each_region)
+{
+    const BoundCase *c = &bound[_i];
+    static SubsetFleet fleet;
+    static SubsetServer servers[MEMBERS_MAX];
+    FleetCase layout = {.regions = c->regions,
+                        .domains = 2 * c->regions,
+                        .nodes = 20,
+                        .quotas = {10, 4, 2}};
+
+    for (int i = 0; i < layout.domains; i++) {
+        layout.servers[i] = c->servers[i];
+    }
+    init_fleet(&fleet, &layout);
+    fleet.region_minimum = c->minimum;
+    for (int node = 0; node < layout.nodes; node++) {
+        uint32_t kept[DOMAINS_MAX] = {0};
+        uint32_t total = 0;
+        size_t count;
+        size_t result =
+            choose(&fleet, 0, node, layout.nodes, Addr_NONE, servers, &count);
+        for (size_t i = 0; i < count; i++) {
+            kept[servers[i].region] += servers[i].is_kept;
+            total += servers[i].is_kept;
+        }
+        ck_assert_uint_eq(result, total);
+        for (int region = 1; region < c->regions; region++) {
+            ck_assert_msg(kept[region] >= c->kept_min, "%s: %u of region %d",
+                          c->name, kept[region], region);
+        }
+    }
+}
+END_TEST
+
 /* Every server is kept by about as many nodes as any other; a failure domain
  * with few servers has more nodes for each of them. */
 START_TEST(keeps_servers_evenly)
@@ -264,6 +316,7 @@
         {keeps_near_servers, ROWS(fleets)},
         {keeps_servers_evenly, ROWS(fleets)},
         {changes_little, ROWS(fleets)},
+        {keeps_some_of_each_region, ROWS(bound)},
     };
 
     return Suite_Run("subset", tests, ROWS(tests), 20);
