Evacuate a failure domain by an order in the replicated log

Cause: orders about failure domains were answered 404. Nodes learn the list with the version, without the preset where only evacuations changed. Ingress nodes leave evacuated servers out of their subsets; the node beside such a server refuses attempts as if it drained, also what is queued, and lets runs end. An order on a base older than a later opposite order is refused as late.

--- a/src/connection/configmsg.c
+++ b/src/connection/configmsg.c
@@ -3,9 +3,9 @@
 enum {
     CHANGE_REPLY_FIELDS = 15,
     VERSION_REQUEST_FIELDS = 7,
-    VERSION_FIELDS = 7,
+    VERSION_FIELDS = 9,
     PRESETS_REQUEST_FIELDS = 5,
-    PRESETS_REPLY_FIELDS = 9,
+    PRESETS_REPLY_FIELDS = 10,
     SUMMARY_FIELDS = 3,
     NODE_FIELDS = 5
 };
@@ -139,6 +139,8 @@
     Pack_U64(pack, msg->leader);
     put_version(pack, msg->version);
     Pack_Str(pack, msg->json);
+    Pack_Bool(pack, msg->is_same_preset);
+    Pack_Str(pack, msg->evacuated);
 }
 
 bool
@@ -150,6 +152,8 @@
     msg->leader = Unpack_U64(in);
     msg->version = take_version(in);
     msg->json = take_bounded(in, Cfg_JSON_BYTES_MAX);
+    msg->is_same_preset = Unpack_Bool(in);
+    msg->evacuated = take_bounded(in, Cfg_EVACUATED_BYTES_MAX);
     return Unpack_Ok(in, err);
 }
 
@@ -199,6 +203,7 @@
     put_version(pack, msg->version);
     Pack_Str(pack, msg->in_force);
     Pack_Str(pack, msg->json);
+    Pack_Str(pack, msg->evacuated);
     Pack_Array(pack, msg->count);
     for (uint32_t i = 0; i < msg->count; i++) {
         Pack_Array(pack, SUMMARY_FIELDS);
@@ -260,6 +265,7 @@
     msg->version = take_version(in);
     msg->in_force = take_bounded(in, Cfg_NAME_BYTES_MAX);
     msg->json = take_bounded(in, Cfg_JSON_BYTES_MAX);
+    msg->evacuated = take_bounded(in, Cfg_EVACUATED_BYTES_MAX);
     msg->nodes = (NodeVersionTable){0};
     count = Unpack_Array(in, Cfg_PRESETS_MAX, &list);
     msg->count = count;
--- a/src/connection/configmsg.h
+++ b/src/connection/configmsg.h
@@ -62,7 +62,11 @@
     Instant request_sent_at; /* sent_at of the latest request of this node */
     Addr leader;
     ConfigVersion version; /* {0, 0}: the replica knows none */
-    Str json;              /* empty unless wanted and newer */
+    Str json;              /* empty unless wanted, newer, and another one than
+                              that of the version which the node has */
+    bool is_same_preset;   /* wanted and newer, with the preset that the node
+                              has */
+    Str evacuated;         /* with either of these: as of Cfg_ListEvacuated */
 } VersionMessage;
 
 void Configmsg_PackVersionRequest(Pack *pack,
@@ -97,7 +101,8 @@
     Str in_force; /* name of the preset in force */
     PresetSummary items[Cfg_PRESETS_MAX];
     uint32_t count;
-    Str json; /* of the wanted preset; empty: no preset of that name */
+    Str json;      /* of the wanted preset; empty: no preset of that name */
+    Str evacuated; /* as of Cfg_ListEvacuated */
     NodeVersionTable nodes; /* empty unless wanted */
 } PresetsReplyMessage;
 
--- a/src/process/admission/admission.c
+++ b/src/process/admission/admission.c
@@ -107,10 +107,31 @@
     notify_observer(controller, &(AdmissionEvent){.kind = Adm_EVENT_STOP});
 }
 
+void
+Adm_SetEvacuated(AdmissionController *controller, bool evacuated)
+{
+    if (controller->evacuated != evacuated) {
+        controller->evacuated = evacuated;
+        notify_observer(controller,
+                        &(AdmissionEvent){.kind = Adm_EVENT_EVACUATED,
+                                          .args = {evacuated}});
+    }
+}
+
 bool
 Adm_IsDraining(const AdmissionController *controller)
 {
-    return controller->backend_present && controller->draining;
+    return controller->evacuated ||
+           (controller->backend_present && controller->draining);
+}
+
+/* Whether no attempt may start, but for those that a backend server lets
+ * through that rejects everything. */
+static bool
+is_closed(const AdmissionController *controller)
+{
+    return controller->draining || controller->stopping ||
+           controller->evacuated;
 }
 
 void
@@ -287,7 +308,7 @@
     if (!controller->backend_present) {
         return Adm_REFUSE_ABSENT;
     }
-    if (controller->draining || controller->stopping) {
+    if (is_closed(controller)) {
         return Adm_REFUSE_DRAINING;
     }
     if (request->time_left <= 0) {
@@ -318,9 +339,8 @@
 Adm_TakesRepeat(const AdmissionController *controller, bool may_still_run,
                 Instant now)
 {
-    if (!controller->backend_present || controller->draining ||
-        controller->stopping || controller->next_trial_at ||
-        Adm_IsBackendSlow(controller, now)) {
+    if (!controller->backend_present || is_closed(controller) ||
+        controller->next_trial_at || Adm_IsBackendSlow(controller, now)) {
         return false;
     }
     /* One that runs no more starts in the slot that it was given. */
@@ -467,8 +487,8 @@
 bool
 Adm_QueueSuspect(AdmissionController *controller, RequestClass cls)
 {
-    if (!controller->backend_present || controller->draining ||
-        controller->stopping || is_queue_full(controller, cls)) {
+    if (!controller->backend_present || is_closed(controller) ||
+        is_queue_full(controller, cls)) {
         return false;
     }
     controller->queued_suspects++;
@@ -496,7 +516,7 @@
 }
 
 LoadReport
-Adm_GetLoadReport(const AdmissionController *controller, Instant now)
+Adm_GetMemberReport(const AdmissionController *controller, Instant now)
 {
     return (LoadReport){
         .slots = controller->backend_present ? controller->settings.slots : 0,
@@ -514,6 +534,15 @@
     };
 }
 
+LoadReport
+Adm_GetLoadReport(const AdmissionController *controller, Instant now)
+{
+    LoadReport report = Adm_GetMemberReport(controller, now);
+
+    report.draining = report.draining || controller->evacuated;
+    return report;
+}
+
 static void
 replay_end(AdmissionController *controller, const AdmissionEvent *event)
 {
@@ -577,6 +606,9 @@
         Adm_OnPaceReport(controller, &(BackendLoad){.pace = (uint32_t)args[0]},
                          event->time);
         break;
+    case Adm_EVENT_EVACUATED:
+        Adm_SetEvacuated(controller, args[0] != 0);
+        break;
     case Adm_EVENT_COUNT:
         break;
     }
--- a/src/process/admission/admission.h
+++ b/src/process/admission/admission.h
@@ -85,6 +85,7 @@
     Adm_EVENT_QUEUE_CANCEL, /* class */
     Adm_EVENT_START_NEXT,   /* outcome: the class that starts */
     Adm_EVENT_PACE_REPORT,  /* pace */
+    Adm_EVENT_EVACUATED,    /* evacuated */
     Adm_EVENT_COUNT
 } AdmissionEventKind;
 
@@ -107,6 +108,7 @@
     bool backend_present; /* a backend server is announced */
     bool draining;        /* the backend server announced that it drains */
     bool stopping;        /* this node shuts down */
+    bool evacuated;       /* so is this node's failure domain */
     uint32_t rejections;  /* by the backend server, in a row */
     Instant first_rejected_at; /* time of the first of these */
     Instant next_trial_at;     /* the backend server rejects everything: no
@@ -146,8 +148,15 @@
 /* This node shuts down: Adm_Admit refuses every attempt from now on. */
 void Adm_Stop(AdmissionController *controller);
 
-/* True when a backend server is present and drains.  The caller should then
- * refuse the queued attempts, because they are not to start any more. */
+/* Whether this node's failure domain is evacuated: no attempt is admitted
+ * while it is, and those that run go on.  Other nodes learn of it with the
+ * version, not from this node's record, so that they know at once when it
+ * ends. */
+void Adm_SetEvacuated(AdmissionController *controller, bool evacuated);
+
+/* True when a backend server is present and drains, or the failure domain is
+ * evacuated.  The caller should then refuse the queued attempts, because they
+ * are not to start any more. */
 bool Adm_IsDraining(const AdmissionController *controller);
 
 /* Decides about one attempt.  With Adm_RUN it is counted as running, with
@@ -209,6 +218,10 @@
 LoadReport Adm_GetLoadReport(const AdmissionController *controller,
                              Instant now);
 
+/* The same, without the evacuation. */
+LoadReport Adm_GetMemberReport(const AdmissionController *controller,
+                               Instant now);
+
 /* Sets the observer of all further events; NULL for none. */
 void Adm_SetObserver(AdmissionController *controller,
                      AdmissionObserver observer, void *context);
--- a/src/process/control/configapi.c
+++ b/src/process/control/configapi.c
@@ -61,6 +61,7 @@
 {
     return pending->kind == Configapi_CHANGE ||
            pending->kind == Configapi_CHANGE_ROUTING ||
+           pending->kind == Configapi_EVACUATE ||
            pending->kind == Configapi_LIST_VERSIONS;
 }
 
@@ -142,7 +143,7 @@
 
 static void
 answer_versions(ConfigRequest *pending, const NodeVersionTable *nodes,
-                ConfigVersion version, bool current)
+                ConfigVersion version, Str evacuated, bool current)
 {
     const ConfigApi *api = pending->api;
     const Preset *preset = &(*api->in_force)->preset;
@@ -151,7 +152,7 @@
         pending,
         (OperatorAnswer){
             200, Configjson_Versions(api->settings, nodes, version, current,
-                                     StrBuf_View(&preset->name))});
+                                     StrBuf_View(&preset->name), evacuated)});
 }
 
 /* Without an answer of the leader, the versions come from this node's own
@@ -164,7 +165,7 @@
 
     Nvs_Fill(&nodes, api->membership);
     answer_versions(pending, &nodes, api->version_follower->newest_heard,
-                    false);
+                    StrBuf_View(&api->version_follower->evacuated), false);
     Nvs_Finish(&nodes);
 }
 
@@ -227,6 +228,7 @@
     switch (kind) {
     case Configapi_GET_ROUTING:
     case Configapi_CHANGE_ROUTING:
+    case Configapi_EVACUATE:
         return ROUTING_TIMEOUT;
     case Configapi_LIST_VERSIONS:
         return VERSIONS_TIMEOUT;
@@ -281,10 +283,12 @@
         break;
     case Configapi_LIST_VERSIONS:
         Nvs_AddMissing(&msg->nodes, pending->api->membership);
-        answer_versions(pending, &msg->nodes, msg->version, true);
+        answer_versions(pending, &msg->nodes, msg->version, msg->evacuated,
+                        true);
         break;
     case Configapi_CHANGE:
     case Configapi_CHANGE_ROUTING:
+    case Configapi_EVACUATE:
         if (!pending->replica_is_leader) {
             send_change(pending, now);
         }
@@ -345,6 +349,19 @@
     Configmsg_FinishPresetsReply(&msg);
 }
 
+static OperatorAnswer
+make_change_answer(ConfigRequestKind kind, const ConfigChangeReplyMessage *msg)
+{
+    switch (kind) {
+    case Configapi_CHANGE_ROUTING:
+        return Configapi_RevisionAnswer(msg);
+    case Configapi_EVACUATE:
+        return Configapi_EvacuationAnswer(msg);
+    default:
+        return Configjson_ChangeAnswer(msg);
+    }
+}
+
 static void
 on_change_reply(void *context, const NetOrigin *origin, Unpack *in,
                 Instant now)
@@ -364,9 +381,7 @@
         return;
     }
     if (msg.is_decided) {
-        Configapi_EndRequest(pending, pending->kind == Configapi_CHANGE_ROUTING
-                                          ? Configapi_RevisionAnswer(&msg)
-                                          : Configjson_ChangeAnswer(&msg));
+        Configapi_EndRequest(pending, make_change_answer(pending->kind, &msg));
         return;
     }
     pending->unanswered_changes -= pending->unanswered_changes > 0;
@@ -589,4 +604,5 @@
     Opr_AddPath(opr, Str_LIT("/v1/versions"), true, show_versions, api);
     Opr_AddPath(opr, Str_LIT("/v1/replicas"), true, show_replicas, api);
     Configapi_ServeRouting(api, opr);
+    Configapi_ServeEvacuations(api, opr);
 }
--- a/src/process/control/configapi_request.h
+++ b/src/process/control/configapi_request.h
@@ -13,12 +13,13 @@
 
 /* What the operator requested. */
 typedef enum {
-    Configapi_LIST_PRESETS,  /* /v1/presets */
-    Configapi_GET_PRESET,    /* /v1/presets/show */
-    Configapi_GET_ROUTING,   /* /v1/routing/read */
-    Configapi_LIST_VERSIONS, /* /v1/versions; only the leader answers */
-    Configapi_CHANGE,        /* /v1/change; only the leader answers */
-    Configapi_CHANGE_ROUTING /* /v1/routing/put and /patch; likewise */
+    Configapi_LIST_PRESETS,   /* /v1/presets */
+    Configapi_GET_PRESET,     /* /v1/presets/show */
+    Configapi_GET_ROUTING,    /* /v1/routing/read */
+    Configapi_LIST_VERSIONS,  /* /v1/versions; only the leader answers */
+    Configapi_CHANGE,         /* /v1/change; only the leader answers */
+    Configapi_CHANGE_ROUTING, /* /v1/routing/put and /patch; likewise */
+    Configapi_EVACUATE        /* /v1/evacuations/start and /end; likewise */
 } ConfigRequestKind;
 
 struct ConfigRequest {
@@ -27,7 +28,8 @@
     struct evhttp_request *http_request; /* to be answered */
     ConfigRequestKind kind;
     uint64_t number; /* names the request in messages; unique in the process */
-    StrBuf preset_name; /* of Configapi_GET_PRESET and of /v1/change */
+    StrBuf preset_name; /* of Configapi_GET_PRESET and of /v1/change; of
+                           Configapi_EVACUATE the failure domain */
     StrBuf change_id;   /* of changes, and so the next three */
     StrBuf change_json; /* the preset, or the revision of the routing */
     ConfigVerb verb;
@@ -66,4 +68,11 @@
 /* The outcome of a revision of the routing, with its HTTP status. */
 OperatorAnswer Configapi_RevisionAnswer(const ConfigChangeReplyMessage *msg);
 
+/* Registers /v1/evacuations/start and /v1/evacuations/end
+ * (configapi_evacuation.c). */
+void Configapi_ServeEvacuations(ConfigApi *api, OperatorApi *opr);
+
+/* The outcome of an order about an evacuation, with its HTTP status. */
+OperatorAnswer Configapi_EvacuationAnswer(const ConfigChangeReplyMessage *msg);
+
 #endif
--- a/src/process/control/configjson.c
+++ b/src/process/control/configjson.c
@@ -104,9 +104,32 @@
                : json_null();
 }
 
+static json_t *
+make_json_domain(const Settings *settings, uint16_t domain)
+{
+    return domain < settings->domain_count
+               ? Opj_Str(StrBuf_View(&settings->domains[domain].name))
+               : json_null();
+}
+
+/* An array of the lines of TEXT. */
+static json_t *
+make_json_list(Str text)
+{
+    json_t *list = json_array();
+
+    while (text.len) {
+        size_t end = Str_Find(text, '\n');
+        json_array_append_new(list, Opj_Str(Str_Slice(text, 0, end)));
+        text = Str_Slice(text, end + 1, text.len);
+    }
+    return list;
+}
+
 json_t *
 Configjson_Versions(const Settings *settings, const NodeVersionTable *nodes,
-                    ConfigVersion version, bool current, Str preset)
+                    ConfigVersion version, bool current, Str preset,
+                    Str evacuated)
 {
     json_t *list = json_array();
     json_t *missing = json_array();
@@ -115,18 +138,20 @@
         const NodeVersion *row = &nodes->rows[i];
         json_array_append_new(
             list,
-            json_pack("{s:o, s:o, s:o, s:b}", "node", Opj_Addr(row->node),
+            json_pack("{s:o, s:o, s:o, s:o, s:b}", "node", Opj_Addr(row->node),
                       "region", make_json_region(settings, row->domain),
-                      "version", Opj_Version(row->version), "here",
-                      row->is_present));
+                      "failure_domain",
+                      make_json_domain(settings, row->domain), "version",
+                      Opj_Version(row->version), "here", row->is_present));
         if (row->is_present &&
             Cfg_CompareVersions(row->version, version) < 0) {
             json_array_append_new(missing, Opj_Addr(row->node));
         }
     }
-    return json_pack("{s:o, s:b, s:o, s:o, s:o}", "version",
+    return json_pack("{s:o, s:b, s:o, s:o, s:o, s:o}", "version",
                      Opj_Version(version), "current", current, "preset",
-                     Opj_Str(preset), "nodes", list, "missing", missing);
+                     Opj_Str(preset), "evacuated", make_json_list(evacuated),
+                     "nodes", list, "missing", missing);
 }
 
 static json_t *
--- a/src/process/control/configjson.h
+++ b/src/process/control/configjson.h
@@ -29,7 +29,8 @@
  * force. */
 json_t *Configjson_Versions(const Settings *settings,
                             const NodeVersionTable *nodes,
-                            ConfigVersion version, bool current, Str preset);
+                            ConfigVersion version, bool current, Str preset,
+                            Str evacuated);
 
 /* The control replicas as CONTROL, the replica at this node, knows them.
  * CURRENT: CONTROL is the leader. */
--- a/src/process/control/control_read.c
+++ b/src/process/control/control_read.c
@@ -22,7 +22,8 @@
 
 static void
 fill_presets(const ControlReplica *control,
-             const PresetsRequestMessage *request, PresetsReplyMessage *msg)
+             const PresetsRequestMessage *request, PresetsReplyMessage *msg,
+             StrBuf *evacuated)
 {
     const ConfigState *cfg = &control->cfg;
     const StoredPreset *in_force = Cfg_PresetInForce(cfg);
@@ -38,6 +39,8 @@
     if (named) {
         msg->json = StrBuf_View(&named->json);
     }
+    Cfg_ListEvacuated(cfg, evacuated);
+    msg->evacuated = StrBuf_View(evacuated);
     msg->count = cfg->preset_count;
     for (uint32_t i = 0; i < cfg->preset_count; i++) {
         msg->items[i].name = StrBuf_View(&cfg->presets[i].name);
@@ -51,16 +54,18 @@
 {
     PresetsReplyMessage msg = {.request_number = request->request_number,
                                .leader = Ctl_Leader(control)};
+    StrBuf evacuated = {0};
     Pack pack;
 
     if (current) {
-        fill_presets(control, request, &msg);
+        fill_presets(control, request, &msg, &evacuated);
         if (request->wants_node_versions) {
             Nvs_Fill(&msg.nodes, control->membership);
         }
     }
     Configmsg_PackPresetsReply(&pack, &msg);
     Configmsg_FinishPresetsReply(&msg);
+    StrBuf_Finish(&evacuated);
     Ctl_Answer(control, origin, &pack, now);
 }
 
@@ -177,12 +182,29 @@
     return as_of ? now - as_of : Configmsg_AGE_NOT_KNOWN;
 }
 
+/* Adds what is in force to MSG for a node that has version HAVE.  Its preset
+ * is left out where only evacuations changed since. */
+static void
+fill_content(const ControlReplica *control, ConfigVersion have,
+             VersionMessage *msg, StrBuf *evacuated)
+{
+    const ConfigState *cfg = &control->cfg;
+
+    msg->is_same_preset =
+        have.term > 0 && Cfg_CompareVersions(have, cfg->preset_version) >= 0;
+    if (!msg->is_same_preset) {
+        msg->json = StrBuf_View(&Cfg_PresetInForce(cfg)->json);
+    }
+    Cfg_ListEvacuated(cfg, evacuated);
+    msg->evacuated = StrBuf_View(evacuated);
+}
+
 static void
 answer_version(ControlReplica *control, const NetOrigin *origin,
                Instant request_sent_at, ConfigVersion have, bool wanted,
                bool current, Instant now)
 {
-    const StoredPreset *in_force = Cfg_PresetInForce(&control->cfg);
+    StrBuf evacuated = {0};
     VersionMessage msg = {
         .is_current = current,
         .age = get_age(control, now),
@@ -192,10 +214,12 @@
     };
     Pack pack;
 
-    if (wanted && in_force && Cfg_CompareVersions(msg.version, have) > 0) {
-        msg.json = StrBuf_View(&in_force->json);
+    if (wanted && Cfg_PresetInForce(&control->cfg) &&
+        Cfg_CompareVersions(msg.version, have) > 0) {
+        fill_content(control, have, &msg, &evacuated);
     }
     Configmsg_PackVersion(&pack, &msg);
+    StrBuf_Finish(&evacuated);
     Ctl_Answer(control, origin, &pack, now);
 }
 
--- a/src/process/control/versionfollower.c
+++ b/src/process/control/versionfollower.c
@@ -210,12 +210,16 @@
     if (Cfg_CompareVersions(msg->version, follower->version) <= 0) {
         return;
     }
-    if (msg->json.len == 0) {
+    if (msg->json.len == 0 &&
+        !(msg->is_same_preset && follower->version.term > 0)) {
         hear_of_version(follower, from, msg->version, now);
     }
-    else if (follower->apply(follower->apply_context, msg->version, msg->json,
-                             now)) {
+    else if (follower->apply(
+                 follower->apply_context,
+                 &(VersionContent){msg->version, msg->json, msg->evacuated},
+                 now)) {
         follower->version = msg->version;
+        StrBuf_Set(&follower->evacuated, msg->evacuated);
     }
 }
 
@@ -273,7 +277,9 @@
     as_of = compute_as_of(follower, &msg, now);
     /* A preset is sent at once; if the word that comes with it is old,
      * another one follows. */
-    Vpl_OnResponse(&follower->poll, msg.json.len ? 0 : msg.request_sent_at,
+    Vpl_OnResponse(&follower->poll,
+                   msg.json.len || msg.is_same_preset ? 0
+                                                      : msg.request_sent_at,
                    as_of, now);
     if (msg.leader) {
         follower->leader = msg.leader;
@@ -318,4 +324,5 @@
 Fol_Finish(VersionFollower *follower)
 {
     LoopTimer_Finish(&follower->tick);
+    StrBuf_Finish(&follower->evacuated);
 }
--- a/src/process/control/versionfollower.h
+++ b/src/process/control/versionfollower.h
@@ -19,10 +19,18 @@
 #include "process/suspects/suspectsync.h"
 #include "version/config.h"
 
-/* Puts the preset JSON in force as VERSION.  Returns false when this node
- * can't read it; then the former version stays in force. */
-typedef bool (*VersionApplyCallback)(void *context, ConfigVersion version,
-                                     Str json, Instant now);
+/* What a version puts in force. */
+typedef struct {
+    ConfigVersion version;
+    Str json;      /* the preset; empty: that of the former version */
+    Str evacuated; /* failure domains, as of Cfg_ListEvacuated */
+} VersionContent;
+
+/* Puts CONTENT in force.  Returns false when this node can't read it; then the
+ * former version stays in force. */
+typedef bool (*VersionApplyCallback)(void *context,
+                                     const VersionContent *content,
+                                     Instant now);
 
 /* A node's polling state, and the versions it has heard of. */
 typedef struct {
@@ -35,6 +43,7 @@
     VersionApplyCallback apply;
     void *apply_context;
     ConfigVersion version;      /* in force here; {0, 0}: none yet */
+    StrBuf evacuated;           /* in VERSION; as of Cfg_ListEvacuated */
     ConfigVersion newest_heard; /* the newest one that any replica named */
     ConfigVersion min_version;  /* the newest confirmed one; older ones are
                                 rejected */
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -327,18 +327,18 @@
     Sps_SetPreset(&node->suspects, &node->in_force->preset);
 }
 
-/* The VersionApplyCallback: puts a confirmed version in force.  Calls in
- * flight keep the version that they started with. */
+/* Puts the preset of CONTENT in force.  Calls in flight keep the preset that
+ * they started with.  Returns false when it can't be read. */
 static bool
-apply_version(void *context, ConfigVersion version, Str json, Instant now)
+replace_preset(Node *node, const VersionContent *content)
 {
-    Node *node = context;
+    ConfigVersion version = content->version;
     Preset preset;
     FindingList findings;
     bool good;
 
     Fnd_Init(&findings);
-    good = Pst_Parse(&preset, json, &findings);
+    good = Pst_Parse(&preset, content->json, &findings);
     if (good) {
         Spl_ContinueFrom(&preset, &node->in_force->preset, &node->rng);
         Shp_Release(node->in_force);
@@ -346,13 +346,6 @@
         apply_preset(node);
         Ann_SetPreset(&node->announcements, &node->in_force->preset);
         Edge_SetPreset(&node->edge, &node->in_force->preset);
-        node->dispatcher.version_confirmed = true;
-        Mbs_SetVersion(&node->members, version, now);
-        Tml_Record(&node->timeline, Tml_IN_FORCE,
-                   "preset=%.*s version=%llu.%llu",
-                   Str_ARG(node->in_force->preset.name),
-                   (unsigned long long)version.term,
-                   (unsigned long long)version.index);
     }
     else {
         Lgr_Log(&node->logger, Lgr_ERROR, Str_LIT("version_not_readable"),
@@ -364,6 +357,59 @@
     return good;
 }
 
+/* Passes the evacuated failure domains on to all that choose where calls go,
+ * and to admission beside this node's backend server. */
+static void
+apply_evacuated(Node *node, Str evacuated, Instant now)
+{
+    const Settings *settings = node->settings;
+    DomainMask domains = 0;
+
+    for (size_t i = 0; i < settings->domain_count; i++) {
+        if (Cfg_IsListed(evacuated, StrBuf_View(&settings->domains[i].name))) {
+            domains |= Rgm_Bit((uint16_t)i);
+        }
+    }
+    Svc_SetEvacuated(&node->services, domains, now);
+    Sps_SetEvacuated(&node->suspects, domains);
+    Adm_SetEvacuated(&node->admission,
+                     Rgm_Has(domains, settings->domain_index));
+    Run_Tick(&node->runner, now);
+}
+
+static size_t
+count_lines(Str text)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < text.len; i++) {
+        count += text.ptr[i] == '\n';
+    }
+    return count;
+}
+
+/* The VersionApplyCallback: puts a confirmed version in force. */
+static bool
+apply_version(void *context, const VersionContent *content, Instant now)
+{
+    Node *node = context;
+    ConfigVersion version = content->version;
+
+    if (content->json.len && !replace_preset(node, content)) {
+        return false;
+    }
+    node->in_force->version = version;
+    apply_evacuated(node, content->evacuated, now);
+    node->dispatcher.version_confirmed = true;
+    Mbs_SetVersion(&node->members, version, now);
+    Tml_Record(
+        &node->timeline, Tml_IN_FORCE,
+        "preset=%.*s version=%llu.%llu evacuated=%zu",
+        Str_ARG(node->in_force->preset.name), (unsigned long long)version.term,
+        (unsigned long long)version.index, count_lines(content->evacuated));
+    return true;
+}
+
 static bool
 init_http_servers(Node *node, Err *err)
 {
--- a/src/process/operators/operatorapi.h
+++ b/src/process/operators/operatorapi.h
@@ -32,7 +32,7 @@
                                           Str body, Instant now);
 
 enum {
-    Opr_PATHS_MAX = 24,
+    Opr_PATHS_MAX = 32,
     Opr_PENDING_MAX = 64 /* requests that wait for their answers */
 };
 
--- a/src/process/placement/services.c
+++ b/src/process/placement/services.c
@@ -172,26 +172,27 @@
 }
 
 static bool
-takes_work_for(const MemberRow *row, Str service)
+takes_work_for(const Services *services, const MemberRow *row, Str service)
 {
     const MemberRecord *record = &row->record;
 
     return !row->is_removed && record->has_backend && record->load.slots &&
            !record->load.draining &&
+           !Rgm_Has(services->evacuated, record->domain) &&
            Str_Equal(StrBuf_View(&record->service), service);
 }
 
 /* Lists the members whose backend servers take work for SERVICE.  The tag of
  * each is the index of its row.  SERVERS has room for all members. */
 static size_t
-list_servers(const MembershipTable *members, Str service,
-             SubsetServer *servers)
+list_servers(const Services *services, Str service, SubsetServer *servers)
 {
+    const MembershipTable *members = services->members;
     size_t count = 0;
 
     for (size_t i = 0; i < members->count; i++) {
         const MemberRow *row = &members->rows[i];
-        if (takes_work_for(row, service)) {
+        if (takes_work_for(services, row, service)) {
             servers[count++] = (SubsetServer){
                 .node = row->record.node,
                 .region = row->record.region,
@@ -265,8 +266,8 @@
 
     for (size_t i = 0; i < services->count; i++) {
         Service *service = services->items[i];
-        size_t count = list_servers(services->members,
-                                    StrBuf_View(&service->name), servers);
+        size_t count =
+            list_servers(services, StrBuf_View(&service->name), servers);
         Sub_Choose(&services->subset_settings, &position, servers, count);
         apply_subset(services, service, servers, count, now);
     }
@@ -283,7 +284,7 @@
     bool no_backend = change == Mbr_REMOVED || !record->has_backend;
     bool emptied = remove_from_other_services(services, record, no_backend);
 
-    if (!no_backend) {
+    if (!no_backend && !Rgm_Has(services->evacuated, record->domain)) {
         Service *service =
             Svc_FindOrAdd(services, StrBuf_View(&record->service));
         /* The first server of a service is used until the next choice. */
@@ -298,6 +299,15 @@
     }
 }
 
+void
+Svc_SetEvacuated(Services *services, DomainMask evacuated, Instant now)
+{
+    if (services->evacuated != evacuated) {
+        services->evacuated = evacuated;
+        choose_subsets(services, now);
+    }
+}
+
 void
 Svc_Tick(Services *services, Instant now)
 {
--- a/src/process/placement/services.h
+++ b/src/process/placement/services.h
@@ -38,9 +38,10 @@
     Addr self; /* this node */
     SubsetSettings subset_settings;
     const MembershipTable *members; /* the node's; not owned */
-    bool subsets_outdated;          /* a change may call for other subsets */
-    bool has_lost_row; /* the placement tables lost a row since the last
-                          choice of subsets */
+    DomainMask evacuated;  /* failure domains to which nothing is sent */
+    bool subsets_outdated; /* a change may call for other subsets */
+    bool has_lost_row;     /* the placement tables lost a row since the last
+                              choice of subsets */
     Instant subsets_chosen_at; /* 0: never */
     Service **items; /* owned; in the order in which they were added */
     size_t count;
@@ -61,6 +62,10 @@
  * servers are kept then. */
 void Svc_SetBound(Services *services, bool has_bound_calls);
 
+/* Sets the failure domains to which nothing is sent from now on, and chooses
+ * the subsets anew when that changes. */
+void Svc_SetEvacuated(Services *services, DomainMask evacuated, Instant now);
+
 /* Sets the number of nodes that share a burst of retries or hedges: the nodes
  * with a backend server. */
 void Svc_SetNodeCount(Services *services, size_t node_count);
--- a/src/process/suspects/suspectsync.c
+++ b/src/process/suspects/suspectsync.c
@@ -31,10 +31,12 @@
 }
 
 static bool
-accepts_requests(const MemberRecord *record, Str service, RegionMask barred)
+accepts_requests(const SuspectSync *sync, const MemberRecord *record,
+                 Str service, RegionMask barred)
 {
     return record->has_backend && !record->is_leaving &&
            !record->load.draining && !Rgm_Has(barred, record->region) &&
+           !Rgm_Has(sync->evacuated, record->domain) &&
            Str_Equal(StrBuf_View(&record->service), service);
 }
 
@@ -45,12 +47,12 @@
     const MembershipTable *membership = &sync->members->membership;
     const MemberRecord *own = &sync->members->own_record;
     const MemberRecord *preferred =
-        accepts_requests(own, service, barred) ? own : NULL;
+        accepts_requests(sync, own, service, barred) ? own : NULL;
 
     for (size_t i = 0; i < membership->count; i++) {
         const MemberRecord *record = &membership->rows[i].record;
         if (!membership->rows[i].is_removed && record->node != own->node &&
-            accepts_requests(record, service, barred) &&
+            accepts_requests(sync, record, service, barred) &&
             (!preferred || Sus_PrefersNode(&sync->table, fingerprint,
                                            record->node, preferred->node))) {
             preferred = record;
@@ -59,6 +61,12 @@
     return preferred;
 }
 
+void
+Sps_SetEvacuated(SuspectSync *sync, DomainMask evacuated)
+{
+    sync->evacuated = evacuated;
+}
+
 bool
 Sps_IsExclusiveNode(const SuspectSync *sync, uint64_t fingerprint,
                     RegionMask barred)
--- a/src/process/suspects/suspectsync.h
+++ b/src/process/suspects/suspectsync.h
@@ -43,6 +43,7 @@
     Timeline *timeline;
     const Settings *settings;
     const MembershipSync *members;
+    DomainMask evacuated; /* failure domains to which nothing is sent */
     const Preset *preset; /* in force */
     bool is_synced;       /* counts as complete; see Sps_SetSynced */
     Instant started_at;
@@ -78,6 +79,10 @@
  * first time and knows nothing, or the wait for it has timed out. */
 void Sps_SetSynced(SuspectSync *sync);
 
+/* Sets the failure domains to which nothing is sent from now on: their nodes
+ * run no suspects. */
+void Sps_SetEvacuated(SuspectSync *sync, DomainMask evacuated);
+
 /* Returns what to do with the request FINGERPRINT now. */
 SuspectVerdict Sps_GetVerdict(const SuspectSync *sync, uint64_t fingerprint,
                               Instant now);
--- a/src/version/config.c
+++ b/src/version/config.c
@@ -5,7 +5,8 @@
 #include "version/routing.h"
 
 static const Str verb_names[Cfg_VERBS] = {
-    Str_LIT("put"), Str_LIT("use"), Str_LIT("route"), Str_LIT("route-patch")};
+    Str_LIT("put"),         Str_LIT("use"),      Str_LIT("route"),
+    Str_LIT("route-patch"), Str_LIT("evacuate"), Str_LIT("evacuate-end")};
 
 static const Str reason_texts[Cfg_REASONS] = {
     Str_LIT(""),
@@ -13,6 +14,7 @@
     Str_LIT("there are as many presets as may be"),
     Str_LIT("the id was used for a change of other content"),
     Str_LIT("the routing would not be sound"),
+    Str_LIT("as many failure domains are evacuated as may be"),
 };
 
 int
@@ -43,6 +45,9 @@
         StrBuf_Finish(&cfg->records[i].preset_name);
     }
     Mem_Free(cfg->records);
+    for (uint32_t i = 0; i < Cfg_EVACUATIONS_MAX; i++) {
+        StrBuf_Finish(&cfg->evacuations[i].domain);
+    }
     *cfg = (ConfigState){0};
 }
 
@@ -106,6 +111,10 @@
 {
     size_t before = findings->count;
 
+    if (Cfg_IsEvacuation(change)) {
+        validate_name(change->preset_name, Str_LIT("/domain"), findings);
+        return findings->count == before;
+    }
     validate_name(change->id, Str_LIT("/id"), findings);
     if (Cfg_IsRoutingChange(change)) {
         if (change->json.len > Cfg_JSON_BYTES_MAX) {
@@ -148,7 +157,8 @@
 bool
 Cfg_CanJudge(const ConfigState *cfg, const ConfigChange *change)
 {
-    return !Cfg_IsRoutingChange(change) || Cfg_PresetInForce(cfg);
+    return !(Cfg_IsRoutingChange(change) || Cfg_IsEvacuation(change)) ||
+           Cfg_PresetInForce(cfg);
 }
 
 bool
@@ -367,7 +377,10 @@
 {
     return Cfg_IsRoutingChange(change)
                ? change->base_version.index == cfg->routing_revision
-               : Cfg_CompareVersions(change->base_version, cfg->version) == 0;
+               : Cfg_CompareVersions(change->base_version,
+                                     cfg->preset_version) >= 0 &&
+                     Cfg_CompareVersions(change->base_version, cfg->version) <=
+                         0;
 }
 
 static void
@@ -390,6 +403,7 @@
     record->outcome = Cfg_ACCEPTED;
     record->version = version;
     cfg->version = version;
+    cfg->preset_version = version;
     cfg->routing_revision =
         Rtg_Revision(StrBuf_View(&Cfg_PresetInForce(cfg)->json));
 }
@@ -419,6 +433,9 @@
 {
     const ChangeRecord *record = find_record(cfg, change->id);
 
+    if (Cfg_IsEvacuation(change)) {
+        return false;
+    }
     if (record && record->content_hash != hash_content(change)) {
         *result = (ConfigResult){.outcome = Cfg_REJECTED,
                                  .reason = Cfg_REASON_ID_REUSED,
@@ -445,6 +462,10 @@
     ChangeRecord decided = {.base_version = change->base_version,
                             .verb = change->verb};
 
+    if (Cfg_IsEvacuation(change)) {
+        Cfg_ApplyEvacuation(cfg, change, version, result);
+        return;
+    }
     if (Cfg_FindOutcome(cfg, change, result)) {
         return;
     }
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -28,7 +28,9 @@
     Cfg_PRESETS_MAX = 16,
     Cfg_JSON_BYTES_MAX = 512 * 1024, /* JSON of one preset or one change */
     Cfg_NAME_BYTES_MAX = 64,         /* a change id or a preset name */
-    Cfg_RECORDS_MAX = 1024
+    Cfg_RECORDS_MAX = 1024,
+    Cfg_EVACUATIONS_MAX = 64, /* failure domains */
+    Cfg_EVACUATED_BYTES_MAX = Cfg_EVACUATIONS_MAX * (Cfg_NAME_BYTES_MAX + 1)
 };
 
 /* Position in the replicated log of the accepted change that made this
@@ -40,12 +42,15 @@
 
 /* What a change does.  The two routing changes edit the routing of the preset
  * in force (see routing.h).  Their base_version is {0, routing revision}, and
- * their preset_name is empty. */
+ * their preset_name is empty.  The two orders about evacuations name a failure
+ * domain in preset_name; see Cfg_IsEvacuation. */
 typedef enum {
-    Cfg_PUT_PRESET,      /* add a preset, or replace the one of that name */
-    Cfg_USE_PRESET,      /* put a stored preset in force */
-    Cfg_REPLACE_ROUTING, /* replace the whole routing */
-    Cfg_PATCH_ROUTING,   /* change named items of the routing */
+    Cfg_PUT_PRESET,       /* add a preset, or replace the one of that name */
+    Cfg_USE_PRESET,       /* put a stored preset in force */
+    Cfg_REPLACE_ROUTING,  /* replace the whole routing */
+    Cfg_PATCH_ROUTING,    /* change named items of the routing */
+    Cfg_START_EVACUATION, /* send nothing more to a failure domain */
+    Cfg_END_EVACUATION,   /* withdraw that */
     Cfg_VERBS
 } ConfigVerb;
 
@@ -74,6 +79,7 @@
     Cfg_REASON_TOO_MANY_PRESETS, /* Cfg_PRESETS_MAX presets are stored */
     Cfg_REASON_ID_REUSED,        /* another change has the same id */
     Cfg_REASON_INVALID_ROUTING,  /* the resulting routing is not valid */
+    Cfg_REASON_TOO_MANY_DOMAINS, /* Cfg_EVACUATIONS_MAX are evacuated */
     Cfg_REASONS
 } ConfigRejectReason;
 
@@ -100,6 +106,13 @@
     ConfigVersion changed_in; /* version that its last change made */
 } StoredPreset;
 
+/* The last order about one failure domain that changed anything. */
+typedef struct {
+    StrBuf domain;
+    bool is_ended; /* it was the end: kept to tell late orders */
+    ConfigVersion changed_in;
+} Evacuation;
+
 /* A decided change, kept to answer a repeated one and to name the winner of a
  * conflict. */
 typedef struct {
@@ -118,9 +131,12 @@
 typedef struct {
     StoredPreset presets[Cfg_PRESETS_MAX];
     uint32_t preset_count;
-    int32_t in_force_index;    /* in presets; -1: no preset is in force yet */
-    ConfigVersion version;     /* of the last accepted change */
-    uint64_t routing_revision; /* of the preset in force; 0: no routing */
+    int32_t in_force_index; /* in presets; -1: no preset is in force yet */
+    ConfigVersion version;  /* of the last accepted change */
+    ConfigVersion preset_version; /* of the last one that was no evacuation */
+    Evacuation evacuations[Cfg_EVACUATIONS_MAX];
+    uint32_t evacuation_count;
+    uint64_t routing_revision;      /* of the preset in force; 0: no routing */
     ConfigVersion dropped_base_max; /* highest base_version of a dropped
                                        record of a preset change */
     uint64_t dropped_revision_max;  /* highest base revision of a dropped
@@ -147,6 +163,28 @@
 /* Whether CHANGE edits the routing of the preset in force. */
 bool Cfg_IsRoutingChange(const ConfigChange *change);
 
+/* Whether CHANGE starts or ends the evacuation of a failure domain.
+ *
+ * Such an order has no id: sent again it has the same effect, so no outcome is
+ * kept.  Its base_version is the newest version that the node knew when the
+ * operator's request came there.  An order on a base that is older than the
+ * last order about the same failure domain, and would undo that, came late: it
+ * is a conflict.  An order that changes the state makes a version, as any
+ * accepted change does, but is no conflict with changes of presets on an
+ * earlier base. */
+bool Cfg_IsEvacuation(const ConfigChange *change);
+
+/* Decides a committed order about an evacuation.  For Cfg_ApplyChange. */
+void Cfg_ApplyEvacuation(ConfigState *cfg, const ConfigChange *change,
+                         ConfigVersion version, ConfigResult *result);
+
+/* Appends the names of the evacuated failure domains to OUT, each followed by
+ * a newline. */
+void Cfg_ListEvacuated(const ConfigState *cfg, StrBuf *out);
+
+/* Whether LIST, as above, has DOMAIN. */
+bool Cfg_IsListed(Str list, Str domain);
+
 /* Computes the JSON of the preset in force after the routing change CHANGE,
  * and checks that whole preset.  The result goes to JSON; CFG is not changed.
  * Returns false and adds to FINDINGS when the change is not valid or no preset
@@ -154,8 +192,9 @@
 bool Cfg_ReviseRouting(const ConfigState *cfg, const ConfigChange *change,
                        StrBuf *json, FindingList *findings);
 
-/* Whether CHANGE can be judged yet.  A routing change cannot before the first
- * preset is in force: that comes soon after the first leader. */
+/* Whether CHANGE can be judged yet.  A routing change or an evacuation cannot
+ * before the first preset is in force: that comes soon after the first leader.
+ */
 bool Cfg_CanJudge(const ConfigState *cfg, const ConfigChange *change);
 
 /* Decides the committed CHANGE and records its outcome.  An accepted change
@@ -177,8 +216,9 @@
 /* NULL before the first preset is accepted. */
 const StoredPreset *Cfg_PresetInForce(const ConfigState *cfg);
 
-/* The name of VERB for operators ("put", "use", "route", "route-patch"), and
- * back; Cfg_ParseVerb returns false for an unknown name. */
+/* The name of VERB for operators ("put", "use", "route", "route-patch",
+ * "evacuate", "evacuate-end"), and back; Cfg_ParseVerb returns false for an
+ * unknown name. */
 Str Cfg_VerbName(ConfigVerb verb);
 bool Cfg_ParseVerb(Str name, ConfigVerb *verb);
 
--- a/src/version/configpack.c
+++ b/src/version/configpack.c
@@ -1,7 +1,12 @@
 #include "value/mem.h"
 #include "version/config.h"
 
-enum { STATE_FIELDS = 9, PRESET_FIELDS = 4, RECORD_FIELDS = 12 };
+enum {
+    STATE_FIELDS = 12,
+    PRESET_FIELDS = 4,
+    RECORD_FIELDS = 12,
+    EVACUATION_FIELDS = 4
+};
 
 void
 Cfg_PackChange(Pack *pack, const ConfigChange *change)
@@ -77,6 +82,15 @@
     Pack_U64(pack, record->reason);
 }
 
+static void
+pack_evacuation(Pack *pack, const Evacuation *evacuation)
+{
+    Pack_Array(pack, EVACUATION_FIELDS);
+    Pack_Str(pack, StrBuf_View(&evacuation->domain));
+    Pack_Bool(pack, evacuation->is_ended);
+    pack_version(pack, evacuation->changed_in);
+}
+
 void
 Cfg_Serialize(const ConfigState *cfg, StrBuf *out)
 {
@@ -97,6 +111,11 @@
         pack_record(&pack,
                     &cfg->records[(cfg->record_first + i) % Cfg_RECORDS_MAX]);
     }
+    pack_version(&pack, cfg->preset_version);
+    Pack_Array(&pack, cfg->evacuation_count);
+    for (uint32_t i = 0; i < cfg->evacuation_count; i++) {
+        pack_evacuation(&pack, &cfg->evacuations[i]);
+    }
     StrBuf_Append(out, Pack_View(&pack));
     Pack_Finish(&pack);
 }
@@ -132,6 +151,41 @@
     return Unpack_Ok(&in, NULL);
 }
 
+static bool
+unpack_evacuation(Unpack *list, Evacuation *evacuation)
+{
+    Unpack in;
+
+    Unpack_Array(list, EVACUATION_FIELDS, &in);
+    StrBuf_Set(&evacuation->domain,
+               unpack_bounded_str(&in, Cfg_NAME_BYTES_MAX));
+    evacuation->is_ended = Unpack_Bool(&in);
+    evacuation->changed_in = unpack_version(&in);
+    return Unpack_Ok(&in, NULL);
+}
+
+/* An older program stored a state without evacuations. */
+static bool
+unpack_evacuations(Unpack *in, ConfigState *cfg)
+{
+    Unpack list;
+    uint32_t count;
+
+    cfg->preset_version = cfg->version;
+    if (!Unpack_HasMore(in)) {
+        return true;
+    }
+    cfg->preset_version = unpack_version(in);
+    count = Unpack_Array(in, Cfg_EVACUATIONS_MAX, &list);
+    for (uint32_t i = 0; i < count; i++) {
+        if (!unpack_evacuation(&list, &cfg->evacuations[i])) {
+            return false;
+        }
+    }
+    cfg->evacuation_count = count;
+    return true;
+}
+
 static bool
 unpack_state(Unpack *in, ConfigState *cfg)
 {
@@ -162,7 +216,7 @@
         }
     }
     cfg->record_count = count;
-    return Unpack_Ok(in, NULL);
+    return unpack_evacuations(in, cfg) && Unpack_Ok(in, NULL);
 }
 
 bool
--- a/src/version/regionmask.h
+++ b/src/version/regionmask.h
@@ -1,9 +1,10 @@
-/* Rgm: sets of regions, as bit masks of region numbers.
+/* Rgm: sets of regions, or of failure domains, as bit masks of their numbers.
  *
  * A route or a client account may be bound to regions: its calls run nowhere
  * else, and their bodies are sent to no node elsewhere.  The ingress node
  * computes once for each call which regions are barred to it, and all choices
  * of a node test the mask.  That no bit is set means that the call is free.
+ * Which failure domains are evacuated is such a mask too.
  */
 #ifndef REGIONMASK_H
 #define REGIONMASK_H
@@ -14,7 +15,10 @@
 /* Bit N: the region of number N (see settings.h). */
 typedef uint64_t RegionMask;
 
-/* Region numbers are below this. */
+/* Bit N: the failure domain of index N in the settings. */
+typedef uint64_t DomainMask;
+
+/* The numbers of regions and of failure domains are below this. */
 enum { Rgm_REGIONS_MAX = 64 };
 
 static inline RegionMask
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -277,7 +277,15 @@
 static void
 pack_version(Pack *pack)
 {
-    VersionMessage msg = {true, Span_MS(30), 4000, 77, version, Str_LIT("{}")};
+    VersionMessage msg = {
+        .is_current = true,
+        .age = Span_MS(30),
+        .request_sent_at = 4000,
+        .leader = 77,
+        .version = version,
+        .json = Str_LIT("{}"),
+        .evacuated = Str_LIT("norte-a\n"),
+    };
 
     Configmsg_PackVersion(pack, &msg);
 }
@@ -290,6 +298,7 @@
 
     if (good) {
         Sample_Touch(msg.json);
+        Sample_Touch(msg.evacuated);
     }
     return good;
 }
@@ -327,6 +336,7 @@
         .items = {{Str_LIT("ordinary"), version}, {Str_LIT("peak"), version}},
         .count = 2,
         .json = Str_LIT("{}"),
+        .evacuated = Str_LIT("norte-a\n"),
         .nodes = {nodes, 2},
     };
 
