Bound the requests that a backend server gets while it may be cold

Cause: nothing knew that a backend server was cold; after a loss of power all free slots were used at once, and servers fell over. The node beside it counts all starts in the last second since it was last proved warm (process/admission/coldrate.h); health answers and announcements tell.

--- a/src/connection/backend.h
+++ b/src/connection/backend.h
@@ -55,6 +55,7 @@
     Str expected_instance; /* the only instance that may run it */
     Str not_run;           /* in an answer: the request did not run */
     Str load;              /* in an answer: the backend server's own load */
+    Str cold; /* in an answer about its health: how long it stays cold */
 } BackendHeaderNames;
 
 typedef struct BackendExchange BackendExchange;
--- a/src/connection/loadquery.c
+++ b/src/connection/loadquery.c
@@ -6,6 +6,8 @@
 /* Pause after an answer without a load, or after no answer. */
 #define PAUSE_WITHOUT_LOAD Span_S(2)
 
+enum { COLD_MS_MAX = 3600 * 1000 };
+
 void
 Ldq_Init(LoadQuery *query, BackendPool *pool,
          void (*done)(void *context, Instant now), void *context)
@@ -28,12 +30,34 @@
     StrBuf_Set(&query->path, path);
 }
 
+bool
+Ldq_TellsCold(const LoadQuery *query)
+{
+    return query->path.len && query->pool->header_names.load.len &&
+           query->pool->header_names.cold.len;
+}
+
+/* A good answer without the field is one of a server that is not cold. */
+static void
+read_cold_word(LoadQuery *query, uint16_t status, const FieldList *fields)
+{
+    Str text = Str_Trim(Field_Get(fields, query->pool->header_names.cold));
+    uint64_t left_ms = 0;
+
+    query->has_cold_word =
+        text.len ? Str_ToU64(text, &left_ms) && left_ms <= COLD_MS_MAX
+                 : status / 100 == 2;
+    query->cold_left = Span_MS((int64_t)left_ms);
+}
+
 static void
 on_head(void *context, uint16_t status, const FieldList *fields)
 {
     LoadQuery *query = context;
 
-    (void)status;
+    if (query->pool->header_names.cold.len) {
+        read_cold_word(query, status, fields);
+    }
     query->got_load =
         Field_Get(fields, query->pool->header_names.load).len > 0;
 }
@@ -79,6 +103,8 @@
     }
     Field_Add(&request.fields, Str_LIT("Host"), Str_LIT("backend"));
     query->got_load = false;
+    query->has_cold_word = false;
+    query->asked_at = now;
     query->exchange = Bck_Start(query->pool, &request, &callbacks);
     return query->exchange != NULL;
 }
--- a/src/process/admission/admission.c
+++ b/src/process/admission/admission.c
@@ -221,6 +221,52 @@
     return 1 + (uint32_t)((slots - 1) * (uint64_t)age / (uint64_t)ramp);
 }
 
+void
+Adm_OpenColdRate(AdmissionController *controller, Instant now)
+{
+    Cld_Init(&controller->cold, now);
+    notify_observer(controller, &(AdmissionEvent){.kind = Adm_EVENT_COLD_OPEN,
+                                                  .time = now});
+}
+
+void
+Adm_SetColdBound(AdmissionController *controller, uint32_t limit,
+                 bool is_asked)
+{
+    Cld_SetBound(&controller->cold, limit, is_asked);
+    notify_observer(controller, &(AdmissionEvent){.kind = Adm_EVENT_COLD_BOUND,
+                                                  .args = {limit, is_asked}});
+}
+
+void
+Adm_OnColdWord(AdmissionController *controller, Instant as_of, Span left,
+               Instant now)
+{
+    if (left > 0) {
+        Cld_OnCold(&controller->cold, left, now);
+    }
+    else {
+        Cld_OnWarm(&controller->cold, as_of);
+    }
+    notify_observer(
+        controller,
+        &(AdmissionEvent){Adm_EVENT_COLD_WORD, now, {as_of, left}, 0});
+}
+
+bool
+Adm_NeedsColdWord(AdmissionController *controller, Instant now)
+{
+    return Cld_NeedsWord(&controller->cold, now);
+}
+
+void
+Adm_OnRepeat(AdmissionController *controller, Instant now)
+{
+    Cld_OnStart(&controller->cold, now);
+    notify_observer(controller,
+                    &(AdmissionEvent){.kind = Adm_EVENT_REPEAT, .time = now});
+}
+
 static uint32_t
 count_slots_below_reserve(uint32_t slots)
 {
@@ -249,8 +295,9 @@
 }
 
 static void
-count_start(AdmissionController *controller)
+count_start(AdmissionController *controller, Instant now)
 {
+    Cld_OnStart(&controller->cold, now);
     controller->running++;
     controller->starts_below_reserve =
         controller->running >
@@ -277,21 +324,26 @@
 }
 
 static Span
-estimate_wait(const AdmissionController *controller, RequestClass cls,
-              Instant now)
+estimate_wait(AdmissionController *controller, RequestClass cls, Instant now)
 {
     uint32_t ahead = cls == Adm_INTERACTIVE
                          ? controller->queued[Adm_INTERACTIVE]
                          : count_queued(controller);
     uint32_t slots = count_available_slots(controller, now);
+    Span for_slot =
+        slots ? (Span)(controller->service_us * (ahead + 1) / slots) : 0;
+    Span for_cold = Cld_EstimateWait(&controller->cold, ahead, now);
 
-    return slots ? (Span)(controller->service_us * (ahead + 1) / slots) : 0;
+    return for_cold > for_slot ? for_cold : for_slot;
 }
 
 static bool
-can_start(const AdmissionController *controller,
-          const AdmissionRequest *request, Instant now)
+can_start(AdmissionController *controller, const AdmissionRequest *request,
+          Instant now)
 {
+    if (!Cld_MayStart(&controller->cold, now)) {
+        return false;
+    }
     if (request->nested) {
         return controller->running < count_available_slots(controller, now);
     }
@@ -321,7 +373,7 @@
         return Adm_REFUSE_SLOW;
     }
     if (can_start(controller, request, now)) {
-        count_start(controller);
+        count_start(controller, now);
         return Adm_RUN;
     }
     if (request->misses_objective || is_queue_full(controller, request->cls) ||
@@ -336,11 +388,12 @@
 }
 
 bool
-Adm_TakesRepeat(const AdmissionController *controller, bool may_still_run,
+Adm_TakesRepeat(AdmissionController *controller, bool may_still_run,
                 Instant now)
 {
     if (!controller->backend_present || is_closed(controller) ||
-        controller->next_trial_at || Adm_IsBackendSlow(controller, now)) {
+        controller->next_trial_at || !Cld_MayStart(&controller->cold, now) ||
+        Adm_IsBackendSlow(controller, now)) {
         return false;
     }
     /* One that runs no more starts in the slot that it was given. */
@@ -458,7 +511,8 @@
 {
     if (!controller->backend_present ||
         controller->running >= count_usable_slots(controller, now) ||
-        Adm_IsBackendSlow(controller, now)) {
+        Adm_IsBackendSlow(controller, now) ||
+        !Cld_MayStart(&controller->cold, now)) {
         return false;
     }
     if (controller->queued[Adm_INTERACTIVE]) {
@@ -471,7 +525,7 @@
         return false;
     }
     controller->queued[*cls]--;
-    count_start(controller);
+    count_start(controller, now);
     notify_observer(controller, &(AdmissionEvent){.kind = Adm_EVENT_START_NEXT,
                                                   .time = now,
                                                   .outcome = *cls});
@@ -504,22 +558,42 @@
 }
 
 bool
-Adm_StartSuspect(AdmissionController *controller)
+Adm_StartSuspect(AdmissionController *controller, Instant now)
 {
     if (!controller->backend_present || !controller->exclusive ||
-        controller->running) {
+        controller->running || !Cld_MayStart(&controller->cold, now)) {
         return false;
     }
     Adm_OnSuspectCancel(controller);
+    Cld_OnStart(&controller->cold, now);
     controller->running++;
     return true;
 }
 
+/* The slots to report.  A cold backend server is reported with those that its
+ * rate can keep in use. */
+static uint32_t
+count_reported_slots(const AdmissionController *controller, Instant now)
+{
+    uint32_t slots = controller->settings.slots;
+    double in_use =
+        controller->cold.limit * controller->service_us / (double)Span_S(1);
+
+    if (!controller->backend_present) {
+        return 0;
+    }
+    if (!Cld_IsCold(&controller->cold, now) || controller->service_us <= 0 ||
+        in_use >= slots) {
+        return slots;
+    }
+    return in_use < 1 ? 1 : (uint32_t)in_use;
+}
+
 LoadReport
 Adm_GetMemberReport(const AdmissionController *controller, Instant now)
 {
     return (LoadReport){
-        .slots = controller->backend_present ? controller->settings.slots : 0,
+        .slots = count_reported_slots(controller, now),
         .running = controller->running,
         .queued = count_queued(controller),
         .service_us = (uint32_t)controller->service_us,
@@ -609,6 +683,18 @@
     case Adm_EVENT_EVACUATED:
         Adm_SetEvacuated(controller, args[0] != 0);
         break;
+    case Adm_EVENT_COLD_OPEN:
+        Adm_OpenColdRate(controller, event->time);
+        break;
+    case Adm_EVENT_COLD_BOUND:
+        Adm_SetColdBound(controller, (uint32_t)args[0], args[1] != 0);
+        break;
+    case Adm_EVENT_COLD_WORD:
+        Adm_OnColdWord(controller, args[0], args[1], event->time);
+        break;
+    case Adm_EVENT_REPEAT:
+        Adm_OnRepeat(controller, event->time);
+        break;
     case Adm_EVENT_COUNT:
         break;
     }
--- a/src/process/admission/admission.h
+++ b/src/process/admission/admission.h
@@ -16,6 +16,7 @@
 #ifndef ADMISSION_H
 #define ADMISSION_H
 
+#include "process/admission/coldrate.h"
 #include "process/admission/knee.h"
 #include "value/instant.h"
 #include "value/load.h"
@@ -86,6 +87,10 @@
     Adm_EVENT_START_NEXT,   /* outcome: the class that starts */
     Adm_EVENT_PACE_REPORT,  /* pace */
     Adm_EVENT_EVACUATED,    /* evacuated */
+    Adm_EVENT_COLD_OPEN,    /* - */
+    Adm_EVENT_COLD_BOUND,   /* limit, is_asked */
+    Adm_EVENT_COLD_WORD,    /* as_of, left */
+    Adm_EVENT_REPEAT,       /* - */
     Adm_EVENT_COUNT
 } AdmissionEventKind;
 
@@ -128,6 +133,7 @@
     Instant pace_reported_at; /* 0: never */
     double mean_pace;         /* of the last seconds */
     KneeDetector knee;
+    ColdRate cold; /* starts while the backend server may be cold */
     /* starts since the last one on a reserved slot */
     uint32_t starts_below_reserve;
 } AdmissionController;
@@ -167,9 +173,29 @@
 /* True when the backend server would now be sent an attempt that was started
  * before: it takes work and has a slot.  MAY_STILL_RUN: the attempt may still
  * run there, and needs a second slot. */
-bool Adm_TakesRepeat(const AdmissionController *controller, bool may_still_run,
+bool Adm_TakesRepeat(AdmissionController *controller, bool may_still_run,
                      Instant now);
 
+/* An attempt that was started before is sent to the backend server again. */
+void Adm_OnRepeat(AdmissionController *controller, Instant now);
+
+/* This process starts at NOW: what was sent to the backend server before is
+ * not known (see coldrate.h).  Without this, nothing was sent. */
+void Adm_OpenColdRate(AdmissionController *controller, Instant now);
+
+/* Sets how many requests may start in a second while the backend server may be
+ * cold; 0: any number.  IS_ASKED: it can be asked whether it is. */
+void Adm_SetColdBound(AdmissionController *controller, uint32_t limit,
+                      bool is_asked);
+
+/* The backend server said that it stays cold for LEFT; 0: that it is not cold.
+ * AS_OF: when it was asked, or when the word came unasked. */
+void Adm_OnColdWord(AdmissionController *controller, Instant as_of, Span left,
+                    Instant now);
+
+/* True when it should be asked whether it is cold before more starts. */
+bool Adm_NeedsColdWord(AdmissionController *controller, Instant now);
+
 /* The backend server reported the present duration of work there. */
 void Adm_OnPaceReport(AdmissionController *controller,
                       const BackendLoad *report, Instant now);
@@ -207,7 +233,7 @@
 
 /* Returns true when the first queued suspect is to start now, that is in
  * exclusive mode with nothing running; it is counted as running already. */
-bool Adm_StartSuspect(AdmissionController *controller);
+bool Adm_StartSuspect(AdmissionController *controller, Instant now);
 
 /* A queued suspect was removed without running. */
 void Adm_OnSuspectCancel(AdmissionController *controller);
--- a/src/process/membership/announce.c
+++ b/src/process/membership/announce.c
@@ -7,7 +7,12 @@
 /* A node whose last check is so long ago did not run itself. */
 #define OWN_PAUSE_MIN Span_MS(100)
 
-enum { SLOTS_MAX = 10000, SERVICE_BYTES_MAX = 64, ID_BYTES_MAX = 128 };
+enum {
+    SLOTS_MAX = 10000,
+    SERVICE_BYTES_MAX = 64,
+    ID_BYTES_MAX = 128,
+    COLD_MS_MAX = 3600 * 1000
+};
 
 static bool
 parse_announcement(Str body, Announcement *announcement, FindingList *findings)
@@ -86,6 +91,9 @@
     Bck_SetAddr(receiver->pool, addr, announcement->presence.id);
     Adm_OnAnnounce(receiver->admission, announcement->slots,
                    announcement->draining, now);
+    if (announcement->cold_left) {
+        Adm_OnColdWord(receiver->admission, now, announcement->cold_left, now);
+    }
     if (changed) {
         receiver->on_change(receiver->context, now);
     }
@@ -188,6 +196,8 @@
     announcement->presence.sequence =
         (uint64_t)Jsn_GetInt(&o, Str_LIT("sequence"), 0, INT64_MAX, 0);
     announcement->presence.draining = announcement->draining;
+    announcement->cold_left =
+        Span_MS(Jsn_GetInt(&o, Str_LIT("cold_ms"), 0, COLD_MS_MAX, 0));
     if (announcement->slots == 0) {
         Jsn_AddFinding(&o, Str_LIT("slots"), Str_LIT("missing"),
                        Str_LIT("requests that it runs at a time"));
--- a/src/process/membership/announce.h
+++ b/src/process/membership/announce.h
@@ -7,12 +7,13 @@
  *
  * A backend server that identifies its starts posts {"service", "address",
  * "slots", "state", "sequence", "born"} to /v1/backends/announce?id=ID
- * instead, and posts {"born"} to /v1/backends/leave?id=ID before it stops;
- * further members of these objects are ignored.  That it drains or leaves is
- * acknowledged with 200 once a majority of the control replicas has recorded
- * it, and answered 503 when that takes too long; this node sends it nothing
- * more from the start.  Until a node that starts has read what the replicas
- * recorded, it holds the latest announcement back.
+ * instead, with "cold_ms" while it is cold, and posts {"born"} to
+ * /v1/backends/leave?id=ID before it stops; further members of these objects
+ * are ignored.  That it drains or leaves is acknowledged with 200 once a
+ * majority of the control replicas has recorded it, and answered 503 when that
+ * takes too long; this node sends it nothing more from the start.  Until a
+ * node that starts has read what the replicas recorded, it holds the latest
+ * announcement back.
  *
  * An announcement whose service the preset in force doesn't name may come from
  * another writer.  It changes nothing, unless it is of the current start and
@@ -43,6 +44,7 @@
     uint16_t port;
     uint32_t slots;
     bool draining;
+    Span cold_left; /* how long it stays cold; of /v1/backends/announce */
     PresenceAnnouncement presence; /* of /v1/backends/announce only */
 } Announcement;
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -456,6 +456,7 @@
         .expected_instance = StrBuf_View(&names->expect_instance),
         .not_run = StrBuf_View(&names->not_run),
         .load = StrBuf_View(&names->load),
+        .cold = StrBuf_View(&names->cold),
     };
 }
 
@@ -480,6 +481,7 @@
         Adm_SetObserver(&node->admission, Rec_OnAdmission,
                         &node->admission_recorder);
     }
+    Adm_OpenColdRate(&node->admission, Loop_Now());
     Bck_PoolInit(&node->pool, node->loop.base, Loop_Now, &names);
     Bck_SetLoadCallback(&node->pool, on_load_report, node);
     Ann_Init(&node->announcements, settings, &node->logger, &node->admission,
@@ -508,6 +510,7 @@
     }
     Run_SetBackendLostCallback(&node->runner, on_backend_lost, node);
     node->runner.own_pause = &node->own_pause;
+    node->runner.cold_bounds = settings->cold;
     node->dispatcher.own_pause = &node->own_pause;
     node->dispatcher.enclosing_run_context = &node->runner;
     node->dispatcher.has_enclosing_run = has_enclosing_run;
--- a/src/process/observe/recorder.c
+++ b/src/process/observe/recorder.c
@@ -49,6 +49,10 @@
         [Adm_EVENT_START_NEXT] = Str_LIT("next"),
         [Adm_EVENT_PACE_REPORT] = Str_LIT("said"),
         [Adm_EVENT_EVACUATED] = Str_LIT("evacuated"),
+        [Adm_EVENT_COLD_OPEN] = Str_LIT("cold_open"),
+        [Adm_EVENT_COLD_BOUND] = Str_LIT("cold_bound"),
+        [Adm_EVENT_COLD_WORD] = Str_LIT("cold_word"),
+        [Adm_EVENT_REPEAT] = Str_LIT("repeat"),
     };
 
     return kind < Adm_EVENT_COUNT ? names[kind] : (Str){0};
--- a/src/process/settings/setheaders.c
+++ b/src/process/settings/setheaders.c
@@ -33,6 +33,7 @@
     read_field_name(&fields, Str_LIT("origin_value"), (Str){0},
                     &names->origin_value);
     read_field_name(&fields, Str_LIT("account"), (Str){0}, &names->account);
+    read_field_name(&fields, Str_LIT("cold"), (Str){0}, &names->cold);
     Jsn_Leave(&fields);
     json_decref(empty);
 }
@@ -49,4 +50,5 @@
     StrBuf_Finish(&names->origin_service);
     StrBuf_Finish(&names->origin_value);
     StrBuf_Finish(&names->account);
+    StrBuf_Finish(&names->cold);
 }
--- a/src/process/settings/settings.h
+++ b/src/process/settings/settings.h
@@ -46,6 +46,8 @@
     StrBuf origin_service; /* service of the VM where the request began */
     StrBuf origin_value;   /* value that comes with origin_service */
     StrBuf account;        /* the client account, for backend servers */
+    StrBuf cold; /* in an answer about its health: for how many milliseconds
+                    the backend server stays cold */
 } HeaderFieldNames;
 
 /* By how much the calls of an account may exceed its limit in any window. */
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -379,7 +379,7 @@
     /* Other attempts stop starting once a queued suspect may start. */
     Adm_SetExclusive(runner->admission,
                      running || (attempt && now >= runner->next_exclusive_at));
-    if (attempt && Adm_StartSuspect(runner->admission)) {
+    if (attempt && Adm_StartSuspect(runner->admission, now)) {
         Run_StartExchange(attempt, now);
     }
 }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -69,10 +69,11 @@
                                credits, and wait for their callers elsewhere */
     Instant last_call_at; /* when a Wire_CALL message came last; 0: never */
     const OwnPause *own_pause;
-    Instant ticked_at;     /* last Run_Tick; 0: none yet */
-    Instant resumed_at;    /* end of this node's last own pause; 0: none */
-    Instant last_piece_at; /* when a piece of an answer was sent last; 0:
-                              never */
+    ColdBounds cold_bounds; /* set by the node */
+    Instant ticked_at;      /* last Run_Tick; 0: none yet */
+    Instant resumed_at;     /* end of this node's last own pause; 0: none */
+    Instant last_piece_at;  /* when a piece of an answer was sent last; 0:
+                               never */
 } AttemptRunner;
 
 /* Registers the handlers of Wire_CALL, Wire_CANCEL, Wire_CREDIT and
--- a/src/request/runexchange.c
+++ b/src/request/runexchange.c
@@ -96,7 +96,11 @@
 {
     const AttemptRunner *runner = context;
 
-    return Adm_TakesRepeat(runner->admission, may_still_run, now);
+    if (!Adm_TakesRepeat(runner->admission, may_still_run, now)) {
+        return false;
+    }
+    Adm_OnRepeat(runner->admission, now);
+    return true;
 }
 
 /* Returns the time without an answer over a reused connection after which the
