--- a/tools/fake_server.c
+++ b/tools/fake_server.c
@@ -88,6 +88,24 @@
     evhttp_send_reply(request, err.code ? 400 : 200, NULL, NULL);
 }
 
+/* Adds the load, and how long the cold period lasts, to the header of an
+ * answer to a question about it. */
+static void
+add_load_fields(const FakeServer *fake, struct evhttp_request *request)
+{
+    struct evkeyvalq *fields = evhttp_request_get_output_headers(request);
+    Span left = fake->started_at + fake->knobs.cold_period_us - Loop_Now();
+    StrBuf text = {0};
+
+    StrBuf_AppendFmt(&text, "%d,%d,%d", (int)fake->running_count,
+                     (int)fake->waiting_count, (int)fake->knobs.slots);
+    evhttp_add_header(fields, "Fake-Load", StrBuf_CStr(&text));
+    StrBuf_Clear(&text);
+    StrBuf_AppendFmt(&text, "%d", left > 0 ? (int)(left / Span_MS(1)) : 0);
+    evhttp_add_header(fields, "Fake-Cold-Ms", StrBuf_CStr(&text));
+    StrBuf_Finish(&text);
+}
+
 static void
 on_load(struct evhttp_request *request, void *context)
 {
@@ -95,6 +113,8 @@
     struct evbuffer *out = evbuffer_new();
     bool hide_load = fake->knobs.hide_load;
 
+    add_load_fields(fake, request);
+
     evbuffer_add_printf(out, "{\"running\":%d,\"waiting\":%d,\"slots\":%d}\n",
                         hide_load ? 0 : (int)fake->running_count,
                         hide_load ? 0 : (int)fake->waiting_count,
