--- a/src/process/cli/cli.h
+++ b/src/process/cli/cli.h
@@ -37,6 +37,7 @@
     size_t node_count;
     StrBuf key; /* operators' key; empty: none given */
     bool json;  /* print JSON */
+    bool ends;  /* withdraw the order instead of giving it */
     bool has_base_version;
     ConfigVersion base_version; /* that a change builds on */
     StrBuf change_id;           /* empty: one is generated */
@@ -105,6 +106,10 @@
 /* Puts the preset NAME in force. */
 CliStatus Cli_UsePreset(Cli *cli, Str name);
 
+/* Evacuates the failure domain DOMAIN, or with cli->ends ends that.  With
+ * cli->wait, then waits until that is in force everywhere. */
+CliStatus Cli_Evacuate(Cli *cli, Str domain);
+
 /* The requests that are blamed for losses of backend servers. */
 CliStatus Cli_ListSuspects(Cli *cli);
 
--- a/src/process/cli/cli_main.c
+++ b/src/process/cli/cli_main.c
@@ -25,6 +25,7 @@
     struct arg_file *key_file;
     struct arg_str *base;
     struct arg_str *id;
+    struct arg_lit *ends;
     struct arg_int *wait;
     struct arg_int *timeout;
     struct arg_str *since;
@@ -106,6 +107,14 @@
      NULL,
      Cli_UsePreset,
      1},
+    {{Str_LIT("evacuate")},
+     1,
+     Str_LIT("DOMAIN"),
+     Str_LIT("send nothing more to a failure domain (--end: again)"),
+     false,
+     NULL,
+     Cli_Evacuate,
+     1},
     {{Str_LIT("suspects")},
      1,
      {0},
@@ -348,6 +357,7 @@
         cli->words[cli->word_count++] = Str_FromC(args->words->sval[i]);
     }
     cli->json = args->json->count > 0;
+    cli->ends = args->ends->count > 0;
     return read_nodes(cli, args) && read_key(cli, args) &&
            read_numbers(cli, args) && read_change_options(cli, args);
 }
@@ -423,6 +433,7 @@
                      "version that a change is based on (default: newest)"),
         .id = arg_str0(NULL, "id", "ID",
                        "change id; reuse it to send the same change again"),
+        .ends = arg_lit0(NULL, "end", "end an evacuation"),
         .wait = arg_int0(NULL, "wait", "S",
                          "wait up to S seconds until in force everywhere"),
         .timeout = arg_int0(NULL, "timeout", "S",
@@ -435,9 +446,9 @@
         .end = arg_end(8),
     };
     void *table[] = {args.help,     args.version, args.json,  args.node,
-                     args.key_file, args.base,    args.id,    args.wait,
-                     args.timeout,  args.since,   args.limit, args.words,
-                     args.end};
+                     args.key_file, args.base,    args.id,    args.ends,
+                     args.wait,     args.timeout, args.since, args.limit,
+                     args.words,    args.end};
     int errors = arg_parse(argc, argv, table);
     CliStatus status;
 
--- a/src/process/cli/cli_status.c
+++ b/src/process/cli/cli_status.c
@@ -60,6 +60,24 @@
     }
 }
 
+/* Whether the failure domain DOMAIN is evacuated. */
+static bool
+is_evacuated(const json_t *versions, Str domain)
+{
+    size_t index;
+    const json_t *item;
+
+    json_array_foreach(json_object_get(versions, "evacuated"), index, item)
+    {
+        if (Str_Equal(
+                Str_From(json_string_value(item), json_string_length(item)),
+                domain)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 print_member(const json_t *member, const json_t *versions)
 {
@@ -72,7 +90,10 @@
            Str_ARG(Cli_GetText(member, "failure_domain")),
            Str_ARG(Cli_GetText(member, "service")),
            get_number(member, "slots"), get_number(member, "running"),
-           get_number(member, "queued"), Str_ARG(text), describe_state(member),
+           get_number(member, "queued"), Str_ARG(text),
+           is_evacuated(versions, Cli_GetText(member, "failure_domain"))
+               ? "evacuated"
+               : describe_state(member),
            json_is_true(json_object_get(member, "control"))
                ? ", control replica"
                : "");
@@ -134,6 +155,34 @@
     print_gone(stdout, versions);
 }
 
+/* Prints the evacuated failure domains, and what still runs or waits there by
+ * the last word of each node. */
+static void
+print_evacuated(const json_t *status, const json_t *versions)
+{
+    size_t i;
+    const json_t *item;
+
+    json_array_foreach(json_object_get(versions, "evacuated"), i, item)
+    {
+        Str domain =
+            Str_From(json_string_value(item), json_string_length(item));
+        json_int_t left = 0;
+        size_t j;
+        const json_t *member;
+        json_array_foreach(json_object_get(status, "members"), j, member)
+        {
+            if (Str_Equal(Cli_GetText(member, "failure_domain"), domain)) {
+                left += get_number(member, "running") +
+                        get_number(member, "queued");
+            }
+        }
+        printf("%.*s is evacuated, %" JSON_INTEGER_FORMAT
+               " requests are still there\n",
+               Str_ARG(domain), left);
+    }
+}
+
 static void
 print_status(const json_t *status, const json_t *versions)
 {
@@ -148,6 +197,7 @@
         print_member(member, versions);
     }
     print_versions(versions);
+    print_evacuated(status, versions);
 }
 
 static CliStatus
--- a/src/process/control/configapi_evacuation.c
+++ b/src/process/control/configapi_evacuation.c
@@ -48,6 +48,10 @@
     ConfigRequest *pending;
     StrBuf domain = {0};
 
+    if (evhttp_request_get_command(request) != EVHTTP_REQ_POST) {
+        return (OperatorAnswer){
+            405, Configjson_Outcome(Str_LIT("refused"), Str_LIT("a POST"))};
+    }
     read_domain(request, &domain);
     if (!is_domain(api->settings, StrBuf_View(&domain))) {
         StrBuf_Finish(&domain);
--- a/tests/integration/test_places.c
+++ b/tests/integration/test_places.c
@@ -300,14 +300,17 @@
 END_TEST
 
 typedef struct {
+    const char *method;
     const char *path;
     int status;
 } OrderCase;
 
 static const OrderCase orders[] = {
-    {"/v1/evacuations/start?domain=norte-c", 404},
-    {"/v1/evacuations/start", 404},
-    {"/v1/evacuations/end?domain=norte-b", 200}, /* there is none: repeated */
+    {"GET", "/v1/evacuations/start?domain=norte-b", 405},
+    {"POST", "/v1/evacuations/start?domain=norte-c", 404},
+    {"POST", "/v1/evacuations/start", 404},
+    {"POST", "/v1/evacuations/end?domain=norte-b",
+     200}, /* there is none: repeated */
 };
 
 START_TEST(answers_orders)
@@ -317,7 +320,7 @@
     OpsAnswer answer;
 
     start_fleet(&fleet, "", "");
-    Ops_ReadAnswer(Ops_SendRequest(&fleet, 1, "POST", c->path, (Str){0}),
+    Ops_ReadAnswer(Ops_SendRequest(&fleet, 1, c->method, c->path, (Str){0}),
                    Span_S(5), &answer);
     ck_assert_int_eq(answer.status, c->status);
     Ops_FinishAnswer(&answer);
