--- a/src/process/admission/admission.h
+++ b/src/process/admission/admission.h
@@ -16,6 +16,7 @@
 #ifndef ADMISSION_H
 #define ADMISSION_H
 
+#include "process/admission/coldrate.h"
 #include "process/admission/knee.h"
 #include "value/instant.h"
 #include "value/load.h"
@@ -87,6 +88,11 @@
     Adm_EVENT_PACE_REPORT,  /* pace */
     Adm_EVENT_QUEUE_AHEAD,  /* class with the attempts ahead, time_left,
                                queue_time_max; outcome: whether it queues */
+    Adm_EVENT_EVACUATED,    /* evacuated */
+    Adm_EVENT_COLD_OPEN,    /* - */
+    Adm_EVENT_COLD_BOUND,   /* limit, is_asked */
+    Adm_EVENT_COLD_WORD,    /* as_of, left */
+    Adm_EVENT_REPEAT,       /* - */
     Adm_EVENT_COUNT
 } AdmissionEventKind;
 
@@ -109,6 +115,7 @@
     bool backend_present; /* a backend server is announced */
     bool draining;        /* the backend server announced that it drains */
     bool stopping;        /* this node shuts down */
+    bool evacuated;       /* so is this node's failure domain */
     uint32_t rejections;  /* by the backend server, in a row */
     Instant first_rejected_at; /* time of the first of these */
     Instant next_trial_at;     /* the backend server rejects everything: no
@@ -128,6 +135,7 @@
     Instant pace_reported_at; /* 0: never */
     double mean_pace;         /* of the last seconds */
     KneeDetector knee;
+    ColdRate cold; /* starts while the backend server may be cold */
     /* starts since the last one on a reserved slot */
     uint32_t starts_below_reserve;
 } AdmissionController;
@@ -148,8 +156,15 @@
 /* This node shuts down: Adm_Admit refuses every attempt from now on. */
 void Adm_Stop(AdmissionController *controller);
 
-/* True when a backend server is present and drains.  The caller should then
- * refuse the queued attempts, because they are not to start any more. */
+/* Whether this node's failure domain is evacuated: no attempt is admitted
+ * while it is, and those that run go on.  Other nodes learn of it with the
+ * version, not from this node's record, so that they know at once when it
+ * ends. */
+void Adm_SetEvacuated(AdmissionController *controller, bool evacuated);
+
+/* True when a backend server is present and drains, or the failure domain is
+ * evacuated.  The caller should then refuse the queued attempts, because they
+ * are not to start any more. */
 bool Adm_IsDraining(const AdmissionController *controller);
 
 /* Decides about one attempt.  With Adm_RUN it is counted as running, with
@@ -168,9 +183,29 @@
 /* True when the backend server would now be sent an attempt that was started
  * before: it takes work and has a slot.  MAY_STILL_RUN: the attempt may still
  * run there, and needs a second slot. */
-bool Adm_TakesRepeat(const AdmissionController *controller, bool may_still_run,
+bool Adm_TakesRepeat(AdmissionController *controller, bool may_still_run,
                      Instant now);
 
+/* An attempt that was started before is sent to the backend server again. */
+void Adm_OnRepeat(AdmissionController *controller, Instant now);
+
+/* This process starts at NOW: what was sent to the backend server before is
+ * not known (see coldrate.h).  Without this, nothing was sent. */
+void Adm_OpenColdRate(AdmissionController *controller, Instant now);
+
+/* Sets how many requests may start in a second while the backend server may be
+ * cold; 0: any number.  IS_ASKED: it can be asked whether it is. */
+void Adm_SetColdBound(AdmissionController *controller, uint32_t limit,
+                      bool is_asked);
+
+/* The backend server said that it stays cold for LEFT; 0: that it is not cold.
+ * AS_OF: when it was asked, or when the word came unasked. */
+void Adm_OnColdWord(AdmissionController *controller, Instant as_of, Span left,
+                    Instant now);
+
+/* True when it should be asked whether it is cold before more starts. */
+bool Adm_NeedsColdWord(AdmissionController *controller, Instant now);
+
 /* The backend server reported the present duration of work there. */
 void Adm_OnPaceReport(AdmissionController *controller,
                       const BackendLoad *report, Instant now);
@@ -208,7 +243,7 @@
 
 /* Returns true when the first queued suspect is to start now, that is in
  * exclusive mode with nothing running; it is counted as running already. */
-bool Adm_StartSuspect(AdmissionController *controller);
+bool Adm_StartSuspect(AdmissionController *controller, Instant now);
 
 /* A queued suspect was removed without running. */
 void Adm_OnSuspectCancel(AdmissionController *controller);
@@ -219,6 +254,10 @@
 LoadReport Adm_GetLoadReport(const AdmissionController *controller,
                              Instant now);
 
+/* The same, without the evacuation. */
+LoadReport Adm_GetMemberReport(const AdmissionController *controller,
+                               Instant now);
+
 /* Sets the observer of all further events; NULL for none. */
 void Adm_SetObserver(AdmissionController *controller,
                      AdmissionObserver observer, void *context);
