--- a/src/process/node.c
+++ b/src/process/node.c
@@ -364,6 +364,7 @@
 {
     const Settings *settings = node->settings;
     DomainMask domains = 0;
+    bool is_own;
 
     for (size_t i = 0; i < settings->domain_count; i++) {
         if (Cfg_IsListed(evacuated, StrBuf_View(&settings->domains[i].name))) {
@@ -372,8 +373,15 @@
     }
     Svc_SetEvacuated(&node->services, domains, now);
     Sps_SetEvacuated(&node->suspects, domains);
-    Adm_SetEvacuated(&node->admission,
-                     Rgm_Has(domains, settings->domain_index));
+    is_own = Rgm_Has(domains, settings->domain_index);
+    if (is_own != node->admission.evacuated) {
+        Lgr_Log(&node->logger, Lgr_INFO,
+                is_own ? Str_LIT("evacuated") : Str_LIT("evacuation_ended"),
+                "running=%u queued=%u", node->admission.running,
+                node->admission.queued[Adm_INTERACTIVE] +
+                    node->admission.queued[Adm_PATIENT]);
+    }
+    Adm_SetEvacuated(&node->admission, is_own);
     Run_Tick(&node->runner, now);
 }
 
--- a/src/process/observe/counters.h
+++ b/src/process/observe/counters.h
@@ -20,6 +20,10 @@
     X(CALLS_NO_ROUTE, "calls_no_route_total", "Calls that no route matches")  \
     X(CALLS_NO_ACCOUNT, "calls_no_account_total",                             \
       "Calls whose key is no client account's")                               \
+    X(CALLS_NO_REGION, "calls_no_region_total",                               \
+      "Calls refused for lack of a backend server in their regions")          \
+    X(COLD_PERIODS, "cold_periods_total",                                     \
+      "Times that the backend server became cold")                            \
     X(CALLS_HUNG_UP, "calls_hung_up_total", "Calls whose caller hung up")     \
     X(ATTEMPTS, "attempts_total", "Attempts made")                            \
     X(RETRIES, "retries_total", "Attempts after the first of a call")         \
--- a/src/process/placement/subset.c
+++ b/src/process/placement/subset.c
@@ -87,7 +87,7 @@
     size_t start =
         (size_t)((uint64_t)position->before * size / position->count);
 
-    return (index + size - start) % size < share;
+    return size > 0 && (index + size - start) % size < share;
 }
 
 static size_t
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -223,6 +223,7 @@
 wait_or_end(Call *call, Instant now)
 {
     if (call->not_run_reason == Call_REASON_NO_REGION) {
+        Cnt_Add(call->dispatcher->counters, Cnt_CALLS_NO_REGION, 1);
         Call_End(call, Call_NOT_RUN, Call_REASON_NO_REGION, now);
         return;
     }
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -241,14 +241,10 @@
 on_load_query_end(void *context, Instant now)
 {
     AttemptRunner *runner = context;
-    const LoadQuery *query = &runner->load_query;
     ListWalk walk;
     BackendAttempt *attempt;
 
-    if (query->has_cold_word) {
-        Adm_OnColdWord(runner->admission, query->asked_at, query->cold_left,
-                       now);
-    }
+    Run_OnColdWord(runner, now);
     Lst_Begin(&walk, &runner->attempts);
     while ((attempt = Lst_Next(&walk))) {
         if (attempt->awaits_load) {
@@ -259,15 +255,6 @@
     Run_Tick(runner, now);
 }
 
-/* Whether to ask the backend server if it is cold; not again at once where the
- * last answer did not settle that. */
-static bool
-needs_cold_word(const AttemptRunner *runner, Instant now)
-{
-    return now - runner->load_query.asked_at >= Cld_INTERVAL &&
-           Adm_NeedsColdWord(runner->admission, now);
-}
-
 /* Makes ATTEMPT wait for a load query when the known load is stale.
  * Returns false when admission can be asked at once. */
 static bool
@@ -277,7 +264,7 @@
 
     if (!runner->admission->backend_present ||
         !(Adm_IsPaceStale(runner->admission, now) ||
-          needs_cold_word(runner, now)) ||
+          Run_NeedsColdWord(runner, now)) ||
         !Ldq_Start(&runner->load_query, now)) {
         return false;
     }
@@ -570,12 +557,7 @@
     Led_SetLongRetention(&runner->ledger, preset->limits.key_retention);
     Ldq_SetPath(&runner->load_query,
                 own ? StrBuf_View(&own->health_path) : (Str){0});
-    Adm_SetColdBound(runner->admission,
-                     own ? Cld_MakeLimit(own->cold_per_s,
-                                         runner->cold_bounds.overage_permille,
-                                         runner->cold_bounds.slack)
-                         : 0,
-                     Ldq_TellsCold(&runner->load_query));
+    Run_SetColdBound(runner, own);
 }
 
 /* Order of the queue: nested attempts first, then the lowest priority
@@ -683,9 +665,7 @@
     Led_Expire(&runner->ledger, now);
     drop_overdue(runner, now);
     Crs_Tick(runner, now);
-    if (runner->attempts.count && needs_cold_word(runner, now)) {
-        Ldq_Start(&runner->load_query, now);
-    }
+    Run_TickCold(runner, now);
     while (Adm_StartNext(runner->admission, now, &request_class)) {
         Run_StartExchange(find_next_queued(runner, request_class), now);
     }
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -70,6 +70,7 @@
     Instant last_call_at; /* when a Wire_CALL message came last; 0: never */
     const OwnPause *own_pause;
     ColdBounds cold_bounds; /* set by the node */
+    bool was_cold;          /* the backend server, at the last tick */
     Instant ticked_at;      /* last Run_Tick; 0: none yet */
     Instant resumed_at;     /* end of this node's last own pause; 0: none */
     Instant last_piece_at;  /* when a piece of an answer was sent last; 0:
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -1,7 +1,8 @@
 /* The state of one attempt at the node beside its backend server, and the
  * functions that run.c (messages, queue), runexchange.c (the exchange with the
- * backend server), runreply.c (what ingress nodes are told), answer.c and
- * crash.c share.  Private to these files; everything else uses run.h.
+ * backend server), runreply.c (what ingress nodes are told), runcold.c (the
+ * rate of a cold backend server), answer.c and crash.c share.  Private to
+ * these files; everything else uses run.h.
  *
  * An attempt is in one of four states: it awaits the backend server's load
  * (awaits_load), it is queued (Run_IsQueued), it runs (exchange is set), or
@@ -138,6 +139,15 @@
 /* True when the attempt waits for a slot, or to run exclusively. */
 bool Run_IsQueued(const BackendAttempt *attempt);
 
+/* The bound on what a cold backend server gets (runcold.c): sets it from the
+ * service of the backend server (NULL: none), takes the word of a load query
+ * that has ended, tells whether to ask before an attempt starts, and asks for
+ * those that wait. */
+void Run_SetColdBound(AttemptRunner *runner, const PresetService *service);
+void Run_OnColdWord(AttemptRunner *runner, Instant now);
+bool Run_NeedsColdWord(const AttemptRunner *runner, Instant now);
+void Run_TickCold(AttemptRunner *runner, Instant now);
+
 /* Removes the attempt from the runner and frees it.  Its exchange must have
  * ended or be cancelled. */
 void Run_Free(BackendAttempt *attempt);
