--- a/tests/unit/test_coldrate.c
+++ b/tests/unit/test_coldrate.c
@@ -1,6 +1,6 @@
 /* The rate of a cold backend server: it is never exceeded, whenever the server
  * becomes cold and whatever restarts, and a warm server is not held back. */
-#include "process/admission/coldrate.h"
+#include "process/admission/admission.h"
 #include "support/suite.h"
 #include "value/rng.h"
 
@@ -292,6 +292,79 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    uint32_t admitted;   /* attempts before, all at once */
+    bool is_warm;        /* the server says so after them */
+    bool is_cold;        /* or that it stays cold */
+    bool is_evacuated;   /* its failure domain is, after them */
+    Span queue_time_max; /* of one more */
+    AdmissionVerdict verdict;
+    uint32_t slots; /* reported to other nodes then */
+    bool draining;  /* the same */
+    bool member_draining;
+} AdmissionCase;
+
+enum { SLOTS = 100, LIMIT = 28 };
+
+/* A request takes 100 ms: the limit keeps 2 slots in use. */
+static const AdmissionCase admissions[] = {
+    {"below the limit", LIMIT - 1, false, false, false, Span_MS(100), Adm_RUN,
+     SLOTS, false, false},
+    {"at the limit, can't wait", LIMIT, false, false, false, Span_MS(100),
+     Adm_REFUSE_FULL, SLOTS, false, false},
+    {"at the limit, can wait", LIMIT, false, false, false, Span_S(2),
+     Adm_QUEUE, SLOTS, false, false},
+    {"at the limit, proved warm", LIMIT, true, false, false, Span_MS(100),
+     Adm_RUN, SLOTS, false, false},
+    {"at the limit, cold", LIMIT, false, true, false, Span_MS(100),
+     Adm_REFUSE_FULL, 2, false, false},
+    {"cold, below the limit", 1, false, true, false, Span_MS(100), Adm_RUN, 2,
+     false, false},
+    {"evacuated", 1, false, false, true, Span_S(2), Adm_REFUSE_DRAINING, SLOTS,
+     true, false},
+};
+
+/* What the rate and an evacuation make of one more attempt. */
+START_TEST(admits_by_rate)
+{
+    const AdmissionCase *c = &admissions[_i];
+    AdmissionSettings settings = {.queue_max = 32, .patient_queue_max = 32};
+    AttemptCompletion completion = {.normalized_time = Span_MS(100)};
+    AdmissionRequest request = {.time_left = Span_S(3)};
+    AdmissionController admission;
+    Instant now = BEGIN;
+
+    Adm_Init(&admission, &settings);
+    Adm_OpenColdRate(&admission, now);
+    Adm_SetColdBound(&admission, LIMIT, true);
+    Adm_OnAnnounce(&admission, SLOTS, false, now);
+    now += Span_S(5);
+    ck_assert_int_eq(Adm_Admit(&admission, &request, now), Adm_RUN);
+    Adm_OnAttemptEnd(&admission, &completion, now + Span_MS(100));
+    now += Span_S(5);
+    for (uint32_t i = 0; i < c->admitted; i++) {
+        ck_assert_int_eq(Adm_Admit(&admission, &request, now), Adm_RUN);
+    }
+    now += Cld_INTERVAL;
+    if (c->is_warm) {
+        Adm_OnColdWord(&admission, now, 0, now);
+    }
+    if (c->is_cold) {
+        Adm_OnColdWord(&admission, now, Span_S(2), now);
+    }
+    Adm_SetEvacuated(&admission, c->is_evacuated);
+    request.queue_time_max = c->queue_time_max;
+    ck_assert_msg(Adm_Admit(&admission, &request, now) == c->verdict, "%s",
+                  c->name);
+    ck_assert_uint_eq(Adm_GetLoadReport(&admission, now).slots, c->slots);
+    ck_assert(Adm_GetLoadReport(&admission, now).draining == c->draining);
+    ck_assert(Adm_GetMemberReport(&admission, now).draining ==
+              c->member_draining);
+    ck_assert(Adm_IsDraining(&admission) == c->is_evacuated);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -300,6 +373,7 @@
         {keeps_the_rate_on_any_schedule, 20},
         {makes_limits, ROWS(limits)},
         {estimates_waits, ROWS(waits)},
+        {admits_by_rate, ROWS(admissions)},
     };
 
     return Suite_Run("cold rate", tests, ROWS(tests), 20);
--- a/tests/unit/test_services.c
+++ b/tests/unit/test_services.c
@@ -173,12 +173,72 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    DomainMask evacuated;
+    size_t rows; /* kept then, of MEMBERS servers in DOMAINS domains */
+} EvacuatedCase;
+
+static const EvacuatedCase evacuated[] = {
+    {"this failure domain", 0x01, KEPT},
+    {"another one", 0x02, KEPT},
+    {"a region", 0x0f, KEPT},
+    {"all but one", 0xfe, KEPT},
+    {"all", 0xff, 0},
+    {"none", 0, KEPT},
+};
+
+/* No row is of an evacuated failure domain, from the moment at which that is
+ * known, also after members change; once it ends, all may be kept again. */
+START_TEST(leaves_out_evacuated)
+{
+    const EvacuatedCase *c = &evacuated[_i];
+    Instant now = Span_S(1);
+    ServicesFixture fixture;
+    const PlacementTable *placement;
+    size_t before[DOMAINS] = {0};
+    size_t after[DOMAINS] = {0};
+
+    init_fixture(&fixture);
+    for (Addr node = 2; node < 2 + MEMBERS; node++) {
+        set_member(&fixture, node, SERVES, now);
+    }
+    Svc_Tick(&fixture.services, now += Span_S(1));
+    placement = get_placement(&fixture);
+    for (size_t i = 0; i < placement->row_count; i++) {
+        before[placement->rows[i].location.domain]++;
+    }
+    Svc_SetEvacuated(&fixture.services, c->evacuated, now);
+    for (int round = 0; round < 2; round++) {
+        ck_assert_uint_eq(placement->row_count, c->rows);
+        for (size_t i = 0; i < placement->row_count; i++) {
+            ck_assert_msg(
+                !Rgm_Has(c->evacuated, placement->rows[i].location.domain),
+                "%s: round %d", c->name, round);
+        }
+        for (Addr node = 2; node < 2 + MEMBERS; node++) {
+            set_member(&fixture, node, SERVES, now);
+        }
+        Svc_Tick(&fixture.services, now += Span_S(1));
+    }
+    Svc_SetEvacuated(&fixture.services, 0, now);
+    for (size_t i = 0; i < placement->row_count; i++) {
+        after[placement->rows[i].location.domain]++;
+    }
+    for (int i = 0; i < DOMAINS; i++) {
+        ck_assert_uint_eq(after[i], before[i]);
+    }
+    finish_fixture(&fixture);
+}
+END_TEST
+
 int
 main(void)
 {
     const SuiteTest tests[] = {
         {replaces_lost_rows, ROWS(losses)},
         {takes_in_new_members, 1},
+        {leaves_out_evacuated, ROWS(evacuated)},
     };
 
     return Suite_Run("services", tests, ROWS(tests), 20);
