--- a/src/connection/loadquery.c
+++ b/src/connection/loadquery.c
@@ -6,7 +6,7 @@
 /* Pause after an answer without a load, or after no answer. */
 #define PAUSE_WITHOUT_LOAD Span_S(2)
 
-enum { COLD_MS_MAX = 3600 * 1000 };
+enum { COLD_MS_MAX = 24 * 3600 * 1000 };
 
 void
 Ldq_Init(LoadQuery *query, BackendPool *pool,
--- a/src/process/membership/announce.c
+++ b/src/process/membership/announce.c
@@ -11,7 +11,7 @@
     SLOTS_MAX = 10000,
     SERVICE_BYTES_MAX = 64,
     ID_BYTES_MAX = 128,
-    COLD_MS_MAX = 3600 * 1000
+    COLD_MS_MAX = 24 * 3600 * 1000
 };
 
 static bool
