Bound the calls of client accounts over all nodes by credit of one grantor

Cause: an account's rate and burst were read and held by nobody; each node would have had to guess what the others run. The leader of the control replicas now grants credit from a token bucket for each account, and a call of such an account is sent with credit only. Credit lives for a time that keeps any window within the stated bounds, counted from the ask on the node's own clock; what is not spent goes back. A leader grants once no earlier one can take itself for leading (Rlog_LeadsAlone: an election timeout after it was elected, by quorum intersection alone), with empty buckets. At the limit: 429 with a Retry-After; without a grantor: 503, not run.

Ruled out: taking back credit without a condition. The property test found that a bucket which had filled again meanwhile let both be granted (290 calls in a window of 262); grants are counted by epochs now. Mutations that the tests see: tenfold life, full buckets at a take-over, a life from the arrival, no expiry, credit given back to another term or epoch.

What is refused too early is next.

--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -3,8 +3,8 @@
  * A message is one ZeroMQ frame that holds a MessagePack array: format
  * version, message kind, then the fields of that kind in order.  Each family
  * of kinds has its own file (callmsg, claimmsg, configmsg, leavemsg, logmsg,
- * membermsg, suspectmsg) with a Pack function for the sender and a Read
- * function for the receiver.
+ * membermsg, quotamsg, suspectmsg) with a Pack function for the sender and a
+ * Read function for the receiver.
  *
  * The sender calls Pack_Finish after it has sent the message.  The receiver
  * calls Wire_Open, passes the Unpack to the Read function of the kind, and
@@ -63,6 +63,9 @@
 
     Wire_LEAVE,       /* leavemsg: a backend server leaves, or is that known */
     Wire_LEAVE_REPLY, /* leavemsg */
+
+    Wire_QUOTA_ASK, /* quotamsg: a node asks for credit of accounts */
+    Wire_QUOTA_GRANT,
     Wire_KINDS
 } MessageKind;
 
--- a/src/process/control/control.c
+++ b/src/process/control/control.c
@@ -463,3 +463,17 @@
 {
     return control->is_open && Rlog_IsLeading(&control->rlog, now);
 }
+
+bool
+Ctl_LeadsAlone(const ControlReplica *control, Instant now)
+{
+    return control->is_open && Rlog_LeadsAlone(&control->rlog, now);
+}
+
+Addr
+Ctl_LiveLeader(const ControlReplica *control, Instant now)
+{
+    return control->is_open && Rlog_HasLeaderContact(&control->rlog, now)
+               ? Ctl_Leader(control)
+               : Addr_NONE;
+}
--- a/src/process/control/control.h
+++ b/src/process/control/control.h
@@ -136,6 +136,12 @@
 /* Whether this replica is the leader and a quorum has answered it recently. */
 bool Ctl_IsLeading(const ControlReplica *control, Instant now);
 
+/* Whether this replica is the leader and no other one takes itself for it. */
+bool Ctl_LeadsAlone(const ControlReplica *control, Instant now);
+
+/* The leader, if this replica has heard of it lately; else Addr_NONE. */
+Addr Ctl_LiveLeader(const ControlReplica *control, Instant now);
+
 /* The functions below are for the files of this module only. */
 
 /* Registers the handler of proposed changes (control_changes.c). */
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -256,6 +256,7 @@
     if (!Stp_MayStartCalls(&node->stop, true, now)) {
         Call_StopStarting(&node->dispatcher, true, now);
     }
+    Qsy_Tick(&node->quota, now);
     Call_DispatcherTick(&node->dispatcher, now);
     Run_Tick(&node->runner, now);
     Svc_Tick(&node->services, now);
@@ -324,6 +325,7 @@
                   StrBuf_View(&node->announcements.service));
     Acc_SetLimits(&node->register_acceptor, limits);
     Sps_SetPreset(&node->suspects, &node->in_force->preset);
+    Qsy_SetPreset(&node->quota, &node->in_force->preset, Loop_Now());
 }
 
 /* The VersionApplyCallback: puts a confirmed version in force.  Calls in
@@ -450,6 +452,10 @@
     Call_DispatcherInit(&node->dispatcher, &node->net, &node->counters,
                         &node->timeline, &node->latencies, &node->services,
                         &node->suspects, settings, node->incarnation);
+    Qsy_Init(&node->quota, &node->net, &node->counters, &node->logger,
+             settings, &node->control);
+    Qsy_SetCallback(&node->quota, Call_ServeCreditWaiters, &node->dispatcher);
+    node->dispatcher.quota = &node->quota;
     Sps_Init(&node->suspects, &node->net, &node->counters, &node->timeline,
              settings, &node->members);
     Run_InitRunner(&node->runner, &node->net, &node->counters, &node->timeline,
@@ -497,6 +503,7 @@
     Acc_Finish(&node->register_acceptor);
     Run_FinishRunner(&node->runner);
     Call_DispatcherFinish(&node->dispatcher);
+    Qsy_Finish(&node->quota);
     Mbs_Finish(&node->members);
     Svc_Finish(&node->services);
     Lvs_Finish(&node->leaves);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -21,6 +21,7 @@
 #include "process/observe/statusapi.h"
 #include "process/operators/operatorapi.h"
 #include "process/placement/probesender.h"
+#include "process/quota/quotasync.h"
 #include "request/call.h"
 #include "request/run.h"
 
@@ -40,6 +41,7 @@
     BackendPool pool; /* connections to the backend server */
     AnnouncementReceiver announcements;
     LeaveSync leaves;
+    QuotaSync quota;
     Services services;
     ProbeSender probe_sender;
     ReplicaSet replicas;
--- a/src/process/observe/counters.h
+++ b/src/process/observe/counters.h
@@ -20,6 +20,10 @@
     X(CALLS_NO_ROUTE, "calls_no_route_total", "Calls that no route matches")  \
     X(CALLS_NO_ACCOUNT, "calls_no_account_total",                             \
       "Calls whose key is no client account's")                               \
+    X(CALLS_OVER_LIMIT, "calls_over_limit_total",                             \
+      "Calls refused since their account is at its limit")                    \
+    X(CALLS_NO_GRANTOR, "calls_no_grantor_total",                             \
+      "Calls refused since nobody granted credit to their account")           \
     X(CALLS_HUNG_UP, "calls_hung_up_total", "Calls whose caller hung up")     \
     X(ATTEMPTS, "attempts_total", "Attempts made")                            \
     X(RETRIES, "retries_total", "Attempts after the first of a call")         \
@@ -45,6 +49,14 @@
     X(CONTROL_BYTES, "control_bytes_total", "Bytes sent for control")         \
     X(CONTROL_MESSAGES, "control_messages_total", "Messages for control")     \
     X(CONTROL_CPU_US, "control_cpu_us_total", "CPU spent on control, us")     \
+    X(QUOTA_BYTES, "quota_bytes_total", "Of these, for credit of accounts")   \
+    X(QUOTA_MESSAGES, "quota_messages_total",                                 \
+      "Messages for credit of accounts")                                      \
+    X(QUOTA_GRANTED, "quota_granted_total", "Calls granted to nodes")         \
+    X(QUOTA_NOT_GRANTED, "quota_not_granted_total",                           \
+      "Calls that nodes wanted and were not granted")                         \
+    X(QUOTA_GIVEN_BACK, "quota_given_back_total",                             \
+      "Calls granted and given back unspent")                                 \
     X(LINK_BYTES, "link_bytes_total", "Bytes sent across regions")            \
     X(NODE_KEYS_REFUSED, "node_keys_refused_total",                           \
       "Nodes refused by their key")                                           \
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -13,6 +13,7 @@
     CallDispatcher *dispatcher = call->dispatcher;
 
     *call->handle = NULL;
+    Ccr_StopWaiting(call);
     Lst_Drop(&dispatcher->calls, &call->link);
     for (size_t i = 0; i < Call_ATTEMPTS_MAX; i++) {
         if (call->attempts[i].id.counter) {
@@ -29,8 +30,9 @@
     static const char *const outcomes[] = {"answered", "not_run", "unknown",
                                            "cut", "ran"};
     static const char *const reasons[] = {
-        "-",        "no_route", "nobody",  "full",    "late",    "key",
-        "mismatch", "suspect",  "version", "account", "stopping"};
+        "-",        "no_route", "nobody",  "full",    "late",
+        "key",      "mismatch", "suspect", "version", "account",
+        "stopping", "limit",    "credit"};
 
     Lgr_Log(
         call->dispatcher->logger,
@@ -66,6 +68,9 @@
     if (outcome == Call_NOT_RUN && call->may_have_run) {
         outcome = Call_UNKNOWN; /* an earlier attempt may have run */
     }
+    if (outcome == Call_NOT_RUN) {
+        Ccr_PutBack(call, now);
+    }
     log_end(call, outcome, reason, now);
     Lat_Record(call->dispatcher->latencies, Lat_CALL, now - call->arrived_at);
     Cnt_Add(call->dispatcher->counters, ids[outcome], 1);
@@ -143,32 +148,48 @@
              Dep_Read(&call->request.fields), delay, call->deadline, now);
 }
 
+/* The idempotency key; empty: none. */
+static Str
+get_key(const Call *call)
+{
+    Str header = StrBuf_View(&call->route->key_header);
+
+    return header.len ? Field_Get(&call->request.fields, header) : (Str){0};
+}
+
 static void
 start_call(Call *call, Instant now)
 {
-    Str header = StrBuf_View(&call->route->key_header);
-    Str key = {0};
+    Str key = get_key(call);
 
-    if (header.len) {
-        key = Field_Get(&call->request.fields, header);
-    }
     if (Call_IsTooLate(call)) {
         Call_End(call, Call_NOT_RUN, Call_REASON_STOPPING, now);
     }
     else if (key.len > KEY_BYTES_MAX) {
         Call_End(call, Call_NOT_RUN, Call_REASON_KEY_TOO_LONG, now);
     }
-    else if (key.len) {
-        Ccl_Start(call, key, now);
-    }
-    else if (Sps_GetVerdict(call->dispatcher->suspects, call->fingerprint,
+    else if (!key.len &&
+             Sps_GetVerdict(call->dispatcher->suspects, call->fingerprint,
                             now) == Sus_STOPPED) {
         Cnt_Add(call->dispatcher->counters, Cnt_SUSPECTS_STOPPED, 1);
         Call_End(call, Call_NOT_RUN, Call_REASON_SUSPECT, now);
     }
-    else if (call->cannot_finish) {
+    else if (!key.len && call->cannot_finish) {
         Call_End(call, Call_NOT_RUN, Call_REASON_DEADLINE, now);
     }
+    else if (Ccr_Obtain(call, now)) {
+        Call_Proceed(call, now);
+    }
+}
+
+void
+Call_Proceed(Call *call, Instant now)
+{
+    Str key = get_key(call);
+
+    if (key.len && !call->sent_count) {
+        Ccl_Start(call, key, now);
+    }
     else {
         Call_Dispatch(call, now);
     }
@@ -375,6 +396,9 @@
     call->request = *request;
     call->account = account;
     if (account) {
+        if (dispatcher->quota && account->per_s) {
+            call->account_id = Grt_GetId(StrBuf_View(&account->name));
+        }
         Field_Add(&call->request.fields, dispatcher->account_field,
                   StrBuf_View(&account->name));
     }
@@ -445,6 +469,9 @@
     if (attempt) {
         return attempt->pieces.next_sequence ? "answer_begun" : "sent";
     }
+    if (call->credit_wait_ends) {
+        return "asks_credit";
+    }
     return call->retry_at ? "waits" : "claims";
 }
 
@@ -469,6 +496,9 @@
 {
     log_cancel(call, now);
     Cnt_Add(call->dispatcher->counters, Cnt_CALLS_HUNG_UP, 1);
+    if (!Call_ActiveAttempt(call)) {
+        Ccr_PutBack(call, now);
+    }
     Call_CancelAttempts(call, now);
     if (call->claim_session) {
         Key_CancelClaim(call->claim_session, now);
@@ -506,7 +536,7 @@
     if (!Call_IsTooLate(call) || call->claim_session) {
         return;
     }
-    if (call->retry_at) {
+    if (call->retry_at || call->credit_wait_ends) {
         Call_End(call, Call_NOT_RUN, Call_REASON_STOPPING, now);
         return;
     }
@@ -544,8 +574,12 @@
     Call *call;
 
     Key_Tick(&dispatcher->key_claims, now);
+    Call_ServeCreditWaiters(dispatcher, now);
     Lst_Begin(&walk, &dispatcher->calls);
     while ((call = Lst_Next(&walk))) {
+        if (call->credit_wait_ends) {
+            continue;
+        }
         if (call->retry_at) {
             Call_TickWaiting(call, now);
         }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -22,6 +22,7 @@
 #include "process/observe/timeline.h"
 #include "process/placement/linkbudget.h"
 #include "process/placement/services.h"
+#include "process/quota/quotasync.h"
 #include "process/suspects/suspectsync.h"
 #include "request/duration.h"
 #include "request/field.h"
@@ -52,7 +53,9 @@
     Call_REASON_VERSION,      /* the preset in force is not confirmed, or so
                                  long ago that a route may be missing */
     Call_REASON_NO_ACCOUNT,   /* the key is no account's */
-    Call_REASON_STOPPING      /* this node stops too soon to finish it */
+    Call_REASON_STOPPING,     /* this node stops too soon to finish it */
+    Call_REASON_OVER_LIMIT,   /* the account is at its limit */
+    Call_REASON_NO_GRANTOR    /* nobody grants credit to accounts now */
 } CallReason;
 
 /* The caller's request.  The front end owns the strings and keeps them valid
@@ -83,6 +86,9 @@
     /* Whether finished answers of the same connection wait for this one.
      * NULL: they never do. */
     bool (*is_blocking)(void *context);
+    /* Called before on_end of a call that was refused: it may come back after
+     * WAIT.  NULL: not wanted. */
+    void (*on_retry_after)(void *context, Span wait);
 } CallSink;
 
 typedef struct Call Call;
@@ -112,10 +118,13 @@
      * account to backend servers, empty: none. */
     Span revoke_bound;
     Str account_field;
-    bool stops_starting;      /* no further attempt starts, but for nested
-                                 calls */
-    bool stops_nested;        /* nor does one for them */
-    uint64_t incarnation;     /* of this node */
+    /* Set by the node: credit of accounts; NULL: accounts have no limits. */
+    QuotaSync *quota;
+    List credit_waiters;  /* calls that wait for credit, the earliest first */
+    bool stops_starting;  /* no further attempt starts, but for nested
+                             calls */
+    bool stops_nested;    /* nor does one for them */
+    uint64_t incarnation; /* of this node */
     uint64_t attempt_counter; /* last counter used in an AttemptId */
     ClaimClient key_claims;
     LinkBudget link_budget; /* bytes between regions */
@@ -167,6 +176,11 @@
 void Call_StopStarting(CallDispatcher *dispatcher, bool nested_too,
                        Instant now);
 
+/* Serves the calls that wait for credit of their accounts, in the order of
+ * their arrival, and ends those that have waited too long.  A
+ * QuotaCreditCallback with a CallDispatcher as its context. */
+void Call_ServeCreditWaiters(void *dispatcher, Instant now);
+
 /* Handles deadlines, waiting calls and hedges that are due; called at each
  * tick of the node's timer. */
 void Call_DispatcherTick(CallDispatcher *dispatcher, Instant now);
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -303,7 +303,8 @@
     AttemptTarget target;
 
     if (first && call->retry.attempt_count < call->retry.attempts_max &&
-        Call_ChooseTarget(call, &target, now) && target.node != first->node) {
+        Call_ChooseTarget(call, &target, now) && target.node != first->node &&
+        Ccr_TakeForHedge(call, now)) {
         Cnt_Add(call->dispatcher->counters, Cnt_HEDGES, 1);
         Call_StartAttempt(call, &target, now);
     }
@@ -385,14 +386,17 @@
         return true;
     }
     if (!Call_ChooseTarget(call, &target, now) ||
-        target.node == attempt->node ||
+        target.node == attempt->node || !Ccr_MayRunAgain(call, now) ||
         Rty_Decide(&call->retry, &call->service->retry_budget,
                    Rty_BACKEND_ERROR, now) != Rty_RETRY) {
         return false;
     }
     count_retry(call);
     end_with_backend_error(attempt, complete, now);
-    Call_StartAttempt(call, &target, now);
+    Ccr_OnSpent(call);
+    if (Ccr_Obtain(call, now)) {
+        Call_StartAttempt(call, &target, now);
+    }
     return true;
 }
 
@@ -404,7 +408,7 @@
     if (call->claim_session) {
         Key_OnAttemptRefused(call->claim_session, true, now);
     }
-    else {
+    else if (Ccr_Obtain(call, now)) {
         Call_Dispatch(call, now);
     }
 }
@@ -476,6 +480,9 @@
         Rty_Decide(&call->retry, &call->service->retry_budget, failure, now)) {
     case Rty_RETRY:
         call->may_have_run |= failure != Rty_NOT_RUN;
+        if (failure != Rty_NOT_RUN) {
+            Ccr_OnSpent(call);
+        }
         Call_EndAttempt(attempt, result, now);
         retry_call(call, now);
         break;
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -1,7 +1,8 @@
 /* The state of one call and its attempts, shared by the files that implement
  * call.h: call.c (start and end), callplacement.c (choice of a target),
  * callattempt.c (sending and ending attempts, retries), callanswer.c (messages
- * from nodes) and callclaim.c (idempotency keys).
+ * from nodes), callclaim.c (idempotency keys) and callcredit.c (credit of
+ * accounts).
  *
  * Call_Dispatch chooses a target and starts an attempt, or makes the call
  * wait.  A function that may end the call says so: CALL and its attempts are
@@ -47,6 +48,11 @@
     SharedPreset *in_force; /* when the call started; a reference */
     const PresetRoute *route;
     const PresetAccount *account; /* NULL: the call has none */
+    uint64_t account_id;          /* with a limit; 0: without */
+    Credit credit;                /* for the next attempt, if has_credit */
+    bool has_credit;
+    Instant credit_wait_ends; /* waits for credit until then; 0: does not */
+    ListLink credit_link;     /* in credit_waiters while it waits */
     Service *service;
     RetryState retry;
     Instant arrived_at;
@@ -173,4 +179,28 @@
 /* Claims the idempotency KEY before the first attempt (callclaim.c). */
 void Ccl_Start(Call *call, Str key, Instant now);
 
+/* Claims the key of CALL, or dispatches it, once it has credit.  May end
+ * CALL. */
+void Call_Proceed(Call *call, Instant now);
+
+/* Credit of accounts (callcredit.c).  Ccr_Obtain returns true when CALL needs
+ * none or has it; else CALL waits and proceeds later, or it has ended. */
+bool Ccr_Obtain(Call *call, Instant now);
+
+/* Whether CALL may run once more, as far as is known here: its account is not
+ * at its limit. */
+bool Ccr_MayRunAgain(Call *call, Instant now);
+
+/* Takes credit for a hedge; false when it is not here. */
+bool Ccr_TakeForHedge(Call *call, Instant now);
+
+/* The attempt for which CALL had credit may have run. */
+void Ccr_OnSpent(Call *call);
+
+/* CALL ends; nothing of it ran with the credit that it has. */
+void Ccr_PutBack(Call *call, Instant now);
+
+/* Takes CALL out of the waiting ones. */
+void Ccr_StopWaiting(Call *call);
+
 #endif
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -6,14 +6,15 @@
 #include "process/loop.h"
 #include "value/mem.h"
 
-enum { TIMEOUT_MS_MAX = 3600 * 1000 };
+enum { TIMEOUT_MS_MAX = 3600 * 1000, MS_PER_S = 1000 };
 
 struct Exchange {
     ExchangeList *list;
     ListLink link;
     CallerRequest *request;
-    Call *call;     /* NULL: not started yet, or freed */
-    bool head_sent; /* the head of the answer was sent */
+    Call *call;       /* NULL: not started yet, or freed */
+    bool head_sent;   /* the head of the answer was sent */
+    Span retry_after; /* of an account at its limit; 0: not known */
 };
 
 static void
@@ -150,6 +151,13 @@
                                      "yet\n")};
     case Call_REASON_STOPPING:
         return (FinalAnswer){503, not_run, Str_LIT("this node is stopping\n")};
+    case Call_REASON_OVER_LIMIT:
+        return (FinalAnswer){429, not_run,
+                             Str_LIT("the account is at its limit\n")};
+    case Call_REASON_NO_GRANTOR:
+        return (FinalAnswer){503, not_run,
+                             Str_LIT("the account's limit can't be checked "
+                                     "now\n")};
     case Call_REASON_NO_BACKEND:
         return (FinalAnswer){503, not_run,
                              Str_LIT("no backend server is known\n")};
@@ -159,17 +167,38 @@
     }
 }
 
+/* Appends TIME in seconds, in whole milliseconds that are not below it. */
+static void
+print_seconds(Span time, StrBuf *out)
+{
+    long long ms = (time + Span_MS(1) - 1) / Span_MS(1);
+
+    StrBuf_AppendFmt(out, "%lld.%03lld", ms / MS_PER_S, ms % MS_PER_S);
+}
+
 static void
 send_final_answer(Exchange *exchange, const FinalAnswer *answer)
 {
     FieldList fields = {.count = 0};
+    StrBuf wait = {0};
 
     add_node_fields(exchange, answer->outcome, &fields);
     Field_Add(&fields, Str_LIT("Content-Type"), Str_LIT("text/plain"));
-    if (answer->status == 503) {
+    if (exchange->retry_after) {
+        print_seconds(exchange->retry_after, &wait);
+        Field_Add(&fields, Str_LIT("Retry-After"), StrBuf_View(&wait));
+    }
+    else if (answer->status == 503 || answer->status == 429) {
         Field_Add(&fields, Str_LIT("Retry-After"), Str_LIT("1"));
     }
     Ccn_SendAnswer(exchange->request, answer->status, &fields, answer->text);
+    StrBuf_Finish(&wait);
+}
+
+static void
+on_retry_after(void *context, Span wait)
+{
+    ((Exchange *)context)->retry_after = wait;
 }
 
 static void
@@ -306,8 +335,8 @@
 static void
 start_call(Exchange *exchange, Span timeout, Instant now)
 {
-    static const CallSink callbacks = {NULL, on_head, on_body, on_end,
-                                       is_blocking_others};
+    static const CallSink callbacks = {
+        NULL, on_head, on_body, on_end, is_blocking_others, on_retry_after};
     const CallerRequest *http = exchange->request;
     CallSink sink = callbacks;
     CallRequest request = {
--- a/src/value/tokenbucket.c
+++ b/src/value/tokenbucket.c
@@ -55,6 +55,14 @@
     bucket->spent += (uint64_t)amount;
 }
 
+void
+Bkt_GiveBack(TokenBucket *bucket, double amount, Instant now)
+{
+    refill(bucket, now);
+    bucket->tokens += amount;
+    refill(bucket, now);
+}
+
 Instant
 Bkt_AvailableAt(const TokenBucket *bucket, double amount, Instant now)
 {
--- a/src/value/tokenbucket.h
+++ b/src/value/tokenbucket.h
@@ -34,6 +34,9 @@
  * anyway. */
 void Bkt_Charge(TokenBucket *bucket, double amount, Instant now);
 
+/* Puts back AMOUNT that was taken and not used, up to the burst. */
+void Bkt_GiveBack(TokenBucket *bucket, double amount, Instant now);
+
 /* The earliest time at which AMOUNT can be taken; Instant_NEVER when the rate
  * is 0 or AMOUNT exceeds the burst. */
 Instant Bkt_AvailableAt(const TokenBucket *bucket, double amount, Instant now);
--- a/src/version/rlog.c
+++ b/src/version/rlog.c
@@ -459,6 +459,15 @@
     return is_ready_leader(rlog) && Rlog_HasRecentQuorum(rlog, now);
 }
 
+/* An earlier leader's last answer of a quorum was to an append from before the
+ * votes for this one: who has voted in a later term answers no earlier one. */
+bool
+Rlog_LeadsAlone(const ReplicatedLog *rlog, Instant now)
+{
+    return Rlog_IsLeading(rlog, now) &&
+           now - rlog->leader_since >= rlog->settings.election_timeout;
+}
+
 bool
 Rlog_IsCurrentSince(const ReplicatedLog *rlog, Instant since)
 {
--- a/src/version/rlog.h
+++ b/src/version/rlog.h
@@ -318,6 +318,12 @@
  * elected since. */
 bool Rlog_IsLeading(const ReplicatedLog *rlog, Instant now);
 
+/* Whether this replica is leading and no leader before it can take itself for
+ * leading any more: it has led for longer than a leader without a quorum says
+ * so.  Whatever was granted under this by two leaders was granted one after
+ * the other; clocks need to run equally fast only. */
+bool Rlog_LeadsAlone(const ReplicatedLog *rlog, Instant now);
+
 /* Starts a check that this replica is current as of NOW: a leader sends
  * appends to all soon, a follower sends the leader a read index request.
  * Rlog_IsCurrentSince returns true once the check has succeeded. */
--- a/tests/support/samples_control.c
+++ b/tests/support/samples_control.c
@@ -2,6 +2,7 @@
 #include "connection/configmsg.h"
 #include "connection/leavemsg.h"
 #include "connection/logmsg.h"
+#include "connection/quotamsg.h"
 #include "support/samples.h"
 
 static const AttemptId attempt = {UINT64_C(1796381848187260), 42};
@@ -414,6 +415,51 @@
     return Leavemsg_Read(in, &msg, err);
 }
 
+static void
+pack_quota_ask(Pack *pack)
+{
+    QuotaAskMessage msg = {
+        .node = 77,
+        .sent_at = Span_S(3),
+        .term = UINT64_MAX,
+        .rows = {{UINT64_MAX, 3, 0, 0}, {1, 0, 2, UINT32_MAX}},
+        .count = 2,
+    };
+
+    Quotamsg_PackAsk(pack, &msg);
+}
+
+static bool
+read_quota_ask(Unpack *in, Err *err)
+{
+    QuotaAskMessage msg;
+
+    return Quotamsg_ReadAsk(in, &msg, err);
+}
+
+static void
+pack_quota_grant(Pack *pack)
+{
+    QuotaGrantMessage msg = {
+        .sent_at = Span_S(3),
+        .term = 4,
+        .leader = 77,
+        .rows = {{UINT64_MAX, 3, 1, 9, Span_MS(350), Span_MS(20), Span_MS(60)},
+                 {1, 0, 0, 0, 0, 0, 0}},
+        .count = 2,
+    };
+
+    Quotamsg_PackGrant(pack, &msg);
+}
+
+static bool
+read_quota_grant(Unpack *in, Err *err)
+{
+    QuotaGrantMessage msg;
+
+    return Quotamsg_ReadGrant(in, &msg, err);
+}
+
 const Sample control_samples[] = {
     {"register request", pack_register_request, read_register_request},
     {"register reply", pack_register_reply, read_register_reply},
@@ -427,6 +473,8 @@
     {"suspects ack", pack_suspects_ack, read_suspects_ack},
     {"leave", pack_leave, read_leave},
     {"leave reply", pack_leave_reply, read_leave},
+    {"quota ask", pack_quota_ask, read_quota_ask},
+    {"quota grant", pack_quota_grant, read_quota_grant},
     {"configuration change", pack_change, read_change},
     {"configuration change reply", pack_change_reply, read_change_reply},
     {"version request", pack_version_request, read_version_request},
