Let calls wait for credit for a round trip, and refuse where the line is long

Cause: a call that misses its objective was refused at its next tick, 10 ms after it had asked a grantor 26 ms away, and one at its limit asked again for 250 ms and was then counted as if nobody granted. It now waits 100 ms at least; a call whose account lacks tokens waits when the line ahead of it is shorter than 60 ms, else it is refused at once.

--- a/src/process/quota/creditholder.c
+++ b/src/process/quota/creditholder.c
@@ -19,6 +19,9 @@
 #define IDLE_LOT Span_MS(100)
 #define GIVE_BACK_WAIT Span_MS(50)
 
+/* A call that is refused and can have credit within this time waits. */
+#define SHORT_LINE Span_MS(60)
+
 #define IDLE_MAX Span_S(10)
 
 void
@@ -360,6 +363,22 @@
     }
 }
 
+/* Less was granted than wanted.  Calls wait on when the line is short. */
+static void
+on_shortage(CreditRow *row, const CreditGrant *grant, Instant sent_at,
+            Instant now)
+{
+    row->retry_at = sent_at + grant->retry_after;
+    if (grant->retry_after <= SHORT_LINE) {
+        row->next_ask_at = row->retry_at;
+        return;
+    }
+    row->refused_until = sent_at + grant->wait;
+    if (row->refused_until <= now) {
+        row->refused_until = now + 1; /* for the calls that wait now */
+    }
+}
+
 void
 Crd_OnGrant(CreditHolder *holder, uint64_t term, const CreditGrant *grant,
             Instant sent_at, Instant now)
@@ -378,8 +397,7 @@
     }
     row->granted_at = now;
     if (grant->wait && term == holder->term) {
-        row->refused_until = sent_at + grant->wait;
-        row->retry_at = sent_at + grant->retry_after;
+        on_shortage(row, grant, sent_at, now);
     }
     if (!grant->granted) {
         return;
--- a/src/process/quota/quotasync.c
+++ b/src/process/quota/quotasync.c
@@ -301,7 +301,8 @@
 {
     Crd_Tick(&sync->holder, now);
     Qsy_SendAsk(sync, now);
-    if (sync->settings->control && sync->asker_count && may_grant(sync, now)) {
+    /* Tokens accrue from the moment at which a grantor may grant. */
+    if (sync->settings->control && may_grant(sync, now) && sync->asker_count) {
         tell_askers(sync, now);
     }
 }
--- a/src/request/callcredit.c
+++ b/src/request/callcredit.c
@@ -7,6 +7,10 @@
 /* The same for a call without an objective. */
 #define WAIT_MAX Span_MS(200)
 
+/* A grantor in another region has answered by then: so long waits a call that
+ * misses its objective too. */
+#define WAIT_MIN Span_MS(100)
+
 static CreditHolder *
 get_holder(const Call *call)
 {
@@ -23,6 +27,9 @@
     if (call->start_by_objective && call->start_by_objective < end) {
         end = call->start_by_objective;
     }
+    if (end < call->arrived_at + WAIT_MIN) {
+        end = call->arrived_at + WAIT_MIN;
+    }
     return end < call->deadline ? end : call->deadline;
 }
 
@@ -172,7 +179,12 @@
         break;
     case Crd_WAIT:
         if (now >= call->credit_wait_ends) {
-            refuse(call, Call_REASON_NO_GRANTOR, now);
+            refuse(call,
+                   Crd_GetRetryAfter(get_holder(call), call->account_id,
+                                     call->arrived_at)
+                       ? Call_REASON_OVER_LIMIT
+                       : Call_REASON_NO_GRANTOR,
+                   now);
         }
         break;
     }
