Log what the grantor grants to accounts at their limit

One line a second for each of at most eight accounts: granted, given back, not granted, tokens and term.

--- a/src/process/quota/grantor.c
+++ b/src/process/quota/grantor.c
@@ -35,8 +35,12 @@
 Grt_Finish(Grantor *grantor)
 {
     Hsh_Finish(&grantor->by_id);
+    for (size_t i = 0; i < grantor->account_count; i++) {
+        StrBuf_Finish(&grantor->accounts[i].name);
+    }
     Mem_Free(grantor->accounts);
     grantor->accounts = NULL;
+    grantor->account_count = 0;
 }
 
 GrantTerms
@@ -82,12 +86,14 @@
 
     if (old) {
         *new_one = *old;
+        new_one->name = (StrBuf){0};
         Bkt_SetRate(&new_one->bucket, account->per_s, terms.depth, now);
     }
     else {
         Bkt_Init(&new_one->bucket, account->per_s, terms.depth, now);
         new_one->bucket.tokens = 0;
     }
+    StrBuf_Set(&new_one->name, StrBuf_View(&account->name));
     new_one->life = terms.life;
     Hsh_Add(&to->by_id, &new_one->link, id);
 }
@@ -165,6 +171,7 @@
     if (back > account->outstanding) {
         back = account->outstanding;
     }
+    account->given_back += (uint32_t)back;
     account->outstanding -= back;
     Bkt_GiveBack(&account->bucket, back, now);
 }
@@ -188,6 +195,8 @@
                         : want;
     Bkt_Charge(&account->bucket, grant.granted, now);
     account->outstanding += grant.granted;
+    account->granted += grant.granted;
+    account->refused += want - grant.granted;
     if (grant.granted < want) {
         grant.wait = Bkt_AvailableAt(&account->bucket, 1, now) - now;
         grant.retry_after =
@@ -196,3 +205,13 @@
     }
     return grant;
 }
+
+void
+Grt_ForgetUse(Grantor *grantor)
+{
+    for (size_t i = 0; i < grantor->account_count; i++) {
+        grantor->accounts[i].granted = 0;
+        grantor->accounts[i].given_back = 0;
+        grantor->accounts[i].refused = 0;
+    }
+}
--- a/src/process/quota/grantor.h
+++ b/src/process/quota/grantor.h
@@ -38,6 +38,11 @@
     uint32_t epoch;     /* counts from 0 in each term */
     double outstanding; /* granted in the epoch and not given back */
     Instant line_end;   /* when all who were refused could have had credit */
+    StrBuf name;
+    /* Calls since Grt_ForgetUse. */
+    uint32_t granted;
+    uint32_t given_back;
+    uint32_t refused;
 } GrantorAccount;
 
 typedef struct {
@@ -79,4 +84,7 @@
 Grant Grt_OnAsk(Grantor *grantor, uint64_t id, uint32_t want, uint32_t back,
                 uint32_t epoch, Instant now);
 
+/* Counts what is granted, given back and refused from 0 again. */
+void Grt_ForgetUse(Grantor *grantor);
+
 #endif
--- a/src/process/quota/quotasync.c
+++ b/src/process/quota/quotasync.c
@@ -12,6 +12,11 @@
  * begins to. */
 #define ASKER_MEMORY Span_S(2)
 
+/* The grantor logs the accounts at their limit so often, and at most so many.
+ */
+#define REPORT_INTERVAL Span_S(1)
+enum { REPORT_LINES_MAX = 8 };
+
 /* From here on upwards the bits of an Addr differ between hosts. */
 enum { ADDR_HOST_SHIFT = 16 };
 
@@ -296,13 +301,46 @@
     }
 }
 
+static void
+log_use(QuotaSync *sync, const GrantorAccount *account)
+{
+    Lgr_Log(sync->logger, Lgr_INFO, Str_LIT("account_at_limit"),
+            "account=%.*s per_s=%.0f depth=%.1f tokens=%.1f life_ms=%lld "
+            "granted=%u given_back=%u not_granted=%u term=%llu",
+            Str_ARG(account->name), account->bucket.tokens_per_s,
+            account->bucket.burst, account->bucket.tokens,
+            (long long)(account->life / Span_MS(1)), account->granted,
+            account->given_back, account->refused,
+            (unsigned long long)sync->grantor.term);
+}
+
+static void
+report_use(QuotaSync *sync, Instant now)
+{
+    size_t lines = 0;
+
+    if (now - sync->reported_at < REPORT_INTERVAL) {
+        return;
+    }
+    sync->reported_at = now;
+    for (size_t i = 0;
+         i < sync->grantor.account_count && lines < REPORT_LINES_MAX; i++) {
+        if (sync->grantor.accounts[i].refused) {
+            log_use(sync, &sync->grantor.accounts[i]);
+            lines++;
+        }
+    }
+    Grt_ForgetUse(&sync->grantor);
+}
+
 void
 Qsy_Tick(QuotaSync *sync, Instant now)
 {
     Crd_Tick(&sync->holder, now);
     Qsy_SendAsk(sync, now);
     /* Tokens accrue from the moment at which a grantor may grant. */
-    if (sync->settings->control && may_grant(sync, now) && sync->asker_count) {
+    if (sync->settings->control && may_grant(sync, now)) {
         tell_askers(sync, now);
+        report_use(sync, now);
     }
 }
--- a/src/process/quota/quotasync.h
+++ b/src/process/quota/quotasync.h
@@ -45,7 +45,8 @@
     Instant next_ask_at; /* while no grantor is known */
     /* On a control replica. */
     Grantor grantor;
-    QuotaAsker *askers; /* owned */
+    Instant reported_at; /* the use of accounts at their limit */
+    QuotaAsker *askers;  /* owned */
     size_t asker_count;
 } QuotaSync;
 
--- a/tests/integration/test_account_limits.c
+++ b/tests/integration/test_account_limits.c
@@ -199,6 +199,17 @@
                       PERCENT / owed);
 }
 
+static uint64_t
+sum_counter(Fleet *fleet, const char *name)
+{
+    uint64_t sum = 0;
+
+    for (int vm = 0; vm < VMS; vm++) {
+        sum += Fleet_ReadCounter(fleet, vm, Str_FromC(name));
+    }
+    return sum;
+}
+
 START_TEST(account_exceeds_or_loses_its_limit)
 {
     const Case *c = &cases[_i];
@@ -227,11 +238,15 @@
     watch(&fleet, &samples, AFTER_TIME);
     totals = Fleet_StopLoad(&fleet, &load);
     printf("%s: most %llu of %llu in a window, %llu %% of the rate after, "
-           "%d calls\n",
+           "%d calls, %llu messages of %llu bytes for credit\n",
            c->name, (unsigned long long)count_most(&samples),
            (unsigned long long)allowed,
            (unsigned long long)get_percent_of_rate(&samples, calm_at),
-           totals.calls);
+           totals.calls,
+           (unsigned long long)sum_counter(&fleet,
+                                           "lycheeridge_quota_messages_total"),
+           (unsigned long long)sum_counter(&fleet,
+                                           "lycheeridge_quota_bytes_total"));
     ck_assert_int_eq(totals.contradicted, 0);
     ck_assert_int_gt(totals.not_run, 0);
     ck_assert_uint_le(count_most(&samples), allowed);
