--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -50,7 +50,6 @@
     const PresetAccount *account; /* NULL: the call has none */
     uint64_t account_id;          /* with a limit; 0: without */
     Credit credit;                /* for the next attempt, if has_credit */
-    bool has_credit;
     Instant credit_wait_ends; /* waits for credit until then; 0: does not */
     ListLink credit_link;     /* in credit_waiters while it waits */
     Service *service;
@@ -60,6 +59,7 @@
     Instant deadline;
     Attempt attempts[Call_ATTEMPTS_MAX];
     HedgeState hedge;
+    bool has_credit;
     bool backend_error; /* the answer is an error of the backend server */
     bool settling; /* past the deadline; a fence was sent for the outcome */
     ClaimSession *claim_session; /* NULL: no idempotency key */
