Hand answers to the kernel before a stop ends, for callers that read late

Cause: a stop that reaches its time limit drops what the process still holds of answers, and the kernel had room for more: libevent writes when the socket is told to be writable, which is only while a third of its send buffer is free. Credits for pieces at other nodes wait for the same event. Callers that began to read seconds late, when the node had ended, got 1,998,848 or 2,883,584 bytes of 2 and 4 MB, and an orderly end.

Ruled out: that an answer counted as delivered too early (each cut request was counted and held the stop up to its limit; the log says why=exit), and a close behind an answer (stage=answer_begun or answered, bytes unsent).

The line answer_cut also gives the unsent bytes of an answer that is going on.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -64,6 +64,10 @@
     else if (request->deferred_output) {
         unsent = evbuffer_get_length(request->deferred_output);
     }
+    else if (request->head_sent) {
+        unsent = evbuffer_get_length(
+            bufferevent_get_output(request->connection->bev));
+    }
     callbacks->on_cut(callbacks->context, request, reason, unsent);
     if (request->is_dispatched && !request->answer_ended &&
         !request->is_aborted) {
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -112,6 +112,8 @@
     size_t active_requests; /* read completely, and the answer not sent
                                completely yet */
     bool is_draining;       /* connections close after their next answer */
+    int send_buffer_max;    /* that the system grants; 0: not known yet */
+    int send_buffer_growth; /* by Ccn_PushOutput, bytes of all connections */
 };
 
 /* Listens at ADDR.  Connections are accepted after Ccn_StartAccepting.
@@ -150,6 +152,11 @@
 /* Counts the bytes of all answers that were not sent yet. */
 size_t Ccn_CountUnsentBytes(CallerListener *listener);
 
+/* Hands as much of all output to the kernel as that takes, and makes its send
+ * buffers larger within what the system grants.  The kernel goes on to send it
+ * when the process has ended, so that callers that read late get it. */
+void Ccn_PushOutput(CallerListener *listener);
+
 /* Handles the timeouts of all connections; called periodically. */
 void Ccn_CheckTimeouts(CallerListener *listener, Instant now);
 
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -179,6 +179,12 @@
     Ccn_RejectPartial(&edge->caller_listener, HTTP_SERVICE_UNAVAILABLE, now);
 }
 
+void
+Edge_PushOutput(Edge *edge)
+{
+    Ccn_PushOutput(&edge->caller_listener);
+}
+
 void
 Edge_CheckTimeouts(Edge *edge, Instant now)
 {
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -49,6 +49,10 @@
  * connections close after it. */
 void Edge_RejectPartialRequests(Edge *edge, Instant now);
 
+/* Hands all output for callers to the kernel, as far as that has room.  To be
+ * called at each tick when the process ends soon. */
+void Edge_PushOutput(Edge *edge);
+
 /* Handles the timeouts of callers' connections; called at each tick of the
  * node's timer. */
 void Edge_CheckTimeouts(Edge *edge, Instant now);
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -252,6 +252,7 @@
     if (!Stp_MayStartCalls(&node->stop, false, now)) {
         Call_StopStarting(&node->dispatcher, false, now);
         Run_StartFlushing(&node->runner, now);
+        Edge_PushOutput(&node->edge);
     }
     if (!Stp_MayStartCalls(&node->stop, true, now)) {
         Call_StopStarting(&node->dispatcher, true, now);
