Send a request again that was lost with its connection, without a retry

Cause: a fence that proved that the request never reached its node counted as a failed attempt. Where no retry was left the caller was told 503, not run, or, when an earlier attempt had been answered with an error, 504 (seen in test_slow_servers never_all_ejected:1 at a load of 30, 3 of 3732 calls: two looked at, attempts=2, fences state=0). Nothing had run, so that sending it again makes no more work than was asked for.

Ruled out: keyed calls, whose claims go on as before; a call whose deadline has passed or whose node stops.

--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -257,6 +257,21 @@
     }
 }
 
+/* The request was lost with the connection over which it was sent, so that
+ * sending it again makes no more work than was asked for. */
+static void
+on_never_ran(Attempt *attempt, Instant now)
+{
+    const Call *call = attempt->call;
+
+    if (call->claim_session || now >= call->deadline || Call_IsTooLate(call)) {
+        Call_OnAttemptFailed(attempt, Rty_NOT_RUN, now);
+    }
+    else {
+        Call_SendAgain(attempt, now);
+    }
+}
+
 static void
 on_fence_reply(void *context, const NetOrigin *origin, Unpack *in, Instant now)
 {
@@ -283,7 +298,7 @@
         }
     }
     else if (msg.result == Fence_NEVER_RAN) {
-        Call_OnAttemptFailed(attempt, Rty_NOT_RUN, now);
+        on_never_ran(attempt, now);
     }
     else if (msg.result == Fence_UNKNOWN && Call_OtherAttempt(attempt)) {
         Call_OnAttemptFailed(attempt, Rty_UNKNOWN, now);
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -284,11 +284,19 @@
 Call_Redispatch(Attempt *attempt, Instant now)
 {
     Call *call = attempt->call;
-    bool other = Call_OtherAttempt(attempt) != NULL;
 
     if (call->rejected_by_count < Rty_TRIED_MAX) {
         call->rejected_by[call->rejected_by_count++] = attempt->node;
     }
+    Call_SendAgain(attempt, now);
+}
+
+void
+Call_SendAgain(Attempt *attempt, Instant now)
+{
+    Call *call = attempt->call;
+    bool other = Call_OtherAttempt(attempt) != NULL;
+
     Rty_UncountAttempt(&call->retry, attempt->node);
     Call_EndAttempt(attempt, Plc_REFUSED, now);
     if (!other) {
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -108,6 +108,11 @@
  * The attempt does not count as a retry.  May end the call. */
 void Call_Redispatch(Attempt *attempt, Instant now);
 
+/* ATTEMPT was lost on the way to its node, which answers again: dispatches the
+ * call anew, to that node or another one.  The attempt does not count as a
+ * retry.  May end the call. */
+void Call_SendAgain(Attempt *attempt, Instant now);
+
 /* Dispatches a waiting call when retry_at has come.  May end CALL. */
 void Call_TickWaiting(Call *call, Instant now);
 
