Keep answers of look-ups for a moment after they were sent

Cause: an answer of a request that may be repeated was not kept. It went with the connection over which it was sent, when that was given up, and the caller was told 504 where no retry was left.

Conclusion: an answer of one piece outlives its connection. One of several pieces that has begun is still cut when pieces were on the way.

--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -138,11 +138,15 @@
         .fields = attempt->answer_fields,
         .body = StrBuf_View(&attempt->unsent_body),
     };
+    bool kept = is_kept(attempt, now);
     Pack pack;
 
     Callmsg_PackAnswer(&pack, &answer);
-    Led_OnEnded(&attempt->runner->ledger, attempt->id, is_kept(attempt, now),
-                Pack_View(&pack), now);
+    Led_OnEnded(&attempt->runner->ledger, attempt->id, kept, Pack_View(&pack),
+                now);
+    if (!kept && attempt->next_piece == 0) {
+        Rcn_Add(&attempt->runner->recent, attempt->id, Pack_View(&pack), now);
+    }
     Pack_Finish(&pack);
 }
 
--- a/src/request/answer.h
+++ b/src/request/answer.h
@@ -27,7 +27,8 @@
 
 /* The answer is complete: records in the ledger that the attempt ran.  The
  * ledger keeps the answer for nodes that ask later when the attempt is not
- * idempotent and no piece was sent yet. */
+ * idempotent and no piece was sent yet; that of an idempotent one is kept for
+ * a moment (recent.h). */
 void Ans_StoreInLedger(BackendAttempt *attempt, Instant now);
 
 /* Called when no node waits for the answer any more: nothing more is sent, but
--- a/src/request/fence.c
+++ b/src/request/fence.c
@@ -26,6 +26,9 @@
         return Run_RedirectAnswer(runner, origin, msg, now);
     case Led_ANSWERED:
         return Fence_ANSWERED;
+    case Led_ANSWER_DROPPED:
+        return Rcn_Find(&runner->recent, msg->id, answer) ? Fence_ANSWERED
+                                                          : Fence_UNKNOWN;
     default:
         return Fence_UNKNOWN;
     }
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -487,6 +487,7 @@
     Rcp_Finish(&runner->receipts);
     Hsh_Finish(&runner->attempts_by_id);
     Led_Finish(&runner->ledger);
+    Rcn_Finish(&runner->recent);
 }
 
 void
@@ -659,6 +660,7 @@
     }
     runner->ticked_at = now;
     Led_Expire(&runner->ledger, now);
+    Rcn_Expire(&runner->recent, now);
     drop_overdue(runner, now);
     Crs_Tick(runner, now);
     while (Adm_StartNext(runner->admission, now, &request_class)) {
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -26,6 +26,7 @@
 #include "process/observe/latency.h"
 #include "process/observe/timeline.h"
 #include "process/suspects/suspectsync.h"
+#include "request/recent.h"
 #include "value/list.h"
 #include "version/preset.h"
 
@@ -42,6 +43,7 @@
     SuspectSync *suspects;
     uint64_t incarnation;           /* of this node; changes at each start */
     AttemptLedger ledger;           /* what became of each attempt id */
+    RecentAnswers recent;           /* of attempts that may be repeated */
     ReportThrottle report_throttle; /* when load reports are piggybacked */
     HashTable attempts_by_id;       /* BackendAttempt by its attempt id */
     List attempts;                  /* all, in order of arrival */
--- a/tests/integration/test_silent_connections.c
+++ b/tests/integration/test_silent_connections.c
@@ -62,10 +62,10 @@
             "\"path\":\"/visor/\"}]}");
 
 static void
-start_fleet(Fleet *fleet)
+start_fleet_with(Fleet *fleet, Str json)
 {
     Fleet_Init(fleet, build, 53, 2, 1);
-    Fleet_SetPreset(fleet, preset);
+    Fleet_SetPreset(fleet, json);
     Fleet_UseProxy(fleet);
     Fleet_StartNode(fleet, 0);
     Fleet_StartNode(fleet, 1);
@@ -74,6 +74,12 @@
         Fleet_WaitForPath(fleet, 0, Str_LIT("/visor/ready"), Span_S(10)));
 }
 
+static void
+start_fleet(Fleet *fleet)
+{
+    start_fleet_with(fleet, preset);
+}
+
 static int
 send_request(Fleet *fleet, const FreezeCase *c)
 {
@@ -195,6 +201,76 @@
 }
 END_TEST
 
+/* An answer, or the request, goes with the connection over which it is sent,
+ * where no retry is left.  The node that sent the answer gives it again over
+ * the next connection; a request that did not arrive is sent again. */
+typedef struct {
+    const char *name;
+    Str fault;    /* while the request runs */
+    int bytes;    /* of the answer */
+    bool is_idle; /* the fault comes before the request, which is lost too */
+} LostAnswerCase;
+
+static const LostAnswerCase lost_answer_cases[] = {
+    {"back", Str_LIT("freeze n0-1 back"), 40, false},
+    {"both", Str_LIT("freeze n0-1 both"), 40, false},
+    {"back, a long answer", Str_LIT("freeze n0-1 back"), 60000, false},
+    {"the request, forward", Str_LIT("freeze n0-1 forward"), 40, true},
+    {"the request, both", Str_LIT("freeze n0-1 both"), 40, true},
+};
+
+enum {
+    LOST_ANSWER_COUNT = sizeof lost_answer_cases / sizeof lost_answer_cases[0],
+    LOST_ANSWER_REQUESTS = 4
+};
+
+static const Str preset_without_retries =
+    Str_LIT("{\"name\":\"ordinary\",\"limits\":{\"retry_permille\":0,"
+            "\"retry_burst\":0},\"routes\":["
+            "{\"service\":\"visor\",\"route\":\"read\",\"path\":\"/visor/\","
+            "\"method\":\"GET\",\"interactive\":true,"
+            "\"idempotent\":true}]}");
+
+START_TEST(answer_outlives_its_connection)
+{
+    const LostAnswerCase *c = &lost_answer_cases[_i];
+    int fds[LOST_ANSWER_REQUESTS];
+    Fleet fleet;
+    StrBuf text = {0};
+
+    start_fleet_with(&fleet, preset_without_retries);
+    StrBuf_AppendFmt(&text,
+                     "GET /visor/a HTTP/1.1\r\nHost: barns\r\n"
+                     "X-Lycheeridge-Deadline-Ms: %d\r\n"
+                     "X-Fake-Time-Us: 400000\r\nX-Fake-Size: %d\r\n"
+                     "Connection: close\r\n\r\n",
+                     DEADLINE_MS, c->bytes);
+    if (c->is_idle) {
+        ck_assert(Fleet_SendProxyCommand(&fleet, c->fault));
+    }
+    for (int i = 0; i < LOST_ANSWER_REQUESTS; i++) {
+        fds[i] = Fleet_RawOpen(&fleet, 0, 8000);
+        Fleet_RawSend(fds[i], StrBuf_View(&text));
+    }
+    if (!c->is_idle) {
+        Fleet_Sleep(Span_MS(200));
+        ck_assert(Fleet_SendProxyCommand(&fleet, c->fault));
+    }
+    for (int i = 0; i < LOST_ANSWER_REQUESTS; i++) {
+        StrBuf_Clear(&text);
+        ck_assert_msg(Fleet_RawRead(fds[i], Span_MS(DEADLINE_MS), &text),
+                      "%s: no answer", c->name);
+        Fleet_RawClose(fds[i]);
+        ck_assert_msg(
+            Str_StartsWith(StrBuf_View(&text), Str_LIT("HTTP/1.1 200 ")) &&
+                text.len > (size_t)c->bytes,
+            "%s: %.*s", c->name, Str_ARG(text));
+    }
+    StrBuf_Finish(&text);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 /* A read is retried over a new connection because its connection to the
  * backend server was silent.  The retry has to forward only the deadline that
  * remains.
@@ -336,6 +412,7 @@
     const SuiteTest tests[] = {
         {requests_are_answered_within_the_deadline, CASE_COUNT},
         {closed_connection_holds_no_answer_up, CUT_CASE_COUNT},
+        {answer_outlives_its_connection, LOST_ANSWER_COUNT},
         {repeat_has_less_time_left, RETRY_COUNT},
         {membership_survives_frozen_connection, CONTROL_FREEZE_COUNT},
         {answer_goes_on_after_silence, ANSWER_FREEZE_COUNT}};
