Hold a look-up for its silent node where no other one can take it

Cause: a look-up without a retry was told 504 when its node was silent twice in a row, after 0.7 to 0.9 s, also where its repeat could only go to that node.

Ruled out: a node that is no member any more, or beside which another one can take the call: told 504 as before, since the repeat may go elsewhere.

--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -462,6 +462,19 @@
     Call_EndUnknown(call, now);
 }
 
+/* Whether the node of ATTEMPT is still a member and no other one could take
+ * the call now. */
+static bool
+is_only_choice(const Attempt *attempt, Instant now)
+{
+    Call *call = attempt->call;
+    AttemptTarget target;
+
+    return Plc_HasBackend(&call->service->placement, attempt->node) &&
+           (!Call_ChooseTarget(call, &target, now) ||
+            target.node == attempt->node);
+}
+
 void
 Call_OnAttemptFailed(Attempt *attempt, AttemptFailure failure, Instant now)
 {
@@ -488,8 +501,10 @@
         retry_call(call, now);
         break;
     case Rty_FENCE:
-        /* A repeatable call is not held for a node that stays silent. */
-        if (attempt->asked_at && call->route->is_idempotent) {
+        /* A repeatable call is not held for a node that stays silent, unless
+         * its repeat could go nowhere else. */
+        if (attempt->asked_at && call->route->is_idempotent &&
+            !is_only_choice(attempt, now)) {
             Call_EndUnknown(call, now);
         }
         else {
--- a/tests/integration/test_own_pause.c
+++ b/tests/integration/test_own_pause.c
@@ -57,6 +57,10 @@
      SERVING_VM, Span_MS(300), Span_MS(700), Span_MS(400)},
     {"the loop of the serving node, bookings", true, true, SERVING_VM,
      Span_MS(300), Span_MS(900), Span_MS(2500)},
+    {"the serving node, silent twice, look-ups", false, false, SERVING_VM,
+     Span_MS(300), Span_MS(850), Span_MS(1200)},
+    {"the serving node, silent twice, before it can pass the answers on",
+     false, false, SERVING_VM, Span_MS(300), Span_MS(850), Span_MS(400)},
 };
 
 typedef struct {
