Let test_two_failures tell a repeat that ran from a call that had not

The test sends the first calls of its load again and counts their effects with those of the load. A call that was told 'not run' and whose repeat then ran was taken for a contradiction: row 7, once, at a load of 31 (load-5-2, whose effect names the request of the repeat).

Now the effect must have come with the repeat: the key had none before it. As strict otherwise, and stricter for a call that was told 'ran': it must have run before its repeat, not by it.

--- a/tests/integration/test_two_failures.c
+++ b/tests/integration/test_two_failures.c
@@ -5,11 +5,13 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/wait.h>
 #include <time.h>
 
 #include "fleet_keyed.h"
 #include "operators.h"
+#include "process/settings/settings.h"
 #include "support/suite.h"
 
 #define ROWS(table) (int)(sizeof(table) / sizeof(table)[0])
@@ -286,11 +288,17 @@
     observe_versions_for(fleet, watch, Span_MS(step->delay_ms));
 }
 
+/* What became of the repeats of the load's first calls. */
+typedef struct {
+    int unknown;
+    /* The key had no effect before the repeat, by process and call. */
+    bool had_no_effect[PROCESSES][REPEATS];
+} Repeats;
+
 /* Sends the first calls of each process again, with the same keys, through
- * other nodes.  Adds calls with an unknown outcome to UNKNOWN.  Their effects
- * are counted with those of the load. */
+ * other nodes.  Their effects are counted with those of the load. */
 static void
-repeat_calls(Fleet *fleet, int *unknown)
+repeat_calls(Fleet *fleet, Repeats *repeats)
 {
     for (int process = 0; process < PROCESSES; process++) {
         for (int call = 0; call < REPEATS; call++) {
@@ -298,10 +306,12 @@
             StrBuf answer = {0};
             PostOutcome outcome;
             StrBuf_AppendFmt(&key, "load-%d-%d", process, call);
+            repeats->had_no_effect[process][call] =
+                Fleet_CountEffects(fleet, StrBuf_View(&key)) == 0;
             outcome = Fleet_Post(fleet, (process + call + 1) % VMS,
                                  paths[KEYED], StrBuf_View(&key), (Str){0},
                                  (Str){0}, Span_S(8), &answer);
-            *unknown += outcome == Post_UNKNOWN;
+            repeats->unknown += outcome == Post_UNKNOWN;
             ck_assert_msg(outcome != Post_KEY_MISMATCH,
                           "key taken for another request");
             StrBuf_Finish(&key);
@@ -310,6 +320,50 @@
     }
 }
 
+/* Whether CALL of PROCESS, of the load, was told OUTCOME. */
+static bool
+was_told(Fleet *fleet, int process, int call, const char *outcome)
+{
+    StrBuf path = {0};
+    StrBuf text = {0};
+    StrBuf line = {0};
+    bool found;
+
+    StrBuf_AppendFmt(&path, "%.*s/load%d", Str_ARG(fleet->folder), process);
+    ck_assert(Set_ReadFile(StrBuf_View(&path), &text, NULL));
+    StrBuf_AppendFmt(&line, "load-%d-%d %s ", process, call, outcome);
+    found = memmem(text.ptr, text.len, line.ptr, line.len) != NULL;
+    StrBuf_Finish(&path);
+    StrBuf_Finish(&text);
+    StrBuf_Finish(&line);
+    return found;
+}
+
+/* Counts the calls of the load that were told "not run" and had not run until
+ * their repeat, which may run.  One that was told "ran" must have run before
+ * its repeat. */
+static int
+count_run_by_repeat(Fleet *fleet, const Repeats *repeats)
+{
+    int count = 0;
+
+    for (int process = 0; process < PROCESSES; process++) {
+        for (int call = 0; call < REPEATS; call++) {
+            StrBuf key = {0};
+            StrBuf_AppendFmt(&key, "load-%d-%d", process, call);
+            if (repeats->had_no_effect[process][call]) {
+                ck_assert_msg(!was_told(fleet, process, call, "ran"),
+                              "%.*s was told \"ran\" before it ran",
+                              Str_ARG(key));
+                count += was_told(fleet, process, call, "not-run") &&
+                         Fleet_CountEffects(fleet, StrBuf_View(&key)) > 0;
+            }
+            StrBuf_Finish(&key);
+        }
+    }
+    return count;
+}
+
 static void
 print_totals(const FailurePairCase *c, bool keyed, const FleetTotals *t,
              int repeats)
@@ -336,7 +390,7 @@
                       .process_count = PROCESSES,
                       .pause = Span_MS(5)};
     FleetTotals totals;
-    int unknown = 0;
+    Repeats repeats = {0};
 
     start_fleet(&fleet, &watch);
     Fleet_StartLoad(&fleet, &load);
@@ -345,13 +399,14 @@
         run_step(&fleet, &watch, &c->steps[i], i);
     }
     if (keyed) {
-        repeat_calls(&fleet, &unknown);
+        repeat_calls(&fleet, &repeats);
     }
     totals = Fleet_StopLoad(&fleet, &load);
-    print_totals(c, keyed, &totals, unknown);
+    print_totals(c, keyed, &totals, repeats.unknown);
     ck_assert_int_gt(totals.ran, RAN_MIN);
     ck_assert_int_eq(totals.duplicated, 0);
-    ck_assert_int_eq(totals.contradicted, 0);
+    ck_assert_int_eq(totals.contradicted,
+                     count_run_by_repeat(&fleet, &repeats));
     ck_assert_int_eq(watch.regression_count, 0);
     Fleet_Finish(&fleet);
 }
