Send pieces again that were lost with their connection

Cause: pieces of an answer that were on their way over a connection that was given up were gone: the fence said which piece was next, and the node beside the backend server could go on only if that was the next one to be sent.

Ruled out: credits as the sign that a piece has come (they wait for the caller); the attempt's own memory, which ends with it.

--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -43,9 +43,31 @@
     Cnt_Add(attempt->runner->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
     attempt->origin_lost |= !Run_AnswerOrigin(
         attempt->runner, &attempt->origin, Pack_View(&pack), now);
+    if (msg.sequence || !last) {
+        const SentPiece piece = {Pack_View(&pack), bytes.len, last};
+        Snt_Add(&attempt->runner->sent_pieces, attempt->id, msg.sequence,
+                &piece, now);
+    }
     Pack_Finish(&pack);
 }
 
+uint32_t
+Ans_SendAgain(AttemptRunner *runner, const NetOrigin *origin,
+              const FenceMessage *fence, uint32_t end, Instant now)
+{
+    SentPiece piece = {.is_last = false};
+    size_t sent = 0;
+
+    for (uint32_t i = fence->next_piece; i < end && !piece.is_last; i++) {
+        if (!Snt_Find(&runner->sent_pieces, fence->id, i, &piece)) {
+            break;
+        }
+        Run_AnswerOrigin(runner, origin, piece.message, now);
+        sent += piece.data_bytes;
+    }
+    return (uint32_t)sent;
+}
+
 void
 Ans_SendFullPieces(BackendAttempt *attempt, Instant now)
 {
--- a/src/request/answer.h
+++ b/src/request/answer.h
@@ -25,6 +25,12 @@
  * as such, whatever the window allows. */
 void Ans_SendRest(BackendAttempt *attempt, Instant now);
 
+/* Sends the pieces that were sent before and of which FENCE says that they
+ * have not come, up to number END, which is not included, or to the last one,
+ * to ORIGIN.  Returns the bytes of the answer in them. */
+uint32_t Ans_SendAgain(AttemptRunner *runner, const NetOrigin *origin,
+                       const FenceMessage *fence, uint32_t end, Instant now);
+
 /* The answer is complete: records in the ledger that the attempt ran.  The
  * ledger keeps the answer for nodes that ask later when the attempt is not
  * idempotent and no piece was sent yet; that of an idempotent one is kept for
--- a/src/request/fence.c
+++ b/src/request/fence.c
@@ -1,6 +1,7 @@
 #include "request/fence.h"
 
 #include "connection/claimmsg.h"
+#include "request/answer.h"
 #include "request/runstate.h"
 
 static bool
@@ -14,10 +15,28 @@
     return !well_formed;
 }
 
+/* The attempt of MSG has ended, and the ledger has no answer: it, or what of
+ * it has not come, may be kept because it was sent a moment ago. */
+static FenceResult
+find_sent_answer(const AttemptRunner *runner, const FenceMessage *msg,
+                 Str *answer, bool *gives_rest)
+{
+    if (Rcn_Find(&runner->recent, msg->id, answer)) {
+        return Fence_ANSWERED;
+    }
+    *gives_rest =
+        Snt_HasAll(&runner->sent_pieces, msg->id, msg->next_piece, UINT32_MAX);
+    return *gives_rest ? Fence_RUNNING : Fence_UNKNOWN;
+}
+
+/* Sets ANSWER when the result is Fence_ANSWERED, and GIVES_REST when pieces
+ * are to follow that were sent before. */
 static FenceResult
 fence_attempt(AttemptRunner *runner, const NetOrigin *origin,
-              const FenceMessage *msg, Instant now, Str *answer)
+              const FenceMessage *msg, Instant now, Str *answer,
+              bool *gives_rest)
 {
+    *gives_rest = false;
     switch (Led_Fence(&runner->ledger, msg->id, msg->target_incarnation,
                       msg->keep_long, now, answer)) {
     case Led_NEVER_RAN:
@@ -27,8 +46,7 @@
     case Led_ANSWERED:
         return Fence_ANSWERED;
     case Led_ANSWER_DROPPED:
-        return Rcn_Find(&runner->recent, msg->id, answer) ? Fence_ANSWERED
-                                                          : Fence_UNKNOWN;
+        return find_sent_answer(runner, msg, answer, gives_rest);
     default:
         return Fence_UNKNOWN;
     }
@@ -67,13 +85,15 @@
     FenceReplyMessage fenced;
     Err err = {0};
     Str answer;
+    bool gives_rest;
     Pack pack;
 
     if (reject_malformed(runner, Callmsg_ReadFence(in, &msg, &err), &err)) {
         return;
     }
     fenced.id = msg.id;
-    fenced.result = fence_attempt(runner, origin, &msg, now, &answer);
+    fenced.result =
+        fence_attempt(runner, origin, &msg, now, &answer, &gives_rest);
     fenced.load = Adm_GetLoadReport(runner->admission, now);
     Tml_Record(runner->timeline, Tml_FENCE, "attempt=%016llx-%llu state=%d",
                (unsigned long long)msg.id.incarnation,
@@ -84,6 +104,9 @@
     if (fenced.result == Fence_ANSWERED) {
         send_kept_answer(runner, origin, msg.id, answer, now);
     }
+    if (gives_rest) {
+        Ans_SendAgain(runner, origin, &msg, UINT32_MAX, now);
+    }
 }
 
 static void
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -488,6 +488,7 @@
     Hsh_Finish(&runner->attempts_by_id);
     Led_Finish(&runner->ledger);
     Rcn_Finish(&runner->recent);
+    Snt_Finish(&runner->sent_pieces);
 }
 
 void
@@ -513,13 +514,18 @@
     return false;
 }
 
-/* Whether the rest of ATTEMPT's answer can follow what FENCE says has come. A
- * detached attempt may have dropped a part of it. */
+/* Whether the rest of ATTEMPT's answer can follow what FENCE says has come:
+ * pieces that were sent and have not come are kept.  A detached attempt may
+ * have dropped a part of it. */
 static bool
 can_go_on(const BackendAttempt *attempt, const FenceMessage *fence)
 {
-    return attempt->next_piece == fence->next_piece &&
-           !(fence->next_piece && attempt->detached);
+    if (attempt->next_piece == fence->next_piece) {
+        return !(fence->next_piece && attempt->detached);
+    }
+    return !attempt->detached && fence->next_piece < attempt->next_piece &&
+           Snt_HasAll(&attempt->runner->sent_pieces, attempt->id,
+                      fence->next_piece, attempt->next_piece);
 }
 
 FenceResult
@@ -539,9 +545,11 @@
     }
     attempt->origin = *origin;
     attempt->detached = false;
-    if (fence->next_piece) {
+    if (attempt->next_piece) {
         /* Credits may have been lost as well. */
-        attempt->uncredited_bytes = fence->uncredited_bytes;
+        attempt->uncredited_bytes =
+            fence->uncredited_bytes +
+            Ans_SendAgain(runner, origin, fence, attempt->next_piece, now);
         Ans_SendMore(attempt, now);
     }
     return Fence_RUNNING;
@@ -661,6 +669,7 @@
     runner->ticked_at = now;
     Led_Expire(&runner->ledger, now);
     Rcn_Expire(&runner->recent, now);
+    Snt_Expire(&runner->sent_pieces, now);
     drop_overdue(runner, now);
     Crs_Tick(runner, now);
     while (Adm_StartNext(runner->admission, now, &request_class)) {
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -27,6 +27,7 @@
 #include "process/observe/timeline.h"
 #include "process/suspects/suspectsync.h"
 #include "request/recent.h"
+#include "request/sentpieces.h"
 #include "value/list.h"
 #include "version/preset.h"
 
@@ -44,6 +45,7 @@
     uint64_t incarnation;           /* of this node; changes at each start */
     AttemptLedger ledger;           /* what became of each attempt id */
     RecentAnswers recent;           /* of attempts that may be repeated */
+    SentPieces sent_pieces;         /* of answers of several pieces */
     ReportThrottle report_throttle; /* when load reports are piggybacked */
     HashTable attempts_by_id;       /* BackendAttempt by its attempt id */
     List attempts;                  /* all, in order of arrival */
@@ -97,7 +99,7 @@
 
 /* Sends the answer of the attempt of FENCE, or the rest of it, to ORIGIN from
  * now on and returns Fence_RUNNING.  Returns Fence_UNKNOWN when the attempt is
- * not in the list or a piece was sent that has not come.  With
+ * not in the list or a piece that has not come is not kept any more.  With
  * cancel_if_queued, an attempt that has not started is dropped instead, and
  * the result is Fence_NEVER_RAN. */
 FenceResult Run_RedirectAnswer(AttemptRunner *runner, const NetOrigin *origin,
--- a/tests/integration/test_silent_connections.c
+++ b/tests/integration/test_silent_connections.c
@@ -271,6 +271,71 @@
 }
 END_TEST
 
+/* Pieces of an answer are on their way over a slow link when its connection
+ * freezes; the rest of them follows over the next one. */
+typedef struct {
+    const char *name;
+    Str freeze;
+    Str rate; /* of the link, bytes a second */
+    const char *method;
+    int bytes; /* of the answer; up to four pieces are sent at once */
+} BegunCase;
+
+static const BegunCase begun_cases[] = {
+    {"more is to come", Str_LIT("freeze n0-1 back"),
+     Str_LIT("rate norte>norte 2000000"), "GET", 3000000},
+    {"more is to come, both", Str_LIT("freeze n0-1 both"),
+     Str_LIT("rate norte>norte 2000000"), "GET", 3000000},
+    {"all of it was sent", Str_LIT("freeze n0-1 back"),
+     Str_LIT("rate norte>norte 300000"), "GET", 250000},
+    {"all of a booking's was sent", Str_LIT("freeze n0-1 back"),
+     Str_LIT("rate norte>norte 300000"), "POST", 250000},
+};
+
+enum {
+    BEGUN_COUNT = sizeof begun_cases / sizeof begun_cases[0],
+    BLOCK_BYTES = 4096, /* of the fake backend server's bodies */
+    BLOCK_LETTERS = 26
+};
+
+START_TEST(begun_answer_outlives_its_connection)
+{
+    const BegunCase *c = &begun_cases[_i];
+    Fleet fleet;
+    StrBuf text = {0};
+    const char *end;
+    size_t head;
+    int fd;
+
+    start_fleet(&fleet);
+    ck_assert(Fleet_SendProxyCommand(&fleet, c->rate));
+    StrBuf_AppendFmt(&text,
+                     "%s /visor/a HTTP/1.1\r\nHost: barns\r\n"
+                     "Content-Length: 0\r\nIdempotency-Key: lot\r\n"
+                     "X-Fake-Size: %d\r\nConnection: close\r\n\r\n",
+                     c->method, c->bytes);
+    fd = Fleet_RawOpen(&fleet, 0, 8000);
+    Fleet_RawSend(fd, StrBuf_View(&text));
+    Fleet_Sleep(Span_MS(600));
+    ck_assert(Fleet_SendProxyCommand(&fleet, c->freeze));
+    StrBuf_Clear(&text);
+    ck_assert_msg(Fleet_RawRead(fd, Span_S(9), &text), "%s: no end", c->name);
+    Fleet_RawClose(fd);
+    end = memmem(text.ptr, text.len, "\r\n\r\n", 4);
+    ck_assert_msg(end != NULL, "%s: no answer", c->name);
+    head = (size_t)(end - text.ptr) + 4;
+    ck_assert_msg(text.len - head == (size_t)c->bytes, "%s: %zu of %d bytes",
+                  c->name, text.len - head, c->bytes);
+    for (size_t i = 0; i < (size_t)c->bytes; i++) {
+        char expected = (char)('a' + i % BLOCK_BYTES % BLOCK_LETTERS);
+        ck_assert_msg(text.ptr[head + i] == expected, "%s: byte %zu is wrong",
+                      c->name, i);
+    }
+    StrBuf_Finish(&text);
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 /* A read is retried over a new connection because its connection to the
  * backend server was silent.  The retry has to forward only the deadline that
  * remains.
@@ -413,6 +478,7 @@
         {requests_are_answered_within_the_deadline, CASE_COUNT},
         {closed_connection_holds_no_answer_up, CUT_CASE_COUNT},
         {answer_outlives_its_connection, LOST_ANSWER_COUNT},
+        {begun_answer_outlives_its_connection, BEGUN_COUNT},
         {repeat_has_less_time_left, RETRY_COUNT},
         {membership_survives_frozen_connection, CONTROL_FREEZE_COUNT},
         {answer_goes_on_after_silence, ANSWER_FREEZE_COUNT}};
