--- a/src/process/settings/settings.c
+++ b/src/process/settings/settings.c
@@ -17,7 +17,11 @@
     OPERATOR_CONNECTIONS_DEFAULT = 128,
     HEADER_BYTES_DEFAULT = 16 * 1024,
     BODY_BYTES_DEFAULT = 1024 * 1024,
-    BODY_BYTES_MAX = 64 * 1024 * 1024
+    BODY_BYTES_MAX = 64 * 1024 * 1024,
+    MEMORY_MB_MIN = 48,
+    MEMORY_MB_MAX = 1024 * 1024,
+    DESCRIPTORS_MIN = 128,
+    DESCRIPTORS_MAX = 1024 * 1024
 };
 
 void
@@ -269,6 +273,26 @@
     StrBuf_Finish(&name);
 }
 
+/* What the process may take of its machine. */
+static void
+read_machine_limits(Settings *settings, JsonObject *object)
+{
+    int64_t mb = Jsn_GetInt(object, Str_LIT("memory_mb"), 0, MEMORY_MB_MAX, 0);
+    int64_t descriptors =
+        Jsn_GetInt(object, Str_LIT("descriptors_max"), 0, DESCRIPTORS_MAX, 0);
+
+    if (mb && mb < MEMORY_MB_MIN) {
+        Jsn_AddFinding(object, Str_LIT("memory_mb"), Str_LIT("too little"),
+                       Str_LIT("0, or at least 48"));
+    }
+    if (descriptors && descriptors < DESCRIPTORS_MIN) {
+        Jsn_AddFinding(object, Str_LIT("descriptors_max"), Str_LIT("too few"),
+                       Str_LIT("0, or at least 128"));
+    }
+    settings->memory_mb = (uint32_t)mb;
+    settings->descriptors_max = (uint32_t)descriptors;
+}
+
 static void
 read_all(Settings *settings, JsonObject *object)
 {
@@ -307,6 +331,7 @@
     settings->body_bytes_max =
         (uint32_t)Jsn_GetInt(object, Str_LIT("body_bytes_max"), 0,
                              BODY_BYTES_MAX, BODY_BYTES_DEFAULT);
+    read_machine_limits(settings, object);
     Set_CheckValues(settings, object);
 }
 
--- a/src/process/settings/settings.h
+++ b/src/process/settings/settings.h
@@ -136,6 +136,9 @@
     uint32_t operators_connections_max;
     uint32_t header_bytes_max; /* head of one request */
     uint32_t body_bytes_max;   /* body of one caller's request */
+    uint32_t memory_mb;        /* of this process, at most, in MiB; 0: what
+                                  the machine has */
+    uint32_t descriptors_max; /* open at a time; 0: the limit of the process */
 } Settings;
 
 /* Makes SETTINGS empty, with log level info. */
--- a/src/value/json.h
+++ b/src/value/json.h
@@ -16,7 +16,7 @@
 
 /* Fields of an object that can be read; further ones are reported as
  * unknown. */
-enum { Jsn_FIELDS_MAX = 48 };
+enum { Jsn_FIELDS_MAX = 64 };
 
 /* An object between Jsn_Enter and Jsn_Leave. */
 typedef struct {
