Count what callers, nodes and operators make a process keep

Cause: bodies over 256 KB were counted at two places, everything else (smaller bodies, heads, pipelined input, answers that are not taken, bodies at the operators' port, messages that wait to be sent, connections) at none. Now one budget of bytes for the process grants room (process/memory/budget.h), and says whom to give up: the product of bytes and time. Small holders have a reserve. Descriptors are shared out between callers, operators and the rest. A body announced over the limit is refused at its head (413) and not read to the limit first. Large freed blocks go back to the machine. Ruled out: the allocator's loss as a cause (55 to 789 MB against 48 stated, gone with the account); the ledger as the cause at the node beside the backend server (1,241 entries): it was 464 answers read at once, each of less than a piece. Conclusion: what a node receives from other nodes is still counted only when it has come; see docs/design/memory.md.

--- a/src/connection/calleranswer.c
+++ b/src/connection/calleranswer.c
@@ -2,6 +2,15 @@
 
 enum { NO_CONTENT = 204, NOT_MODIFIED = 304 };
 
+/* Called when an answer behind others changes. */
+static void
+on_deferred_change(struct evbuffer *out, const struct evbuffer_cb_info *info,
+                   void *context)
+{
+    (void)out;
+    Ccn_CountOutput(context, info->n_added, info->n_deleted);
+}
+
 static struct evbuffer *
 output_of(CallerRequest *request)
 {
@@ -10,6 +19,8 @@
     }
     if (!request->deferred_output) {
         request->deferred_output = evbuffer_new();
+        evbuffer_add_cb(request->deferred_output, on_deferred_change,
+                        request->connection);
     }
     return request->deferred_output;
 }
@@ -91,7 +102,8 @@
 {
     struct evbuffer *out = output_of(request);
 
-    if (bytes.len == 0 || request->has_no_body) {
+    if (bytes.len == 0 || request->has_no_body ||
+        !Ccn_HasAnswerRoom(request->connection)) {
         return;
     }
     request->unsent_bytes += (uint32_t)bytes.len;
@@ -138,8 +150,10 @@
     connection->error_status = status;
     connection->ignores_input = true;
     if (connection->incoming) {
-        Ccn_ReleaseBody(connection->incoming);
+        Ccn_FreeRequest(connection->incoming);
+        connection->incoming = NULL;
     }
+    Ccn_ReleaseInput(connection);
     if (!connection->first_request) {
         send_error(connection);
     }
--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -40,10 +40,12 @@
 void
 Ccn_FreeRequest(CallerRequest *request)
 {
+    Ccn_ReleaseRequest(request);
     StrBuf_Finish(&request->text);
-    Ccn_ReleaseBody(request);
     StrBuf_Finish(&request->id);
     if (request->deferred_output) {
+        Ccn_CountOutput(request->connection, 0,
+                        evbuffer_get_length(request->deferred_output));
         evbuffer_free(request->deferred_output);
     }
     Mem_Free(request);
@@ -119,6 +121,7 @@
         connection->request_count--;
         connection->listener->active_requests--;
         connection->timer_start = Ccn_Now(connection->listener);
+        connection->has_served = true;
         Ccn_FreeRequest(request);
     }
 }
@@ -151,6 +154,10 @@
     CallerConnection *connection = context;
 
     (void)out;
+    if (info->n_deleted || info->orig_size == 0) {
+        connection->taken_at = Ccn_Now(connection->listener);
+    }
+    Ccn_CountOutput(connection, info->n_added, info->n_deleted);
     connection->sent_bytes += info->n_deleted;
     end_sent_requests(connection);
 }
@@ -162,7 +169,7 @@
 {
     const CallerRequest *request = connection->first_request;
 
-    if (connection->resets_after_flush ||
+    if (connection->resets_after_flush || connection->is_given_up ||
         (request && request->head_sent && !request->answer_ended &&
          request->is_unframed)) {
         return true;
@@ -220,6 +227,7 @@
     }
     Lst_Drop(&listener->connections, &connection->link);
     evbuffer_remove_cb(output_of(connection), on_output_change, connection);
+    Ccn_ReleaseConnection(connection);
     bufferevent_free(connection->bev);
     Hrd_Finish(&connection->reader);
     Mem_Free(connection);
@@ -245,6 +253,9 @@
 
     connection->ignores_input = true;
     evbuffer_drain(input, evbuffer_get_length(input));
+    if (!connection->in_reader) {
+        Ccn_ReleaseInput(connection);
+    }
     if (connection->is_input_full) {
         connection->is_input_full = false;
         bufferevent_enable(connection->bev, EV_READ);
@@ -388,6 +399,67 @@
     evbuffer_add_cb(output_of(connection), on_output_change, connection);
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
     Lst_Prepend(&listener->connections, &connection->link, connection);
+    Ccn_HoldConnection(connection);
+}
+
+void
+Ccn_PauseAccepting(CallerListener *listener)
+{
+    if (listener->listener && !listener->is_draining) {
+        evconnlistener_disable(listener->listener);
+        listener->is_paused = true;
+    }
+}
+
+/* The process has no descriptor left, or the kernel no memory. */
+static void
+on_accept_error(struct evconnlistener *evlistener, void *context)
+{
+    (void)evlistener;
+    Ccn_PauseAccepting(context);
+}
+
+static bool
+has_room_to_accept(const CallerListener *listener)
+{
+    return !listener->connections_max ||
+           listener->connections.count < listener->connections_max;
+}
+
+static void
+accept_again(CallerListener *listener)
+{
+    if (listener->is_paused && has_room_to_accept(listener)) {
+        listener->is_paused = false;
+        Ccn_StartAccepting(listener);
+    }
+}
+
+/* Closes the connections that were given up while they were being sent to. */
+static void
+on_give_up(evutil_socket_t fd, short what, void *context)
+{
+    CallerListener *listener = context;
+    ListWalk walk;
+    CallerConnection *connection;
+
+    (void)fd;
+    (void)what;
+    Lst_Begin(&walk, &listener->connections);
+    while ((connection = Lst_Next(&walk))) {
+        if (connection->is_given_up) {
+            Ccn_Free(connection, Ccn_NO_ROOM);
+        }
+    }
+}
+
+void
+Ccn_SetBudget(CallerListener *listener, MemoryBudget *budget,
+              Counters *counters, size_t connections_max)
+{
+    listener->budget = budget;
+    listener->counters = counters;
+    listener->connections_max = connections_max;
 }
 
 bool
@@ -414,6 +486,11 @@
             LEV_OPT_DISABLED,
         BACKLOG, (struct sockaddr *)&name, sizeof name);
     good = listener->listener != NULL;
+    if (good) {
+        evconnlistener_set_error_cb(listener->listener, on_accept_error);
+        listener->give_up_event =
+            event_new(base, -1, EV_TIMEOUT, on_give_up, listener);
+    }
     if (!good) {
         Err_SET(err, Err_IO, "cannot listen for callers on %s:%u",
                 StrBuf_CStr(&ip), Addr_Port(addr));
@@ -431,6 +508,10 @@
     while ((connection = Lst_First(&listener->connections))) {
         Ccn_Free(connection, Ccn_EXIT);
     }
+    if (listener->give_up_event) {
+        event_free(listener->give_up_event);
+        listener->give_up_event = NULL;
+    }
 }
 
 void
@@ -623,7 +704,7 @@
 {
     const CallerRequest *incoming = connection->incoming;
 
-    return incoming && incoming->reserved_bytes > 0 &&
+    return incoming && incoming->held > Bdg_SMALL_BYTES &&
            !connection->first_request &&
            now - incoming->received_at >=
                connection->listener->limits.idle_timeout;
@@ -679,4 +760,5 @@
     while ((connection = Lst_Next(&walk))) {
         check_timeouts(connection, now);
     }
+    accept_again(listener);
 }
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -9,11 +9,14 @@
  * Ccn_EndAnswer, or with Ccn_SendAnswer.  A disconnect by the caller is
  * noticed at any time.
  *
- * Large bodies that are read or kept at a time are bounded for the whole
- * listener: a request with another one is rejected with 503 when its head has
- * been read, or, where the head gives no length, as soon as its body gets too
- * large.  Small bodies, and one large one, are always read.  A large body of
- * which nothing arrives for the idle timeout is given up with 408.
+ * What callers make the process keep is counted in the budget of
+ * Ccn_SetBudget.  A request for which there is no room is rejected with 503:
+ * when its head has been read, or, where the head gives no length, as soon as
+ * it gets too large.  For a small one, requests that have been read in part
+ * are rejected, those first that are large and slow.  Answers that callers do
+ * not take are given up in the same order, and connections that are idle or
+ * have sent no whole request are closed for new ones.  A large body of which
+ * nothing arrives for the idle timeout is given up with 408.
  */
 #ifndef CALLERCONN_H
 #define CALLERCONN_H
@@ -22,6 +25,8 @@
 #include <event2/listener.h>
 
 #include "connection/httpread.h"
+#include "process/memory/budget.h"
+#include "process/observe/counters.h"
 #include "value/addr.h"
 #include "value/bodybuf.h"
 #include "value/err.h"
@@ -41,9 +46,10 @@
     Str method;
     Str target;
     FieldList fields;
-    BodyBuf *body;         /* NULL: none; until the answer ends */
-    size_t reserved_bytes; /* of the bodies that the listener may keep */
-    bool is_last;          /* the caller sends no further request */
+    BodyBuf *body;       /* NULL: none; until the answer ends */
+    size_t body_reserve; /* bytes of body that room was made for */
+    size_t held;         /* of the budget */
+    bool is_last;        /* the caller sends no further request */
     bool http_1_0;
     bool is_dispatched; /* passed to on_request */
     bool head_sent;     /* the answer's head was written */
@@ -70,7 +76,8 @@
     Ccn_CALLER_STALLED, /* the caller did not read for too long */
     Ccn_ANSWER_ABORTED, /* the answer cannot be completed */
     Ccn_BEHIND_CLOSE,   /* behind an answer that closes the connection */
-    Ccn_EXIT            /* the process ends */
+    Ccn_EXIT,           /* the process ends */
+    Ccn_NO_ROOM         /* closed to make room for others */
 } CallerEnd;
 
 /* Receives the requests of all connections of a listener. */
@@ -108,10 +115,14 @@
     CallerCallbacks callbacks;
     CallerLimits limits;
     List connections;
-    size_t body_bytes;      /* reserved for large bodies */
-    size_t active_requests; /* read completely, and the answer not sent
-                               completely yet */
-    bool is_draining;       /* connections close after their next answer */
+    MemoryBudget *budget;        /* NULL: unlimited */
+    Counters *counters;          /* NULL: none */
+    size_t connections_max;      /* 0: unlimited */
+    bool is_paused;              /* accepts no connection until one ends */
+    struct event *give_up_event; /* closes connections that are given up */
+    size_t active_requests;      /* read completely, and the answer not sent
+                                    completely yet */
+    bool is_draining; /* connections close after their next answer */
 };
 
 /* Listens at ADDR.  Connections are accepted after Ccn_StartAccepting.
@@ -120,6 +131,12 @@
                 Instant (*clock)(void), Addr addr,
                 const CallerCallbacks *callbacks, Err *err);
 
+/* Counts what is kept in BUDGET, and what is refused for it in COUNTERS.  At
+ * most CONNECTIONS_MAX are open at a time, 0: any number.  To be called before
+ * the first connection is accepted. */
+void Ccn_SetBudget(CallerListener *listener, MemoryBudget *budget,
+                   Counters *counters, size_t connections_max);
+
 /* Stops listening and closes all connections.  on_disconnect is called for
  * each request that has no complete answer yet. */
 void Ccn_Finish(CallerListener *listener);
--- a/src/connection/callerinput.c
+++ b/src/connection/callerinput.c
@@ -9,7 +9,6 @@
     EXPECTATION_FAILED = 417,
     HEAD_TOO_LARGE = 431,
     NOT_IMPLEMENTED = 501,
-    UNAVAILABLE = 503,
     METHOD_BYTES_MAX = 32
 };
 
@@ -18,6 +17,15 @@
  * rest. */
 enum { HEADROOM_FACTOR = 2, HEADROOM_BYTES = 4096 };
 
+/* Up to this size, a body whose length is not known doubles its room. */
+enum { DOUBLING_BYTES_MAX = Bdg_SMALL_BYTES };
+
+/* What a connection keeps of the text of heads when no request is read. */
+enum { KEPT_HEAD_BYTES_MAX = 4096 };
+
+/* Waits on one connection while requests are scarce of room. */
+enum { SCARCE_INPUT_BYTES_MAX = 4096 };
+
 /* Returns false if the Expect field holds an unsupported expectation. */
 static bool
 check_expectation(CallerConnection *connection, const CallerRequest *request)
@@ -38,20 +46,37 @@
     return true;
 }
 
-/* Makes room for the body whose length the head gives.  Returns false when
- * this node keeps too many others. */
+static size_t
+get_headroom(const CallerRequest *request)
+{
+    return request->text.len * HEADROOM_FACTOR + HEADROOM_BYTES;
+}
+
+/* Returns how much a body of LEN bytes takes, with what is before it; 0 for
+ * none. */
+static size_t
+count_body_room(const CallerRequest *request, size_t len)
+{
+    return len ? get_headroom(request) + len : 0;
+}
+
+/* Makes room for the request, and for the body whose length its head gives.
+ * Returns false when the body is too long, or there is no room. */
 static bool
 prepare_body(CallerConnection *connection, CallerRequest *request,
              const HttpHead *head)
 {
-    uint64_t len = connection->reader.parser.content_length;
+    uint64_t len = head->has_content_length
+                       ? connection->reader.parser.content_length
+                       : 0;
 
-    if (!head->has_content_length || len == 0 ||
-        len > connection->listener->limits.body_bytes_max) {
-        return true; /* too long a body is rejected where it ends the room */
+    if (len > connection->listener->limits.body_bytes_max) {
+        connection->error_status = BODY_TOO_LARGE;
+        return false;
     }
-    if (!Ccn_ReserveBody(request, (size_t)len)) {
-        connection->error_status = UNAVAILABLE;
+    request->body_reserve = (size_t)len;
+    if (!Ccn_HoldRequest(request, count_body_room(request, (size_t)len))) {
+        connection->error_status = Ccn_UNAVAILABLE;
         return false;
     }
     return true;
@@ -93,6 +118,41 @@
            check_expectation(connection, request);
 }
 
+/* Returns the room that a body of LEN bytes so far gets: of a known length at
+ * once, else twice what it needs, or a quarter more of a large one, but not
+ * more than the largest body. */
+static size_t
+choose_body_room(const CallerRequest *request, size_t len)
+{
+    size_t max = request->connection->listener->limits.body_bytes_max;
+    size_t room = len < DOUBLING_BYTES_MAX ? 2 * len : len + len / 4;
+
+    if (len <= request->body_reserve) {
+        return request->body_reserve;
+    }
+    return room < max ? room : max;
+}
+
+/* Makes the body large enough for LEN bytes.  Returns false when there is no
+ * room. */
+static bool
+grow_body(CallerRequest *request, size_t len)
+{
+    size_t room = choose_body_room(request, len);
+
+    if (!Ccn_HoldRequest(request, count_body_room(request, room))) {
+        room = len;
+        if (!Ccn_HoldRequest(request, count_body_room(request, room))) {
+            return false;
+        }
+    }
+    if (!request->body) {
+        request->body = Bod_New(get_headroom(request));
+    }
+    Bod_Reserve(request->body, room);
+    return true;
+}
+
 static bool
 on_bytes(void *context, Str bytes)
 {
@@ -104,17 +164,10 @@
         return false;
     }
     request->received_at = Ccn_Now(connection->listener);
-    if (!Ccn_ReserveBody(request, len)) {
-        connection->error_status = UNAVAILABLE;
+    if (len > Bod_GetRoom(request->body) && !grow_body(request, len)) {
+        connection->error_status = Ccn_UNAVAILABLE;
         return false;
     }
-    if (!request->body) {
-        request->body =
-            Bod_New(request->text.len * HEADROOM_FACTOR + HEADROOM_BYTES);
-        Bod_Reserve(request->body, len > request->reserved_bytes
-                                       ? len
-                                       : request->reserved_bytes);
-    }
     Bod_Append(request->body, bytes);
     return true;
 }
@@ -180,7 +233,10 @@
 static void
 limit_input(CallerConnection *connection, size_t len)
 {
-    bool is_full = len >= INPUT_BYTES_MAX;
+    const MemoryBudget *budget = connection->listener->budget;
+    bool is_scarce = budget && !Bdg_HasSlack(budget, Bdg_CALLERS);
+    bool is_full =
+        len >= (is_scarce ? SCARCE_INPUT_BYTES_MAX : INPUT_BYTES_MAX);
 
     if (is_full == connection->is_input_full) {
         return;
@@ -212,6 +268,9 @@
         case Hrd_NEEDS_MORE:
             break;
         case Hrd_MESSAGE_END:
+            if (connection->reader.head_text.cap > KEPT_HEAD_BYTES_MAX) {
+                Hrd_DropHead(&connection->reader);
+            }
             if (connection->incoming) {
                 add_request(connection);
             }
@@ -226,6 +285,12 @@
             evbuffer_drain(input, evbuffer_get_length(input));
         }
         limit_input(connection, evbuffer_get_length(input));
+        if (connection->ignores_input) {
+            Ccn_ReleaseInput(connection);
+        }
+        else if (!Ccn_HoldInput(connection)) {
+            Ccn_RejectInput(connection, Ccn_UNAVAILABLE);
+        }
     }
 }
 
--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -1,6 +1,6 @@
 /* The state of one connection of a caller, and the functions that the files
  * of callerconn.h share: callerconn.c (listener, connections, timeouts),
- * callerinput.c (requests), callerbody.c (room for their bodies) and
+ * callerinput.c (requests), callerroom.c (who keeps how much) and
  * calleranswer.c (answers).  Private to these files.
  */
 #ifndef CALLERSTATE_H
@@ -8,6 +8,9 @@
 
 #include "connection/callerconn.h"
 
+/* The status of a request for which there is no room. */
+enum { Ccn_UNAVAILABLE = 503 };
+
 struct CallerConnection {
     CallerListener *listener;
     ListLink link;
@@ -34,6 +37,13 @@
                                 answers; 0: none */
     bool closes_after_flush; /* closes when all output was sent */
     bool resets_after_flush; /* by a reset, not an orderly end */
+    size_t held;             /* of the budget, for the connection itself */
+    size_t input_held;       /* for what was read and is no request yet */
+    size_t answers_held;     /* for answers that were not sent yet */
+    Instant taken_at;  /* when the caller last took a part of an answer, or
+                          the first one came */
+    bool has_served;   /* an answer was sent */
+    bool is_given_up;  /* closed from the event loop, to make room */
     bool in_reader;    /* a callback of the reader is on the call stack */
     bool free_pending; /* to be freed after the callback has returned */
 };
@@ -42,13 +52,48 @@
 
 void Ccn_FreeRequest(CallerRequest *request);
 
-/* Reserves room for LEN bytes of body in all.  Returns false, and changes
- * nothing, when other large bodies take it. */
-bool Ccn_ReserveBody(CallerRequest *request, size_t len);
+/* Changes what a part of CONNECTION keeps of requests from *HELD to BYTES.
+ * For a small one, other requests that were read in part are rejected.
+ * Returns false, and changes nothing, when there is no room. */
+bool Ccn_Hold(CallerConnection *connection, size_t *held, size_t bytes);
+
+/* Makes room for REQUEST with BODY_BYTES of body.  Returns false when there is
+ * none. */
+bool Ccn_HoldRequest(CallerRequest *request, size_t body_bytes);
 
-/* Frees the body and the room that was reserved for it. */
+/* Frees the body, and the room that was made for it. */
 void Ccn_ReleaseBody(CallerRequest *request);
 
+/* As Ccn_ReleaseBody, and gives back the rest of its room: REQUEST is freed
+ * next. */
+void Ccn_ReleaseRequest(CallerRequest *request);
+
+/* Makes room for what was read of a head, and for input that waits.  Returns
+ * false when there is none. */
+bool Ccn_HoldInput(CallerConnection *connection);
+
+/* Frees what was read of a head: no further request is read. */
+void Ccn_ReleaseInput(CallerConnection *connection);
+
+/* Makes room for a new connection, and closes others for it; if that is not
+ * enough, no further one is accepted for now. */
+void Ccn_HoldConnection(CallerConnection *connection);
+
+/* Gives back all that is held for CONNECTION itself. */
+void Ccn_ReleaseConnection(CallerConnection *connection);
+
+/* Counts bytes of answers that were added and sent. */
+void Ccn_CountOutput(CallerConnection *connection, size_t added,
+                     size_t deleted);
+
+/* Whether a further part of an answer may be kept for CONNECTION.  Closes
+ * connections whose callers do not read, if answers take too much.  When it is
+ * this one, it is closed from the event loop, and the result is false. */
+bool Ccn_HasAnswerRoom(CallerConnection *connection);
+
+/* Accepts no connection until Ccn_CheckTimeouts finds room for one. */
+void Ccn_PauseAccepting(CallerListener *listener);
+
 /* Frees the requests whose answers have not ended; on_disconnect is called for
  * those that are being answered. */
 void Ccn_DropRequests(CallerConnection *connection, CallerEnd reason);
--- a/src/connection/httpread.c
+++ b/src/connection/httpread.c
@@ -197,6 +197,12 @@
     StrBuf_Finish(&reader->head_text);
 }
 
+void
+Hrd_DropHead(HttpReader *reader)
+{
+    StrBuf_Finish(&reader->head_text);
+}
+
 /* Resumes the parser after the end of a message was reported. */
 static void
 resume_parser(HttpReader *reader)
--- a/src/connection/httpread.h
+++ b/src/connection/httpread.h
@@ -76,6 +76,9 @@
               const HttpReaderCallbacks *callbacks, size_t head_bytes_max);
 void Hrd_Finish(HttpReader *reader);
 
+/* Frees the text of the head: nothing more of the message is needed. */
+void Hrd_DropHead(HttpReader *reader);
+
 /* Reads and drains INPUT up to the end of the current message. */
 HttpReadStatus Hrd_Feed(HttpReader *reader, struct evbuffer *input);
 
--- a/src/process/edge.c
+++ b/src/process/edge.c
@@ -64,9 +64,9 @@
 on_cut(void *context, const CallerRequest *request, CallerEnd reason,
        size_t unsent)
 {
-    static const char *const reasons[] = {"caller_left", "caller_stalled",
+    static const char *const reasons[] = {"caller_left",    "caller_stalled",
                                           "answer_aborted", "behind_close",
-                                          "exit"};
+                                          "exit",           "no_room"};
     const Edge *edge = context;
     bool is_usual = !edge->caller_listener.is_draining &&
                     (reason == Ccn_CALLER_LEFT || reason == Ccn_BEHIND_CLOSE);
@@ -123,7 +123,8 @@
 
 bool
 Edge_Init(Edge *edge, Loop *loop, const Settings *settings,
-          CallDispatcher *dispatcher, Err *err)
+          CallDispatcher *dispatcher, MemoryBudget *budget,
+          size_t connections_max, Err *err)
 {
     CallerCallbacks callbacks = {
         edge,          can_run_early, on_request,      on_consumed,
@@ -139,6 +140,8 @@
         return false;
     }
     Ccn_SetLimits(&edge->caller_listener, &limits);
+    Ccn_SetBudget(&edge->caller_listener, budget, dispatcher->counters,
+                  connections_max);
     return true;
 }
 
--- a/src/process/edge.h
+++ b/src/process/edge.h
@@ -19,11 +19,13 @@
     ExchangeList exchanges; /* requests being answered */
 } Edge;
 
-/* Listens at the callers' address of SETTINGS.  The kernel queues connections
- * until Edge_StartAccepting.  Returns false and sets ERR if the address cannot
- * be bound.  All pointers must outlive EDGE. */
+/* Listens at the callers' address of SETTINGS, for CONNECTIONS_MAX connections
+ * at a time.  What callers make this process keep is counted in BUDGET.  The
+ * kernel queues connections until Edge_StartAccepting.  Returns false and sets
+ * ERR if the address cannot be bound.  All pointers must outlive EDGE. */
 bool Edge_Init(Edge *edge, Loop *loop, const Settings *settings,
-               CallDispatcher *dispatcher, Err *err);
+               CallDispatcher *dispatcher, MemoryBudget *budget,
+               size_t connections_max, Err *err);
 void Edge_Finish(Edge *edge);
 
 /* Starts to accept callers' connections. */
--- a/src/process/lifecycle/ready.c
+++ b/src/process/lifecycle/ready.c
@@ -2,6 +2,9 @@
 
 enum { STATUS_READY = 200, STATUS_NOT_READY = 503 };
 
+/* Of a request; of connections, at twice as many a new one closes one. */
+enum { REQUEST_BYTES_MAX = 4096, CONNECTIONS_MAX = 8 };
+
 static void
 on_request(struct evhttp_request *request, void *context)
 {
@@ -15,7 +18,8 @@
 
 bool
 Rdy_Init(ReadinessServer *server, Loop *loop, Addr addr,
-         ReadinessCallback is_ready, void *context, Err *err)
+         ReadinessCallback is_ready, void *context, MemoryBudget *budget,
+         Counters *counters, Err *err)
 {
     StrBuf ip = {0};
     bool good;
@@ -25,6 +29,10 @@
         return true;
     }
     server->http = evhttp_new(loop->base);
+    evhttp_set_max_headers_size(server->http, REQUEST_BYTES_MAX);
+    evhttp_set_max_body_size(server->http, REQUEST_BYTES_MAX);
+    Opc_Init(&server->connections, server->http, CONNECTIONS_MAX, budget,
+             counters);
     evhttp_set_cb(server->http, "/v1/ready", on_request, server);
     Addr_PrintIp(addr, &ip);
     good = evhttp_bind_socket(server->http, StrBuf_CStr(&ip),
@@ -43,6 +51,7 @@
 {
     if (server->http) {
         evhttp_free(server->http);
+        Opc_Finish(&server->connections);
         server->http = NULL;
     }
 }
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "process/memory/machine.h"
 #include "process/node.h"
 #include "process/settings/reload.h"
 
@@ -136,6 +137,7 @@
     int errors = arg_parse(argc, argv, table);
     int status = EXIT_USAGE;
 
+    Mch_InitAllocator();
     signal(SIGPIPE, SIG_IGN);
     /* A write over the file size limit then fails, as on a full disk. */
     signal(SIGXFSZ, SIG_IGN);
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -192,7 +192,7 @@
 
     return zmq_send(socket, &stamp, sizeof stamp,
                     ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
-           zmq_send(socket, message.ptr, message.len, ZMQ_DONTWAIT) >= 0;
+           Snq_Send(&net->send_queue, socket, message);
 }
 
 static void
@@ -492,6 +492,7 @@
         .counters = counters,
         .settings = settings,
     };
+    Snq_Init(&net->send_queue);
     net->zmq_context = zmq_ctx_new();
     zmq_ctx_set(net->zmq_context, ZMQ_MAX_SOCKETS, SOCKETS_MAX);
     if (!Curve_Init(&net->keys, net->zmq_context, loop, settings, timeline,
--- a/src/process/net.h
+++ b/src/process/net.h
@@ -18,6 +18,7 @@
 #include "process/observe/counters.h"
 #include "process/observe/logger.h"
 #include "process/observe/timeline.h"
+#include "process/sendqueue.h"
 #include "process/settings/settings.h"
 #include "value/bodybuf.h"
 
@@ -79,6 +80,7 @@
     void *pong_context;
     LoopTimer peer_check_timer;
     Instant peers_checked_at; /* when it ran last; 0: never */
+    SendQueue send_queue;     /* messages that wait to be sent */
     void *handled; /* zmq_msg_t of the message being handled; NULL: none */
 } Net;
 
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -267,6 +267,7 @@
     do_next_stop_step(node, now);
     Psd_OnTick(&node->probe_sender, now);
     Edge_CheckTimeouts(&node->edge, now);
+    Mch_Trim(&node->trim, node->budget.used, now);
 }
 
 /* Reads the preset that the settings name.  Its limits apply until the first
@@ -369,16 +370,17 @@
     Settings *settings = node->settings;
 
     if (!Edge_Init(&node->edge, &node->loop, settings, &node->dispatcher,
-                   err)) {
+                   &node->budget, node->descriptors.callers, err)) {
         return false;
     }
     if (!Opr_Init(&node->operator_api, &node->loop, settings, &node->timeline,
-                  &node->counters, err)) {
+                  &node->counters, &node->budget, node->descriptors.operators,
+                  err)) {
         Edge_Finish(&node->edge);
         return false;
     }
     if (!Rdy_Init(&node->readiness, &node->loop, settings->ready, is_ready,
-                  node, err)) {
+                  node, &node->budget, &node->counters, err)) {
         Opr_Finish(&node->operator_api);
         Edge_Finish(&node->edge);
         return false;
@@ -454,7 +456,7 @@
              settings, &node->members);
     Run_InitRunner(&node->runner, &node->net, &node->counters, &node->timeline,
                    &node->latencies, &node->admission, &node->pool,
-                   &node->suspects, node->incarnation);
+                   &node->suspects, &node->budget, node->incarnation);
     if (node->ledger_recorder.file) {
         Led_SetObserver(&node->runner.ledger, Rec_OnLedger,
                         &node->ledger_recorder);
@@ -515,6 +517,17 @@
                     Str_LIT(".ledger"), err);
 }
 
+static void
+init_budget(Node *node)
+{
+    const Settings *settings = node->settings;
+
+    Bdg_Init(&node->budget, Mch_GetMemory(settings->memory_mb));
+    node->descriptors =
+        Bdg_ShareDescriptors(Mch_GetDescriptors(settings->descriptors_max),
+                             settings->operators_connections_max);
+}
+
 bool
 Node_Init(Node *node, Settings *settings, Err *err)
 {
@@ -526,6 +539,7 @@
              Loop_WallClock);
     node->logger.lines_per_s = settings->log_lines_per_s;
     node->logger.counters = &node->counters;
+    init_budget(node);
     Tml_Init(&node->timeline, &node->logger);
     Cnt_Init(&node->counters);
     Lat_Init(&node->latencies);
--- a/src/process/node.h
+++ b/src/process/node.h
@@ -17,6 +17,8 @@
 #include "process/lifecycle/stop.h"
 #include "process/membership/announce.h"
 #include "process/membership/membershipsync.h"
+#include "process/memory/budget.h"
+#include "process/memory/machine.h"
 #include "process/observe/recorder.h"
 #include "process/observe/statusapi.h"
 #include "process/operators/operatorapi.h"
@@ -65,6 +67,9 @@
     Instant version_confirmed_at; /* first version in force; 0: none yet */
     Instant backend_known_at;     /* first backend server known; 0: none yet */
     LoopTimer timer;
+    MemoryBudget budget; /* of what comes from outside */
+    DescriptorShares descriptors;
+    MemoryTrim trim;
 } Node;
 
 /* Starts all modules.  Returns false and sets ERR when the preset or a file
--- a/src/process/observe/counters.h
+++ b/src/process/observe/counters.h
@@ -58,6 +58,10 @@
       "Times that the last word of the version became old")                   \
     X(STORES_SLOW, "slow_stores_total",                                       \
       "Votes, entries or snapshots stored in over 100 ms")                    \
+    X(MEMORY_REFUSED, "memory_refused_total",                                 \
+      "Requests and attempts refused for memory")                             \
+    X(CONNECTIONS_CLOSED, "connections_closed_total",                         \
+      "Connections closed for memory or descriptors")                         \
     X(LOG_LINES_DROPPED, "log_lines_left_out_total", "Log lines not written")
 
 /* One id per row of Cnt_LIST: Cnt_CALLS and so on. */
--- a/src/process/observe/statusapi.c
+++ b/src/process/observe/statusapi.c
@@ -185,6 +185,12 @@
     Cnt_PrintGauge(out, Str_LIT("node_connections"),
                    Str_LIT("Connections opened to other nodes"),
                    api->members->net->peer_count);
+    Cnt_PrintGauge(out, Str_LIT("memory_kept_bytes"),
+                   Str_LIT("Kept for callers, nodes and operators"),
+                   api->runner->budget->used);
+    Cnt_PrintGauge(out, Str_LIT("memory_budget_bytes"),
+                   Str_LIT("Of these, the most that may be kept"),
+                   api->runner->budget->max);
     Cnt_PrintGauge(out, Str_LIT("resident_bytes"), Str_LIT("Memory in use"),
                    usage.resident_bytes);
     Cnt_PrintGauge(out, Str_LIT("cpu_us"),
--- a/src/process/operators/operatorapi.c
+++ b/src/process/operators/operatorapi.c
@@ -196,7 +196,8 @@
 
 bool
 Opr_Init(OperatorApi *api, Loop *loop, const Settings *settings,
-         Timeline *timeline, Counters *counters, Err *err)
+         Timeline *timeline, Counters *counters, MemoryBudget *budget,
+         size_t connections_max, Err *err)
 {
     struct timeval idle = {
         .tv_sec = settings->operators_idle / 1000000,
@@ -214,8 +215,7 @@
     evhttp_set_max_headers_size(api->http, settings->header_bytes_max);
     evhttp_set_max_body_size(api->http, BODY_BYTES_MAX);
     evhttp_set_timeout_tv(api->http, &idle);
-    Opc_Init(&api->connections, api->http, settings->operators_connections_max,
-             counters);
+    Opc_Init(&api->connections, api->http, connections_max, budget, counters);
     evhttp_set_gencb(api->http, on_unknown_path, api);
     Addr_PrintIp(settings->operators, &ip);
     failed = evhttp_bind_socket(api->http, StrBuf_CStr(&ip),
--- a/src/process/operators/operatorapi.h
+++ b/src/process/operators/operatorapi.h
@@ -59,11 +59,13 @@
     Instant denied_at;    /* last denial in the timeline; 0: none */
 };
 
-/* Listens at the operators' address of SETTINGS.  The arguments must outlive
- * API.  Returns false with ERR when the address can't be bound; API then needs
- * no Opr_Finish. */
+/* Listens at the operators' address of SETTINGS, for CONNECTIONS_MAX
+ * connections before requests are refused.  What is kept is counted in BUDGET.
+ * The arguments must outlive API.  Returns false with ERR when the address
+ * can't be bound; API then needs no Opr_Finish. */
 bool Opr_Init(OperatorApi *api, Loop *loop, const Settings *settings,
-              Timeline *timeline, Counters *counters, Err *err);
+              Timeline *timeline, Counters *counters, MemoryBudget *budget,
+              size_t connections_max, Err *err);
 
 /* Stops listening and closes all connections. */
 void Opr_Finish(OperatorApi *api);
--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -4,12 +4,42 @@
  * flushes. */
 enum { FLUSH_BYTES = 32 * 1024 * 1024 };
 
+/* Of the share of attempts, one part in 4 may wait to be sent. */
+enum { QUEUE_SHARE_DIVISOR = 4 };
+
+/* Whether so much waits to be sent to other nodes that answers wait at the
+ * backend server. */
+static bool
+is_queue_full(AttemptRunner *runner)
+{
+    const MemoryBudget *budget = runner->budget;
+
+    Bdg_Force(runner->budget, Bdg_ATTEMPTS, &runner->queue_held,
+              Snq_GetBytes(&runner->net->send_queue));
+    return budget->max && !runner->is_flushing &&
+           runner->queue_held >
+               budget->shares[Bdg_ATTEMPTS] / QUEUE_SHARE_DIVISOR;
+}
+
+/* The same, and remembers it for Ans_CheckQueue. */
+static bool
+has_to_wait(AttemptRunner *runner)
+{
+    bool is_full = is_queue_full(runner);
+
+    runner->has_full_queue |= is_full;
+    return is_full;
+}
+
 /* Bytes that may be sent and not credited yet. */
 static size_t
 get_window(const BackendAttempt *attempt)
 {
-    const AttemptRunner *runner = attempt->runner;
+    AttemptRunner *runner = attempt->runner;
 
+    if (has_to_wait(runner)) {
+        return 0;
+    }
     return Callmsg_WINDOW_BYTES +
            (runner->is_flushing ? FLUSH_BYTES / runner->attempts.count : 0);
 }
@@ -46,18 +76,25 @@
     Pack_Finish(&pack);
 }
 
+/* While attempts keep too much, what there is of an answer is sent at once. */
+static size_t
+choose_least_piece(const AttemptRunner *runner)
+{
+    return Bdg_IsOver(runner->budget, Bdg_ATTEMPTS) ? 1 : Callmsg_PIECE_BYTES;
+}
+
 void
 Ans_SendFullPieces(BackendAttempt *attempt, Instant now)
 {
     size_t sent = 0;
+    size_t least = choose_least_piece(attempt->runner);
 
-    while (attempt->unsent_body.len - sent >= Callmsg_PIECE_BYTES &&
+    while (attempt->unsent_body.len - sent >= least &&
            attempt->uncredited_bytes < get_window(attempt)) {
-        send_piece(attempt,
-                   Str_Slice(StrBuf_View(&attempt->unsent_body), sent,
-                             Callmsg_PIECE_BYTES),
-                   false, now);
-        sent += Callmsg_PIECE_BYTES;
+        Str piece = Str_Slice(StrBuf_View(&attempt->unsent_body), sent,
+                              Callmsg_PIECE_BYTES);
+        send_piece(attempt, piece, false, now);
+        sent += piece.len;
     }
     if (sent) {
         StrBuf rest = {0};
@@ -100,8 +137,11 @@
         discard_large(attempt);
         return;
     }
+    Run_ForceHold(attempt);
     Ans_SendFullPieces(attempt, Loop_Now());
-    if (attempt->unsent_body.len >= Callmsg_WINDOW_BYTES) {
+    Run_ForceHold(attempt);
+    if (attempt->unsent_body.len >= Callmsg_WINDOW_BYTES ||
+        has_to_wait(attempt->runner)) {
         Bck_Pause(attempt->exchange);
     }
 }
@@ -160,7 +200,24 @@
 Ans_SendMore(BackendAttempt *attempt, Instant now)
 {
     Ans_SendFullPieces(attempt, now);
-    if (attempt->exchange && attempt->unsent_body.len < Callmsg_WINDOW_BYTES) {
+    if (attempt->exchange && !attempt->runner->has_full_queue &&
+        attempt->unsent_body.len < Callmsg_WINDOW_BYTES) {
         Bck_Resume(attempt->exchange);
     }
 }
+
+void
+Ans_CheckQueue(AttemptRunner *runner, Instant now)
+{
+    ListWalk walk;
+    BackendAttempt *attempt;
+
+    if (is_queue_full(runner) || !runner->has_full_queue) {
+        return;
+    }
+    runner->has_full_queue = false;
+    Lst_Begin(&walk, &runner->attempts);
+    while ((attempt = Lst_Next(&walk))) {
+        Ans_SendMore(attempt, now);
+    }
+}
--- a/src/request/answer.h
+++ b/src/request/answer.h
@@ -14,7 +14,8 @@
 void Ans_OnHead(void *context, uint16_t status, const FieldList *fields);
 void Ans_OnBytes(void *context, Str bytes);
 
-/* Sends full pieces as long as the window allows, and keeps the rest. */
+/* Sends full pieces as long as the window allows, and keeps the rest; parts of
+ * pieces too while attempts keep too much. */
 void Ans_SendFullPieces(BackendAttempt *attempt, Instant now);
 
 /* After credits, or when the window has grown: sends what it allows, and reads
@@ -30,6 +31,10 @@
  * idempotent and no piece was sent yet. */
 void Ans_StoreInLedger(BackendAttempt *attempt, Instant now);
 
+/* Answers wait at the backend server while too much waits to be sent to other
+ * nodes: reads on once there is room.  Called regularly. */
+void Ans_CheckQueue(AttemptRunner *runner, Instant now);
+
 /* Called when no node waits for the answer any more: nothing more is sent, but
  * the exchange runs to its end.  An answer of Callmsg_PIECE_BYTES or more is
  * discarded; a shorter one can still be stored in the ledger. */
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -29,8 +29,11 @@
     LEDGER_BYTES_MAX = 8 * 1024 * 1024,
     LEDGER_ENTRIES_MAX = 131072,
     LEDGER_ORIGINS_MAX = 4096,
-    SMALL_BODY_BYTES = 256 * 1024, /* up to this size a body always has room */
-    LARGE_BODIES_BYTES_MAX = 64 * 1024 * 1024 /* kept at a time */
+    IN_PLACE_BYTES_MIN = 256 * 1024, /* a smaller body is copied */
+    /* what an attempt costs beside its strings: its exchange, its connection,
+     * and what is read of its answer at a time */
+    EXCHANGE_BYTES = 24 * 1024,
+    ENTRY_BYTES = 128 /* of the ledger */
 };
 
 static void
@@ -55,10 +58,8 @@
     StrBuf_Finish(&attempt->target);
     StrBuf_Finish(&attempt->request_id);
     StrBuf_Finish(&attempt->body_text);
-    if (attempt->message) {
-        runner->kept_bytes -= attempt->body.len;
-        Net_FreeMessage(attempt->message);
-    }
+    Net_FreeMessage(attempt->message);
+    Bdg_Force(runner->budget, Bdg_ATTEMPTS, &attempt->held, 0);
     StrBuf_Finish(&attempt->field_text);
     StrBuf_Finish(&attempt->answer_field_text);
     StrBuf_Finish(&attempt->unsent_body);
@@ -100,25 +101,39 @@
     AttemptRunner *runner = attempt->runner;
 
     attempt->message =
-        body.len > SMALL_BODY_BYTES ? Net_KeepMessage(runner->net) : NULL;
+        body.len > IN_PLACE_BYTES_MIN ? Net_KeepMessage(runner->net) : NULL;
     if (attempt->message) {
         attempt->body = body;
-        runner->kept_bytes += body.len;
         return;
     }
     StrBuf_Set(&attempt->body_text, body);
     attempt->body = StrBuf_View(&attempt->body_text);
 }
 
-/* Whether the bodies that are kept, that of ATTEMPT among them, take too much
- * memory.  A small body, and a single large one, never does. */
-static bool
-exceeds_body_room(const BackendAttempt *attempt)
+static size_t
+count_kept(const BackendAttempt *attempt)
 {
-    size_t kept = attempt->runner->kept_bytes;
+    return sizeof *attempt + EXCHANGE_BYTES + attempt->body.len +
+           attempt->field_text.cap + attempt->target.cap +
+           attempt->answer_field_text.cap + attempt->unsent_body.cap;
+}
 
-    return attempt->message && kept > attempt->body.len &&
-           kept > LARGE_BODIES_BYTES_MAX;
+bool
+Run_Hold(BackendAttempt *attempt)
+{
+    if (Bdg_Resize(attempt->runner->budget, Bdg_ATTEMPTS, &attempt->held,
+                   count_kept(attempt))) {
+        return true;
+    }
+    Cnt_Add(attempt->runner->counters, Cnt_MEMORY_REFUSED, 1);
+    return false;
+}
+
+void
+Run_ForceHold(BackendAttempt *attempt)
+{
+    Bdg_Force(attempt->runner->budget, Bdg_ATTEMPTS, &attempt->held,
+              count_kept(attempt));
 }
 
 BackendAttempt *
@@ -291,7 +306,7 @@
         return;
     }
     attempt = Run_Add(runner, origin, &msg, now);
-    if (exceeds_body_room(attempt)) {
+    if (!Run_Hold(attempt)) {
         Run_Refuse(attempt, Reject_FULL, now);
         Run_Free(attempt);
     }
@@ -429,18 +444,26 @@
     Pack_Finish(&pack);
 }
 
+static size_t
+get_least(size_t a, size_t b)
+{
+    return a < b ? a : b;
+}
+
 void
 Run_InitRunner(AttemptRunner *runner, Net *net, Counters *counters,
                Timeline *timeline, LatencyHistograms *latencies,
                AdmissionController *admission, BackendPool *pool,
-               SuspectSync *suspects, uint64_t incarnation)
+               SuspectSync *suspects, MemoryBudget *budget,
+               uint64_t incarnation)
 {
+    size_t share = budget->shares[Bdg_LEDGER];
     LedgerSettings ledger = {
         .short_retention = UNKEYED_RETENTION,
         .long_retention = UNKEYED_RETENTION,
-        .kept_bytes_max = LEDGER_BYTES_MAX,
+        .kept_bytes_max = get_least(LEDGER_BYTES_MAX, share / 4),
         .answer_bytes_max = Callmsg_PIECE_BYTES,
-        .entries_max = LEDGER_ENTRIES_MAX,
+        .entries_max = get_least(LEDGER_ENTRIES_MAX, share / 2 / ENTRY_BYTES),
         .origins_max = LEDGER_ORIGINS_MAX,
     };
 
@@ -453,6 +476,7 @@
         .admission = admission,
         .pool = pool,
         .suspects = suspects,
+        .budget = budget,
         .incarnation = incarnation,
     };
     Sps_SetUpdateCallback(suspects, Crs_ReviewQueued, runner);
@@ -649,6 +673,15 @@
            (runner->resumed_at && now - runner->resumed_at < RESUMED_TIME);
 }
 
+static void
+count_ledger(AttemptRunner *runner)
+{
+    const AttemptLedger *ledger = &runner->ledger;
+
+    Bdg_Force(runner->budget, Bdg_LEDGER, &runner->ledger_held,
+              ledger->entries.count * ENTRY_BYTES + ledger->kept_bytes);
+}
+
 void
 Run_Tick(AttemptRunner *runner, Instant now)
 {
@@ -659,6 +692,8 @@
     }
     runner->ticked_at = now;
     Led_Expire(&runner->ledger, now);
+    count_ledger(runner);
+    Ans_CheckQueue(runner, now);
     drop_overdue(runner, now);
     Crs_Tick(runner, now);
     while (Adm_StartNext(runner->admission, now, &request_class)) {
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -21,6 +21,7 @@
 #include "process/admission/reportthrottle.h"
 #include "process/lifecycle/ownpause.h"
 #include "process/lifecycle/receipts.h"
+#include "process/memory/budget.h"
 #include "process/net.h"
 #include "process/observe/counters.h"
 #include "process/observe/latency.h"
@@ -47,8 +48,10 @@
     List attempts;                  /* all, in order of arrival */
     /* attempts that wait for the backend server's load before admission */
     size_t awaiting_load_count;
-    size_t kept_bytes; /* bodies of attempts in the messages that brought them
-                        */
+    MemoryBudget *budget; /* what attempts keep is counted there */
+    size_t queue_held;    /* of the budget: messages that wait to be sent */
+    size_t ledger_held;   /* of the budget: entries and answers */
+    bool has_full_queue;  /* answers wait until fewer of these wait */
     LoadQuery load_query; /* asks the backend server for its load */
     /* tries a connection to the backend server after an interrupted
      * exchange */
@@ -82,7 +85,8 @@
 void Run_InitRunner(AttemptRunner *runner, Net *net, Counters *counters,
                     Timeline *timeline, LatencyHistograms *latencies,
                     AdmissionController *admission, BackendPool *pool,
-                    SuspectSync *suspects, uint64_t incarnation);
+                    SuspectSync *suspects, MemoryBudget *budget,
+                    uint64_t incarnation);
 
 /* Sets the function that is called when an exchange was interrupted and the
  * backend server's port refuses connections: the backend server crashed. */
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -69,6 +69,7 @@
     uint16_t status;     /* HTTP status of the answer; 0: no head came yet */
     StrBuf answer_field_text; /* bytes of the strings in answer_fields */
     FieldList answer_fields;
+    size_t held;        /* of the budget */
     StrBuf unsent_body; /* body bytes of the answer that were not sent yet */
     /* sent and not credited by the ingress node yet */
     uint32_t uncredited_bytes;
@@ -130,6 +131,13 @@
  * frees ATTEMPT. */
 void Run_ReportLost(BackendAttempt *attempt, Instant now);
 
+/* Counts in the budget what ATTEMPT keeps now.  Returns false, and counts
+ * nothing, when there is no room. */
+bool Run_Hold(BackendAttempt *attempt);
+
+/* The same, room or not. */
+void Run_ForceHold(BackendAttempt *attempt);
+
 /* Copies the fields of FROM to TO.  The names and values are copied into
  * TEXT, whose earlier content is dropped; TO points into TEXT. */
 void Run_CopyFields(FieldList *to, StrBuf *text, const FieldList *from);
--- a/src/value/bodybuf.c
+++ b/src/value/bodybuf.c
@@ -60,6 +60,12 @@
     body->len += bytes.len;
 }
 
+size_t
+Bod_GetRoom(const BodyBuf *body)
+{
+    return body && body->ptr ? body->cap : 0;
+}
+
 Str
 Bod_View(const BodyBuf *body)
 {
--- a/src/value/bodybuf.h
+++ b/src/value/bodybuf.h
@@ -29,6 +29,10 @@
 void Bod_Reserve(BodyBuf *body, size_t len);
 void Bod_Append(BodyBuf *body, Str bytes);
 
+/* Returns how many bytes of body fit before Bod_Append makes room; NULL has
+ * none. */
+size_t Bod_GetRoom(const BodyBuf *body);
+
 /* Returns the bytes that were appended; NULL has none. */
 Str Bod_View(const BodyBuf *body);
 
