Let a large body come only when there is room for it

Now an attempt whose body has 64 KB or more is offered first; the node beside the backend server makes room and grants it, or refuses it as full, which proves that it did not run. A node that knows no offers never answers: after 2 s the body is sent all the same. Weighed: a bound on what one node sends to another (15 nodes still add up); a high-water mark in messages (4,096 of any size).

--- a/src/connection/callmsg.c
+++ b/src/connection/callmsg.c
@@ -7,6 +7,7 @@
     PIECE_FIELDS = ID_FIELDS + 6,
     REJECTED_FIELDS = ID_FIELDS + 2,
     CREDIT_FIELDS = ID_FIELDS + 1,
+    OFFER_FIELDS = ID_FIELDS + 1,
     FENCE_FIELDS = ID_FIELDS + 3,
     BEGUN_FIELDS = 2, /* more of a fence, for an answer that has begun */
     ANSWER_FIELDS = 3
@@ -314,6 +315,22 @@
     return Unpack_Ok(in, err);
 }
 
+void
+Callmsg_PackOffer(Pack *pack, const OfferMessage *msg)
+{
+    Wire_Begin(pack, Wire_OFFER, OFFER_FIELDS);
+    Callmsg_PutId(pack, msg->id);
+    Pack_U64(pack, msg->bytes);
+}
+
+bool
+Callmsg_ReadOffer(Unpack *in, OfferMessage *msg, Err *err)
+{
+    msg->id = Callmsg_TakeId(in);
+    msg->bytes = Unpack_Bounded(in, UINT32_MAX);
+    return Unpack_Ok(in, err);
+}
+
 void
 Callmsg_PackPing(Pack *pack)
 {
--- a/src/connection/callmsg.h
+++ b/src/connection/callmsg.h
@@ -113,6 +113,13 @@
     uint32_t bytes;
 } CreditMessage;
 
+/* Before an attempt whose body has BYTES: asks whether it may come.  The reply
+ * is Wire_GRANT, an id, or a CallRejectedMessage. */
+typedef struct {
+    AttemptId id;
+    uint64_t bytes;
+} OfferMessage;
+
 enum {
     Callmsg_FIELDS_MAX = 100,
     Callmsg_SERVER_ERROR_MIN = 500, /* a status from here on reports an error
@@ -153,6 +160,8 @@
 bool Callmsg_ReadFenceReply(Unpack *in, FenceReplyMessage *msg, Err *err);
 void Callmsg_PackCredit(Pack *pack, const CreditMessage *msg);
 bool Callmsg_ReadCredit(Unpack *in, CreditMessage *msg, Err *err);
+void Callmsg_PackOffer(Pack *pack, const OfferMessage *msg);
+bool Callmsg_ReadOffer(Unpack *in, OfferMessage *msg, Err *err);
 
 /* Wire_PING has no fields; Wire_PONG carries the load. */
 void Callmsg_PackPing(Pack *pack);
--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -63,6 +63,9 @@
 
     Wire_LEAVE,       /* leavemsg: a backend server leaves, or is that known */
     Wire_LEAVE_REPLY, /* leavemsg */
+
+    Wire_OFFER, /* callmsg: may an attempt with a large body come */
+    Wire_GRANT, /* callmsg: it may */
     Wire_KINDS
 } MessageKind;
 
--- a/src/process/net.c
+++ b/src/process/net.c
@@ -66,7 +66,8 @@
         return Cnt_MEASURE_CPU_US;
     }
     return kind < Wire_PING || kind == Wire_REGISTER_REQUEST ||
-                   kind == Wire_REGISTER_REPLY
+                   kind == Wire_REGISTER_REPLY || kind == Wire_OFFER ||
+                   kind == Wire_GRANT
                ? Cnt_COUNT
                : Cnt_CONTROL_CPU_US;
 }
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -552,7 +552,7 @@
         else if (now >= call->deadline) {
             on_deadline(call, now);
         }
-        else {
+        else if (!Call_SendUngranted(call, now)) {
             Call_AskAgain(call, now);
             if (Hdg_ShouldSend(&call->hedge, &call->service->hedge_budget,
                                now)) {
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -203,6 +203,24 @@
     }
 }
 
+static void
+on_grant(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    CallDispatcher *dispatcher = context;
+    AttemptId id;
+    Err err = {0};
+    Attempt *attempt;
+
+    (void)origin;
+    if (reject_malformed(dispatcher, Callmsg_ReadId(in, &id, &err), &err)) {
+        return;
+    }
+    attempt = find_attempt(dispatcher, id);
+    if (attempt) {
+        Call_SendGranted(attempt, now);
+    }
+}
+
 static void
 on_call_rejected(void *context, const NetOrigin *origin, Unpack *in,
                  Instant now)
@@ -359,6 +377,7 @@
 void
 Call_RegisterHandlers(CallDispatcher *dispatcher)
 {
+    Net_SetHandler(dispatcher->net, Wire_GRANT, on_grant, dispatcher);
     Net_SetHandler(dispatcher->net, Wire_PIECE, on_piece, dispatcher);
     Net_SetHandler(dispatcher->net, Wire_CALL_REJECTED, on_call_rejected,
                    dispatcher);
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -1,5 +1,6 @@
 #include "request/callstate.h"
 #include "request/depth.h"
+#include "request/offer.h"
 
 /* Time between two dispatches of a call that waits for room. */
 #define WAIT_INTERVAL Span_MS(30)
@@ -9,6 +10,10 @@
 #define LATE_WAIT_INTERVAL Span_MS(60)
 #define WAIT_INTERVAL_MAX Span_MS(250)
 
+/* A node that knows no offers never grants one: after this time the attempt is
+ * sent all the same. */
+#define GRANT_TIMEOUT Span_S(2)
+
 /* Shorter bodies are copied to be sent. */
 enum { IN_PLACE_BYTES_MIN = 64 * 1024 };
 
@@ -157,6 +162,38 @@
     return sent;
 }
 
+/* Asks whether the body may come.  Returns false when nothing can reach the
+ * node. */
+static bool
+send_offer(const Attempt *attempt, Instant now)
+{
+    CallDispatcher *dispatcher = attempt->call->dispatcher;
+    OfferMessage msg = {attempt->id, attempt->call->request.body.len};
+    Pack pack;
+    bool sent;
+
+    Callmsg_PackOffer(&pack, &msg);
+    Cnt_Add(dispatcher->counters, Cnt_DATA_BYTES, Pack_View(&pack).len);
+    sent = Net_Send(dispatcher->net, attempt->node, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+    return sent;
+}
+
+/* The attempt was never sent, so the retry budget is not charged.  The call is
+ * sent to another node, but for one with a key. */
+static void
+redispatch_unsent(Attempt *attempt, Instant now)
+{
+    Call *call = attempt->call;
+
+    if (call->claim_session) {
+        Call_OnAttemptFailed(attempt, Rty_NOT_RUN, now);
+        return;
+    }
+    Plc_OnQueueFull(&call->service->placement, attempt->node, now);
+    Call_Redispatch(attempt, now);
+}
+
 void
 Call_StartAttempt(Call *call, const AttemptTarget *target, Instant now)
 {
@@ -180,19 +217,39 @@
     Rty_OnAttempt(&call->retry, attempt->node);
     Cnt_Add(dispatcher->counters, Cnt_ATTEMPTS, 1);
     Plc_OnAttemptStart(&call->service->placement, attempt->node, now);
-    sent = send_attempt(attempt, now);
+    attempt->is_offered = call->request.body.len >= Ofr_BODY_BYTES_MIN;
+    sent = attempt->is_offered ? send_offer(attempt, now)
+                               : send_attempt(attempt, now);
     Net_AddPendingAttempt(dispatcher->net, attempt->node);
-    if (sent) {
-        return;
+    if (!sent) {
+        redispatch_unsent(attempt, now);
     }
-    if (call->claim_session) {
-        Call_OnAttemptFailed(attempt, Rty_NOT_RUN, now);
-        return;
+}
+
+void
+Call_SendGranted(Attempt *attempt, Instant now)
+{
+    if (!attempt->is_offered || attempt->asked_at) {
+        return; /* a fence overtakes it */
     }
-    /* The call is sent to another node.  The attempt was never sent, so the
-     * retry budget is not charged. */
-    Plc_OnQueueFull(&call->service->placement, attempt->node, now);
-    Call_Redispatch(attempt, now);
+    attempt->is_offered = false;
+    if (!send_attempt(attempt, now)) {
+        redispatch_unsent(attempt, now);
+    }
+}
+
+bool
+Call_SendUngranted(Call *call, Instant now)
+{
+    for (int i = 0; i < Call_ATTEMPTS_MAX; i++) {
+        Attempt *attempt = &call->attempts[i];
+        if (attempt->id.counter && attempt->is_offered && !attempt->asked_at &&
+            now - attempt->sent_at >= GRANT_TIMEOUT) {
+            Call_SendGranted(attempt, now);
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Doubles the interval, up to WAIT_INTERVAL_MAX, so that other calls get the
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -30,6 +30,7 @@
     Instant sent_at;
     bool cross_region; /* node is in another region */
     Instant asked_at;  /* the last fence; 0: none */
+    bool is_offered;   /* its large body waits to be granted */
     PieceSequence pieces;
     uint32_t uncredited_bytes; /* of the pieces; the caller has not taken
                                   them yet */
@@ -99,6 +100,14 @@
 /* Sends an attempt to TARGET.  May end CALL. */
 void Call_StartAttempt(Call *call, const AttemptTarget *target, Instant now);
 
+/* The node of ATTEMPT has room for the body that was offered: sends all of it.
+ * May end the call. */
+void Call_SendGranted(Attempt *attempt, Instant now);
+
+/* Sends an attempt whose offer no reply came to for long.  Returns whether
+ * there was one; CALL may have ended then. */
+bool Call_SendUngranted(Call *call, Instant now);
+
 /* Chooses a target and sends an attempt; without a target, CALL waits or ends.
  * May end CALL. */
 void Call_Dispatch(Call *call, Instant now);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -301,6 +301,7 @@
                    &err);
         return;
     }
+    Ofr_End(&runner->offers, runner->budget, msg.id);
     if (!check_ledger(runner, origin, &msg, now) ||
         Crs_FilterCall(runner, origin, &msg, now)) {
         return;
@@ -315,6 +316,31 @@
     }
 }
 
+/* A large body may come when there is room for it; else the attempt is refused
+ * before it was sent. */
+static void
+on_offer(void *context, const NetOrigin *origin, Unpack *in, Instant now)
+{
+    AttemptRunner *runner = context;
+    OfferMessage offer;
+    Pack pack;
+
+    if (!Callmsg_ReadOffer(in, &offer, NULL)) {
+        Cnt_Add(runner->counters, Cnt_MALFORMED, 1);
+        return;
+    }
+    if (!Ofr_Grant(&runner->offers, runner->budget, offer.id,
+                   offer.bytes + EXCHANGE_BYTES, now)) {
+        CallMessage msg = {.id = offer.id};
+        Cnt_Add(runner->counters, Cnt_MEMORY_REFUSED, 1);
+        Run_RefuseCall(runner, origin, &msg, Reject_FULL, now);
+        return;
+    }
+    Callmsg_PackId(&pack, Wire_GRANT, offer.id);
+    Run_AnswerOrigin(runner, origin, Pack_View(&pack), now);
+    Pack_Finish(&pack);
+}
+
 static BackendAttempt *
 find_attempt(const AttemptRunner *runner, AttemptId id)
 {
@@ -373,6 +399,7 @@
     }
     attempt = find_attempt(runner, id);
     if (!attempt) {
+        Ofr_End(&runner->offers, runner->budget, id);
         return;
     }
     if (attempt->interrupted) {
@@ -484,6 +511,7 @@
     Bck_SetResendCheck(pool, Run_MayResend, runner);
     Ldq_Init(&runner->load_query, pool, on_load_query_end, runner);
     Net_SetHandler(net, Wire_CALL, on_call, runner);
+    Net_SetHandler(net, Wire_OFFER, on_offer, runner);
     Net_SetHandler(net, Wire_CANCEL, on_cancel, runner);
     Net_SetHandler(net, Wire_CREDIT, on_credit, runner);
     Net_SetHandler(net, Wire_PING, on_ping, runner);
@@ -693,6 +721,7 @@
     runner->ticked_at = now;
     Led_Expire(&runner->ledger, now);
     count_ledger(runner);
+    Ofr_Expire(&runner->offers, runner->budget, now);
     Ans_CheckQueue(runner, now);
     drop_overdue(runner, now);
     Crs_Tick(runner, now);
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -27,6 +27,7 @@
 #include "process/observe/latency.h"
 #include "process/observe/timeline.h"
 #include "process/suspects/suspectsync.h"
+#include "request/offer.h"
 #include "value/list.h"
 #include "version/preset.h"
 
@@ -49,6 +50,7 @@
     /* attempts that wait for the backend server's load before admission */
     size_t awaiting_load_count;
     MemoryBudget *budget; /* what attempts keep is counted there */
+    OfferTable offers;    /* large bodies that may come */
     size_t queue_held;    /* of the budget: messages that wait to be sent */
     size_t ledger_held;   /* of the budget: entries and answers */
     bool has_full_queue;  /* answers wait until fewer of these wait */
--- a/tests/integration/crowd.c
+++ b/tests/integration/crowd.c
@@ -102,6 +102,17 @@
     }
 }
 
+void
+Crowd_SendAll(Crowd *crowd, Str bytes)
+{
+    for (int i = 0; i < crowd->count; i++) {
+        if (crowd->fds[i] >= 0) {
+            send(crowd->fds[i], bytes.ptr, bytes.len,
+                 MSG_NOSIGNAL | MSG_DONTWAIT);
+        }
+    }
+}
+
 void
 Crowd_Close(Crowd *crowd)
 {
--- a/tests/integration/crowd.h
+++ b/tests/integration/crowd.h
@@ -31,6 +31,9 @@
 void Crowd_Add(Crowd *crowd, Fleet *fleet, int vm, int port, int count,
                const CrowdScript *script);
 
+/* Sends BYTES on all connections, without waiting. */
+void Crowd_SendAll(Crowd *crowd, Str bytes);
+
 /* Closes all connections; CROWD is empty afterwards. */
 void Crowd_Close(Crowd *crowd);
 
--- a/tests/integration/test_crowd.c
+++ b/tests/integration/test_crowd.c
@@ -292,6 +292,32 @@
 }
 END_TEST
 
+/* The same, but all uploads get their last byte at the same moment, so that
+ * the other nodes send them to one node together. */
+START_TEST(many_uploads_end_at_once)
+{
+    const CrowdScript upload =
+        SCRIPT(HEAD "Content-Length: 8000001\r\n\r\n", FILL_8192, 976,
+               FILL_1024 FILL_1024 FILL_1024 FILL_1024);
+    static Crowd crowd;
+    Fleet fleet;
+
+    start_fleet(&fleet, MANY_VMS, Str_LIT("--service-us 200000 --slots 2"));
+    for (int i = 0; i < MANY_VMS - 1; i++) {
+        ck_assert(
+            Fleet_WaitForPath(&fleet, i, Str_LIT("/visor/ready"), Span_S(20)));
+        Crowd_Add(&crowd, &fleet, i, CALLERS_PORT, 1, &upload);
+    }
+    Crowd_SendAll(&crowd, Str_LIT(FILL_256 FILL_256 "x"));
+    ck_assert(
+        Fleet_WaitForPath(&fleet, 0, Str_LIT("/visor/ready"), Span_S(60)));
+    check_nodes(&fleet, "uploads that end at once", DESCRIPTORS_MAX);
+    Crowd_Close(&crowd);
+    check_ordinary(&fleet, "uploads that end at once", "after");
+    Fleet_Finish(&fleet);
+}
+END_TEST
+
 /* Connections alone: with a head that does not end, or without a word. */
 typedef struct {
     const char *name;
@@ -380,10 +406,11 @@
     const SuiteTest tests[] = {
         {crowd_stays_in_bounds, ROWS(crowd_cases)},
         {many_nodes_upload_to_one, 1},
+        {many_uploads_end_at_once, 1},
         {crowd_leaves_descriptors, ROWS(descriptor_cases)},
         {largest_body_is_served_in_calm, 1},
     };
 
     build = Suite_GetBuildFolder(argc, argv);
-    return Suite_Run("crowd", tests, 4, 180);
+    return Suite_Run("crowd", tests, 5, 180);
 }
--- a/tests/support/samples.c
+++ b/tests/support/samples.c
@@ -196,6 +196,28 @@
     return Callmsg_ReadCredit(in, &msg, err);
 }
 
+static void
+pack_offer(Pack *pack)
+{
+    OfferMessage msg = {attempt, 67108864};
+
+    Callmsg_PackOffer(pack, &msg);
+}
+
+static bool
+read_offer(Unpack *in, Err *err)
+{
+    OfferMessage msg;
+
+    return Callmsg_ReadOffer(in, &msg, err);
+}
+
+static void
+pack_grant(Pack *pack)
+{
+    Callmsg_PackId(pack, Wire_GRANT, attempt);
+}
+
 static void
 pack_pong(Pack *pack)
 {
@@ -316,6 +338,8 @@
     {"fence of an answer that has begun", pack_fence_of_begun, read_fence},
     {"fence reply", pack_fence_reply, read_fence_reply},
     {"credit", pack_credit, read_credit},
+    {"offer", pack_offer, read_offer},
+    {"grant", pack_grant, read_id},
     {"pong", pack_pong, read_pong},
     {"member record", pack_record, read_record},
     {"member table", pack_table, read_table},
