--- a/src/connection/wire.h
+++ b/src/connection/wire.h
@@ -66,6 +66,8 @@
 
     Wire_QUOTA_ASK, /* quotamsg: a node asks for credit of accounts */
     Wire_QUOTA_GRANT,
+    Wire_OFFER, /* callmsg: may an attempt with a large body come */
+    Wire_GRANT, /* callmsg: it may */
     Wire_KINDS
 } MessageKind;
 
