--- a/src/request/callcredit.c
+++ b/src/request/callcredit.c
@@ -18,7 +18,7 @@
 }
 
 static Instant
-get_wait_end(const Call *call)
+get_wait_end(const Call *call, Instant now)
 {
     Instant objective = call->route->latency_objective;
     Instant end =
@@ -27,8 +27,8 @@
     if (call->start_by_objective && call->start_by_objective < end) {
         end = call->start_by_objective;
     }
-    if (end < call->arrived_at + WAIT_MIN) {
-        end = call->arrived_at + WAIT_MIN;
+    if (end < now + WAIT_MIN) {
+        end = now + WAIT_MIN;
     }
     return end < call->deadline ? end : call->deadline;
 }
@@ -114,7 +114,7 @@
     case Crd_WAIT:
         break;
     }
-    call->credit_wait_ends = get_wait_end(call);
+    call->credit_wait_ends = get_wait_end(call, now);
     Lst_Append(&call->dispatcher->credit_waiters, &call->credit_link, call);
     Crd_AddWaiting(get_holder(call), call->account_id, now);
     Qsy_SendAsk(call->dispatcher->quota, now);
@@ -134,8 +134,7 @@
         Crd_PutBack(get_holder(call), call->account_id, &credit, now);
         return true;
     case Crd_WAIT:
-        return now < get_wait_end(call) &&
-               Qsy_HasGrantor(call->dispatcher->quota);
+        return Qsy_HasGrantor(call->dispatcher->quota);
     case Crd_REFUSED:
         break;
     }
