--- a/src/process/memory/machine.c
+++ b/src/process/memory/machine.c
@@ -11,10 +11,10 @@
 enum { UNTOLD_BYTES_MAX = 256 * MIB };
 
 /* A block of this size is mapped by itself, and unmapped when it is freed. */
-enum { MAPPED_BYTES_MIN = 256 * 1024 };
+enum { MAPPED_BYTES_MIN = 128 * 1024 };
 
 /* Free memory at the end of the heap that the allocator keeps. */
-enum { HEAP_REST_BYTES = 512 * 1024 };
+enum { HEAP_REST_BYTES = 128 * 1024 };
 
 /* For this process's thread and for those of ZeroMQ. */
 enum { ARENAS_MAX = 2 };
