Send hedges when the route's own durations say that they win

Wish of the operators: fewer slow answers for a bounded share of extra work. hedge_permille is the one limit; the delay follows from a histogram of the route's durations at its service, as the one with which that share wins most answers in time. Withheld: without an attempt left, while a fifth of the service's calls is late or fails, without gain, without room to spare in the region, over the share, over the account's quota (a hook for now). A hedge that a node rejects goes to the next one. Counters for each.

hedge_after_ms has no effect any more and is still read.

Tried: to count an overtaken attempt as a quarter of a failure, on the guess that whole ones ejected servers after a loss of power.

--- a/src/process/observe/counters.h
+++ b/src/process/observe/counters.h
@@ -24,6 +24,21 @@
     X(ATTEMPTS, "attempts_total", "Attempts made")                            \
     X(RETRIES, "retries_total", "Attempts after the first of a call")         \
     X(HEDGES, "hedges_total", "Attempts made before the first one answered")  \
+    X(HEDGES_WON, "hedges_won_total", "Hedges that answered first")           \
+    X(HEDGES_LOST, "hedges_lost_total",                                       \
+      "Hedges that the first attempt overtook")                               \
+    X(HEDGES_NO_ATTEMPT, "hedges_withheld_attempts_total",                    \
+      "Calls whose hedge was withheld first for want of attempts")            \
+    X(HEDGES_MANY_LATE, "hedges_withheld_late_total",                         \
+      "The same, since many calls are late or fail")                          \
+    X(HEDGES_NO_GAIN, "hedges_withheld_gain_total",                           \
+      "The same, for too little to win")                                      \
+    X(HEDGES_NO_ROOM, "hedges_withheld_room_total",                           \
+      "The same, for want of room")                                           \
+    X(HEDGES_OVER_BUDGET, "hedges_withheld_budget_total",                     \
+      "The same, over the operators' share")                                  \
+    X(HEDGES_OVER_QUOTA, "hedges_withheld_quota_total",                       \
+      "The same, over the account's quota")                                   \
     X(FENCES, "fences_total", "Attempts settled by a fence")                  \
     X(RUNS, "runs_total", "Attempts run at the backend server")               \
     X(ATTEMPTS_REFUSED, "refused_total",                                      \
--- a/src/process/placement/placement.c
+++ b/src/process/placement/placement.c
@@ -299,6 +299,41 @@
     return false;
 }
 
+/* Slots of a region that are kept free of attempts that aren't needed. */
+#define SPARE_SHARE 0.25
+
+static uint32_t
+count_taken(const BackendRow *row)
+{
+    return row->load.running + row->load.queued + row->sent_since_report;
+}
+
+static bool
+has_spare_region(const PlacementTable *table, uint16_t region)
+{
+    uint32_t taken = 0;
+    uint32_t slots = 0;
+
+    for (size_t i = 0; i < table->row_count; i++) {
+        const BackendRow *row = &table->rows[i];
+        if (row->location.region == region && !row->load.draining) {
+            taken += count_taken(row);
+            slots += row->load.slots;
+        }
+    }
+    return taken <= (1 - SPARE_SHARE) * slots;
+}
+
+bool
+Plc_HasSpareRoom(const PlacementTable *table, Addr node)
+{
+    const BackendRow *row = find_row(table, node);
+
+    return row && !row->load.slow && !row->load.queued &&
+           count_taken(row) < row->load.slots &&
+           has_spare_region(table, row->location.region);
+}
+
 PlacementVerdict
 Plc_Choose(PlacementTable *table, const PlacementRequest *request, Instant now,
            const BackendRow **row)
--- a/src/process/placement/placement.h
+++ b/src/process/placement/placement.h
@@ -165,6 +165,10 @@
  * slow. */
 bool Plc_HasSlowLocalBackend(const PlacementTable *table, Instant now);
 
+/* Whether NODE's backend server can take an attempt that isn't needed: it has
+ * no queue and a free slot, and a share of the slots of its region is free. */
+bool Plc_HasSpareRoom(const PlacementTable *table, Addr node);
+
 /* Chooses a backend server for one attempt.  *ROW is set to its row, valid
  * until the table changes, or to NULL unless the verdict is Plc_CHOSEN. */
 PlacementVerdict Plc_Choose(PlacementTable *table,
--- a/src/process/placement/services.c
+++ b/src/process/placement/services.c
@@ -7,6 +7,9 @@
 /* Backend servers of one service kept by a node, by distance. */
 enum { DOMAIN_QUOTA = 10, REGION_QUOTA = 4, OTHER_REGION_QUOTA = 2 };
 
+/* Hedges at once, each service and node. */
+#define HEDGE_BURST 1.0
+
 /* Members that come one after the other are taken into the subsets together,
  * this long after the last choice. */
 #define SUBSET_INTERVAL Span_MS(50)
@@ -56,7 +59,7 @@
         Rty_BudgetSetLimits(&service->retry_budget, services->retry_permille,
                             get_burst_per_node(services));
         Rty_BudgetSetLimits(&service->hedge_budget, services->hedge_permille,
-                            get_burst_per_node(services));
+                            HEDGE_BURST);
     }
 }
 
@@ -109,7 +112,8 @@
     Rty_BudgetInit(&service->retry_budget, services->retry_permille,
                    get_burst_per_node(services));
     Rty_BudgetInit(&service->hedge_budget, services->hedge_permille,
-                   get_burst_per_node(services));
+                   HEDGE_BURST);
+    Hdg_InitGate(&service->hedge_gate);
     return service;
 }
 
--- a/src/process/placement/services.h
+++ b/src/process/placement/services.h
@@ -16,6 +16,7 @@
 #include "process/membership/membership.h"
 #include "process/placement/placement.h"
 #include "process/placement/subset.h"
+#include "request/hedge.h"
 #include "request/retry.h"
 #include "version/preset.h"
 
@@ -25,13 +26,14 @@
     PlacementTable placement;
     RetryBudget retry_budget;
     RetryBudget hedge_budget;
+    HedgeGate hedge_gate;
 } Service;
 
 typedef struct {
     PlacementSettings placement_settings; /* the same for each service */
     uint32_t retry_permille;              /* retries per 1000 calls */
     uint32_t retry_burst;    /* retries in a burst, of all nodes with a backend
-                                server together; the same number of hedges */
+                                server together */
     size_t node_count;       /* nodes that share a burst; 0: this one only */
     uint32_t hedge_permille; /* hedges per 1000 calls */
     Rng *rng;
@@ -57,7 +59,7 @@
 /* Applies the limits of the preset in force to all services. */
 void Svc_SetLimits(Services *services, const PresetLimits *limits);
 
-/* Sets the number of nodes that share a burst of retries or hedges: the nodes
+/* Sets the number of nodes that share a burst of retries: the nodes
  * with a backend server. */
 void Svc_SetNodeCount(Services *services, size_t node_count);
 
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -51,6 +51,16 @@
         (unsigned long long)call->fingerprint);
 }
 
+/* Whether CALL ends with a good answer that meets its objective. */
+static bool
+is_in_time(const Call *call, CallOutcome outcome, Instant now)
+{
+    Span objective = call->route->latency_objective;
+
+    return outcome == Call_ANSWERED && !call->backend_error &&
+           (!objective || now - call->arrived_at <= objective);
+}
+
 void
 Call_End(Call *call, CallOutcome outcome, CallReason reason, Instant now)
 {
@@ -67,6 +77,7 @@
         outcome = Call_UNKNOWN; /* an earlier attempt may have run */
     }
     log_end(call, outcome, reason, now);
+    Hdg_OnCallEnd(&call->service->hedge_gate, is_in_time(call, outcome, now));
     Lat_Record(call->dispatcher->latencies, Lat_CALL, now - call->arrived_at);
     Cnt_Add(call->dispatcher->counters, ids[outcome], 1);
     if (outcome == Call_UNKNOWN || reason == Call_REASON_OVERLOAD) {
@@ -132,17 +143,6 @@
     return Str_Hash(Str_From((const char *)parts, sizeof parts));
 }
 
-/* Arms the hedge when the call starts; called once per call. */
-static void
-init_hedge(Call *call, Instant now)
-{
-    Span delay = call->in_force->preset.limits.hedge_delay;
-
-    Rty_BudgetOnCall(&call->service->hedge_budget, now);
-    Hdg_Init(&call->hedge, call->route->is_idempotent && delay > 0,
-             Dep_Read(&call->request.fields), delay, call->deadline, now);
-}
-
 static void
 start_call(Call *call, Instant now)
 {
@@ -392,7 +392,6 @@
     /* Only the root of a call tree retries. */
     Rty_Init(&call->retry, route->is_idempotent,
              Dep_Read(&request->fields) ? 1 : attempts_max, call->deadline);
-    init_hedge(call, now);
     if (dispatcher->has_enclosing_run) {
         Nst_OnCall(&dispatcher->nesting, StrBuf_View(&route->name),
                    dispatcher->has_enclosing_run(
@@ -401,6 +400,7 @@
     call->nested =
         Nst_IsNested(&dispatcher->nesting, StrBuf_View(&route->name));
     init_start_limits(call, now);
+    Call_InitHedge(call, now);
     call->fingerprint =
         compute_fingerprint(request, StrBuf_View(&route->host));
     start_call(call, now); /* may free the call */
@@ -554,10 +554,7 @@
         }
         else {
             Call_AskAgain(call, now);
-            if (Hdg_ShouldSend(&call->hedge, &call->service->hedge_budget,
-                               now)) {
-                Call_SendHedge(call, now);
-            }
+            Call_HedgeIfDue(call, now);
         }
     }
 }
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -126,6 +126,11 @@
      * set by the node. */
     void *enclosing_run_context;
     bool (*has_enclosing_run)(void *context, Instant deadline);
+    /* Takes a request from the quota of ACCOUNT for a hedge; false: there is
+     * none left.  NULL: accounts have no quota.  Set by the node. */
+    void *quota_context;
+    bool (*take_quota)(void *context, const PresetAccount *account,
+                       Instant now);
     HashTable attempts_by_id;
     List calls; /* in flight, the latest first */
 } CallDispatcher;
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -60,6 +60,20 @@
     }
 }
 
+static void
+count_hedge_end(const Attempt *winner, const Attempt *loser, Instant now)
+{
+    const Call *call = winner->call;
+    bool won = loser->sent_at < winner->sent_at;
+
+    Cnt_Add(call->dispatcher->counters, won ? Cnt_HEDGES_WON : Cnt_HEDGES_LOST,
+            1);
+    Lgr_Log(call->dispatcher->logger, Lgr_DEBUG, Str_LIT("hedge_ended"),
+            "request=%.*s won=%d took_us=%lld",
+            Str_ARG(call->request.request_id), won,
+            (long long)(now - call->arrived_at));
+}
+
 /* The attempt that answers first wins and the other is cancelled, so that
  * pieces of two attempts are never mixed. */
 static void
@@ -69,6 +83,7 @@
 
     Hdg_Disarm(&attempt->call->hedge);
     if (loser) {
+        count_hedge_end(attempt, loser, now);
         /* An attempt that a hedge overtakes counts against its node, which
          * would otherwise stay the first choice. */
         Call_CancelAttempt(loser,
--- a/src/request/callattempt.c
+++ b/src/request/callattempt.c
@@ -39,6 +39,11 @@
         Net_DropPendingAttempt(dispatcher->net, attempt->node);
         Plc_OnAttemptEnd(&attempt->call->service->placement, attempt->node,
                          result, now - attempt->sent_at, now);
+        if (result == Plc_NO_ANSWER || result == Plc_CANCELLED) {
+            Dur_RecordAtLeast(&dispatcher->durations,
+                              attempt->call->duration_key,
+                              now - attempt->sent_at);
+        }
         Hsh_Drop(&dispatcher->attempts_by_id, &attempt->link);
         attempt->id.counter = 0;
         attempt->asked_at = 0;
@@ -161,6 +166,7 @@
 Call_StartAttempt(Call *call, const AttemptTarget *target, Instant now)
 {
     CallDispatcher *dispatcher = call->dispatcher;
+    bool is_hedge = Call_ActiveAttempt(call) != NULL;
     Attempt *attempt = &call->attempts[call->attempts[0].id.counter != 0];
     bool sent;
 
@@ -170,10 +176,12 @@
         .node = target->node,
         .incarnation = target->incarnation,
         .sent_at = now,
+        .is_hedge = is_hedge,
         .cross_region = target->cross_region,
     };
     call->last_sent_at = now;
     call->sent_count++;
+    Hdg_OnAttempt(&call->hedge, now);
     call->sent_cross_region |= target->cross_region;
     Hsh_Add(&dispatcher->attempts_by_id, &attempt->link,
             AttemptId_Hash(attempt->id));
@@ -285,6 +293,7 @@
 {
     Call *call = attempt->call;
     bool other = Call_OtherAttempt(attempt) != NULL;
+    bool is_hedge = attempt->is_hedge;
 
     if (call->rejected_by_count < Rty_TRIED_MAX) {
         call->rejected_by[call->rejected_by_count++] = attempt->node;
@@ -294,18 +303,8 @@
     if (!other) {
         Call_Dispatch(call, now);
     }
-}
-
-void
-Call_SendHedge(Call *call, Instant now)
-{
-    const Attempt *first = Call_ActiveAttempt(call);
-    AttemptTarget target;
-
-    if (first && call->retry.attempt_count < call->retry.attempts_max &&
-        Call_ChooseTarget(call, &target, now) && target.node != first->node) {
-        Cnt_Add(call->dispatcher->counters, Cnt_HEDGES, 1);
-        Call_StartAttempt(call, &target, now);
+    else if (is_hedge) {
+        Call_OnHedgeRejected(call, now);
     }
 }
 
--- a/src/request/callstate.h
+++ b/src/request/callstate.h
@@ -1,7 +1,8 @@
 /* The state of one call and its attempts, shared by the files that implement
  * call.h: call.c (start and end), callplacement.c (choice of a target),
- * callattempt.c (sending and ending attempts, retries), callanswer.c (messages
- * from nodes) and callclaim.c (idempotency keys).
+ * callattempt.c (sending and ending attempts, retries), callhedge.c (second
+ * attempts), callanswer.c (messages from nodes) and callclaim.c (idempotency
+ * keys).
  *
  * Call_Dispatch chooses a target and starts an attempt, or makes the call
  * wait.  A function that may end the call says so: CALL and its attempts are
@@ -28,6 +29,7 @@
     Addr node;
     uint64_t incarnation; /* of node */
     Instant sent_at;
+    bool is_hedge;     /* sent while another attempt was in flight */
     bool cross_region; /* node is in another region */
     Instant asked_at;  /* the last fence; 0: none */
     PieceSequence pieces;
@@ -54,7 +56,8 @@
     Instant deadline;
     Attempt attempts[Call_ATTEMPTS_MAX];
     HedgeState hedge;
-    bool backend_error; /* the answer is an error of the backend server */
+    bool hedge_withheld; /* at least once; the first reason is counted */
+    bool backend_error;  /* the answer is an error of the backend server */
     bool settling; /* past the deadline; a fence was sent for the outcome */
     ClaimSession *claim_session; /* NULL: no idempotency key */
     /* node and id of the next attempt, while the claim is decided */
@@ -111,8 +114,16 @@
 /* Dispatches a waiting call when retry_at has come.  May end CALL. */
 void Call_TickWaiting(Call *call, Instant now);
 
-/* Sends a second attempt, if another node can take it.  May end CALL. */
-void Call_SendHedge(Call *call, Instant now);
+/* Arms the hedge when the call starts (callhedge.c). */
+void Call_InitHedge(Call *call, Instant now);
+
+/* Sends a second attempt when it is due, unless the hedge decider or the
+ * budgets withhold it.  May end CALL. */
+void Call_HedgeIfDue(Call *call, Instant now);
+
+/* The hedge of CALL was rejected before its backend server saw it: another one
+ * may be sent at once. */
+void Call_OnHedgeRejected(Call *call, Instant now);
 
 /* An attempt in flight; the one that answers, if an answer has begun.  NULL:
  * no attempt is in flight. */
--- a/src/request/duration.c
+++ b/src/request/duration.c
@@ -60,6 +60,25 @@
             SMOOTHING * ((error < 0 ? -error : error) - stats->deviation_us);
     }
     stats->recorded_at = now;
+    Dhi_Record(&stats->histogram, duration);
+}
+
+void
+Dur_RecordAtLeast(RouteDurations *durations, uint64_t key, Span duration)
+{
+    DurationStats *stats = find_slot(durations, key);
+
+    if (stats) {
+        Dhi_RecordAtLeast(&stats->histogram, duration);
+    }
+}
+
+const DurationHistogram *
+Dur_FindHistogram(const RouteDurations *durations, uint64_t key)
+{
+    const DurationStats *stats = find_slot(durations, key);
+
+    return stats ? &stats->histogram : NULL;
 }
 
 Span
--- a/src/request/duration.h
+++ b/src/request/duration.h
@@ -11,12 +11,14 @@
  *
  * Each route and service has an exponentially smoothed mean and mean
  * deviation.  Source: V. Jacobson, "Congestion avoidance and control", 1988.
+ * The hedge decider reads the whole distribution: Dur_FindHistogram.
  */
 #ifndef DURATION_H
 #define DURATION_H
 
 #include <stdbool.h>
 
+#include "request/durationhistogram.h"
 #include "value/instant.h"
 #include "value/str.h"
 
@@ -33,6 +35,7 @@
     Instant tried_at;    /* the last trial; 0: none */
     double mean_us;
     double deviation_us;
+    DurationHistogram histogram;
 } DurationStats;
 
 typedef struct {
@@ -46,6 +49,15 @@
 void Dur_Record(RouteDurations *durations, uint64_t key, Span duration,
                 bool is_trial, Instant now);
 
+/* Records that a call of KEY was given up after DURATION, without an answer.
+ * Only the histogram learns from it. */
+void Dur_RecordAtLeast(RouteDurations *durations, uint64_t key, Span duration);
+
+/* The durations of KEY's calls; NULL: none was recorded.  Valid until the next
+ * Dur_Record. */
+const DurationHistogram *Dur_FindHistogram(const RouteDurations *durations,
+                                           uint64_t key);
+
 /* Points in the distribution of a route's durations. */
 typedef enum {
     Dur_OPTIMISTIC, /* mean minus deviation: few calls take less */
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -65,6 +65,13 @@
     return true;
 }
 
+void
+Rty_BudgetPutBack(RetryBudget *budget)
+{
+    budget->tokens =
+        budget->tokens + 1 < budget->cap ? budget->tokens + 1 : budget->cap;
+}
+
 void
 Rty_Init(RetryState *retry, bool idempotent, uint32_t attempts_max,
          Instant deadline)
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -72,6 +72,9 @@
 /* Takes one token; false when there is less than one. */
 bool Rty_BudgetTake(RetryBudget *budget);
 
+/* Puts back a token that was taken for an attempt which never ran. */
+void Rty_BudgetPutBack(RetryBudget *budget);
+
 /* Starts the state of one call.  ATTEMPTS_MAX includes the first attempt; at
  * most Rty_TRIED_MAX are made. */
 void Rty_Init(RetryState *retry, bool idempotent, uint32_t attempts_max,
--- a/src/version/preset.c
+++ b/src/version/preset.c
@@ -109,7 +109,8 @@
     limits->retry_burst = read_u32(&o, Str_LIT("retry_burst"), PERMILLE, 20);
     limits->hedge_permille =
         read_u32(&o, Str_LIT("hedge_permille"), PERMILLE, 0);
-    limits->hedge_delay = read_ms(&o, Str_LIT("hedge_after_ms"), 0, 0);
+    /* Has no effect: presets of earlier versions hold it. */
+    read_ms(&o, Str_LIT("hedge_after_ms"), 0, 0);
     limits->attempts_max =
         (uint32_t)Jsn_GetInt(&o, Str_LIT("attempts_max"), 1, 8, 3);
     limits->queue_max = read_u32(&o, Str_LIT("queue_max"), QUEUE_MAX, 32);
--- a/src/version/preset.h
+++ b/src/version/preset.h
@@ -95,7 +95,6 @@
     uint32_t retry_burst; /* retries at once, each service, over all nodes */
     /* Hedges per 1000 calls of each service; 0: no hedges. */
     uint32_t hedge_permille;
-    Span hedge_delay;           /* time without an answer; 0: no hedges */
     uint32_t attempts_max;      /* attempts of one call, including the first */
     uint32_t queue_max;         /* calls waiting at one backend server */
     uint32_t patient_queue_max; /* of these, calls that aren't interactive */
