Read no clock at each output of a caller

The time of the last check, 10 ms apart, is as good for choosing. Ruled out: offers, the way messages are queued, the limits in the templates (each trial alone changes nothing).

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -155,7 +155,7 @@
 
     (void)out;
     if (info->n_deleted || info->orig_size == 0) {
-        connection->taken_at = Ccn_Now(connection->listener);
+        connection->taken_at = connection->listener->checked_at;
     }
     Ccn_CountOutput(connection, info->n_added, info->n_deleted);
     connection->sent_bytes += info->n_deleted;
@@ -756,6 +756,7 @@
     ListWalk walk;
     CallerConnection *connection;
 
+    listener->checked_at = now;
     Lst_Begin(&walk, &listener->connections);
     while ((connection = Lst_Next(&walk))) {
         check_timeouts(connection, now);
--- a/src/connection/callerconn.h
+++ b/src/connection/callerconn.h
@@ -118,6 +118,7 @@
     MemoryBudget *budget;        /* NULL: unlimited */
     Counters *counters;          /* NULL: none */
     size_t connections_max;      /* 0: unlimited */
+    Instant checked_at;          /* last Ccn_CheckTimeouts; 0: none yet */
     bool is_paused;              /* accepts no connection until one ends */
     struct event *give_up_event; /* closes connections that are given up */
     size_t active_requests;      /* read completely, and the answer not sent
--- a/src/connection/callerroom.c
+++ b/src/connection/callerroom.c
@@ -236,14 +236,13 @@
 Ccn_HasAnswerRoom(CallerConnection *connection)
 {
     CallerListener *listener = connection->listener;
-    Instant now = Ccn_Now(listener);
     CallerConnection *other;
 
     if (connection->is_given_up) {
         return false;
     }
     while (listener->budget && Bdg_IsOver(listener->budget, Bdg_ANSWERS) &&
-           (other = choose_reader(listener, now))) {
+           (other = choose_reader(listener, Ccn_Now(listener)))) {
         count(listener, Cnt_CONNECTIONS_CLOSED);
         if (other == connection) {
             connection->is_given_up = true;
