Count kept answers and pieces in the budget of memory

Cause: what is kept of answers for a lost connection, up to 9 MB, was bounded but in no account, so that a VM of little memory could spend it beside all shares. The ledger's share pays for it, and the pieces go first when that is short.

--- a/src/request/run.c
+++ b/src/request/run.c
@@ -693,13 +693,21 @@
            (runner->resumed_at && now - runner->resumed_at < RESUMED_TIME);
 }
 
+/* Counts what is kept of attempts that have ended.  Pieces of answers go first
+ * when it is too much: they are needed only where a connection is lost. */
 static void
-count_ledger(AttemptRunner *runner)
+count_ended(AttemptRunner *runner)
 {
     const AttemptLedger *ledger = &runner->ledger;
+    size_t fixed = ledger->entries.count * ENTRY_BYTES + ledger->kept_bytes +
+                   runner->recent.bytes;
 
     Bdg_Force(runner->budget, Bdg_LEDGER, &runner->ledger_held,
-              ledger->entries.count * ENTRY_BYTES + ledger->kept_bytes);
+              fixed + runner->sent_pieces.bytes);
+    if (Bdg_IsOver(runner->budget, Bdg_LEDGER)) {
+        Snt_Finish(&runner->sent_pieces);
+        Bdg_Force(runner->budget, Bdg_LEDGER, &runner->ledger_held, fixed);
+    }
 }
 
 void
@@ -714,7 +722,7 @@
     Led_Expire(&runner->ledger, now);
     Rcn_Expire(&runner->recent, now);
     Snt_Expire(&runner->sent_pieces, now);
-    count_ledger(runner);
+    count_ended(runner);
     Ofr_Expire(&runner->offers, runner->budget, now);
     Ans_CheckQueue(runner, now);
     drop_overdue(runner, now);
