Mend what the reviews of the merged parts found

Found by reading; each with the order of events that it needs. - A detached answer lost the pieces that memory pressure would have sent, and what was left was kept as the whole answer. - An attempt whose offer was refused could still run when its body came unasked: its id is fenced before the refusal. - A request that took the last room got a second answer nobody asked for. - An offered attempt that was lost counted as one that may have run. - Attempts of suspects, and connections to the port of readiness, were in no account of memory, or never given back. - A late order could undo an evacuation that had been confirmed since; a node that can't read the newest preset took no later evacuation. - Refused calls switched off the hedges of a service, and a hedge without credit spent its token. - A limit with a fraction was rounded up; a grant of a moment to come counted. - The evacuation was in the load report, so that a node which knew of its end first left the server out until a probe. - A queued attempt that starts before the newcomer could give way to it; calls without an account were the first to wait; the wait at a cold server was estimated too short; a trace had no name for queueing ahead. Two modules shared the prefix Crd; that of keys is Cdt now.

--- a/src/connection/callerconn.c
+++ b/src/connection/callerconn.c
@@ -419,8 +419,10 @@
 static void
 on_accept_error(struct evconnlistener *evlistener, void *context)
 {
-    (void)evlistener;
-    Ccn_PauseAccepting(context);
+    CallerListener *listener = context;
+
+    evconnlistener_disable(evlistener);
+    listener->is_paused = true;
 }
 
 static bool
--- a/src/connection/callerinput.c
+++ b/src/connection/callerinput.c
@@ -250,6 +250,14 @@
     }
 }
 
+/* Whether nothing of a further request has come. */
+static bool
+has_no_input(const CallerConnection *connection)
+{
+    return !connection->reader.in_message &&
+           evbuffer_get_length(bufferevent_get_input(connection->bev)) == 0;
+}
+
 static void
 read_messages(CallerConnection *connection)
 {
@@ -285,7 +293,7 @@
             evbuffer_drain(input, evbuffer_get_length(input));
         }
         limit_input(connection, evbuffer_get_length(input));
-        if (connection->ignores_input) {
+        if (connection->ignores_input || has_no_input(connection)) {
             Ccn_ReleaseInput(connection);
         }
         else if (!Ccn_HoldInput(connection)) {
--- a/src/connection/callerpush.c
+++ b/src/connection/callerpush.c
@@ -89,7 +89,7 @@
 {
     struct evbuffer *out = bufferevent_get_output(connection->bev);
 
-    if (evbuffer_get_length(out) == 0) {
+    if (evbuffer_get_length(out) == 0 || connection->is_given_up) {
         return;
     }
     write_output(connection);
--- a/src/connection/callerroom.c
+++ b/src/connection/callerroom.c
@@ -209,6 +209,9 @@
 void
 Ccn_CountOutput(CallerConnection *connection, size_t added, size_t deleted)
 {
+    if (!connection->answers_held) {
+        connection->taken_at = connection->listener->checked_at;
+    }
     let_go(connection->listener, Bdg_ANSWERS, &connection->answers_held,
            connection->answers_held + added - deleted);
 }
--- a/src/process/admission/admission.c
+++ b/src/process/admission/admission.c
@@ -323,12 +323,10 @@
            count_queued(controller) >= controller->settings.patient_queue_max;
 }
 
+/* The wait of an attempt behind AHEAD queued ones. */
 static Span
-estimate_wait(AdmissionController *controller, RequestClass cls, Instant now)
+estimate_wait(AdmissionController *controller, uint32_t ahead, Instant now)
 {
-    uint32_t ahead = cls == Adm_INTERACTIVE
-                         ? controller->queued[Adm_INTERACTIVE]
-                         : count_queued(controller);
     uint32_t slots = count_available_slots(controller, now);
     Span for_slot =
         slots ? (Span)(controller->service_us * (ahead + 1) / slots) : 0;
@@ -355,7 +353,10 @@
 decide(AdmissionController *controller, const AdmissionRequest *request,
        Instant now)
 {
-    Span wait = estimate_wait(controller, request->cls, now);
+    uint32_t ahead = request->cls == Adm_INTERACTIVE
+                         ? controller->queued[Adm_INTERACTIVE]
+                         : count_queued(controller);
+    Span wait = estimate_wait(controller, ahead, now);
 
     if (!controller->backend_present) {
         return Adm_REFUSE_ABSENT;
@@ -388,19 +389,22 @@
 }
 
 static bool
-can_queue_ahead(const AdmissionController *controller,
+can_queue_ahead(AdmissionController *controller,
                 const AdmissionRequest *request, uint32_t ahead, Instant now)
 {
-    uint32_t slots = count_available_slots(controller, now);
     Span wait;
 
     if (!controller->backend_present || is_closed(controller) ||
-        controller->next_trial_at || request->misses_objective || !slots ||
-        ahead >= count_queued(controller) ||
+        controller->next_trial_at || request->misses_objective ||
+        !count_available_slots(controller, now) ||
+        ahead >= controller->queued[request->cls] ||
         Adm_IsBackendSlow(controller, now)) {
         return false;
     }
-    wait = (Span)(controller->service_us * (ahead + 1) / slots);
+    if (request->cls == Adm_PATIENT) {
+        ahead += controller->queued[Adm_INTERACTIVE];
+    }
+    wait = estimate_wait(controller, ahead, now);
     return wait < request->time_left &&
            (!request->queue_time_max || wait < request->queue_time_max);
 }
@@ -643,7 +647,7 @@
 }
 
 LoadReport
-Adm_GetMemberReport(const AdmissionController *controller, Instant now)
+Adm_GetLoadReport(const AdmissionController *controller, Instant now)
 {
     return (LoadReport){
         .slots = count_reported_slots(controller, now),
@@ -661,15 +665,6 @@
     };
 }
 
-LoadReport
-Adm_GetLoadReport(const AdmissionController *controller, Instant now)
-{
-    LoadReport report = Adm_GetMemberReport(controller, now);
-
-    report.draining = report.draining || controller->evacuated;
-    return report;
-}
-
 static void
 replay_end(AdmissionController *controller, const AdmissionEvent *event)
 {
--- a/src/process/admission/admission.h
+++ b/src/process/admission/admission.h
@@ -173,9 +173,10 @@
                            const AdmissionRequest *request, Instant now);
 
 /* Decides again about an attempt that Adm_Admit refused as full or late, when
- * only AHEAD of the queued attempts start before it and the caller takes one
- * of the others out of the queue.  Returns true when it is queued, and counted
- * as such; the caller then calls Adm_OnQueueCancel for the other one. */
+ * only AHEAD of the queued attempts of its class start before it and the
+ * caller takes one of the others out of the queue.  Returns true when it is
+ * queued, and counted as such; the caller then calls Adm_OnQueueCancel for the
+ * other one. */
 bool Adm_QueueAhead(AdmissionController *controller,
                     const AdmissionRequest *request, uint32_t ahead,
                     Instant now);
@@ -250,14 +251,11 @@
 
 /* The load to report to other nodes.  A backend server that rejects everything
  * is reported as draining only until the next trial is due: otherwise no node
- * would send the trial attempt. */
+ * would send the trial attempt.  An evacuation is not reported: nodes know of
+ * it, and of its end, by the version alone. */
 LoadReport Adm_GetLoadReport(const AdmissionController *controller,
                              Instant now);
 
-/* The same, without the evacuation. */
-LoadReport Adm_GetMemberReport(const AdmissionController *controller,
-                               Instant now);
-
 /* Sets the observer of all further events; NULL for none. */
 void Adm_SetObserver(AdmissionController *controller,
                      AdmissionObserver observer, void *context);
--- a/src/process/admission/coldrate.c
+++ b/src/process/admission/coldrate.c
@@ -24,6 +24,7 @@
 void
 Cld_OnCold(ColdRate *rate, Span left, Instant now)
 {
+    rate->cold_said_at = now;
     rate->cold_until = now + left + COLD_MARGIN;
 }
 
@@ -34,7 +35,7 @@
         rate->warm_as_of = as_of;
     }
     /* A word that was asked for after the server said that it is cold. */
-    if (as_of < rate->cold_until) {
+    if (as_of >= rate->cold_said_at && as_of < rate->cold_until) {
         rate->cold_until = as_of;
     }
 }
--- a/src/process/admission/coldrate.h
+++ b/src/process/admission/coldrate.h
@@ -39,8 +39,9 @@
     Instant opened_at; /* no start before is known; 0: all are */
     uint32_t counts[Cld_INTERVALS]; /* starts; interval N at N modulo all */
     int64_t newest;                 /* number of the newest interval */
-    Instant warm_as_of; /* the server was warm then; 0: not known */
-    Instant cold_until; /* as it last said */
+    Instant warm_as_of;   /* the server was warm then; 0: not known */
+    Instant cold_said_at; /* the last word that it is cold */
+    Instant cold_until;   /* by that word */
 } ColdRate;
 
 /* Starts without a bound.  NOW is the start of this process. */
--- a/src/process/admission/fairshare.c
+++ b/src/process/admission/fairshare.c
@@ -28,5 +28,8 @@
     const FairShareBucket *bucket =
         &shares->buckets[account.hash % Fsh_BUCKETS];
 
+    if (!account.hash) {
+        return 0;
+    }
     return get_decayed(bucket, now) / (account.weight ? account.weight : 1);
 }
--- a/src/process/admission/fairshare.h
+++ b/src/process/admission/fairshare.h
@@ -37,7 +37,7 @@
                  Instant now);
 
 /* What ACCOUNT had lately for each call a second that it may make, in
- * microseconds.  Only comparisons of two accounts mean something. */
+ * microseconds; 0 without an account.  Only comparisons mean something. */
 double Fsh_GetUse(const FairShares *shares, AccountShare account, Instant now);
 
 #endif
--- a/src/process/admission/queueorder.c
+++ b/src/process/admission/queueorder.c
@@ -57,7 +57,10 @@
 Quo_OfferDisplaced(QueueDisplacement *found, const QueuePlace *place,
                    void *item)
 {
-    found->ahead += Quo_StartsBefore(place, &found->newcomer);
+    if (Quo_StartsBefore(place, &found->newcomer)) {
+        found->ahead++;
+        return;
+    }
     if (Quo_MayDisplace(&found->newcomer, place) &&
         (!found->item || Quo_StartsBefore(&found->place, place))) {
         found->place = *place;
--- a/src/process/lifecycle/ready.c
+++ b/src/process/lifecycle/ready.c
@@ -8,8 +8,10 @@
 static void
 on_request(struct evhttp_request *request, void *context)
 {
-    const ReadinessServer *server = context;
+    ReadinessServer *server = context;
 
+    Opc_OnRequest(&server->connections, request, Loop_Now());
+    Opc_SetBusy(&server->connections, request, false);
     evhttp_send_reply(request,
                       server->is_ready(server->context) ? STATUS_READY
                                                         : STATUS_NOT_READY,
--- a/src/process/membership/membershipsync.c
+++ b/src/process/membership/membershipsync.c
@@ -26,7 +26,7 @@
     own->sequence++;
     own->has_backend = members->announcements->has_backend;
     StrBuf_Set(&own->service, StrBuf_View(&members->announcements->service));
-    own->load = Adm_GetMemberReport(members->admission, now);
+    own->load = Adm_GetLoadReport(members->admission, now);
     if (Mbr_OnRecord(&members->membership, own, now) || own->is_leaving) {
         members->changed_sequence = own->sequence;
     }
--- a/src/process/node.c
+++ b/src/process/node.c
@@ -407,11 +407,12 @@
     Node *node = context;
     ConfigVersion version = content->version;
 
+    /* An evacuation holds also where this node can't read the preset. */
+    apply_evacuated(node, content->evacuated, now);
     if (content->json.len && !replace_preset(node, content)) {
         return false;
     }
     node->in_force->version = version;
-    apply_evacuated(node, content->evacuated, now);
     node->dispatcher.version_confirmed = true;
     Mbs_SetVersion(&node->members, version, now);
     Tml_Record(
--- a/src/process/observe/recorder.c
+++ b/src/process/observe/recorder.c
@@ -48,6 +48,7 @@
         [Adm_EVENT_QUEUE_CANCEL] = Str_LIT("leave_line"),
         [Adm_EVENT_START_NEXT] = Str_LIT("next"),
         [Adm_EVENT_PACE_REPORT] = Str_LIT("said"),
+        [Adm_EVENT_QUEUE_AHEAD] = Str_LIT("queue_ahead"),
         [Adm_EVENT_EVACUATED] = Str_LIT("evacuated"),
         [Adm_EVENT_COLD_OPEN] = Str_LIT("cold_open"),
         [Adm_EVENT_COLD_BOUND] = Str_LIT("cold_bound"),
--- a/src/process/quota/quotasync.c
+++ b/src/process/quota/quotasync.c
@@ -129,6 +129,9 @@
         reject_malformed(sync, &err);
         return;
     }
+    if (msg.sent_at < 0 || msg.sent_at > now) {
+        return; /* no ask of this node */
+    }
     /* An answer of a replica that no longer leads says nothing of the one
      * that does. */
     if (msg.term && msg.term < sync->holder.term) {
--- a/src/request/answer.c
+++ b/src/request/answer.c
@@ -111,6 +111,9 @@
     size_t sent = 0;
     size_t least = choose_least_piece(attempt->runner);
 
+    if (attempt->detached) {
+        return; /* what there is of the answer is kept for the ledger */
+    }
     while (attempt->unsent_body.len - sent >= least &&
            attempt->uncredited_bytes < get_window(attempt)) {
         Str piece = Str_Slice(StrBuf_View(&attempt->unsent_body), sent,
--- a/src/request/call.c
+++ b/src/request/call.c
@@ -83,7 +83,11 @@
         Ccr_PutBack(call, now);
     }
     log_end(call, outcome, reason, now);
-    Hdg_OnCallEnd(&call->service->hedge_gate, is_in_time(call, outcome, now));
+    if (call->sent_count || reason == Call_REASON_OVERLOAD ||
+        reason == Call_REASON_DEADLINE) {
+        Hdg_OnCallEnd(&call->service->hedge_gate,
+                      is_in_time(call, outcome, now));
+    }
     Lat_Record(call->dispatcher->latencies, Lat_CALL, now - call->arrived_at);
     Cnt_Add(call->dispatcher->counters, ids[outcome], 1);
     if (outcome == Call_UNKNOWN || reason == Call_REASON_OVERLOAD) {
@@ -326,12 +330,12 @@
     const CredentialBounds bounds = {dispatcher->apply_bound,
                                      dispatcher->revoke_bound};
 
-    switch (Crd_FindAccount(&dispatcher->in_force->account_keys,
+    switch (Cdt_FindAccount(&dispatcher->in_force->account_keys,
                             request->credential, dispatcher->version_word,
                             &bounds, account, now)) {
-    case Crd_KNOWN:
+    case Cdt_KNOWN:
         return Call_REASON_NONE;
-    case Crd_UNKNOWN:
+    case Cdt_UNKNOWN:
         return Call_REASON_NO_ACCOUNT;
     default:
         return Call_REASON_VERSION;
--- a/src/request/callanswer.c
+++ b/src/request/callanswer.c
@@ -52,7 +52,13 @@
 static void
 on_answer_lost(Attempt *attempt, Instant now)
 {
-    if (attempt->pieces.next_sequence) {
+    if (attempt->is_offered && attempt->call->claim_session) {
+        Call_OnAttemptFailed(attempt, Rty_NOT_RUN, now);
+    }
+    else if (attempt->is_offered) {
+        Call_SendAgain(attempt, now); /* its body was never sent */
+    }
+    else if (attempt->pieces.next_sequence) {
         Call_EndUnknown(attempt->call, now);
     }
     else {
--- a/src/request/callhedge.c
+++ b/src/request/callhedge.c
@@ -56,7 +56,11 @@
     if (!Rty_BudgetTake(&call->service->hedge_budget)) {
         return Hdg_OVER_BUDGET;
     }
-    return Ccr_TakeForHedge(call, now) ? Hdg_SEND : Hdg_OVER_QUOTA;
+    if (!Ccr_TakeForHedge(call, now)) {
+        Rty_BudgetPutBack(&call->service->hedge_budget);
+        return Hdg_OVER_QUOTA;
+    }
+    return Hdg_SEND;
 }
 
 static void
@@ -83,7 +87,7 @@
 {
     Span objective = call->route->latency_objective;
 
-    return verdict == Hdg_NO_ATTEMPT || verdict == Hdg_OVER_QUOTA ||
+    return verdict == Hdg_NO_ATTEMPT ||
            (objective && now - call->arrived_at >= objective);
 }
 
--- a/src/request/crash.c
+++ b/src/request/crash.c
@@ -108,7 +108,12 @@
         Run_RefuseCall(runner, origin, msg, reason, now);
     }
     else if (disposition == QUEUED) {
-        Run_Add(runner, origin, msg, now)->exclusive = true;
+        BackendAttempt *attempt = Run_Add(runner, origin, msg, now);
+        attempt->exclusive = true;
+        if (!Run_Hold(attempt)) {
+            Run_Refuse(attempt, Reject_FULL, now);
+            Run_DequeueAndFree(attempt);
+        }
         Run_Tick(runner, now);
     }
     return disposition != NOT_SUSPECT;
--- a/src/request/credential.c
+++ b/src/request/credential.c
@@ -5,7 +5,7 @@
 enum { WORD_PERCENT = 90, PERCENT = 100 };
 
 CredentialVerdict
-Crd_FindAccount(const AccountKeyTable *keys, Str key, const VersionWord *word,
+Cdt_FindAccount(const AccountKeyTable *keys, Str key, const VersionWord *word,
                 const CredentialBounds *bounds, const PresetAccount **account,
                 Instant now)
 {
@@ -14,12 +14,12 @@
 
     *account = NULL;
     if (!found) {
-        return Vwd_ProvesAbsence(word, bounds->apply, now) ? Crd_UNKNOWN
-                                                           : Crd_UNSURE;
+        return Vwd_ProvesAbsence(word, bounds->apply, now) ? Cdt_UNKNOWN
+                                                           : Cdt_UNSURE;
     }
     if (bounds->revoke && Vwd_Age(word, now) >= word_age_max) {
-        return Crd_UNSURE;
+        return Cdt_UNSURE;
     }
     *account = found;
-    return Crd_KNOWN;
+    return Cdt_KNOWN;
 }
--- a/src/request/credential.h
+++ b/src/request/credential.h
@@ -1,4 +1,4 @@
-/* Crd: decides whether a key may be served, by what this node knows of the
+/* Cdt: decides whether a key may be served, by what this node knows of the
  * keys of client accounts and by how old that is.
  *
  * A key that is missing here may have been added, and one that is here may
@@ -14,9 +14,9 @@
 #include "version/accountkeys.h"
 
 typedef enum {
-    Crd_KNOWN,   /* the key of an account */
-    Crd_UNKNOWN, /* no account has it */
-    Crd_UNSURE   /* the node's version is too old to tell */
+    Cdt_KNOWN,   /* the key of an account */
+    Cdt_UNKNOWN, /* no account has it */
+    Cdt_UNSURE   /* the node's version is too old to tell */
 } CredentialVerdict;
 
 typedef struct {
@@ -25,9 +25,9 @@
                     are cut off; 0: those are not bound */
 } CredentialBounds;
 
-/* Looks KEY up.  ACCOUNT is set to its account for Crd_KNOWN, else to NULL.
+/* Looks KEY up.  ACCOUNT is set to its account for Cdt_KNOWN, else to NULL.
  * WORD is of the version that KEYS belong to. */
-CredentialVerdict Crd_FindAccount(const AccountKeyTable *keys, Str key,
+CredentialVerdict Cdt_FindAccount(const AccountKeyTable *keys, Str key,
                                   const VersionWord *word,
                                   const CredentialBounds *bounds,
                                   const PresetAccount **account, Instant now);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -228,11 +228,12 @@
     };
 }
 
-/* Whether another attempt may give way to one that got VERDICT. */
+/* Whether another attempt may give way to ATTEMPT, which got VERDICT. */
 static bool
-lacks_room(AdmissionVerdict verdict)
+may_displace(const BackendAttempt *attempt, AdmissionVerdict verdict)
 {
-    return verdict == Adm_REFUSE_FULL || verdict == Adm_REFUSE_LATE;
+    return !attempt->misses_objective &&
+           (verdict == Adm_REFUSE_FULL || verdict == Adm_REFUSE_LATE);
 }
 
 void
@@ -246,7 +247,7 @@
         Run_StartExchange(attempt, now);
     }
     else if (verdict != Adm_QUEUE &&
-             !(lacks_room(verdict) && Run_Displace(attempt, now))) {
+             !(may_displace(attempt, verdict) && Run_Displace(attempt, now))) {
         Run_Refuse(attempt, get_reject_reason(verdict), now);
         Run_Free(attempt);
     }
@@ -328,6 +329,17 @@
     }
 }
 
+/* Whether the attempt ID never ran and never will, also when its call comes
+ * behind the offer without having been granted. */
+static bool
+fence_offered(AttemptRunner *runner, AttemptId id, Instant now)
+{
+    Str answer;
+
+    return Led_Fence(&runner->ledger, id, runner->incarnation, false, now,
+                     &answer) == Led_NEVER_RAN;
+}
+
 /* A large body may come when there is room for it; else the attempt is refused
  * before it was sent. */
 static void
@@ -341,11 +353,19 @@
         Cnt_Add(runner->counters, Cnt_MALFORMED, 1);
         return;
     }
-    if (!Ofr_Grant(&runner->offers, runner->budget, offer.id,
+    runner->last_call_at = now;
+    if (runner->admission->stopping ||
+        !Ofr_Grant(&runner->offers, runner->budget, offer.id,
                    offer.bytes + EXCHANGE_BYTES, now)) {
         CallMessage msg = {.id = offer.id};
-        Cnt_Add(runner->counters, Cnt_MEMORY_REFUSED, 1);
-        Run_RefuseCall(runner, origin, &msg, Reject_FULL, now);
+        Cnt_Add(runner->counters, Cnt_MEMORY_REFUSED,
+                !runner->admission->stopping);
+        if (fence_offered(runner, offer.id, now)) {
+            Run_RefuseCall(runner, origin, &msg,
+                           runner->admission->stopping ? Reject_DRAINING
+                                                       : Reject_FULL,
+                           now);
+        }
         return;
     }
     Callmsg_PackId(&pack, Wire_GRANT, offer.id);
@@ -609,6 +629,7 @@
     }
     attempt->origin = *origin;
     attempt->detached = false;
+    attempt->origin_lost = false;
     if (attempt->next_piece) {
         /* Credits may have been lost as well. */
         attempt->uncredited_bytes =
--- a/src/request/runqueue.c
+++ b/src/request/runqueue.c
@@ -8,7 +8,8 @@
         .nested = attempt->nested,
         .priority = attempt->priority,
         .use = Fsh_GetUse(&attempt->runner->shares, attempt->account, now),
-        .start_by = attempt->queue_deadline,
+        .start_by = attempt->queue_time_max ? attempt->queue_deadline
+                                            : attempt->deadline,
     };
 }
 
--- a/src/version/evacuation.c
+++ b/src/version/evacuation.c
@@ -49,6 +49,20 @@
            Cfg_CompareVersions(change->base_version, item->changed_in) < 0;
 }
 
+/* An order that finds what it asks for, and whose sender knew of that, is a
+ * newer word of it: an opposite order on an older version comes late now. */
+static void
+confirm_order(ConfigState *cfg, Evacuation *item, const ConfigChange *change,
+              ConfigVersion version, ConfigResult *result)
+{
+    if (item &&
+        Cfg_CompareVersions(change->base_version, item->changed_in) >= 0) {
+        item->changed_in = version;
+        cfg->version = version;
+        result->version = version;
+    }
+}
+
 void
 Cfg_ApplyEvacuation(ConfigState *cfg, const ConfigChange *change,
                     ConfigVersion version, ConfigResult *result)
@@ -63,6 +77,7 @@
     }
     if (item ? item->is_ended == is_end : is_end) {
         result->is_repeat = true;
+        confirm_order(cfg, item, change, version, result);
         return;
     }
     item = item ? item : find_place(cfg);
--- a/src/version/routing_accounts.c
+++ b/src/version/routing_accounts.c
@@ -1,7 +1,5 @@
 #include "version/routing_accounts.h"
 
-#include <math.h>
-
 #include "value/mem.h"
 
 enum { RATE_MAX = 1000000, SECONDS_MAX = 3600, PRIORITY_MAX = 1000 };
@@ -56,7 +54,9 @@
 uint32_t
 Rtg_ReadRate(JsonObject *object, Str key)
 {
-    return (uint32_t)ceil(read_number(object, key, RATE_MAX));
+    double rate = read_number(object, key, RATE_MAX);
+
+    return rate > 0 && rate < 1 ? 1 : (uint32_t)rate;
 }
 
 void
--- a/src/version/routing_accounts.h
+++ b/src/version/routing_accounts.h
@@ -15,8 +15,8 @@
 /* Reads the member "home_regions" of OBJECT, a list of names. */
 void Rtg_ReadRegions(PresetRegions *regions, JsonObject *object);
 
-/* Read a number that is not below 0; 0 when it is absent.  A fraction of a
- * rate is rounded up. */
+/* Read a number that is not below 0; 0 when it is absent.  The fraction of a
+ * rate is dropped, but one below 1 is taken as 1, since 0 means no bound. */
 Span Rtg_ReadSeconds(JsonObject *object, Str key);
 uint32_t Rtg_ReadRate(JsonObject *object, Str key);
 
