--- a/src/connection/callerstate.h
+++ b/src/connection/callerstate.h
@@ -1,7 +1,8 @@
 /* The state of one connection of a caller, and the functions that the files
  * of callerconn.h share: callerconn.c (listener, connections, timeouts),
- * callerinput.c (requests), callerroom.c (who keeps how much) and
- * calleranswer.c (answers).  Private to these files.
+ * callerinput.c (requests), callerroom.c (who keeps how much), callerpush.c
+ * (answers late in a stop) and calleranswer.c (answers).  Private to these
+ * files.
  */
 #ifndef CALLERSTATE_H
 #define CALLERSTATE_H
--- a/src/process/admission/admission.h
+++ b/src/process/admission/admission.h
@@ -5,7 +5,9 @@
  * An AdmissionController counts running and queued attempts but owns none of
  * them.  The caller keeps the queues.  It calls Adm_Admit for each attempt
  * that arrives, Adm_OnAttemptEnd for each that ends, and then Adm_StartNext
- * until that returns false, starting the head of the named queue each time.
+ * until that returns false, starting the attempt of the named class that goes
+ * first each time (queueorder.h).  Adm_QueueAhead decides about an attempt
+ * that takes the place of another.
  * What the backend server announces, reports and rejects is fed in by the
  * Adm_On... functions.  Adm_GetLoadReport summarizes the state for other
  * nodes.
--- a/src/process/control/configapi.c
+++ b/src/process/control/configapi.c
@@ -181,8 +181,8 @@
             (OperatorAnswer){
                 504, Configjson_Outcome(Str_LIT("unknown"),
                                         Str_LIT("no outcome came back: "
-                                                "send it again with the "
-                                                "same id"))});
+                                                "send it again, a change "
+                                                "with the same id"))});
     }
     else {
         Configapi_EndRequest(
--- a/src/process/quota/quotasync.h
+++ b/src/process/quota/quotasync.h
@@ -2,7 +2,7 @@
  * which is the leader of the control replicas.
  *
  * Every node has a QuotaSync.  Calls take credit through it (request/
- * callcredit.h) and are called back when credit has come.  On a control
+ * callcredit.c) and are called back when credit has come.  On a control
  * replica it also answers the nodes: with credit, while this replica leads
  * alone (Ctl_LeadsAlone), else with who leads.  A replica that begins to grant
  * tells the nodes that have asked it lately.
--- a/src/request/runqueue.c
+++ b/src/request/runqueue.c
@@ -1,3 +1,5 @@
+/* The order in which queued attempts start, and which of them gives its place
+ * to a newcomer. */
 #include "process/admission/queueorder.h"
 #include "request/runstate.h"
 
--- a/src/request/runstate.h
+++ b/src/request/runstate.h
@@ -1,5 +1,6 @@
 /* The state of one attempt at the node beside its backend server, and the
- * functions that run.c (messages, queue), runexchange.c (the exchange with the
+ * functions that run.c (messages, admission), runqueue.c (the order of the
+ * queue, who gives way), runexchange.c (the exchange with the
  * backend server), runreply.c (what ingress nodes are told), runcold.c (the
  * rate of a cold backend server), answer.c and crash.c share.  Private to
  * these files; everything else uses run.h.
--- a/src/version/config.h
+++ b/src/version/config.h
@@ -11,7 +11,8 @@
  * Each change names the version it builds on (compare and swap) and a unique
  * change id.  Of two changes on the same version one is accepted, and the
  * other gets a conflict that names the accepted one.  A change that is sent
- * again gets its first outcome.  Versions only increase.
+ * again gets its first outcome.  Versions only increase.  Orders about
+ * evacuations are the exception: they have no id, see Cfg_IsEvacuation.
  *
  * Bounds: Cfg_PRESETS_MAX presets of Cfg_JSON_BYTES_MAX bytes each, and the
  * outcomes of the last Cfg_RECORDS_MAX changes.  A change that may be older
