--- a/review/common-2/kit.c
+++ b/review/common-2/kit.c
@@ -53,6 +53,8 @@
 static int backend_count;
 static Run runs[RUNS_MAX];
 static int run_count;
+static double work_seconds;
+static double heartbeat_seconds = 1;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 double
@@ -425,12 +427,38 @@
     return answer.status == 200;
 }
 
+void
+Kit_SetTimes(double work, double heartbeat)
+{
+    work_seconds = work;
+    heartbeat_seconds = heartbeat;
+}
+
+int
+Kit_Announce(int number, const char *id, const char *body)
+{
+    char text[1024];
+    KitAnswer answer;
+
+    snprintf(text, sizeof text,
+             "POST /v1/backends/announce?id=%s HTTP/1.1\r\nHost: node\r\n"
+             "Connection: close\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\n\r\n%s",
+             id, strlen(body), body);
+    call(2, number, CONTROL_PORT, 1, text, &answer);
+    return answer.status;
+}
+
+void
+Kit_PrintBackendAddress(int number, char *text, size_t size)
+{
+    snprintf(text, size, "127.%d.2.%d:%d", net, number + 1, BACKEND_PORT);
+}
+
 static void
 announce(const Backend *backend, int sequence)
 {
     char body[512];
-    char text[1024];
-    KitAnswer answer;
 
     snprintf(body, sizeof body,
              "{\"service\":\"%s\",\"address\":\"127.%d.2.%d:%d\","
@@ -439,12 +467,7 @@
              "\"born\":%lld}",
              backend->service, net, backend->number + 1, BACKEND_PORT,
              sequence, backend->born_ms);
-    snprintf(text, sizeof text,
-             "POST /v1/backends/announce?id=%s HTTP/1.1\r\nHost: node\r\n"
-             "Connection: close\r\nContent-Type: application/json\r\n"
-             "Content-Length: %zu\r\n\r\n%s",
-             backend->id, strlen(body), body);
-    call(2, backend->number, CONTROL_PORT, 1, text, &answer);
+    Kit_Announce(backend->number, backend->id, body);
 }
 
 static void *
@@ -452,7 +475,7 @@
 {
     for (int sequence = 1;; sequence++) {
         announce(context, sequence);
-        Kit_Sleep(1);
+        Kit_Sleep(heartbeat_seconds);
     }
     return NULL;
 }
@@ -511,8 +534,18 @@
                  "Content-Length: 0\r\n\r\n");
         return send_all(connection->fd, text, strlen(text));
     }
+    if (!is_health && get_field(head, "Expect-Instance", text, ID_MAX) &&
+        strcmp(text, connection->backend->id) != 0) {
+        snprintf(body, sizeof body, "not %.40s\n", text);
+        snprintf(text, sizeof text,
+                 "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\n"
+                 "Not-Executed: 1\r\nContent-Length: %zu\r\n\r\n%s",
+                 id, strlen(body), body);
+        return send_all(connection->fd, text, strlen(text));
+    }
     if (!is_health) {
         add_run(connection->backend, id, head);
+        Kit_Sleep(work_seconds);
     }
     snprintf(body, sizeof body, "%s of %s\n", connection->backend->id,
              connection->backend->service);
--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -46,6 +46,17 @@
  * it announces itself each second and answers each request with 200. */
 void Kit_StartBackend(int number, const char *service);
 
+/* How long backends work at a request (0 s), and the time between their
+ * heartbeats (1 s). */
+void Kit_SetTimes(double work, double heartbeat);
+
+/* Sends a heartbeat to the control address of sidecar machine NUMBER.  Returns
+ * the status of the answer; 0: none. */
+int Kit_Announce(int number, const char *id, const char *body);
+
+/* The address of the backend of sidecar machine NUMBER. */
+void Kit_PrintBackendAddress(int number, char *text, size_t size);
+
 /* How many requests with this Request-Id backends have run; the service of
  * the last one goes to SERVICE (64 bytes). */
 int Kit_CountRuns(const char *id, char *service);
