--- a/review/common-2/kit.c
+++ b/review/common-2/kit.c
@@ -26,11 +26,13 @@
     OUTBOUND_PORT = 8629
 };
 
-enum { RUNS_MAX = 65536, ID_MAX = 64, SEEDS_MAX = 3 };
+enum { RUNS_MAX = 65536, ID_MAX = 64, SEEDS_MAX = 3, CONNECTIONS_MAX = 256 };
 
 typedef struct {
     char id[ID_MAX];
     char service[ID_MAX];
+    int backend;
+    double at;
 } Run;
 
 typedef struct {
@@ -39,6 +41,10 @@
     char id[ID_MAX];
     long long born_ms;
     int listener;
+    double heartbeat_delay;
+    bool has_ended;
+    int connections[CONNECTIONS_MAX];
+    int connection_count;
 } Backend;
 
 static FILE *record;
@@ -473,8 +479,11 @@
 static void *
 announce_all(void *context)
 {
-    for (int sequence = 1;; sequence++) {
-        announce(context, sequence);
+    const Backend *backend = context;
+
+    Kit_Sleep(backend->heartbeat_delay);
+    for (int sequence = 1; !backend->has_ended; sequence++) {
+        announce(backend, sequence);
         Kit_Sleep(heartbeat_seconds);
     }
     return NULL;
@@ -502,7 +511,7 @@
 }
 
 typedef struct {
-    const Backend *backend;
+    Backend *backend;
     int fd;
 } Connection;
 
@@ -513,6 +522,8 @@
     if (run_count < RUNS_MAX) {
         snprintf(runs[run_count].id, ID_MAX, "%s", id);
         snprintf(runs[run_count].service, ID_MAX, "%s", backend->service);
+        runs[run_count].backend = (int)(backend - backends);
+        runs[run_count].at = Kit_Now();
         run_count++;
     }
     pthread_mutex_unlock(&lock);
@@ -599,39 +610,113 @@
     pthread_detach(thread);
 }
 
+static bool
+add_connection(Backend *backend, int fd)
+{
+    bool added;
+
+    pthread_mutex_lock(&lock);
+    added = !backend->has_ended && backend->connection_count < CONNECTIONS_MAX;
+    if (added) {
+        backend->connections[backend->connection_count++] = fd;
+    }
+    pthread_mutex_unlock(&lock);
+    return added;
+}
+
 static void *
 accept_all(void *context)
 {
-    const Backend *backend = context;
+    Backend *backend = context;
 
-    for (;;) {
+    while (!backend->has_ended) {
         int fd = accept(backend->listener, NULL, NULL);
-        if (fd >= 0) {
+        if (fd >= 0 && add_connection(backend, fd)) {
             Connection *connection = malloc(sizeof *connection);
             *connection = (Connection){backend, fd};
             start_thread(serve, connection);
         }
+        else if (fd >= 0) {
+            close(fd);
+        }
     }
     return NULL;
 }
 
-void
-Kit_StartBackend(int number, const char *service)
+int
+Kit_StartLateBackend(int number, const char *service, double heartbeat_delay)
 {
-    Backend *backend = &backends[backend_count++];
+    Backend *backend = &backends[backend_count];
     struct timespec now;
 
+    if (backend_count == Kit_BACKENDS_MAX) {
+        Kit_Exit(Kit_NOT_RUN);
+    }
     clock_gettime(CLOCK_REALTIME, &now);
     backend->number = number;
     snprintf(backend->service, ID_MAX, "%s", service);
     snprintf(backend->id, ID_MAX, "i-%d", number);
     backend->born_ms = (long long)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+    backend->heartbeat_delay = heartbeat_delay;
     backend->listener = listen_at(2, number, BACKEND_PORT);
     if (backend->listener < 0) {
         Kit_Exit(Kit_NOT_RUN);
     }
     start_thread(accept_all, backend);
     start_thread(announce_all, backend);
+    return backend_count++;
+}
+
+int
+Kit_StartBackend(int number, const char *service)
+{
+    return Kit_StartLateBackend(number, service, 0);
+}
+
+void
+Kit_EndBackend(int handle)
+{
+    Backend *backend = &backends[handle];
+
+    pthread_mutex_lock(&lock);
+    backend->has_ended = true;
+    shutdown(backend->listener, SHUT_RDWR);
+    close(backend->listener);
+    for (int i = 0; i < backend->connection_count; i++) {
+        shutdown(backend->connections[i], SHUT_RDWR);
+    }
+    pthread_mutex_unlock(&lock);
+}
+
+int
+Kit_Deregister(int handle)
+{
+    const Backend *backend = &backends[handle];
+    char body[64];
+    char text[512];
+    KitAnswer answer;
+
+    snprintf(body, sizeof body, "{\"born\":%lld}", backend->born_ms);
+    snprintf(text, sizeof text,
+             "POST /v1/backends/leave?id=%s HTTP/1.1\r\nHost: node\r\n"
+             "Connection: close\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\n\r\n%s",
+             backend->id, strlen(body), body);
+    call(2, backend->number, CONTROL_PORT, 1, text, &answer);
+    return answer.status;
+}
+
+int
+Kit_CountLateRuns(int handle, double after)
+{
+    int count = 0;
+
+    pthread_mutex_lock(&lock);
+    for (int i = 0; i < run_count; i++) {
+        count += runs[i].backend == handle && runs[i].at > after;
+    }
+    pthread_mutex_unlock(&lock);
+    return count;
 }
 
 int
--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -9,7 +9,7 @@
 #include <stddef.h>
 #include <sys/types.h>
 
-enum { Kit_PROCESSES_MAX = 16, Kit_BACKENDS_MAX = 8, Kit_TEXT_MAX = 65536 };
+enum { Kit_PROCESSES_MAX = 16, Kit_BACKENDS_MAX = 16, Kit_TEXT_MAX = 65536 };
 
 enum { Kit_HELD = 0, Kit_BROKEN = 1, Kit_NOT_RUN = 2 };
 
@@ -44,7 +44,22 @@
 
 /* Starts a stand-in for the backend beside that node.  It heeds the protocol:
  * it announces itself each second and answers each request with 200. */
-void Kit_StartBackend(int number, const char *service);
+int Kit_StartBackend(int number, const char *service);
+
+/* The same, for one whose heartbeats arrive HEARTBEAT_DELAY seconds late.  Both
+ * return a handle. */
+int Kit_StartLateBackend(int number, const char *service,
+                         double heartbeat_delay);
+
+/* The backend ends at once, and with it its connections and heartbeats. */
+void Kit_EndBackend(int handle);
+
+/* The backend sends instances.deregister.  Returns the status of the answer;
+ * 0: none. */
+int Kit_Deregister(int handle);
+
+/* How many requests the backend has begun to run later than AFTER. */
+int Kit_CountLateRuns(int handle, double after);
 
 /* How long backends work at a request (0 s), and the time between their
  * heartbeats (1 s). */
